Lay out modules, build, lint and the HTTP layer

Cause: empty repository; everything else grows on this. Conclusion: one virtual stream below Beast's parser and serializer, so each protocol is instantiated once.

--- /dev/null
+++ b/include/sapphirespar/model/bundle.hpp
@@ -0,0 +1,131 @@
+// The bundle: everything operators declare, as one versioned value.
+#pragma once
+
+#include "sapphirespar/base/ids.hpp"
+
+#include <chrono>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace sapphirespar {
+
+// How a class that is not idempotent is kept from running twice.
+enum class once_mode
+{
+  // The class is idempotent; nothing needs to be kept.
+  None,
+  // Only the process named in the request's token may dispatch it.
+  Token,
+  // A claim on the idempotency key is written to the platform first.
+  Claim,
+};
+
+// Whether a class asks a model engine or a plain service.
+enum class upstream_kind
+{
+  Engine,
+  Service,
+};
+
+struct request_class
+{
+  class_id mId;
+  // 1 is served first.
+  unsigned mTier = 3;
+  upstream_kind mKind = upstream_kind::Engine;
+  bool mIdempotent = true;
+  once_mode mOnce = once_mode::None;
+  // From arrival to the first byte of the answer.
+  std::chrono::milliseconds mFirstTokenTarget{ 1000 };
+  // From arrival to the last byte of the answer.
+  std::chrono::milliseconds mAnswerTarget{ 30000 };
+  // Share of capacity that lower tiers are always left, in percent.
+  unsigned mMinimumSharePercent = 0;
+  // Requests that may wait at one router at a time.
+  unsigned mQueueLimit = 1000;
+  // Worth of one answer in time, relative to other classes.
+  double mWeight = 1.0;
+};
+
+struct client_account
+{
+  account_id mId;
+  // Hexadecimal SHA-256 of the bearer key.
+  std::string mKeyHash;
+  // Classes that this account may send; empty allows all.
+  std::vector<class_id> mClasses;
+  // Across all routers.
+  double mRequestsPerSecond = 100;
+  // Requests in progress at one router at a time.
+  unsigned mConcurrency = 1000;
+};
+
+struct model_spec
+{
+  model_id mId;
+  unsigned mMinimumReplicas = 1;
+  unsigned mMaximumReplicas = 1;
+};
+
+struct upstream_spec
+{
+  upstream_id mId;
+  upstream_kind mKind = upstream_kind::Engine;
+  data_centre_id mDataCentre;
+  std::string mAddress;
+  std::uint16_t mPort = 0;
+  // Requests it works on at once.
+  unsigned mSlots = 8;
+  // Models it may serve; empty for a plain service.
+  std::vector<model_id> mModels;
+  // Name in /v1/services/{service}; empty for an engine.
+  std::string mService;
+  // Whether it refuses orders with an old fencing number.
+  bool mChecksFencing = false;
+  // A leaving upstream gets no new work.
+  bool mLeaving = false;
+};
+
+// A person who may sign bundles.
+struct signer
+{
+  std::string mName;
+  // Ed25519 public key, hexadecimal.
+  std::string mPublicKey;
+};
+
+// Orders bundles: a later epoch or, within one, a higher version is newer.
+struct bundle_version
+{
+  std::uint64_t mEpoch = 0;
+  std::uint64_t mNumber = 0;
+
+  auto operator<=>(const bundle_version&) const = default;
+};
+
+struct bundle
+{
+  bundle_version mVersion;
+  std::vector<request_class> mClasses;
+  std::vector<client_account> mAccounts;
+  std::vector<model_spec> mModels;
+  std::vector<upstream_spec> mUpstreams;
+  std::vector<signer> mSigners;
+};
+
+using bundle_ptr = std::shared_ptr<const bundle>;
+
+// Look-ups return null when there is no such item.
+const request_class* FindClass(const bundle& aBundle, const class_id& aId);
+const client_account* FindAccount(const bundle& aBundle, const account_id& aId);
+const client_account* FindAccountByKeyHash(const bundle& aBundle,
+                                           std::string_view aKeyHash);
+const upstream_spec* FindUpstream(const bundle& aBundle,
+                                  const upstream_id& aId);
+
+// Whether aAccount may send requests of aClass.
+bool MaySend(const client_account& aAccount, const class_id& aClass);
+
+} // namespace sapphirespar
--- /dev/null
+++ b/src/sapphirespar/wire/byte_stream.cpp
@@ -0,0 +1,169 @@
+// Plain and TLS byte streams over Beast's sockets with timeouts.
+#include "sapphirespar/wire/byte_stream.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/ssl/context.hpp>
+#include <boost/asio/ssl/stream_base.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/ssl/ssl_stream.hpp>
+
+#include <sys/socket.h>
+
+#include <cerrno>
+#include <type_traits>
+#include <utility>
+
+namespace sapphirespar::wire {
+namespace {
+
+namespace beast = boost::beast;
+using boost::system::error_code;
+using std::chrono::milliseconds;
+
+using plain_stream = beast::tcp_stream;
+using tls_stream = beast::ssl_stream<beast::tcp_stream>;
+
+// Completes with the error code as a value instead of throwing it.
+constexpr auto kAsTuple = asio::as_tuple(asio::use_awaitable);
+
+template<class Stream>
+class stream_over : public byte_stream
+{
+public:
+  template<class... Arguments>
+  explicit stream_over(Arguments&&... aArguments)
+    : mStream(std::forward<Arguments>(aArguments)...)
+  {
+  }
+
+  Stream& Get() { return mStream; }
+
+  asio::awaitable<read_outcome> ReadSome(asio::mutable_buffer aInto,
+                                         milliseconds aTimeout) override
+  {
+    Lowest().expires_after(aTimeout);
+    const auto [error, bytes] =
+      co_await mStream.async_read_some(aInto, kAsTuple);
+    read_outcome outcome;
+    outcome.mError = error;
+    outcome.mBytes = bytes;
+    co_return outcome;
+  }
+
+  asio::awaitable<error_code> Write(std::string_view aBytes,
+                                    milliseconds aTimeout) override
+  {
+    Lowest().expires_after(aTimeout);
+    const asio::const_buffer bytes(aBytes.data(), aBytes.size());
+    const auto [error, count] =
+      co_await asio::async_write(mStream, bytes, kAsTuple);
+    co_return error;
+  }
+
+  bool LooksClosed() override
+  {
+    auto& socket = Lowest().socket();
+    if (!socket.is_open()) {
+      return true;
+    }
+    char byte = 0;
+    const auto count =
+      ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    if (count > 0) {
+      return false;
+    }
+    return count == 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+  }
+
+  void Close() override
+  {
+    error_code ignored;
+    auto& socket = Lowest().socket();
+    socket.shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
+    Lowest().close();
+  }
+
+  std::string RemoteAddress() override
+  {
+    error_code error;
+    const auto remote = Lowest().socket().remote_endpoint(error);
+    return error ? std::string{} : remote.address().to_string();
+  }
+
+private:
+  plain_stream& Lowest() { return beast::get_lowest_layer(mStream); }
+
+  Stream mStream;
+};
+
+asio::awaitable<stream_result<byte_stream_ptr>>
+Secure(plain_stream aStream,
+       tls_context_ptr aTls,
+       asio::ssl::stream_base::handshake_type aRole,
+       milliseconds aTimeout)
+{
+  auto stream =
+    std::make_unique<stream_over<tls_stream>>(std::move(aStream), *aTls);
+  stream->Get().next_layer().expires_after(aTimeout);
+  const auto [error] = co_await stream->Get().async_handshake(aRole, kAsTuple);
+  if (error) {
+    co_return error;
+  }
+  co_return byte_stream_ptr(std::move(stream));
+}
+
+} // namespace
+
+asio::awaitable<stream_result<byte_stream_ptr>>
+ConnectStream(asio::any_io_executor aExecutor,
+              endpoint aEndpoint,
+              tls_context_ptr aTls,
+              milliseconds aTimeout)
+{
+  error_code addressError;
+  const auto address = asio::ip::make_address(aEndpoint.mAddress, addressError);
+  if (addressError) {
+    co_return addressError;
+  }
+  plain_stream stream(aExecutor);
+  stream.expires_after(aTimeout);
+  const asio::ip::tcp::endpoint remote(address, aEndpoint.mPort);
+  const auto [error] = co_await stream.async_connect(remote, kAsTuple);
+  if (error) {
+    co_return error;
+  }
+  error_code ignored;
+  stream.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
+  if (aTls) {
+    co_return co_await Secure(
+      std::move(stream), aTls, asio::ssl::stream_base::client, aTimeout);
+  }
+  co_return byte_stream_ptr(
+    std::make_unique<stream_over<plain_stream>>(std::move(stream)));
+}
+
+asio::awaitable<stream_result<byte_stream_ptr>>
+AcceptStream(asio::ip::tcp::socket aSocket,
+             tls_context_ptr aTls,
+             milliseconds aTimeout)
+{
+  error_code ignored;
+  aSocket.set_option(asio::ip::tcp::no_delay(true), ignored);
+  plain_stream stream(std::move(aSocket));
+  if (aTls) {
+    co_return co_await Secure(
+      std::move(stream), aTls, asio::ssl::stream_base::server, aTimeout);
+  }
+  co_return byte_stream_ptr(
+    std::make_unique<stream_over<plain_stream>>(std::move(stream)));
+}
+
+bool
+IsTimeout(const error_code& aError)
+{
+  return aError == beast::error::timeout;
+}
+
+} // namespace sapphirespar::wire
--- /dev/null
+++ b/src/sapphirespar/wire/http_codec.hpp
@@ -0,0 +1,134 @@
+// Reading and writing HTTP messages over a byte stream with Beast's parser and
+// serializer. Internal to wire.
+#pragma once
+
+#include "sapphirespar/wire/byte_stream.hpp"
+
+#include <boost/beast/core/buffers_range.hpp>
+#include <boost/beast/core/buffers_to_string.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/chunk_encode.hpp>
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/serializer.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <string>
+
+namespace sapphirespar::wire {
+
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+// HTTP/1.1 in Beast's notation.
+inline constexpr unsigned kHttpVersion = 11;
+
+// Whether the error stems from what was sent rather than from the connection.
+inline bool
+IsParseError(const boost::system::error_code& aError)
+{
+  return aError.category() ==
+           http::make_error_code(http::error::bad_method).category() &&
+         aError != http::error::end_of_stream &&
+         aError != http::error::partial_message;
+}
+
+// Takes from aBuffer what aParser can use; need_more is not an error here.
+template<class Parser>
+boost::system::error_code
+Feed(beast::flat_buffer& aBuffer, Parser& aParser)
+{
+  boost::system::error_code error;
+  if (aBuffer.size() > 0) {
+    aBuffer.consume(aParser.put(aBuffer.data(), error));
+  }
+  return error == http::error::need_more ? boost::system::error_code{} : error;
+}
+
+// Reads once from aStream into aParser. The end of the stream ends a message
+// that has no length of its own and is an error for any other.
+template<class Parser>
+asio::awaitable<boost::system::error_code>
+ReadMore(byte_stream& aStream,
+         beast::flat_buffer& aBuffer,
+         Parser& aParser,
+         std::chrono::milliseconds aTimeout)
+{
+  constexpr std::size_t kReadBytes = 8 * 1024;
+  const auto got =
+    co_await aStream.ReadSome(aBuffer.prepare(kReadBytes), aTimeout);
+  aBuffer.commit(got.mBytes);
+  if (got.mError == asio::error::eof && aParser.got_some()) {
+    boost::system::error_code error;
+    aParser.put_eof(error);
+    co_return error;
+  }
+  if (got.mError) {
+    co_return got.mError;
+  }
+  co_return Feed(aBuffer, aParser);
+}
+
+// Reads until aParser has its whole message.
+template<class Parser>
+asio::awaitable<boost::system::error_code>
+ReadMessage(byte_stream& aStream,
+            beast::flat_buffer& aBuffer,
+            Parser& aParser,
+            std::chrono::milliseconds aTimeout)
+{
+  aParser.eager(true);
+  auto error = Feed(aBuffer, aParser);
+  while (!error && !aParser.is_done()) {
+    error = co_await ReadMore(aStream, aBuffer, aParser, aTimeout);
+  }
+  co_return error;
+}
+
+namespace detail {
+
+template<class Message, class Done>
+std::string
+SerializeUntil(Message& aMessage, Done aDone)
+{
+  http::serializer<Message::is_request::value,
+                   typename Message::body_type,
+                   typename Message::fields_type>
+    serializer(aMessage);
+  serializer.split(true);
+  std::string bytes;
+  boost::system::error_code error;
+  while (!error && !aDone(serializer)) {
+    serializer.next(error, [&](auto&, const auto& aBuffers) {
+      for (const auto buffer : beast::buffers_range_ref(aBuffers)) {
+        bytes.append(static_cast<const char*>(buffer.data()), buffer.size());
+      }
+      serializer.consume(beast::buffer_bytes(aBuffers));
+    });
+  }
+  return bytes;
+}
+
+} // namespace detail
+
+// Returns all bytes of a message.
+template<class Message>
+std::string
+Serialize(Message& aMessage)
+{
+  return detail::SerializeUntil(
+    aMessage, [](auto& aSerializer) { return aSerializer.is_done(); });
+}
+
+// Returns the bytes of a message's start line and headers.
+template<class Message>
+std::string
+SerializeHead(Message& aMessage)
+{
+  return detail::SerializeUntil(
+    aMessage, [](auto& aSerializer) { return aSerializer.is_header_done(); });
+}
+
+} // namespace sapphirespar::wire
--- /dev/null
+++ b/src/sapphirespar/wire/http_server.cpp
@@ -0,0 +1,341 @@
+// The HTTP server: accepting, parsing, and the reply that handlers write to.
+#include "sapphirespar/wire/http_server.hpp"
+
+#include "http_codec.hpp"
+
+#include "sapphirespar/base/log.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+#include <atomic>
+#include <optional>
+#include <vector>
+
+namespace sapphirespar::wire {
+
+struct http_server_state
+{
+  http_server_state(asio::io_context& aContext,
+                    std::span<asio::io_context* const> aWorkers,
+                    http_server_settings aSettings,
+                    http_handler aHandler)
+    : mAcceptor(aContext)
+    , mWorkers(aWorkers.begin(), aWorkers.end())
+    , mSettings(std::move(aSettings))
+    , mHandler(std::move(aHandler))
+  {
+  }
+
+  asio::ip::tcp::acceptor mAcceptor;
+  std::vector<asio::io_context*> mWorkers;
+  http_server_settings mSettings;
+  http_handler mHandler;
+  std::atomic<bool> mDraining{ false };
+  std::atomic<std::size_t> mBusy{ 0 };
+  std::uint16_t mPort = 0;
+};
+
+namespace {
+
+using boost::system::error_code;
+
+// Completes with the error code as a value instead of throwing it.
+constexpr auto kAsTuple = asio::as_tuple(asio::use_awaitable);
+
+using request_parser = http::request_parser<http::string_body>;
+using server_state = std::shared_ptr<http_server_state>;
+
+http_request
+ToRequest(http::request<http::string_body> aMessage)
+{
+  http_request request;
+  request.mMethod = aMessage.method_string();
+  request.mTarget = aMessage.target();
+  std::ranges::transform(
+    aMessage, std::back_inserter(request.mHeaders), [](const auto& aField) {
+      return http_header{ std::string(aField.name_string()),
+                          std::string(aField.value()) };
+    });
+  request.mBody = std::move(aMessage.body());
+  return request;
+}
+
+// Writes responses to one connection.
+class stream_reply : public http_reply
+{
+public:
+  stream_reply(byte_stream& aStream,
+               const http_server_settings& aSettings,
+               bool aKeepAlive)
+    : mStream(aStream)
+    , mSettings(aSettings)
+    , mKeepAlive(aKeepAlive)
+  {
+  }
+
+  asio::awaitable<bool> Send(http_response aResponse) override
+  {
+    mStarted = true;
+    http::response<http::string_body> message;
+    SetHead(message, aResponse.mStatus, aResponse.mHeaders);
+    message.body() = std::move(aResponse.mBody);
+    message.prepare_payload();
+    mFinished = co_await WriteBytes(Serialize(message));
+    co_return mFinished;
+  }
+
+  asio::awaitable<bool> Begin(unsigned aStatus, http_headers aHeaders) override
+  {
+    mStarted = true;
+    http::response<http::empty_body> message;
+    SetHead(message, aStatus, aHeaders);
+    message.chunked(true);
+    co_return co_await WriteBytes(SerializeHead(message));
+  }
+
+  asio::awaitable<bool> Write(std::string_view aBytes) override
+  {
+    if (aBytes.empty()) {
+      co_return true;
+    }
+    const asio::const_buffer bytes(aBytes.data(), aBytes.size());
+    co_return co_await WriteBytes(
+      beast::buffers_to_string(http::make_chunk(bytes)));
+  }
+
+  asio::awaitable<bool> Finish() override
+  {
+    mFinished =
+      co_await WriteBytes(beast::buffers_to_string(http::make_chunk_last()));
+    co_return mFinished;
+  }
+
+  bool Started() const override { return mStarted; }
+  bool CallerGone() override { return mStream.LooksClosed(); }
+  std::string RemoteAddress() const override { return mStream.RemoteAddress(); }
+
+  // Whether the response went out whole and the connection may be kept.
+  bool Reusable() const { return mFinished && mKeepAlive; }
+
+private:
+  template<class Body>
+  void SetHead(http::response<Body>& aMessage,
+               unsigned aStatus,
+               const http_headers& aHeaders) const
+  {
+    aMessage.result(aStatus);
+    aMessage.version(kHttpVersion);
+    aMessage.keep_alive(mKeepAlive);
+    for (const auto& header : aHeaders) {
+      aMessage.set(header.mName, header.mValue);
+    }
+  }
+
+  asio::awaitable<bool> WriteBytes(std::string aBytes)
+  {
+    const auto error = co_await mStream.Write(aBytes, mSettings.mWriteTimeout);
+    co_return !error;
+  }
+
+  byte_stream& mStream;
+  const http_server_settings& mSettings;
+  bool mKeepAlive;
+  bool mStarted = false;
+  // Set only once the last byte of the response has been handed over.
+  bool mFinished = false;
+};
+
+// Counts a request as in progress for as long as it lives.
+class busy_mark
+{
+public:
+  explicit busy_mark(std::atomic<std::size_t>& aCount)
+    : mCount(aCount)
+  {
+    ++mCount;
+  }
+  ~busy_mark() { --mCount; }
+  busy_mark(const busy_mark&) = delete;
+  busy_mark& operator=(const busy_mark&) = delete;
+
+private:
+  std::atomic<std::size_t>& mCount;
+};
+
+unsigned
+StatusOfParseError(const boost::system::error_code& aError)
+{
+  constexpr unsigned kBadRequest = 400;
+  constexpr unsigned kTooLarge = 413;
+  constexpr unsigned kHeadersTooLarge = 431;
+  if (aError == http::error::body_limit) {
+    return kTooLarge;
+  }
+  if (aError == http::error::header_limit) {
+    return kHeadersTooLarge;
+  }
+  return kBadRequest;
+}
+
+asio::awaitable<void>
+RefuseUnparsed(server_state aState, byte_stream& aStream, error_code aError)
+{
+  constexpr bool kKeepAlive = false;
+  stream_reply reply(aStream, aState->mSettings, kKeepAlive);
+  const auto status = StatusOfParseError(aError);
+  auto response = aState->mSettings.mBadRequest
+                    ? aState->mSettings.mBadRequest(status, aError.message())
+                    : http_response{ status, {}, aError.message() };
+  co_await reply.Send(std::move(response));
+}
+
+// Serves requests on one connection until it closes.
+asio::awaitable<void>
+ServeRequests(server_state aState, byte_stream& aStream)
+{
+  const auto& settings = aState->mSettings;
+  beast::flat_buffer buffer;
+  bool open = true;
+  while (open) {
+    request_parser parser;
+    parser.header_limit(static_cast<std::uint32_t>(settings.mHeaderLimitBytes));
+    parser.body_limit(settings.mBodyLimitBytes);
+    const auto error =
+      co_await ReadMessage(aStream, buffer, parser, settings.mReadTimeout);
+    if (error) {
+      if (IsParseError(error)) {
+        co_await RefuseUnparsed(aState, aStream, error);
+      }
+      break;
+    }
+    const busy_mark busy(aState->mBusy);
+    const bool keepAlive = parser.get().keep_alive() && !aState->mDraining;
+    const auto request = ToRequest(parser.release());
+    stream_reply reply(aStream, settings, keepAlive);
+    co_await aState->mHandler(request, reply);
+    open = reply.Reusable();
+  }
+}
+
+asio::awaitable<void>
+ServeConnection(server_state aState, asio::ip::tcp::socket aSocket)
+{
+  auto accepted = co_await AcceptStream(
+    std::move(aSocket), aState->mSettings.mTls, aState->mSettings.mReadTimeout);
+  if (!accepted) {
+    LogEvent(log_level::Debug,
+             "handshake_failed",
+             { { "error", accepted.error().message() } });
+    co_return;
+  }
+  const auto stream = std::move(accepted).value();
+  co_await ServeRequests(aState, *stream);
+  stream->Close();
+}
+
+void
+LogLostHandler(std::exception_ptr aProblem)
+{
+  if (!aProblem) {
+    return;
+  }
+  try {
+    std::rethrow_exception(aProblem);
+  } catch (const std::exception& problem) {
+    LogEvent(
+      log_level::Error, "handler_failed", { { "error", problem.what() } });
+  }
+}
+
+// Waits a little after a failed accept, for instance when descriptors have run
+// out, so that the loop does not spin.
+asio::awaitable<void>
+PauseAfterAcceptError()
+{
+  constexpr std::chrono::milliseconds kPause{ 50 };
+  asio::steady_timer timer(co_await asio::this_coro::executor, kPause);
+  co_await timer.async_wait(kAsTuple);
+}
+
+asio::awaitable<void>
+Accept(server_state aState)
+{
+  std::size_t turn = 0;
+  while (!aState->mDraining) {
+    auto& worker = *aState->mWorkers[turn++ % aState->mWorkers.size()];
+    auto [error, socket] =
+      co_await aState->mAcceptor.async_accept(worker, kAsTuple);
+    if (error == asio::error::operation_aborted ||
+        error == asio::error::bad_descriptor) {
+      break;
+    }
+    if (error) {
+      LogEvent(
+        log_level::Warning, "accept_failed", { { "error", error.message() } });
+      co_await PauseAfterAcceptError();
+      continue;
+    }
+    asio::co_spawn(
+      worker, ServeConnection(aState, std::move(socket)), LogLostHandler);
+  }
+}
+
+} // namespace
+
+http_server::http_server(asio::io_context& aAcceptor,
+                         std::span<asio::io_context* const> aWorkers,
+                         http_server_settings aSettings,
+                         http_handler aHandler)
+  : mState(std::make_shared<http_server_state>(aAcceptor,
+                                               aWorkers,
+                                               std::move(aSettings),
+                                               std::move(aHandler)))
+{
+  const asio::ip::tcp::endpoint endpoint(
+    asio::ip::make_address(mState->mSettings.mAddress),
+    mState->mSettings.mPort);
+  mState->mAcceptor.open(endpoint.protocol());
+  mState->mAcceptor.set_option(asio::socket_base::reuse_address(true));
+  mState->mAcceptor.bind(endpoint);
+  mState->mAcceptor.listen();
+  mState->mPort = mState->mAcceptor.local_endpoint().port();
+  asio::co_spawn(aAcceptor, Accept(mState), LogLostHandler);
+}
+
+http_server::~http_server()
+{
+  Drain();
+}
+
+std::uint16_t
+http_server::Port() const
+{
+  return mState->mPort;
+}
+
+std::size_t
+http_server::Busy() const
+{
+  return mState->mBusy;
+}
+
+void
+http_server::Drain()
+{
+  if (mState->mDraining.exchange(true)) {
+    return;
+  }
+  asio::post(mState->mAcceptor.get_executor(), [state = mState] {
+    boost::system::error_code ignored;
+    state->mAcceptor.close(ignored);
+  });
+}
+
+} // namespace sapphirespar::wire
--- /dev/null
+++ b/src/sapphirespar/wire/http_test.cpp
@@ -0,0 +1,188 @@
+// Tests of the HTTP server and client against each other on loopback.
+#include "sapphirespar/wire/http_client.hpp"
+#include "sapphirespar/wire/http_server.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/connect.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+
+#include <gtest/gtest.h>
+
+#include <array>
+
+namespace sapphirespar::wire {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr auto kPatience = 10s;
+
+// Braced lists stay out of co_await expressions, which g++ 12 miscompiles.
+http_headers
+PlainText()
+{
+  return { { "Content-Type", "text/plain" } };
+}
+
+// Echoes bodies, streams on /stream, and breaks off on /broken.
+asio::awaitable<void>
+Answer(const http_request& aRequest, http_reply& aReply)
+{
+  if (aRequest.mTarget == "/stream" || aRequest.mTarget == "/broken") {
+    co_await aReply.Begin(200, PlainText());
+    co_await aReply.Write("one ");
+    co_await aReply.Write("two");
+    if (aRequest.mTarget == "/stream") {
+      co_await aReply.Finish();
+    }
+    co_return;
+  }
+  http_response response;
+  response.mHeaders.push_back({ "X-Method", aRequest.mMethod });
+  response.mBody = aRequest.mBody;
+  co_await aReply.Send(std::move(response));
+}
+
+class http_exchange : public testing::Test
+{
+protected:
+  http_exchange()
+  {
+    http_server_settings settings;
+    settings.mBodyLimitBytes = 1000;
+    settings.mBadRequest = [](unsigned aStatus, std::string_view aReason) {
+      return JsonResponse(aStatus,
+                          "{\"reason\":\"" + std::string(aReason) + "\"}");
+    };
+    const std::array workers{ &mContext };
+    mServer =
+      std::make_unique<http_server>(mContext, workers, settings, Answer);
+    mClient = std::make_unique<http_client>(mContext.get_executor(),
+                                            http_client_settings{});
+  }
+
+  endpoint Server() const { return { "127.0.0.1", mServer->Port() }; }
+
+  void Run(asio::awaitable<void> aWork)
+  {
+    asio::co_spawn(mContext, std::move(aWork), [&](std::exception_ptr aError) {
+      EXPECT_FALSE(aError);
+      mContext.stop();
+    });
+    mContext.run();
+  }
+
+  // Sends raw bytes and returns all that comes back until the server closes.
+  asio::awaitable<std::string> SendRaw(std::string aBytes)
+  {
+    asio::ip::tcp::socket socket(mContext);
+    const asio::ip::tcp::endpoint remote(asio::ip::make_address("127.0.0.1"),
+                                         mServer->Port());
+    co_await socket.async_connect(remote, asio::use_awaitable);
+    co_await asio::async_write(
+      socket, asio::buffer(aBytes), asio::use_awaitable);
+    std::string answer;
+    boost::system::error_code error;
+    co_await asio::async_read(socket,
+                              asio::dynamic_buffer(answer),
+                              asio::redirect_error(asio::use_awaitable, error));
+    co_return answer;
+  }
+
+  asio::io_context mContext;
+  std::unique_ptr<http_server> mServer;
+  std::unique_ptr<http_client> mClient;
+};
+
+TEST_F(http_exchange, ReusesAConnectionForWholeResponses)
+{
+  Run([this]() -> asio::awaitable<void> {
+    for (int round = 0; round < 3; ++round) {
+      http_request request{ "POST", "/echo", {}, "hello" };
+      const auto response =
+        co_await mClient->Fetch(Server(), std::move(request), kPatience);
+      EXPECT_TRUE(response.has_value());
+      EXPECT_EQ(response.value().mBody, "hello");
+      EXPECT_EQ(response.value().Header("x-method"), "POST");
+    }
+  }());
+}
+
+TEST_F(http_exchange, StreamsToTheProperEnd)
+{
+  Run([this]() -> asio::awaitable<void> {
+    http_request request{ "GET", "/stream", {}, {} };
+    auto stream =
+      co_await mClient->Open(Server(), std::move(request), kPatience);
+    EXPECT_TRUE(stream.has_value());
+    std::string text;
+    while (true) {
+      const auto piece = co_await stream.value()->Read(kPatience);
+      EXPECT_TRUE(piece.has_value());
+      if (piece.value().empty()) {
+        break;
+      }
+      text += piece.value();
+    }
+    EXPECT_EQ(text, "one two");
+  }());
+}
+
+TEST_F(http_exchange, ABrokenBodyIsAnErrorAndNeverAnEnd)
+{
+  Run([this]() -> asio::awaitable<void> {
+    http_request request{ "GET", "/broken", {}, {} };
+    const auto response =
+      co_await mClient->Fetch(Server(), std::move(request), kPatience);
+    EXPECT_FALSE(response.has_value());
+    EXPECT_EQ(response.error().mKind, wire_error_kind::Read);
+    EXPECT_TRUE(response.error().mBytesWritten);
+  }());
+}
+
+TEST_F(http_exchange, ARefusedConnectionProvesThatNothingWasSent)
+{
+  Run([this]() -> asio::awaitable<void> {
+    // The port of a closed acceptor refuses connections.
+    asio::ip::tcp::acceptor closed(mContext,
+                                   { asio::ip::make_address("127.0.0.1"), 0 });
+    const auto port = closed.local_endpoint().port();
+    closed.close();
+    const endpoint nobody{ "127.0.0.1", port };
+    const auto response =
+      co_await mClient->Fetch(nobody, http_request(), kPatience);
+    EXPECT_FALSE(response.has_value());
+    EXPECT_EQ(response.error().mKind, wire_error_kind::Connect);
+    EXPECT_FALSE(response.error().mBytesWritten);
+  }());
+}
+
+TEST_F(http_exchange, MalformedAndOversizedRequestsAreAnsweredWithAnError)
+{
+  Run([this]() -> asio::awaitable<void> {
+    const auto malformed = co_await SendRaw("NONSENSE\r\n\r\n");
+    EXPECT_NE(malformed.find("400"), std::string::npos) << malformed;
+    const auto oversized = co_await SendRaw(
+      "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 5000\r\n\r\n");
+    EXPECT_NE(oversized.find("413"), std::string::npos) << oversized;
+    http_request request{ "POST", "/echo", {}, "still here" };
+    const auto response =
+      co_await mClient->Fetch(Server(), std::move(request), kPatience);
+    EXPECT_EQ(response.value().mBody, "still here");
+  }());
+}
+
+TEST(HttpTarget, SplitsAndFindsQueryValues)
+{
+  const auto target = SplitTarget("/vms?from=3&wait=10");
+  EXPECT_EQ(target.mPath, "/vms");
+  EXPECT_EQ(QueryValue(target.mQuery, "wait"), "10");
+  EXPECT_EQ(QueryValue(target.mQuery, "none"), "");
+}
+
+} // namespace
+} // namespace sapphirespar::wire
