--- /dev/null
+++ b/include/sapphirespar/model/blackboard.hpp
@@ -0,0 +1,96 @@
+// The blackboard: control state that controllers read and write on the one
+// control thread. Traffic threads see only snapshots of it.
+#pragma once
+
+#include "sapphirespar/base/ids.hpp"
+#include "sapphirespar/base/timer_service.hpp"
+#include "sapphirespar/model/bundle.hpp"
+#include "sapphirespar/model/peer_message.hpp"
+
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace sapphirespar {
+
+enum class member_state
+{
+  // Listed but not heard from yet.
+  Joining,
+  Live,
+  // Said that it is shutting down: gets no new work or callers.
+  Leaving,
+  // Has missed heartbeats but may only be unreachable or paused.
+  Suspect,
+  Dead,
+};
+
+// Returns the state as it stands in logs, such as "live".
+std::string_view ToText(member_state aState);
+
+// One router as this router sees it.
+struct member
+{
+  process_id mProcess;
+  data_centre_id mDataCentre;
+  std::string mAddress;
+  std::uint16_t mPort = 0;
+  std::uint16_t mPeerPort = 0;
+  member_state mState = member_state::Joining;
+  bundle_version mBundle;
+  std::vector<pool_load> mPools;
+  std::vector<account_demand> mDemands;
+  steady_time mLastHeard{};
+};
+
+enum class upstream_state
+{
+  Healthy,
+  // Answers, but slower than its peers: used less.
+  Slow,
+  // Failed; a probe decides.
+  Ejected,
+  Probing,
+  // Gets no new work.
+  Leaving,
+};
+
+// Returns the state as it stands in logs, such as "healthy".
+std::string_view ToText(upstream_state aState);
+
+struct upstream_status
+{
+  upstream_id mId;
+  upstream_state mState = upstream_state::Healthy;
+  // Speed relative to the median of its peers; 1 is as fast.
+  double mRelativeSpeed = 1.0;
+  // As last reported by the engine itself.
+  unsigned mReportedRunning = 0;
+  unsigned mReportedQueued = 0;
+  steady_time mReportedAt{};
+  // Models loaded, as last reported.
+  std::vector<model_id> mLoaded;
+};
+
+struct blackboard
+{
+  // This router.
+  process_id mSelf;
+  data_centre_id mDataCentre;
+  bool mLeaving = false;
+
+  // In force here; null before the first one arrives. Its version only rises.
+  bundle_ptr mBundle;
+  // The same as it stands at the platform, to hand on to peers.
+  std::string mSignedBundle;
+
+  // Whether the last call to the platform worked.
+  bool mPlatformUp = false;
+  steady_time mPlatformChangedAt{};
+
+  std::map<vm_id, member> mMembers;
+  std::map<upstream_id, upstream_status> mUpstreams;
+};
+
+} // namespace sapphirespar
--- /dev/null
+++ b/include/sapphirespar/model/peer_message.hpp
@@ -0,0 +1,182 @@
+// Messages between routers. They travel as Thrift structs; these are the
+// values that the rest of the system sees.
+#pragma once
+
+#include "sapphirespar/base/ids.hpp"
+#include "sapphirespar/model/bundle.hpp"
+#include "sapphirespar/model/outcome.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace sapphirespar {
+
+// Requests per second that one account sends to one router.
+struct account_demand
+{
+  account_id mAccount;
+  double mRequestsPerSecond = 0;
+};
+
+// What one home can take for one model or service.
+struct pool_load
+{
+  // A model's name, or a service's with a leading '/'.
+  std::string mPool;
+  std::uint32_t mSlots = 0;
+  std::uint32_t mOutstanding = 0;
+  std::uint32_t mQueued = 0;
+};
+
+struct heartbeat
+{
+  process_id mSender;
+  std::uint64_t mSequence = 0;
+  bool mLeaving = false;
+  bundle_version mBundle;
+  std::vector<pool_load> mPools;
+  std::vector<account_demand> mDemands;
+  // Members that the sender hears from directly, told to other data centres
+  // by the one relay of each.
+  std::vector<process_id> mHeard;
+};
+
+// Asks for the newest bundle if the receiver has one after mHave.
+struct bundle_request
+{
+  bundle_version mHave;
+};
+
+// A signed bundle, whole, as it stands at the platform.
+struct bundle_push
+{
+  bundle_version mVersion;
+  std::string mSignedBundle;
+};
+
+// Asks the home of some upstreams for a slot.
+struct slot_request
+{
+  request_id mRequest;
+  class_id mClass;
+  account_id mAccount;
+  std::string mPool;
+  std::uint32_t mPromptTokens = 0;
+  std::uint32_t mMaximumTokens = 0;
+  std::uint64_t mPrefixHash = 0;
+  // Left until the first token and until the whole answer are due.
+  std::int64_t mFirstTokenDueMs = 0;
+  std::int64_t mAnswerDueMs = 0;
+  std::vector<upstream_id> mExcluded;
+};
+
+struct slot_grant
+{
+  request_id mRequest;
+  upstream_id mUpstream;
+};
+
+struct slot_refusal
+{
+  request_id mRequest;
+  refusal_reason mReason = refusal_reason::NoUpstream;
+  std::int64_t mRetryAfterMs = 0;
+};
+
+// Gives a slot back, or withdraws a request that still waits.
+struct slot_release
+{
+  request_id mRequest;
+  upstream_id mUpstream;
+  bool mSucceeded = false;
+  std::uint32_t mTokens = 0;
+  std::int64_t mFirstTokenMs = 0;
+  std::int64_t mTotalMs = 0;
+};
+
+// Tells a new home of a slot that an earlier one granted.
+struct slot_holding
+{
+  slot_request mRequest;
+  upstream_id mUpstream;
+};
+
+// Tells the holder of a slot to pause or resume its request at the engine.
+struct slot_pause
+{
+  request_id mRequest;
+  bool mResume = false;
+};
+
+// Asks the owner of a key's shard to claim the key for mClaimant.
+struct claim_request
+{
+  std::string mKey;
+  process_id mClaimant;
+  request_id mRequest;
+};
+
+enum class claim_verdict
+{
+  // The claimant, and nobody else ever, may run the request once.
+  Granted,
+  // Somebody claimed the key before.
+  Taken,
+  // Not claimed, and it never will be for this request.
+  Refused,
+};
+
+struct claim_answer
+{
+  std::string mKey;
+  request_id mRequest;
+  claim_verdict mVerdict = claim_verdict::Refused;
+  // After Taken: who holds it and how it ended, as far as is known.
+  process_id mHolder;
+  outcome mOutcome = outcome::Unknown;
+};
+
+// Asks the process that issued a token or holds a claim how a request ended.
+struct fate_request
+{
+  std::string mKey;
+  request_id mRequest;
+};
+
+struct fate_answer
+{
+  std::string mKey;
+  request_id mRequest;
+  outcome mOutcome = outcome::Unknown;
+};
+
+using peer_message = std::variant<heartbeat,
+                                  bundle_request,
+                                  bundle_push,
+                                  slot_request,
+                                  slot_grant,
+                                  slot_refusal,
+                                  slot_release,
+                                  slot_holding,
+                                  slot_pause,
+                                  claim_request,
+                                  claim_answer,
+                                  fate_request,
+                                  fate_answer>;
+
+using peer_receiver =
+  std::function<void(const process_id& aFrom, peer_message aMessage)>;
+
+// Sends messages to other routers. A message may be lost but is never changed
+// and never arrives twice; messages of one process arrive in order.
+class peer_network
+{
+public:
+  virtual ~peer_network() = default;
+  virtual void Send(const vm_id& aTo, peer_message aMessage) = 0;
+};
+
+} // namespace sapphirespar
