Name attempts and releases in claim messages

A claim whose holder never ran it could not pass to another process, and the answer did not say for which attempt the key is held. The request now may name a released attempt, the answer names the held one, and the holder can tell the owner how the attempt ended.

--- a/include/sapphirespar/model/peer_message.hpp
+++ b/include/sapphirespar/model/peer_message.hpp
@@ -111,12 +111,17 @@
   bool mResume = false;
 };
 
-// Asks the owner of a key's shard to claim the key for mClaimant.
+// Asks the owner of a key's shard to claim the key for mClaimant. Sending the
+// same request again is harmless.
 struct claim_request
 {
   std::string mKey;
   process_id mClaimant;
+  // Names this attempt, and no other, at the claimant.
   request_id mRequest;
+  // An earlier attempt whose holder has promised never to run it; empty if
+  // there is none.
+  request_id mReleased;
 };
 
 enum class claim_verdict
@@ -125,7 +130,7 @@
   Granted,
   // Somebody claimed the key before.
   Taken,
-  // Not claimed, and it never will be for this request.
+  // Could not be claimed now.
   Refused,
 };
 
@@ -134,8 +139,18 @@
   std::string mKey;
   request_id mRequest;
   claim_verdict mVerdict = claim_verdict::Refused;
-  // After Taken: who holds it and how it ended, as far as is known.
+  // After Taken: who holds it, for which attempt, and how that ended, as far
+  // as is known.
   process_id mHolder;
+  request_id mHeldRequest;
+  outcome mOutcome = outcome::Unknown;
+};
+
+// Tells the owner of a key's shard how a claimed request ended.
+struct claim_finished
+{
+  std::string mKey;
+  request_id mRequest;
   outcome mOutcome = outcome::Unknown;
 };
 
@@ -164,6 +179,7 @@
                                   slot_pause,
                                   claim_request,
                                   claim_answer,
+                                  claim_finished,
                                   fate_request,
                                   fate_answer>;
 
