--- /dev/null
+++ b/include/sapphirespar/policy/slot_table.hpp
@@ -0,0 +1,91 @@
+// Which upstream has how many slots, and which request holds one of them.
+#pragma once
+
+#include "sapphirespar/policy/scheduler.hpp"
+
+#include <map>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace sapphirespar::policy {
+
+// One upstream and what it has been given here.
+struct slot_state
+{
+  upstream_view mView;
+  // Requests that run here now; paused ones do not count.
+  unsigned mRunning = 0;
+  unsigned mPaused = 0;
+  // False once the owner no longer names it; an unnamed upstream goes at
+  // the next change of upstreams after its last request.
+  bool mNamed = true;
+};
+
+// A request that has been given to an upstream and has not finished.
+struct slot_holder
+{
+  queued_request mRequest;
+  slot_state* mUpstream = nullptr;
+  steady_time mStarted{};
+  bool mPaused = false;
+};
+
+// Slots that can be taken now. Foreign load never hides the last one, so that
+// a stale report cannot shut an upstream off.
+unsigned FreeSlots(const slot_state& aState);
+
+// Whether the upstream's state lets it take new work, free slots or not.
+bool TakesWork(const slot_state& aState);
+
+// Whether aRequest may run there, free slots or not.
+bool MayServe(const slot_state& aState, const queued_request& aRequest);
+
+using slot_members = std::vector<slot_state*>;
+
+class slot_table
+{
+public:
+  using holders = std::unordered_map<request_id, slot_holder>;
+
+  void SetUpstreams(std::span<const upstream_view> aUpstreams);
+
+  // The named upstreams of a pool in order of their identifiers.
+  std::span<slot_state* const> Members(std::string_view aPool) const;
+
+  // Whether any upstream could ever run the request as things stand.
+  bool CanServe(const queued_request& aRequest) const;
+
+  // Gives a slot of aUpstream, which is created without slots if unknown.
+  void Take(queued_request aRequest,
+            const upstream_id& aUpstream,
+            steady_time aNow);
+
+  // Takes the slot back and returns who held it; nothing if nobody did.
+  std::optional<slot_holder> Release(const request_id& aRequest);
+
+  // A paused request keeps its place at the upstream but frees the slot.
+  void SetPaused(slot_holder& aHolder, bool aPaused);
+
+  // Returns null if the request holds nothing.
+  slot_holder* Find(const request_id& aRequest);
+
+  const holders& Holders() const { return mHolders; }
+  holders& Holders() { return mHolders; }
+
+  // Slots and outstanding requests of each pool; nothing is queued here.
+  std::vector<scheduler_counts> Counts() const;
+
+private:
+  void IndexPools();
+
+  // Node-based, so that holders can point at their upstream.
+  std::map<upstream_id, slot_state> mUpstreams;
+  std::map<std::string, slot_members, std::less<>> mPools;
+  holders mHolders;
+};
+
+} // namespace sapphirespar::policy
--- /dev/null
+++ b/src/sapphirespar/policy/baseline_scheduler.cpp
@@ -0,0 +1,179 @@
+// The baseline schedulers.
+#include "sapphirespar/policy/baseline_scheduler.hpp"
+
+#include "sapphirespar/policy/refusals.hpp"
+#include "sapphirespar/policy/slot_table.hpp"
+#include "sapphirespar/policy/waiting_queue.hpp"
+
+#include <algorithm>
+#include <unordered_map>
+#include <utility>
+
+namespace sapphirespar::policy {
+
+namespace {
+
+class baseline_scheduler : public scheduler
+{
+public:
+  explicit baseline_scheduler(baseline_choice aChoice)
+    : mChoice(aChoice)
+  {
+  }
+
+  void Configure(bundle_ptr) override {}
+
+  decisions SetUpstreams(std::span<const upstream_view> aUpstreams,
+                         steady_time aNow) override
+  {
+    mSlots.SetUpstreams(aUpstreams);
+    return Tick(aNow);
+  }
+
+  decisions Submit(queued_request aRequest, steady_time aNow) override
+  {
+    decisions made;
+    if (!mSlots.CanServe(aRequest)) {
+      made.mRejections.push_back(RefuseNoUpstream(aRequest));
+      return made;
+    }
+    const queue_key key{ {}, ++mSequence };
+    mPlaces.emplace(aRequest.mId, place{ aRequest.mPool, key });
+    auto& queue = mQueues[aRequest.mPool];
+    queue.emplace(key, std::move(aRequest));
+    Dispatch(queue, aNow, made);
+    return made;
+  }
+
+  void Adopt(queued_request aRequest,
+             const upstream_id& aUpstream,
+             steady_time aNow) override
+  {
+    mSlots.Take(std::move(aRequest), aUpstream, aNow);
+  }
+
+  decisions Finish(const completion& aCompletion, steady_time aNow) override
+  {
+    decisions made;
+    if (const auto holder = mSlots.Release(aCompletion.mRequest)) {
+      for (const auto& pool : holder->mUpstream->mView.mPools) {
+        Dispatch(mQueues[pool], aNow, made);
+      }
+    }
+    return made;
+  }
+
+  decisions Withdraw(const request_id& aRequest, steady_time) override
+  {
+    if (const auto found = mPlaces.find(aRequest); found != mPlaces.end()) {
+      TakeOut(mQueues[found->second.mPool], found->second.mKey);
+      mPlaces.erase(found);
+    }
+    return {};
+  }
+
+  decisions Tick(steady_time aNow) override
+  {
+    decisions made;
+    for (auto& [pool, queue] : mQueues) {
+      std::erase_if(queue, [&](const auto& aItem) {
+        return RejectIfLost(aItem.second, aNow, made);
+      });
+      Dispatch(queue, aNow, made);
+    }
+    return made;
+  }
+
+  std::vector<scheduler_counts> Counts() const override
+  {
+    auto counts = mSlots.Counts();
+    for (auto& count : counts) {
+      const auto found = mQueues.find(count.mPool);
+      count.mQueued = found == mQueues.end() ? 0 : found->second.size();
+    }
+    return counts;
+  }
+
+private:
+  struct place
+  {
+    std::string mPool;
+    queue_key mKey;
+  };
+
+  bool RejectIfLost(const queued_request& aRequest,
+                    steady_time aNow,
+                    decisions& aMade)
+  {
+    if (!mSlots.CanServe(aRequest)) {
+      aMade.mRejections.push_back(RefuseNoUpstream(aRequest));
+    } else if (aRequest.mAnswerBy <= aNow) {
+      aMade.mRejections.push_back(RefuseTooLate(aRequest, {}));
+    } else {
+      return false;
+    }
+    mPlaces.erase(aRequest.mId);
+    return true;
+  }
+
+  // Assigns from the front until the first request that finds no upstream;
+  // what may not run where there is room is passed over.
+  void Dispatch(waiting_queue& aQueue, steady_time aNow, decisions& aMade)
+  {
+    for (auto item = aQueue.begin(); item != aQueue.end();) {
+      const auto members = mSlots.Members(item->second.mPool);
+      if (std::ranges::none_of(members, [](const slot_state* aState) {
+            return TakesWork(*aState) && FreeSlots(*aState) > 0;
+          })) {
+        return;
+      }
+      const auto* chosen = Choose(members, item->second);
+      if (!chosen) {
+        ++item;
+        continue;
+      }
+      aMade.mAssignments.push_back({ item->second.mId, chosen->mView.mId });
+      mPlaces.erase(item->second.mId);
+      mSlots.Take(std::move(item->second), chosen->mView.mId, aNow);
+      item = aQueue.erase(item);
+    }
+  }
+
+  const slot_state* Choose(std::span<slot_state* const> aMembers,
+                           const queued_request& aRequest)
+  {
+    const slot_state* best = nullptr;
+    const auto first = mChoice == baseline_choice::InTurn ? mTurn++ : 0;
+    for (std::size_t i = 0; i < aMembers.size(); ++i) {
+      const auto* state = aMembers[(first + i) % aMembers.size()];
+      if (!MayServe(*state, aRequest) || FreeSlots(*state) == 0) {
+        continue;
+      }
+      if (mChoice == baseline_choice::InTurn) {
+        return state;
+      }
+      if (!best || state->mRunning < best->mRunning) {
+        best = state;
+      }
+    }
+    return best;
+  }
+
+  const baseline_choice mChoice;
+  slot_table mSlots;
+  std::map<std::string, waiting_queue> mQueues;
+  // Where each waiting request stands.
+  std::unordered_map<request_id, place> mPlaces;
+  std::uint64_t mSequence = 0;
+  std::size_t mTurn = 0;
+};
+
+} // namespace
+
+scheduler_ptr
+MakeBaselineScheduler(baseline_choice aChoice)
+{
+  return std::make_unique<baseline_scheduler>(aChoice);
+}
+
+} // namespace sapphirespar::policy
--- /dev/null
+++ b/src/sapphirespar/policy/slot_table.cpp
@@ -0,0 +1,162 @@
+// The slot table.
+#include "sapphirespar/policy/slot_table.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace sapphirespar::policy {
+
+namespace {
+
+// An upstream on probation gets one request at a time.
+constexpr unsigned kProbingSlots = 1;
+
+} // namespace
+
+unsigned
+FreeSlots(const slot_state& aState)
+{
+  const auto slots = aState.mView.mState == upstream_state::Probing
+                       ? std::min(kProbingSlots, aState.mView.mSlots)
+                       : aState.mView.mSlots;
+  if (slots == 0) {
+    return 0;
+  }
+  const auto foreign = std::min(aState.mView.mForeignLoad, slots - 1);
+  const auto taken = aState.mRunning + foreign;
+  return taken < slots ? slots - taken : 0;
+}
+
+bool
+TakesWork(const slot_state& aState)
+{
+  return aState.mNamed && aState.mView.mState != upstream_state::Ejected &&
+         aState.mView.mState != upstream_state::Leaving;
+}
+
+bool
+MayServe(const slot_state& aState, const queued_request& aRequest)
+{
+  return TakesWork(aState) &&
+         std::ranges::find(aRequest.mExcluded, aState.mView.mId) ==
+           aRequest.mExcluded.end();
+}
+
+void
+slot_table::SetUpstreams(std::span<const upstream_view> aUpstreams)
+{
+  for (auto& [id, state] : mUpstreams) {
+    state.mNamed = false;
+  }
+  for (const auto& view : aUpstreams) {
+    auto& state = mUpstreams[view.mId];
+    state.mView = view;
+    state.mNamed = true;
+  }
+  std::erase_if(mUpstreams, [](const auto& aItem) {
+    const auto& state = aItem.second;
+    return !state.mNamed && state.mRunning + state.mPaused == 0;
+  });
+  IndexPools();
+}
+
+void
+slot_table::IndexPools()
+{
+  mPools.clear();
+  for (auto& [id, state] : mUpstreams) {
+    if (!state.mNamed) {
+      continue;
+    }
+    for (const auto& pool : state.mView.mPools) {
+      mPools[pool].push_back(&state);
+    }
+  }
+}
+
+std::span<slot_state* const>
+slot_table::Members(std::string_view aPool) const
+{
+  const auto found = mPools.find(aPool);
+  if (found == mPools.end()) {
+    return {};
+  }
+  return found->second;
+}
+
+bool
+slot_table::CanServe(const queued_request& aRequest) const
+{
+  // An ejected upstream may come back in time, a leaving one will not.
+  return std::ranges::any_of(
+    Members(aRequest.mPool), [&](const slot_state* aState) {
+      return aState->mView.mState != upstream_state::Leaving &&
+             std::ranges::find(aRequest.mExcluded, aState->mView.mId) ==
+               aRequest.mExcluded.end();
+    });
+}
+
+void
+slot_table::Take(queued_request aRequest,
+                 const upstream_id& aUpstream,
+                 steady_time aNow)
+{
+  const auto [found, isNew] = mUpstreams.try_emplace(aUpstream);
+  if (isNew) {
+    found->second.mView.mId = aUpstream;
+    found->second.mNamed = false;
+  }
+  ++found->second.mRunning;
+  const auto id = aRequest.mId;
+  mHolders.insert_or_assign(
+    id, slot_holder{ std::move(aRequest), &found->second, aNow });
+}
+
+std::optional<slot_holder>
+slot_table::Release(const request_id& aRequest)
+{
+  const auto found = mHolders.find(aRequest);
+  if (found == mHolders.end()) {
+    return std::nullopt;
+  }
+  auto holder = std::move(found->second);
+  mHolders.erase(found);
+  --(holder.mPaused ? holder.mUpstream->mPaused : holder.mUpstream->mRunning);
+  return holder;
+}
+
+void
+slot_table::SetPaused(slot_holder& aHolder, bool aPaused)
+{
+  if (aHolder.mPaused == aPaused) {
+    return;
+  }
+  aHolder.mPaused = aPaused;
+  auto& state = *aHolder.mUpstream;
+  --(aPaused ? state.mRunning : state.mPaused);
+  ++(aPaused ? state.mPaused : state.mRunning);
+}
+
+slot_holder*
+slot_table::Find(const request_id& aRequest)
+{
+  const auto found = mHolders.find(aRequest);
+  return found == mHolders.end() ? nullptr : &found->second;
+}
+
+std::vector<scheduler_counts>
+slot_table::Counts() const
+{
+  std::vector<scheduler_counts> counts;
+  for (const auto& [pool, members] : mPools) {
+    auto& count = counts.emplace_back();
+    count.mPool = pool;
+    for (const auto* state : members) {
+      count.mSlots += TakesWork(*state) ? state->mView.mSlots : 0;
+      count.mOutstanding += state->mRunning;
+    }
+  }
+  return counts;
+}
+
+} // namespace sapphirespar::policy
