--- /dev/null
+++ b/src/sapphirespar/config/settings.cpp
@@ -0,0 +1,176 @@
+// Reading of a router's settings file.
+#include "sapphirespar/config/settings.hpp"
+
+#include "sapphirespar/config/toml_reader.hpp"
+#include "signer_table.hpp"
+
+#include <array>
+
+namespace sapphirespar {
+namespace {
+
+constexpr std::array<text_choice<log_level>, 4> kLogLevels{ {
+  { "debug", log_level::Debug },
+  { "info", log_level::Info },
+  { "warning", log_level::Warning },
+  { "error", log_level::Error },
+} };
+
+constexpr integer_bounds kThreadBounds{ 1, 64 };
+constexpr real_bounds kCallsPerSecondBounds{ 1, 100000 };
+constexpr real_bounds kShareBounds{ 0, 1 };
+
+std::uint16_t
+ReadPort(toml_table& aTable, std::string_view aKey)
+{
+  return static_cast<std::uint16_t>(aTable.Integer(aKey, kPortBounds));
+}
+
+std::uint16_t
+ReadListenPort(toml_table& aTable, std::string_view aKey)
+{
+  return static_cast<std::uint16_t>(aTable.Integer(aKey, kListenPortBounds, 0));
+}
+
+address_port
+ReadAddressPort(toml_table& aTable)
+{
+  address_port place;
+  place.mAddress = aTable.Text("address");
+  place.mPort = ReadPort(aTable, "port");
+  return place;
+}
+
+// Fails unless the required table aKey is there, then reads it.
+void
+RequiredTable(toml_table& aRoot,
+              std::string_view aKey,
+              const toml_table::visitor& aRead)
+{
+  if (!aRoot.Has(aKey)) {
+    aRoot.Fail(aKey, "required table is missing");
+  }
+  aRoot.Table(aKey, aRead);
+}
+
+void
+ReadTlsFiles(toml_table& aTls,
+             std::string_view aKey,
+             std::optional<tls_files>& aInto)
+{
+  aTls.Table(aKey, [&](toml_table& aTable) {
+    tls_files files;
+    files.mCertificate = aTable.Text("certificate", "");
+    files.mKey = aTable.Text("key", "");
+    files.mAuthorities = aTable.Text("ca", "");
+    if (files.mCertificate.empty() != files.mKey.empty()) {
+      aTable.Fail("", "certificate and key must be given together");
+    }
+    if (files.mCertificate.empty() && files.mAuthorities.empty()) {
+      aTable.Fail("", "expected certificate and key, or ca, or all three");
+    }
+    aInto = files;
+  });
+}
+
+void
+ReadTls(toml_table& aTls, router_settings& aSettings)
+{
+  ReadTlsFiles(aTls, "callers", aSettings.mCallerTls);
+  ReadTlsFiles(aTls, "peers", aSettings.mPeerTls);
+  ReadTlsFiles(aTls, "upstreams", aSettings.mUpstreamTls);
+  ReadTlsFiles(aTls, "platform", aSettings.mPlatformTls);
+  const auto lacksCertificate = [](const std::optional<tls_files>& aFiles) {
+    return aFiles && aFiles->mCertificate.empty();
+  };
+  if (lacksCertificate(aSettings.mCallerTls)) {
+    aTls.Fail("callers", "a server needs certificate and key");
+  }
+  if (lacksCertificate(aSettings.mPeerTls)) {
+    aTls.Fail("peers", "a server needs certificate and key");
+  }
+}
+
+void
+ReadPlatform(toml_table& aTable, router_settings& aSettings)
+{
+  aSettings.mPlatform = ReadAddressPort(aTable);
+  aSettings.mFleetCallsPerSecond = aTable.Real(
+    "calls_per_second", kCallsPerSecondBounds, aSettings.mFleetCallsPerSecond);
+}
+
+void
+ReadTrace(toml_table& aTable, router_settings& aSettings)
+{
+  if (aTable.Has("address")) {
+    aSettings.mTraceCollector = ReadAddressPort(aTable);
+  }
+  aSettings.mTraceSample =
+    aTable.Real("sample", kShareBounds, aSettings.mTraceSample);
+}
+
+void
+ReadTrust(toml_table& aTable, router_settings& aSettings)
+{
+  aSettings.mSigners = ReadSigners(aTable, "signers");
+  if (aSettings.mSigners.empty()) {
+    aTable.Fail("signers", "expected at least one signer");
+  }
+}
+
+void
+ReadNode(toml_table& aTable, router_settings& aSettings)
+{
+  aSettings.mVm = { aTable.Text("vm") };
+  aSettings.mDataCentre = { aTable.Text("data_centre") };
+}
+
+void
+ReadListen(toml_table& aTable, router_settings& aSettings)
+{
+  aSettings.mAddress = aTable.Text("address");
+  aSettings.mPort = ReadListenPort(aTable, "port");
+  aSettings.mPeerPort = ReadListenPort(aTable, "peer_port");
+}
+
+void
+ReadAll(toml_table& aRoot, router_settings& aSettings)
+{
+  const auto with = [&](auto aRead) {
+    return [&, aRead](toml_table& aTable) { aRead(aTable, aSettings); };
+  };
+  RequiredTable(aRoot, "node", with(ReadNode));
+  RequiredTable(aRoot, "listen", with(ReadListen));
+  RequiredTable(aRoot, "platform", with(ReadPlatform));
+  RequiredTable(aRoot, "trust", with(ReadTrust));
+  aRoot.Table("traffic", [&](toml_table& aTable) {
+    aSettings.mTrafficThreads = static_cast<unsigned>(
+      aTable.Integer("threads", kThreadBounds, aSettings.mTrafficThreads));
+  });
+  aRoot.Table("log", [&](toml_table& aTable) {
+    aSettings.mLogLevel =
+      aTable.Choice<log_level>("level", kLogLevels, aSettings.mLogLevel);
+  });
+  aRoot.Table("trace", with(ReadTrace));
+  aRoot.Table("tls", with(ReadTls));
+}
+
+} // namespace
+
+result<router_settings>
+ParseSettings(std::string_view aText, std::string_view aFile)
+{
+  router_settings settings;
+  BOOST_LEAF_CHECK(ReadToml(
+    aText, aFile, [&](toml_table& aRoot) { ReadAll(aRoot, settings); }));
+  return settings;
+}
+
+result<router_settings>
+LoadSettings(const std::string& aPath)
+{
+  BOOST_LEAF_AUTO(text, ReadTextFile(aPath));
+  return ParseSettings(text, aPath);
+}
+
+} // namespace sapphirespar
--- a/src/sapphirespar/model/fake_platform.cpp
+++ b/src/sapphirespar/model/fake_platform.cpp
@@ -2,7 +2,6 @@
 #include "sapphirespar/model/fake_platform.hpp"
 
 #include <algorithm>
-#include <ranges>
 #include <utility>
 
 namespace sapphirespar {
@@ -18,7 +17,7 @@
 fake_store::Changes(std::string_view aKind, object_version aFrom) const
 {
   std::vector<platform_object> changes;
-  for (const auto& object : mObjects | std::views::values) {
+  for (const auto& [key, object] : mObjects) {
     if (object.mKey.mKind == aKind && object.mVersion > aFrom) {
       changes.push_back(object);
     }
@@ -45,7 +44,7 @@
   platform_object written{ aKey, ++mVersion, std::move(aValue), aDeleted };
   mObjects[std::move(aKey)] = written;
   const auto listeners = mListeners;
-  for (const auto& listener : listeners | std::views::values) {
+  for (const auto& [id, listener] : listeners) {
     listener();
   }
   return { platform_status::Ok, std::move(written) };
