--- a/include/sapphirespar/model/peer_message.hpp
+++ b/include/sapphirespar/model/peer_message.hpp
@@ -31,6 +31,16 @@
   std::uint32_t mQueued = 0;
 };
 
+// Where a router is and how it is reached.
+struct router_contact
+{
+  data_centre_id mDataCentre;
+  std::string mAddress;
+  // Port for callers and port for peers.
+  std::uint16_t mPort = 0;
+  std::uint16_t mPeerPort = 0;
+};
+
 struct heartbeat
 {
   process_id mSender;
@@ -42,6 +52,10 @@
   // Members that the sender hears from directly, told to other data centres
   // by the one relay of each.
   std::vector<process_id> mHeard;
+  // Members that were heard but no longer are, told in the same way.
+  std::vector<process_id> mLost;
+  // Empty address when left out to save bytes.
+  router_contact mContact;
 };
 
 // Asks for the newest bundle if the receiver has one after mHave.
