--- /dev/null
+++ b/include/sapphirespar/wire/platform_client.hpp
@@ -0,0 +1,52 @@
+// The platform's object API over HTTP; see docs/PLATFORM-API.md.
+#pragma once
+
+#include "sapphirespar/model/platform.hpp"
+#include "sapphirespar/wire/http_client.hpp"
+
+#include <boost/asio/any_io_executor.hpp>
+
+#include <chrono>
+#include <memory>
+
+namespace sapphirespar::wire {
+
+struct platform_client_settings
+{
+  endpoint mPlatform;
+  // Of one call; a watch has its own wait on top.
+  std::chrono::milliseconds mTimeout{ 2000 };
+  // Null speaks plain TCP.
+  tls_context_ptr mTls;
+};
+
+// Calls complete on the executor given. A call in progress when the client is
+// destroyed never completes.
+class platform_client : public platform_api
+{
+public:
+  platform_client(asio::any_io_executor aExecutor,
+                  platform_client_settings aSettings);
+  ~platform_client() override;
+
+  void Get(object_key aKey, object_callback aDone) override;
+  void List(std::string aKind, list_callback aDone) override;
+  void Put(object_key aKey,
+           std::string aValue,
+           object_version aExpected,
+           object_callback aDone) override;
+  void Delete(object_key aKey,
+              object_version aExpected,
+              object_callback aDone) override;
+  void Watch(std::string aKind,
+             object_version aFrom,
+             std::chrono::milliseconds aWait,
+             list_callback aDone) override;
+  void ListVms(vm_list_callback aDone) override;
+
+private:
+  struct state;
+  std::shared_ptr<state> mState;
+};
+
+} // namespace sapphirespar::wire
