Let bundles carry the chain of their signers and a history

Cause: a router that missed a bundle which changed the signers could not trust the next one, signed by a person it had not met, and would stay behind. Change: a signed bundle carries each change of signers, signed by one of those before it; CheckSignature follows the chain. The text at the platform also has a history for operators.

--- a/include/sapphirespar/config/signing.hpp
+++ b/include/sapphirespar/config/signing.hpp
@@ -1,12 +1,8 @@
-// Signatures of bundles: Ed25519 by OpenSSL, keys and signatures as lower-case
-// hexadecimal text.
+// Signatures: Ed25519 by OpenSSL, keys and signatures as lower-case hexadecimal
+// text.
 #pragma once
 
-#include "sapphirespar/base/failure.hpp"
-#include "sapphirespar/model/bundle.hpp"
-
 #include <optional>
-#include <span>
 #include <string>
 #include <string_view>
 
@@ -19,12 +15,6 @@
   std::string mPublicKey;
 };
 
-// Why a signed bundle was not taken.
-struct signature_failure
-{
-  std::string mProblem;
-};
-
 // Makes a new random key.
 signing_key NewSigningKey();
 
@@ -46,28 +36,4 @@
 // Returns the lower-case hexadecimal SHA-256 of aBytes.
 std::string Sha256Hex(std::string_view aBytes);
 
-// Returns the text that is stored and handed on: a JSON object of signer,
-// signature and the bundle's canonical bytes. Fails with signature_failure.
-result<std::string> SignBundle(const bundle& aBundle,
-                               std::string_view aSigner,
-                               std::string_view aPrivateKey);
-
-// A signed bundle taken apart but not yet trusted.
-struct signed_bundle
-{
-  std::string mSigner;
-  std::string mSignature;
-  // The signed bytes.
-  std::string mBytes;
-  bundle mBundle;
-};
-
-// Takes a signed bundle apart. Fails with signature_failure.
-result<signed_bundle> ParseSignedBundle(std::string_view aText);
-
-// Returns the bundle if one of aTrusted has signed it. Fails with
-// signature_failure.
-result<bundle> VerifySignedBundle(std::string_view aText,
-                                  std::span<const signer> aTrusted);
-
 } // namespace sapphirespar
--- a/src/sapphirespar/config/bundle_codec.cpp
+++ b/src/sapphirespar/config/bundle_codec.cpp
@@ -48,12 +48,6 @@
   return std::nullopt;
 }
 
-// The Fields functions are found by argument-dependent lookup, so they can't
-// stand in an unnamed namespace. An archive is json_writer, which takes const
-// items, or json_reader.
-template<class Item, class Type>
-concept some = std::same_as<std::remove_const_t<Item>, Type>;
-
 template<some<request_class> Item>
 void
 Fields(auto& aArchive, Item& aItem)
@@ -118,15 +112,6 @@
   aArchive.Field("leaving", aItem.mLeaving, sDefault.mLeaving);
 }
 
-template<some<signer> Item>
-void
-Fields(auto& aArchive, Item& aItem)
-{
-  static const signer sDefault;
-  aArchive.Field("name", aItem.mName, sDefault.mName);
-  aArchive.Field("public_key", aItem.mPublicKey, sDefault.mPublicKey);
-}
-
 template<some<bundle> Item>
 void
 Fields(auto& aArchive, Item& aItem)
--- a/src/sapphirespar/config/bundle_controller.cpp
+++ b/src/sapphirespar/config/bundle_controller.cpp
@@ -3,7 +3,7 @@
 #include "sapphirespar/config/bundle_controller.hpp"
 
 #include "sapphirespar/base/log.hpp"
-#include "sapphirespar/config/signing.hpp"
+#include "sapphirespar/config/signed_bundle.hpp"
 
 #include <xxhash.h>
 
@@ -93,7 +93,7 @@
   // Force.
   bundle_version Version() const;
   bool Take(const std::string& aText);
-  void Install(bundle aBundle, const std::string& aText);
+  void Install(signed_bundle aBundle);
 
   milliseconds Jittered(milliseconds aDelay);
 
@@ -392,11 +392,12 @@
     mBoard.mBundle ? mBoard.mBundle->mSigners : mSettings.mTrusted;
   return leaf::try_handle_all(
     [&]() -> result<bool> {
-      BOOST_LEAF_AUTO(verified, VerifySignedBundle(aText, trusted));
-      if (verified.mVersion <= Version()) {
+      BOOST_LEAF_AUTO(parsed, ParseSignedBundle(aText));
+      if (parsed.mBundle.mVersion <= Version()) {
         return false;
       }
-      Install(std::move(verified), aText);
+      BOOST_LEAF_CHECK(CheckSignature(parsed, trusted, Version()));
+      Install(std::move(parsed));
       return true;
     },
     [&](const signature_failure& aFailure) {
@@ -407,10 +408,12 @@
 }
 
 void
-bundle_controller::state::Install(bundle aBundle, const std::string& aText)
+bundle_controller::state::Install(signed_bundle aBundle)
 {
-  mBoard.mBundle = std::make_shared<const bundle>(std::move(aBundle));
-  mBoard.mSignedBundle = aText;
+  // The history is for operators, who read it at the platform.
+  aBundle.mHistory.clear();
+  mBoard.mSignedBundle = Serialize(aBundle);
+  mBoard.mBundle = std::make_shared<const bundle>(std::move(aBundle.mBundle));
   mAskedUntil = mTimers.Now();
   LogEvent(log_level::Info,
            "bundle_in_force",
--- a/src/sapphirespar/config/json_archive.hpp
+++ b/src/sapphirespar/config/json_archive.hpp
@@ -22,6 +22,12 @@
 std::optional<once_mode> ToOnceMode(std::string_view aText);
 std::optional<upstream_kind> ToUpstreamKind(std::string_view aText);
 
+// The Fields functions that list the fields of a type take an archive, which is
+// json_writer with a const item or json_reader. They are found by
+// argument-dependent lookup, so they can't stand in an unnamed namespace.
+template<class Item, class Type>
+concept some = std::same_as<std::remove_const_t<Item>, Type>;
+
 // Writes fields into one JSON object in the order they are named.
 class json_writer
 {
@@ -218,4 +224,13 @@
   std::optional<std::string>& mWrongKey;
 };
 
+template<some<signer> Item>
+void
+Fields(auto& aArchive, Item& aItem)
+{
+  static const signer sDefault;
+  aArchive.Field("name", aItem.mName, sDefault.mName);
+  aArchive.Field("public_key", aItem.mPublicKey, sDefault.mPublicKey);
+}
+
 } // namespace sapphirespar
--- /dev/null
+++ b/src/sapphirespar/config/signed_bundle.cpp
@@ -0,0 +1,206 @@
+// The signed form of a bundle: signing, its JSON, and the chain of trust.
+#include "sapphirespar/config/signed_bundle.hpp"
+
+#include "json_archive.hpp"
+#include "sapphirespar/config/bundle_codec.hpp"
+#include "sapphirespar/config/signing.hpp"
+
+#include <algorithm>
+#include <optional>
+
+namespace sapphirespar {
+
+// Found by argument-dependent lookup from the archives.
+template<some<bundle_version> Item>
+void
+Fields(auto& aArchive, Item& aItem)
+{
+  aArchive.Field("epoch", aItem.mEpoch, std::uint64_t{ 0 });
+  aArchive.Field("number", aItem.mNumber, std::uint64_t{ 0 });
+}
+
+template<some<signer_change> Item>
+void
+Fields(auto& aArchive, Item& aItem)
+{
+  Fields(aArchive, aItem.mVersion);
+  aArchive.List("signers", aItem.mSigners);
+  aArchive.Field("signer", aItem.mSigner, std::string());
+  aArchive.Field("signature", aItem.mSignature, std::string());
+}
+
+template<some<accepted_version> Item>
+void
+Fields(auto& aArchive, Item& aItem)
+{
+  Fields(aArchive, aItem.mVersion);
+  aArchive.Field("signer", aItem.mSigner, std::string());
+  aArchive.Field("digest", aItem.mDigest, std::string());
+  aArchive.Field("accepted_at", aItem.mAcceptedAt, std::string());
+}
+
+template<some<signed_bundle> Item>
+void
+Fields(auto& aArchive, Item& aItem)
+{
+  aArchive.Field("signer", aItem.mSigner, std::string());
+  aArchive.Field("signature", aItem.mSignature, std::string());
+  aArchive.Field("bundle", aItem.mBytes, std::string());
+  aArchive.List("signer_changes", aItem.mSignerChanges);
+  aArchive.List("history", aItem.mHistory);
+}
+
+namespace {
+
+auto
+Failure(std::string aProblem)
+{
+  return leaf::new_error(signature_failure{ std::move(aProblem) });
+}
+
+// What is signed of a signer change. The prefix keeps it from ever being the
+// bytes of a bundle.
+std::string
+SignedBytes(const signer_change& aChange)
+{
+  json_writer writer;
+  Fields(writer, aChange.mVersion);
+  writer.List("signers", aChange.mSigners);
+  return "signer_change " + boost::json::serialize(writer.mObject);
+}
+
+bool
+IsSignedBy(std::span<const signer> aSigners,
+           std::string_view aName,
+           std::string_view aBytes,
+           std::string_view aSignature)
+{
+  const auto known = std::ranges::find(aSigners, aName, &signer::mName);
+  return known != aSigners.end() &&
+         Verify(aBytes, aSignature, known->mPublicKey);
+}
+
+bool
+SameSigners(const std::vector<signer>& aLeft, const std::vector<signer>& aRight)
+{
+  return std::ranges::equal(
+    aLeft, aRight, [](const signer& aOne, const signer& aOther) {
+      return aOne.mName == aOther.mName && aOne.mPublicKey == aOther.mPublicKey;
+    });
+}
+
+// Returns who may sign after the changes that lead from aTrusted to aBundle.
+std::vector<signer>
+FollowChanges(const signed_bundle& aBundle,
+              std::span<const signer> aTrusted,
+              bundle_version aSince)
+{
+  std::vector<signer> trusted(aTrusted.begin(), aTrusted.end());
+  for (const auto& change : aBundle.mSignerChanges) {
+    if (change.mVersion > aSince &&
+        change.mVersion < aBundle.mBundle.mVersion &&
+        IsSignedBy(
+          trusted, change.mSigner, SignedBytes(change), change.mSignature)) {
+      trusted = change.mSigners;
+    }
+  }
+  return trusted;
+}
+
+} // namespace
+
+result<signed_bundle>
+SignBundle(const bundle& aBundle,
+           std::string_view aSigner,
+           std::string_view aPrivateKey,
+           const signed_bundle* aBase)
+{
+  signed_bundle made;
+  made.mSigner = aSigner;
+  made.mBytes = ToCanonicalJson(aBundle);
+  made.mBundle = aBundle;
+  if (aBase) {
+    made.mSignerChanges = aBase->mSignerChanges;
+    made.mHistory = aBase->mHistory;
+  }
+  if (!aBase || !SameSigners(aBase->mBundle.mSigners, aBundle.mSigners)) {
+    signer_change change{
+      aBundle.mVersion, aBundle.mSigners, made.mSigner, ""
+    };
+    change.mSignature = Sign(SignedBytes(change), aPrivateKey).value_or("");
+    made.mSignerChanges.push_back(std::move(change));
+  }
+  const auto signature = Sign(made.mBytes, aPrivateKey);
+  if (!signature) {
+    return Failure("the private key is not 64 hexadecimal digits");
+  }
+  made.mSignature = *signature;
+  return made;
+}
+
+std::string
+Serialize(const signed_bundle& aBundle)
+{
+  json_writer writer;
+  Fields(writer, aBundle);
+  return boost::json::serialize(writer.mObject);
+}
+
+result<signed_bundle>
+ParseSignedBundle(std::string_view aText)
+{
+  boost::json::error_code error;
+  const auto document = boost::json::parse(
+    boost::json::string_view(aText.data(), aText.size()), error);
+  if (error || !document.is_object()) {
+    return Failure("a signed bundle must be a JSON object");
+  }
+  std::optional<std::string> wrongKey;
+  json_reader reader(document.get_object(), "", wrongKey);
+  signed_bundle parsed;
+  Fields(reader, parsed);
+  if (wrongKey) {
+    return Failure("wrong type of \"" + *wrongKey + "\" in a signed bundle");
+  }
+  if (parsed.mSigner.empty() || parsed.mBytes.empty()) {
+    return Failure("a signed bundle needs signer, signature and bundle");
+  }
+  BOOST_LEAF_ASSIGN(parsed.mBundle, ParseBundleJson(parsed.mBytes));
+  return parsed;
+}
+
+result<void>
+CheckSignature(const signed_bundle& aBundle,
+               std::span<const signer> aTrusted,
+               bundle_version aSince)
+{
+  const auto trusted = FollowChanges(aBundle, aTrusted, aSince);
+  if (std::ranges::find(trusted, aBundle.mSigner, &signer::mName) ==
+      trusted.end()) {
+    return Failure("signer \"" + aBundle.mSigner + "\" is not trusted");
+  }
+  if (!IsSignedBy(
+        trusted, aBundle.mSigner, aBundle.mBytes, aBundle.mSignature)) {
+    return Failure("the signature of \"" + aBundle.mSigner + "\" is not valid");
+  }
+  return {};
+}
+
+result<signed_bundle>
+VerifySignedBundle(std::string_view aText,
+                   std::span<const signer> aTrusted,
+                   bundle_version aSince)
+{
+  BOOST_LEAF_AUTO(parsed, ParseSignedBundle(aText));
+  BOOST_LEAF_CHECK(CheckSignature(parsed, aTrusted, aSince));
+  return parsed;
+}
+
+bool
+Follows(const bundle_version& aNext, const bundle_version& aBase)
+{
+  return aNext.mEpoch > aBase.mEpoch ||
+         (aNext.mEpoch == aBase.mEpoch && aNext.mNumber == aBase.mNumber + 1);
+}
+
+} // namespace sapphirespar
--- a/src/sapphirespar/config/signing.cpp
+++ b/src/sapphirespar/config/signing.cpp
@@ -1,16 +1,13 @@
-// Ed25519 keys and signatures by OpenSSL, and the signed form of a bundle.
+// Ed25519 keys and signatures by OpenSSL.
 #include "sapphirespar/config/signing.hpp"
 
-#include "sapphirespar/config/bundle_codec.hpp"
-
-#include <boost/json.hpp>
-
 #include <openssl/evp.h>
 
 #include <algorithm>
 #include <array>
 #include <charconv>
 #include <memory>
+#include <span>
 #include <vector>
 
 namespace sapphirespar {
@@ -91,20 +88,6 @@
   return ToHex(raw);
 }
 
-auto
-Failure(std::string aProblem)
-{
-  return leaf::new_error(signature_failure{ std::move(aProblem) });
-}
-
-// Returns the text under aKey, or an empty one.
-std::string
-TextAt(const boost::json::object& aObject, std::string_view aKey)
-{
-  const auto* value = aObject.if_contains(aKey);
-  return value && value->is_string() ? std::string(value->get_string()) : "";
-}
-
 } // namespace
 
 signing_key
@@ -184,61 +167,4 @@
   return ToHex(digest);
 }
 
-result<std::string>
-SignBundle(const bundle& aBundle,
-           std::string_view aSigner,
-           std::string_view aPrivateKey)
-{
-  const auto canonical = ToCanonicalJson(aBundle);
-  const auto signature = Sign(canonical, aPrivateKey);
-  if (!signature) {
-    return Failure("the private key is not 64 hexadecimal digits");
-  }
-  const boost::json::object envelope{ { "signer", aSigner },
-                                      { "signature", *signature },
-                                      { "bundle", canonical } };
-  return boost::json::serialize(envelope);
-}
-
-result<signed_bundle>
-ParseSignedBundle(std::string_view aText)
-{
-  boost::json::error_code error;
-  const auto document = boost::json::parse(
-    boost::json::string_view(aText.data(), aText.size()), error);
-  if (error || !document.is_object()) {
-    return Failure("a signed bundle must be a JSON object");
-  }
-  const auto& envelope = document.get_object();
-  signed_bundle parsed;
-  parsed.mSigner = TextAt(envelope, "signer");
-  parsed.mSignature = TextAt(envelope, "signature");
-  parsed.mBytes = TextAt(envelope, "bundle");
-  if (parsed.mSigner.empty() || parsed.mSignature.empty() ||
-      parsed.mBytes.empty()) {
-    return Failure("a signed bundle needs signer, signature and bundle");
-  }
-  auto read = ParseBundleJson(parsed.mBytes);
-  if (!read) {
-    return read.error();
-  }
-  parsed.mBundle = std::move(read.value());
-  return parsed;
-}
-
-result<bundle>
-VerifySignedBundle(std::string_view aText, std::span<const signer> aTrusted)
-{
-  BOOST_LEAF_AUTO(parsed, ParseSignedBundle(aText));
-  const auto known =
-    std::ranges::find(aTrusted, parsed.mSigner, &signer::mName);
-  if (known == aTrusted.end()) {
-    return Failure("signer \"" + parsed.mSigner + "\" is not trusted");
-  }
-  if (!Verify(parsed.mBytes, parsed.mSignature, known->mPublicKey)) {
-    return Failure("the signature of \"" + parsed.mSigner + "\" is not valid");
-  }
-  return std::move(parsed.mBundle);
-}
-
 } // namespace sapphirespar
--- a/src/sapphirespar/config/test_support.hpp
+++ b/src/sapphirespar/config/test_support.hpp
@@ -1,7 +1,7 @@
 // What the tests of this module share.
 #pragma once
 
-#include "sapphirespar/config/signing.hpp"
+#include "sapphirespar/config/signed_bundle.hpp"
 #include "sapphirespar/model/bundle.hpp"
 
 #include <string>
