Accept a bundle by one conditional update that is read back

Cause: two operators may race, and an answer may be lost after its write. Change: bundle_acceptance checks that a candidate directly follows the bundle in force and is signed by one of its signers, writes on the version read, and settles lost answers by reading back; the history tells its own bundle even after the next one has won. Conclusion: crash, outage, throttle, lost answer and race have tests for each step.

--- /dev/null
+++ b/src/sapphirespar/config/bundle_acceptance_test.cpp
@@ -0,0 +1,202 @@
+// Fault tests of each step of an acceptance under virtual time.
+#include "sapphirespar/config/bundle_acceptance.hpp"
+
+#include "sapphirespar/config/bundle_controller.hpp"
+#include "sapphirespar/config/signed_bundle.hpp"
+#include "sapphirespar/config/signing.hpp"
+#include "sapphirespar/model/fake_platform.hpp"
+#include "test_support.hpp"
+
+#include <gtest/gtest.h>
+
+#include <optional>
+
+namespace sapphirespar {
+namespace {
+
+using namespace std::chrono_literals;
+
+class acceptance_steps : public testing::Test
+{
+protected:
+  // A bundle by anna that follows the one in force; aQueueLimit tells two of
+  // the same version apart.
+  std::string Candidate(std::uint64_t aNumber, unsigned aQueueLimit = 1)
+  {
+    auto next = GoodBundle(aNumber, mAnna.mPublicKey);
+    next.mClasses[0].mQueueLimit = aQueueLimit;
+    return Serialize(SignBundle(next, "anna", mAnna.mPrivateKey).value());
+  }
+
+  // Starts an acceptance on aClient.
+  std::unique_ptr<bundle_acceptance> Begin(
+    platform_api& aClient,
+    const std::string& aText,
+    std::optional<acceptance_result>& aInto)
+  {
+    auto run = std::make_unique<bundle_acceptance>(
+      aClient, mTimers, acceptance_settings());
+    run->Start(aText, "2026-01-01", [&aInto](acceptance_result aResult) {
+      aInto = aResult;
+    });
+    return run;
+  }
+
+  acceptance_result Accept(const std::string& aText)
+  {
+    std::optional<acceptance_result> got;
+    const auto run = Begin(mClient, aText, got);
+    mTimers.Advance(30s);
+    return got.value();
+  }
+
+  bundle_version InForce() const
+  {
+    const auto* object = mStore->Find(CurrentBundleKey());
+    return object ? ParseSignedBundle(object->mValue)->mBundle.mVersion
+                  : bundle_version{};
+  }
+
+  manual_timer_service mTimers;
+  const signing_key mAnna = NewSigningKey();
+  std::shared_ptr<fake_store> mStore = std::make_shared<fake_store>();
+  fake_platform mClient{ mTimers, mStore };
+};
+
+TEST_F(acceptance_steps, BundlesFollowOneAnother)
+{
+  EXPECT_EQ(Accept(Candidate(1)).mVerdict, acceptance::Accepted);
+  EXPECT_EQ(Accept(Candidate(2)).mVerdict, acceptance::Accepted);
+  EXPECT_EQ(InForce(), (bundle_version{ 1, 2 }));
+  EXPECT_EQ(Accept(Candidate(2)).mVerdict, acceptance::AlreadyAccepted);
+  EXPECT_EQ(Accept(Candidate(4)).mVerdict, acceptance::Overtaken);
+  const auto history =
+    ParseSignedBundle(mStore->Find(CurrentBundleKey())->mValue)->mHistory;
+  ASSERT_EQ(history.size(), 2U);
+  EXPECT_EQ(history[1].mVersion.mNumber, 2U);
+  EXPECT_EQ(history[1].mSigner, "anna");
+}
+
+TEST_F(acceptance_steps, OnlyASignerOfTheBundleInForceMaySign)
+{
+  Accept(Candidate(1));
+  const auto zane = NewSigningKey();
+  const auto forged =
+    SignBundle(GoodBundle(2, zane.mPublicKey), "anna", zane.mPrivateKey);
+  const auto verdict = Accept(Serialize(forged.value()));
+  EXPECT_EQ(verdict.mVerdict, acceptance::Refused);
+  EXPECT_EQ(verdict.mDetail, "the signature of \"anna\" is not valid");
+  EXPECT_EQ(Accept("{}").mVerdict, acceptance::Refused);
+  EXPECT_EQ(InForce().mNumber, 1U);
+}
+
+TEST_F(acceptance_steps, OfTwoRacingOperatorsOneWinsAndTheOtherIsTold)
+{
+  Accept(Candidate(1));
+  fake_platform other(mTimers, mStore);
+  mClient.Faults().mDelay = 10ms;
+  other.Faults().mDelay = 12ms;
+  std::optional<acceptance_result> mine;
+  std::optional<acceptance_result> theirs;
+  const auto first = Begin(mClient, Candidate(2, 10), mine);
+  const auto second = Begin(other, Candidate(2, 20), theirs);
+  mTimers.Advance(1s);
+  EXPECT_EQ(mine->mVerdict, acceptance::Accepted);
+  EXPECT_EQ(theirs->mVerdict, acceptance::Overtaken);
+  EXPECT_EQ(theirs->mInForce, (bundle_version{ 1, 2 }));
+  EXPECT_EQ(theirs->mInForceSigner, "anna");
+}
+
+TEST_F(acceptance_steps, ALostAnswerIsReadBackAndALostWriteIsRepeated)
+{
+  mClient.Faults().mLoseAnswers = 1;
+  EXPECT_EQ(Accept(Candidate(1)).mVerdict, acceptance::Accepted);
+  EXPECT_EQ(mClient.Calls().mWrites, 1U);
+  mClient.Faults().mLoseRequests = 1;
+  EXPECT_EQ(Accept(Candidate(2)).mVerdict, acceptance::Accepted);
+  EXPECT_EQ(InForce().mNumber, 2U);
+}
+
+TEST_F(acceptance_steps, ALostAnswerIsRecognisedEvenAfterTheNextOneWon)
+{
+  Accept(Candidate(1));
+  mClient.Faults().mLoseAnswers = 1;
+  std::optional<acceptance_result> mine;
+  const auto run = Begin(mClient, Candidate(2), mine);
+  mTimers.Advance(1ms);
+  EXPECT_EQ(InForce().mNumber, 2U);
+  fake_platform other(mTimers, mStore);
+  std::optional<acceptance_result> theirs;
+  const auto next = Begin(other, Candidate(3), theirs);
+  mTimers.Advance(1ms);
+  EXPECT_EQ(theirs->mVerdict, acceptance::Accepted);
+  mTimers.Advance(1s);
+  EXPECT_EQ(mine->mVerdict, acceptance::Accepted);
+  EXPECT_EQ(mine->mInForce.mNumber, 3U);
+}
+
+TEST_F(acceptance_steps, AnOutageBeforeTheWriteIsNotWritten)
+{
+  mClient.Faults().mOutage = true;
+  EXPECT_EQ(Accept(Candidate(1)).mVerdict, acceptance::NotWritten);
+  EXPECT_EQ(mStore->Find(CurrentBundleKey()), nullptr);
+}
+
+TEST_F(acceptance_steps, AnOutageThatTheWriteRunsIntoIsNotWritten)
+{
+  mClient.Faults().mDelay = 100ms;
+  std::optional<acceptance_result> got;
+  const auto run = Begin(mClient, Candidate(1), got);
+  mTimers.Advance(110ms);
+  mClient.Faults().mOutage = true;
+  mTimers.Advance(30s);
+  EXPECT_EQ(got->mVerdict, acceptance::NotWritten);
+  EXPECT_EQ(mStore->Find(CurrentBundleKey()), nullptr);
+}
+
+TEST_F(acceptance_steps, AnOutageFromTheWriteOnIsUnknown)
+{
+  mClient.Faults().mDelay = 100ms;
+  std::optional<acceptance_result> got;
+  const auto run = Begin(mClient, Candidate(1), got);
+  mTimers.Advance(170ms);
+  EXPECT_EQ(InForce().mNumber, 1U);
+  mClient.Faults().mOutage = true;
+  mTimers.Advance(30s);
+  EXPECT_EQ(got->mVerdict, acceptance::Unknown);
+}
+
+TEST_F(acceptance_steps, ACrashAtAnyStepLeavesTheOldOrTheNewBundle)
+{
+  Accept(Candidate(1));
+  mClient.Faults().mDelay = 100ms;
+  for (const auto at : { 40ms, 90ms, 140ms, 190ms }) {
+    std::optional<acceptance_result> got;
+    {
+      fake_platform crashing(mTimers, mStore);
+      crashing.Faults().mDelay = 100ms;
+      const auto run = Begin(crashing, Candidate(2), got);
+      mTimers.Advance(at);
+    }
+    mTimers.Advance(1s);
+    EXPECT_FALSE(got);
+    EXPECT_EQ(InForce().mNumber, at > 150ms ? 2U : 1U) << at.count();
+  }
+  // Whoever tries again afterwards learns which of the two it was.
+  EXPECT_EQ(Accept(Candidate(2)).mVerdict, acceptance::AlreadyAccepted);
+}
+
+TEST_F(acceptance_steps, AThrottledOrFlickeringPlatformIsTriedAgain)
+{
+  mClient.Faults().mThrottle = true;
+  std::optional<acceptance_result> got;
+  const auto run = Begin(mClient, Candidate(1), got);
+  mTimers.Advance(2s);
+  EXPECT_FALSE(got);
+  mClient.Faults().mThrottle = false;
+  mTimers.Advance(1s);
+  EXPECT_EQ(got->mVerdict, acceptance::Accepted);
+}
+
+} // namespace
+} // namespace sapphirespar
