--- /dev/null
+++ b/include/sapphirespar/policy/retry.hpp
@@ -0,0 +1,50 @@
+// Decides what becomes of a request whose upstream has failed it.
+#pragma once
+
+#include "sapphirespar/base/timer_service.hpp"
+#include "sapphirespar/model/outcome.hpp"
+#include "sapphirespar/policy/retry_budget.hpp"
+
+namespace sapphirespar::policy {
+
+// All that is known about the failed attempt.
+struct failed_attempt
+{
+  bool mIdempotent = false;
+  // Whether any byte of the request may have reached the upstream.
+  bool mBytesWritten = true;
+  // The upstream itself said that it did not run the request.
+  bool mRefusedUpstream = false;
+  // Whether any byte of an answer has gone to the caller.
+  bool mSentToCaller = false;
+  // The engine can go on with this stream where it broke off.
+  bool mResumeOffered = false;
+  // Attempts made so far, this one included.
+  unsigned mAttempts = 1;
+  steady_time mAnswerBy{};
+};
+
+enum class retry_action
+{
+  // Send it to another upstream from its start.
+  Retry,
+  // Let the engine go on after the last token that the caller has.
+  Resume,
+  // Tell the caller that it failed.
+  GiveUp,
+};
+
+struct retry_decision
+{
+  retry_action mAction = retry_action::GiveUp;
+  // What the caller is told after GiveUp.
+  outcome mOutcome = outcome::Unknown;
+};
+
+// Retries only where a second run does no harm and helps. Spends aBudget only
+// when it says Retry for work that may have run or Resume.
+retry_decision DecideRetry(const failed_attempt& aAttempt,
+                           retry_budget& aBudget,
+                           steady_time aNow);
+
+} // namespace sapphirespar::policy
--- /dev/null
+++ b/programs/experiment/main.cpp
@@ -0,0 +1,62 @@
+// sapphirespar-experiment: runs the schedulers side by side on fake engines
+// under virtual time and prints attainment, goodput and wasted work.
+#include "sapphirespar/experiment/trial.hpp"
+
+#include <CLI/CLI.hpp>
+
+#include <algorithm>
+#include <iostream>
+
+namespace {
+
+using namespace sapphirespar;
+
+void
+RunUser(const experiment::user_load& aLoad,
+        std::string_view aScenario,
+        std::uint64_t aSeed)
+{
+  for (const auto scenario : experiment::kScenarios) {
+    if (!aScenario.empty() && aScenario != experiment::ToText(scenario)) {
+      continue;
+    }
+    for (const auto* name : { "fifo", "least_outstanding", "tiered" }) {
+      const auto scheduler = policy::MakeScheduler(name);
+      std::cout << aLoad.mName << ' ' << experiment::ToText(scenario) << ' '
+                << name << " seed " << aSeed << '\n';
+      experiment::Print(
+        std::cout,
+        experiment::RunTrial({ aLoad, scenario, aSeed }, *scheduler));
+    }
+  }
+}
+
+} // namespace
+
+int
+main(int aCount, char** aArguments)
+{
+  CLI::App app("Compares schedulers on fake engines under virtual time.");
+  std::string scenario;
+  std::string user;
+  std::uint64_t seed = 1;
+  app.add_option("--scenario", scenario, "Only this one")
+    ->check(CLI::IsMember({ "calm", "burst", "crash", "slow_engine" }));
+  app.add_option("--user", user, "Only this one")
+    ->check(CLI::IsMember({ "kalnozols", "lanka_seaboard" }));
+  app.add_option("--seed", seed, "Seed of arrivals and lengths");
+  app.set_version_flag("--version", SAPPHIRESPAR_VERSION);
+  try {
+    app.parse(aCount, aArguments);
+  } catch (const CLI::ParseError& error) {
+    constexpr int kUsage = 2;
+    return app.exit(error) == 0 ? 0 : kUsage;
+  }
+  for (const auto& load :
+       { experiment::KalnozolsLoad(), experiment::LankaSeaboardLoad() }) {
+    if (user.empty() || user == load.mName) {
+      RunUser(load, scenario, seed);
+    }
+  }
+  return 0;
+}
--- /dev/null
+++ b/src/sapphirespar/experiment/targets_test.cpp
@@ -0,0 +1,81 @@
+// Holds the schedulers to the stated targets on fixed seeds.
+#include "sapphirespar/experiment/trial.hpp"
+
+#include <gtest/gtest.h>
+
+#include <sstream>
+
+namespace sapphirespar::experiment {
+namespace {
+
+constexpr std::uint64_t kSeed = 1;
+constexpr double kFirstTierTarget = 0.999;
+constexpr double kGoodputTarget = 1.3;
+constexpr double kWasteTarget = 0.01;
+
+trial_result
+Measure(const user_load& aLoad, scenario aScenario, std::string_view aScheduler)
+{
+  const auto scheduler = policy::MakeScheduler(aScheduler);
+  return RunTrial({ aLoad, aScenario, kSeed }, *scheduler);
+}
+
+struct test_case
+{
+  user_load mLoad;
+  scenario mScenario;
+};
+
+class stated_targets : public testing::TestWithParam<test_case>
+{};
+
+std::string
+NameOf(const testing::TestParamInfo<test_case>& aInfo)
+{
+  return aInfo.param.mLoad.mName + "_" +
+         std::string(ToText(aInfo.param.mScenario));
+}
+
+std::vector<test_case>
+AllCases()
+{
+  std::vector<test_case> cases;
+  for (const auto& load : { KalnozolsLoad(), LankaSeaboardLoad() }) {
+    for (const auto scenario : kScenarios) {
+      cases.push_back({ load, scenario });
+    }
+  }
+  return cases;
+}
+
+TEST_P(stated_targets, TieredMeetsThem)
+{
+  const auto result = Measure(GetParam().mLoad, GetParam().mScenario, "tiered");
+  std::ostringstream table;
+  Print(table, result);
+  EXPECT_GE(result.FirstTierAttainment(), kFirstTierTarget) << table.str();
+  EXPECT_LE(result.WastedShare(), kWasteTarget) << table.str();
+  for (const auto& part : result.mClasses) {
+    EXPECT_GT(part.mInTime, 0) << table.str();
+    EXPECT_EQ(part.mInTime + part.mLate + part.mRefused + part.mBroken,
+              part.mOffered)
+      << table.str();
+  }
+}
+
+TEST(StatedTargets, GoodputUnderABurstBeatsLeastOutstanding)
+{
+  for (const auto& load : { KalnozolsLoad(), LankaSeaboardLoad() }) {
+    const auto ours = Measure(load, scenario::Burst, "tiered");
+    const auto base = Measure(load, scenario::Burst, "least_outstanding");
+    EXPECT_GE(ours.Goodput(), kGoodputTarget * base.Goodput()) << load.mName;
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(Users,
+                         stated_targets,
+                         testing::ValuesIn(AllCases()),
+                         NameOf);
+
+} // namespace
+} // namespace sapphirespar::experiment
--- /dev/null
+++ b/src/sapphirespar/experiment/workload.cpp
@@ -0,0 +1,178 @@
+// The two users' loads and their arrivals.
+#include "sapphirespar/experiment/workload.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <random>
+#include <utility>
+
+namespace sapphirespar::experiment {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr unsigned kAccounts = 10;
+constexpr double kBurstFactor = 2.0;
+
+using random_engine = std::mt19937_64;
+
+// Uniform above zero and up to one; the standard distributions differ between
+// libraries.
+double
+Uniform(random_engine& aRandom)
+{
+  constexpr double kSteps = 9007199254740992.0;
+  return (static_cast<double>(aRandom() >> 11) + 1) / kSteps;
+}
+
+double
+Exponential(random_engine& aRandom, double aRate)
+{
+  return -std::log(Uniform(aRandom)) / aRate;
+}
+
+double
+Normal(random_engine& aRandom)
+{
+  constexpr double kPi = 3.14159265358979323846;
+  const auto radius = std::sqrt(-2 * std::log(Uniform(aRandom)));
+  return radius * std::cos(2 * kPi * Uniform(aRandom));
+}
+
+request_class
+Class(std::string aName,
+      unsigned aTier,
+      std::chrono::milliseconds aFirstToken,
+      std::chrono::milliseconds aAnswer,
+      double aWeight,
+      unsigned aSharePercent)
+{
+  request_class made;
+  made.mId = { std::move(aName) };
+  made.mTier = aTier;
+  made.mIdempotent = aTier != 1;
+  made.mOnce = aTier == 1 ? once_mode::Token : once_mode::None;
+  made.mFirstTokenTarget = aFirstToken;
+  made.mAnswerTarget = aAnswer;
+  made.mWeight = aWeight;
+  made.mMinimumSharePercent = aSharePercent;
+  return made;
+}
+
+unsigned
+DrawTokens(const class_load& aLoad, random_engine& aRandom)
+{
+  const auto tokens =
+    aLoad.mMedianTokens * std::exp(aLoad.mSpread * Normal(aRandom));
+  return std::clamp(static_cast<unsigned>(tokens), 1u, aLoad.mMaximumTokens);
+}
+
+arrival
+MakeArrival(const class_load& aLoad, steady_time aAt, random_engine& aRandom)
+{
+  arrival made;
+  made.mTokens = DrawTokens(aLoad, aRandom);
+  auto& request = made.mRequest;
+  request.mClass = aLoad.mClass.mId;
+  // Small numbers are drawn more often: a few accounts are large.
+  const auto account = Uniform(aRandom) * Uniform(aRandom) * kAccounts;
+  request.mAccount = { std::to_string(static_cast<unsigned>(account)) };
+  request.mPool = kPool;
+  request.mPromptTokens = aLoad.mPromptTokens;
+  request.mMaximumTokens = aLoad.mMaximumTokens;
+  request.mArrival = aAt;
+  request.mFirstTokenBy = aAt + aLoad.mClass.mFirstTokenTarget;
+  request.mAnswerBy = aAt + aLoad.mClass.mAnswerTarget;
+  return made;
+}
+
+void
+AddClass(const class_load& aLoad,
+         scenario aScenario,
+         random_engine aRandom,
+         std::vector<arrival>& aInto)
+{
+  for (steady_time at{}; at < steady_time{ kArrivalsEnd };) {
+    const bool bursts = aScenario == scenario::Burst &&
+                        at >= steady_time{ kChangeStart } &&
+                        at < steady_time{ kBurstEnd };
+    const auto rate = aLoad.mRequestsPerSecond * (bursts ? kBurstFactor : 1.0);
+    const std::chrono::duration<double> gap{ Exponential(aRandom, rate) };
+    at += std::chrono::duration_cast<steady_duration>(gap);
+    aInto.push_back(MakeArrival(aLoad, at, aRandom));
+  }
+}
+
+} // namespace
+
+user_load
+KalnozolsLoad()
+{
+  return {
+    "kalnozols",
+    9,
+    { { Class("confirmation", 1, 500ms, 10s, 10, 0), 7, 40, 0.5, 200, 300 },
+      { Class("price", 2, 1s, 20s, 3, 0), 10, 90, 0.6, 600, 200 },
+      { Class("note", 3, 3s, 45s, 1, 5), 1.7, 200, 0.7, 1000, 500 },
+      { Class("summary", 3, 5s, 120s, 2, 5), 1.7, 500, 0.8, 3000, 2000 } }
+  };
+}
+
+user_load
+LankaSeaboardLoad()
+{
+  return {
+    "lanka_seaboard",
+    18,
+    { { Class("booking", 1, 500ms, 10s, 20, 0), 5, 50, 0.5, 250, 400 },
+      { Class("question", 2, 1s, 30s, 3, 0), 10, 150, 0.6, 800, 300 },
+      { Class("draft", 3, 10s, 300s, 8, 10), 1.7, 1500, 0.9, 6000, 4000 },
+      { Class("tag", 3, 3s, 10s, 0.2, 2), 25, 12, 0.3, 40, 200 } }
+  };
+}
+
+std::string_view
+ToText(scenario aScenario)
+{
+  switch (aScenario) {
+    case scenario::Calm:
+      return "calm";
+    case scenario::Burst:
+      return "burst";
+    case scenario::Crash:
+      return "crash";
+    case scenario::SlowEngine:
+      return "slow_engine";
+  }
+  return "unknown";
+}
+
+bundle_ptr
+BundleOf(const user_load& aLoad)
+{
+  auto made = std::make_shared<bundle>();
+  made->mVersion = { 1, 1 };
+  std::ranges::transform(
+    aLoad.mClasses, std::back_inserter(made->mClasses), &class_load::mClass);
+  return made;
+}
+
+std::vector<arrival>
+MakeArrivals(const user_load& aLoad, scenario aScenario, std::uint64_t aSeed)
+{
+  std::vector<arrival> arrivals;
+  random_engine seeds(aSeed);
+  for (const auto& load : aLoad.mClasses) {
+    AddClass(load, aScenario, random_engine(seeds()), arrivals);
+  }
+  std::ranges::stable_sort(arrivals, {}, [](const arrival& aArrival) {
+    return aArrival.mRequest.mArrival;
+  });
+  for (std::size_t i = 0; i < arrivals.size(); ++i) {
+    arrivals[i].mRequest.mId = { std::to_string(i) };
+  }
+  return arrivals;
+}
+
+} // namespace sapphirespar::experiment
