--- /dev/null
+++ b/include/sapphirespar/model/fake_network.hpp
@@ -0,0 +1,48 @@
+// An in-memory network between routers, for tests under virtual time.
+#pragma once
+
+#include "sapphirespar/base/timer_service.hpp"
+#include "sapphirespar/model/peer_message.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <utility>
+#include <vector>
+
+namespace sapphirespar {
+
+// Carries messages between attached processes. The order between two
+// processes is kept.
+class fake_network
+{
+public:
+  explicit fake_network(timer_service& aTimers);
+  ~fake_network();
+
+  // Joins a process, in place of an earlier life of its vm; the link's
+  // destruction takes it away. aReceive is called through aTimers, so that a
+  // paused process receives late.
+  std::unique_ptr<peer_network> Attach(const process_id& aSelf,
+                                       timer_service& aTimers,
+                                       peer_receiver aReceive);
+
+  // Loses, or again carries, all messages from one vm to another.
+  void Cut(const vm_id& aFrom, const vm_id& aTo);
+  void Mend(const vm_id& aFrom, const vm_id& aTo);
+
+  // Decides about one message: its delay, or nothing to lose it.
+  using carrier =
+    std::function<std::optional<steady_duration>(const peer_message&)>;
+  void SetCarrier(carrier aCarrier);
+
+private:
+  class link;
+  struct state;
+  std::shared_ptr<state> mState;
+};
+
+} // namespace sapphirespar
