Let only the issuer of a token run its request

A request that may not be repeated must not run twice when its caller retries at another router. A token names the process that issued it; that process alone runs it, once, and tells its fate to the others. Telling "not run" closes the token, so that it stays true.

--- /dev/null
+++ b/src/sapphirespar/ledger/fate_asker.hpp
@@ -0,0 +1,51 @@
+// Asks other processes how a request ended.
+#pragma once
+
+#include "sapphirespar/ledger/once_guard.hpp"
+
+#include <map>
+#include <optional>
+#include <utility>
+
+namespace sapphirespar::ledger {
+
+// Nothing if no answer came in time.
+using fate_callback = std::function<void(std::optional<outcome>)>;
+
+class fate_asker
+{
+public:
+  fate_asker(peer_network& aPeers,
+             timer_service& aTimers,
+             const once_settings& aSettings);
+
+  // Asks aHolder, again and again until it answers or time is up.
+  void Ask(const process_id& aHolder,
+           fate_request aQuestion,
+           fate_callback aDone);
+
+  // Ignores an answer that was not asked for.
+  void OnAnswer(const process_id& aFrom, const fate_answer& aAnswer);
+
+private:
+  using question_id = std::pair<std::string, request_id>;
+
+  struct question
+  {
+    process_id mHolder;
+    fate_request mRequest;
+    fate_callback mDone;
+    steady_time mDeadline{};
+    timer_subscription mResend;
+  };
+
+  void Resend(const question_id& aId);
+  void End(const question_id& aId, std::optional<outcome> aOutcome);
+
+  peer_network& mPeers;
+  timer_service& mTimers;
+  const once_settings mSettings;
+  std::map<question_id, question> mQuestions;
+};
+
+} // namespace sapphirespar::ledger
--- /dev/null
+++ b/src/sapphirespar/ledger/once_table.cpp
@@ -0,0 +1,86 @@
+// The table of known idempotency keys, bounded in entries and in bytes.
+#include "once_table.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace sapphirespar::ledger {
+
+once_table::once_table(const once_settings& aSettings)
+  : mSettings(aSettings)
+{
+}
+
+once_entry*
+once_table::Find(const once_key& aKey)
+{
+  const auto found = mEntries.find(aKey);
+  return found == mEntries.end() ? nullptr : &found->second;
+}
+
+once_entry*
+once_table::Add(const once_key& aKey, once_entry aEntry)
+{
+  if (mEntries.size() >= mSettings.mTableLimit) {
+    return nullptr;
+  }
+  return &mEntries.emplace(aKey, std::move(aEntry)).first->second;
+}
+
+void
+once_table::KeepAnswer(once_entry& aEntry, stored_answer_ptr aAnswer)
+{
+  if (!aAnswer || aAnswer->mBody.size() > mSettings.mAnswerLimitBytes ||
+      mAnswerBytes + aAnswer->mBody.size() > mSettings.mAnswerBytes) {
+    return;
+  }
+  mAnswerBytes += aAnswer->mBody.size();
+  aEntry.mAnswer = std::move(aAnswer);
+}
+
+void
+once_table::Sweep(steady_time aNow)
+{
+  std::erase_if(mEntries, [&](const auto& aItem) {
+    const auto& entry = aItem.second;
+    if (IsOpen(entry) || entry.mKeepUntil > aNow) {
+      return false;
+    }
+    mAnswerBytes -= entry.mAnswer ? entry.mAnswer->mBody.size() : 0;
+    return true;
+  });
+}
+
+once_counts
+once_table::Counts() const
+{
+  const auto running = std::ranges::count_if(
+    mEntries, [](const auto& aItem) { return IsOpen(aItem.second); });
+  return { mEntries.size(), static_cast<std::size_t>(running), mAnswerBytes };
+}
+
+bool
+IsOpen(const once_entry& aEntry)
+{
+  return aEntry.mState == entry_state::Claiming ||
+         aEntry.mState == entry_state::Running;
+}
+
+outcome
+OutcomeOf(const once_entry& aEntry)
+{
+  switch (aEntry.mState) {
+    case entry_state::NotRun:
+    case entry_state::Closed:
+      return outcome::NotRun;
+    case entry_state::Done:
+      return outcome::Done;
+    case entry_state::Claiming:
+    case entry_state::Running:
+    case entry_state::Unknown:
+      break;
+  }
+  return outcome::Unknown;
+}
+
+} // namespace sapphirespar::ledger
--- /dev/null
+++ b/src/sapphirespar/ledger/once_world_test.cpp
@@ -0,0 +1,112 @@
+// The small system behind the ledger's tests.
+#include "once_world_test.hpp"
+
+namespace sapphirespar::ledger {
+namespace {
+
+using namespace std::chrono_literals;
+
+vm_id
+VmOf(unsigned aRouter)
+{
+  return { "vm" + std::to_string(aRouter) };
+}
+
+} // namespace
+
+test_router::test_router(timer_service& aTimers,
+                         fake_network& aNetwork,
+                         const std::shared_ptr<fake_store>& aStore,
+                         process_id aSelf)
+  : mTimers(aTimers)
+  , mPlatform(mTimers, aStore)
+{
+  mBoard.mSelf = aSelf;
+  mLink = aNetwork.Attach(
+    aSelf, mTimers, [this](const process_id& aFrom, const auto& aMessage) {
+      mGuard->OnPeerMessage(aFrom, aMessage);
+    });
+  mGuard = std::make_unique<once_guard>(mBoard, mPlatform, *mLink, mTimers);
+}
+
+once_world::once_world(unsigned aRouters)
+{
+  for (unsigned router = 0; router < aRouters; ++router) {
+    Restart(router);
+  }
+}
+
+void
+once_world::Restart(unsigned aRouter)
+{
+  auto& me = mMembers[aRouter];
+  me.mState = member_state::Live;
+  me.mProcess = { VmOf(aRouter), me.mProcess.mIncarnation + 1 };
+  mRouters.erase(aRouter);
+  mRouters[aRouter] =
+    std::make_unique<test_router>(mTimers, mNetwork, mStore, me.mProcess);
+  Introduce();
+}
+
+void
+once_world::Crash(unsigned aRouter)
+{
+  mRouters.erase(aRouter);
+}
+
+void
+once_world::Bury(unsigned aRouter)
+{
+  mMembers[aRouter].mState = member_state::Dead;
+  Introduce();
+}
+
+void
+once_world::Introduce()
+{
+  for (auto& [number, router] : mRouters) {
+    for (const auto& [other, member] : mMembers) {
+      router->mBoard.mMembers[VmOf(other)] = member;
+    }
+  }
+}
+
+once_world::attempt
+once_world::Send(unsigned aRouter,
+                 once_mode aMode,
+                 const std::string& aKey,
+                 bool aFirst)
+{
+  auto told = std::make_shared<std::optional<once_verdict>>();
+  once_request request;
+  request.mMode = aMode;
+  request.mKey = { kAccount, aKey };
+  request.mFirstAttempt = aFirst;
+  Router(aRouter).mGuard->Begin(request, [this, told, aKey](auto aVerdict) {
+    mRuns[aKey] += aVerdict.mRun ? 1 : 0;
+    *told = aVerdict;
+  });
+  return told;
+}
+
+once_verdict
+once_world::Ask(unsigned aRouter, once_mode aMode, const std::string& aKey)
+{
+  const auto told = Send(aRouter, aMode, aKey);
+  mTimers.Advance(10s);
+  return told->value();
+}
+
+void
+once_world::Finish(unsigned aRouter, const std::string& aKey, outcome aOutcome)
+{
+  Router(aRouter).mGuard->Finished({ kAccount, aKey }, aOutcome);
+}
+
+std::string
+once_world::Token(unsigned aRouter)
+{
+  return Router(aRouter).mGuard->IssueToken(kAccount);
+}
+
+} // namespace sapphirespar::ledger
--- /dev/null
+++ b/src/sapphirespar/ledger/token_test.cpp
@@ -0,0 +1,53 @@
+// Tokens: what they carry, and that they cannot be invented.
+#include "sapphirespar/ledger/token.hpp"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace sapphirespar::ledger {
+namespace {
+
+using namespace std::chrono_literals;
+
+const process_id kSelf{ { "vm-1.cesis" }, 7 };
+const account_id kBuyer{ "buyer" };
+
+TEST(Token, NamesItsIssuerAndItsTime)
+{
+  const token_issuer issuer(kSelf);
+  const auto text = issuer.Issue(kBuyer, steady_time(90s));
+  const auto fields = ReadToken(text);
+  ASSERT_TRUE(fields);
+  EXPECT_EQ(fields->mIssuer, kSelf);
+  EXPECT_EQ(fields->mIssuedAt, steady_time(90s));
+  EXPECT_TRUE(issuer.Verify(text, kBuyer));
+}
+
+TEST(Token, ServesOneAccountAndOneProcess)
+{
+  const token_issuer issuer(kSelf);
+  const token_issuer twin(kSelf);
+  const auto text = issuer.Issue(kBuyer, {});
+  EXPECT_FALSE(issuer.Verify(text, { "other" }));
+  EXPECT_FALSE(twin.Verify(text, kBuyer));
+}
+
+RC_GTEST_PROP(Token, AChangedOneIsRefused, ())
+{
+  const token_issuer issuer(kSelf);
+  auto text = issuer.Issue(kBuyer, steady_time(90s));
+  const auto place = *rc::gen::inRange<std::size_t>(0, text.size());
+  const auto letter = *rc::gen::arbitrary<char>();
+  RC_PRE(text[place] != letter);
+  text[place] = letter;
+  RC_ASSERT(!issuer.Verify(text, kBuyer));
+}
+
+RC_GTEST_PROP(Token, AnyTextIsReadOrRefused, (const std::string& aText))
+{
+  const auto fields = ReadToken("st1." + aText);
+  RC_ASSERT(!fields || !fields->mIssuer.mVm.Empty());
+}
+
+} // namespace
+} // namespace sapphirespar::ledger
