--- /dev/null
+++ b/src/sapphirespar/upstream/drain_watcher.cpp
@@ -0,0 +1,153 @@
+// Lists once, then watches from there; lists anew when the watch lost track.
+#include "sapphirespar/upstream/drain_watcher.hpp"
+
+#include "sapphirespar/base/log.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace sapphirespar::upstream {
+namespace {
+
+using namespace std::chrono_literals;
+
+// Longest wait of one watch at the platform.
+constexpr std::chrono::milliseconds kWatchWait = 25s;
+// A watch that has not answered by then has gone silent.
+constexpr std::chrono::milliseconds kWatchTimeout = kWatchWait + 5s;
+// After a failed call.
+constexpr std::chrono::milliseconds kFirstBackoff = 250ms;
+constexpr std::chrono::milliseconds kLongestBackoff = 4s;
+
+} // namespace
+
+class drain_watcher::state : public std::enable_shared_from_this<state>
+{
+public:
+  state(platform_api& aPlatform,
+        timer_service& aTimers,
+        drain_callback aOnChange)
+    : mPlatform(aPlatform)
+    , mTimers(aTimers)
+    , mOnChange(std::move(aOnChange))
+  {
+  }
+
+  void List();
+
+private:
+  void Watch();
+  void OnList(const list_answer& aAnswer);
+  void OnWatch(const list_answer& aAnswer);
+  void Expect(steady_duration aWithin);
+  list_callback Answer(void (state::*aHandler)(const list_answer&));
+  void Retry();
+
+  platform_api& mPlatform;
+  timer_service& mTimers;
+  const drain_callback mOnChange;
+  std::set<upstream_id> mDrained;
+  object_version mFrom = kNoObject;
+  std::chrono::milliseconds mBackoff = kFirstBackoff;
+  // Numbers calls, so that the answer to a call given up is ignored.
+  std::uint64_t mCall = 0;
+  timer_subscription mTimer;
+};
+
+// Wraps a handler so that it is called for the latest call only.
+list_callback
+drain_watcher::state::Answer(void (state::*aHandler)(const list_answer&))
+{
+  return [weak = weak_from_this(), call = ++mCall, aHandler](auto aAnswer) {
+    const auto self = weak.lock();
+    if (self && self->mCall == call) {
+      ((*self).*aHandler)(aAnswer);
+    }
+  };
+}
+
+void
+drain_watcher::state::List()
+{
+  auto done = Answer(&state::OnList);
+  Expect(kWatchTimeout);
+  mPlatform.List(std::string(kDrainKind), std::move(done));
+}
+
+void
+drain_watcher::state::OnList(const list_answer& aAnswer)
+{
+  if (aAnswer.mStatus != platform_status::Ok) {
+    Retry();
+    return;
+  }
+  std::set<upstream_id> drained;
+  std::ranges::transform(
+    aAnswer.mObjects,
+    std::inserter(drained, drained.end()),
+    [](const auto& aObject) { return upstream_id{ aObject.mKey.mName }; });
+  mFrom = aAnswer.mVersion;
+  if (drained != mDrained) {
+    mDrained = std::move(drained);
+    mOnChange(mDrained);
+  }
+  Watch();
+}
+
+void
+drain_watcher::state::Watch()
+{
+  mBackoff = kFirstBackoff;
+  auto done = Answer(&state::OnWatch);
+  Expect(kWatchTimeout);
+  mPlatform.Watch(std::string(kDrainKind), mFrom, kWatchWait, std::move(done));
+}
+
+void
+drain_watcher::state::OnWatch(const list_answer& aAnswer)
+{
+  if (aAnswer.mStatus != platform_status::Ok) {
+    Retry();
+    return;
+  }
+  for (const auto& object : aAnswer.mObjects) {
+    const upstream_id id{ object.mKey.mName };
+    if (object.mDeleted) {
+      mDrained.erase(id);
+    } else {
+      mDrained.insert(id);
+    }
+  }
+  mFrom = aAnswer.mVersion;
+  if (!aAnswer.mObjects.empty()) {
+    mOnChange(mDrained);
+  }
+  Watch();
+}
+
+void
+drain_watcher::state::Expect(steady_duration aWithin)
+{
+  mTimer = mTimers.After(aWithin, [this] { List(); });
+}
+
+void
+drain_watcher::state::Retry()
+{
+  LogEvent(log_level::Debug, "drain_watch_failed");
+  ++mCall;
+  Expect(mBackoff);
+  mBackoff = std::min(mBackoff * 2, kLongestBackoff);
+}
+
+drain_watcher::drain_watcher(platform_api& aPlatform,
+                             timer_service& aTimers,
+                             drain_callback aOnChange)
+  : mState(std::make_shared<state>(aPlatform, aTimers, std::move(aOnChange)))
+{
+  mState->List();
+}
+
+drain_watcher::~drain_watcher() = default;
+
+} // namespace sapphirespar::upstream
--- /dev/null
+++ b/src/sapphirespar/upstream/drain_watcher_test.cpp
@@ -0,0 +1,94 @@
+// How fast a drain notice reaches every router, and what faults do to it.
+#include "sapphirespar/upstream/drain_watcher.hpp"
+
+#include "sapphirespar/model/fake_platform.hpp"
+
+#include <gtest/gtest.h>
+
+namespace sapphirespar::upstream {
+namespace {
+
+using namespace std::chrono_literals;
+
+// The stated time from a notice to its effect.
+constexpr auto kNoticeTarget = 2s;
+
+const object_key kEngine{ std::string(kDrainKind), "e0" };
+const std::set<upstream_id> kDrained{ { "e0" } };
+
+struct test_watch
+{
+  test_watch()
+  {
+    mPlatform.Faults().mDelay = 10ms;
+    mWatcher.emplace(
+      mPlatform, mTimers, [this](const auto& aIds) { mSeen = aIds; });
+    mTimers.Advance(1s);
+  }
+
+  manual_timer_service mTimers;
+  std::shared_ptr<fake_store> mStore = std::make_shared<fake_store>();
+  fake_platform mPlatform{ mTimers, mStore };
+  std::set<upstream_id> mSeen;
+  std::optional<drain_watcher> mWatcher;
+};
+
+TEST(DrainWatcher, ANoticeArrivesWithinItsTargetAndSoDoesItsEnd)
+{
+  test_watch watch;
+  const auto written = watch.mStore->Write(kEngine, "{}", false, kNoObject);
+  watch.mTimers.Advance(kNoticeTarget);
+  EXPECT_EQ(watch.mSeen, kDrained);
+  watch.mStore->Write(kEngine, "", true, written.mObject.mVersion);
+  watch.mTimers.Advance(kNoticeTarget);
+  EXPECT_TRUE(watch.mSeen.empty());
+}
+
+TEST(DrainWatcher, AnIdleWatchCostsFewCalls)
+{
+  test_watch watch;
+  const auto before = watch.mPlatform.Calls().Total();
+  watch.mTimers.Advance(10min);
+  EXPECT_LE(watch.mPlatform.Calls().Total() - before, 25U);
+}
+
+TEST(Fault_StoreOutage, Drain_Notice_TheLastKnownSetStaysAndThenCatchesUp)
+{
+  test_watch watch;
+  watch.mStore->Write(kEngine, "{}", false, kNoObject);
+  watch.mTimers.Advance(kNoticeTarget);
+  watch.mPlatform.Faults().mOutage = true;
+  watch.mTimers.Advance(10min);
+  EXPECT_EQ(watch.mSeen, kDrained);
+  watch.mStore->Write(
+    { std::string(kDrainKind), "e1" }, "{}", false, kNoObject);
+  watch.mPlatform.Faults().mOutage = false;
+  watch.mTimers.Advance(10s);
+  EXPECT_EQ(watch.mSeen.size(), 2U);
+}
+
+TEST(Fault_SilentInbound, Drain_Notice_ASilentWatchIsReplaced)
+{
+  test_watch watch;
+  watch.mPlatform.Faults().mBreakWatches = true;
+  watch.mTimers.Advance(30s);
+  watch.mStore->Write(kEngine, "{}", false, kNoObject);
+  watch.mPlatform.Faults().mBreakWatches = false;
+  watch.mTimers.Advance(1min);
+  EXPECT_EQ(watch.mSeen, kDrained);
+}
+
+TEST(Fault_StaleList, Drain_Notice_ACompactedWatchListsAnew)
+{
+  test_watch watch;
+  watch.mPlatform.Faults().mOutage = true;
+  watch.mTimers.Advance(1s);
+  watch.mStore->Write(kEngine, "{}", false, kNoObject);
+  watch.mStore->Compact();
+  watch.mPlatform.Faults().mOutage = false;
+  watch.mTimers.Advance(1min);
+  EXPECT_EQ(watch.mSeen, kDrained);
+}
+
+} // namespace
+} // namespace sapphirespar::upstream
--- /dev/null
+++ b/src/sapphirespar/upstream/speed.cpp
@@ -0,0 +1,124 @@
+// Moving averages and medians by group.
+#include "speed.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace sapphirespar::upstream {
+namespace {
+
+constexpr double kWeightOfNewest = 0.2;
+// Fewer samples say nothing.
+constexpr unsigned kFewestSamples = 5;
+// In a smaller group nobody can tell who is the slow one.
+constexpr std::size_t kFewestMembers = 3;
+
+double
+Median(std::vector<double> aValues)
+{
+  const auto middle =
+    aValues.begin() + static_cast<std::ptrdiff_t>(aValues.size() / 2);
+  std::ranges::nth_element(aValues, middle);
+  return *middle;
+}
+
+double
+Relative(const std::optional<double>& aSpeed,
+         const std::map<std::string, double>& aMedians,
+         const std::string& aGroup)
+{
+  const auto median = aMedians.find(aGroup);
+  if (!aSpeed || median == aMedians.end() || median->second <= 0) {
+    return 1.0;
+  }
+  return *aSpeed / median->second;
+}
+
+} // namespace
+
+void
+speed_average::Add(double aSample, steady_time aNow)
+{
+  mValue =
+    mSamples == 0 ? aSample : mValue + kWeightOfNewest * (aSample - mValue);
+  ++mSamples;
+  mLast = aNow;
+}
+
+std::optional<double>
+speed_average::Value(steady_time aNow, steady_duration aAge) const
+{
+  if (mSamples < kFewestSamples || aNow - mLast > aAge) {
+    return std::nullopt;
+  }
+  return mValue;
+}
+
+speed_board::speed_board(steady_duration aRetention)
+  : mRetention(aRetention)
+{
+}
+
+void
+speed_board::Join(const upstream_id& aId, std::string aGroup)
+{
+  mRecords[aId].mGroup = std::move(aGroup);
+}
+
+void
+speed_board::Leave(const upstream_id& aId)
+{
+  mRecords.erase(aId);
+}
+
+void
+speed_board::Add(const upstream_id& aId,
+                 std::chrono::milliseconds aFirstToken,
+                 double aTokensPerSecond,
+                 steady_time aNow)
+{
+  constexpr double kMillisecondsPerSecond = 1000;
+  auto& known = mRecords[aId];
+  if (aFirstToken > aFirstToken.zero()) {
+    const auto ms = static_cast<double>(aFirstToken.count());
+    known.mFirstTokensPerSecond.Add(kMillisecondsPerSecond / ms, aNow);
+  }
+  if (aTokensPerSecond > 0) {
+    known.mTokensPerSecond.Add(aTokensPerSecond, aNow);
+  }
+}
+
+std::map<upstream_id, double>
+speed_board::RelativeSpeeds(steady_time aNow) const
+{
+  const auto firstTokens = Medians(&record::mFirstTokensPerSecond, aNow);
+  const auto tokens = Medians(&record::mTokensPerSecond, aNow);
+  std::map<upstream_id, double> speeds;
+  for (const auto& [id, known] : mRecords) {
+    const auto first = known.mFirstTokensPerSecond.Value(aNow, mRetention);
+    const auto rate = known.mTokensPerSecond.Value(aNow, mRetention);
+    speeds[id] = std::min(Relative(first, firstTokens, known.mGroup),
+                          Relative(rate, tokens, known.mGroup));
+  }
+  return speeds;
+}
+
+std::map<std::string, double>
+speed_board::Medians(speed_average record::*aSpeed, steady_time aNow) const
+{
+  std::map<std::string, std::vector<double>> groups;
+  for (const auto& [id, known] : mRecords) {
+    if (const auto speed = (known.*aSpeed).Value(aNow, mRetention)) {
+      groups[known.mGroup].push_back(*speed);
+    }
+  }
+  std::map<std::string, double> medians;
+  for (auto& [group, speeds] : groups) {
+    if (speeds.size() >= kFewestMembers) {
+      medians[group] = Median(std::move(speeds));
+    }
+  }
+  return medians;
+}
+
+} // namespace sapphirespar::upstream
