Add sapphirespar-ctl

Cause: operators need to make keys, check, sign, accept and compare bundles and to look at routers. Change: the commands key new, bundle check, sign, accept, diff and history, status and explain, with exit codes 0 ok, 1 failed, 2 usage, 3 refused. Conclusion: tests run a race of two operators over HTTP.

--- /dev/null
+++ b/src/sapphirespar/cli/commands.hpp
@@ -0,0 +1,44 @@
+// The commands behind the command line.
+#pragma once
+
+#include "connection.hpp"
+#include "sapphirespar/cli/ctl.hpp"
+
+#include <ostream>
+#include <string>
+
+namespace sapphirespar::cli {
+
+struct ctl_options
+{
+  connection_options mConnection;
+  std::string mFile;
+  std::string mOtherFile;
+  std::string mOut;
+  std::string mKeyFile;
+  std::string mSigner;
+  std::string mBaseFile;
+  std::string mSettingsFile;
+  std::string mRequest;
+  std::string mClass;
+  // For the first bundle of all, which follows none.
+  bool mFirst = false;
+  bool mJson = false;
+};
+
+struct ctl_streams
+{
+  std::ostream& mOut;
+  std::ostream& mError;
+};
+
+exit_code NewKey(const ctl_options& aOptions, ctl_streams aStreams);
+exit_code CheckBundle(const ctl_options& aOptions, ctl_streams aStreams);
+exit_code SignBundleFile(const ctl_options& aOptions, ctl_streams aStreams);
+exit_code AcceptBundle(const ctl_options& aOptions, ctl_streams aStreams);
+exit_code DiffBundles(const ctl_options& aOptions, ctl_streams aStreams);
+exit_code ShowHistory(const ctl_options& aOptions, ctl_streams aStreams);
+exit_code ShowStatus(const ctl_options& aOptions, ctl_streams aStreams);
+exit_code Explain(const ctl_options& aOptions, ctl_streams aStreams);
+
+} // namespace sapphirespar::cli
--- /dev/null
+++ b/src/sapphirespar/cli/connection.cpp
@@ -0,0 +1,174 @@
+// Waiting calls over an io_context that runs until the answer is there.
+#include "connection.hpp"
+
+#include "sapphirespar/config/bundle_controller.hpp"
+#include "sapphirespar/wire/asio_timer_service.hpp"
+#include "sapphirespar/wire/platform_client.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <charconv>
+#include <ctime>
+
+namespace sapphirespar::cli {
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr std::chrono::milliseconds kPageTimeout{ 10000 };
+
+// The way to one far end, or why there is none.
+struct route
+{
+  wire::endpoint mEndpoint;
+  wire::tls_context_ptr mTls;
+};
+
+connection_result<route>
+MakeRoute(const std::string& aPlace, const wire::tls_context_files& aTls)
+{
+  route made;
+  const auto endpoint = ParseEndpoint(aPlace);
+  if (!endpoint) {
+    return connection_failure{ "expected ADDRESS:PORT, found \"" + aPlace +
+                               "\"" };
+  }
+  made.mEndpoint = *endpoint;
+  if (!aTls.mAuthorities.empty()) {
+    auto tls = wire::MakeClientTls(aTls);
+    if (!tls) {
+      return connection_failure{ tls.error().mFile + ": " +
+                                 tls.error().mProblem };
+    }
+    made.mTls = std::move(tls).value();
+  }
+  return made;
+}
+
+wire::platform_client_settings
+PlatformSettings(const route& aRoute)
+{
+  wire::platform_client_settings settings;
+  settings.mPlatform = aRoute.mEndpoint;
+  settings.mTls = aRoute.mTls;
+  return settings;
+}
+
+// The operator's clock, in UTC, for the history.
+std::string
+CalendarTime()
+{
+  constexpr std::size_t kTextBytes = 32;
+  char text[kTextBytes];
+  const auto now = std::time(nullptr);
+  std::tm parts{};
+  gmtime_r(&now, &parts);
+  const auto size =
+    std::strftime(text, kTextBytes, "%Y-%m-%dT%H:%M:%SZ", &parts);
+  return { text, size };
+}
+
+asio::awaitable<void>
+Fetch(wire::http_client& aClient,
+      wire::endpoint aEndpoint,
+      wire::http_request aRequest,
+      connection_result<wire::http_response>& aInto)
+{
+  const auto fetched =
+    co_await aClient.Fetch(aEndpoint, std::move(aRequest), kPageTimeout);
+  if (fetched) {
+    aInto = fetched.value();
+  } else {
+    aInto =
+      connection_failure{ std::string(wire::ToText(fetched.error().mKind)) +
+                          ": " + fetched.error().mDetail };
+  }
+}
+
+} // namespace
+
+std::optional<wire::endpoint>
+ParseEndpoint(const std::string& aText)
+{
+  const auto colon = aText.rfind(':');
+  if (colon == std::string::npos) {
+    return std::nullopt;
+  }
+  wire::endpoint endpoint{ aText.substr(0, colon), 0 };
+  const auto* end = aText.data() + aText.size();
+  const auto parsed =
+    std::from_chars(aText.data() + colon + 1, end, endpoint.mPort);
+  const bool good = parsed.ec == std::errc{} && parsed.ptr == end;
+  return good ? std::optional(endpoint) : std::nullopt;
+}
+
+connection_result<object_answer>
+FetchCurrent(const connection_options& aOptions)
+{
+  const auto route = MakeRoute(aOptions.mPlatform, aOptions.mTls);
+  if (!route) {
+    return route.error();
+  }
+  asio::io_context context;
+  wire::platform_client client(context.get_executor(),
+                               PlatformSettings(route.value()));
+  object_answer got;
+  client.Get(CurrentBundleKey(),
+             [&](object_answer aAnswer) { got = std::move(aAnswer); });
+  context.run();
+  if (got.mStatus != platform_status::Ok &&
+      got.mStatus != platform_status::NotFound) {
+    return connection_failure{ "the platform at " + aOptions.mPlatform + ": " +
+                               std::string(ToText(got.mStatus)) };
+  }
+  return got;
+}
+
+connection_result<acceptance_result>
+RunAcceptance(const connection_options& aOptions,
+              acceptance_settings aSettings,
+              const std::string& aSignedBundle)
+{
+  const auto route = MakeRoute(aOptions.mPlatform, aOptions.mTls);
+  if (!route) {
+    return route.error();
+  }
+  asio::io_context context;
+  wire::asio_timer_service timers(context.get_executor());
+  wire::platform_client client(context.get_executor(),
+                               PlatformSettings(route.value()));
+  acceptance_result got;
+  bundle_acceptance run(client, timers, std::move(aSettings));
+  run.Start(aSignedBundle, CalendarTime(), [&](acceptance_result aResult) {
+    got = std::move(aResult);
+    context.stop();
+  });
+  context.run();
+  return got;
+}
+
+connection_result<wire::http_response>
+FetchPage(const connection_options& aOptions, const std::string& aTarget)
+{
+  const auto route = MakeRoute(aOptions.mRouter, aOptions.mTls);
+  if (!route) {
+    return route.error();
+  }
+  asio::io_context context;
+  wire::http_client_settings settings;
+  settings.mTls = route.value().mTls;
+  wire::http_client client(context.get_executor(), settings);
+  wire::http_request request;
+  request.mTarget = aTarget;
+  connection_result<wire::http_response> got =
+    connection_failure{ "no answer" };
+  asio::co_spawn(context,
+                 Fetch(client, route.value().mEndpoint, request, got),
+                 asio::detached);
+  context.run();
+  return got;
+}
+
+} // namespace sapphirespar::cli
--- /dev/null
+++ b/src/sapphirespar/cli/ctl.cpp
@@ -0,0 +1,156 @@
+// The command line of sapphirespar-ctl.
+#include "sapphirespar/cli/ctl.hpp"
+
+#include "commands.hpp"
+
+#include <CLI/CLI.hpp>
+
+#include <functional>
+
+namespace sapphirespar::cli {
+namespace {
+
+using command = exit_code (*)(const ctl_options&, ctl_streams);
+
+// The parsed command line.
+struct ctl_parser
+{
+  CLI::App mApp{ "Operates sapphirespar: keys, bundles, status.",
+                 "sapphirespar-ctl" };
+  ctl_options mOptions;
+  command mChosen = nullptr;
+
+  CLI::App* Add(CLI::App* aParent,
+                const std::string& aName,
+                const std::string& aHelp,
+                command aCommand)
+  {
+    auto* added = aParent->add_subcommand(aName, aHelp);
+    added->callback([this, aCommand] { mChosen = aCommand; });
+    return added;
+  }
+
+  void AddTls(CLI::App* aCommand)
+  {
+    auto& tls = mOptions.mConnection.mTls;
+    aCommand->add_option("--tls-ca", tls.mAuthorities, "speak TLS, trusting");
+    aCommand->add_option("--tls-certificate", tls.mCertificate);
+    aCommand->add_option("--tls-key", tls.mKey);
+  }
+
+  CLI::Option* AddPlatform(CLI::App* aCommand)
+  {
+    AddTls(aCommand);
+    return aCommand->add_option("--platform",
+                                mOptions.mConnection.mPlatform,
+                                "ADDRESS:PORT of the platform");
+  }
+
+  CLI::Option* AddRouter(CLI::App* aCommand)
+  {
+    AddTls(aCommand);
+    return aCommand->add_option(
+      "--router", mOptions.mConnection.mRouter, "ADDRESS:PORT of any router");
+  }
+};
+
+void
+AddKeyCommands(ctl_parser& aParser)
+{
+  auto* key = aParser.mApp.add_subcommand("key", "Signing keys");
+  key->require_subcommand(1);
+  auto* make = aParser.Add(
+    key, "new", "Make a key: private part to a file, public to print", NewKey);
+  make->add_option("--out", aParser.mOptions.mOut, "file of the private key")
+    ->required();
+}
+
+void
+AddSign(ctl_parser& aParser, CLI::App* aBundle)
+{
+  auto& options = aParser.mOptions;
+  auto* sign = aParser.Add(
+    aBundle, "sign", "Check a TOML bundle and sign it", SignBundleFile);
+  sign->add_option("file", options.mFile, "bundle in TOML")->required();
+  sign->add_option("--key", options.mKeyFile, "private key file")->required();
+  sign->add_option("--signer", options.mSigner, "name of the signer")
+    ->required();
+  sign->add_option("--out", options.mOut, "file to write")->required();
+  auto* base = sign->add_option_group("base", "the bundle that it follows");
+  base->add_option("--base", options.mBaseFile, "signed bundle file");
+  base->add_flag("--first", options.mFirst, "it follows none");
+  aParser.AddPlatform(base);
+  base->require_option(1, 4);
+}
+
+void
+AddBundleCommands(ctl_parser& aParser)
+{
+  auto& options = aParser.mOptions;
+  auto* bundle = aParser.mApp.add_subcommand("bundle", "Bundles");
+  bundle->require_subcommand(1);
+  auto* check =
+    aParser.Add(bundle, "check", "Check a bundle in TOML", CheckBundle);
+  check->add_option("file", options.mFile, "bundle in TOML")->required();
+  AddSign(aParser, bundle);
+  auto* accept = aParser.Add(
+    bundle, "accept", "Put a signed bundle into force", AcceptBundle);
+  accept->add_option("file", options.mFile, "signed bundle")->required();
+  accept->add_option("--settings",
+                     options.mSettingsFile,
+                     "router settings whose signers are trusted at first");
+  aParser.AddPlatform(accept)->required();
+  auto* diff = aParser.Add(
+    bundle, "diff", "Show what differs between two bundles", DiffBundles);
+  diff->add_option("before", options.mFile, "TOML or signed, or \"current\"")
+    ->required();
+  diff->add_option("after", options.mOtherFile, "the same")->required();
+  aParser.AddPlatform(diff);
+  auto* history =
+    aParser.Add(bundle, "history", "List accepted versions", ShowHistory);
+  history->add_flag("--json", options.mJson);
+  aParser.AddPlatform(history)->required();
+}
+
+void
+AddRouterCommands(ctl_parser& aParser)
+{
+  auto& options = aParser.mOptions;
+  auto* status =
+    aParser.Add(&aParser.mApp, "status", "Show what a router sees", ShowStatus);
+  status->add_flag("--json", options.mJson, "as the router gives it");
+  aParser.AddRouter(status)->required();
+  auto* explain = aParser.Add(
+    &aParser.mApp, "explain", "Tell why requests went as they did", Explain);
+  auto* which = explain->add_option_group("which");
+  which->add_option("request", options.mRequest, "X-Request-Id");
+  which->add_option("--class", options.mClass, "newest of this class");
+  which->require_option(1);
+  aParser.AddRouter(explain)->required();
+}
+
+} // namespace
+
+exit_code
+RunCtl(int aCount,
+       const char* const* aArguments,
+       std::ostream& aOut,
+       std::ostream& aError)
+{
+  ctl_parser parser;
+  parser.mApp.set_version_flag("--version", SAPPHIRESPAR_VERSION);
+  parser.mApp.require_subcommand(1);
+  AddKeyCommands(parser);
+  AddBundleCommands(parser);
+  AddRouterCommands(parser);
+  try {
+    parser.mApp.parse(aCount, aArguments);
+  } catch (const CLI::ParseError& error) {
+    // Help and version arrive here too, with the code zero.
+    return parser.mApp.exit(error, aOut, aError) == 0 ? exit_code::Ok
+                                                      : exit_code::Usage;
+  }
+  return parser.mChosen(parser.mOptions, { aOut, aError });
+}
+
+} // namespace sapphirespar::cli
--- /dev/null
+++ b/src/sapphirespar/cli/ctl_test.cpp
@@ -0,0 +1,225 @@
+// Tests of the operators' program: exit codes, messages and the files it
+// writes; acceptance over HTTP runs against a small object store.
+#include "sapphirespar/cli/ctl.hpp"
+
+#include "sapphirespar/wire/http_server.hpp"
+
+#include <boost/asio/io_context.hpp>
+
+#include <gtest/gtest.h>
+
+#include <array>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+#include <thread>
+
+namespace sapphirespar::cli {
+namespace {
+
+namespace fs = std::filesystem;
+
+// One object with conditional updates, on a thread of its own.
+class one_object_server
+{
+public:
+  one_object_server()
+    : mServer(mContext,
+              std::array{ &mContext },
+              wire::http_server_settings(),
+              [this](const auto& aRequest, auto& aReply) {
+                return Answer(aRequest, aReply);
+              })
+    , mThread([this] { mContext.run(); })
+  {
+  }
+
+  ~one_object_server()
+  {
+    mContext.stop();
+    mThread.join();
+  }
+
+  std::string Place() const
+  {
+    return "127.0.0.1:" + std::to_string(mServer.Port());
+  }
+
+private:
+  wire::asio::awaitable<void> Answer(const wire::http_request& aRequest,
+                                     wire::http_reply& aReply)
+  {
+    wire::http_response response;
+    if (aRequest.mTarget == "/v1/status") {
+      response.mBody = R"({"vm":"vm-1","bundle":{"epoch":1,"number":4},
+        "members":[{"vm":"vm-2","state":"live"}]})";
+    } else if (aRequest.mTarget != "/objects/bundle/current") {
+      response.mStatus = 404;
+    } else if (aRequest.mMethod == "GET") {
+      response.mStatus = mVersion == 0 ? 404 : 200;
+      response.mBody = mValue;
+    } else if (aRequest.Header("If-Match") == std::to_string(mVersion)) {
+      mValue = aRequest.mBody;
+      ++mVersion;
+    } else {
+      response.mStatus = 409;
+    }
+    response.mHeaders = { { "X-Object-Version", std::to_string(mVersion) } };
+    co_await aReply.Send(std::move(response));
+  }
+
+  boost::asio::io_context mContext;
+  std::string mValue;
+  std::uint64_t mVersion = 0;
+  wire::http_server mServer;
+  std::thread mThread;
+};
+
+class ctl_commands : public testing::Test
+{
+protected:
+  ctl_commands()
+  {
+    std::string name = (fs::temp_directory_path() / "ctl_test_XXXXXX").string();
+    mDirectory = mkdtemp(name.data());
+  }
+  ~ctl_commands() override { fs::remove_all(mDirectory); }
+
+  std::string Path(const std::string& aName) const
+  {
+    return (mDirectory / aName).string();
+  }
+
+  exit_code Run(std::vector<std::string> aArguments)
+  {
+    std::vector<const char*> raw{ "sapphirespar-ctl" };
+    for (const auto& argument : aArguments) {
+      raw.push_back(argument.c_str());
+    }
+    mOut.str("");
+    mError.str("");
+    return RunCtl(static_cast<int>(raw.size()), raw.data(), mOut, mError);
+  }
+
+  void WriteBundle(const std::string& aName, unsigned aTier) const
+  {
+    std::ofstream(Path(aName))
+      << "[[signers]]\nname = \"anna\"\npublic_key = \"" << mPublicKey
+      << "\"\n[[classes]]\nid = \"price\"\n"
+         "idempotent = true\ntier = "
+      << aTier << "\n";
+  }
+
+  // Makes a key and a signed first bundle.
+  void SignFirst()
+  {
+    Run({ "key", "new", "--out", Path("key") });
+    mPublicKey = mOut.str();
+    mPublicKey.pop_back();
+    WriteBundle("b.toml", 2);
+    EXPECT_EQ(Run({ "bundle",
+                    "sign",
+                    Path("b.toml"),
+                    "--key",
+                    Path("key"),
+                    "--signer",
+                    "anna",
+                    "--first",
+                    "--out",
+                    Path("b1") }),
+              exit_code::Ok)
+      << mError.str();
+  }
+
+  exit_code SignNext(const std::string& aPlatform, const std::string& aOut)
+  {
+    return Run({ "bundle",
+                 "sign",
+                 Path("b.toml"),
+                 "--key",
+                 Path("key"),
+                 "--signer",
+                 "anna",
+                 "--platform",
+                 aPlatform,
+                 "--out",
+                 Path(aOut) });
+  }
+
+  exit_code Accept(const std::string& aPlatform, const std::string& aName)
+  {
+    return Run({ "bundle", "accept", Path(aName), "--platform", aPlatform });
+  }
+
+  fs::path mDirectory;
+  std::string mPublicKey;
+  std::ostringstream mOut;
+  std::ostringstream mError;
+};
+
+TEST_F(ctl_commands, TellsUsageFromRefusalAndFailure)
+{
+  EXPECT_EQ(Run({}), exit_code::Usage);
+  EXPECT_EQ(Run({ "bundle", "frob" }), exit_code::Usage);
+  EXPECT_EQ(Run({ "--help" }), exit_code::Ok);
+  EXPECT_EQ(Run({ "--version" }), exit_code::Ok);
+  EXPECT_EQ(Run({ "bundle", "check", Path("none.toml") }), exit_code::Refused);
+  EXPECT_NE(mError.str().find("none.toml: cannot be opened"),
+            std::string::npos);
+  EXPECT_EQ(Run({ "status", "--router", "here" }), exit_code::Failed);
+  EXPECT_NE(mError.str().find("expected ADDRESS:PORT"), std::string::npos);
+}
+
+TEST_F(ctl_commands, AKeyIsForItsOwnerOnlyAndNeverOverwritten)
+{
+  SignFirst();
+  EXPECT_EQ(fs::status(Path("key")).permissions(),
+            fs::perms::owner_read | fs::perms::owner_write);
+  EXPECT_EQ(Run({ "key", "new", "--out", Path("key") }), exit_code::Refused);
+}
+
+TEST_F(ctl_commands, ABundleIsAcceptedOnceAndTheLoserOfARaceIsTold)
+{
+  one_object_server platform;
+  SignFirst();
+  EXPECT_EQ(Accept(platform.Place(), "b1"), exit_code::Ok) << mError.str();
+  EXPECT_EQ(mOut.str(), "accepted: written\n");
+  EXPECT_EQ(SignNext(platform.Place(), "mine"), exit_code::Ok);
+  EXPECT_EQ(mOut.str(), "signed version 1.2 as anna\n");
+  WriteBundle("b.toml", 3);
+  EXPECT_EQ(SignNext(platform.Place(), "theirs"), exit_code::Ok);
+  EXPECT_EQ(Accept(platform.Place(), "mine"), exit_code::Ok);
+  EXPECT_EQ(Accept(platform.Place(), "theirs"), exit_code::Refused);
+  EXPECT_EQ(mError.str(),
+            "overtaken: version 1.2, signed by anna, is in force; version 1.2 "
+            "does not follow it\n");
+  EXPECT_EQ(Run({ "bundle", "history", "--platform", platform.Place() }),
+            exit_code::Ok);
+  EXPECT_EQ(mOut.str().substr(0, 5), "1.1  ");
+  EXPECT_EQ(Run({ "bundle",
+                  "diff",
+                  "current",
+                  Path("b.toml"),
+                  "--platform",
+                  platform.Place() }),
+            exit_code::Ok);
+  EXPECT_EQ(mOut.str(),
+            "classes price\n  - {\"id\":\"price\",\"tier\":2}\n"
+            "  + {\"id\":\"price\"}\n");
+}
+
+TEST_F(ctl_commands, StatusIsATableOrTheRoutersOwnJson)
+{
+  one_object_server router;
+  EXPECT_EQ(Run({ "status", "--router", router.Place() }), exit_code::Ok);
+  EXPECT_NE(mOut.str().find("bundle: 1.4"), std::string::npos);
+  EXPECT_NE(mOut.str().find("vm-2  -"), std::string::npos);
+  EXPECT_EQ(Run({ "status", "--json", "--router", router.Place() }),
+            exit_code::Ok);
+  EXPECT_EQ(mOut.str().front(), '{');
+  EXPECT_EQ(Run({ "explain", "r1", "--router", router.Place() }),
+            exit_code::Refused);
+}
+
+} // namespace
+} // namespace sapphirespar::cli
--- a/src/sapphirespar/config/bundle_codec.cpp
+++ b/src/sapphirespar/config/bundle_codec.cpp
@@ -1,6 +1,7 @@
 // The bundle to canonical JSON and back.
 #include "sapphirespar/config/bundle_codec.hpp"
 
+#include "bundle_json.hpp"
 #include "json_archive.hpp"
 
 namespace sapphirespar {
@@ -126,12 +127,27 @@
   aArchive.List("signers", aItem.mSigners);
 }
 
-std::string
-ToCanonicalJson(const bundle& aBundle)
+boost::json::object
+ToJsonObject(const bundle& aBundle)
 {
   json_writer writer;
   Fields(writer, aBundle);
-  return boost::json::serialize(writer.mObject);
+  return std::move(writer.mObject);
+}
+
+std::string
+ItemId(const boost::json::value& aItem)
+{
+  const auto& item = aItem.get_object();
+  const auto* id = item.if_contains("id");
+  const auto* name = id ? id : item.if_contains("name");
+  return name && name->is_string() ? std::string(name->get_string()) : "";
+}
+
+std::string
+ToCanonicalJson(const bundle& aBundle)
+{
+  return boost::json::serialize(ToJsonObject(aBundle));
 }
 
 result<bundle>
