Add stand-ins for the platform, an engine and a service

Trials need upstreams and a platform whose faults can be switched while they run, and answers whose wholeness and owner can be checked byte by byte. The answer of the stand-in engine is a pure function of prompt and length; the service counts runs per idempotency key; the platform keeps versioned objects with conditional updates and watches.

--- /dev/null
+++ b/src/sapphirespar/tools/standin_engine.cpp
@@ -0,0 +1,526 @@
+// The stand-in engine: requests, their pace, orders and faults.
+#include "sapphirespar/tools/standin_engine.hpp"
+
+#include "engine_batch.hpp"
+#include "engine_cache.hpp"
+
+#include "sapphirespar/base/ids.hpp"
+#include "sapphirespar/tools/expected_answer.hpp"
+
+#include <algorithm>
+#include <array>
+#include <map>
+#include <set>
+
+namespace sapphirespar::tools {
+namespace {
+
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+
+constexpr unsigned kDefaultMaximumTokens = 256;
+constexpr std::size_t kJobsKept = 4096;
+// How often a waiting job looks whether its caller has gone.
+constexpr milliseconds kLookAgain{ 50 };
+// What a cached prompt beginning leaves of the time to the first token.
+constexpr double kCachedShare = 0.3;
+
+struct engine_counts
+{
+  std::uint64_t mStarted = 0;
+  std::uint64_t mFinished = 0;
+  // Tokens generated, whether or not they reached anyone.
+  std::uint64_t mTokens = 0;
+};
+
+struct engine_state
+{
+  explicit engine_state(engine_settings aSettings)
+    : mSettings(std::move(aSettings))
+    , mBatch(mSettings.mSlots)
+    , mModels(mSettings.mModels.begin(), mSettings.mModels.end())
+  {
+  }
+
+  engine_settings mSettings;
+  engine_batch mBatch;
+  prefix_cache mCache;
+  load_history mLoad;
+  upstream_faults mFaults;
+  engine_counts mCounts;
+  std::set<std::string> mModels;
+  std::string mRole = "mixed";
+  // Highest fencing number of an order obeyed so far.
+  std::uint64_t mFence = 0;
+  // By request; kept after a broken connection so that it can be continued.
+  std::map<std::string, job_ptr> mJobs;
+  // How often a request with each prompt marker has been started.
+  std::map<std::string, unsigned> mStarts;
+};
+
+engine_time
+Now()
+{
+  return std::chrono::steady_clock::now();
+}
+
+void
+NoteLoad(engine_state& aState)
+{
+  aState.mLoad.Add({ Now(), aState.mBatch.Running(), aState.mBatch.Waiting() });
+}
+
+bool
+Gone(const engine_state& aState,
+     const engine_job& aJob,
+     wire::http_reply& aReply)
+{
+  return aJob.mCancelled || aState.mFaults.mCrash || aReply.CallerGone();
+}
+
+// A place in the batch for as long as it lives.
+class batch_place
+{
+public:
+  batch_place(engine_state& aState, job_ptr aJob)
+    : mState(aState)
+    , mJob(std::move(aJob))
+  {
+    mState.mBatch.Enter(mJob);
+    NoteLoad(mState);
+  }
+  ~batch_place()
+  {
+    mState.mBatch.Leave(mJob);
+    NoteLoad(mState);
+  }
+  batch_place(const batch_place&) = delete;
+  batch_place& operator=(const batch_place&) = delete;
+
+private:
+  engine_state& mState;
+  job_ptr mJob;
+};
+
+// Waits for a slot; returns false if the job is over before it gets one.
+asio::awaitable<bool>
+WaitForSlot(engine_state& aState, engine_job& aJob, wire::http_reply& aReply)
+{
+  while (!aJob.mRunning) {
+    if (Gone(aState, aJob, aReply)) {
+      co_return false;
+    }
+    co_await WaitForSignal(aJob.mSignal, kLookAgain);
+  }
+  co_return true;
+}
+
+// Waits while the job is paused; it gives its slot up meanwhile.
+asio::awaitable<bool>
+OutlastPause(engine_state& aState, job_ptr aJob, wire::http_reply& aReply)
+{
+  if (!aJob->mPaused) {
+    co_return true;
+  }
+  aState.mBatch.Leave(aJob);
+  while (aJob->mPaused) {
+    if (Gone(aState, *aJob, aReply)) {
+      aState.mBatch.Enter(aJob);
+      co_return false;
+    }
+    co_await WaitForSignal(aJob->mSignal, kLookAgain);
+  }
+  aState.mBatch.Enter(aJob);
+  co_return co_await WaitForSlot(aState, *aJob, aReply);
+}
+
+microseconds
+Slowed(const engine_state& aState, double aMicroseconds)
+{
+  return microseconds(
+    static_cast<long>(aMicroseconds * aState.mFaults.mSlowFactor));
+}
+
+// The time to the next token while so many run.
+microseconds
+TokenInterval(const engine_state& aState)
+{
+  const double others = std::max(1U, aState.mBatch.Running()) - 1;
+  const double base =
+    static_cast<double>(aState.mSettings.mTokenInterval.count());
+  return Slowed(aState, base * (1 + aState.mSettings.mBatchSlowdown * others));
+}
+
+bool
+IsInstant(const engine_state& aState)
+{
+  return aState.mSettings.mTokenInterval.count() == 0;
+}
+
+// Makes the tokens of the next step: one, or at an instant engine the rest.
+std::string
+NextPieces(engine_state& aState, engine_job& aJob)
+{
+  const unsigned end = IsInstant(aState) ? aJob.mTokens : aJob.mNext + 1;
+  std::string text;
+  for (; aJob.mNext < end; ++aJob.mNext) {
+    text += AnswerPiece(aJob.mMarker, aJob.mTokens, aJob.mNext);
+    ++aState.mCounts.mTokens;
+  }
+  return text;
+}
+
+std::string
+StreamEvent(const engine_job& aJob, std::string_view aText)
+{
+  json::object delta;
+  delta["content"] = aText;
+  json::object choice;
+  choice["index"] = 0;
+  choice["delta"] = std::move(delta);
+  json::object body;
+  body["id"] = aJob.mId;
+  body["choices"] = json::array{ std::move(choice) };
+  return "data: " + json::serialize(body) + "\n\n";
+}
+
+wire::http_response
+WholeAnswer(const engine_job& aJob, std::string_view aText)
+{
+  json::object message;
+  message["role"] = "assistant";
+  message["content"] = aText;
+  json::object choice;
+  choice["index"] = 0;
+  choice["message"] = std::move(message);
+  choice["finish_reason"] = "stop";
+  json::object usage;
+  usage["completion_tokens"] = aJob.mTokens;
+  json::object body;
+  body["id"] = aJob.mId;
+  body["model"] = aJob.mModel;
+  body["choices"] = json::array{ std::move(choice) };
+  body["usage"] = std::move(usage);
+  return JsonAnswer(200, body);
+}
+
+// Generates the rest of the answer. Returns early, which breaks the
+// connection, if the job is over before its end.
+asio::awaitable<void>
+Generate(engine_state& aState, job_ptr aJob, wire::http_reply& aReply)
+{
+  std::string text;
+  while (aJob->mNext < aJob->mTokens) {
+    if (!co_await OutlastPause(aState, aJob, aReply)) {
+      co_return;
+    }
+    if (!IsInstant(aState)) {
+      co_await WaitForSignal(aJob->mSignal, TokenInterval(aState));
+    }
+    if (aState.mFaults.mFreeze &&
+        !co_await OutlastFreeze(aState.mFaults, aReply)) {
+      co_return;
+    }
+    if (Gone(aState, *aJob, aReply)) {
+      co_return;
+    }
+    const auto pieces = NextPieces(aState, *aJob);
+    if (!aJob->mStream) {
+      text += pieces;
+      continue;
+    }
+    const auto event = StreamEvent(*aJob, pieces);
+    if (!co_await aReply.Write(event)) {
+      co_return;
+    }
+  }
+  ++aState.mCounts.mFinished;
+  aState.mJobs.erase(aJob->mId);
+  if (!aJob->mStream) {
+    co_await aReply.Send(WholeAnswer(*aJob, text));
+    co_return;
+  }
+  if (co_await aReply.Write("data: [DONE]\n\n")) {
+    co_await aReply.Finish();
+  }
+}
+
+// Runs a job from its next token to its end.
+asio::awaitable<void>
+RunJob(engine_state& aState,
+       job_ptr aJob,
+       microseconds aFirstToken,
+       wire::http_reply& aReply)
+{
+  const batch_place place(aState, aJob);
+  if (!co_await WaitForSlot(aState, *aJob, aReply)) {
+    co_return;
+  }
+  ++aState.mCounts.mStarted;
+  if (aFirstToken.count() > 0) {
+    co_await WaitForSignal(aJob->mSignal, aFirstToken);
+  }
+  if (Gone(aState, *aJob, aReply)) {
+    co_return;
+  }
+  if (aJob->mStream) {
+    wire::http_headers headers;
+    headers.push_back({ "Content-Type", "text/event-stream" });
+    headers.push_back({ "X-Request-Id", aJob->mId });
+    if (!co_await aReply.Begin(200, std::move(headers))) {
+      co_return;
+    }
+  }
+  co_await Generate(aState, aJob, aReply);
+}
+
+// The text of the prompt, or of all messages one to a line.
+std::string
+PromptOf(const json::object& aBody)
+{
+  const auto* messages = aBody.if_contains("messages");
+  if (messages == nullptr || !messages->is_array()) {
+    return TextOr(aBody, "prompt", "");
+  }
+  std::string prompt;
+  for (const auto& message : messages->as_array()) {
+    if (!prompt.empty()) {
+      prompt += '\n';
+    }
+    if (message.is_object()) {
+      prompt += TextOr(message.as_object(), "content", "");
+    }
+  }
+  return prompt;
+}
+
+job_ptr
+MakeJob(engine_state& aState,
+        const json::object& aBody,
+        std::string_view aRequestId,
+        asio::any_io_executor aExecutor)
+{
+  const auto prompt = PromptOf(aBody);
+  auto job = std::make_shared<engine_job>(
+    aRequestId.empty() ? NewRequestId().mText : std::string(aRequestId),
+    aExecutor);
+  const auto limit = static_cast<unsigned>(
+    std::max(1.0, NumberOr(aBody, "max_tokens", kDefaultMaximumTokens)));
+  job->mMarker = PromptMarker(prompt);
+  job->mModel = TextOr(aBody, "model", "");
+  job->mTokens = HiddenLength(prompt, aState.mSettings.mSeed, limit);
+  job->mPriority = static_cast<int>(NumberOr(aBody, "priority", 0));
+  job->mStream = FlagOr(aBody, "stream", false);
+  if (aState.mJobs.size() >= kJobsKept) {
+    aState.mJobs.erase(aState.mJobs.begin());
+  }
+  aState.mJobs[job->mId] = job;
+  ++aState.mStarts[job->mMarker];
+  return job;
+}
+
+asio::awaitable<void>
+Complete(engine_state& aState,
+         const wire::http_request& aRequest,
+         wire::http_reply& aReply)
+{
+  const auto body = ParseObject(aRequest.mBody);
+  if (!body) {
+    co_await aReply.Send(ErrorAnswer(400, "expected a JSON object"));
+    co_return;
+  }
+  const auto model = TextOr(*body, "model", "");
+  if (!aState.mModels.empty() && !aState.mModels.contains(model)) {
+    co_await aReply.Send(ErrorAnswer(404, "this model is not loaded"));
+    co_return;
+  }
+  if (!co_await OutlastFreeze(aState.mFaults, aReply)) {
+    co_return;
+  }
+  const auto job = MakeJob(aState,
+                           *body,
+                           aRequest.Header("X-Request-Id"),
+                           co_await asio::this_coro::executor);
+  const bool cached = aState.mCache.Use(PromptOf(*body), Now());
+  const double full = static_cast<double>(aState.mSettings.mFirstToken.count());
+  const auto first = Slowed(aState, cached ? full * kCachedShare : full);
+  co_await RunJob(aState, job, first, aReply);
+}
+
+// Pauses, resumes, cancels or continues one request.
+asio::awaitable<void>
+ChangeRequest(engine_state& aState,
+              std::string aId,
+              std::string aAction,
+              std::string_view aQuery,
+              wire::http_reply& aReply)
+{
+  const auto found = aState.mJobs.find(aId);
+  if (found == aState.mJobs.end()) {
+    co_await aReply.Send(ErrorAnswer(404, "no such request"));
+    co_return;
+  }
+  const auto job = found->second;
+  if (aAction == "continue") {
+    // A copy runs on; the first one ends when it finds its caller gone.
+    job->mCancelled = true;
+    job->mSignal.cancel();
+    auto rest = std::make_shared<engine_job>(
+      job->mId, co_await asio::this_coro::executor);
+    rest->mMarker = job->mMarker;
+    rest->mModel = job->mModel;
+    rest->mTokens = job->mTokens;
+    rest->mPriority = job->mPriority;
+    rest->mStream = true;
+    const auto from = QueryNumber(aQuery, "from", 0);
+    rest->mNext =
+      static_cast<unsigned>(std::min<std::uint64_t>(from, rest->mTokens));
+    found->second = rest;
+    co_await RunJob(aState, rest, microseconds(0), aReply);
+    co_return;
+  }
+  const bool known =
+    aAction == "pause" || aAction == "resume" || aAction == "cancel";
+  if (!known) {
+    co_await aReply.Send(ErrorAnswer(404, "no such action"));
+    co_return;
+  }
+  job->mPaused = aAction == "pause";
+  job->mCancelled = job->mCancelled || aAction == "cancel";
+  job->mSignal.cancel();
+  co_await aReply.Send(JsonAnswer(200, json::object()));
+}
+
+wire::http_response
+Load(const engine_state& aState)
+{
+  const auto sample = aState.mLoad.At(Now() - aState.mFaults.mLoadLag);
+  json::object body;
+  body["running"] = sample.mRunning;
+  body["queued"] = sample.mQueued;
+  body["slots"] = aState.mSettings.mSlots;
+  body["role"] = aState.mRole;
+  body["models"] = json::array(aState.mModels.begin(), aState.mModels.end());
+  return JsonAnswer(200, body);
+}
+
+wire::http_response
+Order(engine_state& aState, const wire::http_request& aRequest)
+{
+  const auto order = ParseObject(aRequest.mBody);
+  if (!order) {
+    return ErrorAnswer(400, "expected a JSON object");
+  }
+  const auto fence = static_cast<std::uint64_t>(NumberOr(*order, "fence", 0));
+  if (aState.mSettings.mChecksFencing && fence < aState.mFence) {
+    return ErrorAnswer(409, "the fencing number is old");
+  }
+  aState.mFence = std::max(aState.mFence, fence);
+  const auto action = TextOr(*order, "order", "");
+  const auto model = TextOr(*order, "model", "");
+  if (action == "load_model") {
+    aState.mModels.insert(model);
+  } else if (action == "unload_model") {
+    aState.mModels.erase(model);
+  } else if (action == "change_role") {
+    aState.mRole = TextOr(*order, "role", aState.mRole);
+  } else {
+    return ErrorAnswer(400, "no such order");
+  }
+  return Load(aState);
+}
+
+wire::http_response
+Audit(const engine_state& aState)
+{
+  json::object starts;
+  for (const auto& [marker, count] : aState.mStarts) {
+    starts[marker] = count;
+  }
+  json::object body;
+  body["starts"] = std::move(starts);
+  body["started"] = aState.mCounts.mStarted;
+  body["finished"] = aState.mCounts.mFinished;
+  body["tokens"] = aState.mCounts.mTokens;
+  return JsonAnswer(200, body);
+}
+
+wire::http_response
+Faults(engine_state& aState, const wire::http_request& aRequest)
+{
+  auto response = ServeFaults(aState.mFaults, aRequest);
+  if (aState.mFaults.mCrash) {
+    // What was in the engine's memory is gone.
+    for (auto& [id, job] : aState.mJobs) {
+      job->mCancelled = true;
+      job->mSignal.cancel();
+    }
+    aState.mJobs.clear();
+  }
+  return response;
+}
+
+asio::awaitable<void>
+Handle(engine_state& aState,
+       const wire::http_request& aRequest,
+       wire::http_reply& aReply)
+{
+  const auto target = wire::SplitTarget(aRequest.mTarget);
+  const auto parts = PathParts(target.mPath);
+  const bool post = aRequest.mMethod == "POST";
+  if (target.mPath == "/faults") {
+    co_await aReply.Send(Faults(aState, aRequest));
+  } else if (target.mPath == "/audit") {
+    co_await aReply.Send(Audit(aState));
+  } else if (aState.mFaults.mCrash) {
+    co_return;
+  } else if (post && (target.mPath == "/v1/chat/completions" ||
+                      target.mPath == "/v1/completions")) {
+    co_await Complete(aState, aRequest, aReply);
+  } else if (!co_await OutlastFreeze(aState.mFaults, aReply)) {
+    co_return;
+  } else if (target.mPath == "/v1/load") {
+    co_await aReply.Send(Load(aState));
+  } else if (target.mPath == "/v1/cache/events") {
+    const auto from = QueryNumber(target.mQuery, "from", 0);
+    co_await aReply.Send(JsonAnswer(200, aState.mCache.Events(from, Now())));
+  } else if (post && target.mPath == "/v1/orders") {
+    co_await aReply.Send(Order(aState, aRequest));
+  } else if (post && parts.size() == 4 && parts[1] == "requests") {
+    std::string id(parts[2]);
+    std::string action(parts[3]);
+    co_await ChangeRequest(
+      aState, std::move(id), std::move(action), target.mQuery, aReply);
+  } else {
+    co_await aReply.Send(ErrorAnswer(404, "no such page"));
+  }
+}
+
+} // namespace
+
+standin_engine::standin_engine(asio::io_context& aContext,
+                               engine_settings aSettings)
+{
+  wire::http_server_settings server;
+  server.mAddress = aSettings.mAddress;
+  server.mPort = aSettings.mPort;
+  const std::array workers{ &aContext };
+  auto state = std::make_shared<engine_state>(std::move(aSettings));
+  mServer = std::make_unique<wire::http_server>(
+    aContext,
+    workers,
+    std::move(server),
+    [state](const wire::http_request& aRequest, wire::http_reply& aReply) {
+      return Handle(*state, aRequest, aReply);
+    });
+}
+
+standin_engine::~standin_engine() = default;
+
+std::uint16_t
+standin_engine::Port() const
+{
+  return mServer->Port();
+}
+
+} // namespace sapphirespar::tools
--- /dev/null
+++ b/src/sapphirespar/tools/standin_http.cpp
@@ -0,0 +1,171 @@
+// JSON, timers and fault switches for the stand-ins.
+#include "standin_http.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <charconv>
+
+namespace sapphirespar::tools {
+namespace {
+
+constexpr auto kAsTuple = asio::as_tuple(asio::use_awaitable);
+
+// How often a frozen upstream looks whether it may go on.
+constexpr std::chrono::milliseconds kFreezePoll{ 20 };
+
+} // namespace
+
+std::optional<json::object>
+ParseObject(std::string_view aBody)
+{
+  boost::system::error_code error;
+  auto value = json::parse(aBody, error);
+  if (error || !value.is_object()) {
+    return std::nullopt;
+  }
+  return std::move(value.as_object());
+}
+
+double
+NumberOr(const json::object& aObject, std::string_view aKey, double aDefault)
+{
+  const auto* value = aObject.if_contains(aKey);
+  if (value == nullptr || !value->is_number()) {
+    return aDefault;
+  }
+  return value->to_number<double>();
+}
+
+bool
+FlagOr(const json::object& aObject, std::string_view aKey, bool aDefault)
+{
+  const auto* value = aObject.if_contains(aKey);
+  return value != nullptr && value->is_bool() ? value->as_bool() : aDefault;
+}
+
+std::string
+TextOr(const json::object& aObject,
+       std::string_view aKey,
+       std::string_view aDefault)
+{
+  const auto* value = aObject.if_contains(aKey);
+  if (value == nullptr || !value->is_string()) {
+    return std::string(aDefault);
+  }
+  return std::string(value->as_string());
+}
+
+wire::http_response
+JsonAnswer(unsigned aStatus, const json::value& aBody)
+{
+  return wire::JsonResponse(aStatus, json::serialize(aBody));
+}
+
+wire::http_response
+ErrorAnswer(unsigned aStatus, std::string_view aMessage)
+{
+  json::object error;
+  error["message"] = aMessage;
+  json::object body;
+  body["error"] = std::move(error);
+  return JsonAnswer(aStatus, body);
+}
+
+std::vector<std::string_view>
+PathParts(std::string_view aPath)
+{
+  std::vector<std::string_view> parts;
+  while (!aPath.empty()) {
+    const auto slash = aPath.find('/');
+    const auto part = aPath.substr(0, slash);
+    if (!part.empty()) {
+      parts.push_back(part);
+    }
+    aPath.remove_prefix(slash == std::string_view::npos ? aPath.size()
+                                                        : slash + 1);
+  }
+  return parts;
+}
+
+std::uint64_t
+QueryNumber(std::string_view aQuery,
+            std::string_view aKey,
+            std::uint64_t aDefault)
+{
+  const auto text = wire::QueryValue(aQuery, aKey);
+  std::uint64_t number = 0;
+  const auto parsed =
+    std::from_chars(text.data(), text.data() + text.size(), number);
+  return text.empty() || parsed.ec != std::errc() ? aDefault : number;
+}
+
+asio::awaitable<void>
+Sleep(std::chrono::microseconds aTime)
+{
+  if (aTime.count() <= 0) {
+    co_return;
+  }
+  asio::steady_timer timer(co_await asio::this_coro::executor, aTime);
+  co_await timer.async_wait(kAsTuple);
+}
+
+asio::awaitable<void>
+WaitForSignal(asio::steady_timer& aTimer, std::chrono::microseconds aLongest)
+{
+  aTimer.expires_after(aLongest);
+  co_await aTimer.async_wait(kAsTuple);
+}
+
+void
+ChangeFaults(upstream_faults& aFaults, const json::object& aChange)
+{
+  aFaults.mCrash = FlagOr(aChange, "crash", aFaults.mCrash);
+  aFaults.mFreeze = FlagOr(aChange, "freeze", aFaults.mFreeze);
+  aFaults.mSlowFactor = NumberOr(aChange, "slow_factor", aFaults.mSlowFactor);
+  const auto lag = NumberOr(
+    aChange, "load_lag_ms", static_cast<double>(aFaults.mLoadLag.count()));
+  aFaults.mLoadLag = std::chrono::milliseconds(static_cast<long>(lag));
+  aFaults.mLoseAnswers = static_cast<unsigned>(
+    NumberOr(aChange, "lose_answers", aFaults.mLoseAnswers));
+}
+
+json::object
+ToJson(const upstream_faults& aFaults)
+{
+  json::object body;
+  body["crash"] = aFaults.mCrash;
+  body["freeze"] = aFaults.mFreeze;
+  body["slow_factor"] = aFaults.mSlowFactor;
+  body["load_lag_ms"] = aFaults.mLoadLag.count();
+  body["lose_answers"] = aFaults.mLoseAnswers;
+  return body;
+}
+
+wire::http_response
+ServeFaults(upstream_faults& aFaults, const wire::http_request& aRequest)
+{
+  if (aRequest.mMethod == "PUT") {
+    const auto change = ParseObject(aRequest.mBody);
+    if (!change) {
+      return ErrorAnswer(400, "expected a JSON object of faults");
+    }
+    ChangeFaults(aFaults, *change);
+  }
+  return JsonAnswer(200, ToJson(aFaults));
+}
+
+asio::awaitable<bool>
+OutlastFreeze(const upstream_faults& aFaults, wire::http_reply& aReply)
+{
+  while (aFaults.mFreeze && !aFaults.mCrash) {
+    if (aReply.CallerGone()) {
+      co_return false;
+    }
+    co_await Sleep(kFreezePoll);
+  }
+  co_return !aFaults.mCrash;
+}
+
+} // namespace sapphirespar::tools
--- /dev/null
+++ b/src/sapphirespar/tools/standin_platform.cpp
@@ -0,0 +1,418 @@
+// The stand-in platform's HTTP API, rates and faults.
+#include "sapphirespar/tools/standin_platform.hpp"
+
+#include "object_store.hpp"
+#include "standin_http.hpp"
+
+#include <algorithm>
+#include <array>
+#include <deque>
+#include <list>
+
+namespace sapphirespar::tools {
+namespace {
+
+using steady_time = std::chrono::steady_clock::time_point;
+
+constexpr std::string_view kVersionHeader = "X-Object-Version";
+
+// Allows a rate with a burst of one second's worth.
+class rate_gate
+{
+public:
+  explicit rate_gate(double aPerSecond)
+    : mPerSecond(aPerSecond)
+    , mLeft(aPerSecond)
+  {
+  }
+
+  bool Admit(steady_time aNow)
+  {
+    const std::chrono::duration<double> passed = aNow - mLast;
+    mLast = aNow;
+    mLeft = std::min(mPerSecond, mLeft + passed.count() * mPerSecond);
+    if (mLeft < 1) {
+      return false;
+    }
+    mLeft -= 1;
+    return true;
+  }
+
+private:
+  double mPerSecond;
+  double mLeft;
+  steady_time mLast = std::chrono::steady_clock::now();
+};
+
+struct platform_faults
+{
+  // Every call is answered 503 and has no effect.
+  bool mOutage = false;
+  // Every call is answered 429 and has no effect.
+  bool mThrottle = false;
+  // Watches end at once with 503.
+  bool mBreakWatches = false;
+  std::chrono::milliseconds mDelay{ 0 };
+  // Age of the list of vms that is served.
+  std::chrono::milliseconds mListLag{ 0 };
+  // Next writes that take effect but get no answer.
+  unsigned mLoseAnswers = 0;
+};
+
+struct platform_counts
+{
+  std::uint64_t mReads = 0;
+  std::uint64_t mWrites = 0;
+  std::uint64_t mWatches = 0;
+  std::uint64_t mVmLists = 0;
+  std::uint64_t mThrottled = 0;
+};
+
+struct vm_list_version
+{
+  steady_time mSince;
+  std::string mBody;
+};
+
+struct platform_state
+{
+  explicit platform_state(platform_settings aSettings)
+    : mSettings(std::move(aSettings))
+    , mStore(mSettings.mChangesKept)
+    , mReadGate(mSettings.mReadsPerSecond)
+    , mWriteGate(mSettings.mWritesPerSecond)
+  {
+    mVmLists.push_back({ steady_time{}, R"({"vms":[]})" });
+  }
+
+  platform_settings mSettings;
+  object_store mStore;
+  rate_gate mReadGate;
+  rate_gate mWriteGate;
+  platform_faults mFaults;
+  platform_counts mCounts;
+  // Oldest first; never empty.
+  std::deque<vm_list_version> mVmLists;
+  // Timers of waiting watches, cancelled by each change.
+  std::list<asio::steady_timer*> mWaiting;
+};
+
+using std::chrono::milliseconds;
+
+void
+WakeWatches(platform_state& aState)
+{
+  for (auto* timer : aState.mWaiting) {
+    timer->cancel();
+  }
+}
+
+json::value
+ToJson(const platform_object& aObject)
+{
+  json::object item;
+  item["name"] = aObject.mKey.mName;
+  item["version"] = aObject.mVersion;
+  if (aObject.mDeleted) {
+    item["deleted"] = true;
+  } else {
+    item["value"] = aObject.mValue;
+  }
+  return item;
+}
+
+wire::http_response
+ListAnswer(object_version aVersion,
+           const std::vector<platform_object>& aObjects)
+{
+  json::array items;
+  for (const auto& object : aObjects) {
+    items.push_back(ToJson(object));
+  }
+  json::object body;
+  body["version"] = aVersion;
+  body["objects"] = std::move(items);
+  return JsonAnswer(200, body);
+}
+
+void
+AddVersion(wire::http_response& aResponse, object_version aVersion)
+{
+  aResponse.mHeaders.push_back(
+    { std::string(kVersionHeader), std::to_string(aVersion) });
+}
+
+wire::http_response
+ReadObject(const platform_state& aState, const object_key& aKey)
+{
+  const auto* object = aState.mStore.Find(aKey);
+  if (object == nullptr) {
+    return ErrorAnswer(404, "no such object");
+  }
+  wire::http_response response;
+  response.mBody = object->mValue;
+  AddVersion(response, object->mVersion);
+  return response;
+}
+
+wire::http_response
+WriteAnswer(const object_answer& aAnswer)
+{
+  if (aAnswer.mStatus == platform_status::NotFound) {
+    return ErrorAnswer(404, "no such object");
+  }
+  const bool written = aAnswer.mStatus == platform_status::Ok;
+  auto response = written ? JsonAnswer(200, json::object())
+                          : ErrorAnswer(409, "the version is another");
+  AddVersion(response, aAnswer.mObject.mVersion);
+  return response;
+}
+
+wire::http_response
+WriteObject(platform_state& aState,
+            const wire::http_request& aRequest,
+            const object_key& aKey)
+{
+  if (aRequest.mBody.size() > kObjectLimitBytes) {
+    return ErrorAnswer(413, "the value is over one megabyte");
+  }
+  const auto expected = aRequest.Header("If-Match");
+  if (expected.empty() ||
+      expected.find_first_not_of("0123456789") != std::string_view::npos) {
+    return ErrorAnswer(400, "If-Match must hold a version");
+  }
+  const auto version = std::stoull(std::string(expected));
+  const auto answer = aRequest.mMethod == "PUT"
+                        ? aState.mStore.Put(aKey, aRequest.mBody, version)
+                        : aState.mStore.Delete(aKey, version);
+  if (answer.mStatus == platform_status::Ok) {
+    WakeWatches(aState);
+  }
+  return WriteAnswer(answer);
+}
+
+// Waits until something of the kind changes after aFrom.
+asio::awaitable<wire::http_response>
+Watch(platform_state& aState,
+      std::string aKind,
+      object_version aFrom,
+      milliseconds aWait,
+      wire::http_reply& aReply)
+{
+  constexpr milliseconds kLookAgain{ 200 };
+  asio::steady_timer timer(co_await asio::this_coro::executor);
+  const auto end = std::chrono::steady_clock::now() + aWait;
+  while (true) {
+    if (aState.mFaults.mOutage || aState.mFaults.mBreakWatches) {
+      co_return ErrorAnswer(503, "the platform is away");
+    }
+    if (!aState.mStore.Remembers(aFrom)) {
+      co_return ErrorAnswer(410, "the start version is no longer kept");
+    }
+    const auto changes = aState.mStore.Changes(aKind, aFrom);
+    const auto now = std::chrono::steady_clock::now();
+    if (!changes.empty() || now >= end || aReply.CallerGone()) {
+      co_return ListAnswer(aState.mStore.Version(), changes);
+    }
+    const auto left =
+      std::chrono::duration_cast<std::chrono::microseconds>(end - now);
+    const auto place = aState.mWaiting.insert(aState.mWaiting.end(), &timer);
+    co_await WaitForSignal(
+      timer, std::min<std::chrono::microseconds>(left, kLookAgain));
+    aState.mWaiting.erase(place);
+  }
+}
+
+wire::http_response
+ListVms(const platform_state& aState)
+{
+  const auto seen = std::chrono::steady_clock::now() - aState.mFaults.mListLag;
+  const auto& lists = aState.mVmLists;
+  const auto newest = std::find_if(
+    lists.rbegin(), lists.rend(), [&](const vm_list_version& aList) {
+      return aList.mSince <= seen;
+    });
+  return wire::JsonResponse(
+    200, newest == lists.rend() ? lists.front().mBody : newest->mBody);
+}
+
+wire::http_response
+ReplaceVms(platform_state& aState, const wire::http_request& aRequest)
+{
+  constexpr std::size_t kListsKept = 100;
+  if (!ParseObject(aRequest.mBody)) {
+    return ErrorAnswer(400, "expected a JSON object with \"vms\"");
+  }
+  aState.mVmLists.push_back(
+    { std::chrono::steady_clock::now(), aRequest.mBody });
+  if (aState.mVmLists.size() > kListsKept) {
+    aState.mVmLists.pop_front();
+  }
+  return JsonAnswer(200, json::object());
+}
+
+wire::http_response
+ServePlatformFaults(platform_faults& aFaults,
+                    const wire::http_request& aRequest)
+{
+  const auto change = ParseObject(aRequest.mBody);
+  if (aRequest.mMethod == "PUT" && !change) {
+    return ErrorAnswer(400, "expected a JSON object of faults");
+  }
+  if (change) {
+    const auto number = [&](std::string_view aKey, auto aOld) {
+      return static_cast<long>(
+        NumberOr(*change, aKey, static_cast<double>(aOld)));
+    };
+    aFaults.mOutage = FlagOr(*change, "outage", aFaults.mOutage);
+    aFaults.mThrottle = FlagOr(*change, "throttle", aFaults.mThrottle);
+    aFaults.mBreakWatches =
+      FlagOr(*change, "break_watches", aFaults.mBreakWatches);
+    aFaults.mDelay = milliseconds(number("delay_ms", aFaults.mDelay.count()));
+    aFaults.mListLag =
+      milliseconds(number("list_lag_ms", aFaults.mListLag.count()));
+    aFaults.mLoseAnswers =
+      static_cast<unsigned>(number("lose_answers", aFaults.mLoseAnswers));
+  }
+  json::object body;
+  body["outage"] = aFaults.mOutage;
+  body["throttle"] = aFaults.mThrottle;
+  body["break_watches"] = aFaults.mBreakWatches;
+  body["delay_ms"] = aFaults.mDelay.count();
+  body["list_lag_ms"] = aFaults.mListLag.count();
+  body["lose_answers"] = aFaults.mLoseAnswers;
+  return JsonAnswer(200, body);
+}
+
+wire::http_response
+Stats(const platform_counts& aCounts)
+{
+  json::object body;
+  body["reads"] = aCounts.mReads;
+  body["writes"] = aCounts.mWrites;
+  body["watches"] = aCounts.mWatches;
+  body["vm_lists"] = aCounts.mVmLists;
+  body["throttled"] = aCounts.mThrottled;
+  return JsonAnswer(200, body);
+}
+
+// Serves the pages of the bench, which no fault touches. Returns nothing for
+// the platform's own pages.
+std::optional<wire::http_response>
+ServeBench(platform_state& aState, const wire::http_request& aRequest)
+{
+  const auto path = wire::SplitTarget(aRequest.mTarget).mPath;
+  if (path == "/faults") {
+    auto response = ServePlatformFaults(aState.mFaults, aRequest);
+    WakeWatches(aState);
+    return response;
+  }
+  if (path == "/stats") {
+    return Stats(aState.mCounts);
+  }
+  if (path == "/vms" && aRequest.mMethod == "PUT") {
+    return ReplaceVms(aState, aRequest);
+  }
+  return std::nullopt;
+}
+
+// Whether the call is within its rate; counts it if so.
+bool
+Admit(platform_state& aState, bool aWrite)
+{
+  auto& gate = aWrite ? aState.mWriteGate : aState.mReadGate;
+  if (aState.mFaults.mThrottle ||
+      !gate.Admit(std::chrono::steady_clock::now())) {
+    ++aState.mCounts.mThrottled;
+    return false;
+  }
+  ++(aWrite ? aState.mCounts.mWrites : aState.mCounts.mReads);
+  return true;
+}
+
+asio::awaitable<wire::http_response>
+ServeObjects(platform_state& aState,
+             const wire::http_request& aRequest,
+             wire::http_reply& aReply)
+{
+  const auto target = wire::SplitTarget(aRequest.mTarget);
+  const auto parts = PathParts(target.mPath);
+  if (target.mPath == "/vms") {
+    ++aState.mCounts.mVmLists;
+    co_return ListVms(aState);
+  }
+  if (parts.size() < 2 || parts.size() > 3 || parts[0] != "objects") {
+    co_return ErrorAnswer(404, "no such page");
+  }
+  std::string kind(parts[1]);
+  if (parts.size() == 3) {
+    const object_key key{ std::move(kind), std::string(parts[2]) };
+    co_return aRequest.mMethod == "GET" ? ReadObject(aState, key)
+                                        : WriteObject(aState, aRequest, key);
+  }
+  if (wire::QueryValue(target.mQuery, "watch_from").empty()) {
+    const auto objects = aState.mStore.List(kind);
+    co_return ListAnswer(aState.mStore.Version(), objects);
+  }
+  ++aState.mCounts.mWatches;
+  const auto from = QueryNumber(target.mQuery, "watch_from", 0);
+  const milliseconds wait(QueryNumber(target.mQuery, "wait_ms", 0));
+  co_return co_await Watch(aState, std::move(kind), from, wait, aReply);
+}
+
+asio::awaitable<void>
+Handle(platform_state& aState,
+       const wire::http_request& aRequest,
+       wire::http_reply& aReply)
+{
+  auto bench = ServeBench(aState, aRequest);
+  if (bench) {
+    co_await aReply.Send(std::move(*bench));
+    co_return;
+  }
+  co_await Sleep(aState.mFaults.mDelay);
+  if (aState.mFaults.mOutage) {
+    co_await aReply.Send(ErrorAnswer(503, "the platform is away"));
+    co_return;
+  }
+  const bool write = aRequest.mMethod != "GET";
+  if (!Admit(aState, write)) {
+    co_await aReply.Send(ErrorAnswer(429, "too many calls"));
+    co_return;
+  }
+  auto response = co_await ServeObjects(aState, aRequest, aReply);
+  if (write && aState.mFaults.mLoseAnswers > 0) {
+    --aState.mFaults.mLoseAnswers;
+    co_return;
+  }
+  co_await aReply.Send(std::move(response));
+}
+
+} // namespace
+
+standin_platform::standin_platform(asio::io_context& aContext,
+                                   platform_settings aSettings)
+{
+  wire::http_server_settings server;
+  server.mAddress = aSettings.mAddress;
+  server.mPort = aSettings.mPort;
+  const std::array workers{ &aContext };
+  auto state = std::make_shared<platform_state>(std::move(aSettings));
+  mServer = std::make_unique<wire::http_server>(
+    aContext,
+    workers,
+    std::move(server),
+    [state](const wire::http_request& aRequest, wire::http_reply& aReply) {
+      return Handle(*state, aRequest, aReply);
+    });
+}
+
+standin_platform::~standin_platform() = default;
+
+std::uint16_t
+standin_platform::Port() const
+{
+  return mServer->Port();
+}
+
+} // namespace sapphirespar::tools
--- /dev/null
+++ b/src/sapphirespar/tools/standin_service.cpp
@@ -0,0 +1,125 @@
+// The stand-in service: runs, audit and faults.
+#include "sapphirespar/tools/standin_service.hpp"
+
+#include "standin_http.hpp"
+
+#include <array>
+#include <map>
+
+namespace sapphirespar::tools {
+namespace {
+
+struct service_state
+{
+  explicit service_state(service_settings aSettings)
+    : mSettings(std::move(aSettings))
+  {
+  }
+
+  service_settings mSettings;
+  upstream_faults mFaults;
+  // Times that each idempotency key has run; only ever rises.
+  std::map<std::string, unsigned> mRuns;
+  unsigned mRunning = 0;
+};
+
+wire::http_response
+Audit(const service_state& aState)
+{
+  json::object runs;
+  for (const auto& [key, count] : aState.mRuns) {
+    runs[key] = count;
+  }
+  json::object body;
+  body["runs"] = std::move(runs);
+  return JsonAnswer(200, body);
+}
+
+wire::http_response
+Load(const service_state& aState)
+{
+  json::object body;
+  body["running"] = aState.mRunning;
+  body["queued"] = 0;
+  return JsonAnswer(200, body);
+}
+
+// Counts the run of one call and answers it, unless a fault forbids it.
+asio::awaitable<void>
+RunCall(service_state& aState,
+        const wire::http_request& aRequest,
+        wire::http_reply& aReply)
+{
+  if (!co_await OutlastFreeze(aState.mFaults, aReply)) {
+    co_return;
+  }
+  ++aState.mRunning;
+  const std::string key(aRequest.Header("Idempotency-Key"));
+  const unsigned runs = ++aState.mRuns[key];
+  const double work = static_cast<double>(aState.mSettings.mWork.count()) *
+                      aState.mFaults.mSlowFactor;
+  co_await Sleep(std::chrono::microseconds(static_cast<long>(work)));
+  --aState.mRunning;
+  if (aState.mFaults.mCrash) {
+    co_return;
+  }
+  if (aState.mFaults.mLoseAnswers > 0) {
+    --aState.mFaults.mLoseAnswers;
+    co_return;
+  }
+  json::object body;
+  body["service"] = aState.mSettings.mName;
+  body["key"] = key;
+  body["runs"] = runs;
+  co_await aReply.Send(JsonAnswer(200, body));
+}
+
+asio::awaitable<void>
+Handle(service_state& aState,
+       const wire::http_request& aRequest,
+       wire::http_reply& aReply)
+{
+  const auto path = wire::SplitTarget(aRequest.mTarget).mPath;
+  if (path == "/faults") {
+    co_await aReply.Send(ServeFaults(aState.mFaults, aRequest));
+  } else if (path == "/audit") {
+    co_await aReply.Send(Audit(aState));
+  } else if (aState.mFaults.mCrash) {
+    co_return;
+  } else if (aRequest.mMethod == "POST") {
+    co_await RunCall(aState, aRequest, aReply);
+  } else if (path == "/v1/load") {
+    co_await aReply.Send(Load(aState));
+  } else {
+    co_await aReply.Send(ErrorAnswer(404, "no such page"));
+  }
+}
+
+} // namespace
+
+standin_service::standin_service(asio::io_context& aContext,
+                                 service_settings aSettings)
+{
+  wire::http_server_settings server;
+  server.mAddress = aSettings.mAddress;
+  server.mPort = aSettings.mPort;
+  const std::array workers{ &aContext };
+  auto state = std::make_shared<service_state>(std::move(aSettings));
+  mServer = std::make_unique<wire::http_server>(
+    aContext,
+    workers,
+    std::move(server),
+    [state](const wire::http_request& aRequest, wire::http_reply& aReply) {
+      return Handle(*state, aRequest, aReply);
+    });
+}
+
+standin_service::~standin_service() = default;
+
+std::uint16_t
+standin_service::Port() const
+{
+  return mServer->Port();
+}
+
+} // namespace sapphirespar::tools
