--- a/src/sapphirespar/tools/standin_engine.cpp
+++ b/src/sapphirespar/tools/standin_engine.cpp
@@ -334,9 +334,6 @@
     co_await aReply.Send(ErrorAnswer(404, "this model is not loaded"));
     co_return;
   }
-  if (!co_await OutlastFreeze(aState.mFaults, aReply)) {
-    co_return;
-  }
   const auto job = MakeJob(aState,
                            *body,
                            aRequest.Header("X-Request-Id"),
@@ -470,15 +467,18 @@
   const bool post = aRequest.mMethod == "POST";
   if (target.mPath == "/faults") {
     co_await aReply.Send(Faults(aState, aRequest));
-  } else if (target.mPath == "/audit") {
+    co_return;
+  }
+  if (target.mPath == "/audit") {
     co_await aReply.Send(Audit(aState));
-  } else if (aState.mFaults.mCrash) {
     co_return;
-  } else if (post && (target.mPath == "/v1/chat/completions" ||
-                      target.mPath == "/v1/completions")) {
-    co_await Complete(aState, aRequest, aReply);
-  } else if (!co_await OutlastFreeze(aState.mFaults, aReply)) {
+  }
+  if (!co_await OutlastFreeze(aState.mFaults, aReply)) {
     co_return;
+  }
+  if (post && (target.mPath == "/v1/chat/completions" ||
+               target.mPath == "/v1/completions")) {
+    co_await Complete(aState, aRequest, aReply);
   } else if (target.mPath == "/v1/load") {
     co_await aReply.Send(Load(aState));
   } else if (target.mPath == "/v1/cache/events") {
