--- /dev/null
+++ b/src/sapphirespar/tools/load_call.cpp
@@ -0,0 +1,420 @@
+// Tries a request at one entry after another and checks its answer.
+#include "load_call.hpp"
+
+#include "sapphirespar/base/ids.hpp"
+
+#include "sse_reader.hpp"
+#include "standin_http.hpp"
+
+#include <algorithm>
+
+namespace sapphirespar::tools {
+namespace {
+
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+using steady = std::chrono::steady_clock;
+
+constexpr unsigned kOk = 200;
+// Longest that a caller waits before another try, whatever it is told.
+constexpr milliseconds kLongestPause{ 2000 };
+constexpr milliseconds kShortestPause{ 20 };
+
+// How one try at one entry ended.
+struct try_result
+{
+  outcome mOutcome = outcome::Unknown;
+  // False if the entry never saw the request.
+  bool mReachedEntry = true;
+  bool mAnswered = false;
+  answer_verdict mVerdict = answer_verdict::Cut;
+  steady::time_point mFirstByte{};
+  unsigned mTokens = 0;
+  milliseconds mRetryAfter{ 0 };
+  std::string mReason;
+};
+
+// One request with all that its tries share.
+struct call_plan
+{
+  const class_load& mLoad;
+  std::string mPrompt;
+  milliseconds mPatience;
+};
+
+outcome
+OutcomeOf(std::string_view aText)
+{
+  if (aText == ToText(outcome::NotRun)) {
+    return outcome::NotRun;
+  }
+  return aText == ToText(outcome::Done) ? outcome::Done : outcome::Unknown;
+}
+
+try_result
+FromWireError(const wire::wire_error& aError)
+{
+  try_result result;
+  result.mReachedEntry = aError.mBytesWritten;
+  result.mOutcome = aError.mBytesWritten ? outcome::Unknown : outcome::NotRun;
+  result.mReason = wire::ToText(aError.mKind);
+  return result;
+}
+
+// Reads what an error body tells.
+try_result
+FromRefusal(const wire::http_response& aResponse)
+{
+  try_result result;
+  result.mReason = "status_" + std::to_string(aResponse.mStatus);
+  const auto body = ParseObject(aResponse.mBody);
+  const auto* error = body ? body->if_contains("error") : nullptr;
+  if (error == nullptr || !error->is_object()) {
+    return result;
+  }
+  const auto& told = error->as_object();
+  result.mOutcome = OutcomeOf(TextOr(told, "outcome", ""));
+  result.mReason = TextOr(told, "code", result.mReason);
+  result.mRetryAfter =
+    milliseconds(static_cast<long>(NumberOr(told, "retry_after_ms", 0)));
+  return result;
+}
+
+wire::http_request
+EngineRequest(const call_plan& aPlan)
+{
+  json::object message;
+  message["role"] = "user";
+  message["content"] = aPlan.mPrompt;
+  json::object body;
+  body["model"] = aPlan.mLoad.mModel;
+  body["messages"] = json::array{ std::move(message) };
+  body["max_tokens"] = aPlan.mLoad.mMaximumTokens;
+  body["stream"] = aPlan.mLoad.mStream;
+  wire::http_request request;
+  request.mTarget = "/v1/chat/completions";
+  request.mBody = json::serialize(body);
+  return request;
+}
+
+wire::http_request
+ServiceRequest(const call_plan& aPlan)
+{
+  json::object body;
+  body["note"] = aPlan.mPrompt;
+  wire::http_request request;
+  request.mTarget =
+    "/v1/services/" + aPlan.mLoad.mService + "/" + aPlan.mLoad.mPath;
+  request.mBody = json::serialize(body);
+  return request;
+}
+
+wire::http_request
+MakeRequest(const call_plan& aPlan, const std::string& aKey)
+{
+  auto request = aPlan.mLoad.mKind == upstream_kind::Engine
+                   ? EngineRequest(aPlan)
+                   : ServiceRequest(aPlan);
+  request.mMethod = "POST";
+  auto& headers = request.mHeaders;
+  headers.push_back({ "Content-Type", "application/json" });
+  headers.push_back({ "X-Class", aPlan.mLoad.mClass });
+  headers.push_back({ "Authorization", "Bearer " + aPlan.mLoad.mBearer });
+  if (!aKey.empty()) {
+    headers.push_back({ "Idempotency-Key", aKey });
+  }
+  return request;
+}
+
+// Takes the text out of a whole answer and checks it.
+try_result
+CheckWholeBody(const call_plan& aPlan,
+               const wire::http_response& aResponse,
+               const std::string& aKey)
+{
+  try_result result;
+  result.mFirstByte = steady::now();
+  result.mOutcome = outcome::Done;
+  result.mAnswered = true;
+  result.mVerdict = answer_verdict::Garbled;
+  const auto body = ParseObject(aResponse.mBody);
+  if (!body) {
+    return result;
+  }
+  if (aPlan.mLoad.mKind == upstream_kind::Service) {
+    const bool own = TextOr(*body, "key", "") == aKey;
+    result.mVerdict = own ? answer_verdict::Whole : answer_verdict::Foreign;
+    return result;
+  }
+  boost::system::error_code error;
+  const json::value whole = *body;
+  const auto* text = whole.find_pointer("/choices/0/message/content", error);
+  const auto* tokens = whole.find_pointer("/usage/completion_tokens", error);
+  if (text != nullptr && text->is_string()) {
+    result.mVerdict = CheckAnswer(aPlan.mPrompt, text->as_string());
+  }
+  if (tokens != nullptr && tokens->is_int64()) {
+    result.mTokens = static_cast<unsigned>(tokens->as_int64());
+  }
+  return result;
+}
+
+asio::awaitable<try_result>
+FetchWhole(const call_context& aContext,
+           const call_plan& aPlan,
+           wire::endpoint aEntry,
+           std::string aKey)
+{
+  auto request = MakeRequest(aPlan, aKey);
+  const auto response = co_await aContext.mClient.Fetch(
+    aEntry, std::move(request), aPlan.mPatience);
+  if (!response) {
+    co_return FromWireError(response.error());
+  }
+  if (response.value().mStatus != kOk) {
+    co_return FromRefusal(response.value());
+  }
+  co_return CheckWholeBody(aPlan, response.value(), aKey);
+}
+
+// Reads a body to its proper end; empty if it breaks off.
+asio::awaitable<std::string>
+ReadRest(wire::http_stream& aStream, milliseconds aPatience)
+{
+  std::string body;
+  while (true) {
+    auto piece = co_await aStream.Read(aPatience);
+    if (!piece) {
+      co_return std::string();
+    }
+    if (piece.value().empty()) {
+      co_return body;
+    }
+    body += piece.value();
+  }
+}
+
+// Reads a streamed answer to its end and checks it.
+asio::awaitable<try_result>
+ReadStream(const call_plan& aPlan, wire::http_stream& aStream)
+{
+  try_result result;
+  sse_reader events;
+  while (true) {
+    auto piece = co_await aStream.Read(aPlan.mPatience);
+    if (!piece) {
+      result.mReason = events.ErrorOutcome().empty() ? "broke_off" : "error";
+      break;
+    }
+    if (piece.value().empty()) {
+      result.mAnswered = events.Done();
+      result.mReason = events.Done() ? "" : "ended_early";
+      break;
+    }
+    events.Add(piece.value());
+    if (result.mTokens == 0 && events.Tokens() > 0) {
+      result.mFirstByte = steady::now();
+    }
+    result.mTokens = events.Tokens();
+  }
+  result.mVerdict = CheckAnswer(aPlan.mPrompt, events.Text());
+  result.mOutcome = result.mAnswered ? outcome::Done : outcome::Unknown;
+  if (!events.ErrorOutcome().empty()) {
+    result.mOutcome = OutcomeOf(events.ErrorOutcome());
+  }
+  co_return result;
+}
+
+asio::awaitable<try_result>
+OpenStream(const call_context& aContext,
+           const call_plan& aPlan,
+           wire::endpoint aEntry,
+           std::string aKey)
+{
+  auto request = MakeRequest(aPlan, aKey);
+  auto opened =
+    co_await aContext.mClient.Open(aEntry, std::move(request), aPlan.mPatience);
+  if (!opened) {
+    co_return FromWireError(opened.error());
+  }
+  auto& stream = *opened.value();
+  if (stream.Head().mStatus == kOk) {
+    co_return co_await ReadStream(aPlan, stream);
+  }
+  auto response = stream.Head();
+  response.mBody = co_await ReadRest(stream, aPlan.mPatience);
+  co_return FromRefusal(response);
+}
+
+asio::awaitable<try_result>
+TryOnce(const call_context& aContext,
+        const call_plan& aPlan,
+        wire::endpoint aEntry,
+        std::string aKey)
+{
+  if (aPlan.mLoad.mKind == upstream_kind::Engine && aPlan.mLoad.mStream) {
+    co_return co_await OpenStream(
+      aContext, aPlan, std::move(aEntry), std::move(aKey));
+  }
+  co_return co_await FetchWhole(
+    aContext, aPlan, std::move(aEntry), std::move(aKey));
+}
+
+// Asks an entry for a token; empty if it gives none.
+asio::awaitable<std::string>
+FetchToken(const call_context& aContext,
+           const call_plan& aPlan,
+           wire::endpoint aEntry)
+{
+  wire::http_request request;
+  request.mMethod = "POST";
+  request.mTarget = "/v1/tokens";
+  request.mHeaders.push_back(
+    { "Authorization", "Bearer " + aPlan.mLoad.mBearer });
+  request.mHeaders.push_back({ "X-Class", aPlan.mLoad.mClass });
+  const auto response = co_await aContext.mClient.Fetch(
+    aEntry, std::move(request), aPlan.mPatience);
+  if (!response || response.value().mStatus != kOk) {
+    co_return std::string();
+  }
+  const auto body = ParseObject(response.value().mBody);
+  co_return body ? TextOr(*body, "token", "") : std::string();
+}
+
+// Makes sure that the record's last key fits the next try at aEntry. Returns
+// false if there should be a key and there is none.
+asio::awaitable<bool>
+PrepareKey(const call_context& aContext,
+           const call_plan& aPlan,
+           wire::endpoint aEntry,
+           outcome aLast,
+           call_record& aRecord)
+{
+  if (aPlan.mLoad.mKey == key_source::None) {
+    co_return true;
+  }
+  const bool keep =
+    !aRecord.mKeys.empty() &&
+    (aPlan.mLoad.mKey == key_source::Own || aLast == outcome::Unknown);
+  if (keep) {
+    co_return true;
+  }
+  std::string key;
+  if (aPlan.mLoad.mKey == key_source::Own) {
+    constexpr unsigned kKeyDigits = 24;
+    key = RandomHex(kKeyDigits);
+  } else {
+    key = co_await FetchToken(aContext, aPlan, std::move(aEntry));
+  }
+  if (key.empty()) {
+    co_return false;
+  }
+  aRecord.mKeys.push_back(key);
+  co_return true;
+}
+
+void
+NoteTry(call_record& aRecord, const try_result& aTry, steady::time_point aStart)
+{
+  using std::chrono::duration_cast;
+  ++aRecord.mTries;
+  aRecord.mOutcome = aTry.mOutcome;
+  aRecord.mAnswered = aTry.mAnswered;
+  aRecord.mVerdict = aTry.mVerdict;
+  aRecord.mTokens += aTry.mTokens;
+  aRecord.mReason = aTry.mReason;
+  aRecord.mTotal = duration_cast<microseconds>(steady::now() - aStart);
+  if (aTry.mFirstByte != steady::time_point{}) {
+    aRecord.mFirstByte = duration_cast<microseconds>(aTry.mFirstByte - aStart);
+  }
+  if (aTry.mReachedEntry && aTry.mOutcome != outcome::NotRun) {
+    aRecord.mOnlyNotRun = false;
+  }
+}
+
+bool
+WantsAnotherTry(const class_load& aLoad, const call_record& aRecord)
+{
+  if (aRecord.mAnswered || aRecord.mTries > aLoad.mRetries) {
+    return false;
+  }
+  return aRecord.mOutcome == outcome::NotRun ||
+         (aRecord.mOutcome == outcome::Unknown && aLoad.mAsksAfterUnknown);
+}
+
+} // namespace
+
+asio::awaitable<call_record>
+PerformCall(const call_context& aContext, arrival aArrival)
+{
+  const auto& load = aContext.mWorkload.mClasses[aArrival.mClass];
+  const call_plan plan{ load,
+                        PromptFor(aContext.mWorkload, aArrival),
+                        aContext.mWorkload.mPatience };
+  call_record record;
+  record.mClass = aArrival.mClass;
+  record.mAt = aArrival.mAt;
+  record.mMarker = PromptMarker(plan.mPrompt);
+  record.mOutcome = outcome::NotRun;
+  const auto& entries = aContext.mTargets.mEntries;
+  const auto start = steady::now();
+  auto turn = aArrival.mNumber % aContext.mWorkload.mCallers;
+  do {
+    auto entry = entries[turn++ % entries.size()];
+    try_result result;
+    result.mOutcome = outcome::NotRun;
+    result.mReachedEntry = false;
+    result.mReason = "no_token";
+    if (co_await PrepareKey(aContext, plan, entry, record.mOutcome, record)) {
+      auto key = record.mKeys.empty() ? std::string() : record.mKeys.back();
+      result = co_await TryOnce(aContext, plan, entry, std::move(key));
+    }
+    NoteTry(record, result, start);
+    if (!WantsAnotherTry(load, record)) {
+      break;
+    }
+    co_await Sleep(
+      std::clamp(result.mRetryAfter, kShortestPause, kLongestPause));
+  } while (true);
+  co_return record;
+}
+
+asio::awaitable<upstream_audit>
+AuditUpstreams(const call_context& aContext)
+{
+  constexpr milliseconds kAuditTimeout{ 10000 };
+  upstream_audit audit;
+  auto places = aContext.mTargets.mServices;
+  places.insert(places.end(),
+                aContext.mTargets.mEngines.begin(),
+                aContext.mTargets.mEngines.end());
+  for (const auto& place : places) {
+    wire::http_request request;
+    request.mTarget = "/audit";
+    const auto response =
+      co_await aContext.mClient.Fetch(place, std::move(request), kAuditTimeout);
+    const auto body =
+      response ? ParseObject(response.value().mBody) : std::nullopt;
+    if (!body) {
+      ++audit.mUnreachable;
+      continue;
+    }
+    const auto add = [&](std::string_view aKey,
+                         std::map<std::string, unsigned>& aCounts) {
+      const auto* counts = body->if_contains(aKey);
+      if (counts == nullptr || !counts->is_object()) {
+        return;
+      }
+      for (const auto& [key, count] : counts->as_object()) {
+        aCounts[key] += count.to_number<unsigned>();
+      }
+    };
+    add("runs", audit.mRuns);
+    add("starts", audit.mStarts);
+    audit.mTokensGenerated +=
+      static_cast<std::uint64_t>(NumberOr(*body, "tokens", 0));
+  }
+  co_return audit;
+}
+
+} // namespace sapphirespar::tools
--- /dev/null
+++ b/src/sapphirespar/tools/report.cpp
@@ -0,0 +1,253 @@
+// Counts by class and checks of promises.
+#include "sapphirespar/tools/report.hpp"
+
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <numeric>
+
+namespace sapphirespar::tools {
+namespace {
+
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+
+constexpr milliseconds kSpan{ 500 };
+
+bool
+IsWhole(const call_record& aCall)
+{
+  return aCall.mAnswered && aCall.mVerdict == answer_verdict::Whole;
+}
+
+bool
+IsInTime(const class_load& aLoad, const call_record& aCall)
+{
+  return IsWhole(aCall) && aCall.mFirstByte <= aLoad.mFirstTokenTarget &&
+         aCall.mTotal <= aLoad.mAnswerTarget;
+}
+
+quantiles
+Quantiles(std::vector<microseconds> aTimes)
+{
+  if (aTimes.empty()) {
+    return {};
+  }
+  std::ranges::sort(aTimes);
+  const auto at = [&](double aShare) {
+    constexpr double kMicroseconds = 1000;
+    const auto last = static_cast<double>(aTimes.size() - 1);
+    const auto index = static_cast<std::size_t>(aShare * last + 0.5);
+    return static_cast<double>(aTimes[index].count()) / kMicroseconds;
+  };
+  return { at(0.50), at(0.95), at(0.99) };
+}
+
+void
+CountCall(const class_load& aLoad,
+          const call_record& aCall,
+          class_report& aReport)
+{
+  ++aReport.mOffered;
+  const bool inTime = IsInTime(aLoad, aCall);
+  (inTime ? aReport.mGoodTokens : aReport.mWastedTokens) += aCall.mTokens;
+  if (inTime) {
+    ++aReport.mInTime;
+  } else if (IsWhole(aCall)) {
+    ++aReport.mLate;
+  } else if (aCall.mOutcome == outcome::NotRun) {
+    ++aReport.mRefused;
+  } else if (aCall.mOutcome == outcome::Unknown) {
+    ++aReport.mUnknown;
+  } else {
+    ++aReport.mDoneUnanswered;
+  }
+}
+
+class_report
+ReportClass(const workload& aWorkload,
+            std::size_t aClass,
+            const load_outcome& aOutcome)
+{
+  const auto& load = aWorkload.mClasses[aClass];
+  class_report report;
+  report.mClass = load.mClass;
+  std::vector<microseconds> first;
+  std::vector<microseconds> total;
+  for (const auto& call : aOutcome.mCalls) {
+    if (call.mClass != aClass) {
+      continue;
+    }
+    CountCall(load, call, report);
+    if (IsWhole(call)) {
+      first.push_back(call.mFirstByte);
+      total.push_back(call.mTotal);
+    }
+  }
+  report.mFirstToken = Quantiles(std::move(first));
+  report.mTotal = Quantiles(std::move(total));
+  return report;
+}
+
+unsigned
+CountOf(const std::map<std::string, unsigned>& aCounts, const std::string& aKey)
+{
+  const auto found = aCounts.find(aKey);
+  return found == aCounts.end() ? 0 : found->second;
+}
+
+// Runs under all keys of one booking.
+unsigned
+RunsOf(const call_record& aCall, const upstream_audit& aAudit)
+{
+  return std::accumulate(aCall.mKeys.begin(),
+                         aCall.mKeys.end(),
+                         0U,
+                         [&](unsigned aSum, const std::string& aKey) {
+                           return aSum + CountOf(aAudit.mRuns, aKey);
+                         });
+}
+
+// Checks one promise on each call that it concerns.
+promise_report
+CheckPromise(std::string aName,
+             const load_outcome& aOutcome,
+             const std::function<bool(const call_record&)>& aConcerns,
+             const std::function<bool(const call_record&)>& aHolds)
+{
+  promise_report report;
+  report.mName = std::move(aName);
+  for (const auto& call : aOutcome.mCalls) {
+    if (!aConcerns(call)) {
+      continue;
+    }
+    ++report.mChecked;
+    if (aHolds(call)) {
+      continue;
+    }
+    ++report.mBroken;
+    if (report.mExample.empty()) {
+      report.mExample = "marker " + call.mMarker;
+      report.mExample += call.mKeys.empty() ? "" : " key " + call.mKeys.back();
+    }
+  }
+  return report;
+}
+
+std::vector<promise_report>
+CheckPromises(const load_outcome& aOutcome)
+{
+  const auto& audit = aOutcome.mAudit;
+  const auto answered = [](const call_record& aCall) {
+    return aCall.mAnswered;
+  };
+  const auto keyed = [](const call_record& aCall) {
+    return !aCall.mKeys.empty();
+  };
+  // A part of an answer is no breach as long as it did not end properly.
+  const auto own = [](const call_record& aCall) {
+    return aCall.mVerdict != answer_verdict::Foreign &&
+           aCall.mVerdict != answer_verdict::Garbled;
+  };
+  const auto partial = [](const call_record& aCall) {
+    return aCall.mTokens > 0;
+  };
+  const auto notRun = [](const call_record& aCall) {
+    return aCall.mOnlyNotRun;
+  };
+  const auto never = [&](const call_record& aCall) {
+    return RunsOf(aCall, audit) == 0 &&
+           CountOf(audit.mStarts, aCall.mMarker) == 0;
+  };
+  const auto atMostOnce = [&](const call_record& aCall) {
+    return RunsOf(aCall, audit) <= 1;
+  };
+  const auto done = [](const call_record& aCall) {
+    return !aCall.mKeys.empty() && aCall.mOutcome == outcome::Done;
+  };
+  const auto ran = [&](const call_record& aCall) {
+    return RunsOf(aCall, audit) >= 1;
+  };
+  return {
+    CheckPromise("answers_end_whole", aOutcome, answered, IsWhole),
+    CheckPromise("text_is_the_callers_own", aOutcome, partial, own),
+    CheckPromise("not_run_was_not_run", aOutcome, notRun, never),
+    CheckPromise("runs_at_most_once", aOutcome, keyed, atMostOnce),
+    CheckPromise("done_did_run", aOutcome, done, ran),
+  };
+}
+
+std::vector<refusal_report>
+CountReasons(const workload& aWorkload, const load_outcome& aOutcome)
+{
+  std::map<std::pair<std::size_t, std::string>, std::uint64_t> counts;
+  for (const auto& call : aOutcome.mCalls) {
+    if (!IsWhole(call)) {
+      ++counts[{ call.mClass, call.mReason }];
+    }
+  }
+  std::vector<refusal_report> reasons;
+  for (const auto& [place, count] : counts) {
+    reasons.push_back(
+      { aWorkload.mClasses[place.first].mClass, place.second, count });
+  }
+  return reasons;
+}
+
+std::vector<span_report>
+CountSpans(const workload& aWorkload, const load_outcome& aOutcome)
+{
+  std::map<std::pair<std::int64_t, std::size_t>, span_report> spans;
+  for (const auto& call : aOutcome.mCalls) {
+    const auto& load = aWorkload.mClasses[call.mClass];
+    const std::int64_t index = call.mAt / kSpan;
+    auto& span = spans[{ index, call.mClass }];
+    span.mFrom = index * kSpan;
+    span.mClass = load.mClass;
+    ++span.mOffered;
+    span.mInTime += IsInTime(load, call) ? 1 : 0;
+  }
+  std::vector<span_report> list;
+  for (auto& [place, span] : spans) {
+    list.push_back(std::move(span));
+  }
+  return list;
+}
+
+} // namespace
+
+double
+class_report::Attainment() const
+{
+  return mOffered == 0
+           ? 1.0
+           : static_cast<double>(mInTime) / static_cast<double>(mOffered);
+}
+
+bool
+load_report::KeptAllPromises() const
+{
+  return std::ranges::all_of(mPromises, [](const promise_report& aPromise) {
+    return aPromise.mBroken == 0;
+  });
+}
+
+load_report
+MakeReport(const workload& aWorkload, const load_outcome& aOutcome)
+{
+  load_report report;
+  report.mName = aWorkload.mName;
+  report.mSeed = aWorkload.mSeed;
+  report.mDuration = aWorkload.mDuration;
+  for (std::size_t index = 0; index < aWorkload.mClasses.size(); ++index) {
+    report.mClasses.push_back(ReportClass(aWorkload, index, aOutcome));
+  }
+  report.mPromises = CheckPromises(aOutcome);
+  report.mReasons = CountReasons(aWorkload, aOutcome);
+  report.mSpans = CountSpans(aWorkload, aOutcome);
+  report.mTokensGenerated = aOutcome.mAudit.mTokensGenerated;
+  report.mUnreachableUpstreams = aOutcome.mAudit.mUnreachable;
+  return report;
+}
+
+} // namespace sapphirespar::tools
--- /dev/null
+++ b/src/sapphirespar/tools/report_plot.cpp
@@ -0,0 +1,132 @@
+// Draws attainment over time as SVG.
+#include "sapphirespar/tools/report.hpp"
+
+#include <array>
+#include <iomanip>
+#include <sstream>
+
+namespace sapphirespar::tools {
+namespace {
+
+constexpr double kWidth = 900;
+constexpr double kHeight = 360;
+constexpr double kLeft = 60;
+constexpr double kRight = 220;
+constexpr double kTop = 40;
+constexpr double kBottom = 40;
+constexpr double kLineHeight = 20;
+constexpr std::array<const char*, 6> kColours{
+  "#1b6ca8", "#c1462f", "#3a7d44", "#8a5a9e", "#b5892b", "#555555"
+};
+
+double
+X(const load_report& aReport, std::chrono::milliseconds aAt)
+{
+  const double whole = static_cast<double>(aReport.mDuration.count());
+  const double share = whole > 0 ? static_cast<double>(aAt.count()) / whole : 0;
+  return kLeft + share * (kWidth - kLeft - kRight);
+}
+
+double
+Y(double aShare)
+{
+  return kHeight - kBottom - aShare * (kHeight - kTop - kBottom);
+}
+
+std::string
+Escape(std::string_view aText)
+{
+  std::string escaped;
+  for (const char letter : aText) {
+    if (letter == '<') {
+      escaped += "&lt;";
+    } else if (letter == '&') {
+      escaped += "&amp;";
+    } else {
+      escaped += letter;
+    }
+  }
+  return escaped;
+}
+
+void
+Text(std::ostream& aOut, double aX, double aY, std::string_view aText)
+{
+  aOut << "<text x=\"" << aX << "\" y=\"" << aY << "\">" << Escape(aText)
+       << "</text>\n";
+}
+
+void
+Grid(std::ostream& aOut, const load_report& aReport)
+{
+  constexpr int kLines = 4;
+  constexpr int kPercent = 100;
+  constexpr double kTextShift = 4;
+  for (int line = 0; line <= kLines; ++line) {
+    const double share = static_cast<double>(line) / kLines;
+    aOut << "<line x1=\"" << kLeft << "\" x2=\"" << kWidth - kRight
+         << "\" y1=\"" << Y(share) << "\" y2=\"" << Y(share)
+         << "\" stroke=\"#dddddd\"/>\n";
+    Text(aOut,
+         kTextShift,
+         Y(share) + kTextShift,
+         std::to_string(kPercent * line / kLines) + " %");
+  }
+  Text(aOut, kLeft, kHeight - kTextShift * 2, "0 s");
+  Text(aOut,
+       kWidth - kRight - kLineHeight,
+       kHeight - kTextShift * 2,
+       std::to_string(aReport.mDuration.count() / 1000) + " s");
+}
+
+void
+Line(std::ostream& aOut,
+     const load_report& aReport,
+     const std::string& aClass,
+     std::string_view aColour)
+{
+  aOut << "<polyline fill=\"none\" stroke-width=\"2\" stroke=\"" << aColour
+       << "\" points=\"";
+  for (const auto& span : aReport.mSpans) {
+    if (span.mClass != aClass || span.mOffered == 0) {
+      continue;
+    }
+    const double share =
+      static_cast<double>(span.mInTime) / static_cast<double>(span.mOffered);
+    aOut << X(aReport, span.mFrom) << ',' << Y(share) << ' ';
+  }
+  aOut << "\"/>\n";
+}
+
+} // namespace
+
+std::string
+ToSvg(const load_report& aReport)
+{
+  std::ostringstream out;
+  out << std::fixed << std::setprecision(1);
+  out << "<svg xmlns=\"http://www.w3.org/2000/svg\" width=\"" << kWidth
+      << "\" height=\"" << kHeight
+      << "\" font-family=\"sans-serif\" font-size=\"13\">\n"
+      << "<rect width=\"100%\" height=\"100%\" fill=\"white\"/>\n";
+  Text(out,
+       kLeft,
+       kTop / 2,
+       aReport.mName + ": answered in time, by time of arrival");
+  Grid(out, aReport);
+  double y = kTop;
+  std::size_t turn = 0;
+  for (const auto& item : aReport.mClasses) {
+    const auto* colour = kColours[turn++ % kColours.size()];
+    Line(out, aReport, item.mClass, colour);
+    const double x = kWidth - kRight + kLineHeight;
+    out << "<rect x=\"" << x << "\" y=\"" << y - kLineHeight / 2
+        << "\" width=\"12\" height=\"4\" fill=\"" << colour << "\"/>\n";
+    Text(out, x + kLineHeight, y, item.mClass);
+    y += kLineHeight;
+  }
+  out << "</svg>\n";
+  return out.str();
+}
+
+} // namespace sapphirespar::tools
--- /dev/null
+++ b/src/sapphirespar/tools/sse_reader.cpp
@@ -0,0 +1,71 @@
+// Takes server-sent events apart.
+#include "sse_reader.hpp"
+
+#include "standin_http.hpp"
+
+namespace sapphirespar::tools {
+namespace {
+
+constexpr std::string_view kEventEnd = "\n\n";
+constexpr std::string_view kData = "data: ";
+
+} // namespace
+
+void
+sse_reader::Add(std::string_view aPiece)
+{
+  mRest += aPiece;
+  std::string_view rest = mRest;
+  for (auto end = rest.find(kEventEnd); end != std::string_view::npos;
+       end = rest.find(kEventEnd)) {
+    TakeEvent(rest.substr(0, end));
+    rest.remove_prefix(end + kEventEnd.size());
+  }
+  mRest.erase(0, mRest.size() - rest.size());
+}
+
+void
+sse_reader::TakeEvent(std::string_view aEvent)
+{
+  while (!aEvent.empty()) {
+    const auto end = aEvent.find('\n');
+    const auto line = aEvent.substr(0, end);
+    if (line.starts_with(kData)) {
+      TakeData(line.substr(kData.size()));
+    }
+    aEvent.remove_prefix(end == std::string_view::npos ? aEvent.size()
+                                                       : end + 1);
+  }
+}
+
+void
+sse_reader::TakeData(std::string_view aData)
+{
+  if (aData == "[DONE]") {
+    mDone = true;
+    return;
+  }
+  const auto event = ParseObject(aData);
+  if (!event) {
+    return;
+  }
+  if (const auto* error = event->if_contains("error");
+      error != nullptr && error->is_object()) {
+    mErrorOutcome = TextOr(error->as_object(), "outcome", "unknown");
+    return;
+  }
+  const auto* choices = event->if_contains("choices");
+  if (choices == nullptr || !choices->is_array()) {
+    return;
+  }
+  for (const auto& choice : choices->as_array()) {
+    const auto* delta =
+      choice.is_object() ? choice.as_object().if_contains("delta") : nullptr;
+    if (delta != nullptr && delta->is_object()) {
+      mText += TextOr(delta->as_object(), "content", "");
+      ++mTokens;
+    }
+  }
+}
+
+} // namespace sapphirespar::tools
--- /dev/null
+++ b/src/sapphirespar/tools/workload.cpp
@@ -0,0 +1,231 @@
+// Reads workload files and draws arrivals from them.
+#include "sapphirespar/tools/workload.hpp"
+
+#include "sapphirespar/config/toml_reader.hpp"
+
+#include <boost/json.hpp>
+
+#include <algorithm>
+#include <array>
+#include <random>
+
+namespace sapphirespar::tools {
+namespace {
+
+using std::chrono::microseconds;
+
+constexpr std::array<text_choice<upstream_kind>, 2> kKinds{ {
+  { "engine", upstream_kind::Engine },
+  { "service", upstream_kind::Service },
+} };
+constexpr std::array<text_choice<key_source>, 3> kKeySources{ {
+  { "none", key_source::None },
+  { "own", key_source::Own },
+  { "token", key_source::Token },
+} };
+
+constexpr std::int64_t kDayMs = 24LL * 60 * 60 * 1000;
+constexpr integer_bounds kTimeBounds{ 0, kDayMs };
+constexpr integer_bounds kSpanBounds{ 1, kDayMs };
+constexpr integer_bounds kCountBounds{ 1, 1000000 };
+constexpr integer_bounds kRetryBounds{ 0, 100 };
+constexpr integer_bounds kSeedBounds{ 0, 1LL << 53 };
+constexpr real_bounds kRateBounds{ 0.001, 1e6 };
+constexpr real_bounds kFactorBounds{ 0, 1e4 };
+
+unsigned
+Count(toml_table& aTable, std::string_view aKey, unsigned aFallback)
+{
+  return static_cast<unsigned>(aTable.Integer(aKey, kCountBounds, aFallback));
+}
+
+void
+ReadEngineClass(toml_table& aTable, class_load& aClass)
+{
+  aClass.mModel = aTable.Text("model");
+  aClass.mPromptWords = Count(aTable, "prompt_words", aClass.mPromptWords);
+  aClass.mMaximumTokens =
+    Count(aTable, "maximum_tokens", aClass.mMaximumTokens);
+  aClass.mStream = aTable.Flag("stream", aClass.mStream);
+}
+
+class_load
+ReadClass(toml_table& aTable)
+{
+  class_load item;
+  item.mClass = aTable.Text("class");
+  item.mKind = aTable.Choice<upstream_kind>("kind", kKinds, item.mKind);
+  if (item.mKind == upstream_kind::Engine) {
+    ReadEngineClass(aTable, item);
+  } else {
+    item.mService = aTable.Text("service");
+    item.mPath = aTable.Text("path");
+  }
+  item.mBearer = aTable.Text("bearer");
+  item.mRatePerSecond = aTable.Real("rate_per_second", kRateBounds);
+  item.mKey = aTable.Choice<key_source>("key", kKeySources, item.mKey);
+  item.mFirstTokenTarget = aTable.Milliseconds(
+    "first_token_ms", kSpanBounds, item.mFirstTokenTarget.count());
+  item.mAnswerTarget =
+    aTable.Milliseconds("answer_ms", kSpanBounds, item.mAnswerTarget.count());
+  item.mRetries = static_cast<unsigned>(
+    aTable.Integer("retries", kRetryBounds, item.mRetries));
+  item.mAsksAfterUnknown =
+    aTable.Flag("ask_after_unknown", item.mAsksAfterUnknown);
+  return item;
+}
+
+load_burst
+ReadBurst(toml_table& aTable, const workload& aWorkload)
+{
+  load_burst item;
+  item.mClass = aTable.Text("class");
+  item.mFrom = aTable.Milliseconds("from_ms", kTimeBounds);
+  item.mUntil = aTable.Milliseconds("until_ms", kTimeBounds);
+  item.mFactor = aTable.Real("factor", kFactorBounds);
+  const auto& classes = aWorkload.mClasses;
+  if (std::ranges::find(classes, item.mClass, &class_load::mClass) ==
+      classes.end()) {
+    aTable.Fail("class", "no class \"" + item.mClass + "\" in this workload");
+  }
+  if (item.mUntil <= item.mFrom) {
+    aTable.Fail("until_ms", "must be over from_ms");
+  }
+  return item;
+}
+
+fault_step
+ReadFault(toml_table& aTable)
+{
+  fault_step item;
+  item.mAt = aTable.Milliseconds("at_ms", kTimeBounds);
+  item.mStandin = aTable.Text("standin");
+  item.mFaults = aTable.Text("faults");
+  boost::system::error_code error;
+  const auto value = boost::json::parse(item.mFaults, error);
+  if (error || !value.is_object()) {
+    aTable.Fail("faults", "expected a JSON object such as {\"crash\":true}");
+  }
+  return item;
+}
+
+void
+ReadWorkload(toml_table& aTable, workload& aWorkload)
+{
+  aWorkload.mName = aTable.Text("name");
+  aWorkload.mSeed = static_cast<std::uint64_t>(
+    aTable.Integer("seed", kSeedBounds, aWorkload.mSeed));
+  aWorkload.mDuration = aTable.Milliseconds("duration_ms", kSpanBounds);
+  aWorkload.mPatience = aTable.Milliseconds(
+    "patience_ms", kSpanBounds, aWorkload.mPatience.count());
+  aWorkload.mCallers = Count(aTable, "callers", aWorkload.mCallers);
+  aTable.EachTable("classes", [&](toml_table& aChild) {
+    aWorkload.mClasses.push_back(ReadClass(aChild));
+  });
+  aTable.EachTable("bursts", [&](toml_table& aChild) {
+    aWorkload.mBursts.push_back(ReadBurst(aChild, aWorkload));
+  });
+  aTable.EachTable("faults", [&](toml_table& aChild) {
+    aWorkload.mFaults.push_back(ReadFault(aChild));
+  });
+  if (aWorkload.mClasses.empty()) {
+    aTable.Fail("classes", "expected at least one class");
+  }
+}
+
+// The rate of a class relative to its usual one at a time.
+double
+FactorAt(const workload& aWorkload, const std::string& aClass, microseconds aAt)
+{
+  double factor = 1;
+  for (const auto& burst : aWorkload.mBursts) {
+    if (burst.mClass == aClass && aAt >= burst.mFrom && aAt < burst.mUntil) {
+      factor *= burst.mFactor;
+    }
+  }
+  return factor;
+}
+
+double
+HighestFactor(const workload& aWorkload, const std::string& aClass)
+{
+  double highest = 1;
+  for (const auto& burst : aWorkload.mBursts) {
+    const bool raises = burst.mClass == aClass && burst.mFactor > 1;
+    highest *= raises ? burst.mFactor : 1;
+  }
+  return highest;
+}
+
+// Draws arrivals at the highest rate and keeps each with the share that the
+// rate of its moment has of the highest.
+void
+AddArrivals(const workload& aWorkload,
+            std::size_t aClass,
+            std::vector<arrival>& aArrivals)
+{
+  const auto& load = aWorkload.mClasses[aClass];
+  constexpr double kMicroseconds = 1e6;
+  std::mt19937_64 random(aWorkload.mSeed * 1000003 + aClass);
+  const double highest = HighestFactor(aWorkload, load.mClass);
+  std::exponential_distribution<double> gap(load.mRatePerSecond * highest /
+                                            kMicroseconds);
+  std::uniform_real_distribution<double> lot(0, highest);
+  double at = gap(random);
+  while (at < static_cast<double>(microseconds(aWorkload.mDuration).count())) {
+    const microseconds moment(static_cast<std::int64_t>(at));
+    if (lot(random) < FactorAt(aWorkload, load.mClass, moment)) {
+      aArrivals.push_back({ moment, aClass, 0 });
+    }
+    at += gap(random);
+  }
+}
+
+} // namespace
+
+result<workload>
+ParseWorkload(std::string_view aText, std::string_view aFile)
+{
+  workload parsed;
+  BOOST_LEAF_CHECK(ReadToml(
+    aText, aFile, [&](toml_table& aTable) { ReadWorkload(aTable, parsed); }));
+  return parsed;
+}
+
+result<workload>
+LoadWorkload(const std::string& aPath)
+{
+  BOOST_LEAF_AUTO(text, ReadTextFile(aPath));
+  return ParseWorkload(text, aPath);
+}
+
+std::vector<arrival>
+Arrivals(const workload& aWorkload)
+{
+  std::vector<arrival> arrivals;
+  for (std::size_t index = 0; index < aWorkload.mClasses.size(); ++index) {
+    AddArrivals(aWorkload, index, arrivals);
+  }
+  std::ranges::stable_sort(arrivals, {}, &arrival::mAt);
+  std::uint64_t number = 0;
+  for (auto& item : arrivals) {
+    item.mNumber = ++number;
+  }
+  return arrivals;
+}
+
+std::string
+PromptFor(const workload& aWorkload, const arrival& aArrival)
+{
+  constexpr std::uint64_t kVocabulary = 5000;
+  const auto& load = aWorkload.mClasses[aArrival.mClass];
+  std::mt19937_64 random(aWorkload.mSeed ^ (aArrival.mNumber << 20));
+  std::string prompt = load.mClass + " " + std::to_string(aWorkload.mSeed) +
+                       "-" + std::to_string(aArrival.mNumber);
+  for (unsigned word = 0; word < load.mPromptWords; ++word) {
+    prompt += " word" + std::to_string(random() % kVocabulary);
+  }
+  return prompt;
+}
+
+} // namespace sapphirespar::tools
