--- a/include/sapphirespar/membership/member_table.hpp
+++ b/include/sapphirespar/membership/member_table.hpp
@@ -18,16 +18,19 @@
 
 namespace sapphirespar::membership {
 
-// How long a member may be silent, in heartbeat periods as the pair of routers
-// exchanges them.
+// How long a member may be silent.
 struct silence_limits
 {
   std::chrono::milliseconds mSuspectAfter{ 3500 };
   std::chrono::milliseconds mDeadAfter{ 10000 };
-  // An unlisted member is forgotten after this long.
+  // An unlisted member leaves the blackboard after this long.
   std::chrono::milliseconds mForgetAfter{ 600000 };
 };
 
+// After a failed connection a member counts as suspect for at least this long,
+// even if it is heard: it may be reachable in one direction only.
+inline constexpr std::chrono::seconds kUnreachableHold{ 6 };
+
 class member_table
 {
 public:
@@ -45,8 +48,9 @@
   // known: of an earlier incarnation or of a lower sequence number.
   bool ApplyHeartbeat(const heartbeat& aHeartbeat, steady_time aNow);
 
-  // Another router, in the member's own data centre, hears from it.
-  void ApplyHearsay(const process_id& aProcess, steady_time aNow);
+  // Another router, in the member's own data centre, hears from it. Returns
+  // false for a vm that is not known.
+  bool ApplyHearsay(const process_id& aProcess, steady_time aNow);
 
   // Another router, in the member's own data centre, has lost it.
   void ApplyLoss(const process_id& aProcess, steady_time aNow);
@@ -54,8 +58,12 @@
   // A fresh connection to the member has failed.
   void ApplyUnreachable(const vm_id& aVm, steady_time aNow);
 
-  // This router was paused: silence during the pause was not its peers'.
-  void ForgiveSilence(steady_duration aPause);
+  // Starts to count everyone's silence anew: so far it was this router that
+  // did not listen.
+  void RestartSilence(steady_time aNow);
+
+  // Replaces what this router says of itself.
+  void UpdateSelf(const heartbeat& aOwn, steady_time aNow);
 
   // Judges silence. aLimits may depend on the member.
   using limits_function = std::function<silence_limits(const member&)>;
