--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # Entry points for people. Everything is built below build/.
 
-.PHONY: all setup build test demo lint format clean
+.PHONY: all setup build test demo bench lint format clean
 
 all: build
 
@@ -19,6 +19,9 @@
 demo: build
 	@scripts/demo
 
+bench: build
+	@scripts/bench
+
 lint: build
 	@scripts/lint
 
--- a/programs/load/main.cpp
+++ b/programs/load/main.cpp
@@ -25,6 +25,8 @@
   std::vector<std::string> mStandins;
   std::string mJson;
   unsigned mThreads = 1;
+  // Every class must attain this share, in percent.
+  double mAtLeast = 0;
   bool mQuiet = false;
 };
 
@@ -90,6 +92,22 @@
   return static_cast<bool>(file);
 }
 
+// Whether every class attains aPercent; names those that do not.
+bool
+Attains(const load_report& aReport, double aPercent)
+{
+  constexpr double kPercent = 100;
+  bool all = true;
+  for (const auto& item : aReport.mClasses) {
+    if (item.Attainment() * kPercent < aPercent) {
+      std::cout << "MISSED  " << item.mClass << ": attained less than "
+                << aPercent << " %\n";
+      all = false;
+    }
+  }
+  return all;
+}
+
 result<int>
 Run(const run_options& aOptions)
 {
@@ -108,7 +126,9 @@
       !WriteFile(aOptions.mJson, ToJsonText(report))) {
     return kFailed;
   }
-  return report.KeptAllPromises() ? 0 : kFailed;
+  return report.KeptAllPromises() && Attains(report, aOptions.mAtLeast)
+           ? 0
+           : kFailed;
 }
 
 result<int>
@@ -165,6 +185,11 @@
   command->add_option("--json", options->mJson, "Write the report here");
   command->add_option("--threads", options->mThreads, "Threads that send")
     ->check(CLI::Range(1, 64));
+  command
+    ->add_option("--at-least",
+                 options->mAtLeast,
+                 "Fail unless every class attains this many percent")
+    ->check(CLI::Range(0, 100));
   command->add_flag("--quiet", options->mQuiet, "Print no progress");
   command->callback(
     [options, &aCode] { aCode = Finish([&] { return Run(*options); }); });
