Test how bundles spread, and that no router reverts

Cause: an accepted bundle must be in force everywhere within seconds and never revert, whatever fails.

--- /dev/null
+++ b/src/sapphirespar/config/bundle_world_test.cpp
@@ -0,0 +1,165 @@
+// The world of routers that bundle tests run in.
+#include "bundle_world_test.hpp"
+
+#include "sapphirespar/config/signed_bundle.hpp"
+#include "test_support.hpp"
+
+#include <algorithm>
+
+namespace sapphirespar {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr auto kBeatPeriod = 1000ms;
+constexpr auto kPeerDelay = 1500us;
+constexpr auto kPlatformDelay = 10ms;
+
+} // namespace
+
+bundle_world::bundle_world(unsigned aRouters, unsigned aDataCentres)
+  : mRouters(aRouters)
+{
+  mNetwork.SetCarrier([](const peer_message&) {
+    return std::optional<steady_duration>(kPeerDelay);
+  });
+  mOperator.Faults().mDelay = kPlatformDelay;
+  for (unsigned i = 0; i < aRouters; ++i) {
+    mRouters[i].mVm = { "vm-" + std::to_string(i) };
+    mRouters[i].mDataCentre = { "dc-" + std::to_string(i % aDataCentres) };
+  }
+  for (unsigned i = 0; i < aRouters; ++i) {
+    Restart(i);
+  }
+}
+
+void
+bundle_world::FillMembers(world_router& aRouter) const
+{
+  for (const auto& other : mRouters) {
+    member item;
+    item.mProcess = { other.mVm, other.mIncarnation };
+    item.mDataCentre = other.mDataCentre;
+    item.mState = member_state::Live;
+    aRouter.mBoard.mMembers[other.mVm] = item;
+  }
+}
+
+void
+bundle_world::Restart(std::size_t aRouter)
+{
+  auto& router = mRouters[aRouter];
+  router.mController.reset();
+  router.mLink.reset();
+  router.mPlatform = std::make_unique<fake_platform>(mTimers, mStore);
+  router.mPlatform->Faults().mDelay = kPlatformDelay;
+  const process_id self{ router.mVm, ++router.mIncarnation };
+  router.mBoard = {};
+  router.mBoard.mSelf = self;
+  router.mBoard.mDataCentre = router.mDataCentre;
+  router.mInForce.clear();
+  FillMembers(router);
+  router.mLink = mNetwork.Attach(
+    self, mTimers, [&router](const process_id& aFrom, peer_message aMessage) {
+      if (const auto* beat = std::get_if<heartbeat>(&aMessage)) {
+        router.mBoard.mMembers[aFrom.mVm].mBundle = beat->mBundle;
+        router.mController->OnHeartbeat(*beat);
+      } else {
+        router.mController->OnPeerMessage(aFrom, aMessage);
+      }
+    });
+  bundle_controller_settings settings;
+  settings.mTrusted = { { "anna", mAnna.mPublicKey } };
+  settings.mSeed = aRouter + 1;
+  router.mController = std::make_unique<bundle_controller>(
+    *router.mPlatform,
+    *router.mLink,
+    mTimers,
+    router.mBoard,
+    settings,
+    [&router](const bundle_ptr& aBundle) {
+      router.mInForce.push_back(aBundle->mVersion);
+    });
+  router.mController->Start();
+  router.mBeat = mTimers.Every(kBeatPeriod, [this, aRouter] { Beat(aRouter); });
+}
+
+// One other router a second hears from each: fewer than the real membership.
+void
+bundle_world::Beat(std::size_t aRouter)
+{
+  auto& router = mRouters[aRouter];
+  std::uniform_int_distribution<std::size_t> pick(0, mRouters.size() - 1);
+  const auto& target = mRouters[pick(mRandom)];
+  if (target.mVm == router.mVm) {
+    return;
+  }
+  heartbeat beat;
+  beat.mSender = router.mBoard.mSelf;
+  if (router.mBoard.mBundle) {
+    beat.mBundle = router.mBoard.mBundle->mVersion;
+  }
+  router.mLink->Send(target.mVm, beat);
+}
+
+void
+bundle_world::Accept(std::uint64_t aNumber, unsigned aVariant)
+{
+  auto next = GoodBundle(aNumber, mAnna.mPublicKey);
+  next.mClasses[0].mQueueLimit = aVariant;
+  const auto made = SignBundle(next, "anna", mAnna.mPrivateKey).value();
+  mAcceptances.push_back(std::make_unique<bundle_acceptance>(
+    mOperator, mTimers, acceptance_settings()));
+  mAcceptances.back()->Start(
+    Serialize(made), "now", [this](acceptance_result aResult) {
+      mVerdicts.push_back(std::move(aResult));
+    });
+}
+
+bundle_version
+bundle_world::Current() const
+{
+  const auto* object = mStore->Find(CurrentBundleKey());
+  return object ? ParseSignedBundle(object->mValue)->mBundle.mVersion
+                : bundle_version{};
+}
+
+bool
+bundle_world::AllCurrent() const
+{
+  const auto current = Current();
+  return std::ranges::all_of(mRouters, [&](const world_router& aRouter) {
+    return aRouter.mBoard.mBundle &&
+           aRouter.mBoard.mBundle->mVersion == current;
+  });
+}
+
+std::optional<steady_duration>
+bundle_world::UntilAllCurrent(steady_duration aLimit)
+{
+  const auto start = mTimers.Now();
+  while (mTimers.Now() - start <= aLimit) {
+    if (AllCurrent()) {
+      return mTimers.Now() - start;
+    }
+    Advance(1ms);
+  }
+  return std::nullopt;
+}
+
+void
+bundle_world::Heal()
+{
+  mNetwork.SetCarrier([](const peer_message&) {
+    return std::optional<steady_duration>(kPeerDelay);
+  });
+  mOperator.Faults() = { .mDelay = kPlatformDelay };
+  for (auto& router : mRouters) {
+    router.mPlatform->Faults() = { .mDelay = kPlatformDelay };
+    for (const auto& other : mRouters) {
+      mNetwork.Mend(router.mVm, other.mVm);
+    }
+  }
+}
+
+} // namespace sapphirespar
