Add the router application

Cause: the thin whole path needs one process that serves callers. Change: understanding of requests, exchanges, attempts with whole-event relay, dispatcher, control plane with blackboard, pages, shutdown in order. The HTTP server's connections no longer hold the acceptor, whose context may go first.

--- /dev/null
+++ b/include/sapphirespar/router/control_plane.hpp
@@ -0,0 +1,64 @@
+// The control thread's side of a router: the blackboard, the controllers that
+// read and write it, and what they publish to traffic threads.
+#pragma once
+
+#include "sapphirespar/config/settings.hpp"
+#include "sapphirespar/ledger/once_guard.hpp"
+#include "sapphirespar/model/blackboard.hpp"
+#include "sapphirespar/router/attempt.hpp"
+#include "sapphirespar/router/dispatcher.hpp"
+#include "sapphirespar/router/snapshot.hpp"
+#include "sapphirespar/telemetry/metrics.hpp"
+
+#include <boost/asio/io_context.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+
+namespace sapphirespar::router {
+
+// Everything named here outlives the control plane.
+struct control_services
+{
+  asio::io_context& mContext;
+  snapshot_cell& mSnapshots;
+  dispatcher& mDispatcher;
+  metrics& mMetrics;
+};
+
+// Lives on the control thread but for its construction, which happens before
+// that thread runs.
+class control_plane
+{
+public:
+  // Throws boost::system::system_error if the peer port can't be bound.
+  control_plane(const router_settings& aSettings,
+                process_id aSelf,
+                std::uint16_t aCallerPort,
+                control_services aServices);
+  ~control_plane();
+  control_plane(const control_plane&) = delete;
+  control_plane& operator=(const control_plane&) = delete;
+
+  std::uint16_t PeerPort() const;
+
+  // Starts the controllers.
+  void Start();
+
+  // Tells peers and callers that this router is leaving.
+  void Leave();
+
+  const blackboard& Board() const;
+  ledger::once_guard& Once();
+
+  // An attempt at an upstream has ended.
+  void Observe(const upstream_id& aUpstream, const attempt_result& aResult);
+
+  struct state;
+
+private:
+  std::unique_ptr<state> mState;
+};
+
+} // namespace sapphirespar::router
--- /dev/null
+++ b/include/sapphirespar/router/exchange.hpp
@@ -0,0 +1,53 @@
+// The life of one caller's request in this router: understood, admitted, given
+// a slot, attempted at upstreams as often as is safe, answered.
+#pragma once
+
+#include "sapphirespar/ledger/once_guard.hpp"
+#include "sapphirespar/router/attempt.hpp"
+#include "sapphirespar/router/dispatcher.hpp"
+#include "sapphirespar/router/snapshot.hpp"
+#include "sapphirespar/telemetry/metrics.hpp"
+#include "sapphirespar/telemetry/trace.hpp"
+#include "sapphirespar/wire/http_client.hpp"
+#include "sapphirespar/wire/http_server.hpp"
+
+#include <boost/asio/awaitable.hpp>
+
+#include <functional>
+
+namespace sapphirespar::router {
+
+// The at-most-once guard, callable from any thread; callbacks arrive on the
+// control thread.
+struct once_hooks
+{
+  std::function<void(ledger::once_request, ledger::once_callback)> mBegin;
+  std::function<
+    void(ledger::once_key, outcome, ledger::stored_answer_ptr aAnswer)>
+    mFinished;
+};
+
+// What exchanges need of the rest of the router. All of it is safe on any
+// thread and outlives every exchange.
+struct exchange_services
+{
+  const snapshot_cell& mSnapshots;
+  dispatcher& mDispatcher;
+  metrics& mMetrics;
+  span_buffer& mSpans;
+  once_hooks mOnce;
+  // Returns a refusal for a request over its account's limits.
+  std::function<std::optional<refusal>(const call&)> mAdmit;
+  // Called once for each request that mAdmit let in, when it has ended.
+  std::function<void(const call&)> mLeft;
+  // An attempt at an upstream has ended.
+  std::function<void(const upstream_id&, const attempt_result&)> mObserve;
+};
+
+// Serves one completion or service request from its arrival to its answer.
+asio::awaitable<void> ServeExchange(const exchange_services& aServices,
+                                    wire::http_client& aClient,
+                                    const wire::http_request& aRequest,
+                                    wire::http_reply& aReply);
+
+} // namespace sapphirespar::router
--- /dev/null
+++ b/include/sapphirespar/router/one_shot.hpp
@@ -0,0 +1,57 @@
+// A value that one thread sets once and a coroutine on another waits for.
+#pragma once
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <chrono>
+#include <memory>
+#include <optional>
+
+namespace sapphirespar::router {
+
+namespace asio = boost::asio;
+
+template<class T>
+class one_shot : public std::enable_shared_from_this<one_shot<T>>
+{
+public:
+  explicit one_shot(asio::any_io_executor aExecutor)
+    : mTimer(aExecutor)
+  {}
+
+  // Safe on any thread; only the first value counts.
+  void Set(T aValue)
+  {
+    asio::post(
+      mTimer.get_executor(),
+      [self = this->shared_from_this(), value = std::move(aValue)]() mutable {
+        if (!self->mValue) {
+          self->mValue = std::move(value);
+          self->mTimer.cancel();
+        }
+      });
+  }
+
+  // Waits up to aLimit and returns the value, or nothing yet. Called on the
+  // executor given at construction, by one coroutine.
+  asio::awaitable<std::optional<T>> Wait(std::chrono::milliseconds aLimit)
+  {
+    if (!mValue) {
+      mTimer.expires_after(aLimit);
+      co_await mTimer.async_wait(asio::as_tuple(asio::use_awaitable));
+    }
+    co_return mValue;
+  }
+
+private:
+  // Both are touched only on mTimer's executor.
+  std::optional<T> mValue;
+  asio::steady_timer mTimer;
+};
+
+} // namespace sapphirespar::router
--- /dev/null
+++ b/include/sapphirespar/router/pages.hpp
@@ -0,0 +1,32 @@
+// The router's own pages: entry addresses, health, metrics, status, traces and
+// idempotency tokens.
+#pragma once
+
+#include "sapphirespar/router/control_plane.hpp"
+#include "sapphirespar/router/snapshot.hpp"
+#include "sapphirespar/telemetry/metrics.hpp"
+#include "sapphirespar/telemetry/trace.hpp"
+#include "sapphirespar/wire/http_message.hpp"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+
+namespace sapphirespar::router {
+
+// Everything named here outlives every call.
+struct page_services
+{
+  asio::io_context& mControlContext;
+  control_plane& mControl;
+  const snapshot_cell& mSnapshots;
+  const dispatcher& mDispatcher;
+  const metrics& mMetrics;
+  const span_buffer& mSpans;
+};
+
+// Answers a request for one of the pages; 404 for a path that is none.
+asio::awaitable<wire::http_response> ServePage(
+  const page_services& aServices,
+  const wire::http_request& aRequest);
+
+} // namespace sapphirespar::router
--- /dev/null
+++ b/src/sapphirespar/router/control_plane.cpp
@@ -0,0 +1,416 @@
+// Wires the controllers to the blackboard, the platform and the peers.
+#include "sapphirespar/router/control_plane.hpp"
+
+#include "sapphirespar/base/log.hpp"
+#include "sapphirespar/config/bundle_controller.hpp"
+#include "sapphirespar/membership/homes.hpp"
+#include "sapphirespar/membership/membership_controller.hpp"
+#include "sapphirespar/router/upstream_probe.hpp"
+#include "sapphirespar/upstream/drain_watcher.hpp"
+#include "sapphirespar/upstream/health_tracker.hpp"
+#include "sapphirespar/wire/asio_timer_service.hpp"
+#include "sapphirespar/wire/peer_link.hpp"
+#include "sapphirespar/wire/platform_client.hpp"
+
+#include <ctime>
+
+#include <algorithm>
+#include <iterator>
+#include <optional>
+#include <ranges>
+#include <vector>
+
+namespace sapphirespar::router {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds kDispatchTick{ 20 };
+constexpr std::chrono::seconds kMetricsPeriod{ 1 };
+
+blackboard
+MakeBoard(const router_settings& aSettings, process_id aSelf)
+{
+  blackboard board;
+  board.mSelf = std::move(aSelf);
+  board.mDataCentre = aSettings.mDataCentre;
+  return board;
+}
+
+wire::platform_client_settings
+PlatformSettings(const router_settings& aSettings)
+{
+  wire::platform_client_settings settings;
+  settings.mPlatform.mAddress = aSettings.mPlatform.mAddress;
+  settings.mPlatform.mPort = aSettings.mPlatform.mPort;
+  return settings;
+}
+
+wire::peer_mesh_settings
+MeshSettings(const router_settings& aSettings, const process_id& aSelf)
+{
+  wire::peer_mesh_settings settings;
+  settings.mSelf = aSelf;
+  settings.mAddress = aSettings.mAddress;
+  settings.mPort = aSettings.mPeerPort;
+  return settings;
+}
+
+// How an attempt looks to the health tracker; nothing if it tells nothing.
+std::optional<upstream::attempt_result>
+ToHealth(const attempt_result& aResult)
+{
+  upstream::attempt_result health;
+  switch (aResult.mEnd) {
+    case attempt_end::Whole:
+    case attempt_end::Refused:
+      health.mEnd = upstream::attempt_end::Answered;
+      break;
+    case attempt_end::NotSent:
+      health.mEnd = upstream::attempt_end::ConnectFailed;
+      break;
+    case attempt_end::TimedOut:
+      health.mEnd = upstream::attempt_end::TimedOut;
+      break;
+    case attempt_end::Broken:
+      health.mEnd = upstream::attempt_end::Failed;
+      break;
+    case attempt_end::CallerLeft:
+      return std::nullopt;
+  }
+  health.mFirstToken =
+    std::chrono::duration_cast<milliseconds>(aResult.mFirstToken);
+  const std::chrono::duration<double> streaming =
+    aResult.mTotal - aResult.mFirstToken;
+  if (aResult.mEventsSent > 1 && streaming.count() > 0) {
+    health.mTokensPerSecond = (aResult.mEventsSent - 1) / streaming.count();
+  }
+  return health;
+}
+
+// Processor time that the calling thread has used.
+double
+ThreadCpuSeconds()
+{
+  constexpr double kNanosecondsPerSecond = 1e9;
+  std::timespec time{};
+  clock_gettime(CLOCK_THREAD_CPUTIME_ID, &time);
+  return static_cast<double>(time.tv_sec) +
+         static_cast<double>(time.tv_nsec) / kNanosecondsPerSecond;
+}
+
+} // namespace
+
+struct control_plane::state
+{
+  state(const router_settings& aSettings,
+        process_id aSelf,
+        std::uint16_t aCallerPort,
+        control_services aServices);
+
+  void Start();
+
+  // Hands a new snapshot and the upstreams as they are now to traffic threads.
+  void Publish();
+  std::vector<policy::upstream_view> UpstreamViews() const;
+
+  void OnPeerMessage(const process_id& aFrom, const peer_message& aMessage);
+  std::optional<wire::endpoint> PeerEndpoint(const vm_id& aVm) const;
+  std::vector<pool_load> PoolLoads() const;
+  void UpdateMetrics();
+
+  wire::peer_mesh_hooks MeshHooks();
+  membership::membership_hooks MembershipHooks();
+  upstream::health_hooks HealthHooks();
+
+  control_services mServices;
+  router_settings mSettings;
+  std::uint16_t mCallerPort;
+  blackboard mBoard;
+  wire::asio_timer_service mTimers;
+  wire::platform_client mPlatform;
+  upstream_probe mProbe;
+  wire::peer_mesh mMesh;
+  ledger::once_guard mOnce;
+  // Empty until Start.
+  std::optional<membership::membership_controller> mMembership;
+  std::optional<bundle_controller> mBundles;
+  std::optional<upstream::health_tracker> mHealth;
+  std::optional<upstream::drain_watcher> mDrains;
+  timer_subscription mTick;
+  timer_subscription mMetricsTick;
+};
+
+control_plane::state::state(const router_settings& aSettings,
+                            process_id aSelf,
+                            std::uint16_t aCallerPort,
+                            control_services aServices)
+  : mServices(aServices)
+  , mSettings(aSettings)
+  , mCallerPort(aCallerPort)
+  , mBoard(MakeBoard(aSettings, aSelf))
+  , mTimers(aServices.mContext.get_executor())
+  , mPlatform(aServices.mContext.get_executor(), PlatformSettings(aSettings))
+  , mProbe(aServices.mContext.get_executor())
+  , mMesh(aServices.mContext, MeshSettings(aSettings, aSelf), MeshHooks())
+  , mOnce(mBoard, mPlatform, mMesh, mTimers)
+{
+  Publish();
+}
+
+wire::peer_mesh_hooks
+control_plane::state::MeshHooks()
+{
+  wire::peer_mesh_hooks hooks;
+  hooks.mLookUp = [this](const vm_id& aVm) { return PeerEndpoint(aVm); };
+  hooks.mReceive = [this](const process_id& aFrom, peer_message aMessage) {
+    OnPeerMessage(aFrom, aMessage);
+  };
+  hooks.mUnreachable = [this](const vm_id& aVm) {
+    if (mMembership) {
+      mMembership->OnUnreachable(aVm);
+    }
+  };
+  return hooks;
+}
+
+membership::membership_hooks
+control_plane::state::MembershipHooks()
+{
+  membership::membership_hooks hooks;
+  hooks.mPools = [this] { return PoolLoads(); };
+  hooks.mChanged = [this] { Publish(); };
+  hooks.mPaused = [](steady_duration aPause) {
+    const auto length = std::chrono::duration_cast<milliseconds>(aPause);
+    LogEvent(
+      log_level::Warning, "paused", { { "pause_ms", length.count() } });
+  };
+  return hooks;
+}
+
+upstream::health_hooks
+control_plane::state::HealthHooks()
+{
+  upstream::health_hooks hooks;
+  hooks.mProbe = [this](const upstream_spec& aSpec,
+                        upstream::load_callback aDone) {
+    mProbe.Probe(aSpec, std::move(aDone));
+  };
+  hooks.mFetchLoad = [this](const upstream_spec& aSpec,
+                            upstream::load_callback aDone) {
+    mProbe.FetchLoad(aSpec, std::move(aDone));
+  };
+  hooks.mIsHome = [this](const upstream_spec& aSpec) {
+    const auto members = membership::ListMembers(mBoard);
+    return membership::HomeOf(aSpec.mId, aSpec.mDataCentre, members) ==
+           mBoard.mSelf.mVm;
+  };
+  hooks.mOnChange = [this](const upstream_id& aId, upstream_state aState) {
+    LogEvent(log_level::Info,
+             "upstream_state",
+             { { "upstream", aId.mText }, { "state", ToText(aState) } });
+    Publish();
+  };
+  return hooks;
+}
+
+void
+control_plane::state::Start()
+{
+  membership::membership_settings membership;
+  membership.mSelf.mProcess = mBoard.mSelf;
+  membership.mSelf.mDataCentre = mBoard.mDataCentre;
+  membership.mSelf.mAddress = mSettings.mAddress;
+  membership.mSelf.mPort = mCallerPort;
+  membership.mSelf.mPeerPort = mMesh.Port();
+  mMembership.emplace(
+    mBoard, mPlatform, mMesh, mTimers, membership, MembershipHooks());
+  mHealth.emplace(mBoard, mTimers, HealthHooks());
+  mDrains.emplace(mPlatform, mTimers, [this](const auto& aIds) {
+    mHealth->SetDrained(aIds);
+    Publish();
+  });
+  bundle_controller_settings bundles;
+  bundles.mTrusted = mSettings.mSigners;
+  bundles.mSeed = mBoard.mSelf.mIncarnation;
+  mBundles.emplace(
+    mPlatform, mMesh, mTimers, mBoard, bundles, [this](bundle_ptr aBundle) {
+      LogEvent(log_level::Info,
+               "bundle_in_force",
+               { { "epoch", aBundle->mVersion.mEpoch },
+                 { "number", aBundle->mVersion.mNumber } });
+      mHealth->OnBundle();
+      Publish();
+    });
+  mBundles->Start();
+  mTick = mTimers.Every(kDispatchTick, [this] { mServices.mDispatcher.Tick(); });
+  mMetricsTick = mTimers.Every(kMetricsPeriod, [this] { UpdateMetrics(); });
+}
+
+void
+control_plane::state::Publish()
+{
+  mServices.mSnapshots.Store(std::make_shared<traffic_snapshot>(mBoard));
+  if (mBoard.mBundle) {
+    mServices.mDispatcher.Configure(mBoard.mBundle);
+    mServices.mDispatcher.SetUpstreams(UpstreamViews());
+  }
+}
+
+std::vector<policy::upstream_view>
+control_plane::state::UpstreamViews() const
+{
+  std::vector<policy::upstream_view> views;
+  std::ranges::transform(
+    mBoard.mBundle->mUpstreams,
+    std::back_inserter(views),
+    [&](const upstream_spec& aSpec) {
+      policy::upstream_view view;
+      view.mId = aSpec.mId;
+      view.mPools = PoolsOf(aSpec);
+      view.mSlots = aSpec.mSlots;
+      const auto status = mBoard.mUpstreams.find(aSpec.mId);
+      if (status != mBoard.mUpstreams.end()) {
+        view.mState = status->second.mState;
+        view.mRelativeSpeed = status->second.mRelativeSpeed;
+      }
+      return view;
+    });
+  return views;
+}
+
+void
+control_plane::state::OnPeerMessage(const process_id& aFrom,
+                                    const peer_message& aMessage)
+{
+  if (const auto* beat = std::get_if<heartbeat>(&aMessage)) {
+    if (mMembership) {
+      mMembership->OnHeartbeat(*beat);
+      mBundles->OnHeartbeat(*beat);
+    }
+    return;
+  }
+  if (mBundles && mBundles->OnPeerMessage(aFrom, aMessage)) {
+    return;
+  }
+  mOnce.OnPeerMessage(aFrom, aMessage);
+}
+
+std::optional<wire::endpoint>
+control_plane::state::PeerEndpoint(const vm_id& aVm) const
+{
+  const auto found = mBoard.mMembers.find(aVm);
+  if (found == mBoard.mMembers.end() || found->second.mPeerPort == 0) {
+    return std::nullopt;
+  }
+  return wire::endpoint{ found->second.mAddress, found->second.mPeerPort };
+}
+
+std::vector<pool_load>
+control_plane::state::PoolLoads() const
+{
+  std::vector<pool_load> loads;
+  std::ranges::transform(mServices.mDispatcher.Counts(),
+                         std::back_inserter(loads),
+                         [](const policy::scheduler_counts& aCounts) {
+                           pool_load load;
+                           load.mPool = aCounts.mPool;
+                           load.mSlots = aCounts.mSlots;
+                           load.mOutstanding = aCounts.mOutstanding;
+                           load.mQueued = aCounts.mQueued;
+                           return load;
+                         });
+  return loads;
+}
+
+void
+control_plane::state::UpdateMetrics()
+{
+  auto& gauges = mServices.mMetrics;
+  const auto& traffic = mMesh.Traffic();
+  gauges.Set("sapphirespar_control_cpu_seconds", {}, ThreadCpuSeconds());
+  gauges.Set("sapphirespar_peer_bytes_in",
+             {},
+             static_cast<double>(traffic.mBytesIn));
+  gauges.Set("sapphirespar_peer_bytes_out",
+             {},
+             static_cast<double>(traffic.mBytesOut));
+  gauges.Set("sapphirespar_members",
+             {},
+             static_cast<double>(std::ranges::count(
+               mBoard.mMembers | std::views::values,
+               member_state::Live,
+               &member::mState)));
+  if (mBoard.mBundle) {
+    const auto& version = mBoard.mBundle->mVersion;
+    gauges.Set("sapphirespar_bundle_epoch",
+               {},
+               static_cast<double>(version.mEpoch));
+    gauges.Set("sapphirespar_bundle_number",
+               {},
+               static_cast<double>(version.mNumber));
+  }
+  for (const auto& counts : mServices.mDispatcher.Counts()) {
+    gauges.Set(
+      "sapphirespar_queued", { { "pool", counts.mPool } }, counts.mQueued);
+    gauges.Set("sapphirespar_outstanding",
+               { { "pool", counts.mPool } },
+               counts.mOutstanding);
+  }
+}
+
+control_plane::control_plane(const router_settings& aSettings,
+                             process_id aSelf,
+                             std::uint16_t aCallerPort,
+                             control_services aServices)
+  : mState(std::make_unique<state>(aSettings,
+                                   std::move(aSelf),
+                                   aCallerPort,
+                                   aServices))
+{}
+
+control_plane::~control_plane() = default;
+
+std::uint16_t
+control_plane::PeerPort() const
+{
+  return mState->mMesh.Port();
+}
+
+void
+control_plane::Start()
+{
+  mState->Start();
+}
+
+void
+control_plane::Leave()
+{
+  mState->mBoard.mLeaving = true;
+  mState->mMembership->Leave();
+  mState->Publish();
+}
+
+const blackboard&
+control_plane::Board() const
+{
+  return mState->mBoard;
+}
+
+ledger::once_guard&
+control_plane::Once()
+{
+  return mState->mOnce;
+}
+
+void
+control_plane::Observe(const upstream_id& aUpstream,
+                       const attempt_result& aResult)
+{
+  const auto health = ToHealth(aResult);
+  if (health && mState->mHealth) {
+    mState->mHealth->Observe(aUpstream, *health);
+  }
+}
+
+} // namespace sapphirespar::router
--- /dev/null
+++ b/src/sapphirespar/router/router_app.cpp
@@ -0,0 +1,319 @@
+// Threads, routing of paths to handlers, and the order of a shutdown.
+#include "sapphirespar/router/router_app.hpp"
+
+#include "sapphirespar/base/log.hpp"
+#include "sapphirespar/router/answer.hpp"
+#include "sapphirespar/router/control_plane.hpp"
+#include "sapphirespar/router/exchange.hpp"
+#include "sapphirespar/router/pages.hpp"
+#include "sapphirespar/wire/http_server.hpp"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <algorithm>
+#include <future>
+#include <iterator>
+#include <optional>
+#include <stdexcept>
+#include <thread>
+#include <vector>
+
+namespace sapphirespar::router {
+namespace {
+
+using work_guard =
+  asio::executor_work_guard<asio::io_context::executor_type>;
+
+// A thread with its own context and upstream connections.
+struct worker
+{
+  asio::io_context mContext{ 1 };
+  work_guard mGuard{ mContext.get_executor() };
+  wire::http_client mClient{ mContext.get_executor(), {} };
+  std::thread mThread;
+};
+
+// The worker whose thread this is; null on any other thread.
+thread_local worker* sWorker = nullptr;
+
+policy::scheduler_ptr
+MakeSchedulerOrThrow(const std::string& aName)
+{
+  auto made = policy::MakeScheduler(aName);
+  if (!made) {
+    throw std::invalid_argument("no such scheduler: " + aName);
+  }
+  return made;
+}
+
+// Numbers this process's life by the wall clock, so that a restart gets a
+// higher number.
+process_id
+MakeSelf(const vm_id& aVm)
+{
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  const auto count =
+    std::chrono::duration_cast<std::chrono::microseconds>(now).count();
+  return { aVm, static_cast<incarnation_number>(count) };
+}
+
+bool
+IsExchange(const wire::http_request& aRequest)
+{
+  const auto path = wire::SplitTarget(aRequest.mTarget).mPath;
+  const bool completion =
+    path == "/v1/chat/completions" || path == "/v1/completions";
+  return (completion && aRequest.mMethod == "POST") ||
+         path.starts_with("/v1/services/");
+}
+
+} // namespace
+
+struct router_app::state
+{
+  state(router_settings aSettings, router_options aOptions);
+  ~state();
+
+  asio::awaitable<void> Serve(const wire::http_request& aRequest,
+                              wire::http_reply& aReply);
+  wire::http_server_settings ServerSettings() const;
+  exchange_services ExchangeServices();
+  once_hooks OnceHooks();
+  std::vector<asio::io_context*> WorkerContexts();
+
+  void Drain();
+  void FinishDrain();
+  void StopThreads();
+
+  router_settings mSettings;
+  router_options mOptions;
+  process_id mSelf;
+  metrics mMetrics;
+  span_buffer mSpans;
+  snapshot_cell mSnapshots;
+  // Declared before whatever may hold a coroutine's timer, and so destroyed
+  // after it.
+  std::vector<std::unique_ptr<worker>> mWorkers;
+  asio::io_context mControlContext{ 1 };
+  work_guard mControlGuard{ mControlContext.get_executor() };
+  dispatcher mDispatcher;
+  exchange_services mExchange;
+  // Both are empty only during construction.
+  std::unique_ptr<control_plane> mControl;
+  std::optional<page_services> mPages;
+  // Stops accepting before anything that its handler uses goes.
+  std::unique_ptr<wire::http_server> mServer;
+  std::thread mControlThread;
+  // Used on the control thread only.
+  asio::steady_timer mDrainTimer{ mControlContext };
+  bool mDraining = false;
+  std::promise<void> mDrained;
+};
+
+router_app::state::state(router_settings aSettings, router_options aOptions)
+  : mSettings(std::move(aSettings))
+  , mOptions(std::move(aOptions))
+  , mSelf(MakeSelf(mSettings.mVm))
+  , mDispatcher(MakeSchedulerOrThrow(mOptions.mScheduler),
+                [](const policy::pause_order&) {})
+  , mExchange(ExchangeServices())
+{
+  std::generate_n(std::back_inserter(mWorkers),
+                  std::max(mSettings.mTrafficThreads, 1U),
+                  [] { return std::make_unique<worker>(); });
+  mServer = std::make_unique<wire::http_server>(
+    mControlContext,
+    WorkerContexts(),
+    ServerSettings(),
+    [this](const wire::http_request& aRequest, wire::http_reply& aReply) {
+      return Serve(aRequest, aReply);
+    });
+  const control_services services{
+    mControlContext, mSnapshots, mDispatcher, mMetrics
+  };
+  mControl = std::make_unique<control_plane>(
+    mSettings, mSelf, mServer->Port(), services);
+  mPages.emplace(page_services{ mControlContext,
+                                *mControl,
+                                mSnapshots,
+                                mDispatcher,
+                                mMetrics,
+                                mSpans });
+  mControl->Start();
+  mControlThread = std::thread([this] { mControlContext.run(); });
+  for (const auto& item : mWorkers) {
+    item->mThread = std::thread([own = item.get()] {
+      sWorker = own;
+      own->mContext.run();
+    });
+  }
+}
+
+router_app::state::~state()
+{
+  StopThreads();
+}
+
+std::vector<asio::io_context*>
+router_app::state::WorkerContexts()
+{
+  std::vector<asio::io_context*> contexts;
+  std::ranges::transform(mWorkers,
+                         std::back_inserter(contexts),
+                         [](const auto& aItem) { return &aItem->mContext; });
+  return contexts;
+}
+
+wire::http_server_settings
+router_app::state::ServerSettings() const
+{
+  wire::http_server_settings settings;
+  settings.mAddress = mSettings.mAddress;
+  settings.mPort = mSettings.mPort;
+  settings.mBadRequest = UnparsedResponse;
+  return settings;
+}
+
+once_hooks
+router_app::state::OnceHooks()
+{
+  once_hooks hooks;
+  hooks.mBegin = [this](ledger::once_request aRequest,
+                        ledger::once_callback aDone) {
+    asio::post(mControlContext, [this, aRequest, aDone] {
+      mControl->Once().Begin(aRequest, aDone);
+    });
+  };
+  hooks.mFinished = [this](ledger::once_key aKey,
+                           outcome aOutcome,
+                           ledger::stored_answer_ptr aAnswer) {
+    asio::post(mControlContext, [this, aKey, aOutcome, aAnswer] {
+      mControl->Once().Finished(aKey, aOutcome, aAnswer);
+    });
+  };
+  return hooks;
+}
+
+exchange_services
+router_app::state::ExchangeServices()
+{
+  return exchange_services{
+    mSnapshots,
+    mDispatcher,
+    mMetrics,
+    mSpans,
+    OnceHooks(),
+    [](const call&) { return std::optional<refusal>{}; },
+    [](const call&) {},
+    [this](const upstream_id& aUpstream, const attempt_result& aResult) {
+      asio::post(mControlContext, [this, aUpstream, aResult] {
+        mControl->Observe(aUpstream, aResult);
+      });
+    },
+  };
+}
+
+asio::awaitable<void>
+router_app::state::Serve(const wire::http_request& aRequest,
+                         wire::http_reply& aReply)
+{
+  if (IsExchange(aRequest)) {
+    co_await ServeExchange(mExchange, sWorker->mClient, aRequest, aReply);
+    co_return;
+  }
+  auto page = co_await ServePage(*mPages, aRequest);
+  co_await aReply.Send(std::move(page));
+}
+
+void
+router_app::state::Drain()
+{
+  if (mDraining) {
+    return;
+  }
+  mDraining = true;
+  LogEvent(log_level::Info, "leaving");
+  mControl->Leave();
+  mDrainTimer.expires_after(mOptions.mDrainGrace);
+  mDrainTimer.async_wait([this](const auto& aError) {
+    if (!aError) {
+      mServer->Drain();
+      FinishDrain();
+    }
+  });
+}
+
+void
+router_app::state::FinishDrain()
+{
+  constexpr std::chrono::milliseconds kBusyCheck{ 20 };
+  mDrainTimer.expires_after(kBusyCheck);
+  mDrainTimer.async_wait([this](const auto& aError) {
+    if (aError) {
+      return;
+    }
+    if (mServer->Busy() > 0) {
+      FinishDrain();
+      return;
+    }
+    LogEvent(log_level::Info, "left");
+    mDrained.set_value();
+  });
+}
+
+void
+router_app::state::StopThreads()
+{
+  mControlContext.stop();
+  if (mControlThread.joinable()) {
+    mControlThread.join();
+  }
+  for (const auto& item : mWorkers) {
+    item->mContext.stop();
+    if (item->mThread.joinable()) {
+      item->mThread.join();
+    }
+  }
+}
+
+router_app::router_app(router_settings aSettings, router_options aOptions)
+  : mState(
+      std::make_unique<state>(std::move(aSettings), std::move(aOptions)))
+{}
+
+router_app::~router_app() = default;
+
+std::uint16_t
+router_app::Port() const
+{
+  return mState->mServer->Port();
+}
+
+std::uint16_t
+router_app::PeerPort() const
+{
+  return mState->mControl->PeerPort();
+}
+
+bool
+router_app::Ready() const
+{
+  const auto snapshot = mState->mSnapshots.Load();
+  return snapshot && snapshot->Bundle();
+}
+
+void
+router_app::Drain()
+{
+  asio::post(mState->mControlContext, [this] { mState->Drain(); });
+}
+
+void
+router_app::Wait()
+{
+  mState->mDrained.get_future().wait();
+}
+
+} // namespace sapphirespar::router
--- /dev/null
+++ b/src/sapphirespar/router/status.cpp
@@ -0,0 +1,115 @@
+// The status page's JSON.
+#include "sapphirespar/router/status.hpp"
+
+#include <boost/json.hpp>
+
+#include <algorithm>
+#include <chrono>
+#include <iterator>
+#include <ranges>
+
+namespace sapphirespar::router {
+namespace {
+
+namespace json = boost::json;
+
+std::int64_t
+AgeMs(steady_time aThen, steady_time aNow)
+{
+  return std::chrono::duration_cast<std::chrono::milliseconds>(aNow - aThen)
+    .count();
+}
+
+json::object
+ToJson(const bundle_version& aVersion)
+{
+  return { { "epoch", aVersion.mEpoch }, { "number", aVersion.mNumber } };
+}
+
+json::object
+ToJson(const member& aMember, steady_time aNow)
+{
+  return {
+    { "vm", aMember.mProcess.mVm.mText },
+    { "incarnation", aMember.mProcess.mIncarnation },
+    { "data_centre", aMember.mDataCentre.mText },
+    { "address", aMember.mAddress },
+    { "port", aMember.mPort },
+    { "peer_port", aMember.mPeerPort },
+    { "state", ToText(aMember.mState) },
+    { "bundle", ToJson(aMember.mBundle) },
+    { "heard_ms_ago", AgeMs(aMember.mLastHeard, aNow) },
+  };
+}
+
+json::object
+ToJson(const upstream_status& aStatus, steady_time aNow)
+{
+  json::array loaded;
+  std::ranges::transform(
+    aStatus.mLoaded, std::back_inserter(loaded), [](const auto& aModel) {
+      return json::value(aModel.mText);
+    });
+  return {
+    { "upstream", aStatus.mId.mText },
+    { "state", ToText(aStatus.mState) },
+    { "relative_speed", aStatus.mRelativeSpeed },
+    { "reported_running", aStatus.mReportedRunning },
+    { "reported_queued", aStatus.mReportedQueued },
+    { "reported_ms_ago", AgeMs(aStatus.mReportedAt, aNow) },
+    { "loaded", std::move(loaded) },
+  };
+}
+
+json::object
+ToJson(const policy::scheduler_counts& aCounts)
+{
+  return {
+    { "pool", aCounts.mPool },
+    { "slots", aCounts.mSlots },
+    { "outstanding", aCounts.mOutstanding },
+    { "queued", aCounts.mQueued },
+  };
+}
+
+// Returns a JSON array of what aConvert makes of each item.
+template<class Range, class Convert>
+json::array
+ToArray(const Range& aRange, Convert aConvert)
+{
+  json::array array;
+  for (const auto& item : aRange) {
+    array.push_back(aConvert(item));
+  }
+  return array;
+}
+
+} // namespace
+
+std::string
+StatusJson(const blackboard& aBoard,
+           std::span<const policy::scheduler_counts> aQueues,
+           steady_time aNow)
+{
+  const auto version =
+    aBoard.mBundle ? aBoard.mBundle->mVersion : bundle_version{};
+  const json::object status{
+    { "vm", aBoard.mSelf.mVm.mText },
+    { "incarnation", aBoard.mSelf.mIncarnation },
+    { "data_centre", aBoard.mDataCentre.mText },
+    { "leaving", aBoard.mLeaving },
+    { "bundle", ToJson(version) },
+    { "platform_up", aBoard.mPlatformUp },
+    { "members",
+      ToArray(aBoard.mMembers | std::views::values,
+              [&](const auto& aItem) { return ToJson(aItem, aNow); }) },
+    { "upstreams",
+      ToArray(aBoard.mUpstreams | std::views::values,
+              [&](const auto& aItem) { return ToJson(aItem, aNow); }) },
+    { "queues",
+      ToArray(aQueues, [](const auto& aItem) { return ToJson(aItem); }) },
+  };
+  return json::serialize(status);
+}
+
+} // namespace sapphirespar::router
--- a/src/sapphirespar/wire/http_server.cpp
+++ b/src/sapphirespar/wire/http_server.cpp
@@ -20,25 +20,28 @@
 
 namespace sapphirespar::wire {
 
+// What connections need of their server. It outlives the acceptor, whose
+// context may be gone before the last connection.
+struct connection_services
+{
+  http_server_settings mSettings;
+  http_handler mHandler;
+  std::atomic<bool> mDraining{ false };
+  std::atomic<std::size_t> mBusy{ 0 };
+};
+
 struct http_server_state
 {
   http_server_state(asio::io_context& aContext,
-                    std::span<asio::io_context* const> aWorkers,
-                    http_server_settings aSettings,
-                    http_handler aHandler)
+                    std::span<asio::io_context* const> aWorkers)
     : mAcceptor(aContext)
     , mWorkers(aWorkers.begin(), aWorkers.end())
-    , mSettings(std::move(aSettings))
-    , mHandler(std::move(aHandler))
-  {
-  }
+  {}
 
   asio::ip::tcp::acceptor mAcceptor;
   std::vector<asio::io_context*> mWorkers;
-  http_server_settings mSettings;
-  http_handler mHandler;
-  std::atomic<bool> mDraining{ false };
-  std::atomic<std::size_t> mBusy{ 0 };
+  std::shared_ptr<connection_services> mServices =
+    std::make_shared<connection_services>();
   std::uint16_t mPort = 0;
 };
 
@@ -51,6 +54,7 @@
 
 using request_parser = http::request_parser<http::string_body>;
 using server_state = std::shared_ptr<http_server_state>;
+using services_ptr = std::shared_ptr<connection_services>;
 
 http_request
 ToRequest(http::request<http::string_body> aMessage)
@@ -185,22 +189,22 @@
 }
 
 asio::awaitable<void>
-RefuseUnparsed(server_state aState, byte_stream& aStream, error_code aError)
+RefuseUnparsed(services_ptr aServices, byte_stream& aStream, error_code aError)
 {
   constexpr bool kKeepAlive = false;
-  stream_reply reply(aStream, aState->mSettings, kKeepAlive);
+  stream_reply reply(aStream, aServices->mSettings, kKeepAlive);
   const auto status = StatusOfParseError(aError);
-  auto response = aState->mSettings.mBadRequest
-                    ? aState->mSettings.mBadRequest(status, aError.message())
+  auto response = aServices->mSettings.mBadRequest
+                    ? aServices->mSettings.mBadRequest(status, aError.message())
                     : http_response{ status, {}, aError.message() };
   co_await reply.Send(std::move(response));
 }
 
 // Serves requests on one connection until it closes.
 asio::awaitable<void>
-ServeRequests(server_state aState, byte_stream& aStream)
+ServeRequests(services_ptr aServices, byte_stream& aStream)
 {
-  const auto& settings = aState->mSettings;
+  const auto& settings = aServices->mSettings;
   beast::flat_buffer buffer;
   bool open = true;
   while (open) {
@@ -211,24 +215,24 @@
       co_await ReadMessage(aStream, buffer, parser, settings.mReadTimeout);
     if (error) {
       if (IsParseError(error)) {
-        co_await RefuseUnparsed(aState, aStream, error);
+        co_await RefuseUnparsed(aServices, aStream, error);
       }
       break;
     }
-    const busy_mark busy(aState->mBusy);
-    const bool keepAlive = parser.get().keep_alive() && !aState->mDraining;
+    const busy_mark busy(aServices->mBusy);
+    const bool keepAlive = parser.get().keep_alive() && !aServices->mDraining;
     const auto request = ToRequest(parser.release());
     stream_reply reply(aStream, settings, keepAlive);
-    co_await aState->mHandler(request, reply);
+    co_await aServices->mHandler(request, reply);
     open = reply.Reusable();
   }
 }
 
 asio::awaitable<void>
-ServeConnection(server_state aState, asio::ip::tcp::socket aSocket)
+ServeConnection(services_ptr aServices, asio::ip::tcp::socket aSocket)
 {
   auto accepted = co_await AcceptStream(
-    std::move(aSocket), aState->mSettings.mTls, aState->mSettings.mReadTimeout);
+    std::move(aSocket), aServices->mSettings.mTls, aServices->mSettings.mReadTimeout);
   if (!accepted) {
     LogEvent(log_level::Debug,
              "handshake_failed",
@@ -236,7 +240,7 @@
     co_return;
   }
   const auto stream = std::move(accepted).value();
-  co_await ServeRequests(aState, *stream);
+  co_await ServeRequests(aServices, *stream);
   stream->Close();
 }
 
@@ -268,7 +272,7 @@
 Accept(server_state aState)
 {
   std::size_t turn = 0;
-  while (!aState->mDraining) {
+  while (!aState->mServices->mDraining) {
     auto& worker = *aState->mWorkers[turn++ % aState->mWorkers.size()];
     auto [error, socket] =
       co_await aState->mAcceptor.async_accept(worker, kAsTuple);
@@ -283,7 +287,7 @@
       continue;
     }
     asio::co_spawn(
-      worker, ServeConnection(aState, std::move(socket)), LogLostHandler);
+      worker, ServeConnection(aState->mServices, std::move(socket)), LogLostHandler);
   }
 }
 
@@ -293,14 +297,13 @@
                          std::span<asio::io_context* const> aWorkers,
                          http_server_settings aSettings,
                          http_handler aHandler)
-  : mState(std::make_shared<http_server_state>(aAcceptor,
-                                               aWorkers,
-                                               std::move(aSettings),
-                                               std::move(aHandler)))
+  : mState(std::make_shared<http_server_state>(aAcceptor, aWorkers))
 {
+  mState->mServices->mSettings = std::move(aSettings);
+  mState->mServices->mHandler = std::move(aHandler);
+  const auto& settings = mState->mServices->mSettings;
   const asio::ip::tcp::endpoint endpoint(
-    asio::ip::make_address(mState->mSettings.mAddress),
-    mState->mSettings.mPort);
+    asio::ip::make_address(settings.mAddress), settings.mPort);
   mState->mAcceptor.open(endpoint.protocol());
   mState->mAcceptor.set_option(asio::socket_base::reuse_address(true));
   mState->mAcceptor.bind(endpoint);
@@ -323,13 +326,13 @@
 std::size_t
 http_server::Busy() const
 {
-  return mState->mBusy;
+  return mState->mServices->mBusy;
 }
 
 void
 http_server::Drain()
 {
-  if (mState->mDraining.exchange(true)) {
+  if (mState->mServices->mDraining.exchange(true)) {
     return;
   }
   asio::post(mState->mAcceptor.get_executor(), [state = mState] {
