Let a call end when its caller has gone

Cause: an upstream that sends nothing held its slot after its caller had left. Change: call_abort closes the call's connection from elsewhere on its thread; an attempt looks each 200 ms whether its caller is there, except for requests that must not be repeated, which run to their end so that their fate is known.

--- a/include/sapphirespar/router/one_shot.hpp
+++ b/include/sapphirespar/router/one_shot.hpp
@@ -22,7 +22,8 @@
 public:
   explicit one_shot(asio::any_io_executor aExecutor)
     : mTimer(aExecutor)
-  {}
+  {
+  }
 
   // Safe on any thread; only the first value counts.
   void Set(T aValue)
--- a/include/sapphirespar/wire/http_client.hpp
+++ b/include/sapphirespar/wire/http_client.hpp
@@ -80,6 +80,26 @@
 
 using http_stream_ptr = std::unique_ptr<http_stream>;
 
+// Lets another part of the same thread end a call that is in progress. The
+// call then fails with wire_error_kind::Cancelled.
+class call_abort
+{
+public:
+  // Closes the connection that the call travels on, now or once it has one.
+  void Abort();
+  bool Aborted() const { return mAborted; }
+
+  // The connection that a later Abort closes; null for none.
+  void Attach(std::shared_ptr<byte_stream> aStream);
+
+private:
+  bool mAborted = false;
+  // Expired when the call is over.
+  std::weak_ptr<byte_stream> mStream;
+};
+
+using call_abort_ptr = std::shared_ptr<call_abort>;
+
 class http_client
 {
 public:
@@ -95,12 +115,14 @@
     std::chrono::milliseconds aTimeout,
     connection_choice aChoice = connection_choice::Pooled);
 
-  // Sends a request and returns once the response's head has arrived.
+  // Sends a request and returns once the response's head has arrived. aAbort
+  // may be null; it stays effective until the response's end.
   asio::awaitable<wire_result<http_stream_ptr>> Open(
     endpoint aEndpoint,
     http_request aRequest,
     std::chrono::milliseconds aHeadTimeout,
-    connection_choice aChoice = connection_choice::Pooled);
+    connection_choice aChoice = connection_choice::Pooled,
+    call_abort_ptr aAbort = nullptr);
 
   // Closes every idle connection to aEndpoint.
   void DropIdle(const endpoint& aEndpoint);
--- a/src/sapphirespar/router/attempt.cpp
+++ b/src/sapphirespar/router/attempt.cpp
@@ -3,6 +3,9 @@
 
 #include "sapphirespar/router/sse_splitter.hpp"
 
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+
 #include <algorithm>
 
 namespace sapphirespar::router {
@@ -45,6 +48,9 @@
 attempt_end
 EndOf(const wire::wire_error& aError)
 {
+  if (aError.mKind == wire::wire_error_kind::Cancelled) {
+    return attempt_end::CallerLeft;
+  }
   if (!aError.mBytesWritten) {
     return attempt_end::NotSent;
   }
@@ -91,6 +97,50 @@
            { "X-Request-Id", aCall.mId.mText } };
 }
 
+// Ends a call as soon as its caller has gone. Looks now and then, so that an
+// upstream that sends nothing is left as well.
+class caller_watch : public std::enable_shared_from_this<caller_watch>
+{
+public:
+  caller_watch(asio::any_io_executor aExecutor,
+               wire::http_reply& aReply,
+               wire::call_abort_ptr aAbort)
+    : mTimer(aExecutor)
+    , mReply(&aReply)
+    , mAbort(std::move(aAbort))
+  {
+  }
+
+  void Start()
+  {
+    mTimer.expires_after(kCallerCheck);
+    mTimer.async_wait([self = shared_from_this()](const auto& aError) {
+      if (aError || self->mReply == nullptr) {
+        return;
+      }
+      if (self->mReply->CallerGone()) {
+        self->mAbort->Abort();
+        return;
+      }
+      self->Start();
+    });
+  }
+
+  void Stop()
+  {
+    mReply = nullptr;
+    mTimer.cancel();
+  }
+
+private:
+  static constexpr milliseconds kCallerCheck{ 200 };
+
+  asio::steady_timer mTimer;
+  // Null once the attempt has ended.
+  wire::http_reply* mReply;
+  wire::call_abort_ptr mAbort;
+};
+
 // The state of one attempt while it runs.
 class attempt
 {
@@ -99,16 +149,33 @@
     : mCall(aCall)
     , mReply(aReply)
     , mState(aState)
-  {}
+  {
+  }
 
   asio::awaitable<attempt_result> Run(wire::endpoint aTarget,
                                       wire::http_client& aClient)
+  {
+    const auto watch = std::make_shared<caller_watch>(
+      co_await asio::this_coro::executor, mReply, mAbort);
+    // A call that must not be repeated runs to its end, so that its caller can
+    // still learn how it ended.
+    if (mCall.mClass->mIdempotent) {
+      watch->Start();
+    }
+    auto result = co_await Exchange(std::move(aTarget), aClient);
+    watch->Stop();
+    co_return result;
+  }
+
+private:
+  asio::awaitable<attempt_result> Exchange(wire::endpoint aTarget,
+                                           wire::http_client& aClient)
   {
     const auto choice = mCall.mClass->mOnce == once_mode::None
                           ? wire::connection_choice::Pooled
                           : wire::connection_choice::Fresh;
-    auto opened =
-      co_await aClient.Open(aTarget, Forward(), HeadTimeout(mCall), choice);
+    auto opened = co_await aClient.Open(
+      aTarget, Forward(), HeadTimeout(mCall), choice, mAbort);
     if (!opened) {
       co_return End(EndOf(opened.error()), opened.error().mDetail);
     }
@@ -126,7 +193,6 @@
     co_return co_await RelayWhole(stream);
   }
 
-private:
   wire::http_request Forward() const
   {
     auto request = mCall.mForward;
@@ -230,6 +296,7 @@
   const call& mCall;
   wire::http_reply& mReply;
   relay_state& mState;
+  const wire::call_abort_ptr mAbort = std::make_shared<wire::call_abort>();
   const steady_time mStart = steady_clock::now();
   attempt_result mResult;
 };
--- a/src/sapphirespar/router/call.cpp
+++ b/src/sapphirespar/router/call.cpp
@@ -261,8 +261,8 @@
   call result;
   result.mId = std::move(aId);
   result.mSnapshot = std::move(aSnapshot);
-  result.mTrace = ParseTraceparent(aRequest.Header("traceparent"))
-                    .value_or(NewTrace());
+  result.mTrace =
+    ParseTraceparent(aRequest.Header("traceparent")).value_or(NewTrace());
   result.mAccount = Authenticate(aRequest, *result.mSnapshot);
   if (result.mAccount == nullptr) {
     return Refuse(refusal_reason::Unauthorized,
--- a/src/sapphirespar/router/control_plane.cpp
+++ b/src/sapphirespar/router/control_plane.cpp
@@ -182,8 +182,7 @@
   hooks.mChanged = [this] { Publish(); };
   hooks.mPaused = [](steady_duration aPause) {
     const auto length = std::chrono::duration_cast<milliseconds>(aPause);
-    LogEvent(
-      log_level::Warning, "paused", { { "pause_ms", length.count() } });
+    LogEvent(log_level::Warning, "paused", { { "pause_ms", length.count() } });
   };
   return hooks;
 }
@@ -243,7 +242,8 @@
       Publish();
     });
   mBundles->Start();
-  mTick = mTimers.Every(kDispatchTick, [this] { mServices.mDispatcher.Tick(); });
+  mTick =
+    mTimers.Every(kDispatchTick, [this] { mServices.mDispatcher.Tick(); });
   mMetricsTick = mTimers.Every(kMetricsPeriod, [this] { UpdateMetrics(); });
 }
 
@@ -261,21 +261,22 @@
 control_plane::state::UpstreamViews() const
 {
   std::vector<policy::upstream_view> views;
-  std::ranges::transform(
-    mBoard.mBundle->mUpstreams,
-    std::back_inserter(views),
-    [&](const upstream_spec& aSpec) {
-      policy::upstream_view view;
-      view.mId = aSpec.mId;
-      view.mPools = PoolsOf(aSpec);
-      view.mSlots = aSpec.mSlots;
-      const auto status = mBoard.mUpstreams.find(aSpec.mId);
-      if (status != mBoard.mUpstreams.end()) {
-        view.mState = status->second.mState;
-        view.mRelativeSpeed = status->second.mRelativeSpeed;
-      }
-      return view;
-    });
+  std::ranges::transform(mBoard.mBundle->mUpstreams,
+                         std::back_inserter(views),
+                         [&](const upstream_spec& aSpec) {
+                           policy::upstream_view view;
+                           view.mId = aSpec.mId;
+                           view.mPools = PoolsOf(aSpec);
+                           view.mSlots = aSpec.mSlots;
+                           const auto status =
+                             mBoard.mUpstreams.find(aSpec.mId);
+                           if (status != mBoard.mUpstreams.end()) {
+                             view.mState = status->second.mState;
+                             view.mRelativeSpeed =
+                               status->second.mRelativeSpeed;
+                           }
+                           return view;
+                         });
   return views;
 }
 
@@ -329,26 +330,22 @@
   auto& gauges = mServices.mMetrics;
   const auto& traffic = mMesh.Traffic();
   gauges.Set("sapphirespar_control_cpu_seconds", {}, ThreadCpuSeconds());
-  gauges.Set("sapphirespar_peer_bytes_in",
-             {},
-             static_cast<double>(traffic.mBytesIn));
-  gauges.Set("sapphirespar_peer_bytes_out",
-             {},
-             static_cast<double>(traffic.mBytesOut));
-  gauges.Set("sapphirespar_members",
-             {},
-             static_cast<double>(std::ranges::count(
-               mBoard.mMembers | std::views::values,
-               member_state::Live,
-               &member::mState)));
+  gauges.Set(
+    "sapphirespar_peer_bytes_in", {}, static_cast<double>(traffic.mBytesIn));
+  gauges.Set(
+    "sapphirespar_peer_bytes_out", {}, static_cast<double>(traffic.mBytesOut));
+  gauges.Set(
+    "sapphirespar_members",
+    {},
+    static_cast<double>(std::ranges::count(mBoard.mMembers | std::views::values,
+                                           member_state::Live,
+                                           &member::mState)));
   if (mBoard.mBundle) {
     const auto& version = mBoard.mBundle->mVersion;
-    gauges.Set("sapphirespar_bundle_epoch",
-               {},
-               static_cast<double>(version.mEpoch));
-    gauges.Set("sapphirespar_bundle_number",
-               {},
-               static_cast<double>(version.mNumber));
+    gauges.Set(
+      "sapphirespar_bundle_epoch", {}, static_cast<double>(version.mEpoch));
+    gauges.Set(
+      "sapphirespar_bundle_number", {}, static_cast<double>(version.mNumber));
   }
   for (const auto& counts : mServices.mDispatcher.Counts()) {
     gauges.Set(
@@ -367,7 +364,8 @@
                                    std::move(aSelf),
                                    aCallerPort,
                                    aServices))
-{}
+{
+}
 
 control_plane::~control_plane() = default;
 
--- a/src/sapphirespar/router/dispatcher.cpp
+++ b/src/sapphirespar/router/dispatcher.cpp
@@ -94,9 +94,9 @@
   bool waiting = false;
   Change([&](auto& aScheduler) {
     waiting = TakeWaiter(aRequest) != nullptr;
-    return waiting ? aScheduler.Withdraw(aRequest,
-                                         std::chrono::steady_clock::now())
-                   : policy::decisions{};
+    return waiting
+             ? aScheduler.Withdraw(aRequest, std::chrono::steady_clock::now())
+             : policy::decisions{};
   });
   return waiting;
 }
@@ -139,8 +139,7 @@
                     std::function<bool()> aCallerGone)
 {
   const auto id = aRequest.mId;
-  const auto own =
-    std::make_shared<waiter>(co_await asio::this_coro::executor);
+  const auto own = std::make_shared<waiter>(co_await asio::this_coro::executor);
   mState->Change([&](auto& aScheduler) {
     mState->mWaiters.emplace(id, own);
     return aScheduler.Submit(std::move(aRequest),
--- a/src/sapphirespar/router/exchange.cpp
+++ b/src/sapphirespar/router/exchange.cpp
@@ -59,8 +59,8 @@
 {
   refusal refused;
   const bool timedOut = aResult.mEnd == attempt_end::TimedOut;
-  refused.mReason = timedOut ? refusal_reason::UpstreamTimeout
-                             : refusal_reason::UpstreamFailed;
+  refused.mReason =
+    timedOut ? refusal_reason::UpstreamTimeout : refusal_reason::UpstreamFailed;
   const bool notRun = aResult.mEnd == attempt_end::NotSent ||
                       aResult.mEnd == attempt_end::Refused;
   refused.mOutcome = notRun ? outcome::NotRun : outcome::Unknown;
@@ -79,7 +79,8 @@
     : mServices(aServices)
     , mClient(aClient)
     , mReply(aReply)
-  {}
+  {
+  }
 
   asio::awaitable<void> Serve(const wire::http_request& aRequest)
   {
@@ -322,14 +323,13 @@
     }
     const auto first = mState.mFirstSent.value_or(steady_clock::now());
     if (aEnd.mWhole) {
-      mServices.mMetrics.Observe("sapphirespar_first_token_ms",
-                                 { { "class", name } },
-                                 first - mArrival);
+      mServices.mMetrics.Observe(
+        "sapphirespar_first_token_ms", { { "class", name } }, first - mArrival);
     }
-    const std::string_view code =
-      aEnd.mWhole        ? "done"
-      : aEnd.mCallerLeft ? "caller_left"
-                         : ToText(aEnd.mRefusal.mReason);
+    const std::string_view code = aEnd.mWhole ? "done"
+                                  : aEnd.mCallerLeft
+                                    ? "caller_left"
+                                    : ToText(aEnd.mRefusal.mReason);
     LogEvent(log_level::Info,
              "request",
              { { "request", mCall.mId.mText },
--- a/src/sapphirespar/router/pages.cpp
+++ b/src/sapphirespar/router/pages.cpp
@@ -25,8 +25,8 @@
 asio::awaitable<std::string>
 OnControlThread(asio::io_context& aContext, std::function<std::string()> aWork)
 {
-  const auto result = std::make_shared<one_shot<std::string>>(
-    co_await asio::this_coro::executor);
+  const auto result =
+    std::make_shared<one_shot<std::string>>(co_await asio::this_coro::executor);
   asio::post(aContext, [result, aWork] { result->Set(aWork()); });
   std::optional<std::string> text;
   while (!text) {
@@ -63,8 +63,8 @@
 {
   const auto query = wire::SplitTarget(aRequest.mTarget).mQuery;
   const auto asked = wire::QueryValue(query, "data_centre");
-  const auto preferred =
-    asked.empty() ? aSnapshot.DataCentre() : data_centre_id{ std::string(asked) };
+  const auto preferred = asked.empty() ? aSnapshot.DataCentre()
+                                       : data_centre_id{ std::string(asked) };
   const auto* account = Authenticate(aRequest, aSnapshot);
   const auto name = account != nullptr ? account->mId : account_id{};
   const auto list =
@@ -99,8 +99,7 @@
   const std::function<std::string()> issue = [&aServices, id] {
     return aServices.mControl.Once().IssueToken(id);
   };
-  const auto token =
-    co_await OnControlThread(aServices.mControlContext, issue);
+  const auto token = co_await OnControlThread(aServices.mControlContext, issue);
   const json::object page{ { "token", token } };
   co_return wire::JsonResponse(kOk, json::serialize(page));
 }
--- a/src/sapphirespar/router/router_app.cpp
+++ b/src/sapphirespar/router/router_app.cpp
@@ -23,8 +23,7 @@
 namespace sapphirespar::router {
 namespace {
 
-using work_guard =
-  asio::executor_work_guard<asio::io_context::executor_type>;
+using work_guard = asio::executor_work_guard<asio::io_context::executor_type>;
 
 // A thread with its own context and upstream connections.
 struct worker
@@ -135,12 +134,8 @@
   };
   mControl = std::make_unique<control_plane>(
     mSettings, mSelf, mServer->Port(), services);
-  mPages.emplace(page_services{ mControlContext,
-                                *mControl,
-                                mSnapshots,
-                                mDispatcher,
-                                mMetrics,
-                                mSpans });
+  mPages.emplace(page_services{
+    mControlContext, *mControl, mSnapshots, mDispatcher, mMetrics, mSpans });
   mControl->Start();
   mControlThread = std::thread([this] { mControlContext.run(); });
   for (const auto& item : mWorkers) {
@@ -279,9 +274,9 @@
 }
 
 router_app::router_app(router_settings aSettings, router_options aOptions)
-  : mState(
-      std::make_unique<state>(std::move(aSettings), std::move(aOptions)))
-{}
+  : mState(std::make_unique<state>(std::move(aSettings), std::move(aOptions)))
+{
+}
 
 router_app::~router_app() = default;
 
--- a/src/sapphirespar/router/sse_splitter.cpp
+++ b/src/sapphirespar/router/sse_splitter.cpp
@@ -17,8 +17,7 @@
     if (end == std::string::npos) {
       break;
     }
-    const auto event =
-      std::string_view(mPartial).substr(start, end - start);
+    const auto event = std::string_view(mPartial).substr(start, end - start);
     result.mDone = event == kDone;
     result.mCount += event.starts_with(kData) && !result.mDone ? 1 : 0;
     start = end + kBoundary.size();
--- a/src/sapphirespar/router/upstream_probe.cpp
+++ b/src/sapphirespar/router/upstream_probe.cpp
@@ -37,11 +37,11 @@
   : mExecutor(aExecutor)
   , mClient(std::make_shared<wire::http_client>(aExecutor,
                                                 wire::http_client_settings{}))
-{}
+{
+}
 
 void
-upstream_probe::Probe(const upstream_spec& aSpec,
-                      upstream::load_callback aDone)
+upstream_probe::Probe(const upstream_spec& aSpec, upstream::load_callback aDone)
 {
   Ask(aSpec, wire::connection_choice::Fresh, std::move(aDone));
 }
--- a/src/sapphirespar/wire/http_client.cpp
+++ b/src/sapphirespar/wire/http_client.cpp
@@ -21,7 +21,7 @@
 // A connected stream with its read buffer.
 struct connection
 {
-  byte_stream_ptr mStream;
+  std::shared_ptr<byte_stream> mStream;
   beast::flat_buffer mBuffer;
   steady_clock::time_point mIdleSince{};
 };
@@ -89,9 +89,11 @@
 
   response_reader(connection_ptr aConnection,
                   keep_connection aKeep,
+                  call_abort_ptr aAbort,
                   std::uint64_t aBodyLimit)
     : mConnection(std::move(aConnection))
     , mKeep(std::move(aKeep))
+    , mAbort(std::move(aAbort))
   {
     mParser.body_limit(aBodyLimit);
     mParser.eager(true);
@@ -122,7 +124,7 @@
         *mConnection->mStream, mConnection->mBuffer, mParser, aTimeout);
       if (error) {
         mConnection.reset();
-        co_return ToWireError(wire_error_kind::Read, kBytesWritten, error);
+        co_return ReadError(error);
       }
     }
     auto piece = std::exchange(mParser.get().body(), std::string{});
@@ -132,10 +134,20 @@
     co_return piece;
   }
 
+  wire_error ReadError(const error_code& aError) const
+  {
+    const auto kind = mAbort && mAbort->Aborted() ? wire_error_kind::Cancelled
+                                                  : wire_error_kind::Read;
+    return ToWireError(kind, kBytesWritten, aError);
+  }
+
 private:
   // Returns the connection to the pool if it can carry another request.
   void GiveBack()
   {
+    if (mAbort) {
+      mAbort->Attach(nullptr);
+    }
     if (mConnection && mParser.get().keep_alive() &&
         mConnection->mBuffer.size() == 0) {
       mKeep(std::move(mConnection));
@@ -145,6 +157,8 @@
 
   connection_ptr mConnection;
   keep_connection mKeep;
+  // Null for a call that nobody else may end.
+  call_abort_ptr mAbort;
   response_parser mParser;
   http_response mHead;
 };
@@ -171,6 +185,21 @@
   return "cancelled";
 }
 
+void
+call_abort::Abort()
+{
+  mAborted = true;
+  if (const auto stream = mStream.lock()) {
+    stream->Close();
+  }
+}
+
+void
+call_abort::Attach(std::shared_ptr<byte_stream> aStream)
+{
+  mStream = aStream;
+}
+
 struct http_client::state
 {
   state(asio::any_io_executor aExecutor, http_client_settings aSettings)
@@ -232,7 +261,8 @@
 http_client::Open(endpoint aEndpoint,
                   http_request aRequest,
                   milliseconds aHeadTimeout,
-                  connection_choice aChoice)
+                  connection_choice aChoice,
+                  call_abort_ptr aAbort)
 {
   const auto state = mState;
   const auto& settings = state->mSettings;
@@ -248,6 +278,12 @@
     line = std::make_unique<connection>();
     line->mStream = std::move(connected).value();
   }
+  if (aAbort) {
+    aAbort->Attach(line->mStream);
+    if (aAbort->Aborted()) {
+      co_return wire_error{ wire_error_kind::Cancelled, kNothingWritten, {} };
+    }
+  }
   const auto bytes = ToBytes(aEndpoint, std::move(aRequest));
   const auto writeError = co_await line->mStream->Write(bytes, aHeadTimeout);
   if (writeError) {
@@ -257,10 +293,10 @@
     state->Keep(aEndpoint, std::move(aConnection));
   };
   auto reader = std::make_unique<response_reader>(
-    std::move(line), keep, settings.mBodyLimitBytes);
+    std::move(line), keep, aAbort, settings.mBodyLimitBytes);
   const auto headError = co_await reader->ReadHead(aHeadTimeout);
   if (headError) {
-    co_return ToWireError(wire_error_kind::Read, kBytesWritten, headError);
+    co_return reader->ReadError(headError);
   }
   co_return http_stream_ptr(std::move(reader));
 }
--- a/src/sapphirespar/wire/http_server.cpp
+++ b/src/sapphirespar/wire/http_server.cpp
@@ -36,7 +36,8 @@
                     std::span<asio::io_context* const> aWorkers)
     : mAcceptor(aContext)
     , mWorkers(aWorkers.begin(), aWorkers.end())
-  {}
+  {
+  }
 
   asio::ip::tcp::acceptor mAcceptor;
   std::vector<asio::io_context*> mWorkers;
@@ -231,8 +232,9 @@
 asio::awaitable<void>
 ServeConnection(services_ptr aServices, asio::ip::tcp::socket aSocket)
 {
-  auto accepted = co_await AcceptStream(
-    std::move(aSocket), aServices->mSettings.mTls, aServices->mSettings.mReadTimeout);
+  auto accepted = co_await AcceptStream(std::move(aSocket),
+                                        aServices->mSettings.mTls,
+                                        aServices->mSettings.mReadTimeout);
   if (!accepted) {
     LogEvent(log_level::Debug,
              "handshake_failed",
@@ -286,8 +288,9 @@
       co_await PauseAfterAcceptError();
       continue;
     }
-    asio::co_spawn(
-      worker, ServeConnection(aState->mServices, std::move(socket)), LogLostHandler);
+    asio::co_spawn(worker,
+                   ServeConnection(aState->mServices, std::move(socket)),
+                   LogLostHandler);
   }
 }
 
