Serve the two ways of an exchange with if and else

Cause: a whole answer ended the router with free(): invalid pointer; g++ 12 destroys the value of a co_await inside a conditional expression twice. Change: if and else; one log line, not two, for a bundle in force.

--- a/src/sapphirespar/router/control_plane.cpp
+++ b/src/sapphirespar/router/control_plane.cpp
@@ -233,11 +233,7 @@
   bundles.mTrusted = mSettings.mSigners;
   bundles.mSeed = mBoard.mSelf.mIncarnation;
   mBundles.emplace(
-    mPlatform, mMesh, mTimers, mBoard, bundles, [this](bundle_ptr aBundle) {
-      LogEvent(log_level::Info,
-               "bundle_in_force",
-               { { "epoch", aBundle->mVersion.mEpoch },
-                 { "number", aBundle->mVersion.mNumber } });
+    mPlatform, mMesh, mTimers, mBoard, bundles, [this](const bundle_ptr&) {
       mHealth->OnBundle();
       Publish();
     });
--- a/src/sapphirespar/router/exchange.cpp
+++ b/src/sapphirespar/router/exchange.cpp
@@ -100,9 +100,14 @@
     mCall = std::move(std::get<call>(parsed));
     mSpan = StartSpan("request", mCall.mTrace, system_clock::now());
     mCall.mTrace = mSpan.mContext;
-    const auto end = mCall.mClass->mOnce == once_mode::None
-                       ? co_await ServeAdmitted()
-                       : co_await ServeOnce();
+    // Not a conditional expression: g++ 12 destroys the value of a co_await
+    // in one twice.
+    exchange_end end;
+    if (mCall.mClass->mOnce == once_mode::None) {
+      end = co_await ServeAdmitted();
+    } else {
+      end = co_await ServeOnce();
+    }
     co_await Answer(end);
     Report(end);
   }
