--- a/src/sapphirespar/router/control_plane.cpp
+++ b/src/sapphirespar/router/control_plane.cpp
@@ -17,7 +17,6 @@
 #include <algorithm>
 #include <iterator>
 #include <optional>
-#include <ranges>
 #include <vector>
 
 namespace sapphirespar::router {
@@ -330,12 +329,12 @@
     "sapphirespar_peer_bytes_in", {}, static_cast<double>(traffic.mBytesIn));
   gauges.Set(
     "sapphirespar_peer_bytes_out", {}, static_cast<double>(traffic.mBytesOut));
-  gauges.Set(
-    "sapphirespar_members",
-    {},
-    static_cast<double>(std::ranges::count(mBoard.mMembers | std::views::values,
-                                           member_state::Live,
-                                           &member::mState)));
+  gauges.Set("sapphirespar_members",
+             {},
+             static_cast<double>(std::ranges::count(
+               mBoard.mMembers, member_state::Live, [](const auto& aItem) {
+                 return aItem.second.mState;
+               })));
   if (mBoard.mBundle) {
     const auto& version = mBoard.mBundle->mVersion;
     gauges.Set(
--- a/src/sapphirespar/router/snapshot.cpp
+++ b/src/sapphirespar/router/snapshot.cpp
@@ -3,7 +3,6 @@
 
 #include <algorithm>
 #include <iterator>
-#include <ranges>
 
 namespace sapphirespar::router {
 namespace {
@@ -36,8 +35,9 @@
   , mLeaving(aBoard.mLeaving)
   , mBundle(aBoard.mBundle)
 {
-  std::ranges::copy(aBoard.mMembers | std::views::values,
-                    std::back_inserter(mMembers));
+  std::ranges::transform(aBoard.mMembers,
+                         std::back_inserter(mMembers),
+                         [](const auto& aItem) { return aItem.second; });
   if (!mBundle) {
     return;
   }
--- a/src/sapphirespar/router/status.cpp
+++ b/src/sapphirespar/router/status.cpp
@@ -6,7 +6,6 @@
 #include <algorithm>
 #include <chrono>
 #include <iterator>
-#include <ranges>
 
 namespace sapphirespar::router {
 namespace {
@@ -101,11 +100,11 @@
     { "bundle", ToJson(version) },
     { "platform_up", aBoard.mPlatformUp },
     { "members",
-      ToArray(aBoard.mMembers | std::views::values,
-              [&](const auto& aItem) { return ToJson(aItem, aNow); }) },
+      ToArray(aBoard.mMembers,
+              [&](const auto& aItem) { return ToJson(aItem.second, aNow); }) },
     { "upstreams",
-      ToArray(aBoard.mUpstreams | std::views::values,
-              [&](const auto& aItem) { return ToJson(aItem, aNow); }) },
+      ToArray(aBoard.mUpstreams,
+              [&](const auto& aItem) { return ToJson(aItem.second, aNow); }) },
     { "queues",
       ToArray(aQueues, [](const auto& aItem) { return ToJson(aItem); }) },
   };
