Keep platform calls within a budget and settle lost writes

Cause: the platform counts each call; a fleet that comes back at once after an outage would overrun it, and a lost answer leaves a write in doubt. Change: careful_platform shares reads and writes per second over the fleet, answers at once during an outage while one probe per router asks after it, ramps up from a tenth with jitter, and reads lost writes back. Settings name reads_per_second and writes_per_second. Figures: trial of 100 routers that want ten times the budget, in virtual time: no second over 1.1 times the budget, also after an outage of 80 s.

--- a/include/sapphirespar/config/settings.hpp
+++ b/include/sapphirespar/config/settings.hpp
@@ -42,8 +42,10 @@
   std::uint16_t mPeerPort = 0;
 
   address_port mPlatform;
-  // Platform calls that the whole fleet may make, shared by its routers.
-  double mFleetCallsPerSecond = 200;
+  // Platform calls that the whole fleet may make, shared by its routers:
+  // reads, lists and watches, and writes.
+  double mFleetReadsPerSecond = 1000;
+  double mFleetWritesPerSecond = 200;
 
   // Who may sign the first bundle; later ones name their own signers.
   std::vector<signer> mSigners;
--- /dev/null
+++ b/src/sapphirespar/config/careful_platform_test.cpp
@@ -0,0 +1,221 @@
+// Tests of the budget, the outage gate and the settling of lost answers.
+#include "sapphirespar/config/careful_platform.hpp"
+
+#include "sapphirespar/model/fake_platform.hpp"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <memory>
+#include <optional>
+#include <vector>
+
+namespace sapphirespar {
+namespace {
+
+using namespace std::chrono_literals;
+
+const object_key kKey{ "claims", "7" };
+
+// One router with its own client on a shared store.
+struct careful_router
+{
+  careful_router(timer_service& aTimers,
+                 const std::shared_ptr<fake_store>& aStore,
+                 careful_platform_settings aSettings,
+                 std::size_t aFleet)
+    : mInner(aTimers, aStore)
+    , mCareful(mInner,
+               aTimers,
+               aSettings,
+               { [aFleet] { return aFleet; },
+                 [this](bool aUp) { mUps.push_back(aUp); } })
+  {
+  }
+
+  fake_platform mInner;
+  std::vector<bool> mUps;
+  careful_platform mCareful;
+};
+
+class careful_calls : public testing::Test
+{
+protected:
+  object_answer Put(std::string aValue, object_version aExpected)
+  {
+    std::optional<object_answer> got;
+    mRouter.mCareful.Put(
+      kKey, std::move(aValue), aExpected, [&](auto aAnswer) { got = aAnswer; });
+    mTimers.Advance(20s);
+    return got.value();
+  }
+
+  platform_status GetStatus(steady_duration aWithin)
+  {
+    std::optional<platform_status> got;
+    mRouter.mCareful.Get(kKey, [&](auto aAnswer) { got = aAnswer.mStatus; });
+    mTimers.Advance(aWithin);
+    return got.value();
+  }
+
+  manual_timer_service mTimers;
+  std::shared_ptr<fake_store> mStore = std::make_shared<fake_store>();
+  careful_router mRouter{ mTimers, mStore, {}, 1 };
+};
+
+TEST_F(careful_calls, ALostAnswerIsReadBackAndALostWriteIsRepeated)
+{
+  mRouter.mInner.Faults().mLoseAnswers = 1;
+  const auto first = Put("one", kNoObject);
+  EXPECT_EQ(first.mStatus, platform_status::Ok);
+  EXPECT_EQ(first.mObject.mVersion, mStore->Find(kKey)->mVersion);
+  EXPECT_EQ(mRouter.mCareful.Counts().mWrites, 1U);
+  mRouter.mInner.Faults().mLoseRequests = 1;
+  EXPECT_EQ(Put("two", first.mObject.mVersion).mStatus, platform_status::Ok);
+  EXPECT_EQ(mStore->Find(kKey)->mValue, "two");
+  EXPECT_EQ(mRouter.mCareful.Counts().mSettled, 1U);
+}
+
+TEST_F(careful_calls, AWriteThatAnotherFollowedStaysUnknown)
+{
+  mRouter.mInner.Faults().mLoseAnswers = 1;
+  std::optional<object_answer> got;
+  mRouter.mCareful.Put(
+    kKey, "mine", kNoObject, [&](auto aAnswer) { got = aAnswer; });
+  mTimers.Advance(1ms);
+  mStore->Write(kKey, "theirs", false, mStore->Find(kKey)->mVersion);
+  mTimers.Advance(10s);
+  EXPECT_EQ(got->mStatus, platform_status::Unknown);
+  EXPECT_EQ(mRouter.mCareful.Counts().mUnsettled, 1U);
+}
+
+TEST_F(careful_calls, ALongOutageLeavesALostWriteUnknownInTheEnd)
+{
+  mRouter.mInner.Faults().mDelay = 100ms;
+  std::optional<object_answer> got;
+  mRouter.mCareful.Put(
+    kKey, "mine", kNoObject, [&](auto aAnswer) { got = aAnswer; });
+  mTimers.Advance(70ms);
+  mRouter.mInner.Faults().mOutage = true;
+  mTimers.Advance(20s);
+  EXPECT_EQ(got->mStatus, platform_status::Unknown);
+}
+
+TEST_F(careful_calls, DuringAnOutageOnlyProbesReachThePlatform)
+{
+  mRouter.mInner.Faults().mOutage = true;
+  EXPECT_EQ(GetStatus(10ms), platform_status::Unavailable);
+  EXPECT_FALSE(mRouter.mCareful.IsUp());
+  for (int i = 0; i < 600; ++i) {
+    EXPECT_EQ(GetStatus(100ms), platform_status::Unavailable);
+  }
+  EXPECT_LE(mRouter.mInner.Calls().Total(), 30U);
+  EXPECT_EQ(Put("one", kNoObject).mStatus, platform_status::Unavailable);
+  mRouter.mInner.Faults().mOutage = false;
+  mTimers.Advance(8s);
+  EXPECT_TRUE(mRouter.mCareful.IsUp());
+  EXPECT_EQ(mRouter.mUps, (std::vector{ false, true }));
+  EXPECT_EQ(GetStatus(1s), platform_status::NotFound);
+}
+
+TEST_F(careful_calls, ABrokenWatchDoesNotCountAsAnOutage)
+{
+  mRouter.mInner.Faults().mBreakWatches = true;
+  std::optional<platform_status> got;
+  mRouter.mCareful.Watch(
+    "bundle", 0, 1000ms, [&](auto aAnswer) { got = aAnswer.mStatus; });
+  mTimers.Advance(2s);
+  EXPECT_EQ(got, platform_status::Unavailable);
+  EXPECT_TRUE(mRouter.mCareful.IsUp());
+}
+
+// Many routers that each would like to make ten calls a second.
+class careful_fleet : public testing::Test
+{
+protected:
+  static constexpr std::size_t kRouters = 100;
+  static constexpr double kFleetRate = 100;
+
+  careful_fleet()
+  {
+    for (std::size_t i = 0; i < kRouters; ++i) {
+      careful_platform_settings settings;
+      settings.mFleetReadsPerSecond = kFleetRate;
+      settings.mBurst = 1000ms;
+      settings.mSeed = i + 1;
+      mRouters.push_back(
+        std::make_unique<careful_router>(mTimers, mStore, settings, kRouters));
+    }
+    mEager = mTimers.Every(100ms, [this] {
+      for (const auto& router : mRouters) {
+        router->mCareful.Get(kKey, [](const auto&) {});
+      }
+    });
+  }
+
+  std::uint64_t Calls() const
+  {
+    std::uint64_t calls = 0;
+    for (const auto& router : mRouters) {
+      calls += router->mInner.Calls().Total();
+    }
+    return calls;
+  }
+
+  // Calls in each of the next seconds.
+  std::vector<std::uint64_t> CountSeconds(unsigned aSeconds)
+  {
+    std::vector<std::uint64_t> counts;
+    for (unsigned i = 0; i < aSeconds; ++i) {
+      const auto before = Calls();
+      mTimers.Advance(1s);
+      counts.push_back(Calls() - before);
+    }
+    return counts;
+  }
+
+  manual_timer_service mTimers;
+  std::shared_ptr<fake_store> mStore = std::make_shared<fake_store>();
+  std::vector<std::unique_ptr<careful_router>> mRouters;
+  timer_subscription mEager;
+};
+
+TEST_F(careful_fleet, KeepsWithinTheBudgetOfTheWhole)
+{
+  mTimers.Advance(5s);
+  const auto counts = CountSeconds(20);
+  EXPECT_LE(std::ranges::max(counts), kFleetRate * 1.1);
+  EXPECT_GE(std::ranges::min(counts), kFleetRate * 0.8);
+}
+
+TEST_F(careful_fleet, ReturnsWithoutARushAfterAnOutage)
+{
+  mTimers.Advance(5s);
+  for (const auto& router : mRouters) {
+    router->mInner.Faults().mOutage = true;
+  }
+  mTimers.Advance(60s);
+  const auto during = CountSeconds(20);
+  EXPECT_LE(std::ranges::max(during), kFleetRate);
+  for (const auto& router : mRouters) {
+    router->mInner.Faults().mOutage = false;
+  }
+  const auto after = CountSeconds(40);
+  EXPECT_LE(std::ranges::max(after), kFleetRate * 1.1);
+  EXPECT_GE(after.back(), kFleetRate * 0.8);
+  EXPECT_TRUE(std::ranges::all_of(
+    mRouters, [](const auto& aRouter) { return aRouter->mCareful.IsUp(); }));
+}
+
+TEST_F(careful_fleet, SlowsDownWhileThePlatformThrottles)
+{
+  mTimers.Advance(5s);
+  for (const auto& router : mRouters) {
+    router->mInner.Faults().mThrottle = true;
+  }
+  mTimers.Advance(10s);
+  EXPECT_LE(std::ranges::max(CountSeconds(20)), kFleetRate / 2);
+}
+
+} // namespace
+} // namespace sapphirespar
--- a/src/sapphirespar/config/settings.cpp
+++ b/src/sapphirespar/config/settings.cpp
@@ -95,8 +95,12 @@
 ReadPlatform(toml_table& aTable, router_settings& aSettings)
 {
   aSettings.mPlatform = ReadAddressPort(aTable);
-  aSettings.mFleetCallsPerSecond = aTable.Real(
-    "calls_per_second", kCallsPerSecondBounds, aSettings.mFleetCallsPerSecond);
+  aSettings.mFleetReadsPerSecond = aTable.Real(
+    "reads_per_second", kCallsPerSecondBounds, aSettings.mFleetReadsPerSecond);
+  aSettings.mFleetWritesPerSecond =
+    aTable.Real("writes_per_second",
+                kCallsPerSecondBounds,
+                aSettings.mFleetWritesPerSecond);
 }
 
 void
