Order by laxity, leave shares, refuse at the door, pause for the first tier

The tiered scheduler let tier 2 starve tier 3, ran work that then came too late, and had no way to find a slot for the first tier among long drafts.

Slots of upstreams that serve several pools are now given out across all of them: a property test found a lower request served before a waiting booking of another pool.

--- a/include/sapphirespar/policy/scheduler.hpp
+++ b/include/sapphirespar/policy/scheduler.hpp
@@ -48,6 +48,8 @@
   unsigned mForeignLoad = 0;
   // Prefixes believed cached, newest first.
   std::vector<std::uint64_t> mCachedPrefixes;
+  // Whether its owner can pause and resume a running request there.
+  bool mCanPause = false;
 };
 
 struct assignment
--- a/include/sapphirespar/policy/slot_table.hpp
+++ b/include/sapphirespar/policy/slot_table.hpp
@@ -32,6 +32,13 @@
   slot_state* mUpstream = nullptr;
   steady_time mStarted{};
   bool mPaused = false;
+  // Only meaningful while paused.
+  steady_time mPausedAt{};
+  // Sum of all pauses that have ended.
+  steady_duration mPausedTime{};
+
+  // Time for which it has really run until aNow.
+  steady_duration Held(steady_time aNow) const;
 };
 
 // Slots that can be taken now. Foreign load never hides the last one, so that
@@ -44,6 +51,9 @@
 // Whether aRequest may run there, free slots or not.
 bool MayServe(const slot_state& aState, const queued_request& aRequest);
 
+// Whether a slot could be taken if one request were paused.
+bool PauseFreesSlot(const slot_state& aState);
+
 using slot_members = std::vector<slot_state*>;
 
 class slot_table
@@ -68,13 +78,18 @@
   std::optional<slot_holder> Release(const request_id& aRequest);
 
   // A paused request keeps its place at the upstream but frees the slot.
-  void SetPaused(slot_holder& aHolder, bool aPaused);
+  void SetPaused(slot_holder& aHolder, bool aPaused, steady_time aNow);
 
   // Returns null if the request holds nothing.
   slot_holder* Find(const request_id& aRequest);
 
   const holders& Holders() const { return mHolders; }
-  holders& Holders() { return mHolders; }
+
+  // The paused requests of an upstream, the one due first at the front.
+  std::vector<slot_holder*> PausedAt(const slot_state& aState);
+
+  // The paused requests of upstreams that are not named any more.
+  std::vector<slot_holder*> PausedAtUnnamed();
 
   // Slots and outstanding requests of each pool; nothing is queued here.
   std::vector<scheduler_counts> Counts() const;
--- a/src/sapphirespar/experiment/fleet.cpp
+++ b/src/sapphirespar/experiment/fleet.cpp
@@ -45,6 +45,7 @@
     made.mView.mId = { "engine" + std::to_string(i) };
     made.mView.mPools = { std::string(kPool) };
     made.mView.mSlots = engine_shape{}.mSlots;
+    made.mView.mCanPause = true;
     made.mFake = std::make_unique<fake_engine>(
       aTimers,
       engine_shape{},
--- /dev/null
+++ b/src/sapphirespar/policy/choose_upstream.cpp
@@ -0,0 +1,124 @@
+// The choice of upstream.
+#include "sapphirespar/policy/choose_upstream.hpp"
+
+#include <algorithm>
+#include <numeric>
+
+namespace sapphirespar::policy {
+
+namespace {
+
+// A cached prefix may draw work to an upstream up to this multiple of the
+// mean load.
+constexpr double kPrefixLoadGuard = 1.25;
+
+constexpr double kLeastSpeed = 0.01;
+
+double
+SpeedOf(const slot_state& aState)
+{
+  return std::clamp(aState.mView.mRelativeSpeed, kLeastSpeed, 1.0);
+}
+
+bool
+IsSlow(const slot_state& aState)
+{
+  return aState.mView.mState == upstream_state::Slow;
+}
+
+steady_duration
+AtSpeed(steady_duration aTime, double aSpeed)
+{
+  return std::chrono::duration_cast<steady_duration>(aTime / aSpeed);
+}
+
+bool
+InTimeAt(const slot_state& aState, const placement& aPlacement)
+{
+  const auto speed = SpeedOf(aState);
+  const auto& expected = aPlacement.mExpected;
+  const auto& request = aPlacement.mRequest;
+  return aPlacement.mNow + AtSpeed(expected.mFirstToken, speed) <=
+           request.mFirstTokenBy &&
+         aPlacement.mNow + AtSpeed(expected.mAnswer, speed) <=
+           request.mAnswerBy;
+}
+
+bool
+HasPrefix(const slot_state& aState, std::uint64_t aPrefix)
+{
+  const auto& cached = aState.mView.mCachedPrefixes;
+  return std::ranges::find(cached, aPrefix) != cached.end();
+}
+
+double
+MeanLoad(const slot_members& aMembers)
+{
+  const auto sum = std::transform_reduce(
+    aMembers.begin(),
+    aMembers.end(),
+    0.0,
+    std::plus<>{},
+    [](const slot_state* aState) { return LoadOf(*aState); });
+  return sum / aMembers.size();
+}
+
+const slot_state*
+LeastLoaded(const slot_members& aMembers)
+{
+  const auto found = std::ranges::min_element(
+    aMembers, {}, [](const slot_state* aState) { return LoadOf(*aState); });
+  return found == aMembers.end() ? nullptr : *found;
+}
+
+// Returns null unless a free upstream within bounds has the prefix.
+const slot_state*
+PrefixHolder(const slot_members& aMembers, std::uint64_t aPrefix)
+{
+  if (aPrefix == 0) {
+    return nullptr;
+  }
+  const auto limit = kPrefixLoadGuard * MeanLoad(aMembers);
+  slot_members holders;
+  std::ranges::copy_if(
+    aMembers, std::back_inserter(holders), [&](const slot_state* aState) {
+      return LoadOf(*aState) <= limit && FreeSlots(*aState) > 0 &&
+             HasPrefix(*aState, aPrefix);
+    });
+  return LeastLoaded(holders);
+}
+
+} // namespace
+
+double
+LoadOf(const slot_state& aState)
+{
+  const double work = aState.mRunning + aState.mView.mForeignLoad + 1;
+  return work / (std::max(aState.mView.mSlots, 1u) * SpeedOf(aState));
+}
+
+const slot_state*
+ChooseUpstream(const placement& aPlacement)
+{
+  slot_members usable;
+  std::ranges::copy_if(aPlacement.mMembers,
+                       std::back_inserter(usable),
+                       [&](const slot_state* aState) {
+                         return MayServe(*aState, aPlacement.mRequest);
+                       });
+  if (!std::ranges::all_of(
+        usable, [](const slot_state* aState) { return IsSlow(*aState); })) {
+    std::erase_if(usable, [&](const slot_state* aState) {
+      return IsSlow(*aState) && !InTimeAt(*aState, aPlacement);
+    });
+  }
+  if (const auto* holder =
+        PrefixHolder(usable, aPlacement.mRequest.mPrefixHash)) {
+    return holder;
+  }
+  std::erase_if(
+    usable, [](const slot_state* aState) { return FreeSlots(*aState) == 0; });
+  return LeastLoaded(usable);
+}
+
+} // namespace sapphirespar::policy
--- a/src/sapphirespar/policy/class_lanes.cpp
+++ b/src/sapphirespar/policy/class_lanes.cpp
@@ -13,22 +13,40 @@
 // One account may fill at most one part in this many of a class's queue.
 constexpr unsigned kQueuePartsPerAccount = 2;
 
+// What a class without a declared share is left at least.
+constexpr unsigned kLeastSharePercent = 1;
+
+auto
+PlaceOf(const request_class& aClass)
+{
+  return std::tie(aClass.mTier, aClass.mId);
+}
+
+steady_time
+HeadOf(const class_lane& aLane)
+{
+  return aLane.mQueue.begin()->first.mStartBy;
+}
+
 } // namespace
 
 class_lane&
-LaneOf(class_lanes& aLanes, const request_class& aClass)
+AddLane(class_lanes& aLanes, const request_class& aClass)
 {
-  const auto place = [](const request_class& aItem) {
-    return std::tie(aItem.mTier, aItem.mId);
-  };
-  const auto found = std::ranges::lower_bound(
-    aLanes, place(aClass), {}, [&](const class_lane& aLane) {
-      return place(aLane.mClass);
+  class_lane lane;
+  lane.mClass = aClass;
+  const auto next = std::ranges::lower_bound(
+    aLanes, PlaceOf(aClass), {}, [](const class_lane& aLane) {
+      return PlaceOf(aLane.mClass);
     });
-  if (found != aLanes.end() && found->mClass.mId == aClass.mId) {
-    return *found;
-  }
-  return *aLanes.insert(found, class_lane{ aClass, {}, {} });
+  return *aLanes.insert(next, std::move(lane));
+}
+
+void
+SortLanes(class_lanes& aLanes)
+{
+  std::ranges::sort(
+    aLanes, {}, [](const class_lane& aLane) { return PlaceOf(aLane.mClass); });
 }
 
 bool
@@ -75,4 +93,86 @@
     [](const class_lane& aLane) { return aLane.mQueue.size(); });
 }
 
+double
+MinimumShare(const class_lane& aLane)
+{
+  if (aLane.IsFirstTier()) {
+    return 0;
+  }
+  constexpr double kPercent = 100;
+  return std::max(aLane.mClass.mMinimumSharePercent, kLeastSharePercent) /
+         kPercent;
+}
+
+void
+EarnShares(class_lanes& aLanes,
+           unsigned aSlots,
+           steady_duration aTime,
+           const std::function<steady_duration(const class_id&)>& aSlotTime)
+{
+  for (auto& lane : aLanes) {
+    if (lane.mQueue.empty()) {
+      continue;
+    }
+    const auto earned = std::chrono::duration_cast<steady_duration>(
+      aTime * (MinimumShare(lane) * aSlots));
+    lane.mCredit = std::min(lane.mCredit + earned, aSlotTime(lane.mClass.mId));
+  }
+}
+
+void
+ChargeShare(class_lane& aLane, steady_duration aSlotTime)
+{
+  aLane.mCredit = std::max(aLane.mCredit - aSlotTime, -aSlotTime);
+}
+
+bool
+GoesBefore(const class_lane& aLeft, const class_lane& aRight)
+{
+  const auto rank = [](const class_lane& aLane) {
+    const bool owed = aLane.mCredit > steady_duration::zero();
+    const auto tier =
+      aLane.IsFirstTier() || !owed ? aLane.mClass.mTier : kFirstTier + 1;
+    return std::tuple(
+      aLane.IsFirstTier() ? 0 : 1, owed ? 0 : 1, tier, HeadOf(aLane));
+  };
+  return rank(aLeft) < rank(aRight);
+}
+
+class_lane*
+NextLane(class_lanes& aLanes, std::span<const class_lane* const> aSkipped)
+{
+  class_lane* next = nullptr;
+  for (auto& lane : aLanes) {
+    const bool skipped = std::ranges::find(aSkipped, &lane) != aSkipped.end();
+    if (lane.mQueue.empty() || skipped) {
+      continue;
+    }
+    if (!next || GoesBefore(lane, *next)) {
+      next = &lane;
+    }
+  }
+  return next;
+}
+
+double
+RequestsAhead(const class_lane& aLane, const queue_key& aKey)
+{
+  if (aLane.mQueue.empty()) {
+    return 0;
+  }
+  const double size = aLane.mQueue.size();
+  const auto first = HeadOf(aLane);
+  const auto last = aLane.mQueue.rbegin()->first.mStartBy;
+  if (aKey.mStartBy < first) {
+    return 0;
+  }
+  if (aKey.mStartBy >= last) {
+    return size;
+  }
+  const std::chrono::duration<double> span = last - first;
+  const std::chrono::duration<double> part = aKey.mStartBy - first;
+  return size * (part / span);
+}
+
 } // namespace sapphirespar::policy
--- /dev/null
+++ b/src/sapphirespar/policy/pool_queue.cpp
@@ -0,0 +1,136 @@
+// Predictions for one pool.
+#include "sapphirespar/policy/pool_queue.hpp"
+
+#include <algorithm>
+#include <numeric>
+
+namespace sapphirespar::policy {
+
+namespace {
+
+// Slots that a prediction counts on at least.
+constexpr double kLeastCapacity = 0.01;
+
+unsigned
+RunningAbove(const pool_queue& aPool, unsigned aTier)
+{
+  return std::transform_reduce(aPool.mLanes.begin(),
+                               aPool.mLanes.end(),
+                               0u,
+                               std::plus<>{},
+                               [&](const class_lane& aLane) {
+                                 return aLane.mClass.mTier < aTier
+                                          ? aLane.mRunning
+                                          : 0;
+                               });
+}
+
+// Slot time of the work that goes before a request of aLane with aKey.
+steady_duration
+WorkAhead(const pool_queue& aPool,
+          const class_lane& aLane,
+          const queue_key& aKey,
+          const answer_estimate& aEstimate)
+{
+  steady_duration work{};
+  for (const auto& other : aPool.mLanes) {
+    if (other.mClass.mTier > aLane.mClass.mTier) {
+      continue;
+    }
+    const double requests = other.mClass.mTier < aLane.mClass.mTier
+                              ? other.mQueue.size()
+                              : RequestsAhead(other, aKey);
+    work += std::chrono::duration_cast<steady_duration>(
+      aEstimate.SlotTime(other.mClass.mId) * requests);
+  }
+  return work;
+}
+
+bool
+AnyCannotPause(std::span<slot_state* const> aMembers)
+{
+  return std::ranges::any_of(aMembers, [](const slot_state* aState) {
+    return !aState->mView.mCanPause;
+  });
+}
+
+} // namespace
+
+unsigned
+UsableSlots(std::span<slot_state* const> aMembers)
+{
+  return std::transform_reduce(
+    aMembers.begin(),
+    aMembers.end(),
+    0u,
+    std::plus<>{},
+    [](const slot_state* aState) {
+      const auto slots = aState->mView.mSlots;
+      const auto foreign = std::min(aState->mView.mForeignLoad, slots);
+      return TakesWork(*aState) ? slots - foreign : 0;
+    });
+}
+
+unsigned
+FreeSlots(std::span<slot_state* const> aMembers)
+{
+  return std::transform_reduce(aMembers.begin(),
+                               aMembers.end(),
+                               0u,
+                               std::plus<>{},
+                               [](const slot_state* aState) {
+                                 return TakesWork(*aState) ? FreeSlots(*aState)
+                                                           : 0;
+                               });
+}
+
+bool
+MayTakeSlot(const pool_queue& aPool,
+            const class_lane& aLane,
+            std::span<slot_state* const> aMembers,
+            steady_time aNow)
+{
+  const auto free = FreeSlots(aMembers);
+  if (free == 0 || aLane.IsFirstTier()) {
+    return free > 0;
+  }
+  if (!AnyCannotPause(aMembers)) {
+    return true;
+  }
+  const auto target = aPool.mReserve.Target(aNow, UsableSlots(aMembers));
+  const auto used = RunningAbove(aPool, kFirstTier + 1);
+  return free > (target > used ? target - used : 0);
+}
+
+steady_duration
+PredictWait(const pool_queue& aPool,
+            const class_lane& aLane,
+            const queue_key& aKey,
+            std::span<slot_state* const> aMembers,
+            const answer_estimate& aEstimate)
+{
+  const double slots = UsableSlots(aMembers);
+  if (slots == 0) {
+    return {};
+  }
+  const auto above = RunningAbove(aPool, aLane.mClass.mTier);
+  const auto left =
+    std::max({ slots - above, MinimumShare(aLane) * slots, kLeastCapacity });
+  const auto queueing = std::chrono::duration_cast<steady_duration>(
+    WorkAhead(aPool, aLane, aKey, aEstimate) / left);
+  return queueing + PredictNextFree(aPool, aEstimate);
+}
+
+steady_duration
+PredictNextFree(const pool_queue& aPool, const answer_estimate& aEstimate)
+{
+  steady_duration held{};
+  unsigned running = 0;
+  for (const auto& lane : aPool.mLanes) {
+    held += aEstimate.SlotTime(lane.mClass.mId) * lane.mRunning;
+    running += lane.mRunning;
+  }
+  return running == 0 ? steady_duration::max() / 2 : held / running / running;
+}
+
+} // namespace sapphirespar::policy
--- /dev/null
+++ b/src/sapphirespar/policy/scheduler_state.cpp
@@ -0,0 +1,179 @@
+// Steps that change the scheduler's state.
+#include "sapphirespar/policy/scheduler_state.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace sapphirespar::policy {
+
+void
+scheduler_state::Configure(bundle_ptr aBundle)
+{
+  mBundle = std::move(aBundle);
+  for (auto& [name, pool] : mPools) {
+    for (auto& lane : pool.mLanes) {
+      lane.mClass = ClassOf(lane.mClass.mId);
+    }
+    SortLanes(pool.mLanes);
+  }
+}
+
+request_class
+scheduler_state::ClassOf(const class_id& aId) const
+{
+  if (const auto* found = mBundle ? FindClass(*mBundle, aId) : nullptr) {
+    return *found;
+  }
+  request_class unnamed;
+  unnamed.mId = aId;
+  return unnamed;
+}
+
+pool_queue&
+scheduler_state::PoolOf(const std::string& aPool)
+{
+  auto& pool = mPools[aPool];
+  if (pool.mPool.empty()) {
+    pool.mPool = aPool;
+  }
+  return pool;
+}
+
+class_lane&
+scheduler_state::LaneIn(pool_queue& aPool, const class_id& aClass)
+{
+  const auto found =
+    std::ranges::find_if(aPool.mLanes, [&](const class_lane& aLane) {
+      return aLane.mClass.mId == aClass;
+    });
+  return found != aPool.mLanes.end() ? *found
+                                     : AddLane(aPool.mLanes, ClassOf(aClass));
+}
+
+std::span<slot_state* const>
+scheduler_state::MembersOf(const pool_queue& aPool) const
+{
+  return mSlots.Members(aPool.mPool);
+}
+
+door_view
+scheduler_state::DoorOf(const pool_queue& aPool,
+                        const class_lane& aLane,
+                        steady_time aNow) const
+{
+  return { aPool, aLane, MembersOf(aPool), mEstimate, aNow };
+}
+
+bool
+scheduler_state::IsWaiting(const request_id& aRequest) const
+{
+  return mPlaces.contains(aRequest);
+}
+
+queue_key
+scheduler_state::NewKey(steady_time aStartBy)
+{
+  return { aStartBy, ++mSequence };
+}
+
+void
+scheduler_state::Enqueue(class_lane& aLane,
+                         const queue_key& aKey,
+                         queued_request aRequest)
+{
+  mPlaces.emplace(aRequest.mId, place{ aRequest.mPool, aRequest.mClass, aKey });
+  Push(aLane, aKey, std::move(aRequest));
+}
+
+void
+scheduler_state::Withdraw(const request_id& aRequest)
+{
+  if (const auto found = mPlaces.find(aRequest); found != mPlaces.end()) {
+    const auto& [pool, classId, key] = found->second;
+    Remove(LaneIn(PoolOf(pool), classId), key);
+    mPlaces.erase(found);
+  }
+}
+
+void
+scheduler_state::Assign(class_lane& aLane,
+                        const queue_key& aKey,
+                        const upstream_id& aUpstream,
+                        steady_time aNow,
+                        decisions& aMade)
+{
+  auto request = Remove(aLane, aKey);
+  mPlaces.erase(request->mId);
+  ChargeShare(aLane, mEstimate.SlotTime(aLane.mClass.mId));
+  ++aLane.mRunning;
+  aMade.mAssignments.push_back({ request->mId, aUpstream });
+  mSlots.Take(*std::move(request), aUpstream, aNow);
+}
+
+void
+scheduler_state::Adopt(queued_request aRequest,
+                       const upstream_id& aUpstream,
+                       steady_time aNow)
+{
+  if (mSlots.Find(aRequest.mId)) {
+    return;
+  }
+  Withdraw(aRequest.mId);
+  ++LaneIn(PoolOf(aRequest.mPool), aRequest.mClass).mRunning;
+  mSlots.Take(std::move(aRequest), aUpstream, aNow);
+}
+
+std::optional<slot_holder>
+scheduler_state::Release(const completion& aCompletion, steady_time aNow)
+{
+  auto holder = mSlots.Release(aCompletion.mRequest);
+  if (!holder) {
+    return holder;
+  }
+  const auto& request = holder->mRequest;
+  if (!holder->mPaused) {
+    --LaneIn(PoolOf(request.mPool), request.mClass).mRunning;
+  }
+  mEstimate.Note(request, aCompletion, holder->Held(aNow));
+  return holder;
+}
+
+void
+scheduler_state::SetPaused(slot_holder& aHolder,
+                           bool aPaused,
+                           steady_time aNow,
+                           decisions& aMade)
+{
+  const auto& request = aHolder.mRequest;
+  auto& lane = LaneIn(PoolOf(request.mPool), request.mClass);
+  lane.mRunning += aPaused ? -1 : 1;
+  mSlots.SetPaused(aHolder, aPaused, aNow);
+  aMade.mPauses.push_back(
+    { request.mId, aHolder.mUpstream->mView.mId, !aPaused });
+}
+
+waiting_queue::iterator
+scheduler_state::Reject(class_lane& aLane,
+                        waiting_queue::iterator aItem,
+                        rejection aRejection,
+                        decisions& aMade)
+{
+  const auto next = std::next(aItem);
+  mPlaces.erase(aItem->second.mId);
+  aMade.mRejections.push_back(std::move(aRejection));
+  Remove(aLane, queue_key(aItem->first));
+  return next;
+}
+
+std::vector<scheduler_counts>
+scheduler_state::Counts() const
+{
+  auto counts = mSlots.Counts();
+  for (auto& count : counts) {
+    const auto found = mPools.find(count.mPool);
+    count.mQueued = found == mPools.end() ? 0 : Waiting(found->second.mLanes);
+  }
+  return counts;
+}
+
+} // namespace sapphirespar::policy
--- a/src/sapphirespar/policy/slot_table.cpp
+++ b/src/sapphirespar/policy/slot_table.cpp
@@ -2,6 +2,7 @@
 #include "sapphirespar/policy/slot_table.hpp"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 namespace sapphirespar::policy {
@@ -27,6 +28,14 @@
   return taken < slots ? slots - taken : 0;
 }
 
+bool
+PauseFreesSlot(const slot_state& aState)
+{
+  auto paused = aState;
+  return aState.mView.mCanPause && paused.mRunning-- > 0 &&
+         FreeSlots(paused) > 0;
+}
+
 bool
 TakesWork(const slot_state& aState)
 {
@@ -125,18 +134,60 @@
   return holder;
 }
 
+steady_duration
+slot_holder::Held(steady_time aNow) const
+{
+  const auto pause = mPaused ? aNow - mPausedAt : steady_duration::zero();
+  return aNow - mStarted - mPausedTime - pause;
+}
+
 void
-slot_table::SetPaused(slot_holder& aHolder, bool aPaused)
+slot_table::SetPaused(slot_holder& aHolder, bool aPaused, steady_time aNow)
 {
   if (aHolder.mPaused == aPaused) {
     return;
   }
   aHolder.mPaused = aPaused;
+  if (aPaused) {
+    aHolder.mPausedAt = aNow;
+  } else {
+    aHolder.mPausedTime += aNow - aHolder.mPausedAt;
+  }
   auto& state = *aHolder.mUpstream;
   --(aPaused ? state.mRunning : state.mPaused);
   ++(aPaused ? state.mPaused : state.mRunning);
 }
 
+std::vector<slot_holder*>
+slot_table::PausedAt(const slot_state& aState)
+{
+  std::vector<slot_holder*> paused;
+  if (aState.mPaused == 0) {
+    return paused;
+  }
+  for (auto& [id, holder] : mHolders) {
+    if (holder.mUpstream == &aState && holder.mPaused) {
+      paused.push_back(&holder);
+    }
+  }
+  std::ranges::sort(paused, {}, [](const slot_holder* aHolder) {
+    return std::tie(aHolder->mRequest.mAnswerBy, aHolder->mRequest.mId);
+  });
+  return paused;
+}
+
+std::vector<slot_holder*>
+slot_table::PausedAtUnnamed()
+{
+  std::vector<slot_holder*> paused;
+  for (const auto& [id, state] : mUpstreams) {
+    if (!state.mNamed) {
+      std::ranges::copy(PausedAt(state), std::back_inserter(paused));
+    }
+  }
+  return paused;
+}
+
 slot_holder*
 slot_table::Find(const request_id& aRequest)
 {
--- a/src/sapphirespar/policy/tiered_scheduler.cpp
+++ b/src/sapphirespar/policy/tiered_scheduler.cpp
@@ -1,237 +1,349 @@
-// Our scheduler.
+// Our scheduler: events in, decisions out.
 #include "sapphirespar/policy/tiered_scheduler.hpp"
 
-#include "sapphirespar/policy/class_lanes.hpp"
+#include "sapphirespar/policy/admission.hpp"
+#include "sapphirespar/policy/preemption.hpp"
 #include "sapphirespar/policy/refusals.hpp"
-#include "sapphirespar/policy/slot_table.hpp"
+#include "sapphirespar/policy/scheduler_state.hpp"
 
 #include <algorithm>
-#include <unordered_map>
 #include <utility>
 
 namespace sapphirespar::policy {
 
 namespace {
 
-constexpr unsigned kFirstTier = 1;
+// How many requests of a lane are tried when the first ones find no upstream.
+constexpr unsigned kScanLimit = 16;
 
-// When a refused request may be tried again if nothing better is known.
-constexpr std::chrono::milliseconds kRetryAfter{ 1000 };
+// A new request always has at least this part of its time to wait in,
+// whatever the estimate of its length says.
+constexpr int kLeastWaitPart = 4;
+
+steady_time
+DefaultStartBy(const queued_request& aRequest,
+               const expectation& aExpected,
+               steady_time aNow)
+{
+  const auto due = std::min(aRequest.mFirstTokenBy, aRequest.mAnswerBy);
+  const auto estimated =
+    std::min(aRequest.mFirstTokenBy - aExpected.mFirstToken,
+             aRequest.mAnswerBy - aExpected.mAnswer);
+  return std::max(estimated, aNow + (due - aNow) / kLeastWaitPart);
+}
 
 class tiered_scheduler : public scheduler
 {
 public:
-  void Configure(bundle_ptr aBundle) override
+  explicit tiered_scheduler(scheduler_hooks aHooks)
+    : mHooks(std::move(aHooks))
   {
-    mBundle = std::move(aBundle);
-    for (auto& [pool, lanes] : mPools) {
-      for (auto& lane : lanes) {
-        lane.mClass = ClassOf(lane.mClass.mId);
-      }
-      std::ranges::stable_sort(lanes, {}, [](const class_lane& aLane) {
-        return std::tie(aLane.mClass.mTier, aLane.mClass.mId);
-      });
+    if (!mHooks.mEstimate) {
+      mHooks.mEstimate = [this](const queued_request& aRequest) {
+        return mState.Estimate().Expect(aRequest);
+      };
     }
-  }
-
-  decisions SetUpstreams(std::span<const upstream_view> aUpstreams,
-                         steady_time aNow) override
-  {
-    mSlots.SetUpstreams(aUpstreams);
-    return Tick(aNow);
-  }
-
-  decisions Submit(queued_request aRequest, steady_time aNow) override
-  {
-    decisions made;
-    if (RepeatDecision(aRequest.mId, made)) {
-      return made;
-    }
-    if (!mSlots.CanServe(aRequest)) {
-      made.mRejections.push_back(RefuseNoUpstream(aRequest));
-      return made;
+    if (!mHooks.mStartBy) {
+      mHooks.mStartBy = DefaultStartBy;
     }
-    auto& lanes = mPools[aRequest.mPool];
-    auto& lane = LaneOf(lanes, ClassOf(aRequest.mClass));
-    if (IsLost(lane, aRequest, aNow)) {
-      made.mRejections.push_back(RefuseTooLate(aRequest, kRetryAfter));
-      return made;
+    if (!mHooks.mChooseUpstream) {
+      mHooks.mChooseUpstream = ChooseUpstream;
     }
-    if (IsFull(lane, aRequest.mAccount)) {
-      made.mRejections.push_back(RefuseQueueFull(aRequest, kRetryAfter));
-      return made;
+    if (!mHooks.mChoosePause) {
+      mHooks.mChoosePause = ChoosePause;
     }
-    const queue_key key{ aRequest.mFirstTokenBy, ++mSequence };
-    mPlaces.emplace(aRequest.mId,
-                    place{ aRequest.mPool, aRequest.mClass, key });
-    Push(lane, key, std::move(aRequest));
-    Dispatch(lanes, aNow, made);
-    return made;
   }
 
+  void Configure(bundle_ptr aBundle) override;
+  decisions SetUpstreams(std::span<const upstream_view> aUpstreams,
+                         steady_time aNow) override;
+  decisions Submit(queued_request aRequest, steady_time aNow) override;
   void Adopt(queued_request aRequest,
              const upstream_id& aUpstream,
-             steady_time aNow) override
-  {
-    mSlots.Take(std::move(aRequest), aUpstream, aNow);
-  }
+             steady_time aNow) override;
+  decisions Finish(const completion& aCompletion, steady_time aNow) override;
+  decisions Withdraw(const request_id& aRequest, steady_time aNow) override;
+  decisions Tick(steady_time aNow) override;
+  std::vector<scheduler_counts> Counts() const override;
 
-  decisions Finish(const completion& aCompletion, steady_time aNow) override
+private:
+  // One lane of one pool that may be served next.
+  struct turn
   {
-    decisions made;
-    if (const auto holder = mSlots.Release(aCompletion.mRequest)) {
-      for (const auto& pool : holder->mUpstream->mView.mPools) {
-        Dispatch(mPools[pool], aNow, made);
-      }
-    }
-    return made;
-  }
+    pool_queue* mPool = nullptr;
+    class_lane* mLane = nullptr;
+  };
 
-  decisions Withdraw(const request_id& aRequest, steady_time) override
+  enum class lane_filter
   {
-    if (const auto found = mPlaces.find(aRequest); found != mPlaces.end()) {
-      const auto& [pool, classId, key] = found->second;
-      Remove(LaneOf(mPools[pool], ClassOf(classId)), key);
-      mPlaces.erase(found);
-    }
-    return {};
+    FirstTier,
+    All,
+  };
+
+  using pool_list = std::vector<pool_queue*>;
+
+  // Pools share upstreams, so that slots are given out across all of them.
+  pool_list AllPools();
+
+  // A request that is submitted again keeps its place or its slot.
+  bool RepeatDecision(const request_id& aRequest, decisions& aMade);
+
+  void RejectLost(const pool_queue& aPool,
+                  class_lane& aLane,
+                  steady_time aNow,
+                  decisions& aMade);
+  void RejectUnservable(pool_queue& aPool, decisions& aMade);
+
+  void Dispatch(const pool_list& aPools, steady_time aNow, decisions& aMade);
+  void Serve(const pool_list& aPools,
+             lane_filter aFilter,
+             steady_time aNow,
+             decisions& aMade);
+  bool ServeOne(const turn& aTurn, steady_time aNow, decisions& aMade);
+
+  scheduler_state mState;
+  scheduler_hooks mHooks;
+};
+
+void
+tiered_scheduler::Configure(bundle_ptr aBundle)
+{
+  mState.Configure(std::move(aBundle));
+}
+
+decisions
+tiered_scheduler::SetUpstreams(std::span<const upstream_view> aUpstreams,
+                               steady_time aNow)
+{
+  decisions made;
+  mState.Slots().SetUpstreams(aUpstreams);
+  ResumeUnnamed(mState, aNow, made);
+  for (auto& [name, pool] : mState.Pools()) {
+    RejectUnservable(pool, made);
   }
+  Dispatch(AllPools(), aNow, made);
+  return made;
+}
 
-  decisions Tick(steady_time aNow) override
-  {
-    decisions made;
-    for (auto& [pool, lanes] : mPools) {
-      for (auto& lane : lanes) {
-        RejectLost(lane, aNow, made);
-      }
-      Dispatch(lanes, aNow, made);
-    }
+decisions
+tiered_scheduler::Submit(queued_request aRequest, steady_time aNow)
+{
+  decisions made;
+  if (RepeatDecision(aRequest.mId, made)) {
+    return made;
+  }
+  if (!mState.Slots().CanServe(aRequest)) {
+    made.mRejections.push_back(RefuseNoUpstream(aRequest));
+    return made;
+  }
+  auto& pool = mState.PoolOf(aRequest.mPool);
+  auto& lane = mState.LaneIn(pool, aRequest.mClass);
+  const auto expected = mHooks.mEstimate(aRequest);
+  const auto key = mState.NewKey(mHooks.mStartBy(aRequest, expected, aNow));
+  if (lane.IsFirstTier()) {
+    pool.mReserve.Note(aNow, expected.mSlotTime);
+  }
+  if (auto refused =
+        RefuseAtDoor(mState.DoorOf(pool, lane, aNow), key, aRequest)) {
+    made.mRejections.push_back(*std::move(refused));
     return made;
   }
+  mState.Enqueue(lane, key, std::move(aRequest));
+  Dispatch({ &pool }, aNow, made);
+  return made;
+}
 
-  std::vector<scheduler_counts> Counts() const override
-  {
-    auto counts = mSlots.Counts();
-    for (auto& count : counts) {
-      const auto found = mPools.find(count.mPool);
-      count.mQueued = found == mPools.end() ? 0 : Waiting(found->second);
+void
+tiered_scheduler::Adopt(queued_request aRequest,
+                        const upstream_id& aUpstream,
+                        steady_time aNow)
+{
+  mState.Adopt(std::move(aRequest), aUpstream, aNow);
+}
+
+decisions
+tiered_scheduler::Finish(const completion& aCompletion, steady_time aNow)
+{
+  decisions made;
+  if (const auto holder = mState.Release(aCompletion, aNow)) {
+    pool_list pools;
+    for (const auto& pool : holder->mUpstream->mView.mPools) {
+      pools.push_back(&mState.PoolOf(pool));
     }
-    return counts;
+    Dispatch(pools, aNow, made);
   }
+  return made;
+}
 
-private:
-  struct place
-  {
-    std::string mPool;
-    class_id mClass;
-    queue_key mKey;
-  };
+decisions
+tiered_scheduler::Withdraw(const request_id& aRequest, steady_time)
+{
+  mState.Withdraw(aRequest);
+  return {};
+}
 
-  // A class that the bundle does not name counts as an undemanding one.
-  request_class ClassOf(const class_id& aId) const
-  {
-    if (const auto* found = mBundle ? FindClass(*mBundle, aId) : nullptr) {
-      return *found;
+decisions
+tiered_scheduler::Tick(steady_time aNow)
+{
+  decisions made;
+  for (auto& [name, pool] : mState.Pools()) {
+    for (auto& lane : pool.mLanes) {
+      RejectLost(pool, lane, aNow, made);
     }
-    request_class unnamed;
-    unnamed.mId = aId;
-    return unnamed;
   }
+  Dispatch(AllPools(), aNow, made);
+  return made;
+}
 
-  // A request that is submitted again keeps its place or its slot.
-  bool RepeatDecision(const request_id& aRequest, decisions& aMade)
-  {
-    if (const auto* holder = mSlots.Find(aRequest)) {
-      aMade.mAssignments.push_back({ aRequest, holder->mUpstream->mView.mId });
-      return true;
-    }
-    return mPlaces.contains(aRequest);
+std::vector<scheduler_counts>
+tiered_scheduler::Counts() const
+{
+  return mState.Counts();
+}
+
+tiered_scheduler::pool_list
+tiered_scheduler::AllPools()
+{
+  pool_list pools;
+  for (auto& [name, pool] : mState.Pools()) {
+    pools.push_back(&pool);
   }
+  return pools;
+}
 
-  // The first tier waits for as long as its whole answer is still wanted.
-  static bool IsLost(const class_lane& aLane,
-                     const queued_request& aRequest,
-                     steady_time aNow)
-  {
-    const auto by = aLane.mClass.mTier == kFirstTier
-                      ? aRequest.mAnswerBy
-                      : std::min(aRequest.mFirstTokenBy, aRequest.mAnswerBy);
-    return by <= aNow;
+bool
+tiered_scheduler::RepeatDecision(const request_id& aRequest, decisions& aMade)
+{
+  const auto* holder = mState.Slots().Find(aRequest);
+  if (!holder) {
+    return mState.IsWaiting(aRequest);
   }
+  aMade.mAssignments.push_back({ aRequest, holder->mUpstream->mView.mId });
+  return true;
+}
 
-  void RejectLost(class_lane& aLane, steady_time aNow, decisions& aMade)
-  {
-    for (auto item = aLane.mQueue.begin(); item != aLane.mQueue.end();) {
-      const auto [key, request] = *item++;
-      if (!mSlots.CanServe(request)) {
-        aMade.mRejections.push_back(RefuseNoUpstream(request));
-      } else if (IsLost(aLane, request, aNow)) {
-        aMade.mRejections.push_back(RefuseTooLate(request, kRetryAfter));
-      } else {
-        continue;
-      }
-      mPlaces.erase(request.mId);
-      Remove(aLane, key);
+void
+tiered_scheduler::RejectLost(const pool_queue& aPool,
+                             class_lane& aLane,
+                             steady_time aNow,
+                             decisions& aMade)
+{
+  auto item = aLane.mQueue.begin();
+  while (item != aLane.mQueue.end() && item->first.mStartBy <= aNow) {
+    const auto& [key, request] = *item;
+    if (!IsLost(aLane, key, request, aNow)) {
+      ++item;
+      continue;
     }
+    const auto spare = key.mStartBy - request.mArrival;
+    const auto after = RetryAfter(mState.DoorOf(aPool, aLane, aNow), spare);
+    item = mState.Reject(aLane, item, RefuseTooLate(request, after), aMade);
   }
+}
 
-  void Dispatch(class_lanes& aLanes, steady_time aNow, decisions& aMade)
-  {
-    for (auto& lane : aLanes) {
-      for (auto item = lane.mQueue.begin(); item != lane.mQueue.end();) {
-        const auto current = item++;
-        const auto members = mSlots.Members(current->second.mPool);
-        if (std::ranges::none_of(members, [](const slot_state* aState) {
-              return TakesWork(*aState) && FreeSlots(*aState) > 0;
-            })) {
-          return;
-        }
-        if (const auto* chosen = Choose(members, current->second)) {
-          Assign(lane, current->first, *chosen, aNow, aMade);
-        }
-      }
+void
+tiered_scheduler::RejectUnservable(pool_queue& aPool, decisions& aMade)
+{
+  for (auto& lane : aPool.mLanes) {
+    for (auto item = lane.mQueue.begin(); item != lane.mQueue.end();) {
+      item =
+        mState.Slots().CanServe(item->second)
+          ? std::next(item)
+          : mState.Reject(lane, item, RefuseNoUpstream(item->second), aMade);
     }
   }
+}
 
-  void Assign(class_lane& aLane,
-              queue_key aKey,
-              const slot_state& aUpstream,
-              steady_time aNow,
-              decisions& aMade)
-  {
-    auto request = Remove(aLane, aKey);
-    mPlaces.erase(request->mId);
-    aMade.mAssignments.push_back({ request->mId, aUpstream.mView.mId });
-    mSlots.Take(*std::move(request), aUpstream.mView.mId, aNow);
+void
+tiered_scheduler::Dispatch(const pool_list& aPools,
+                           steady_time aNow,
+                           decisions& aMade)
+{
+  for (auto* pool : aPools) {
+    // The first tier's late requests may be many and are looked at on ticks.
+    for (auto& lane : pool->mLanes) {
+      if (!lane.IsFirstTier()) {
+        RejectLost(*pool, lane, aNow, aMade);
+      }
+    }
+    const auto slots = UsableSlots(mState.MembersOf(*pool));
+    EarnShares(pool->mLanes,
+               slots,
+               aNow - std::exchange(pool->mEarnedAt, aNow),
+               [this](const class_id& aClass) {
+                 return mState.Estimate().SlotTime(aClass);
+               });
+  }
+  Serve(aPools, lane_filter::FirstTier, aNow, aMade);
+  for (auto* pool : aPools) {
+    Preempt(mState, mHooks, *pool, aNow, aMade);
+    Resume(mState, *pool, aNow, aMade);
   }
+  Serve(aPools, lane_filter::All, aNow, aMade);
+}
 
-  static const slot_state* Choose(std::span<slot_state* const> aMembers,
-                                  const queued_request& aRequest)
-  {
-    const slot_state* best = nullptr;
-    for (const auto* state : aMembers) {
-      if (MayServe(*state, aRequest) && FreeSlots(*state) > 0 &&
-          (!best || FreeSlots(*state) > FreeSlots(*best))) {
-        best = state;
+void
+tiered_scheduler::Serve(const pool_list& aPools,
+                        lane_filter aFilter,
+                        steady_time aNow,
+                        decisions& aMade)
+{
+  std::vector<const class_lane*> skipped;
+  for (;;) {
+    turn best;
+    for (auto* pool : aPools) {
+      auto* lane = NextLane(pool->mLanes, skipped);
+      if (lane && (!best.mLane || GoesBefore(*lane, *best.mLane))) {
+        best = { pool, lane };
       }
     }
-    return best;
+    const bool excluded = best.mLane && aFilter == lane_filter::FirstTier &&
+                          !best.mLane->IsFirstTier();
+    if (!best.mLane || excluded) {
+      return;
+    }
+    if (!ServeOne(best, aNow, aMade)) {
+      skipped.push_back(best.mLane);
+    }
   }
+}
 
-  bundle_ptr mBundle;
-  slot_table mSlots;
-  std::map<std::string, class_lanes> mPools;
-  // Where each waiting request stands.
-  std::unordered_map<request_id, place> mPlaces;
-  std::uint64_t mSequence = 0;
-};
+// Gives a slot to the first request of the lane that can use one.
+bool
+tiered_scheduler::ServeOne(const turn& aTurn,
+                           steady_time aNow,
+                           decisions& aMade)
+{
+  auto& [pool, lane] = aTurn;
+  const auto members = mState.MembersOf(*pool);
+  if (!MayTakeSlot(*pool, *lane, members, aNow)) {
+    return false;
+  }
+  unsigned tried = 0;
+  for (const auto& [key, request] : lane->mQueue) {
+    if (tried++ == kScanLimit) {
+      return false;
+    }
+    if (IsLost(*lane, key, request, aNow)) {
+      continue;
+    }
+    const auto expected = mHooks.mEstimate(request);
+    const auto* chosen =
+      mHooks.mChooseUpstream({ members, request, expected, aNow });
+    if (chosen) {
+      mState.Assign(*lane, queue_key(key), chosen->mView.mId, aNow, aMade);
+      return true;
+    }
+  }
+  return false;
+}
 
 } // namespace
 
 scheduler_ptr
-MakeTieredScheduler()
+MakeTieredScheduler(scheduler_hooks aHooks)
 {
-  return std::make_unique<tiered_scheduler>();
+  return std::make_unique<tiered_scheduler>(std::move(aHooks));
 }
 
 } // namespace sapphirespar::policy
--- /dev/null
+++ b/src/sapphirespar/policy/tiered_scheduler_test.cpp
@@ -0,0 +1,192 @@
+// Tests of what only the tiered scheduler does: shares, the door, pauses and
+// the reserve.
+#include "sapphirespar/policy/tiered_scheduler.hpp"
+
+#include <gtest/gtest.h>
+
+#include <deque>
+#include <map>
+
+namespace sapphirespar::policy {
+namespace {
+
+using namespace std::chrono_literals;
+
+class a_tiered_scheduler : public testing::Test
+{
+protected:
+  a_tiered_scheduler()
+  {
+    AddClass("booking", 1, 0);
+    AddClass("question", 2, 0);
+    AddClass("tag", 3, 10);
+    mScheduler->Configure(mBundle);
+  }
+
+  void AddClass(std::string aName, unsigned aTier, unsigned aShare)
+  {
+    auto& rules = mBundle->mClasses.emplace_back();
+    rules.mId = { std::move(aName) };
+    rules.mTier = aTier;
+    rules.mMinimumSharePercent = aShare;
+    rules.mWeight = 4.0 - aTier;
+  }
+
+  void SetSlots(unsigned aSlots, bool aCanPause)
+  {
+    upstream_view view;
+    view.mId = { "a" };
+    view.mPools = { "m" };
+    view.mSlots = aSlots;
+    view.mCanPause = aCanPause;
+    const std::vector views{ view };
+    mScheduler->SetUpstreams(views, mNow);
+  }
+
+  decisions Submit(const char* aClass, steady_duration aFirstToken = 1h)
+  {
+    queued_request request;
+    request.mId = { std::string(aClass) + std::to_string(++mCount) };
+    request.mClass = { aClass };
+    // Small accounts, so that the bound of one account is not met.
+    request.mAccount = { std::to_string(mCount) };
+    request.mPool = "m";
+    request.mArrival = mNow;
+    request.mFirstTokenBy = mNow + aFirstToken;
+    request.mAnswerBy = request.mFirstTokenBy + 1h;
+    return Keep(mScheduler->Submit(request, mNow));
+  }
+
+  decisions Finish(std::string aId)
+  {
+    return Keep(mScheduler->Finish(
+      { .mRequest = { std::move(aId) }, .mSucceeded = true, .mTokens = 10 },
+      mNow));
+  }
+
+  decisions Keep(decisions aMade)
+  {
+    for (const auto& made : aMade.mAssignments) {
+      mRunning.push_back(made.mRequest.mText);
+    }
+    return aMade;
+  }
+
+  std::shared_ptr<bundle> mBundle = std::make_shared<bundle>();
+  scheduler_ptr mScheduler = MakeTieredScheduler();
+  steady_time mNow{ 1h };
+  unsigned mCount = 0;
+  // In order of their start.
+  std::deque<std::string> mRunning;
+};
+
+TEST_F(a_tiered_scheduler, LeavesEachClassItsShareUnderEndlessHigherWork)
+{
+  SetSlots(2, true);
+  std::map<char, int> served;
+  for (int i = 0; i < 1000; ++i) {
+    Submit("question");
+    Submit("tag");
+    mNow += 500ms;
+    const auto id = mRunning.front();
+    mRunning.pop_front();
+    ++served[id[0]];
+    Finish(id);
+  }
+  // One in ten is promised; the slack is that of whole requests.
+  EXPECT_GE(served['t'], 95);
+  EXPECT_GT(served['q'], served['t']);
+}
+
+TEST_F(a_tiered_scheduler, RefusesAtTheDoorWhatWouldStartTooLate)
+{
+  SetSlots(1, true);
+  // Teaches it that a tag holds its slot for ten seconds.
+  Submit("tag");
+  mNow += 10s;
+  Finish("tag1");
+  Submit("tag");
+  Submit("tag");
+  const auto made = Submit("tag", 5s);
+  ASSERT_EQ(made.mRejections.size(), 1);
+  EXPECT_EQ(made.mRejections[0].mRefusal.mReason, refusal_reason::TooLate);
+  EXPECT_GE(made.mRejections[0].mRefusal.mRetryAfter, 4s);
+  EXPECT_TRUE(Submit("tag", 30s).mRejections.empty());
+}
+
+TEST_F(a_tiered_scheduler, NeverRefusesTheFirstTierForLowerWork)
+{
+  SetSlots(1, false);
+  Submit("tag");
+  mNow += 10s;
+  Finish("tag1");
+  for (int i = 0; i < 20; ++i) {
+    Submit("tag");
+  }
+  EXPECT_TRUE(Submit("booking", 1s).mRejections.empty());
+  EXPECT_EQ(Finish("tag2").mAssignments[0].mRequest.mText, "booking22");
+}
+
+TEST_F(a_tiered_scheduler, PausesLowerWorkForTheFirstTierAndResumesIt)
+{
+  SetSlots(2, true);
+  Submit("question");
+  Submit("tag");
+  const auto made = Submit("booking", 100ms);
+  ASSERT_EQ(made.mPauses.size(), 1);
+  EXPECT_EQ(made.mPauses[0].mRequest.mText, "tag2");
+  EXPECT_FALSE(made.mPauses[0].mResume);
+  ASSERT_EQ(made.mAssignments.size(), 1);
+  EXPECT_EQ(made.mAssignments[0].mRequest.mText, "booking3");
+  Submit("question");
+  const auto after = Finish("booking3");
+  ASSERT_EQ(after.mPauses.size(), 1);
+  EXPECT_EQ(after.mPauses[0].mRequest.mText, "tag2");
+  EXPECT_TRUE(after.mPauses[0].mResume);
+  EXPECT_TRUE(after.mAssignments.empty());
+}
+
+TEST_F(a_tiered_scheduler, NeverPausesForAnythingButTheFirstTier)
+{
+  SetSlots(1, true);
+  Submit("tag");
+  EXPECT_TRUE(Submit("question", 100ms).mPauses.empty());
+}
+
+TEST_F(a_tiered_scheduler, KeepsSlotsForTheFirstTierWhereNothingCanPause)
+{
+  SetSlots(8, false);
+  Submit("booking");
+  mNow += 2s;
+  Finish("booking1");
+  std::size_t assigned = 0;
+  for (int i = 0; i < 20; ++i) {
+    assigned += Submit("tag").mAssignments.size();
+  }
+  EXPECT_EQ(assigned, 7);
+  EXPECT_EQ(Submit("booking", 100ms).mAssignments.size(), 1);
+}
+
+TEST_F(a_tiered_scheduler, UsesTheHooksItIsGiven)
+{
+  scheduler_hooks hooks;
+  hooks.mChooseUpstream = [](const placement&) { return nullptr; };
+  mScheduler = MakeTieredScheduler(hooks);
+  SetSlots(1, true);
+  EXPECT_TRUE(Submit("question").mAssignments.empty());
+}
+
+TEST(ChoosePause, TakesWhatCanWaitThenTheLowestThenTheLightest)
+{
+  const std::vector<pause_candidate> candidates{
+    { { "tight" }, 3, 1, 1s },
+    { { "higher" }, 2, 1, 100s },
+    { { "heavy" }, 3, 8, 100s },
+    { { "light" }, 3, 1, 50s },
+  };
+  EXPECT_EQ(ChoosePause(candidates, 5s)->mText, "light");
+  EXPECT_EQ(ChoosePause({}, 5s), std::nullopt);
+}
+
+} // namespace
+} // namespace sapphirespar::policy
