Test whole routers end to end before stand-ins

The parts were tested apart only. Three routers now run in one process before stand-ins while a burst of 2,000 streams is compared byte by byte, a ledger loses answers, an engine crashes or freezes, the platform goes away, and a router leaves or dies. Tests of a module may use a higher module through TEST_DEPENDS.

--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -1,11 +1,12 @@
 # One static library, one test binary and the examples of a module.
 #
-#   sapphirespar_module(NAME [DEPENDS module...] [LIBRARIES library...])
+#   sapphirespar_module(NAME [DEPENDS module...] [LIBRARIES library...]
+#                       [TEST_DEPENDS module...])
 #
 # Sources are src/sapphirespar/NAME/*.cpp, tests are *_test.cpp beside them,
 # and examples are examples/NAME/*.cpp, one program each.
 function(sapphirespar_module name)
-  cmake_parse_arguments(ARG "" "" "DEPENDS;LIBRARIES" ${ARGN})
+  cmake_parse_arguments(ARG "" "" "DEPENDS;LIBRARIES;TEST_DEPENDS" ${ARGN})
   set(dir ${PROJECT_SOURCE_DIR}/src/sapphirespar/${name})
   file(GLOB sources CONFIGURE_DEPENDS ${dir}/*.cpp ${dir}/gen/*.cpp)
   file(GLOB tests CONFIGURE_DEPENDS ${dir}/*_test.cpp)
@@ -26,7 +27,9 @@
                                                     Threads::Threads)
   if(tests)
     add_executable(${name}_test ${tests})
-    target_link_libraries(${name}_test sapphirespar_${name} ${RAPIDCHECK}
+    list(TRANSFORM ARG_TEST_DEPENDS PREPEND sapphirespar_)
+    target_link_libraries(${name}_test sapphirespar_${name}
+                          ${ARG_TEST_DEPENDS} ${RAPIDCHECK}
                           GTest::gtest GTest::gtest_main)
     add_test(NAME ${name} COMMAND ${name}_test)
     # A fixed seed gives each run of a property test the same cases.
--- /dev/null
+++ b/src/sapphirespar/router/end_to_end_test.cpp
@@ -0,0 +1,382 @@
+// Whole routers on loopback before stand-ins: every answer is compared byte by
+// byte and every booking is audited while parts of the system fail.
+#include "sapphirespar/config/signed_bundle.hpp"
+#include "sapphirespar/config/signing.hpp"
+#include "sapphirespar/router/router_app.hpp"
+#include "sapphirespar/tools/report.hpp"
+#include "sapphirespar/tools/standin_engine.hpp"
+#include "sapphirespar/tools/standin_platform.hpp"
+#include "sapphirespar/tools/standin_service.hpp"
+#include "sapphirespar/wire/http_client.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <memory>
+#include <thread>
+#include <vector>
+
+namespace sapphirespar {
+namespace {
+
+namespace asio = boost::asio;
+using namespace std::chrono_literals;
+using namespace tools;
+
+constexpr const char* kLoopback = "127.0.0.1";
+constexpr const char* kBearer = "test-key";
+constexpr unsigned kRouters = 3;
+constexpr unsigned kEngines = 3;
+
+engine_settings
+QuickEngine()
+{
+  engine_settings settings;
+  settings.mSlots = 64;
+  settings.mFirstToken = 1ms;
+  settings.mTokenInterval = 1ms;
+  settings.mBatchSlowdown = 0;
+  settings.mModels = { "m" };
+  return settings;
+}
+
+request_class
+Class(std::string aName, unsigned aTier, once_mode aOnce)
+{
+  request_class item;
+  item.mId = { std::move(aName) };
+  item.mTier = aTier;
+  item.mOnce = aOnce;
+  item.mIdempotent = aOnce == once_mode::None;
+  item.mKind =
+    item.mIdempotent ? upstream_kind::Engine : upstream_kind::Service;
+  item.mFirstTokenTarget = 60s;
+  item.mAnswerTarget = 60s;
+  item.mQueueLimit = 10000;
+  return item;
+}
+
+class_load
+EngineLoad(double aRate)
+{
+  class_load load;
+  load.mClass = "draft";
+  load.mModel = "m";
+  load.mBearer = kBearer;
+  load.mRatePerSecond = aRate;
+  load.mMaximumTokens = 60;
+  load.mFirstTokenTarget = 60s;
+  load.mAnswerTarget = 60s;
+  return load;
+}
+
+class_load
+BookingLoad(double aRate, key_source aKey)
+{
+  class_load load;
+  load.mClass = aKey == key_source::Own ? "lease" : "confirmation";
+  load.mKind = upstream_kind::Service;
+  load.mService = "ledger";
+  load.mPath = "book";
+  load.mBearer = kBearer;
+  load.mRatePerSecond = aRate;
+  load.mKey = aKey;
+  load.mFirstTokenTarget = 60s;
+  load.mAnswerTarget = 60s;
+  load.mRetries = 3;
+  load.mAsksAfterUnknown = true;
+  return load;
+}
+
+// Upstreams, a platform and three routers in this process.
+class whole_system : public testing::Test
+{
+protected:
+  whole_system()
+    : mPlatform(mContext, platform_settings{})
+    , mService(mContext, service_settings{})
+  {
+    for (unsigned index = 0; index < kEngines; ++index) {
+      mEngines.push_back(
+        std::make_unique<standin_engine>(mContext, QuickEngine()));
+    }
+    mThread = std::jthread([this] { mContext.run(); });
+    Call(mPlatform.Port(), "PUT", "/objects/bundle/current", SignedBundle());
+    for (unsigned index = 0; index < kRouters; ++index) {
+      mRouters.push_back(std::make_unique<router::router_app>(
+        Settings("vm-" + std::to_string(index))));
+    }
+    Call(mPlatform.Port(), "PUT", "/vms", VmList());
+    AwaitReady();
+  }
+
+  ~whole_system() override
+  {
+    mRouters.clear();
+    mContext.stop();
+  }
+
+  // One call from a thread of its own; fails the test if it gets no answer.
+  wire::http_response Call(std::uint16_t aPort,
+                           std::string aMethod,
+                           std::string aTarget,
+                           std::string aBody)
+  {
+    asio::io_context context;
+    wire::http_client client(context.get_executor(), {});
+    wire::http_request request;
+    request.mMethod = std::move(aMethod);
+    request.mTarget = std::move(aTarget);
+    request.mBody = std::move(aBody);
+    request.mHeaders.push_back({ "If-Match", "0" });
+    wire::http_response answer;
+    answer.mStatus = 0;
+    const auto fetch = [](wire::http_client& aClient,
+                          wire::endpoint aPlace,
+                          wire::http_request aRequest,
+                          wire::http_response& aInto) -> asio::awaitable<void> {
+      auto got = co_await aClient.Fetch(aPlace, std::move(aRequest), 10s);
+      if (got) {
+        aInto = std::move(got).value();
+      }
+    };
+    asio::co_spawn(
+      context,
+      fetch(client, { kLoopback, aPort }, std::move(request), answer),
+      asio::detached);
+    context.run();
+    return answer;
+  }
+
+  void SetFaults(std::uint16_t aPort, std::string aFaults)
+  {
+    EXPECT_EQ(Call(aPort, "PUT", "/faults", std::move(aFaults)).mStatus, 200U);
+  }
+
+  workload Work(std::vector<class_load> aClasses) const
+  {
+    workload work;
+    work.mName = "end to end";
+    work.mSeed = 20261203;
+    work.mDuration = 1500ms;
+    work.mCallers = 9;
+    work.mClasses = std::move(aClasses);
+    return work;
+  }
+
+  load_targets Targets() const
+  {
+    load_targets targets;
+    for (const auto& router : mRouters) {
+      targets.mEntries.push_back({ kLoopback, router->Port() });
+    }
+    for (const auto& engine : mEngines) {
+      targets.mEngines.push_back({ kLoopback, engine->Port() });
+    }
+    targets.mServices.push_back({ kLoopback, mService.Port() });
+    targets.mStandins.push_back(
+      { "platform", { kLoopback, mPlatform.Port() } });
+    targets.mStandins.push_back(
+      { "engine", { kLoopback, mEngines.front()->Port() } });
+    targets.mStandins.push_back({ "service", { kLoopback, mService.Port() } });
+    return targets;
+  }
+
+  load_report Run(const workload& aWorkload) const
+  {
+    auto report = MakeReport(aWorkload, RunLoad(aWorkload, Targets()));
+    EXPECT_TRUE(report.KeptAllPromises()) << ToTable(report);
+    return report;
+  }
+
+  asio::io_context mContext;
+  standin_platform mPlatform;
+  standin_service mService;
+  std::vector<std::unique_ptr<standin_engine>> mEngines;
+  std::jthread mThread;
+  std::vector<std::unique_ptr<router::router_app>> mRouters;
+
+private:
+  upstream_spec Upstream(std::string aName, std::uint16_t aPort) const
+  {
+    upstream_spec item;
+    item.mId = { std::move(aName) };
+    item.mDataCentre = { "valmiera" };
+    item.mAddress = kLoopback;
+    item.mPort = aPort;
+    item.mSlots = QuickEngine().mSlots;
+    return item;
+  }
+
+  std::string SignedBundle() const
+  {
+    bundle declared;
+    declared.mVersion = { 1, 1 };
+    declared.mSigners = { { "anna", mKey.mPublicKey } };
+    declared.mClasses = { Class("confirmation", 1, once_mode::Token),
+                          Class("lease", 1, once_mode::Claim),
+                          Class("price", 2, once_mode::None),
+                          Class("draft", 3, once_mode::None) };
+    // A caller of this class is kept waiting for a short while only.
+    declared.mClasses[2].mFirstTokenTarget = 1s;
+    declared.mModels.push_back({ { "m" }, 1, kEngines });
+    client_account account;
+    account.mId = { "test" };
+    account.mKeyHash = Sha256Hex(kBearer);
+    account.mRequestsPerSecond = 1e6;
+    account.mConcurrency = 100000;
+    declared.mAccounts.push_back(account);
+    for (const auto& engine : mEngines) {
+      const auto port = engine->Port();
+      auto item = Upstream("engine-" + std::to_string(port), port);
+      item.mModels = { { "m" } };
+      declared.mUpstreams.push_back(std::move(item));
+    }
+    auto ledger = Upstream("ledger", mService.Port());
+    ledger.mKind = upstream_kind::Service;
+    ledger.mService = "ledger";
+    declared.mUpstreams.push_back(std::move(ledger));
+    return Serialize(SignBundle(declared, "anna", mKey.mPrivateKey).value());
+  }
+
+  router_settings Settings(std::string aVm) const
+  {
+    router_settings settings;
+    settings.mVm = { std::move(aVm) };
+    settings.mDataCentre = { "valmiera" };
+    settings.mAddress = kLoopback;
+    settings.mPlatform = { kLoopback, mPlatform.Port() };
+    settings.mSigners = { { "anna", mKey.mPublicKey } };
+    return settings;
+  }
+
+  std::string VmList() const
+  {
+    std::string vms;
+    for (std::size_t index = 0; index < mRouters.size(); ++index) {
+      vms += vms.empty() ? "" : ",";
+      vms += R"({"vm":"vm-)" + std::to_string(index) +
+             R"(","data_centre":"valmiera","address":"127.0.0.1","port":)" +
+             std::to_string(mRouters[index]->Port()) + R"(,"peer_port":)" +
+             std::to_string(mRouters[index]->PeerPort()) +
+             R"(,"leaving":false})";
+    }
+    return R"({"vms":[)" + vms + "]}";
+  }
+
+  // Waits until every router answers a first request, so that bundle, peers
+  // and homes are in place.
+  void AwaitReady()
+  {
+    constexpr int kTries = 600;
+    const auto ready = [&] {
+      return std::ranges::all_of(
+        mRouters, [](const auto& aRouter) { return aRouter->Ready(); });
+    };
+    for (int left = kTries; left > 0 && !ready(); --left) {
+      std::this_thread::sleep_for(50ms);
+    }
+    ASSERT_TRUE(ready());
+  }
+
+  const signing_key mKey = NewSigningKey();
+};
+
+TEST_F(whole_system, TwoThousandConcurrentStreamsAreEachWholeAndTheCallersOwn)
+{
+  auto work = Work({ EngineLoad(20000) });
+  work.mDuration = 100ms;
+  const auto report = Run(work);
+  const auto& drafts = report.mClasses.front();
+  EXPECT_GT(drafts.mOffered, 1800U);
+  EXPECT_EQ(drafts.mInTime, drafts.mOffered) << ToTable(report);
+}
+
+TEST_F(whole_system, ATokenBookingWhoseAnswerIsLostIsUnknownAndRunsOnce)
+{
+  constexpr unsigned kLost = 5;
+  SetFaults(mService.Port(), R"({"lose_answers":5})");
+  const auto report = Run(Work({ BookingLoad(40, key_source::Token) }));
+  const auto& bookings = report.mClasses.front();
+  EXPECT_EQ(bookings.mUnknown, kLost) << ToTable(report);
+  EXPECT_EQ(bookings.mInTime, bookings.mOffered - kLost) << ToTable(report);
+}
+
+TEST_F(whole_system, ACrashedEngineBreaksNoPromise)
+{
+  auto work = Work({ EngineLoad(150), BookingLoad(20, key_source::Token) });
+  work.mFaults.push_back({ 500ms, "engine", R"({"crash":true})" });
+  const auto report = Run(work);
+  const auto& drafts = report.mClasses.front();
+  // What ran there may be lost; what comes later goes elsewhere.
+  EXPECT_GT(drafts.Attainment(), 0.8) << ToTable(report);
+  EXPECT_EQ(report.mClasses.back().mInTime, report.mClasses.back().mOffered);
+}
+
+TEST_F(whole_system, AFrozenEngineHoldsNoCallerForGood)
+{
+  auto price = EngineLoad(150);
+  price.mClass = "price";
+  auto work = Work({ price });
+  work.mPatience = 60s;
+  work.mFaults.push_back({ 300ms, "engine", R"({"freeze":true})" });
+  const auto report = Run(work);
+  EXPECT_GT(report.mClasses.front().Attainment(), 0.7) << ToTable(report);
+  EXPECT_EQ(
+    std::ranges::count(report.mReasons, "timeout", &refusal_report::mReason), 0)
+    << ToTable(report);
+}
+
+TEST_F(whole_system, APlatformOutageStopsNeitherStreamsNorTokenBookings)
+{
+  auto work = Work({ EngineLoad(100), BookingLoad(30, key_source::Token) });
+  work.mFaults.push_back({ 300ms, "platform", R"({"outage":true})" });
+  const auto report = Run(work);
+  for (const auto& item : report.mClasses) {
+    EXPECT_EQ(item.mInTime, item.mOffered) << ToTable(report);
+  }
+}
+
+TEST_F(whole_system, AGracefulShutdownCutsNothing)
+{
+  auto work = Work({ EngineLoad(150), BookingLoad(30, key_source::Token) });
+  for (auto& load : work.mClasses) {
+    load.mRetries = 3;
+  }
+  std::jthread leaver([this] {
+    std::this_thread::sleep_for(500ms);
+    mRouters.front()->Drain();
+  });
+  const auto report = Run(work);
+  leaver.join();
+  mRouters.front()->Wait();
+  for (const auto& item : report.mClasses) {
+    EXPECT_EQ(item.mInTime, item.mOffered) << ToTable(report);
+  }
+}
+
+TEST_F(whole_system, ARouterThatDiesBreaksNoPromise)
+{
+  auto work = Work({ EngineLoad(100), BookingLoad(60, key_source::Token) });
+  for (auto& load : work.mClasses) {
+    load.mRetries = 3;
+  }
+  std::jthread killer([this] {
+    std::this_thread::sleep_for(500ms);
+    mRouters.front().reset();
+  });
+  const auto targets = Targets();
+  const auto report = MakeReport(work, RunLoad(work, targets));
+  EXPECT_TRUE(report.KeptAllPromises()) << ToTable(report);
+  // What was in progress there may be lost; what comes later goes elsewhere.
+  for (const auto& item : report.mClasses) {
+    EXPECT_GT(item.Attainment(), 0.8) << ToTable(report);
+  }
+}
+
+} // namespace
+} // namespace sapphirespar
--- a/src/sapphirespar/tools/load_call.cpp
+++ b/src/sapphirespar/tools/load_call.cpp
@@ -194,6 +194,16 @@
   }
 }
 
+std::string
+ReasonOfBreak(const wire::wire_error& aError, const sse_reader& aEvents)
+{
+  if (!aEvents.ErrorOutcome().empty()) {
+    return "error_event";
+  }
+  const bool timeout = aError.mKind == wire::wire_error_kind::Timeout;
+  return timeout ? "timeout" : "broke_off";
+}
+
 // Reads a streamed answer to its end and checks it.
 asio::awaitable<try_result>
 ReadStream(const call_plan& aPlan, wire::http_stream& aStream)
@@ -203,7 +213,7 @@
   while (true) {
     auto piece = co_await aStream.Read(aPlan.mPatience);
     if (!piece) {
-      result.mReason = events.ErrorOutcome().empty() ? "broke_off" : "error";
+      result.mReason = ReasonOfBreak(piece.error(), events);
       break;
     }
     if (piece.value().empty()) {
