Claim callers' own keys by group commit at the platform

A caller that brings its own idempotency key may retry at any router, also after the first one has died. A holder that has not run its claim promises never to, and the key passes on. Without the store a first attempt is told not run; of any other nothing is known, because an earlier one may have run.

--- a/include/sapphirespar/ledger/once_guard.hpp
+++ b/include/sapphirespar/ledger/once_guard.hpp
@@ -34,7 +34,8 @@
   // Hash of all that is asked for; tells a retry from another request that
   // reuses the key.
   std::uint64_t mContentHash = 0;
-  // The caller states that it has never sent this key before.
+  // The caller states that it has never sent this key before, and gives up
+  // this answer should it send the key again meanwhile.
   bool mFirstAttempt = false;
 };
 
--- /dev/null
+++ b/src/sapphirespar/ledger/claim_rows_test.cpp
@@ -0,0 +1,68 @@
+// What claims look like in the store, and that a damaged object is noticed.
+#include "claim_rows.hpp"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace sapphirespar::ledger {
+namespace {
+
+claim_head
+SomeHead()
+{
+  claim_head head;
+  head.mClock = 77;
+  head.mArchives = { { 1, 40 }, { 2, 70 } };
+  head.mRows[HashClaimKey("a")] = {
+    { { "vm1" }, 3 }, { "r1" }, outcome::Done, 71
+  };
+  head.mRows[HashClaimKey("b")] = {
+    { { "vm2" }, 9 }, { "r2" }, outcome::Unknown, 77
+  };
+  return head;
+}
+
+TEST(ClaimRows, AHeadIsReadAsItWasWritten)
+{
+  EXPECT_EQ(DecodeHead(EncodeHead(SomeHead())), SomeHead());
+}
+
+TEST(ClaimRows, AnArchiveIsReadAsItWasWritten)
+{
+  const auto rows = SomeHead().mRows;
+  EXPECT_EQ(DecodeArchive(EncodeArchive(rows)), rows);
+}
+
+TEST(ClaimRows, AFullHeadStaysSmall)
+{
+  constexpr std::size_t kRows = 200;
+  constexpr std::size_t kHeadBytes = 32 * 1024;
+  claim_head head;
+  for (std::size_t i = 0; i < kRows; ++i) {
+    head.mRows[HashClaimKey(std::to_string(i))] = { { { "cesis-entry-1" },
+                                                      1796333000123 },
+                                                    NewRequestId(),
+                                                    outcome::Unknown,
+                                                    86400 };
+  }
+  EXPECT_LT(EncodeHead(head).size(), kHeadBytes);
+}
+
+RC_GTEST_PROP(ClaimRows,
+              ADamagedObjectIsRefusedOrReadNeverACrash,
+              (const std::string& aText))
+{
+  auto text = EncodeHead(SomeHead());
+  const auto place = *rc::gen::inRange<std::size_t>(0, text.size());
+  const auto length = *rc::gen::inRange<std::size_t>(0, text.size());
+  text.replace(place, length, aText);
+  const auto head = DecodeHead(text);
+  if (head) {
+    RC_ASSERT(DecodeHead(EncodeHead(*head)) == head);
+  }
+  DecodeArchive(text);
+  RC_ASSERT(!DecodeHead(text.substr(0, place)));
+}
+
+} // namespace
+} // namespace sapphirespar::ledger
--- /dev/null
+++ b/src/sapphirespar/ledger/claims_test.cpp
@@ -0,0 +1,305 @@
+// Claims between routers: the guard, the owners and the holders together.
+#include "once_world_test.hpp"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <algorithm>
+
+namespace sapphirespar::ledger {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr auto kClaim = once_mode::Claim;
+
+outcome
+OutcomeTold(const once_verdict& aVerdict)
+{
+  EXPECT_FALSE(aVerdict.mRun);
+  return aVerdict.mRefusal.mOutcome;
+}
+
+TEST(Claims, AKeyRunsOnceWhicheverRouterIsAsked)
+{
+  once_world world(3);
+  EXPECT_TRUE(world.Ask(0, kClaim, "lot-7").mRun);
+  EXPECT_EQ(OutcomeTold(world.Ask(1, kClaim, "lot-7")), outcome::Unknown);
+  world.Finish(0, "lot-7", outcome::Done);
+  for (unsigned router = 0; router < 3; ++router) {
+    EXPECT_EQ(OutcomeTold(world.Ask(router, kClaim, "lot-7")), outcome::Done);
+  }
+  EXPECT_EQ(world.Runs("lot-7"), 1U);
+}
+
+TEST(Claims, AKeyThatWasNotRunMayRunAtAnotherRouter)
+{
+  once_world world(3);
+  const auto first = world.Send(0, { kClaim, "lot-7", true, false });
+  world.mTimers.Advance(5s);
+  EXPECT_TRUE(first->value().mRun);
+  EXPECT_TRUE(world.Ask(1, kClaim, "lot-7").mRun);
+  EXPECT_EQ(OutcomeTold(world.Ask(0, kClaim, "lot-7")), outcome::Unknown);
+  EXPECT_EQ(world.Runs("lot-7"), 1U);
+}
+
+TEST(Claims, AClassWithClaimsTakesTokensToo)
+{
+  once_world world(2);
+  EXPECT_TRUE(world.Ask(0, kClaim, world.Token(0)).mRun);
+}
+
+TEST(Claims, TwoRoutersAskedAtOnceLetOneRun)
+{
+  once_world world(3);
+  const auto first = world.Send(0, { kClaim, "lot-7" });
+  const auto second = world.Send(1, { kClaim, "lot-7" });
+  world.mTimers.Advance(10s);
+  EXPECT_NE(first->value().mRun, second->value().mRun);
+}
+
+TEST(Fault_StoreOutage, Claim_Ask_NotRunIsToldOfAFirstAttemptOnly)
+{
+  once_world world(1);
+  world.Router(0).mPlatform.Faults().mOutage = true;
+  const auto first = world.Send(0, { kClaim, "lot-7", true });
+  const auto other = world.Send(0, { kClaim, "lot-8", false });
+  world.mTimers.Advance(10s);
+  EXPECT_EQ(OutcomeTold(first->value()), outcome::NotRun);
+  EXPECT_EQ(first->value().mRefusal.mReason, refusal_reason::PlatformDown);
+  EXPECT_GT(first->value().mRefusal.mRetryAfter, 0ms);
+  EXPECT_EQ(OutcomeTold(other->value()), outcome::Unknown);
+  world.Router(0).mPlatform.Faults().mOutage = false;
+  EXPECT_TRUE(world.Ask(0, kClaim, "lot-7").mRun);
+}
+
+TEST(Fault_CrashAfter, Claim_Run_TheHoldersDeathLeavesItUnknown)
+{
+  once_world world(3);
+  world.Ask(0, kClaim, "lot-7");
+  world.Crash(0);
+  world.Bury(0);
+  EXPECT_EQ(OutcomeTold(world.Ask(1, kClaim, "lot-7")), outcome::Unknown);
+  world.Restart(0);
+  EXPECT_EQ(OutcomeTold(world.Ask(0, kClaim, "lot-7")), outcome::Unknown);
+  EXPECT_EQ(world.Runs("lot-7"), 1U);
+}
+
+TEST(Fault_CrashBefore, Claim_Run_AnUnusedGrantIsNeverUsedByAnother)
+{
+  once_world world(3);
+  for (unsigned router = 0; router < 3; ++router) {
+    world.Router(router).mPlatform.Faults().mDelay = 20ms;
+  }
+  const auto doomed = world.Send(0, { kClaim, "lot-7" });
+  while (world.mStore->Changes("claims", 0).empty()) {
+    world.mTimers.Advance(1ms);
+  }
+  ASSERT_FALSE(doomed->has_value());
+  world.Crash(0);
+  world.Bury(0);
+  EXPECT_EQ(OutcomeTold(world.Ask(1, kClaim, "lot-7")), outcome::Unknown);
+  EXPECT_EQ(world.Runs("lot-7"), 0U);
+}
+
+TEST(Fault_PausePastLease, Claim_Run_AGrantThatArrivesLateIsNotUsed)
+{
+  once_world world(3);
+  const auto paused = world.Send(0, { kClaim, "lot-7" });
+  world.Router(0).mTimers.Pause();
+  world.Bury(0);
+  world.mTimers.Advance(1min);
+  world.Ask(1, kClaim, "lot-7");
+  world.Router(0).mTimers.Resume();
+  world.mTimers.Advance(1min);
+  EXPECT_LE(world.Runs("lot-7"), 1U);
+  EXPECT_EQ(world.FalseNotRuns(), 0U);
+}
+
+TEST(Fault_MessageLost, Claim_Ask_TheQuestionIsAskedAgain)
+{
+  once_world world(3);
+  unsigned sent = 0;
+  world.mNetwork.SetCarrier([&](const auto&) {
+    ++sent;
+    return sent % 3 == 0 ? std::optional<steady_duration>(1ms) : std::nullopt;
+  });
+  for (const auto* const key : { "lot-7", "lot-8", "lot-9" }) {
+    EXPECT_TRUE(world.Ask(0, kClaim, key).mRun);
+  }
+}
+
+TEST(Fault_Partition, Claim_Ask_ARouterCutOffFromTheOwnerRunsNothingTwice)
+{
+  once_world world(2);
+  world.mNetwork.Cut({ "vm0" }, { "vm1" });
+  world.mNetwork.Cut({ "vm1" }, { "vm0" });
+  for (int i = 0; i < 20; ++i) {
+    const auto key = "lot-" + std::to_string(i);
+    world.Ask(0, kClaim, key);
+    world.Ask(1, kClaim, key);
+    EXPECT_LE(world.Runs(key), 1U);
+  }
+}
+
+TEST(Fault_StaleList, Claim_Ask_TwoRoutersThatBothOwnTheKeyLetOneRun)
+{
+  once_world world(2);
+  // Each believes that it is alone.
+  world.Router(0).mBoard.mMembers.erase({ "vm1" });
+  world.Router(1).mBoard.mMembers.erase({ "vm0" });
+  const auto first = world.Send(0, { kClaim, "lot-7" });
+  const auto second = world.Send(1, { kClaim, "lot-7" });
+  world.mTimers.Advance(10s);
+  EXPECT_EQ(world.Runs("lot-7"), 1U);
+}
+
+// One thing that may happen to the small system.
+struct step
+{
+  unsigned mKind = 0;
+  unsigned mRouter = 0;
+  unsigned mOther = 0;
+};
+
+std::ostream&
+operator<<(std::ostream& aOut, const step& aStep)
+{
+  return aOut << aStep.mKind << '/' << aStep.mRouter << '/' << aStep.mOther;
+}
+
+constexpr unsigned kRouters = 3;
+
+vm_id
+VmOf(unsigned aRouter)
+{
+  return { "vm" + std::to_string(aRouter) };
+}
+
+// The keys in play: two of the caller's own, and one token of each router.
+struct chaos
+{
+  chaos()
+  {
+    for (unsigned router = 0; router < kRouters; ++router) {
+      mKeys.push_back(mWorld.Token(router));
+    }
+  }
+
+  void SendStep(unsigned aRouter, unsigned aOther)
+  {
+    const auto& key = mKeys[aOther % mKeys.size()];
+    const auto first = std::ranges::find(mSent, key) == mSent.end();
+    mSent.push_back(key);
+    mWorld.Send(aRouter, { once_mode::Claim, key, first, aOther % 5 != 4 });
+  }
+
+  void StoreStep(unsigned aRouter, unsigned aOther)
+  {
+    auto& faults = mWorld.Router(aRouter).mPlatform.Faults();
+    switch (aOther % 4) {
+      case 0:
+        faults.mOutage = !faults.mOutage;
+        break;
+      case 1:
+        ++faults.mLoseAnswers;
+        break;
+      case 2:
+        ++faults.mLoseRequests;
+        break;
+      default:
+        faults.mDelay = std::chrono::milliseconds(100) * aOther;
+    }
+  }
+
+  void ProcessStep(unsigned aRouter, unsigned aOther)
+  {
+    auto& timers = mWorld.Router(aRouter).mTimers;
+    switch (aOther % 4) {
+      case 0:
+        mWorld.Crash(aRouter);
+        break;
+      case 1:
+        timers.Pause();
+        break;
+      case 2:
+        timers.Resume();
+        break;
+      default:
+        mWorld.Bury(aRouter);
+    }
+  }
+
+  void Do(const step& aStep)
+  {
+    const auto router = aStep.mRouter;
+    const auto other = aStep.mOther;
+    if (!mWorld.IsUp(router)) {
+      mWorld.Restart(router);
+      return;
+    }
+    switch (aStep.mKind) {
+      case 0:
+        ProcessStep(router, other);
+        break;
+      case 1:
+        StoreStep(router, other);
+        break;
+      case 2:
+        mWorld.mNetwork.Cut(VmOf(router), VmOf(other % kRouters));
+        break;
+      case 3:
+        mWorld.mNetwork.Mend(VmOf(router), VmOf(other % kRouters));
+        break;
+      case 4:
+        mWorld.Finish(router,
+                      mKeys[other % mKeys.size()],
+                      other % 2 == 0 ? outcome::Done : outcome::Unknown);
+        break;
+      case 5:
+      case 6:
+        mWorld.mTimers.Advance(std::chrono::milliseconds(40) * (other + 1));
+        break;
+      default:
+        SendStep(router, other);
+    }
+  }
+
+  // Ends all faults; every process starts anew.
+  void Heal()
+  {
+    for (unsigned router = 0; router < kRouters; ++router) {
+      mWorld.Restart(router);
+      for (unsigned other = 0; other < kRouters; ++other) {
+        mWorld.mNetwork.Mend(VmOf(router), VmOf(other));
+      }
+    }
+    mWorld.mTimers.Advance(10s);
+  }
+
+  once_world mWorld{ kRouters };
+  std::vector<std::string> mKeys{ "lot-7", "lot-8" };
+  std::vector<std::string> mSent;
+};
+
+RC_GTEST_PROP(Claims, AtMostOnceAndNotRunIsTrueUnderAnyFaults, ())
+{
+  const auto kind = rc::gen::inRange(0U, 12U);
+  const auto router = rc::gen::inRange(0U, kRouters);
+  const auto other = rc::gen::inRange(0U, 25U);
+  const auto steps = *rc::gen::container<std::vector<step>>(
+    120, rc::gen::construct<step>(kind, router, other));
+  chaos chaos;
+  for (const auto& step : steps) {
+    chaos.Do(step);
+    for (const auto& key : chaos.mKeys) {
+      RC_ASSERT(chaos.mWorld.Runs(key) <= 1U);
+    }
+    RC_ASSERT(chaos.mWorld.FalseNotRuns() == 0U);
+  }
+  chaos.Heal();
+  RC_ASSERT(chaos.mWorld.Ask(0, kClaim, "fresh").mRun);
+}
+
+} // namespace
+} // namespace sapphirespar::ledger
--- a/src/sapphirespar/ledger/fate_asker.cpp
+++ b/src/sapphirespar/ledger/fate_asker.cpp
@@ -1,6 +1,8 @@
 // Questions in progress, each with its own timer.
 #include "fate_asker.hpp"
 
+#include <algorithm>
+
 namespace sapphirespar::ledger {
 
 fate_asker::fate_asker(peer_network& aPeers,
@@ -19,9 +21,12 @@
 {
   const question_id id{ aQuestion.mKey, aQuestion.mRequest };
   auto& asked = mQuestions[id];
+  asked.mDone.push_back(std::move(aDone));
+  if (asked.mDone.size() > 1) {
+    return;
+  }
   asked.mHolder = aHolder;
   asked.mRequest = aQuestion;
-  asked.mDone = std::move(aDone);
   asked.mDeadline = mTimers.Now() + mSettings.mFateTimeout;
   asked.mResend =
     mTimers.Every(mSettings.mResendInterval, [this, id] { Resend(id); });
@@ -53,7 +58,8 @@
 fate_asker::End(const question_id& aId, std::optional<outcome> aOutcome)
 {
   const auto ended = mQuestions.extract(aId);
-  ended.mapped().mDone(aOutcome);
+  std::ranges::for_each(ended.mapped().mDone,
+                        [&](const auto& aDone) { aDone(aOutcome); });
 }
 
 } // namespace sapphirespar::ledger
--- a/src/sapphirespar/ledger/fate_asker.hpp
+++ b/src/sapphirespar/ledger/fate_asker.hpp
@@ -6,6 +6,7 @@
 #include <map>
 #include <optional>
 #include <utility>
+#include <vector>
 
 namespace sapphirespar::ledger {
 
@@ -34,7 +35,8 @@
   {
     process_id mHolder;
     fate_request mRequest;
-    fate_callback mDone;
+    // All who want to know.
+    std::vector<fate_callback> mDone;
     steady_time mDeadline{};
     timer_subscription mResend;
   };
--- a/src/sapphirespar/ledger/once_guard.cpp
+++ b/src/sapphirespar/ledger/once_guard.cpp
@@ -1,11 +1,7 @@
-// The guard: looks a key up in the table, then lets its own tokens run and
-// asks about all others.
+// The guard: looks a key up in the table, then goes by its kind.
 #include "sapphirespar/ledger/once_guard.hpp"
 
-#include "fate_asker.hpp"
-#include "once_table.hpp"
-#include "sapphirespar/base/log.hpp"
-#include "sapphirespar/ledger/token.hpp"
+#include "once_state.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -16,7 +12,8 @@
 constexpr std::size_t kKeyLimitBytes = 256;
 constexpr std::chrono::seconds kSweepInterval{ 10 };
 
-// A key with its account as it travels between processes.
+} // namespace
+
 std::string
 WireKey(const once_key& aKey)
 {
@@ -32,207 +29,100 @@
 }
 
 once_verdict
-Run()
+RunVerdict()
 {
   return { .mRun = true, .mRefusal = {}, .mAnswer = nullptr };
 }
 
 once_verdict
-Refuse(refusal_reason aReason,
-       outcome aOutcome,
-       std::string aDetail,
-       std::chrono::milliseconds aRetryAfter = {})
+RefusalVerdict(refusal_reason aReason,
+               outcome aOutcome,
+               std::string aDetail,
+               std::chrono::milliseconds aRetryAfter)
 {
   return { .mRun = false,
            .mRefusal = { aReason, aOutcome, std::move(aDetail), aRetryAfter },
            .mAnswer = nullptr };
 }
 
-} // namespace
-
-class once_guard::state : public std::enable_shared_from_this<state>
+once_guard::state::state(const blackboard& aBoard,
+                         platform_api& aPlatform,
+                         peer_network& aPeers,
+                         timer_service& aTimers,
+                         const once_settings& aSettings)
+  : mBoard(aBoard)
+  , mSelf(aBoard.mSelf)
+  , mPeers(aPeers)
+  , mTimers(aTimers)
+  , mSettings(aSettings)
+  , mIssuer(aBoard.mSelf)
+  , mTable(aSettings)
+  , mFates(aPeers, aTimers, aSettings)
+  , mKeeper(aPlatform, aTimers)
+  , mClaims(aBoard, aPeers, aTimers, mKeeper, mFates, aSettings)
+  , mSweep(aTimers.Every(kSweepInterval, [this] { Sweep(); }))
 {
-public:
-  state(const blackboard& aBoard,
-        peer_network& aPeers,
-        timer_service& aTimers,
-        const once_settings& aSettings)
-    : mBoard(aBoard)
-    , mSelf(aBoard.mSelf)
-    , mPeers(aPeers)
-    , mTimers(aTimers)
-    , mSettings(aSettings)
-    , mIssuer(aBoard.mSelf)
-    , mTable(aSettings)
-    , mFates(aPeers, aTimers, aSettings)
-    , mSweep(
-        aTimers.Every(kSweepInterval, [this] { mTable.Sweep(mTimers.Now()); }))
-  {
-  }
-
-  void Begin(const once_request& aRequest, const once_callback& aDone);
-  void Finished(const once_key& aKey,
-                outcome aOutcome,
-                stored_answer_ptr aAnswer);
-  void OnFateRequest(const process_id& aFrom, const fate_request& aQuestion);
-
-  const blackboard& mBoard;
-  const process_id mSelf;
-  peer_network& mPeers;
-  timer_service& mTimers;
-  const once_settings mSettings;
-  const token_issuer mIssuer;
-  once_table mTable;
-  fate_asker mFates;
-
-private:
-  once_verdict VerdictOn(const once_request& aRequest, once_entry& aEntry);
-  void BeginToken(const once_request& aRequest,
-                  const token_fields& aToken,
-                  const once_callback& aDone);
-  once_verdict BeginOwnToken(const once_request& aRequest,
-                             const token_fields& aToken);
-  void AskIssuer(const once_request& aRequest,
-                 const process_id& aIssuer,
-                 const once_callback& aDone);
-  outcome CloseToken(const once_key& aKey, const token_fields& aToken);
-  steady_time ExpiryOf(const token_fields& aToken) const;
-  bool IsGone(const process_id& aProcess) const;
-
-  timer_subscription mSweep;
-};
+}
 
 void
 once_guard::state::Begin(const once_request& aRequest,
                          const once_callback& aDone)
 {
   const auto& text = aRequest.mKey.mText;
+  const auto token = ReadToken(text);
+  auto* const entry = mTable.Find(aRequest.mKey);
   if (aRequest.mMode == once_mode::None) {
-    aDone(Run());
+    aDone(RunVerdict());
   } else if (text.empty()) {
-    aDone(Refuse(refusal_reason::MissingKey,
-                 outcome::NotRun,
-                 "this class needs an Idempotency-Key"));
+    aDone(RefusalVerdict(refusal_reason::MissingKey,
+                         outcome::NotRun,
+                         "this class needs an Idempotency-Key"));
   } else if (text.size() > kKeyLimitBytes) {
-    aDone(Refuse(refusal_reason::BadRequest,
-                 outcome::NotRun,
-                 "the Idempotency-Key is longer than 256 bytes"));
-  } else if (auto* const entry = mTable.Find(aRequest.mKey)) {
+    aDone(RefusalVerdict(refusal_reason::BadRequest,
+                         outcome::NotRun,
+                         "the Idempotency-Key is longer than 256 bytes"));
+  } else if (entry != nullptr && entry->mState != entry_state::NotRun) {
     aDone(VerdictOn(aRequest, *entry));
-  } else if (const auto token = ReadToken(text)) {
+  } else if (token) {
     BeginToken(aRequest, *token, aDone);
+  } else if (aRequest.mMode == once_mode::Claim) {
+    BeginClaim(aRequest, aDone);
   } else {
-    aDone(Refuse(refusal_reason::BadRequest,
-                 outcome::NotRun,
-                 "the Idempotency-Key is not a token; POST /v1/tokens "
-                 "issues one"));
+    aDone(RefusalVerdict(refusal_reason::BadRequest,
+                         outcome::NotRun,
+                         "the Idempotency-Key is not a token; POST "
+                         "/v1/tokens issues one"));
   }
 }
 
+// What is told of a key that is in use or has been used.
 once_verdict
-once_guard::state::VerdictOn(const once_request& aRequest, once_entry& aEntry)
-{
-  if (aEntry.mContentHash != aRequest.mContentHash &&
-      aEntry.mState != entry_state::Closed) {
-    return Refuse(refusal_reason::DuplicateKey,
-                  outcome::Unknown,
-                  "the key was used for another request");
-  }
-  switch (aEntry.mState) {
-    case entry_state::NotRun:
-      aEntry.mState = entry_state::Running;
-      return Run();
-    case entry_state::Claiming:
-    case entry_state::Running:
-      return Refuse(refusal_reason::DuplicateKey,
-                    outcome::Unknown,
-                    "the request is in progress",
-                    mSettings.mRetryAfter);
-    case entry_state::Closed:
-      return Refuse(refusal_reason::DuplicateKey,
-                    outcome::NotRun,
-                    "the token is closed; take a new one");
-    case entry_state::Unknown:
-    case entry_state::Done:
-      break;
-  }
-  auto verdict = Refuse(refusal_reason::DuplicateKey,
-                        OutcomeOf(aEntry),
-                        "the request was dispatched before");
+once_guard::state::VerdictOn(const once_request& aRequest,
+                             const once_entry& aEntry) const
+{
+  if (aEntry.mState == entry_state::Closed) {
+    return RefusalVerdict(refusal_reason::DuplicateKey,
+                          outcome::NotRun,
+                          "the token is closed; take a new one");
+  }
+  if (aEntry.mContentHash != aRequest.mContentHash) {
+    return RefusalVerdict(refusal_reason::DuplicateKey,
+                          outcome::Unknown,
+                          "the key was used for another request");
+  }
+  if (IsOpen(aEntry)) {
+    return RefusalVerdict(refusal_reason::DuplicateKey,
+                          outcome::Unknown,
+                          "the request is in progress",
+                          mSettings.mRetryAfter);
+  }
+  auto verdict = RefusalVerdict(refusal_reason::DuplicateKey,
+                                OutcomeOf(aEntry),
+                                "the request was dispatched before");
   verdict.mAnswer = aEntry.mAnswer;
   return verdict;
 }
 
-void
-once_guard::state::BeginToken(const once_request& aRequest,
-                              const token_fields& aToken,
-                              const once_callback& aDone)
-{
-  if (aToken.mIssuer == mSelf) {
-    aDone(BeginOwnToken(aRequest, aToken));
-  } else if (IsGone(aToken.mIssuer)) {
-    aDone(Refuse(refusal_reason::DuplicateKey,
-                 outcome::Unknown,
-                 "the router that issued the token is gone"));
-  } else {
-    AskIssuer(aRequest, aToken.mIssuer, aDone);
-  }
-}
-
-once_verdict
-once_guard::state::BeginOwnToken(const once_request& aRequest,
-                                 const token_fields& aToken)
-{
-  if (!mIssuer.Verify(aRequest.mKey.mText, aRequest.mKey.mAccount)) {
-    return Refuse(refusal_reason::BadRequest,
-                  outcome::NotRun,
-                  "the token was not issued to this account");
-  }
-  if (mTimers.Now() >= ExpiryOf(aToken)) {
-    return Refuse(
-      refusal_reason::DuplicateKey, outcome::Unknown, "the token has expired");
-  }
-  once_entry entry;
-  entry.mContentHash = aRequest.mContentHash;
-  entry.mKeepUntil = ExpiryOf(aToken);
-  if (mTable.Add(aRequest.mKey, std::move(entry)) == nullptr) {
-    return Refuse(refusal_reason::NotReady,
-                  outcome::NotRun,
-                  "too many requests to keep apart",
-                  mSettings.mRetryAfter);
-  }
-  return Run();
-}
-
-void
-once_guard::state::AskIssuer(const once_request& aRequest,
-                             const process_id& aIssuer,
-                             const once_callback& aDone)
-{
-  const auto retryAfter = mSettings.mRetryAfter;
-  mFates.Ask(
-    aIssuer,
-    { WireKey(aRequest.mKey), NewRequestId() },
-    [aDone, retryAfter](std::optional<outcome> aOutcome) {
-      if (!aOutcome) {
-        aDone(Refuse(refusal_reason::DuplicateKey,
-                     outcome::Unknown,
-                     "the router that issued the token does not answer",
-                     retryAfter));
-      } else if (*aOutcome == outcome::NotRun) {
-        aDone(Refuse(refusal_reason::DuplicateKey,
-                     outcome::NotRun,
-                     "another router issued the token; take a new one"));
-      } else {
-        aDone(Refuse(refusal_reason::DuplicateKey,
-                     *aOutcome,
-                     "the token was used at another router",
-                     *aOutcome == outcome::Unknown ? retryAfter
-                                                   : retryAfter.zero()));
-      }
-    });
-}
-
 void
 once_guard::state::Finished(const once_key& aKey,
                             outcome aOutcome,
@@ -242,24 +132,31 @@
   if (entry == nullptr || entry->mState != entry_state::Running) {
     return;
   }
-  const auto end = mTimers.Now() + mSettings.mFateRetention;
-  entry->mKeepUntil = std::max(entry->mKeepUntil, end);
   switch (aOutcome) {
     case outcome::NotRun:
-      entry->mState = entry_state::NotRun;
+      EndEntry(*entry, entry_state::NotRun);
       break;
     case outcome::Unknown:
-      entry->mState = entry_state::Unknown;
+      EndEntry(*entry, entry_state::Unknown);
       break;
     case outcome::Done:
-      entry->mState = entry_state::Done;
+      EndEntry(*entry, entry_state::Done);
       mTable.KeepAnswer(*entry, std::move(aAnswer));
+      OnClaimFinished(aKey, *entry);
       break;
   }
 }
 
-// Answering "not run" closes the key, so that the answer stays true when an
-// earlier copy of the request arrives late.
+void
+once_guard::state::EndEntry(once_entry& aEntry, entry_state aState)
+{
+  aEntry.mState = aState;
+  aEntry.mKeepUntil =
+    std::max(aEntry.mKeepUntil, mTimers.Now() + mSettings.mFateRetention);
+}
+
+// Answering "not run" is a promise: neither the token nor the attempt named
+// here is run afterwards, so that a copy of it that arrives late is refused.
 void
 once_guard::state::OnFateRequest(const process_id& aFrom,
                                  const fate_request& aQuestion)
@@ -267,56 +164,55 @@
   const auto key = ReadWireKey(aQuestion.mKey);
   const auto token = ReadToken(key.mText);
   auto fate = outcome::Unknown;
-  if (token && mIssuer.Verify(key.mText, key.mAccount)) {
+  if (!token) {
+    fate = FateOfClaim(key, aQuestion.mRequest);
+  } else if (mIssuer.Verify(key.mText, key.mAccount)) {
     fate = CloseToken(key, *token);
   }
   mPeers.Send(aFrom.mVm,
               fate_answer{ aQuestion.mKey, aQuestion.mRequest, fate });
 }
 
-outcome
-once_guard::state::CloseToken(const once_key& aKey, const token_fields& aToken)
+bool
+once_guard::state::OnPeerMessage(const process_id& aFrom,
+                                 const peer_message& aMessage)
 {
-  if (auto* const entry = mTable.Find(aKey)) {
-    if (entry->mState == entry_state::NotRun) {
-      entry->mState = entry_state::Closed;
-    }
-    return OutcomeOf(*entry);
-  }
-  if (mTimers.Now() >= ExpiryOf(aToken)) {
-    return outcome::Unknown;
+  if (const auto* const question = std::get_if<fate_request>(&aMessage)) {
+    OnFateRequest(aFrom, *question);
+  } else if (const auto* const fate = std::get_if<fate_answer>(&aMessage)) {
+    mFates.OnAnswer(aFrom, *fate);
+  } else if (const auto* const ask = std::get_if<claim_request>(&aMessage)) {
+    OnClaimRequest(aFrom, *ask);
+  } else if (const auto* const claim = std::get_if<claim_answer>(&aMessage)) {
+    mClaims.OnAnswer(*claim);
+  } else if (const auto* const end = std::get_if<claim_finished>(&aMessage)) {
+    mKeeper.Finished(*end);
+  } else {
+    return false;
   }
-  once_entry closed;
-  closed.mState = entry_state::Closed;
-  closed.mKeepUntil = ExpiryOf(aToken);
-  return mTable.Add(aKey, std::move(closed)) == nullptr ? outcome::Unknown
-                                                        : outcome::NotRun;
+  return true;
 }
 
-steady_time
-once_guard::state::ExpiryOf(const token_fields& aToken) const
+std::string
+once_guard::state::IssueToken(const account_id& aAccount) const
 {
-  return aToken.mIssuedAt + mSettings.mTokenLifetime;
+  return mIssuer.Issue(aAccount, mTimers.Now());
 }
 
-bool
-once_guard::state::IsGone(const process_id& aProcess) const
+void
+once_guard::state::Sweep()
 {
-  if (aProcess.mVm == mSelf.mVm) {
-    return true;
-  }
-  const auto found = mBoard.mMembers.find(aProcess.mVm);
-  return found == mBoard.mMembers.end() ||
-         found->second.mState == member_state::Dead ||
-         found->second.mProcess.mIncarnation > aProcess.mIncarnation;
+  mTable.Sweep(mTimers.Now());
+  mKeeper.Sweep(mTimers.Now());
 }
 
 once_guard::once_guard(const blackboard& aBoard,
-                       platform_api& /*aPlatform*/,
+                       platform_api& aPlatform,
                        peer_network& aPeers,
                        timer_service& aTimers,
                        once_settings aSettings)
-  : mState(std::make_shared<state>(aBoard, aPeers, aTimers, aSettings))
+  : mState(
+      std::make_shared<state>(aBoard, aPlatform, aPeers, aTimers, aSettings))
 {
 }
 
@@ -325,7 +221,7 @@
 std::string
 once_guard::IssueToken(const account_id& aAccount) const
 {
-  return mState->mIssuer.Issue(aAccount, mState->mTimers.Now());
+  return mState->IssueToken(aAccount);
 }
 
 void
@@ -345,21 +241,13 @@
 bool
 once_guard::OnPeerMessage(const process_id& aFrom, const peer_message& aMessage)
 {
-  if (const auto* const question = std::get_if<fate_request>(&aMessage)) {
-    mState->OnFateRequest(aFrom, *question);
-    return true;
-  }
-  if (const auto* const answer = std::get_if<fate_answer>(&aMessage)) {
-    mState->mFates.OnAnswer(aFrom, *answer);
-    return true;
-  }
-  return false;
+  return mState->OnPeerMessage(aFrom, aMessage);
 }
 
 once_counts
 once_guard::Counts() const
 {
-  return mState->mTable.Counts();
+  return mState->Counts();
 }
 
 } // namespace sapphirespar::ledger
--- a/src/sapphirespar/ledger/once_world_test.cpp
+++ b/src/sapphirespar/ledger/once_world_test.cpp
@@ -72,19 +72,27 @@
 }
 
 once_world::attempt
-once_world::Send(unsigned aRouter,
-                 once_mode aMode,
-                 const std::string& aKey,
-                 bool aFirst)
+once_world::Send(unsigned aRouter, sending aSending)
 {
   auto told = std::make_shared<std::optional<once_verdict>>();
-  once_request request;
-  request.mMode = aMode;
-  request.mKey = { kAccount, aKey };
-  request.mFirstAttempt = aFirst;
-  Router(aRouter).mGuard->Begin(request, [this, told, aKey](auto aVerdict) {
-    mRuns[aKey] += aVerdict.mRun ? 1 : 0;
+  const once_request request{
+    aSending.mMode, { kAccount, aSending.mKey }, 0, aSending.mFirst
+  };
+  auto* const guard = Router(aRouter).mGuard.get();
+  const auto sent = ++mSent[aSending.mKey];
+  guard->Begin(request, [this, told, aSending, guard, sent](auto aVerdict) {
     *told = aVerdict;
+    auto& runs = mRuns[aSending.mKey];
+    if (aVerdict.mRun && aSending.mDispatch) {
+      ++runs;
+    } else if (aVerdict.mRun) {
+      guard->Finished({ kAccount, aSending.mKey }, outcome::NotRun);
+      mFalseNotRuns += runs;
+    } else if (aVerdict.mRefusal.mOutcome == outcome::NotRun &&
+               (!aSending.mFirst || sent == mSent[aSending.mKey])) {
+      // Who sends a first attempt again has given up its answer.
+      mFalseNotRuns += runs;
+    }
   });
   return told;
 }
@@ -92,7 +100,7 @@
 once_verdict
 once_world::Ask(unsigned aRouter, once_mode aMode, const std::string& aKey)
 {
-  const auto told = Send(aRouter, aMode, aKey);
+  const auto told = Send(aRouter, { aMode, aKey, false, true });
   mTimers.Advance(10s);
   return told->value();
 }
--- a/src/sapphirespar/ledger/once_world_test.hpp
+++ b/src/sapphirespar/ledger/once_world_test.hpp
@@ -42,19 +42,25 @@
   bool IsUp(unsigned aRouter) const { return mRouters.contains(aRouter); }
   test_router& Router(unsigned aRouter) { return *mRouters.at(aRouter); }
 
-  // Sends one attempt to a router and returns what it is told so far; a run
-  // is counted, and its end is left to Finish.
+  // Sends one attempt to a router and returns what it is told so far. What is
+  // let run is dispatched and counted, or else ended as not run.
+  struct sending
+  {
+    once_mode mMode = once_mode::Claim;
+    std::string mKey;
+    bool mFirst = false;
+    bool mDispatch = true;
+  };
   using attempt = std::shared_ptr<std::optional<once_verdict>>;
-  attempt Send(unsigned aRouter,
-               once_mode aMode,
-               const std::string& aKey,
-               bool aFirst = false);
+  attempt Send(unsigned aRouter, sending aSending);
   // The same, and waits long enough for any verdict.
   once_verdict Ask(unsigned aRouter, once_mode aMode, const std::string& aKey);
   void Finish(unsigned aRouter, const std::string& aKey, outcome aOutcome);
 
   std::string Token(unsigned aRouter);
   unsigned Runs(const std::string& aKey) { return mRuns[aKey]; }
+  // How often "not run" was told of a key that had run.
+  unsigned FalseNotRuns() const { return mFalseNotRuns; }
   // Marks a router as dead in the eyes of all others.
   void Bury(unsigned aRouter);
 
@@ -68,6 +74,8 @@
   std::map<unsigned, std::unique_ptr<test_router>> mRouters;
   std::map<unsigned, member> mMembers;
   std::map<std::string, unsigned> mRuns;
+  std::map<std::string, unsigned> mSent;
+  unsigned mFalseNotRuns = 0;
 };
 
 } // namespace sapphirespar::ledger
--- a/src/sapphirespar/ledger/token_test.cpp
+++ b/src/sapphirespar/ledger/token_test.cpp
@@ -46,7 +46,9 @@
 RC_GTEST_PROP(Token, AnyTextIsReadOrRefused, (const std::string& aText))
 {
   const auto fields = ReadToken("st1." + aText);
-  RC_ASSERT(!fields || !fields->mIssuer.mVm.Empty());
+  if (fields) {
+    RC_ASSERT(!fields->mIssuer.mVm.Empty());
+  }
 }
 
 } // namespace
