Run the router's platform calls through their budget, and TLS by settings

Cause: the router called the platform without a budget, and its settings could name TLS files that nothing read. Change: the control plane uses careful_platform with the live members as the fleet and notes on the blackboard whether the platform is up; TLS contexts for callers, peers, upstreams and the platform are made at the start, or the start fails with the file's name.

--- a/include/sapphirespar/config/careful_platform.hpp
+++ b/include/sapphirespar/config/careful_platform.hpp
@@ -38,7 +38,7 @@
 {
   // Routers that share the budget, this one included; unset means one.
   std::function<std::size_t()> mFleetSize;
-  // Called when the platform is found to be away or back.
+  // Called after the first call and when the platform has gone or come back.
   std::function<void(bool aUp)> mUpChanged;
 };
 
--- a/include/sapphirespar/router/control_plane.hpp
+++ b/include/sapphirespar/router/control_plane.hpp
@@ -8,6 +8,7 @@
 #include "sapphirespar/router/attempt.hpp"
 #include "sapphirespar/router/dispatcher.hpp"
 #include "sapphirespar/router/snapshot.hpp"
+#include "sapphirespar/router/tls_contexts.hpp"
 #include "sapphirespar/telemetry/metrics.hpp"
 
 #include <boost/asio/io_context.hpp>
@@ -25,6 +26,7 @@
   snapshot_cell& mSnapshots;
   dispatcher& mDispatcher;
   metrics& mMetrics;
+  const tls_contexts& mTls;
 };
 
 // Lives on the control thread but for its construction, which happens before
--- a/include/sapphirespar/router/upstream_probe.hpp
+++ b/include/sapphirespar/router/upstream_probe.hpp
@@ -17,7 +17,8 @@
 class upstream_probe
 {
 public:
-  explicit upstream_probe(asio::any_io_executor aExecutor);
+  // A null context speaks plain TCP.
+  upstream_probe(asio::any_io_executor aExecutor, wire::tls_context_ptr aTls);
 
   // Asks over a fresh connection whether the upstream answers at all. A plain
   // service that answers gives an empty report.
--- a/src/sapphirespar/config/careful_platform.cpp
+++ b/src/sapphirespar/config/careful_platform.cpp
@@ -63,6 +63,7 @@
   void GiveUp(const write_ptr& aWrite);
 
   void Note(platform_status aStatus);
+  void Tell();
   void GoDown();
   void GoUp();
   void Probe();
@@ -82,6 +83,8 @@
   call_budget mWrites;
 
   bool mUp = true;
+  // Whether the hook has been told of mUp, which starts as a guess.
+  bool mTold = false;
   milliseconds mProbeDelay{ 0 };
   // The share of the rate at a moment; it grows from there.
   double mShare = 1;
@@ -311,10 +314,23 @@
 {
   if (aStatus == platform_status::Unavailable ||
       aStatus == platform_status::Unknown) {
-    GoDown();
-  } else if (aStatus == platform_status::Throttled) {
+    return GoDown();
+  }
+  if (aStatus == platform_status::Throttled) {
     SlowDown(Share() / 2);
   }
+  if (mUp && !mTold) {
+    Tell();
+  }
+}
+
+void
+careful_platform::state::Tell()
+{
+  mTold = true;
+  if (mHooks.mUpChanged) {
+    mHooks.mUpChanged(mUp);
+  }
 }
 
 void
@@ -326,9 +342,7 @@
   mUp = false;
   mProbeDelay = mSettings.mProbeAfter;
   LogEvent(log_level::Warning, "platform_down");
-  if (mHooks.mUpChanged) {
-    mHooks.mUpChanged(mUp);
-  }
+  Tell();
   mReads.RefuseAll();
   mWrites.RefuseAll();
   Later(Jittered(mProbeDelay), [this] { Probe(); });
@@ -361,9 +375,7 @@
   mUp = true;
   SlowDown(kLeastShare);
   LogEvent(log_level::Info, "platform_up");
-  if (mHooks.mUpChanged) {
-    mHooks.mUpChanged(mUp);
-  }
+  Tell();
 }
 
 careful_platform::careful_platform(platform_api& aInner,
--- a/src/sapphirespar/config/settings.cpp
+++ b/src/sapphirespar/config/settings.cpp
@@ -80,15 +80,25 @@
   ReadTlsFiles(aTls, "peers", aSettings.mPeerTls);
   ReadTlsFiles(aTls, "upstreams", aSettings.mUpstreamTls);
   ReadTlsFiles(aTls, "platform", aSettings.mPlatformTls);
+  const auto check =
+    [&](std::string_view aKey, bool aLacks, const char* aNeed) {
+      if (aLacks) {
+        aTls.Fail(aKey, aNeed);
+      }
+    };
   const auto lacksCertificate = [](const std::optional<tls_files>& aFiles) {
     return aFiles && aFiles->mCertificate.empty();
   };
-  if (lacksCertificate(aSettings.mCallerTls)) {
-    aTls.Fail("callers", "a server needs certificate and key");
-  }
-  if (lacksCertificate(aSettings.mPeerTls)) {
-    aTls.Fail("peers", "a server needs certificate and key");
-  }
+  const auto lacksAuthorities = [](const std::optional<tls_files>& aFiles) {
+    return aFiles && aFiles->mAuthorities.empty();
+  };
+  constexpr auto kServer = "a server needs certificate and key";
+  constexpr auto kClient = "a client needs ca";
+  check("callers", lacksCertificate(aSettings.mCallerTls), kServer);
+  check("peers", lacksCertificate(aSettings.mPeerTls), kServer);
+  check("peers", lacksAuthorities(aSettings.mPeerTls), kClient);
+  check("upstreams", lacksAuthorities(aSettings.mUpstreamTls), kClient);
+  check("platform", lacksAuthorities(aSettings.mPlatformTls), kClient);
 }
 
 void
--- a/src/sapphirespar/router/control_plane.cpp
+++ b/src/sapphirespar/router/control_plane.cpp
@@ -3,6 +3,7 @@
 
 #include "sapphirespar/base/log.hpp"
 #include "sapphirespar/config/bundle_controller.hpp"
+#include "sapphirespar/config/careful_platform.hpp"
 #include "sapphirespar/membership/homes.hpp"
 #include "sapphirespar/membership/membership_controller.hpp"
 #include "sapphirespar/router/upstream_probe.hpp"
@@ -37,18 +38,33 @@
 }
 
 wire::platform_client_settings
-PlatformSettings(const router_settings& aSettings)
+PlatformSettings(const router_settings& aSettings, const tls_contexts& aTls)
 {
   wire::platform_client_settings settings;
+  settings.mTls = aTls.mPlatform;
   settings.mPlatform.mAddress = aSettings.mPlatform.mAddress;
   settings.mPlatform.mPort = aSettings.mPlatform.mPort;
   return settings;
 }
 
+careful_platform_settings
+BudgetSettings(const router_settings& aSettings, const process_id& aSelf)
+{
+  careful_platform_settings settings;
+  settings.mFleetReadsPerSecond = aSettings.mFleetReadsPerSecond;
+  settings.mFleetWritesPerSecond = aSettings.mFleetWritesPerSecond;
+  settings.mSeed = aSelf.mIncarnation;
+  return settings;
+}
+
 wire::peer_mesh_settings
-MeshSettings(const router_settings& aSettings, const process_id& aSelf)
+MeshSettings(const router_settings& aSettings,
+             const process_id& aSelf,
+             const tls_contexts& aTls)
 {
   wire::peer_mesh_settings settings;
+  settings.mServerTls = aTls.mPeerServer;
+  settings.mClientTls = aTls.mPeerClient;
   settings.mSelf = aSelf;
   settings.mAddress = aSettings.mAddress;
   settings.mPort = aSettings.mPeerPort;
@@ -118,6 +134,7 @@
   std::vector<pool_load> PoolLoads() const;
   void UpdateMetrics();
 
+  careful_platform_hooks PlatformHooks();
   wire::peer_mesh_hooks MeshHooks();
   membership::membership_hooks MembershipHooks();
   upstream::health_hooks HealthHooks();
@@ -127,7 +144,8 @@
   std::uint16_t mCallerPort;
   blackboard mBoard;
   wire::asio_timer_service mTimers;
-  wire::platform_client mPlatform;
+  wire::platform_client mPlatformClient;
+  careful_platform mPlatform;
   upstream_probe mProbe;
   wire::peer_mesh mMesh;
   ledger::once_guard mOnce;
@@ -149,14 +167,39 @@
   , mCallerPort(aCallerPort)
   , mBoard(MakeBoard(aSettings, aSelf))
   , mTimers(aServices.mContext.get_executor())
-  , mPlatform(aServices.mContext.get_executor(), PlatformSettings(aSettings))
-  , mProbe(aServices.mContext.get_executor())
-  , mMesh(aServices.mContext, MeshSettings(aSettings, aSelf), MeshHooks())
+  , mPlatformClient(aServices.mContext.get_executor(),
+                    PlatformSettings(aSettings, aServices.mTls))
+  , mPlatform(mPlatformClient,
+              mTimers,
+              BudgetSettings(aSettings, aSelf),
+              PlatformHooks())
+  , mProbe(aServices.mContext.get_executor(), aServices.mTls.mUpstreams)
+  , mMesh(aServices.mContext,
+          MeshSettings(aSettings, aSelf, aServices.mTls),
+          MeshHooks())
   , mOnce(mBoard, mPlatform, mMesh, mTimers)
 {
   Publish();
 }
 
+careful_platform_hooks
+control_plane::state::PlatformHooks()
+{
+  careful_platform_hooks hooks;
+  hooks.mFleetSize = [this] {
+    const auto alive =
+      std::ranges::count_if(mBoard.mMembers, [](const auto& aItem) {
+        return aItem.second.mState != member_state::Dead;
+      });
+    return static_cast<std::size_t>(alive);
+  };
+  hooks.mUpChanged = [this](bool aUp) {
+    mBoard.mPlatformUp = aUp;
+    mBoard.mPlatformChangedAt = mTimers.Now();
+  };
+  return hooks;
+}
+
 wire::peer_mesh_hooks
 control_plane::state::MeshHooks()
 {
--- a/src/sapphirespar/router/router_app.cpp
+++ b/src/sapphirespar/router/router_app.cpp
@@ -6,6 +6,7 @@
 #include "sapphirespar/router/control_plane.hpp"
 #include "sapphirespar/router/exchange.hpp"
 #include "sapphirespar/router/pages.hpp"
+#include "sapphirespar/router/tls_contexts.hpp"
 #include "sapphirespar/wire/http_server.hpp"
 
 #include <boost/asio/executor_work_guard.hpp>
@@ -28,9 +29,14 @@
 // A thread with its own context and upstream connections.
 struct worker
 {
+  explicit worker(wire::tls_context_ptr aUpstreamTls)
+    : mClient(mContext.get_executor(), { .mTls = std::move(aUpstreamTls) })
+  {
+  }
+
   asio::io_context mContext{ 1 };
   work_guard mGuard{ mContext.get_executor() };
-  wire::http_client mClient{ mContext.get_executor(), {} };
+  wire::http_client mClient;
   std::thread mThread;
 };
 
@@ -89,6 +95,7 @@
   router_settings mSettings;
   router_options mOptions;
   process_id mSelf;
+  tls_contexts mTls;
   metrics mMetrics;
   span_buffer mSpans;
   snapshot_cell mSnapshots;
@@ -115,13 +122,14 @@
   : mSettings(std::move(aSettings))
   , mOptions(std::move(aOptions))
   , mSelf(MakeSelf(mSettings.mVm))
+  , mTls(LoadTls(mSettings))
   , mDispatcher(MakeSchedulerOrThrow(mOptions.mScheduler),
                 [](const policy::pause_order&) {})
   , mExchange(ExchangeServices())
 {
   std::generate_n(std::back_inserter(mWorkers),
                   std::max(mSettings.mTrafficThreads, 1U),
-                  [] { return std::make_unique<worker>(); });
+                  [this] { return std::make_unique<worker>(mTls.mUpstreams); });
   mServer = std::make_unique<wire::http_server>(
     mControlContext,
     WorkerContexts(),
@@ -130,7 +138,7 @@
       return Serve(aRequest, aReply);
     });
   const control_services services{
-    mControlContext, mSnapshots, mDispatcher, mMetrics
+    mControlContext, mSnapshots, mDispatcher, mMetrics, mTls
   };
   mControl = std::make_unique<control_plane>(
     mSettings, mSelf, mServer->Port(), services);
@@ -168,6 +176,7 @@
   settings.mAddress = mSettings.mAddress;
   settings.mPort = mSettings.mPort;
   settings.mBadRequest = UnparsedResponse;
+  settings.mTls = mTls.mCallers;
   return settings;
 }
 
--- a/src/sapphirespar/router/upstream_probe.cpp
+++ b/src/sapphirespar/router/upstream_probe.cpp
@@ -33,10 +33,12 @@
 
 } // namespace
 
-upstream_probe::upstream_probe(asio::any_io_executor aExecutor)
+upstream_probe::upstream_probe(asio::any_io_executor aExecutor,
+                               wire::tls_context_ptr aTls)
   : mExecutor(aExecutor)
-  , mClient(std::make_shared<wire::http_client>(aExecutor,
-                                                wire::http_client_settings{}))
+  , mClient(std::make_shared<wire::http_client>(
+      aExecutor,
+      wire::http_client_settings{ .mTls = std::move(aTls) }))
 {
 }
 
