Pause also for the middle tiers what can bear it

Under a burst tier 2 missed its first-token target because every slot was held by long work of tier 3 that had minutes to spare. A request of any tier may now pause lower work, but below the first tier only work that stays in time with the pause; paused work goes on before anything new below the first tier. The door no longer counts the wait for a free slot where lower work can make way. Property tests found that a slot could be won by the second tier while a patient first-tier request waited, and that work could be paused in the step that started it; both are ruled out.

--- a/include/sapphirespar/policy/preemption.hpp
+++ b/include/sapphirespar/policy/preemption.hpp
@@ -1,5 +1,5 @@
-// Makes room for the first tier by pausing lower work, and lets paused work go
-// on as soon as there is room again.
+// Makes room for higher tiers by pausing lower work, and lets paused work go on
+// as soon as there is room again.
 #pragma once
 
 #include "sapphirespar/policy/scheduler_state.hpp"
@@ -7,11 +7,13 @@
 
 namespace sapphirespar::policy {
 
-// Pauses lower requests for the first-tier ones that still wait and would miss
-// their latest start otherwise, and gives them the slots.
+// Pauses requests of lower tiers for those of aLane that would miss their
+// latest start otherwise, and gives them the slots. For the first tier anything
+// lower is paused; for other tiers only what can bear it and be in time.
 void Preempt(scheduler_state& aState,
              const scheduler_hooks& aHooks,
              pool_queue& aPool,
+             class_lane& aLane,
              steady_time aNow,
              decisions& aMade);
 
--- a/include/sapphirespar/policy/slot_table.hpp
+++ b/include/sapphirespar/policy/slot_table.hpp
@@ -31,6 +31,8 @@
   queued_request mRequest;
   slot_state* mUpstream = nullptr;
   steady_time mStarted{};
+  // When it got the slot that it has now: at its start or its last resumption.
+  steady_time mRunningSince{};
   bool mPaused = false;
   // Only meaningful while paused.
   steady_time mPausedAt{};
--- a/src/sapphirespar/policy/pool_queue.cpp
+++ b/src/sapphirespar/policy/pool_queue.cpp
@@ -11,20 +11,33 @@
 // Slots that a prediction counts on at least.
 constexpr double kLeastCapacity = 0.01;
 
+template<class Predicate>
 unsigned
-RunningAbove(const pool_queue& aPool, unsigned aTier)
+RunningWhere(const pool_queue& aPool, Predicate aOfTier)
 {
   return std::transform_reduce(aPool.mLanes.begin(),
                                aPool.mLanes.end(),
                                0u,
                                std::plus<>{},
                                [&](const class_lane& aLane) {
-                                 return aLane.mClass.mTier < aTier
+                                 return aOfTier(aLane.mClass.mTier)
                                           ? aLane.mRunning
                                           : 0;
                                });
 }
 
+unsigned
+RunningAbove(const pool_queue& aPool, unsigned aTier)
+{
+  return RunningWhere(aPool, [&](unsigned aOther) { return aOther < aTier; });
+}
+
+unsigned
+RunningBelow(const pool_queue& aPool, unsigned aTier)
+{
+  return RunningWhere(aPool, [&](unsigned aOther) { return aOther > aTier; });
+}
+
 // Slot time of the work that goes before a request of aLane with aKey.
 steady_duration
 WorkAhead(const pool_queue& aPool,
@@ -118,7 +131,10 @@
     std::max({ slots - above, MinimumShare(aLane) * slots, kLeastCapacity });
   const auto queueing = std::chrono::duration_cast<steady_duration>(
     WorkAhead(aPool, aLane, aKey, aEstimate) / left);
-  return queueing + PredictNextFree(aPool, aEstimate);
+  // Where lower work can make way, the first in the queue need not wait.
+  const bool canPreempt =
+    RunningBelow(aPool, aLane.mClass.mTier) > 0 && !AnyCannotPause(aMembers);
+  return canPreempt ? queueing : queueing + PredictNextFree(aPool, aEstimate);
 }
 
 steady_duration
--- a/src/sapphirespar/policy/preemption.cpp
+++ b/src/sapphirespar/policy/preemption.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-// A first-tier request lets others run on while its time to spare is more than
+// A request lets lower ones run on while its time to spare is more than
 // this many times that until the next free slot.
 constexpr int kPatience = 4;
 
@@ -22,6 +22,21 @@
   return std::ranges::find(pools, aPool) != pools.end();
 }
 
+// Whether a first-tier request waits that might use a slot of the upstream.
+bool
+FirstTierWaitsFor(const scheduler_state& aState, const slot_state& aUpstream)
+{
+  return std::ranges::any_of(
+    aUpstream.mView.mPools, [&](const std::string& aName) {
+      const auto pool = aState.Pools().find(aName);
+      return pool != aState.Pools().end() &&
+             std::ranges::any_of(
+               pool->second.mLanes, [](const class_lane& aLane) {
+                 return aLane.IsFirstTier() && !aLane.mQueue.empty();
+               });
+    });
+}
+
 // Time to spare until the answer is due, less what is left of it.
 steady_duration
 SlackOf(const slot_holder& aHolder,
@@ -38,15 +53,19 @@
 PauseCandidates(const scheduler_state& aState,
                 const scheduler_hooks& aHooks,
                 const queued_request& aFor,
+                unsigned aTier,
                 steady_time aNow)
 {
   std::vector<pause_candidate> candidates;
   for (const auto& [id, holder] : aState.Slots().Holders()) {
     const auto& upstream = *holder.mUpstream;
     const auto rules = aState.ClassOf(holder.mRequest.mClass);
-    const bool lower = !holder.mPaused && rules.mTier > kFirstTier;
+    // What got its slot in this very step is not taken off again.
+    const bool lower =
+      !holder.mPaused && holder.mRunningSince < aNow && rules.mTier > aTier;
     if (lower && Serves(upstream, aFor.mPool) && MayServe(upstream, aFor) &&
-        PauseFreesSlot(upstream)) {
+        PauseFreesSlot(upstream) &&
+        (aTier <= kFirstTier || !FirstTierWaitsFor(aState, upstream))) {
       const auto slack = SlackOf(holder, aHooks, aNow);
       candidates.push_back({ id, rules.mTier, rules.mWeight, slack });
     }
@@ -69,7 +88,13 @@
     return false;
   }
   const auto pause = aState.Estimate().SlotTime(request.mClass) * kPauseLength;
-  const auto candidates = PauseCandidates(aState, aHooks, request, aNow);
+  auto candidates =
+    PauseCandidates(aState, aHooks, request, aLane.mClass.mTier, aNow);
+  if (!aLane.IsFirstTier()) {
+    std::erase_if(candidates, [&](const pause_candidate& aItem) {
+      return aItem.mSlack <= pause;
+    });
+  }
   const auto chosen = aHooks.mChoosePause(candidates, pause);
   if (!chosen) {
     return false;
@@ -86,17 +111,16 @@
 Preempt(scheduler_state& aState,
         const scheduler_hooks& aHooks,
         pool_queue& aPool,
+        class_lane& aLane,
         steady_time aNow,
         decisions& aMade)
 {
-  for (auto& lane : aPool.mLanes) {
-    while (lane.IsFirstTier() && !lane.mQueue.empty()) {
-      const queue_key key = lane.mQueue.begin()->first;
-      const auto nextFree = PredictNextFree(aPool, aState.Estimate());
-      const bool urgent = key.mStartBy - aNow <= nextFree * kPatience;
-      if (!urgent || !PreemptFor(aState, aHooks, lane, key, aNow, aMade)) {
-        break;
-      }
+  while (!aLane.mQueue.empty()) {
+    const queue_key key = aLane.mQueue.begin()->first;
+    const auto nextFree = PredictNextFree(aPool, aState.Estimate());
+    const bool urgent = key.mStartBy - aNow <= nextFree * kPatience;
+    if (!urgent || !PreemptFor(aState, aHooks, aLane, key, aNow, aMade)) {
+      return;
     }
   }
 }
--- a/src/sapphirespar/policy/slot_table.cpp
+++ b/src/sapphirespar/policy/slot_table.cpp
@@ -118,7 +118,7 @@
   ++found->second.mRunning;
   const auto id = aRequest.mId;
   mHolders.insert_or_assign(
-    id, slot_holder{ std::move(aRequest), &found->second, aNow });
+    id, slot_holder{ std::move(aRequest), &found->second, aNow, aNow });
 }
 
 std::optional<slot_holder>
@@ -152,6 +152,7 @@
     aHolder.mPausedAt = aNow;
   } else {
     aHolder.mPausedTime += aNow - aHolder.mPausedAt;
+    aHolder.mRunningSince = aNow;
   }
   auto& state = *aHolder.mUpstream;
   --(aPaused ? state.mRunning : state.mPaused);
--- a/src/sapphirespar/policy/tiered_scheduler.cpp
+++ b/src/sapphirespar/policy/tiered_scheduler.cpp
@@ -99,6 +99,10 @@
              lane_filter aFilter,
              steady_time aNow,
              decisions& aMade);
+  void PreemptIn(const pool_list& aPools,
+                 lane_filter aFilter,
+                 steady_time aNow,
+                 decisions& aMade);
   bool ServeOne(const turn& aTurn, steady_time aNow, decisions& aMade);
 
   scheduler_state mState;
@@ -275,11 +279,27 @@
                });
   }
   Serve(aPools, lane_filter::FirstTier, aNow, aMade);
+  PreemptIn(aPools, lane_filter::FirstTier, aNow, aMade);
   for (auto* pool : aPools) {
-    Preempt(mState, mHooks, *pool, aNow, aMade);
     Resume(mState, *pool, aNow, aMade);
   }
   Serve(aPools, lane_filter::All, aNow, aMade);
+  PreemptIn(aPools, lane_filter::All, aNow, aMade);
+}
+
+void
+tiered_scheduler::PreemptIn(const pool_list& aPools,
+                            lane_filter aFilter,
+                            steady_time aNow,
+                            decisions& aMade)
+{
+  for (auto* pool : aPools) {
+    for (auto& lane : pool->mLanes) {
+      if (aFilter == lane_filter::All || lane.IsFirstTier()) {
+        Preempt(mState, mHooks, *pool, lane, aNow, aMade);
+      }
+    }
+  }
 }
 
 void
