Test that a leaving upstream gets no new work

Engines also count the most requests that ever waited inside them, which shows when they are given more than their slots.

--- a/src/sapphirespar/router/end_to_end_test.cpp
+++ b/src/sapphirespar/router/end_to_end_test.cpp
@@ -13,9 +13,12 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 
+#include <boost/json.hpp>
+
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <functional>
 #include <memory>
 #include <thread>
 #include <vector>
@@ -105,7 +108,7 @@
         std::make_unique<standin_engine>(mContext, QuickEngine()));
     }
     mThread = std::jthread([this] { mContext.run(); });
-    Call(mPlatform.Port(), "PUT", "/objects/bundle/current", SignedBundle());
+    PutBundle(SignedBundle(Declared(), nullptr));
     for (unsigned index = 0; index < kRouters; ++index) {
       mRouters.push_back(std::make_unique<router::router_app>(
         Settings("vm-" + std::to_string(index))));
@@ -120,11 +123,40 @@
     mContext.stop();
   }
 
-  // One call from a thread of its own; fails the test if it gets no answer.
+  // Writes the bundle over the one before.
+  void PutBundle(const signed_bundle& aBundle)
+  {
+    const auto answer = Call(mPlatform.Port(),
+                             "PUT",
+                             "/objects/bundle/current",
+                             Serialize(aBundle),
+                             mBundleVersion);
+    ASSERT_EQ(answer.mStatus, 200U);
+    mBundleVersion = answer.Header("X-Object-Version");
+  }
+
+  signed_bundle SignedBundle(const bundle& aBundle,
+                             const signed_bundle* aBase) const
+  {
+    return SignBundle(aBundle, "anna", mKey.mPrivateKey, aBase).value();
+  }
+
+  // Waits until aHolds, which is asked again and again.
+  static void AwaitTrue(const std::function<bool()>& aHolds)
+  {
+    constexpr int kTries = 600;
+    for (int left = kTries; left > 0 && !aHolds(); --left) {
+      std::this_thread::sleep_for(50ms);
+    }
+    ASSERT_TRUE(aHolds());
+  }
+
+  // One call, answered with status 0 if it fails.
   wire::http_response Call(std::uint16_t aPort,
                            std::string aMethod,
                            std::string aTarget,
-                           std::string aBody)
+                           std::string aBody = {},
+                           std::string aVersion = "0")
   {
     asio::io_context context;
     wire::http_client client(context.get_executor(), {});
@@ -132,7 +164,7 @@
     request.mMethod = std::move(aMethod);
     request.mTarget = std::move(aTarget);
     request.mBody = std::move(aBody);
-    request.mHeaders.push_back({ "If-Match", "0" });
+    request.mHeaders.push_back({ "If-Match", std::move(aVersion) });
     wire::http_response answer;
     answer.mStatus = 0;
     const auto fetch = [](wire::http_client& aClient,
@@ -200,7 +232,6 @@
   std::jthread mThread;
   std::vector<std::unique_ptr<router::router_app>> mRouters;
 
-private:
   upstream_spec Upstream(std::string aName, std::uint16_t aPort) const
   {
     upstream_spec item;
@@ -212,7 +243,7 @@
     return item;
   }
 
-  std::string SignedBundle() const
+  bundle Declared() const
   {
     bundle declared;
     declared.mVersion = { 1, 1 };
@@ -240,7 +271,7 @@
     ledger.mKind = upstream_kind::Service;
     ledger.mService = "ledger";
     declared.mUpstreams.push_back(std::move(ledger));
-    return Serialize(SignBundle(declared, "anna", mKey.mPrivateKey).value());
+    return declared;
   }
 
   router_settings Settings(std::string aVm) const
@@ -268,21 +299,16 @@
     return R"({"vms":[)" + vms + "]}";
   }
 
-  // Waits until every router answers a first request, so that bundle, peers
-  // and homes are in place.
   void AwaitReady()
   {
-    constexpr int kTries = 600;
-    const auto ready = [&] {
+    AwaitTrue([this] {
       return std::ranges::all_of(
         mRouters, [](const auto& aRouter) { return aRouter->Ready(); });
-    };
-    for (int left = kTries; left > 0 && !ready(); --left) {
-      std::this_thread::sleep_for(50ms);
-    }
-    ASSERT_TRUE(ready());
+    });
   }
 
+  // Version of the bundle's object at the platform.
+  std::string mBundleVersion = "0";
   const signing_key mKey = NewSigningKey();
 };
 
@@ -378,5 +404,30 @@
   }
 }
 
+TEST_F(whole_system, ALeavingUpstreamGetsNoNewWorkOnceItsBundleIsInForce)
+{
+  const auto first = SignedBundle(Declared(), nullptr);
+  auto next = Declared();
+  next.mVersion = { 1, 2 };
+  next.mUpstreams.front().mLeaving = true;
+  PutBundle(SignedBundle(next, &first));
+  for (const auto& router : mRouters) {
+    AwaitTrue([&] {
+      const auto status = Call(router->Port(), "GET", "/v1/status");
+      return status.mBody.find(R"("bundle":{"epoch":1,"number":2})") <
+             status.mBody.find("members");
+    });
+  }
+  const auto started = [this] {
+    const auto audit = Call(mEngines.front()->Port(), "GET", "/audit");
+    return boost::json::parse(audit.mBody).at("started").as_int64();
+  };
+  const auto before = started();
+  const auto report = Run(Work({ EngineLoad(100) }));
+  const auto& drafts = report.mClasses.front();
+  EXPECT_EQ(drafts.mInTime, drafts.mOffered) << ToTable(report);
+  EXPECT_EQ(started(), before);
+}
+
 } // namespace
 } // namespace sapphirespar
--- a/src/sapphirespar/tools/standin_engine.cpp
+++ b/src/sapphirespar/tools/standin_engine.cpp
@@ -31,6 +31,8 @@
   std::uint64_t mFinished = 0;
   // Tokens generated, whether or not they reached anyone.
   std::uint64_t mTokens = 0;
+  // Most requests that ever waited inside for a slot.
+  std::size_t mMostWaiting = 0;
 };
 
 struct engine_state
@@ -67,6 +69,8 @@
 void
 NoteLoad(engine_state& aState)
 {
+  aState.mCounts.mMostWaiting =
+    std::max(aState.mCounts.mMostWaiting, aState.mBatch.Waiting());
   aState.mLoad.Add({ Now(), aState.mBatch.Running(), aState.mBatch.Waiting() });
 }
 
@@ -439,6 +443,7 @@
   body["started"] = aState.mCounts.mStarted;
   body["finished"] = aState.mCounts.mFinished;
   body["tokens"] = aState.mCounts.mTokens;
+  body["most_waiting"] = aState.mCounts.mMostWaiting;
   return JsonAnswer(200, body);
 }
 
