--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -77,6 +77,10 @@
   2: string upstream;
 }
 
+struct slot_waiting {
+  1: string request;
+}
+
 struct slot_refusal {
   1: string request;
   2: i32 reason;
@@ -151,4 +155,5 @@
   12: fate_request fate_request_value;
   13: fate_answer fate_answer_value;
   14: claim_finished claim_finished_value;
+  15: slot_waiting slot_waiting_value;
 }
--- a/include/sapphirespar/model/peer_message.hpp
+++ b/include/sapphirespar/model/peer_message.hpp
@@ -93,6 +93,12 @@
   upstream_id mUpstream;
 };
 
+// The request waits in the home's queue.
+struct slot_waiting
+{
+  request_id mRequest;
+};
+
 struct slot_refusal
 {
   request_id mRequest;
@@ -187,6 +193,7 @@
                                   bundle_push,
                                   slot_request,
                                   slot_grant,
+                                  slot_waiting,
                                   slot_refusal,
                                   slot_release,
                                   slot_holding,
--- a/src/sapphirespar/wire/gen/peer_types.cpp
+++ b/src/sapphirespar/wire/gen/peer_types.cpp
@@ -1845,6 +1845,107 @@
 }
 
 
+slot_waiting::~slot_waiting() noexcept {
+}
+
+
+void slot_waiting::__set_request(const std::string& val) {
+  this->request = val;
+}
+std::ostream& operator<<(std::ostream& out, const slot_waiting& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t slot_waiting::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->request);
+          this->__isset.request = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t slot_waiting::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("slot_waiting");
+
+  xfer += oprot->writeFieldBegin("request", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->request);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(slot_waiting &a, slot_waiting &b) {
+  using ::std::swap;
+  swap(a.request, b.request);
+  swap(a.__isset, b.__isset);
+}
+
+slot_waiting::slot_waiting(const slot_waiting& other74) {
+  request = other74.request;
+  __isset = other74.__isset;
+}
+slot_waiting::slot_waiting(slot_waiting&& other75) noexcept {
+  request = std::move(other75.request);
+  __isset = other75.__isset;
+}
+slot_waiting& slot_waiting::operator=(const slot_waiting& other76) {
+  request = other76.request;
+  __isset = other76.__isset;
+  return *this;
+}
+slot_waiting& slot_waiting::operator=(slot_waiting&& other77) noexcept {
+  request = std::move(other77.request);
+  __isset = other77.__isset;
+  return *this;
+}
+void slot_waiting::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "slot_waiting(";
+  out << "request=" << to_string(request);
+  out << ")";
+}
+
+
 slot_refusal::~slot_refusal() noexcept {
 }
 
@@ -1954,30 +2055,30 @@
   swap(a.__isset, b.__isset);
 }
 
-slot_refusal::slot_refusal(const slot_refusal& other74) {
-  request = other74.request;
-  reason = other74.reason;
-  retry_after_ms = other74.retry_after_ms;
-  __isset = other74.__isset;
+slot_refusal::slot_refusal(const slot_refusal& other78) {
+  request = other78.request;
+  reason = other78.reason;
+  retry_after_ms = other78.retry_after_ms;
+  __isset = other78.__isset;
 }
-slot_refusal::slot_refusal(slot_refusal&& other75) noexcept {
-  request = std::move(other75.request);
-  reason = other75.reason;
-  retry_after_ms = other75.retry_after_ms;
-  __isset = other75.__isset;
+slot_refusal::slot_refusal(slot_refusal&& other79) noexcept {
+  request = std::move(other79.request);
+  reason = other79.reason;
+  retry_after_ms = other79.retry_after_ms;
+  __isset = other79.__isset;
 }
-slot_refusal& slot_refusal::operator=(const slot_refusal& other76) {
-  request = other76.request;
-  reason = other76.reason;
-  retry_after_ms = other76.retry_after_ms;
-  __isset = other76.__isset;
+slot_refusal& slot_refusal::operator=(const slot_refusal& other80) {
+  request = other80.request;
+  reason = other80.reason;
+  retry_after_ms = other80.retry_after_ms;
+  __isset = other80.__isset;
   return *this;
 }
-slot_refusal& slot_refusal::operator=(slot_refusal&& other77) noexcept {
-  request = std::move(other77.request);
-  reason = other77.reason;
-  retry_after_ms = other77.retry_after_ms;
-  __isset = other77.__isset;
+slot_refusal& slot_refusal::operator=(slot_refusal&& other81) noexcept {
+  request = std::move(other81.request);
+  reason = other81.reason;
+  retry_after_ms = other81.retry_after_ms;
+  __isset = other81.__isset;
   return *this;
 }
 void slot_refusal::printTo(std::ostream& out) const {
@@ -2150,42 +2251,42 @@
   swap(a.__isset, b.__isset);
 }
 
-slot_release::slot_release(const slot_release& other78) {
-  request = other78.request;
-  upstream = other78.upstream;
-  succeeded = other78.succeeded;
-  tokens = other78.tokens;
-  first_token_ms = other78.first_token_ms;
-  total_ms = other78.total_ms;
-  __isset = other78.__isset;
+slot_release::slot_release(const slot_release& other82) {
+  request = other82.request;
+  upstream = other82.upstream;
+  succeeded = other82.succeeded;
+  tokens = other82.tokens;
+  first_token_ms = other82.first_token_ms;
+  total_ms = other82.total_ms;
+  __isset = other82.__isset;
 }
-slot_release::slot_release(slot_release&& other79) noexcept {
-  request = std::move(other79.request);
-  upstream = std::move(other79.upstream);
-  succeeded = other79.succeeded;
-  tokens = other79.tokens;
-  first_token_ms = other79.first_token_ms;
-  total_ms = other79.total_ms;
-  __isset = other79.__isset;
+slot_release::slot_release(slot_release&& other83) noexcept {
+  request = std::move(other83.request);
+  upstream = std::move(other83.upstream);
+  succeeded = other83.succeeded;
+  tokens = other83.tokens;
+  first_token_ms = other83.first_token_ms;
+  total_ms = other83.total_ms;
+  __isset = other83.__isset;
 }
-slot_release& slot_release::operator=(const slot_release& other80) {
-  request = other80.request;
-  upstream = other80.upstream;
-  succeeded = other80.succeeded;
-  tokens = other80.tokens;
-  first_token_ms = other80.first_token_ms;
-  total_ms = other80.total_ms;
-  __isset = other80.__isset;
+slot_release& slot_release::operator=(const slot_release& other84) {
+  request = other84.request;
+  upstream = other84.upstream;
+  succeeded = other84.succeeded;
+  tokens = other84.tokens;
+  first_token_ms = other84.first_token_ms;
+  total_ms = other84.total_ms;
+  __isset = other84.__isset;
   return *this;
 }
-slot_release& slot_release::operator=(slot_release&& other81) noexcept {
-  request = std::move(other81.request);
-  upstream = std::move(other81.upstream);
-  succeeded = other81.succeeded;
-  tokens = other81.tokens;
-  first_token_ms = other81.first_token_ms;
-  total_ms = other81.total_ms;
-  __isset = other81.__isset;
+slot_release& slot_release::operator=(slot_release&& other85) noexcept {
+  request = std::move(other85.request);
+  upstream = std::move(other85.upstream);
+  succeeded = other85.succeeded;
+  tokens = other85.tokens;
+  first_token_ms = other85.first_token_ms;
+  total_ms = other85.total_ms;
+  __isset = other85.__isset;
   return *this;
 }
 void slot_release::printTo(std::ostream& out) const {
@@ -2293,26 +2394,26 @@
   swap(a.__isset, b.__isset);
 }
 
-slot_holding::slot_holding(const slot_holding& other82) {
-  request = other82.request;
-  upstream = other82.upstream;
-  __isset = other82.__isset;
+slot_holding::slot_holding(const slot_holding& other86) {
+  request = other86.request;
+  upstream = other86.upstream;
+  __isset = other86.__isset;
 }
-slot_holding::slot_holding(slot_holding&& other83) noexcept {
-  request = std::move(other83.request);
-  upstream = std::move(other83.upstream);
-  __isset = other83.__isset;
+slot_holding::slot_holding(slot_holding&& other87) noexcept {
+  request = std::move(other87.request);
+  upstream = std::move(other87.upstream);
+  __isset = other87.__isset;
 }
-slot_holding& slot_holding::operator=(const slot_holding& other84) {
-  request = other84.request;
-  upstream = other84.upstream;
-  __isset = other84.__isset;
+slot_holding& slot_holding::operator=(const slot_holding& other88) {
+  request = other88.request;
+  upstream = other88.upstream;
+  __isset = other88.__isset;
   return *this;
 }
-slot_holding& slot_holding::operator=(slot_holding&& other85) noexcept {
-  request = std::move(other85.request);
-  upstream = std::move(other85.upstream);
-  __isset = other85.__isset;
+slot_holding& slot_holding::operator=(slot_holding&& other89) noexcept {
+  request = std::move(other89.request);
+  upstream = std::move(other89.upstream);
+  __isset = other89.__isset;
   return *this;
 }
 void slot_holding::printTo(std::ostream& out) const {
@@ -2416,26 +2517,26 @@
   swap(a.__isset, b.__isset);
 }
 
-slot_pause::slot_pause(const slot_pause& other86) {
-  request = other86.request;
-  resume = other86.resume;
-  __isset = other86.__isset;
+slot_pause::slot_pause(const slot_pause& other90) {
+  request = other90.request;
+  resume = other90.resume;
+  __isset = other90.__isset;
 }
-slot_pause::slot_pause(slot_pause&& other87) noexcept {
-  request = std::move(other87.request);
-  resume = other87.resume;
-  __isset = other87.__isset;
+slot_pause::slot_pause(slot_pause&& other91) noexcept {
+  request = std::move(other91.request);
+  resume = other91.resume;
+  __isset = other91.__isset;
 }
-slot_pause& slot_pause::operator=(const slot_pause& other88) {
-  request = other88.request;
-  resume = other88.resume;
-  __isset = other88.__isset;
+slot_pause& slot_pause::operator=(const slot_pause& other92) {
+  request = other92.request;
+  resume = other92.resume;
+  __isset = other92.__isset;
   return *this;
 }
-slot_pause& slot_pause::operator=(slot_pause&& other89) noexcept {
-  request = std::move(other89.request);
-  resume = other89.resume;
-  __isset = other89.__isset;
+slot_pause& slot_pause::operator=(slot_pause&& other93) noexcept {
+  request = std::move(other93.request);
+  resume = other93.resume;
+  __isset = other93.__isset;
   return *this;
 }
 void slot_pause::printTo(std::ostream& out) const {
@@ -2575,34 +2676,34 @@
   swap(a.__isset, b.__isset);
 }
 
-claim_request::claim_request(const claim_request& other90) {
-  key = other90.key;
-  claimant = other90.claimant;
-  request = other90.request;
-  released = other90.released;
-  __isset = other90.__isset;
+claim_request::claim_request(const claim_request& other94) {
+  key = other94.key;
+  claimant = other94.claimant;
+  request = other94.request;
+  released = other94.released;
+  __isset = other94.__isset;
 }
-claim_request::claim_request(claim_request&& other91) noexcept {
-  key = std::move(other91.key);
-  claimant = std::move(other91.claimant);
-  request = std::move(other91.request);
-  released = std::move(other91.released);
-  __isset = other91.__isset;
+claim_request::claim_request(claim_request&& other95) noexcept {
+  key = std::move(other95.key);
+  claimant = std::move(other95.claimant);
+  request = std::move(other95.request);
+  released = std::move(other95.released);
+  __isset = other95.__isset;
 }
-claim_request& claim_request::operator=(const claim_request& other92) {
-  key = other92.key;
-  claimant = other92.claimant;
-  request = other92.request;
-  released = other92.released;
-  __isset = other92.__isset;
+claim_request& claim_request::operator=(const claim_request& other96) {
+  key = other96.key;
+  claimant = other96.claimant;
+  request = other96.request;
+  released = other96.released;
+  __isset = other96.__isset;
   return *this;
 }
-claim_request& claim_request::operator=(claim_request&& other93) noexcept {
-  key = std::move(other93.key);
-  claimant = std::move(other93.claimant);
-  request = std::move(other93.request);
-  released = std::move(other93.released);
-  __isset = other93.__isset;
+claim_request& claim_request::operator=(claim_request&& other97) noexcept {
+  key = std::move(other97.key);
+  claimant = std::move(other97.claimant);
+  request = std::move(other97.request);
+  released = std::move(other97.released);
+  __isset = other97.__isset;
   return *this;
 }
 void claim_request::printTo(std::ostream& out) const {
@@ -2776,42 +2877,42 @@
   swap(a.__isset, b.__isset);
 }
 
-claim_answer::claim_answer(const claim_answer& other94) {
-  key = other94.key;
-  request = other94.request;
-  verdict = other94.verdict;
-  holder = other94.holder;
-  outcome = other94.outcome;
-  held_request = other94.held_request;
-  __isset = other94.__isset;
+claim_answer::claim_answer(const claim_answer& other98) {
+  key = other98.key;
+  request = other98.request;
+  verdict = other98.verdict;
+  holder = other98.holder;
+  outcome = other98.outcome;
+  held_request = other98.held_request;
+  __isset = other98.__isset;
 }
-claim_answer::claim_answer(claim_answer&& other95) noexcept {
-  key = std::move(other95.key);
-  request = std::move(other95.request);
-  verdict = other95.verdict;
-  holder = std::move(other95.holder);
-  outcome = other95.outcome;
-  held_request = std::move(other95.held_request);
-  __isset = other95.__isset;
+claim_answer::claim_answer(claim_answer&& other99) noexcept {
+  key = std::move(other99.key);
+  request = std::move(other99.request);
+  verdict = other99.verdict;
+  holder = std::move(other99.holder);
+  outcome = other99.outcome;
+  held_request = std::move(other99.held_request);
+  __isset = other99.__isset;
 }
-claim_answer& claim_answer::operator=(const claim_answer& other96) {
-  key = other96.key;
-  request = other96.request;
-  verdict = other96.verdict;
-  holder = other96.holder;
-  outcome = other96.outcome;
-  held_request = other96.held_request;
-  __isset = other96.__isset;
+claim_answer& claim_answer::operator=(const claim_answer& other100) {
+  key = other100.key;
+  request = other100.request;
+  verdict = other100.verdict;
+  holder = other100.holder;
+  outcome = other100.outcome;
+  held_request = other100.held_request;
+  __isset = other100.__isset;
   return *this;
 }
-claim_answer& claim_answer::operator=(claim_answer&& other97) noexcept {
-  key = std::move(other97.key);
-  request = std::move(other97.request);
-  verdict = other97.verdict;
-  holder = std::move(other97.holder);
-  outcome = other97.outcome;
-  held_request = std::move(other97.held_request);
-  __isset = other97.__isset;
+claim_answer& claim_answer::operator=(claim_answer&& other101) noexcept {
+  key = std::move(other101.key);
+  request = std::move(other101.request);
+  verdict = other101.verdict;
+  holder = std::move(other101.holder);
+  outcome = other101.outcome;
+  held_request = std::move(other101.held_request);
+  __isset = other101.__isset;
   return *this;
 }
 void claim_answer::printTo(std::ostream& out) const {
@@ -2936,30 +3037,30 @@
   swap(a.__isset, b.__isset);
 }
 
-claim_finished::claim_finished(const claim_finished& other98) {
-  key = other98.key;
-  request = other98.request;
-  outcome = other98.outcome;
-  __isset = other98.__isset;
+claim_finished::claim_finished(const claim_finished& other102) {
+  key = other102.key;
+  request = other102.request;
+  outcome = other102.outcome;
+  __isset = other102.__isset;
 }
-claim_finished::claim_finished(claim_finished&& other99) noexcept {
-  key = std::move(other99.key);
-  request = std::move(other99.request);
-  outcome = other99.outcome;
-  __isset = other99.__isset;
+claim_finished::claim_finished(claim_finished&& other103) noexcept {
+  key = std::move(other103.key);
+  request = std::move(other103.request);
+  outcome = other103.outcome;
+  __isset = other103.__isset;
 }
-claim_finished& claim_finished::operator=(const claim_finished& other100) {
-  key = other100.key;
-  request = other100.request;
-  outcome = other100.outcome;
-  __isset = other100.__isset;
+claim_finished& claim_finished::operator=(const claim_finished& other104) {
+  key = other104.key;
+  request = other104.request;
+  outcome = other104.outcome;
+  __isset = other104.__isset;
   return *this;
 }
-claim_finished& claim_finished::operator=(claim_finished&& other101) noexcept {
-  key = std::move(other101.key);
-  request = std::move(other101.request);
-  outcome = other101.outcome;
-  __isset = other101.__isset;
+claim_finished& claim_finished::operator=(claim_finished&& other105) noexcept {
+  key = std::move(other105.key);
+  request = std::move(other105.request);
+  outcome = other105.outcome;
+  __isset = other105.__isset;
   return *this;
 }
 void claim_finished::printTo(std::ostream& out) const {
@@ -3064,26 +3165,26 @@
   swap(a.__isset, b.__isset);
 }
 
-fate_request::fate_request(const fate_request& other102) {
-  key = other102.key;
-  request = other102.request;
-  __isset = other102.__isset;
+fate_request::fate_request(const fate_request& other106) {
+  key = other106.key;
+  request = other106.request;
+  __isset = other106.__isset;
 }
-fate_request::fate_request(fate_request&& other103) noexcept {
-  key = std::move(other103.key);
-  request = std::move(other103.request);
-  __isset = other103.__isset;
+fate_request::fate_request(fate_request&& other107) noexcept {
+  key = std::move(other107.key);
+  request = std::move(other107.request);
+  __isset = other107.__isset;
 }
-fate_request& fate_request::operator=(const fate_request& other104) {
-  key = other104.key;
-  request = other104.request;
-  __isset = other104.__isset;
+fate_request& fate_request::operator=(const fate_request& other108) {
+  key = other108.key;
+  request = other108.request;
+  __isset = other108.__isset;
   return *this;
 }
-fate_request& fate_request::operator=(fate_request&& other105) noexcept {
-  key = std::move(other105.key);
-  request = std::move(other105.request);
-  __isset = other105.__isset;
+fate_request& fate_request::operator=(fate_request&& other109) noexcept {
+  key = std::move(other109.key);
+  request = std::move(other109.request);
+  __isset = other109.__isset;
   return *this;
 }
 void fate_request::printTo(std::ostream& out) const {
@@ -3204,30 +3305,30 @@
   swap(a.__isset, b.__isset);
 }
 
-fate_answer::fate_answer(const fate_answer& other106) {
-  key = other106.key;
-  request = other106.request;
-  outcome = other106.outcome;
-  __isset = other106.__isset;
+fate_answer::fate_answer(const fate_answer& other110) {
+  key = other110.key;
+  request = other110.request;
+  outcome = other110.outcome;
+  __isset = other110.__isset;
 }
-fate_answer::fate_answer(fate_answer&& other107) noexcept {
-  key = std::move(other107.key);
-  request = std::move(other107.request);
-  outcome = other107.outcome;
-  __isset = other107.__isset;
+fate_answer::fate_answer(fate_answer&& other111) noexcept {
+  key = std::move(other111.key);
+  request = std::move(other111.request);
+  outcome = other111.outcome;
+  __isset = other111.__isset;
 }
-fate_answer& fate_answer::operator=(const fate_answer& other108) {
-  key = other108.key;
-  request = other108.request;
-  outcome = other108.outcome;
-  __isset = other108.__isset;
+fate_answer& fate_answer::operator=(const fate_answer& other112) {
+  key = other112.key;
+  request = other112.request;
+  outcome = other112.outcome;
+  __isset = other112.__isset;
   return *this;
 }
-fate_answer& fate_answer::operator=(fate_answer&& other109) noexcept {
-  key = std::move(other109.key);
-  request = std::move(other109.request);
-  outcome = other109.outcome;
-  __isset = other109.__isset;
+fate_answer& fate_answer::operator=(fate_answer&& other113) noexcept {
+  key = std::move(other113.key);
+  request = std::move(other113.request);
+  outcome = other113.outcome;
+  __isset = other113.__isset;
   return *this;
 }
 void fate_answer::printTo(std::ostream& out) const {
@@ -3313,6 +3414,11 @@
   this->claim_finished_value = val;
 __isset.claim_finished_value = true;
 }
+
+void envelope::__set_slot_waiting_value(const slot_waiting& val) {
+  this->slot_waiting_value = val;
+__isset.slot_waiting_value = true;
+}
 std::ostream& operator<<(std::ostream& out, const envelope& obj)
 {
   obj.printTo(out);
@@ -3453,6 +3559,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 15:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->slot_waiting_value.read(iprot);
+          this->__isset.slot_waiting_value = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3540,6 +3654,11 @@
     xfer += this->claim_finished_value.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.slot_waiting_value) {
+    xfer += oprot->writeFieldBegin("slot_waiting_value", ::apache::thrift::protocol::T_STRUCT, 15);
+    xfer += this->slot_waiting_value.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3561,77 +3680,82 @@
   swap(a.fate_request_value, b.fate_request_value);
   swap(a.fate_answer_value, b.fate_answer_value);
   swap(a.claim_finished_value, b.claim_finished_value);
+  swap(a.slot_waiting_value, b.slot_waiting_value);
   swap(a.__isset, b.__isset);
 }
 
-envelope::envelope(const envelope& other110) {
-  heartbeat_value = other110.heartbeat_value;
-  bundle_request_value = other110.bundle_request_value;
-  bundle_push_value = other110.bundle_push_value;
-  slot_request_value = other110.slot_request_value;
-  slot_grant_value = other110.slot_grant_value;
-  slot_refusal_value = other110.slot_refusal_value;
-  slot_release_value = other110.slot_release_value;
-  slot_holding_value = other110.slot_holding_value;
-  slot_pause_value = other110.slot_pause_value;
-  claim_request_value = other110.claim_request_value;
-  claim_answer_value = other110.claim_answer_value;
-  fate_request_value = other110.fate_request_value;
-  fate_answer_value = other110.fate_answer_value;
-  claim_finished_value = other110.claim_finished_value;
-  __isset = other110.__isset;
-}
-envelope::envelope(envelope&& other111) noexcept {
-  heartbeat_value = std::move(other111.heartbeat_value);
-  bundle_request_value = std::move(other111.bundle_request_value);
-  bundle_push_value = std::move(other111.bundle_push_value);
-  slot_request_value = std::move(other111.slot_request_value);
-  slot_grant_value = std::move(other111.slot_grant_value);
-  slot_refusal_value = std::move(other111.slot_refusal_value);
-  slot_release_value = std::move(other111.slot_release_value);
-  slot_holding_value = std::move(other111.slot_holding_value);
-  slot_pause_value = std::move(other111.slot_pause_value);
-  claim_request_value = std::move(other111.claim_request_value);
-  claim_answer_value = std::move(other111.claim_answer_value);
-  fate_request_value = std::move(other111.fate_request_value);
-  fate_answer_value = std::move(other111.fate_answer_value);
-  claim_finished_value = std::move(other111.claim_finished_value);
-  __isset = other111.__isset;
-}
-envelope& envelope::operator=(const envelope& other112) {
-  heartbeat_value = other112.heartbeat_value;
-  bundle_request_value = other112.bundle_request_value;
-  bundle_push_value = other112.bundle_push_value;
-  slot_request_value = other112.slot_request_value;
-  slot_grant_value = other112.slot_grant_value;
-  slot_refusal_value = other112.slot_refusal_value;
-  slot_release_value = other112.slot_release_value;
-  slot_holding_value = other112.slot_holding_value;
-  slot_pause_value = other112.slot_pause_value;
-  claim_request_value = other112.claim_request_value;
-  claim_answer_value = other112.claim_answer_value;
-  fate_request_value = other112.fate_request_value;
-  fate_answer_value = other112.fate_answer_value;
-  claim_finished_value = other112.claim_finished_value;
-  __isset = other112.__isset;
+envelope::envelope(const envelope& other114) {
+  heartbeat_value = other114.heartbeat_value;
+  bundle_request_value = other114.bundle_request_value;
+  bundle_push_value = other114.bundle_push_value;
+  slot_request_value = other114.slot_request_value;
+  slot_grant_value = other114.slot_grant_value;
+  slot_refusal_value = other114.slot_refusal_value;
+  slot_release_value = other114.slot_release_value;
+  slot_holding_value = other114.slot_holding_value;
+  slot_pause_value = other114.slot_pause_value;
+  claim_request_value = other114.claim_request_value;
+  claim_answer_value = other114.claim_answer_value;
+  fate_request_value = other114.fate_request_value;
+  fate_answer_value = other114.fate_answer_value;
+  claim_finished_value = other114.claim_finished_value;
+  slot_waiting_value = other114.slot_waiting_value;
+  __isset = other114.__isset;
+}
+envelope::envelope(envelope&& other115) noexcept {
+  heartbeat_value = std::move(other115.heartbeat_value);
+  bundle_request_value = std::move(other115.bundle_request_value);
+  bundle_push_value = std::move(other115.bundle_push_value);
+  slot_request_value = std::move(other115.slot_request_value);
+  slot_grant_value = std::move(other115.slot_grant_value);
+  slot_refusal_value = std::move(other115.slot_refusal_value);
+  slot_release_value = std::move(other115.slot_release_value);
+  slot_holding_value = std::move(other115.slot_holding_value);
+  slot_pause_value = std::move(other115.slot_pause_value);
+  claim_request_value = std::move(other115.claim_request_value);
+  claim_answer_value = std::move(other115.claim_answer_value);
+  fate_request_value = std::move(other115.fate_request_value);
+  fate_answer_value = std::move(other115.fate_answer_value);
+  claim_finished_value = std::move(other115.claim_finished_value);
+  slot_waiting_value = std::move(other115.slot_waiting_value);
+  __isset = other115.__isset;
+}
+envelope& envelope::operator=(const envelope& other116) {
+  heartbeat_value = other116.heartbeat_value;
+  bundle_request_value = other116.bundle_request_value;
+  bundle_push_value = other116.bundle_push_value;
+  slot_request_value = other116.slot_request_value;
+  slot_grant_value = other116.slot_grant_value;
+  slot_refusal_value = other116.slot_refusal_value;
+  slot_release_value = other116.slot_release_value;
+  slot_holding_value = other116.slot_holding_value;
+  slot_pause_value = other116.slot_pause_value;
+  claim_request_value = other116.claim_request_value;
+  claim_answer_value = other116.claim_answer_value;
+  fate_request_value = other116.fate_request_value;
+  fate_answer_value = other116.fate_answer_value;
+  claim_finished_value = other116.claim_finished_value;
+  slot_waiting_value = other116.slot_waiting_value;
+  __isset = other116.__isset;
   return *this;
 }
-envelope& envelope::operator=(envelope&& other113) noexcept {
-  heartbeat_value = std::move(other113.heartbeat_value);
-  bundle_request_value = std::move(other113.bundle_request_value);
-  bundle_push_value = std::move(other113.bundle_push_value);
-  slot_request_value = std::move(other113.slot_request_value);
-  slot_grant_value = std::move(other113.slot_grant_value);
-  slot_refusal_value = std::move(other113.slot_refusal_value);
-  slot_release_value = std::move(other113.slot_release_value);
-  slot_holding_value = std::move(other113.slot_holding_value);
-  slot_pause_value = std::move(other113.slot_pause_value);
-  claim_request_value = std::move(other113.claim_request_value);
-  claim_answer_value = std::move(other113.claim_answer_value);
-  fate_request_value = std::move(other113.fate_request_value);
-  fate_answer_value = std::move(other113.fate_answer_value);
-  claim_finished_value = std::move(other113.claim_finished_value);
-  __isset = other113.__isset;
+envelope& envelope::operator=(envelope&& other117) noexcept {
+  heartbeat_value = std::move(other117.heartbeat_value);
+  bundle_request_value = std::move(other117.bundle_request_value);
+  bundle_push_value = std::move(other117.bundle_push_value);
+  slot_request_value = std::move(other117.slot_request_value);
+  slot_grant_value = std::move(other117.slot_grant_value);
+  slot_refusal_value = std::move(other117.slot_refusal_value);
+  slot_release_value = std::move(other117.slot_release_value);
+  slot_holding_value = std::move(other117.slot_holding_value);
+  slot_pause_value = std::move(other117.slot_pause_value);
+  claim_request_value = std::move(other117.claim_request_value);
+  claim_answer_value = std::move(other117.claim_answer_value);
+  fate_request_value = std::move(other117.fate_request_value);
+  fate_answer_value = std::move(other117.fate_answer_value);
+  claim_finished_value = std::move(other117.claim_finished_value);
+  slot_waiting_value = std::move(other117.slot_waiting_value);
+  __isset = other117.__isset;
   return *this;
 }
 void envelope::printTo(std::ostream& out) const {
@@ -3651,6 +3775,7 @@
   out << ", " << "fate_request_value="; (__isset.fate_request_value ? (out << to_string(fate_request_value)) : (out << "<null>"));
   out << ", " << "fate_answer_value="; (__isset.fate_answer_value ? (out << to_string(fate_answer_value)) : (out << "<null>"));
   out << ", " << "claim_finished_value="; (__isset.claim_finished_value ? (out << to_string(claim_finished_value)) : (out << "<null>"));
+  out << ", " << "slot_waiting_value="; (__isset.slot_waiting_value ? (out << to_string(slot_waiting_value)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/sapphirespar/wire/gen/peer_types.h
+++ b/src/sapphirespar/wire/gen/peer_types.h
@@ -37,6 +37,8 @@
 
 class slot_grant;
 
+class slot_waiting;
+
 class slot_refusal;
 
 class slot_release;
@@ -747,6 +749,51 @@
 
 std::ostream& operator<<(std::ostream& out, const slot_grant& obj);
 
+typedef struct _slot_waiting__isset {
+  _slot_waiting__isset() : request(false) {}
+  bool request :1;
+} _slot_waiting__isset;
+
+class slot_waiting : public virtual ::apache::thrift::TBase {
+ public:
+
+  slot_waiting(const slot_waiting&);
+  slot_waiting(slot_waiting&&) noexcept;
+  slot_waiting& operator=(const slot_waiting&);
+  slot_waiting& operator=(slot_waiting&&) noexcept;
+  slot_waiting() noexcept
+               : request() {
+  }
+
+  virtual ~slot_waiting() noexcept;
+  std::string request;
+
+  _slot_waiting__isset __isset;
+
+  void __set_request(const std::string& val);
+
+  bool operator == (const slot_waiting & rhs) const
+  {
+    if (!(request == rhs.request))
+      return false;
+    return true;
+  }
+  bool operator != (const slot_waiting &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const slot_waiting & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(slot_waiting &a, slot_waiting &b);
+
+std::ostream& operator<<(std::ostream& out, const slot_waiting& obj);
+
 typedef struct _slot_refusal__isset {
   _slot_refusal__isset() : request(false), reason(false), retry_after_ms(false) {}
   bool request :1;
@@ -1306,7 +1353,7 @@
 std::ostream& operator<<(std::ostream& out, const fate_answer& obj);
 
 typedef struct _envelope__isset {
-  _envelope__isset() : heartbeat_value(false), bundle_request_value(false), bundle_push_value(false), slot_request_value(false), slot_grant_value(false), slot_refusal_value(false), slot_release_value(false), slot_holding_value(false), slot_pause_value(false), claim_request_value(false), claim_answer_value(false), fate_request_value(false), fate_answer_value(false), claim_finished_value(false) {}
+  _envelope__isset() : heartbeat_value(false), bundle_request_value(false), bundle_push_value(false), slot_request_value(false), slot_grant_value(false), slot_refusal_value(false), slot_release_value(false), slot_holding_value(false), slot_pause_value(false), claim_request_value(false), claim_answer_value(false), fate_request_value(false), fate_answer_value(false), claim_finished_value(false), slot_waiting_value(false) {}
   bool heartbeat_value :1;
   bool bundle_request_value :1;
   bool bundle_push_value :1;
@@ -1321,6 +1368,7 @@
   bool fate_request_value :1;
   bool fate_answer_value :1;
   bool claim_finished_value :1;
+  bool slot_waiting_value :1;
 } _envelope__isset;
 
 class envelope : public virtual ::apache::thrift::TBase {
@@ -1348,6 +1396,7 @@
   fate_request fate_request_value;
   fate_answer fate_answer_value;
   claim_finished claim_finished_value;
+  slot_waiting slot_waiting_value;
 
   _envelope__isset __isset;
 
@@ -1379,6 +1428,8 @@
 
   void __set_claim_finished_value(const claim_finished& val);
 
+  void __set_slot_waiting_value(const slot_waiting& val);
+
   bool operator == (const envelope & rhs) const
   {
     if (__isset.heartbeat_value != rhs.__isset.heartbeat_value)
@@ -1437,6 +1488,10 @@
       return false;
     else if (__isset.claim_finished_value && !(claim_finished_value == rhs.claim_finished_value))
       return false;
+    if (__isset.slot_waiting_value != rhs.__isset.slot_waiting_value)
+      return false;
+    else if (__isset.slot_waiting_value && !(slot_waiting_value == rhs.slot_waiting_value))
+      return false;
     return true;
   }
   bool operator != (const envelope &rhs) const {
--- a/src/sapphirespar/wire/peer_codec.cpp
+++ b/src/sapphirespar/wire/peer_codec.cpp
@@ -64,6 +64,9 @@
   if (set.slot_grant_value) {
     return FromWire(aEnvelope.slot_grant_value);
   }
+  if (set.slot_waiting_value) {
+    return FromWire(aEnvelope.slot_waiting_value);
+  }
   if (set.slot_refusal_value) {
     return FromWire(aEnvelope.slot_refusal_value);
   }
--- a/src/sapphirespar/wire/peer_codec_test.cpp
+++ b/src/sapphirespar/wire/peer_codec_test.cpp
@@ -38,6 +38,7 @@
            bundle_push{ { 1, 2 }, std::string("\0signed", 7) },
            slot,
            slot_grant{ { "r" }, { "u" } },
+           slot_waiting{ { "r" } },
            slot_refusal{ { "r" }, refusal_reason::TooLate, 250 },
            slot_release{ { "r" }, { "u" }, true, 12, 34, 56 },
            slot_holding{ slot, { "u" } },
--- a/src/sapphirespar/wire/peer_convert_work.cpp
+++ b/src/sapphirespar/wire/peer_convert_work.cpp
@@ -75,6 +75,20 @@
   return { { aWire.request }, { aWire.upstream } };
 }
 
+void
+Put(gen::envelope& aEnvelope, const slot_waiting& aMessage)
+{
+  gen::slot_waiting wire;
+  wire.__set_request(aMessage.mRequest.mText);
+  aEnvelope.__set_slot_waiting_value(wire);
+}
+
+slot_waiting
+FromWire(const gen::slot_waiting& aWire)
+{
+  return { { aWire.request } };
+}
+
 void
 Put(gen::envelope& aEnvelope, const slot_refusal& aMessage)
 {
