--- a/src/sapphirespar/ledger/claims_test.cpp
+++ b/src/sapphirespar/ledger/claims_test.cpp
@@ -129,6 +129,27 @@
   }
 }
 
+TEST(Fault_Slow, Claim_Fate_AGrantOnItsWayIsGivenUpForGood)
+{
+  once_world world(3);
+  world.mNetwork.SetCarrier([](const peer_message& aMessage) {
+    const auto* const answer = std::get_if<claim_answer>(&aMessage);
+    const auto late = answer != nullptr &&
+                      answer->mVerdict == claim_verdict::Granted &&
+                      answer->mHolder.mVm == vm_id{ "vm1" };
+    return std::optional<steady_duration>(late ? 2s : 1ms);
+  });
+  unsigned passedOn = 0;
+  for (int i = 0; i < 10; ++i) {
+    const auto key = "lot-" + std::to_string(i);
+    world.Send(1, { kClaim, key });
+    world.mTimers.Advance(100ms);
+    passedOn += world.Ask(2, kClaim, key).mRun ? 1 : 0;
+    EXPECT_EQ(world.Runs(key), 1U);
+  }
+  EXPECT_GT(passedOn, 0U);
+}
+
 TEST(Fault_Partition, Claim_Ask_ARouterCutOffFromTheOwnerRunsNothingTwice)
 {
   once_world world(2);
