Fence orders to engines by the version of an object

Two routers may order different things from one engine, and some engines carry out whatever comes. An order's fencing number is the version of its record at the platform. Where the engine ignores it, the holder waits out an order that may still be under way, looks whether it still holds the record right before it sends, and believes the engine's load report alone. Loads take a slot of one object, so that the weight store's rate is kept fleet-wide.

--- /dev/null
+++ b/src/sapphirespar/upstream/object_update.cpp
@@ -0,0 +1,146 @@
+// The loop of read, decide and write.
+#include "object_update.hpp"
+
+#include <algorithm>
+#include <memory>
+#include <utility>
+
+namespace sapphirespar::upstream {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::chrono::milliseconds kFirstBackoff = 100ms;
+constexpr std::chrono::milliseconds kLongestBackoff = 2s;
+// A call that has not been answered by then counts as lost.
+constexpr std::chrono::milliseconds kCallTimeout = 2s;
+
+// Keeps itself alive through the callbacks that it waits for.
+class update_loop : public std::enable_shared_from_this<update_loop>
+{
+public:
+  update_loop(platform_api& aPlatform,
+              timer_service& aTimers,
+              object_key aKey,
+              change_decision aDecide,
+              steady_duration aPatience,
+              std::weak_ptr<void> aOwner,
+              update_callback aDone)
+    : mPlatform(aPlatform)
+    , mTimers(aTimers)
+    , mKey(std::move(aKey))
+    , mDecide(std::move(aDecide))
+    , mOwner(std::move(aOwner))
+    , mDone(std::move(aDone))
+    , mDeadline(aTimers.Now() + aPatience)
+  {
+  }
+
+  void Read() { mPlatform.Get(mKey, Call(&update_loop::OnRead)); }
+
+private:
+  using handler = void (update_loop::*)(const object_answer&);
+
+  object_callback Call(handler aHandler)
+  {
+    auto finish = [self = shared_from_this(), call = ++mCall, aHandler](
+                    const object_answer& aAnswer) {
+      if (self->mCall == call && !self->mOwner.expired()) {
+        ++self->mCall;
+        ((*self).*aHandler)(aAnswer);
+      }
+    };
+    mTimer = mTimers.After(kCallTimeout, [finish] {
+      object_answer silence;
+      silence.mStatus = platform_status::Unknown;
+      finish(silence);
+    });
+    return finish;
+  }
+
+  void OnRead(const object_answer& aAnswer)
+  {
+    const auto found = aAnswer.mStatus == platform_status::Ok;
+    if (!found && aAnswer.mStatus != platform_status::NotFound) {
+      Retry();
+      return;
+    }
+    mRead = found ? aAnswer.mObject.mVersion : kNoObject;
+    auto change = mDecide(found ? aAnswer.mObject.mValue : std::string());
+    if (change.mKind == change_kind::Write) {
+      mPlatform.Put(
+        mKey, std::move(change.mValue), mRead, Call(&update_loop::OnWritten));
+    } else {
+      End(change.mKind == change_kind::Keep ? update_status::Ok
+                                            : update_status::Stopped);
+    }
+  }
+
+  void OnWritten(const object_answer& aAnswer)
+  {
+    if (aAnswer.mStatus == platform_status::Ok) {
+      mRead = aAnswer.mObject.mVersion;
+      End(update_status::Ok);
+    } else {
+      Retry();
+    }
+  }
+
+  void Retry()
+  {
+    if (mTimers.Now() + mBackoff >= mDeadline) {
+      End(update_status::GivenUp);
+      return;
+    }
+    mTimer = mTimers.After(mBackoff, [self = shared_from_this()] {
+      if (!self->mOwner.expired()) {
+        self->Read();
+      }
+    });
+    mBackoff = std::min(mBackoff * 2, kLongestBackoff);
+  }
+
+  void End(update_status aStatus)
+  {
+    // The timer's callback holds this loop.
+    const auto self = shared_from_this();
+    mTimer = {};
+    mDone({ aStatus, mRead });
+  }
+
+  platform_api& mPlatform;
+  timer_service& mTimers;
+  const object_key mKey;
+  const change_decision mDecide;
+  const std::weak_ptr<void> mOwner;
+  const update_callback mDone;
+  const steady_time mDeadline;
+  std::chrono::milliseconds mBackoff = kFirstBackoff;
+  object_version mRead = kNoObject;
+  // Numbers calls, so that an answer that comes too late is ignored.
+  std::uint64_t mCall = 0;
+  timer_subscription mTimer;
+};
+
+} // namespace
+
+void
+UpdateObject(platform_api& aPlatform,
+             timer_service& aTimers,
+             object_key aKey,
+             change_decision aDecide,
+             steady_duration aPatience,
+             std::weak_ptr<void> aOwner,
+             update_callback aDone)
+{
+  std::make_shared<update_loop>(aPlatform,
+                                aTimers,
+                                std::move(aKey),
+                                std::move(aDecide),
+                                aPatience,
+                                std::move(aOwner),
+                                std::move(aDone))
+    ->Read();
+}
+
+} // namespace sapphirespar::upstream
--- /dev/null
+++ b/src/sapphirespar/upstream/order_controller.cpp
@@ -0,0 +1,366 @@
+// One order after the other: slot, fence, send, verify, close.
+#include "sapphirespar/upstream/order_controller.hpp"
+
+#include "object_update.hpp"
+#include "order_record.hpp"
+#include "sapphirespar/base/log.hpp"
+#include "weight_slots.hpp"
+
+#include <algorithm>
+#include <map>
+#include <utility>
+
+namespace sapphirespar::upstream {
+namespace {
+
+constexpr std::chrono::seconds kPatience{ 20 };
+
+bool
+IsCarriedOut(const engine_order& aOrder, const load_report& aReport)
+{
+  const auto loaded =
+    std::ranges::find(aReport.mModels, aOrder.mModel) != aReport.mModels.end();
+  return loaded == (aOrder.mKind == order_kind::LoadModel);
+}
+
+} // namespace
+
+std::string_view
+ToText(order_kind aKind)
+{
+  return aKind == order_kind::LoadModel ? "load_model" : "unload_model";
+}
+
+std::string_view
+ToText(order_end aEnd)
+{
+  switch (aEnd) {
+    case order_end::Done:
+      return "done";
+    case order_end::Superseded:
+      return "superseded";
+    case order_end::Unverified:
+      return "unverified";
+    case order_end::NotSent:
+      break;
+  }
+  return "not_sent";
+}
+
+class order_controller::state : public std::enable_shared_from_this<state>
+{
+public:
+  state(process_id aSelf,
+        platform_api& aPlatform,
+        timer_service& aTimers,
+        order_hooks aHooks,
+        const order_settings& aSettings)
+    : mSelf(std::move(aSelf))
+    , mPlatform(aPlatform)
+    , mTimers(aTimers)
+    , mHooks(std::move(aHooks))
+    , mSettings(aSettings)
+    , mSlots(std::make_shared<weight_slots>(aPlatform, aTimers, aSettings))
+  {
+  }
+
+  bool Issue(const upstream_spec& aSpec,
+             engine_order aOrder,
+             order_callback aDone);
+
+private:
+  struct run
+  {
+    upstream_spec mSpec;
+    engine_order mOrder;
+    order_callback mDone;
+    // Names this order in records and slots.
+    std::string mName;
+    std::uint64_t mFence = 0;
+    // Whether an earlier order may still be under way.
+    bool mEarlierOpen = false;
+    steady_time mSentAt{};
+    timer_subscription mTimer;
+  };
+
+  using run_ptr = std::shared_ptr<run>;
+  using run_step = void (state::*)(const run_ptr&);
+
+  timer_callback Later(const run_ptr& aRun, run_step aStep);
+  object_key RecordKey(const run& aRun) const;
+  void Fence(const run_ptr& aRun);
+  void OnFenced(const run_ptr& aRun, const update_result& aResult);
+  void Confirm(const run_ptr& aRun);
+  void Send(const run_ptr& aRun);
+  void Verify(const run_ptr& aRun);
+  void OnLoad(const run_ptr& aRun, const std::optional<load_report>& aReport);
+  void Close(const run_ptr& aRun);
+  void End(const run_ptr& aRun, order_end aEnd);
+  bool IsRunning(const run_ptr& aRun) const;
+
+  const process_id mSelf;
+  platform_api& mPlatform;
+  timer_service& mTimers;
+  const order_hooks mHooks;
+  const order_settings mSettings;
+  std::shared_ptr<weight_slots> mSlots;
+  // At most one for each upstream.
+  std::map<upstream_id, run_ptr> mRuns;
+};
+
+bool
+order_controller::state::Issue(const upstream_spec& aSpec,
+                               engine_order aOrder,
+                               order_callback aDone)
+{
+  if (mRuns.contains(aSpec.mId)) {
+    return false;
+  }
+  const auto started = std::make_shared<run>();
+  started->mSpec = aSpec;
+  started->mOrder = std::move(aOrder);
+  started->mDone = std::move(aDone);
+  started->mName = mSelf.mVm.mText + '/' + NewRequestId().mText;
+  mRuns[aSpec.mId] = started;
+  if (started->mOrder.mKind != order_kind::LoadModel) {
+    Fence(started);
+    return true;
+  }
+  mSlots->Take(started->mName, [weak = weak_from_this(), started](bool aTaken) {
+    const auto self = weak.lock();
+    if (self && aTaken) {
+      self->Fence(started);
+    } else if (self) {
+      self->End(started, order_end::NotSent);
+    }
+  });
+  return true;
+}
+
+// A step that is dropped once the order or the controller is gone.
+timer_callback
+order_controller::state::Later(const run_ptr& aRun, run_step aStep)
+{
+  return [weak = weak_from_this(), run = std::weak_ptr(aRun), aStep] {
+    const auto self = weak.lock();
+    const auto live = run.lock();
+    if (self && live) {
+      ((*self).*aStep)(live);
+    }
+  };
+}
+
+object_key
+order_controller::state::RecordKey(const run& aRun) const
+{
+  return { std::string(kOrderKind), aRun.mSpec.mId.mText };
+}
+
+// Puts this order into the upstream's record; the version of that write is the
+// fencing number, which rises with every order of anybody.
+void
+order_controller::state::Fence(const run_ptr& aRun)
+{
+  const auto decide = [aRun](std::string_view aValue) {
+    const auto current = ReadOrderRecord(aValue);
+    if (current.mOrder == aRun->mName) {
+      return object_change{ change_kind::Keep, {} };
+    }
+    aRun->mEarlierOpen = current.mOpen;
+    return object_change{ change_kind::Write,
+                          WriteOrderRecord({ aRun->mName, true }) };
+  };
+  UpdateObject(mPlatform,
+               mTimers,
+               RecordKey(*aRun),
+               decide,
+               kPatience,
+               weak_from_this(),
+               [this, aRun](const auto& aResult) { OnFenced(aRun, aResult); });
+}
+
+void
+order_controller::state::OnFenced(const run_ptr& aRun,
+                                  const update_result& aResult)
+{
+  if (aResult.mStatus != update_status::Ok) {
+    End(aRun, order_end::NotSent);
+    return;
+  }
+  aRun->mFence = aResult.mVersion;
+  if (aRun->mSpec.mChecksFencing) {
+    Send(aRun);
+  } else if (aRun->mEarlierOpen) {
+    aRun->mTimer =
+      mTimers.After(mSettings.mLongestOrder, [this, aRun] { Confirm(aRun); });
+  } else {
+    Confirm(aRun);
+  }
+}
+
+// The upstream ignores fencing numbers, so the holder looks for itself whether
+// it still is one. An answer that it gets to see late, after a pause, proves
+// nothing, so it looks again.
+void
+order_controller::state::Confirm(const run_ptr& aRun)
+{
+  const auto asked = mTimers.Now();
+  const auto decide = [aRun](std::string_view aValue) {
+    const auto own = ReadOrderRecord(aValue).mOrder == aRun->mName;
+    return object_change{ own ? change_kind::Keep : change_kind::Stop, {} };
+  };
+  const auto done = [this, aRun, asked](const update_result& aResult) {
+    if (aResult.mStatus == update_status::Stopped) {
+      End(aRun, order_end::Superseded);
+    } else if (aResult.mStatus == update_status::GivenUp) {
+      End(aRun, order_end::NotSent);
+    } else if (mTimers.Now() - asked > mSettings.mSendWindow) {
+      Confirm(aRun);
+    } else {
+      Send(aRun);
+    }
+  };
+  UpdateObject(mPlatform,
+               mTimers,
+               RecordKey(*aRun),
+               decide,
+               kPatience,
+               weak_from_this(),
+               done);
+}
+
+void
+order_controller::state::Send(const run_ptr& aRun)
+{
+  aRun->mSentAt = mTimers.Now();
+  mHooks.mSend(aRun->mSpec,
+               aRun->mOrder,
+               aRun->mFence,
+               [weak = weak_from_this(), aRun](order_reply aReply) {
+                 const auto self = weak.lock();
+                 if (!self || !self->IsRunning(aRun)) {
+                   return;
+                 }
+                 if (aReply == order_reply::Refused) {
+                   self->End(aRun, order_end::Superseded);
+                 }
+               });
+  // Whatever the reply, the engine's own report decides.
+  if (IsRunning(aRun)) {
+    aRun->mTimer =
+      mTimers.Every(mSettings.mVerifyInterval, Later(aRun, &state::Verify));
+  }
+}
+
+void
+order_controller::state::Verify(const run_ptr& aRun)
+{
+  const auto elapsed = mTimers.Now() - aRun->mSentAt;
+  if (elapsed >= mSettings.mLongestOrder) {
+    End(aRun, order_end::Unverified);
+    return;
+  }
+  if (elapsed < mSettings.mReportLag) {
+    return;
+  }
+  mHooks.mFetchLoad(aRun->mSpec,
+                    [weak = weak_from_this(), aRun](const auto& aReport) {
+                      const auto self = weak.lock();
+                      if (self && self->IsRunning(aRun)) {
+                        self->OnLoad(aRun, aReport);
+                      }
+                    });
+}
+
+void
+order_controller::state::OnLoad(const run_ptr& aRun,
+                                const std::optional<load_report>& aReport)
+{
+  if (aReport && IsCarriedOut(aRun->mOrder, *aReport)) {
+    aRun->mTimer = {};
+    Close(aRun);
+  }
+}
+
+// Notes that nothing is under way any more, which spares the next holder the
+// wait. A record that stays open by accident costs no more than that wait.
+void
+order_controller::state::Close(const run_ptr& aRun)
+{
+  const auto decide = [aRun](std::string_view aValue) {
+    const auto current = ReadOrderRecord(aValue);
+    if (current.mOrder != aRun->mName) {
+      return object_change{ change_kind::Stop, {} };
+    }
+    if (!current.mOpen) {
+      return object_change{ change_kind::Keep, {} };
+    }
+    return object_change{ change_kind::Write,
+                          WriteOrderRecord({ aRun->mName, false }) };
+  };
+  UpdateObject(mPlatform,
+               mTimers,
+               RecordKey(*aRun),
+               decide,
+               kPatience,
+               weak_from_this(),
+               [this, aRun](const update_result& aResult) {
+                 End(aRun,
+                     aResult.mStatus == update_status::Stopped
+                       ? order_end::Superseded
+                       : order_end::Done);
+               });
+}
+
+bool
+order_controller::state::IsRunning(const run_ptr& aRun) const
+{
+  const auto found = mRuns.find(aRun->mSpec.mId);
+  return found != mRuns.end() && found->second == aRun;
+}
+
+void
+order_controller::state::End(const run_ptr& aRun, order_end aEnd)
+{
+  if (!IsRunning(aRun)) {
+    return;
+  }
+  mRuns.erase(aRun->mSpec.mId);
+  aRun->mTimer = {};
+  if (aRun->mOrder.mKind == order_kind::LoadModel) {
+    mSlots->Give(aRun->mName);
+  }
+  LogEvent(log_level::Info,
+           "order_ended",
+           { { "upstream", aRun->mSpec.mId.mText },
+             { "order", ToText(aRun->mOrder.mKind) },
+             { "model", aRun->mOrder.mModel.mText },
+             { "fence", aRun->mFence },
+             { "end", ToText(aEnd) } });
+  aRun->mDone(aEnd);
+}
+
+order_controller::order_controller(process_id aSelf,
+                                   platform_api& aPlatform,
+                                   timer_service& aTimers,
+                                   order_hooks aHooks,
+                                   order_settings aSettings)
+  : mState(std::make_shared<state>(std::move(aSelf),
+                                   aPlatform,
+                                   aTimers,
+                                   std::move(aHooks),
+                                   aSettings))
+{
+}
+
+order_controller::~order_controller() = default;
+
+bool
+order_controller::Issue(const upstream_spec& aSpec,
+                        engine_order aOrder,
+                        order_callback aDone)
+{
+  return mState->Issue(aSpec, std::move(aOrder), std::move(aDone));
+}
+
+} // namespace sapphirespar::upstream
--- /dev/null
+++ b/src/sapphirespar/upstream/weight_slots.cpp
@@ -0,0 +1,93 @@
+// Taking and giving back slots by conditional updates of one object.
+#include "weight_slots.hpp"
+
+#include "object_update.hpp"
+#include "order_record.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace sapphirespar::upstream {
+namespace {
+
+constexpr std::chrono::seconds kPatience{ 20 };
+
+} // namespace
+
+weight_slots::weight_slots(platform_api& aPlatform,
+                           timer_service& aTimers,
+                           const order_settings& aSettings)
+  : mPlatform(aPlatform)
+  , mTimers(aTimers)
+  , mSettings(aSettings)
+{
+}
+
+object_key
+weight_slots::Key() const
+{
+  return { std::string(kOrderKind), "weight-store" };
+}
+
+void
+weight_slots::Take(const std::string& aOrder, std::function<void(bool)> aDone)
+{
+  mWaiting.erase(aOrder);
+  const auto decide = [this, aOrder](std::string_view aValue) {
+    auto orders = ReadSlots(aValue);
+    if (std::ranges::find(orders, aOrder) != orders.end()) {
+      return object_change{ change_kind::Keep, {} };
+    }
+    Forget(orders);
+    if (orders.size() >= mSettings.mWeightSlots) {
+      return object_change{ change_kind::Stop, {} };
+    }
+    orders.push_back(aOrder);
+    return object_change{ change_kind::Write, WriteSlots(orders) };
+  };
+  const auto done = [this, aOrder, aDone](const update_result& aResult) {
+    if (aResult.mStatus != update_status::Stopped) {
+      aDone(aResult.mStatus == update_status::Ok);
+      return;
+    }
+    mWaiting[aOrder] = mTimers.After(
+      mSettings.mSlotInterval, [this, aOrder, aDone] { Take(aOrder, aDone); });
+  };
+  UpdateObject(
+    mPlatform, mTimers, Key(), decide, kPatience, weak_from_this(), done);
+}
+
+// Drops orders that have held a slot for too long.
+void
+weight_slots::Forget(std::vector<std::string>& aOrders)
+{
+  const auto now = mTimers.Now();
+  std::erase_if(mSeen, [&](const auto& aItem) {
+    return std::ranges::find(aOrders, aItem.first) == aOrders.end();
+  });
+  std::erase_if(aOrders, [&](const auto& aOrder) {
+    const auto seen = mSeen.try_emplace(aOrder, now).first->second;
+    return now - seen > mSettings.mSlotLapse;
+  });
+}
+
+void
+weight_slots::Give(const std::string& aOrder)
+{
+  const auto decide = [aOrder](std::string_view aValue) {
+    auto orders = ReadSlots(aValue);
+    if (std::erase(orders, aOrder) == 0) {
+      return object_change{ change_kind::Keep, {} };
+    }
+    return object_change{ change_kind::Write, WriteSlots(orders) };
+  };
+  UpdateObject(mPlatform,
+               mTimers,
+               Key(),
+               decide,
+               kPatience,
+               weak_from_this(),
+               [](const auto&) {});
+}
+
+} // namespace sapphirespar::upstream
