Let callers say that a key is new, and test claims end to end

Cause: a booking that could not be claimed during an outage was answered unknown, since a key may have been used before at another router; no caller could say otherwise. Change: X-First-Attempt states that the key has never been sent, and such a request is refused as not_run. The load tool sends it. End to end tests cover lost answers, outages and dying routers for claimed keys, and one key sent to all routers at once. Conclusion: not_run is said wherever it can be proved.

--- a/include/sapphirespar/router/call.hpp
+++ b/include/sapphirespar/router/call.hpp
@@ -26,6 +26,8 @@
   // Whether the caller wants the answer as server-sent events.
   bool mStream = false;
   std::string mIdempotencyKey;
+  // The caller states that it has never sent this key before.
+  bool mFirstAttempt = false;
   trace_context mTrace;
   // What goes to the upstream.
   wire::http_request mForward;
--- a/src/sapphirespar/router/call.cpp
+++ b/src/sapphirespar/router/call.cpp
@@ -206,6 +206,7 @@
                   "X-Class: this class does not belong to this path");
   }
   aCall.mIdempotencyKey = aRequest.Header("Idempotency-Key");
+  aCall.mFirstAttempt = aRequest.Header("X-First-Attempt") == "true";
   if (aCall.mClass->mOnce != once_mode::None && aCall.mIdempotencyKey.empty()) {
     return Refuse(refusal_reason::MissingKey,
                   "Idempotency-Key: required for this class");
--- a/src/sapphirespar/router/end_to_end_test.cpp
+++ b/src/sapphirespar/router/end_to_end_test.cpp
@@ -19,6 +19,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <map>
 #include <memory>
 #include <thread>
 #include <vector>
@@ -95,6 +96,27 @@
   return load;
 }
 
+// Books with a key of the caller's own and counts a whole answer.
+asio::awaitable<void>
+Book(wire::http_client& aClient,
+     wire::endpoint aRouter,
+     std::string aKey,
+     std::map<std::string, unsigned>& aAnswered)
+{
+  wire::http_request request;
+  request.mMethod = "POST";
+  request.mTarget = "/v1/services/ledger/book";
+  request.mBody = "{}";
+  request.mHeaders.push_back({ "X-Class", "lease" });
+  request.mHeaders.push_back({ "Idempotency-Key", aKey });
+  request.mHeaders.push_back(
+    { "Authorization", "Bearer " + std::string(kBearer) });
+  const auto answer = co_await aClient.Fetch(aRouter, std::move(request), 30s);
+  if (answer && answer.value().mStatus == 200) {
+    ++aAnswered[aKey];
+  }
+}
+
 // Upstreams, a platform and three routers in this process.
 class whole_system : public testing::Test
 {
@@ -322,16 +344,54 @@
   EXPECT_EQ(drafts.mInTime, drafts.mOffered) << ToTable(report);
 }
 
-TEST_F(whole_system, ATokenBookingWhoseAnswerIsLostIsUnknownAndRunsOnce)
+class lost_answers
+  : public whole_system
+  , public testing::WithParamInterface<key_source>
+{};
+
+TEST_P(lost_answers, MakeABookingUnknownAndItRunsOnce)
 {
   constexpr unsigned kLost = 5;
   SetFaults(mService.Port(), R"({"lose_answers":5})");
-  const auto report = Run(Work({ BookingLoad(40, key_source::Token) }));
+  const auto report = Run(Work({ BookingLoad(40, GetParam()) }));
   const auto& bookings = report.mClasses.front();
   EXPECT_EQ(bookings.mUnknown, kLost) << ToTable(report);
   EXPECT_EQ(bookings.mInTime, bookings.mOffered - kLost) << ToTable(report);
 }
 
+INSTANTIATE_TEST_SUITE_P(KeySources,
+                         lost_answers,
+                         testing::Values(key_source::Token, key_source::Own),
+                         [](const auto& aInfo) {
+                           return aInfo.param == key_source::Own ? "Claim"
+                                                                 : "Token";
+                         });
+
+TEST_F(whole_system, AKeySentToAllRoutersAtOnceRunsOnce)
+{
+  constexpr int kKeys = 50;
+  asio::io_context context;
+  wire::http_client client(context.get_executor(), {});
+  std::map<std::string, unsigned> answered;
+  for (int index = 0; index < kKeys; ++index) {
+    const auto key = "booking-" + std::to_string(index);
+    for (const auto& router : mRouters) {
+      const wire::endpoint place{ kLoopback, router->Port() };
+      asio::co_spawn(
+        context, Book(client, place, key, answered), asio::detached);
+    }
+  }
+  context.run();
+  const auto audit = Call(mService.Port(), "GET", "/audit");
+  const auto runs = boost::json::parse(audit.mBody).at("runs").as_object();
+  EXPECT_EQ(answered.size(), static_cast<std::size_t>(kKeys));
+  for (const auto& [key, answers] : answered) {
+    ASSERT_TRUE(runs.contains(key)) << key;
+    EXPECT_EQ(runs.at(key).as_int64(), 1) << key;
+  }
+  EXPECT_EQ(runs.size(), answered.size());
+}
+
 TEST_F(whole_system, ACrashedEngineBreaksNoPromise)
 {
   auto work = Work({ EngineLoad(150), BookingLoad(20, key_source::Token) });
@@ -367,6 +427,20 @@
   }
 }
 
+TEST_F(whole_system, APlatformOutageRefusesClaimedBookingsAsNotRun)
+{
+  auto lease = BookingLoad(40, key_source::Own);
+  lease.mRetries = 0;
+  auto work = Work({ lease });
+  work.mFaults.push_back({ 500ms, "platform", R"({"outage":true})" });
+  const auto report = Run(work);
+  const auto& leases = report.mClasses.front();
+  EXPECT_GT(leases.mInTime, 0U) << ToTable(report);
+  EXPECT_GT(leases.mRefused, 0U) << ToTable(report);
+  EXPECT_EQ(leases.mInTime + leases.mRefused, leases.mOffered)
+    << ToTable(report);
+}
+
 TEST_F(whole_system, AGracefulShutdownCutsNothing)
 {
   auto work = Work({ EngineLoad(150), BookingLoad(30, key_source::Token) });
@@ -387,7 +461,9 @@
 
 TEST_F(whole_system, ARouterThatDiesBreaksNoPromise)
 {
-  auto work = Work({ EngineLoad(100), BookingLoad(60, key_source::Token) });
+  auto work = Work({ EngineLoad(100),
+                     BookingLoad(60, key_source::Token),
+                     BookingLoad(60, key_source::Own) });
   for (auto& load : work.mClasses) {
     load.mRetries = 3;
   }
--- a/src/sapphirespar/router/exchange.cpp
+++ b/src/sapphirespar/router/exchange.cpp
@@ -159,6 +159,7 @@
     request.mMode = mCall.mClass->mOnce;
     request.mKey = std::move(aKey);
     request.mContentHash = XXH3_64bits(content.data(), content.size());
+    request.mFirstAttempt = mCall.mFirstAttempt;
     return request;
   }
 
--- a/src/sapphirespar/tools/load_call.cpp
+++ b/src/sapphirespar/tools/load_call.cpp
@@ -42,6 +42,14 @@
   milliseconds mPatience;
 };
 
+// The idempotency key of one try; empty for a class without one.
+struct try_key
+{
+  std::string mText;
+  // Whether no earlier try has sent it.
+  bool mIsNew = true;
+};
+
 outcome
 OutcomeOf(std::string_view aText)
 {
@@ -110,7 +118,7 @@
 }
 
 wire::http_request
-MakeRequest(const call_plan& aPlan, const std::string& aKey)
+MakeRequest(const call_plan& aPlan, const try_key& aKey)
 {
   auto request = aPlan.mLoad.mKind == upstream_kind::Engine
                    ? EngineRequest(aPlan)
@@ -120,8 +128,9 @@
   headers.push_back({ "Content-Type", "application/json" });
   headers.push_back({ "X-Class", aPlan.mLoad.mClass });
   headers.push_back({ "Authorization", "Bearer " + aPlan.mLoad.mBearer });
-  if (!aKey.empty()) {
-    headers.push_back({ "Idempotency-Key", aKey });
+  if (!aKey.mText.empty()) {
+    headers.push_back({ "Idempotency-Key", aKey.mText });
+    headers.push_back({ "X-First-Attempt", aKey.mIsNew ? "true" : "false" });
   }
   return request;
 }
@@ -163,7 +172,7 @@
 FetchWhole(const call_context& aContext,
            const call_plan& aPlan,
            wire::endpoint aEntry,
-           std::string aKey)
+           try_key aKey)
 {
   auto request = MakeRequest(aPlan, aKey);
   const auto response = co_await aContext.mClient.Fetch(
@@ -174,7 +183,7 @@
   if (response.value().mStatus != kOk) {
     co_return FromRefusal(response.value());
   }
-  co_return CheckWholeBody(aPlan, response.value(), aKey);
+  co_return CheckWholeBody(aPlan, response.value(), aKey.mText);
 }
 
 // Reads a body to its proper end; empty if it breaks off.
@@ -239,7 +248,7 @@
 OpenStream(const call_context& aContext,
            const call_plan& aPlan,
            wire::endpoint aEntry,
-           std::string aKey)
+           try_key aKey)
 {
   auto request = MakeRequest(aPlan, aKey);
   auto opened =
@@ -260,7 +269,7 @@
 TryOnce(const call_context& aContext,
         const call_plan& aPlan,
         wire::endpoint aEntry,
-        std::string aKey)
+        try_key aKey)
 {
   if (aPlan.mLoad.mKind == upstream_kind::Engine && aPlan.mLoad.mStream) {
     co_return co_await OpenStream(
@@ -375,8 +384,11 @@
     result.mOutcome = outcome::NotRun;
     result.mReachedEntry = false;
     result.mReason = "no_token";
+    const auto keysBefore = record.mKeys.size();
     if (co_await PrepareKey(aContext, plan, entry, record.mOutcome, record)) {
-      auto key = record.mKeys.empty() ? std::string() : record.mKeys.back();
+      try_key key;
+      key.mText = record.mKeys.empty() ? std::string() : record.mKeys.back();
+      key.mIsNew = record.mKeys.size() > keysBefore;
       result = co_await TryOnce(aContext, plan, entry, std::move(key));
     }
     NoteTry(record, result, start);
