Measure the cost of scheduling events

The gossip delay of account limits becomes a parameter, since larger fleets take longer than a full mesh.

--- a/include/sapphirespar/policy/account_limiter.hpp
+++ b/include/sapphirespar/policy/account_limiter.hpp
@@ -23,10 +23,8 @@
   std::vector<account_demand> mDemands;
 };
 
-// Longest time from the first router's publishing of a change of demand until
-// all routers have published and heard theirs. A router's share falls at once
-// and rises only when this has passed.
-inline constexpr steady_duration kGossipDelay = std::chrono::seconds(3);
+// Enough while every router sends its demand to every other each second.
+inline constexpr steady_duration kFullMeshGossipDelay = std::chrono::seconds(3);
 
 // Requests that may come at once, as time at the router's share of the rate.
 inline constexpr steady_duration kBurstTime = std::chrono::seconds(1);
@@ -38,6 +36,11 @@
 class account_limiter
 {
 public:
+  // aGossipDelay is the longest time from the first router's publishing of a
+  // change of demand until all routers have published and heard theirs. A
+  // router's share falls at once and rises only when this has passed.
+  explicit account_limiter(steady_duration aGossipDelay = kFullMeshGossipDelay);
+
   // Replaces the declared accounts; what is in progress stays counted.
   void Configure(const bundle& aBundle, steady_time aNow);
 
@@ -81,7 +84,7 @@
     // What this router last published, and the others' sum.
     double mPublished = 0;
     double mOthers = 0;
-    // Wanted shares of the last kGossipDelay in order of time, and the one
+    // Wanted shares of the last gossip delay in order of time, and the one
     // before them; never empty.
     std::vector<share_target> mTargets;
     // The least of them when last refilled: the part given out here.
@@ -90,9 +93,10 @@
 
   double EvenShare() const;
   void Retarget(account_state& aState, steady_time aNow) const;
-  static double ShareAt(account_state& aState, steady_time aNow);
-  static void Refill(account_state& aState, steady_time aNow);
+  double ShareAt(account_state& aState, steady_time aNow) const;
+  void Refill(account_state& aState, steady_time aNow) const;
 
+  const steady_duration mGossipDelay;
   std::unordered_map<account_id, account_state> mAccounts;
   // Routers that share the rates, this one included.
   std::size_t mRouters = 1;
--- a/include/sapphirespar/policy/scheduler_state.hpp
+++ b/include/sapphirespar/policy/scheduler_state.hpp
@@ -21,8 +21,9 @@
 
   void Configure(bundle_ptr aBundle);
 
-  // A class that the bundle does not name counts as an undemanding one.
-  request_class ClassOf(const class_id& aId) const;
+  // A class that the bundle does not name counts as an undemanding one; its
+  // rules then carry no identifier.
+  const request_class& RulesOf(const class_id& aId) const;
 
   pools& Pools() { return mPools; }
   const pools& Pools() const { return mPools; }
@@ -89,6 +90,8 @@
     queue_key mKey;
   };
 
+  request_class ClassOf(const class_id& aId) const;
+
   bundle_ptr mBundle;
   slot_table mSlots;
   answer_estimate mEstimate;
--- /dev/null
+++ b/programs/experiment/event_cost.cpp
@@ -0,0 +1,139 @@
+// Measures the cost of events.
+#include "event_cost.hpp"
+
+#include "sapphirespar/policy/scheduler.hpp"
+
+#include <ctime>
+#include <deque>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace sapphirespar::experiment {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+// The upstreams of one home at full size, and what they are asked.
+constexpr unsigned kUpstreams = 9;
+constexpr unsigned kSlots = 16;
+constexpr unsigned kClasses = 4;
+constexpr unsigned kRounds = 20000;
+constexpr unsigned kTicks = 1000;
+
+double
+ProcessorMicroseconds()
+{
+  timespec time{};
+  clock_gettime(CLOCK_THREAD_CPUTIME_ID, &time);
+  constexpr double kMicro = 1e6;
+  constexpr double kNano = 1e-3;
+  return time.tv_sec * kMicro + time.tv_nsec * kNano;
+}
+
+bundle_ptr
+Classes()
+{
+  auto made = std::make_shared<bundle>();
+  for (unsigned i = 0; i < kClasses; ++i) {
+    auto& rules = made->mClasses.emplace_back();
+    rules.mId = { "class" + std::to_string(i) };
+    rules.mTier = 1 + i % 3;
+    rules.mQueueLimit = 1000000;
+  }
+  return made;
+}
+
+class measurement
+{
+public:
+  measurement()
+  {
+    mScheduler->Configure(Classes());
+    std::vector<policy::upstream_view> views(kUpstreams);
+    for (unsigned i = 0; i < kUpstreams; ++i) {
+      views[i].mId = { "engine" + std::to_string(i) };
+      views[i].mPools = { "model" };
+      views[i].mSlots = kSlots;
+      views[i].mCanPause = true;
+    }
+    mScheduler->SetUpstreams(views, mNow);
+  }
+
+  event_cost Run(std::size_t aQueued)
+  {
+    for (std::size_t i = 0; i < aQueued + kUpstreams * kSlots; ++i) {
+      Submit();
+    }
+    event_cost cost;
+    cost.mQueued = aQueued;
+    for (unsigned i = 0; i < kRounds; ++i) {
+      cost.mFinishMicroseconds += Finish() / kRounds;
+      cost.mSubmitMicroseconds += Submit() / kRounds;
+    }
+    for (unsigned i = 0; i < kTicks; ++i) {
+      const auto start = ProcessorMicroseconds();
+      Note(mScheduler->Tick(mNow));
+      cost.mTickMicroseconds += (ProcessorMicroseconds() - start) / kTicks;
+    }
+    return cost;
+  }
+
+private:
+  double Submit()
+  {
+    policy::queued_request request;
+    request.mId = { std::to_string(mNext) };
+    request.mClass = { "class" + std::to_string(mNext % kClasses) };
+    request.mAccount = { std::to_string(mNext % 100) };
+    request.mPool = "model";
+    request.mArrival = mNow;
+    request.mFirstTokenBy = mNow + 100h + mNext * 1ms;
+    request.mAnswerBy = request.mFirstTokenBy + 1h;
+    ++mNext;
+    const auto start = ProcessorMicroseconds();
+    const auto made = mScheduler->Submit(std::move(request), mNow);
+    const auto spent = ProcessorMicroseconds() - start;
+    Note(made);
+    return spent;
+  }
+
+  double Finish()
+  {
+    mNow += 1ms;
+    policy::completion done;
+    done.mRequest = { mRunning.front() };
+    done.mSucceeded = true;
+    done.mTokens = 100;
+    done.mFirstToken = 10ms;
+    mRunning.pop_front();
+    const auto start = ProcessorMicroseconds();
+    const auto made = mScheduler->Finish(done, mNow);
+    const auto spent = ProcessorMicroseconds() - start;
+    Note(made);
+    return spent;
+  }
+
+  void Note(const policy::decisions& aMade)
+  {
+    for (const auto& assignment : aMade.mAssignments) {
+      mRunning.push_back(assignment.mRequest.mText);
+    }
+  }
+
+  policy::scheduler_ptr mScheduler = policy::MakeScheduler("tiered");
+  steady_time mNow{ 1h };
+  std::uint64_t mNext = 0;
+  std::deque<std::string> mRunning;
+};
+
+} // namespace
+
+event_cost
+MeasureEventCost(std::size_t aQueued)
+{
+  return measurement().Run(aQueued);
+}
+
+} // namespace sapphirespar::experiment
--- a/programs/experiment/main.cpp
+++ b/programs/experiment/main.cpp
@@ -1,5 +1,6 @@
 // sapphirespar-experiment: runs the schedulers side by side on fake engines
 // under virtual time and prints attainment, goodput and wasted work.
+#include "event_cost.hpp"
 #include "sapphirespar/experiment/trial.hpp"
 
 #include <CLI/CLI.hpp>
@@ -14,6 +15,7 @@
 void
 RunUser(const experiment::user_load& aLoad,
         std::string_view aScenario,
+        std::string_view aScheduler,
         std::uint64_t aSeed)
 {
   for (const auto scenario : experiment::kScenarios) {
@@ -21,6 +23,9 @@
       continue;
     }
     for (const auto* name : { "fifo", "least_outstanding", "tiered" }) {
+      if (!aScheduler.empty() && aScheduler != name) {
+        continue;
+      }
       const auto scheduler = policy::MakeScheduler(name);
       std::cout << aLoad.mName << ' ' << experiment::ToText(scenario) << ' '
                 << name << " seed " << aSeed << '\n';
@@ -31,6 +36,18 @@
   }
 }
 
+void
+PrintEventCosts()
+{
+  for (const std::size_t queued : { 0, 100, 1000, 10000, 100000 }) {
+    const auto cost = experiment::MeasureEventCost(queued);
+    std::cout << "queued " << cost.mQueued << " submit_us "
+              << cost.mSubmitMicroseconds << " finish_us "
+              << cost.mFinishMicroseconds << " tick_us "
+              << cost.mTickMicroseconds << '\n';
+  }
+}
+
 } // namespace
 
 int
@@ -44,7 +61,13 @@
     ->check(CLI::IsMember({ "calm", "burst", "crash", "slow_engine" }));
   app.add_option("--user", user, "Only this one")
     ->check(CLI::IsMember({ "kalnozols", "lanka_seaboard" }));
+  std::string scheduler;
+  app.add_option("--scheduler", scheduler, "Only this one")
+    ->check(CLI::IsMember({ "fifo", "least_outstanding", "tiered" }));
   app.add_option("--seed", seed, "Seed of arrivals and lengths");
+  bool costs = false;
+  app.add_flag(
+    "--event-costs", costs, "Only the processor time of scheduling events");
   app.set_version_flag("--version", SAPPHIRESPAR_VERSION);
   try {
     app.parse(aCount, aArguments);
@@ -52,10 +75,14 @@
     constexpr int kUsage = 2;
     return app.exit(error) == 0 ? 0 : kUsage;
   }
+  if (costs) {
+    PrintEventCosts();
+    return 0;
+  }
   for (const auto& load :
        { experiment::KalnozolsLoad(), experiment::LankaSeaboardLoad() }) {
     if (user.empty() || user == load.mName) {
-      RunUser(load, scenario, seed);
+      RunUser(load, scenario, scheduler, seed);
     }
   }
   return 0;
--- a/src/sapphirespar/policy/account_limiter.cpp
+++ b/src/sapphirespar/policy/account_limiter.cpp
@@ -50,6 +50,11 @@
 
 } // namespace
 
+account_limiter::account_limiter(steady_duration aGossipDelay)
+  : mGossipDelay(aGossipDelay)
+{
+}
+
 void
 account_limiter::Configure(const bundle& aBundle, steady_time aNow)
 {
@@ -173,11 +178,11 @@
 
 // Returns the least share that was wanted within the gossip delay.
 double
-account_limiter::ShareAt(account_state& aState, steady_time aNow)
+account_limiter::ShareAt(account_state& aState, steady_time aNow) const
 {
   auto& targets = aState.mTargets;
   const auto recent = std::ranges::upper_bound(
-    targets, aNow - kGossipDelay, {}, &share_target::mFrom);
+    targets, aNow - mGossipDelay, {}, &share_target::mFrom);
   // The last one before that was still in force at its start.
   if (recent - targets.begin() > 1) {
     targets.erase(targets.begin(), recent - 1);
@@ -188,7 +193,7 @@
 // Adds the tokens of the time since the last refill. The smaller of the shares
 // at its ends counts, so that a rise never counts for the time before it.
 void
-account_limiter::Refill(account_state& aState, steady_time aNow)
+account_limiter::Refill(account_state& aState, steady_time aNow) const
 {
   const auto share = ShareAt(aState, aNow);
   const auto rate = aState.mRate * std::min(share, aState.mShare);
--- a/src/sapphirespar/policy/preemption.cpp
+++ b/src/sapphirespar/policy/preemption.cpp
@@ -59,7 +59,7 @@
   std::vector<pause_candidate> candidates;
   for (const auto& [id, holder] : aState.Slots().Holders()) {
     const auto& upstream = *holder.mUpstream;
-    const auto rules = aState.ClassOf(holder.mRequest.mClass);
+    const auto& rules = aState.RulesOf(holder.mRequest.mClass);
     // What got its slot in this very step is not taken off again.
     const bool lower =
       !holder.mPaused && holder.mRunningSince < aNow && rules.mTier > aTier;
--- a/src/sapphirespar/policy/scheduler_state.cpp
+++ b/src/sapphirespar/policy/scheduler_state.cpp
@@ -18,15 +18,20 @@
   }
 }
 
+const request_class&
+scheduler_state::RulesOf(const class_id& aId) const
+{
+  static const request_class sUnnamed;
+  const auto* found = mBundle ? FindClass(*mBundle, aId) : nullptr;
+  return found ? *found : sUnnamed;
+}
+
 request_class
 scheduler_state::ClassOf(const class_id& aId) const
 {
-  if (const auto* found = mBundle ? FindClass(*mBundle, aId) : nullptr) {
-    return *found;
-  }
-  request_class unnamed;
-  unnamed.mId = aId;
-  return unnamed;
+  auto rules = RulesOf(aId);
+  rules.mId = aId;
+  return rules;
 }
 
 pool_queue&
