Keep enough slots for the first tier where nothing can pause

A home often holds one or two engines only. Cover three, cap at half, and follow the need within half a minute.

--- a/include/sapphirespar/experiment/fleet.hpp
+++ b/include/sapphirespar/experiment/fleet.hpp
@@ -13,6 +13,12 @@
 
 namespace sapphirespar::experiment {
 
+struct fleet_shape
+{
+  unsigned mEngines = 0;
+  bool mCanPause = true;
+};
+
 class fleet
 {
 public:
@@ -20,7 +26,7 @@
     std::function<void(const upstream_id&, const engine_report&)>;
 
   fleet(timer_service& aTimers,
-        unsigned aEngines,
+        const fleet_shape& aShape,
         std::uint64_t aSeed,
         report_hook aReport);
 
--- a/include/sapphirespar/experiment/trial.hpp
+++ b/include/sapphirespar/experiment/trial.hpp
@@ -49,6 +49,8 @@
   user_load mLoad;
   scenario mScenario = scenario::Calm;
   std::uint64_t mSeed = 1;
+  // Whether engines can pause and resume a running request.
+  bool mCanPause = true;
 };
 
 // Runs all arrivals to their end under virtual time.
--- a/include/sapphirespar/experiment/workload.hpp
+++ b/include/sapphirespar/experiment/workload.hpp
@@ -37,6 +37,10 @@
 user_load KalnozolsLoad();
 user_load LankaSeaboardLoad();
 
+// The part of a load that falls to aEngines engines, as one home among several
+// sees it.
+user_load ScaledTo(user_load aLoad, unsigned aEngines);
+
 enum class scenario
 {
   Calm,
--- a/include/sapphirespar/policy/slot_reserve.hpp
+++ b/include/sapphirespar/policy/slot_reserve.hpp
@@ -19,7 +19,7 @@
 private:
   double OfferedAt(steady_time aNow) const;
 
-  // Mean number of slots that the first tier needs, fading over a minute.
+  // Mean number of slots that the first tier needs, fading within minutes.
   double mOffered = 0;
   steady_time mNotedAt{};
 };
--- a/programs/experiment/main.cpp
+++ b/programs/experiment/main.cpp
@@ -12,26 +12,38 @@
 
 using namespace sapphirespar;
 
+// Empty names stand for all.
+struct selection
+{
+  std::string mUser;
+  std::string mScenario;
+  std::string mScheduler;
+  std::uint64_t mSeed = 1;
+  bool mNoPause = false;
+  // Zero leaves each user its whole fleet.
+  unsigned mEngines = 0;
+};
+
 void
-RunUser(const experiment::user_load& aLoad,
-        std::string_view aScenario,
-        std::string_view aScheduler,
-        std::uint64_t aSeed)
+RunUser(const experiment::user_load& aLoad, const selection& aSelected)
 {
   for (const auto scenario : experiment::kScenarios) {
-    if (!aScenario.empty() && aScenario != experiment::ToText(scenario)) {
+    if (!aSelected.mScenario.empty() &&
+        aSelected.mScenario != experiment::ToText(scenario)) {
       continue;
     }
     for (const auto* name : { "fifo", "least_outstanding", "tiered" }) {
-      if (!aScheduler.empty() && aScheduler != name) {
+      if (!aSelected.mScheduler.empty() && aSelected.mScheduler != name) {
         continue;
       }
       const auto scheduler = policy::MakeScheduler(name);
       std::cout << aLoad.mName << ' ' << experiment::ToText(scenario) << ' '
-                << name << " seed " << aSeed << '\n';
+                << name << " seed " << aSelected.mSeed << '\n';
       experiment::Print(
         std::cout,
-        experiment::RunTrial({ aLoad, scenario, aSeed }, *scheduler));
+        experiment::RunTrial(
+          { aLoad, scenario, aSelected.mSeed, !aSelected.mNoPause },
+          *scheduler));
     }
   }
 }
@@ -54,17 +66,19 @@
 main(int aCount, char** aArguments)
 {
   CLI::App app("Compares schedulers on fake engines under virtual time.");
-  std::string scenario;
-  std::string user;
-  std::uint64_t seed = 1;
-  app.add_option("--scenario", scenario, "Only this one")
+  selection selected;
+  app.add_option("--scenario", selected.mScenario, "Only this one")
     ->check(CLI::IsMember({ "calm", "burst", "crash", "slow_engine" }));
-  app.add_option("--user", user, "Only this one")
+  app.add_option("--user", selected.mUser, "Only this one")
     ->check(CLI::IsMember({ "kalnozols", "lanka_seaboard" }));
-  std::string scheduler;
-  app.add_option("--scheduler", scheduler, "Only this one")
+  app.add_option("--scheduler", selected.mScheduler, "Only this one")
     ->check(CLI::IsMember({ "fifo", "least_outstanding", "tiered" }));
-  app.add_option("--seed", seed, "Seed of arrivals and lengths");
+  app.add_option("--seed", selected.mSeed, "Seed of arrivals and lengths");
+  app.add_flag(
+    "--no-pause", selected.mNoPause, "Engines that can't pause a request");
+  app.add_option("--engines",
+                 selected.mEngines,
+                 "Engines of one home, with their part of the load");
   bool costs = false;
   app.add_flag(
     "--event-costs", costs, "Only the processor time of scheduling events");
@@ -81,8 +95,11 @@
   }
   for (const auto& load :
        { experiment::KalnozolsLoad(), experiment::LankaSeaboardLoad() }) {
-    if (user.empty() || user == load.mName) {
-      RunUser(load, scenario, scheduler, seed);
+    if (selected.mUser.empty() || selected.mUser == load.mName) {
+      RunUser(selected.mEngines == 0
+                ? load
+                : experiment::ScaledTo(load, selected.mEngines),
+              selected);
     }
   }
   return 0;
--- a/src/sapphirespar/experiment/fleet.cpp
+++ b/src/sapphirespar/experiment/fleet.cpp
@@ -34,18 +34,18 @@
 } // namespace
 
 fleet::fleet(timer_service& aTimers,
-             unsigned aEngines,
+             const fleet_shape& aShape,
              std::uint64_t aSeed,
              report_hook aReport)
   : mTimers(aTimers)
   , mRandom(aSeed)
 {
-  for (unsigned i = 0; i < aEngines; ++i) {
+  for (unsigned i = 0; i < aShape.mEngines; ++i) {
     engine made;
     made.mView.mId = { "engine" + std::to_string(i) };
     made.mView.mPools = { std::string(kPool) };
     made.mView.mSlots = engine_shape{}.mSlots;
-    made.mView.mCanPause = true;
+    made.mView.mCanPause = aShape.mCanPause;
     made.mFake = std::make_unique<fake_engine>(
       aTimers,
       engine_shape{},
--- a/src/sapphirespar/experiment/trial.cpp
+++ b/src/sapphirespar/experiment/trial.cpp
@@ -32,7 +32,7 @@
     , mScheduler(aScheduler)
     , mArrivals(MakeArrivals(aPlan.mLoad, aPlan.mScenario, aPlan.mSeed))
     , mFleet(mTimers,
-             aPlan.mLoad.mEngines,
+             { aPlan.mLoad.mEngines, aPlan.mCanPause },
              aPlan.mSeed,
              [this](const upstream_id& aId, const engine_report& aReport) {
                HandleReport(aId, aReport);
--- a/src/sapphirespar/experiment/workload.cpp
+++ b/src/sapphirespar/experiment/workload.cpp
@@ -132,6 +132,17 @@
   };
 }
 
+user_load
+ScaledTo(user_load aLoad, unsigned aEngines)
+{
+  const auto factor = static_cast<double>(aEngines) / aLoad.mEngines;
+  aLoad.mEngines = aEngines;
+  for (auto& load : aLoad.mClasses) {
+    load.mRequestsPerSecond *= factor;
+  }
+  return aLoad;
+}
+
 std::string_view
 ToText(scenario aScenario)
 {
--- a/src/sapphirespar/policy/slot_reserve.cpp
+++ b/src/sapphirespar/policy/slot_reserve.cpp
@@ -10,13 +10,17 @@
 
 using seconds = std::chrono::duration<double>;
 
-constexpr seconds kMemory{ 60 };
+constexpr seconds kMemory{ 30 };
 
 // Below this mean number of slots the first tier counts as absent.
 constexpr double kLeastOffered = 0.005;
 
+// The first tier's need varies about like a Poisson number; this many standard
+// deviations cover it 999 times in 1,000.
+constexpr double kDeviations = 3;
+
 // At most one slot in this many is kept free.
-constexpr unsigned kReservePart = 4;
+constexpr unsigned kReservePart = 2;
 
 } // namespace
 
@@ -34,8 +38,8 @@
   if (offered < kLeastOffered) {
     return 0;
   }
-  const auto wanted =
-    static_cast<unsigned>(std::ceil(offered + std::sqrt(offered)));
+  const auto wanted = static_cast<unsigned>(
+    std::ceil(offered + kDeviations * std::sqrt(offered)));
   return std::min(wanted, aSlots / kReservePart);
 }
 
