Say "not run" of a used key only where it is proved

A request that the bundle no longer allows, or that reaches a restarted router without a bundle, was refused as not run, though an earlier attempt with the same idempotency key may have run. Such refusals now say unknown, unless the caller states by X-First-Attempt that it has never sent the key.

--- a/src/sapphirespar/router/call.cpp
+++ b/src/sapphirespar/router/call.cpp
@@ -235,6 +235,16 @@
   return std::nullopt;
 }
 
+// What the bundle allows now may differ from what it allowed when the same key
+// was sent before.
+bool
+MayHaveRunBefore(const wire::http_request& aRequest, refusal_reason aReason)
+{
+  return !aRequest.Header("Idempotency-Key").empty() &&
+         aRequest.Header("X-First-Attempt") != "true" &&
+         aReason != refusal_reason::BadRequest;
+}
+
 } // namespace
 
 const client_account*
@@ -250,11 +260,14 @@
   return aSnapshot.AccountByKeyHash(hash);
 }
 
+namespace {
+
+// Without regard to earlier uses of the idempotency key.
 std::variant<call, refusal>
-ParseCall(const wire::http_request& aRequest,
-          snapshot_ptr aSnapshot,
-          request_id aId,
-          steady_time aNow)
+ParseAttempt(const wire::http_request& aRequest,
+             snapshot_ptr aSnapshot,
+             request_id aId,
+             steady_time aNow)
 {
   if (!aSnapshot->Bundle()) {
     return Refuse(refusal_reason::NotReady, "no bundle is in force here yet");
@@ -290,4 +303,21 @@
   return result;
 }
 
+} // namespace
+
+std::variant<call, refusal>
+ParseCall(const wire::http_request& aRequest,
+          snapshot_ptr aSnapshot,
+          request_id aId,
+          steady_time aNow)
+{
+  auto parsed =
+    ParseAttempt(aRequest, std::move(aSnapshot), std::move(aId), aNow);
+  if (auto* const refused = std::get_if<refusal>(&parsed);
+      refused != nullptr && MayHaveRunBefore(aRequest, refused->mReason)) {
+    refused->mOutcome = outcome::Unknown;
+  }
+  return parsed;
+}
+
 } // namespace sapphirespar::router
--- a/src/sapphirespar/router/call_test.cpp
+++ b/src/sapphirespar/router/call_test.cpp
@@ -170,5 +170,16 @@
   EXPECT_EQ(std::get<refusal>(parsed).mReason, refusal_reason::NotReady);
 }
 
+// An earlier attempt may have run under a bundle that allowed it.
+TEST(Call, ARefusalOfAUsedKeyIsNotSaidToBeNotRun)
+{
+  auto request = GoodRequest();
+  request.mHeaders[0].mValue = "Bearer revoked";
+  request.mHeaders.push_back({ "Idempotency-Key", "lot-7" });
+  EXPECT_EQ(std::get<refusal>(Parse(request)).mOutcome, outcome::Unknown);
+  request.mHeaders.push_back({ "X-First-Attempt", "true" });
+  EXPECT_EQ(std::get<refusal>(Parse(request)).mOutcome, outcome::NotRun);
+}
+
 } // namespace
 } // namespace sapphirespar::router
