--- a/include/sapphirespar/policy/admission.hpp
+++ b/include/sapphirespar/policy/admission.hpp
@@ -1,5 +1,5 @@
-// The door: refuses at once what could not be answered in time, or what there
-// is no room to let wait, and says when to come back.
+// Admission control: refuses at once what could not be answered in time, or
+// what there is no room to let wait, and says when to come back.
 #pragma once
 
 #include "sapphirespar/policy/pool_queue.hpp"
@@ -10,8 +10,8 @@
 
 namespace sapphirespar::policy {
 
-// One lane of a pool as the door sees it.
-struct door_view
+// One lane of a pool as admission control sees it.
+struct admission_view
 {
   const pool_queue& mPool;
   const class_lane& mLane;
@@ -30,13 +30,13 @@
 
 // The time until a request with aSpare to wait in would be let in if nothing
 // else came before.
-std::chrono::milliseconds RetryAfter(const door_view& aDoor,
+std::chrono::milliseconds RetryAfter(const admission_view& aView,
                                      steady_duration aSpare);
 
 // Refuses a new request, or nothing if it may wait. The first tier is refused
 // only past its deadline or when its own queue is full.
-std::optional<rejection> RefuseAtDoor(const door_view& aDoor,
-                                      const queue_key& aKey,
-                                      const queued_request& aRequest);
+std::optional<rejection> CheckAdmission(const admission_view& aView,
+                                        const queue_key& aKey,
+                                        const queued_request& aRequest);
 
 } // namespace sapphirespar::policy
--- a/include/sapphirespar/policy/scheduler_state.hpp
+++ b/include/sapphirespar/policy/scheduler_state.hpp
@@ -37,9 +37,9 @@
   class_lane& LaneIn(pool_queue& aPool, const class_id& aClass);
 
   std::span<slot_state* const> MembersOf(const pool_queue& aPool) const;
-  door_view DoorOf(const pool_queue& aPool,
-                   const class_lane& aLane,
-                   steady_time aNow) const;
+  admission_view AdmissionOf(const pool_queue& aPool,
+                             const class_lane& aLane,
+                             steady_time aNow) const;
 
   bool IsWaiting(const request_id& aRequest) const;
 
--- a/include/sapphirespar/policy/tiered_scheduler.hpp
+++ b/include/sapphirespar/policy/tiered_scheduler.hpp
@@ -1,6 +1,6 @@
 // Our scheduler: the first tier before everything, a minimum share for every
 // other class, then order of tiers and least time left; bounded queues, and
-// refusal at the door of what can't be in time.
+// refusal on arrival of what can't be in time.
 #pragma once
 
 #include "sapphirespar/policy/choose_pause.hpp"
--- a/src/sapphirespar/policy/admission.cpp
+++ b/src/sapphirespar/policy/admission.cpp
@@ -1,4 +1,4 @@
-// The rules of the door.
+// Admission control.
 #include "sapphirespar/policy/admission.hpp"
 
 #include "sapphirespar/policy/refusals.hpp"
@@ -18,37 +18,37 @@
 }
 
 std::chrono::milliseconds
-RetryAfter(const door_view& aDoor, steady_duration aSpare)
+RetryAfter(const admission_view& aView, steady_duration aSpare)
 {
-  const queue_key last{ aDoor.mNow + aSpare,
+  const queue_key last{ aView.mNow + aSpare,
                         std::numeric_limits<std::uint64_t>::max() };
   const auto wait = PredictWait(
-    aDoor.mPool, aDoor.mLane, last, aDoor.mMembers, aDoor.mEstimate);
+    aView.mPool, aView.mLane, last, aView.mMembers, aView.mEstimate);
   return std::chrono::ceil<std::chrono::milliseconds>(wait - aSpare);
 }
 
 std::optional<rejection>
-RefuseAtDoor(const door_view& aDoor,
-             const queue_key& aKey,
-             const queued_request& aRequest)
+CheckAdmission(const admission_view& aView,
+               const queue_key& aKey,
+               const queued_request& aRequest)
 {
-  const auto spare = aKey.mStartBy - aDoor.mNow;
-  if (IsLost(aDoor.mLane, aKey, aRequest, aDoor.mNow)) {
-    return RefuseTooLate(aRequest, RetryAfter(aDoor, {}));
+  const auto spare = aKey.mStartBy - aView.mNow;
+  if (IsLost(aView.mLane, aKey, aRequest, aView.mNow)) {
+    return RefuseTooLate(aRequest, RetryAfter(aView, {}));
   }
-  if (IsFull(aDoor.mLane, aRequest.mAccount)) {
-    return RefuseQueueFull(aRequest, RetryAfter(aDoor, spare));
+  if (IsFull(aView.mLane, aRequest.mAccount)) {
+    return RefuseQueueFull(aRequest, RetryAfter(aView, spare));
   }
-  if (aDoor.mLane.IsFirstTier() ||
-      MayTakeSlot(aDoor.mPool, aDoor.mLane, aDoor.mMembers, aDoor.mNow)) {
+  if (aView.mLane.IsFirstTier() ||
+      MayTakeSlot(aView.mPool, aView.mLane, aView.mMembers, aView.mNow)) {
     return std::nullopt;
   }
   const auto wait = PredictWait(
-    aDoor.mPool, aDoor.mLane, aKey, aDoor.mMembers, aDoor.mEstimate);
+    aView.mPool, aView.mLane, aKey, aView.mMembers, aView.mEstimate);
   if (wait <= spare) {
     return std::nullopt;
   }
-  return RefuseTooLate(aRequest, RetryAfter(aDoor, spare));
+  return RefuseTooLate(aRequest, RetryAfter(aView, spare));
 }
 
 } // namespace sapphirespar::policy
--- a/src/sapphirespar/policy/scheduler_state.cpp
+++ b/src/sapphirespar/policy/scheduler_state.cpp
@@ -61,10 +61,10 @@
   return mSlots.Members(aPool.mPool);
 }
 
-door_view
-scheduler_state::DoorOf(const pool_queue& aPool,
-                        const class_lane& aLane,
-                        steady_time aNow) const
+admission_view
+scheduler_state::AdmissionOf(const pool_queue& aPool,
+                             const class_lane& aLane,
+                             steady_time aNow) const
 {
   return { aPool, aLane, MembersOf(aPool), mEstimate, aNow };
 }
--- a/src/sapphirespar/policy/tiered_scheduler.cpp
+++ b/src/sapphirespar/policy/tiered_scheduler.cpp
@@ -146,7 +146,7 @@
   const auto key = mState.NewKey(mHooks.mStartBy(aRequest, expected, aNow));
   lane.mNeed.Note(aNow, expected.mSlotTime);
   if (auto refused =
-        RefuseAtDoor(mState.DoorOf(pool, lane, aNow), key, aRequest)) {
+        CheckAdmission(mState.AdmissionOf(pool, lane, aNow), key, aRequest)) {
     made.mRejections.push_back(*std::move(refused));
     return made;
   }
@@ -238,7 +238,8 @@
       continue;
     }
     const auto spare = key.mStartBy - request.mArrival;
-    const auto after = RetryAfter(mState.DoorOf(aPool, aLane, aNow), spare);
+    const auto after =
+      RetryAfter(mState.AdmissionOf(aPool, aLane, aNow), spare);
     item = mState.Reject(aLane, item, RefuseTooLate(request, after), aMade);
   }
 }
--- a/src/sapphirespar/policy/tiered_scheduler_test.cpp
+++ b/src/sapphirespar/policy/tiered_scheduler_test.cpp
@@ -1,4 +1,4 @@
-// Tests of what only the tiered scheduler does: shares, the door, pauses and
+// Tests of what only the tiered scheduler does: shares, admission, pauses and
 // the reserve.
 #include "sapphirespar/policy/tiered_scheduler.hpp"
 
@@ -100,7 +100,7 @@
   EXPECT_GT(served['q'], served['t']);
 }
 
-TEST_F(a_tiered_scheduler, RefusesAtTheDoorWhatWouldStartTooLate)
+TEST_F(a_tiered_scheduler, RefusesOnArrivalWhatWouldStartTooLate)
 {
   SetSlots(1, true);
   // Teaches it that a tag holds its slot for ten seconds.
