Drain an upstream from the command line

The routers watched for drain notices, but nothing wrote them. The command writes or removes the notice on condition and reads back a lost answer.

--- a/include/sapphirespar/upstream/object_update.hpp
+++ b/include/sapphirespar/upstream/object_update.hpp
@@ -14,6 +14,7 @@
 enum class change_kind
 {
   Write,
+  Remove,
   // The object is as wanted: an earlier write has taken effect.
   Keep,
   // The change is not wanted any more.
--- a/src/sapphirespar/cli/commands.hpp
+++ b/src/sapphirespar/cli/commands.hpp
@@ -21,6 +21,9 @@
   std::string mSettingsFile;
   std::string mRequest;
   std::string mClass;
+  std::string mUpstream;
+  // Takes a drain back.
+  bool mEnd = false;
   // For the first bundle of all, which follows none.
   bool mFirst = false;
   bool mJson = false;
@@ -38,6 +41,7 @@
 exit_code AcceptBundle(const ctl_options& aOptions, ctl_streams aStreams);
 exit_code DiffBundles(const ctl_options& aOptions, ctl_streams aStreams);
 exit_code ShowHistory(const ctl_options& aOptions, ctl_streams aStreams);
+exit_code Drain(const ctl_options& aOptions, ctl_streams aStreams);
 exit_code ShowStatus(const ctl_options& aOptions, ctl_streams aStreams);
 exit_code Explain(const ctl_options& aOptions, ctl_streams aStreams);
 
--- a/src/sapphirespar/cli/connection.cpp
+++ b/src/sapphirespar/cli/connection.cpp
@@ -18,6 +18,7 @@
 namespace asio = boost::asio;
 
 constexpr std::chrono::milliseconds kPageTimeout{ 10000 };
+constexpr std::chrono::milliseconds kUpdatePatience{ 15000 };
 
 // The way to one far end, or why there is none.
 struct route
@@ -149,6 +150,35 @@
   return got;
 }
 
+connection_result<upstream::update_status>
+RunUpdate(const connection_options& aOptions,
+          object_key aKey,
+          upstream::change_decision aDecide)
+{
+  const auto route = MakeRoute(aOptions.mPlatform, aOptions.mTls);
+  if (!route) {
+    return route.error();
+  }
+  asio::io_context context;
+  wire::asio_timer_service timers(context.get_executor());
+  wire::platform_client client(context.get_executor(),
+                               PlatformSettings(route.value()));
+  const auto owner = std::make_shared<int>();
+  upstream::update_result result;
+  upstream::UpdateObject(client,
+                         timers,
+                         std::move(aKey),
+                         std::move(aDecide),
+                         kUpdatePatience,
+                         owner,
+                         [&](const auto& aResult) {
+                           result = aResult;
+                           context.stop();
+                         });
+  context.run();
+  return result.mStatus;
+}
+
 connection_result<wire::http_response>
 FetchPage(const connection_options& aOptions, const std::string& aTarget)
 {
--- a/src/sapphirespar/cli/connection.hpp
+++ b/src/sapphirespar/cli/connection.hpp
@@ -3,6 +3,7 @@
 
 #include "sapphirespar/config/bundle_acceptance.hpp"
 #include "sapphirespar/model/platform.hpp"
+#include "sapphirespar/upstream/object_update.hpp"
 #include "sapphirespar/wire/byte_stream.hpp"
 #include "sapphirespar/wire/http_client.hpp"
 #include "sapphirespar/wire/tls.hpp"
@@ -44,6 +45,12 @@
   acceptance_settings aSettings,
   const std::string& aSignedBundle);
 
+// Changes one object at the platform.
+connection_result<upstream::update_status> RunUpdate(
+  const connection_options& aOptions,
+  object_key aKey,
+  upstream::change_decision aDecide);
+
 // Gets a page of a router.
 connection_result<wire::http_response> FetchPage(
   const connection_options& aOptions,
--- a/src/sapphirespar/cli/ctl.cpp
+++ b/src/sapphirespar/cli/ctl.cpp
@@ -112,6 +112,18 @@
   aParser.AddPlatform(history)->required();
 }
 
+void
+AddUpstreamCommands(ctl_parser& aParser)
+{
+  auto& options = aParser.mOptions;
+  auto* drain =
+    aParser.Add(&aParser.mApp, "drain", "Give an upstream no new work", Drain);
+  drain->add_option("upstream", options.mUpstream, "id in the bundle")
+    ->required();
+  drain->add_flag("--end", options.mEnd, "give it work again");
+  aParser.AddPlatform(drain)->required();
+}
+
 void
 AddRouterCommands(ctl_parser& aParser)
 {
@@ -142,6 +154,7 @@
   parser.mApp.require_subcommand(1);
   AddKeyCommands(parser);
   AddBundleCommands(parser);
+  AddUpstreamCommands(parser);
   AddRouterCommands(parser);
   try {
     parser.mApp.parse(aCount, aArguments);
--- a/src/sapphirespar/cli/ctl_test.cpp
+++ b/src/sapphirespar/cli/ctl_test.cpp
@@ -45,6 +45,9 @@
     return "127.0.0.1:" + std::to_string(mServer.Port());
   }
 
+  // Empty without an object.
+  const std::string& Value() const { return mValue; }
+
 private:
   wire::asio::awaitable<void> Answer(const wire::http_request& aRequest,
                                      wire::http_reply& aReply)
@@ -53,12 +56,14 @@
     if (aRequest.mTarget == "/v1/status") {
       response.mBody = R"({"vm":"vm-1","bundle":{"epoch":1,"number":4},
         "members":[{"vm":"vm-2","state":"live"}]})";
-    } else if (aRequest.mTarget != "/objects/bundle/current") {
+    } else if (aRequest.mTarget != "/objects/bundle/current" &&
+               aRequest.mTarget != "/objects/drain/engine-1") {
       response.mStatus = 404;
     } else if (aRequest.mMethod == "GET") {
-      response.mStatus = mVersion == 0 ? 404 : 200;
+      response.mStatus = mValue.empty() ? 404 : 200;
       response.mBody = mValue;
-    } else if (aRequest.Header("If-Match") == std::to_string(mVersion)) {
+    } else if (aRequest.Header("If-Match") ==
+               std::to_string(mValue.empty() ? 0 : mVersion)) {
       mValue = aRequest.mBody;
       ++mVersion;
     } else {
@@ -221,5 +226,22 @@
             exit_code::Refused);
 }
 
+TEST_F(ctl_commands, DrainsAnUpstreamAndTakesItBack)
+{
+  one_object_server server;
+  const std::vector<std::string> drain{
+    "drain", "engine-1", "--platform", server.Place()
+  };
+  EXPECT_EQ(Run(drain), exit_code::Ok) << mError.str();
+  EXPECT_EQ(server.Value(), "{}");
+  EXPECT_EQ(Run(drain), exit_code::Ok) << mError.str();
+  auto end = drain;
+  end.push_back("--end");
+  EXPECT_EQ(Run(end), exit_code::Ok) << mError.str();
+  EXPECT_EQ(server.Value(), "");
+  EXPECT_EQ(Run(end), exit_code::Ok) << mError.str();
+  EXPECT_EQ(Run({ "drain", "engine-1" }), exit_code::Usage);
+}
+
 } // namespace
 } // namespace sapphirespar::cli
--- /dev/null
+++ b/src/sapphirespar/cli/drain_command.cpp
@@ -0,0 +1,53 @@
+// The command that drains an upstream, or ends its drain.
+#include "commands.hpp"
+
+#include "sapphirespar/upstream/drain_watcher.hpp"
+
+#include <string_view>
+
+namespace sapphirespar::cli {
+namespace {
+
+using upstream::change_kind;
+using upstream::object_change;
+
+object_change
+BeginDrain(std::string_view aValue)
+{
+  return aValue.empty() ? object_change{ change_kind::Write, "{}" }
+                        : object_change{ change_kind::Keep, {} };
+}
+
+object_change
+EndDrain(std::string_view aValue)
+{
+  return { aValue.empty() ? change_kind::Keep : change_kind::Remove, {} };
+}
+
+} // namespace
+
+exit_code
+Drain(const ctl_options& aOptions, ctl_streams aStreams)
+{
+  const auto updated =
+    RunUpdate(aOptions.mConnection,
+              { std::string(upstream::kDrainKind), aOptions.mUpstream },
+              aOptions.mEnd ? EndDrain : BeginDrain);
+  if (!updated) {
+    aStreams.mError << "sapphirespar-ctl: " << updated.error().mProblem << '\n';
+    return exit_code::Failed;
+  }
+  if (updated.value() != upstream::update_status::Ok) {
+    aStreams.mError << "sapphirespar-ctl: the platform at "
+                    << aOptions.mConnection.mPlatform
+                    << " did not confirm the change in time; it may or may "
+                       "not be in force\n";
+    return exit_code::Failed;
+  }
+  aStreams.mOut << aOptions.mUpstream
+                << (aOptions.mEnd ? " gets work again\n"
+                                  : " gets no new work\n");
+  return exit_code::Ok;
+}
+
+} // namespace sapphirespar::cli
--- a/src/sapphirespar/upstream/object_update.cpp
+++ b/src/sapphirespar/upstream/object_update.cpp
@@ -1,5 +1,5 @@
 // The loop of read, decide and write.
-#include "object_update.hpp"
+#include "sapphirespar/upstream/object_update.hpp"
 
 #include <algorithm>
 #include <memory>
@@ -70,6 +70,8 @@
     if (change.mKind == change_kind::Write) {
       mPlatform.Put(
         mKey, std::move(change.mValue), mRead, Call(&update_loop::OnWritten));
+    } else if (change.mKind == change_kind::Remove) {
+      mPlatform.Delete(mKey, mRead, Call(&update_loop::OnWritten));
     } else {
       End(change.mKind == change_kind::Keep ? update_status::Ok
                                             : update_status::Stopped);
--- a/src/sapphirespar/upstream/order_controller.cpp
+++ b/src/sapphirespar/upstream/order_controller.cpp
@@ -1,9 +1,9 @@
 // One order after the other: slot, fence, send, verify, close.
 #include "sapphirespar/upstream/order_controller.hpp"
 
-#include "object_update.hpp"
 #include "order_record.hpp"
 #include "sapphirespar/base/log.hpp"
+#include "sapphirespar/upstream/object_update.hpp"
 #include "weight_slots.hpp"
 
 #include <algorithm>
--- a/src/sapphirespar/upstream/weight_slots.cpp
+++ b/src/sapphirespar/upstream/weight_slots.cpp
@@ -1,8 +1,8 @@
 // Taking and giving back slots by conditional updates of one object.
 #include "weight_slots.hpp"
 
-#include "object_update.hpp"
 #include "order_record.hpp"
+#include "sapphirespar/upstream/object_update.hpp"
 
 #include <algorithm>
 #include <utility>
