--- a/include/sapphirespar/router/attempt.hpp
+++ b/include/sapphirespar/router/attempt.hpp
@@ -4,6 +4,7 @@
 
 #include "sapphirespar/ledger/once_guard.hpp"
 #include "sapphirespar/router/call.hpp"
+#include "sapphirespar/router/pause_board.hpp"
 #include "sapphirespar/wire/http_client.hpp"
 #include "sapphirespar/wire/http_server.hpp"
 
@@ -56,11 +57,27 @@
   ledger::stored_answer_ptr mAnswer;
 };
 
-// Sends aCall to aTarget and relays the answer to aReply.
+enum class attempt_kind
+{
+  // Sends the request from its start.
+  Start,
+  // Lets the engine go on after the last event that the caller has.
+  Resume,
+};
+
+// Where an attempt comes from and goes to. All of it outlives the attempt.
+struct attempt_ends
+{
+  wire::http_client& mClient;
+  wire::http_reply& mReply;
+  pause_board& mPauses;
+};
+
+// Sends aCall to aTarget and relays the answer to the caller.
 asio::awaitable<attempt_result> RunAttempt(const call& aCall,
                                            const upstream_spec& aTarget,
-                                           wire::http_client& aClient,
-                                           wire::http_reply& aReply,
+                                           attempt_kind aKind,
+                                           attempt_ends aEnds,
                                            relay_state& aState);
 
 } // namespace sapphirespar::router
--- a/include/sapphirespar/router/control_plane.hpp
+++ b/include/sapphirespar/router/control_plane.hpp
@@ -5,8 +5,10 @@
 #include "sapphirespar/config/settings.hpp"
 #include "sapphirespar/ledger/once_guard.hpp"
 #include "sapphirespar/model/blackboard.hpp"
+#include "sapphirespar/router/account_gate.hpp"
 #include "sapphirespar/router/attempt.hpp"
 #include "sapphirespar/router/dispatcher.hpp"
+#include "sapphirespar/router/pause_board.hpp"
 #include "sapphirespar/router/snapshot.hpp"
 #include "sapphirespar/router/tls_contexts.hpp"
 #include "sapphirespar/telemetry/metrics.hpp"
@@ -16,6 +18,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <vector>
 
 namespace sapphirespar::router {
 
@@ -24,7 +27,8 @@
 {
   asio::io_context& mContext;
   snapshot_cell& mSnapshots;
-  dispatcher& mDispatcher;
+  pause_board& mPauses;
+  account_gate& mAccounts;
   metrics& mMetrics;
   const tls_contexts& mTls;
 };
@@ -37,6 +41,7 @@
   // Throws boost::system::system_error if the peer port can't be bound.
   control_plane(const router_settings& aSettings,
                 process_id aSelf,
+                policy::scheduler_ptr aScheduler,
                 std::uint16_t aCallerPort,
                 control_services aServices);
   ~control_plane();
@@ -52,6 +57,13 @@
   void Leave();
 
   const blackboard& Board() const;
+
+  // What the homes kept here can take.
+  std::vector<pool_load> Loads() const;
+
+  // Safe on any thread.
+  dispatcher& Slots();
+
   ledger::once_guard& Once();
 
   // An attempt at an upstream has ended.
--- a/include/sapphirespar/router/dispatcher.hpp
+++ b/include/sapphirespar/router/dispatcher.hpp
@@ -1,17 +1,17 @@
-// Slots for requests: traffic coroutines wait here until the scheduler gives
-// them an upstream or refuses them.
+// Slots for requests: traffic coroutines wait here while the broker on the
+// control thread finds them an upstream or refuses them.
 #pragma once
 
 #include "sapphirespar/model/outcome.hpp"
 #include "sapphirespar/policy/scheduler.hpp"
+#include "sapphirespar/router/slot_broker.hpp"
 
 #include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
 
 #include <functional>
 #include <memory>
-#include <span>
 #include <variant>
-#include <vector>
 
 namespace sapphirespar::router {
 
@@ -23,22 +23,16 @@
 
 using slot_answer = std::variant<upstream_id, refusal, caller_left>;
 
-// Called without the dispatcher's lock, on whichever thread caused the order.
-using pause_hook = std::function<void(const policy::pause_order&)>;
-
 // Safe on any thread.
 class dispatcher
 {
 public:
-  dispatcher(policy::scheduler_ptr aScheduler, pause_hook aPause);
+  // aBroker lives on aControl's thread and outlives every call.
+  dispatcher(asio::io_context& aControl, slot_broker& aBroker);
   ~dispatcher();
   dispatcher(const dispatcher&) = delete;
   dispatcher& operator=(const dispatcher&) = delete;
 
-  void Configure(bundle_ptr aBundle);
-  void SetUpstreams(std::span<const policy::upstream_view> aUpstreams);
-  void Tick();
-
   // Waits for a slot on the calling coroutine's thread, asking aCallerGone now
   // and then. Whoever is given an upstream must call Finish.
   asio::awaitable<slot_answer> Acquire(policy::queued_request aRequest,
@@ -47,11 +41,9 @@
   // Gives a slot back.
   void Finish(const policy::completion& aCompletion);
 
-  std::vector<policy::scheduler_counts> Counts() const;
-
 private:
   struct state;
-  std::unique_ptr<state> mState;
+  std::shared_ptr<state> mState;
 };
 
 } // namespace sapphirespar::router
--- a/include/sapphirespar/router/exchange.hpp
+++ b/include/sapphirespar/router/exchange.hpp
@@ -3,17 +3,18 @@
 #pragma once
 
 #include "sapphirespar/ledger/once_guard.hpp"
+#include "sapphirespar/policy/retry.hpp"
 #include "sapphirespar/router/attempt.hpp"
 #include "sapphirespar/router/dispatcher.hpp"
+#include "sapphirespar/router/exchange_report.hpp"
 #include "sapphirespar/router/snapshot.hpp"
-#include "sapphirespar/telemetry/metrics.hpp"
-#include "sapphirespar/telemetry/trace.hpp"
 #include "sapphirespar/wire/http_client.hpp"
 #include "sapphirespar/wire/http_server.hpp"
 
 #include <boost/asio/awaitable.hpp>
 
 #include <functional>
+#include <optional>
 
 namespace sapphirespar::router {
 
@@ -27,23 +28,31 @@
     mFinished;
 };
 
-// What exchanges need of the rest of the router. All of it is safe on any
-// thread and outlives every exchange.
-struct exchange_services
+// Decisions that may differ from router to router.
+struct exchange_hooks
 {
-  const snapshot_cell& mSnapshots;
-  dispatcher& mDispatcher;
-  metrics& mMetrics;
-  span_buffer& mSpans;
   once_hooks mOnce;
   // Returns a refusal for a request over its account's limits.
   std::function<std::optional<refusal>(const call&)> mAdmit;
   // Called once for each request that mAdmit let in, when it has ended.
   std::function<void(const call&)> mLeft;
+  std::function<policy::retry_decision(const policy::failed_attempt&)>
+    mDecideRetry;
   // An attempt at an upstream has ended.
   std::function<void(const upstream_id&, const attempt_result&)> mObserve;
 };
 
+// What exchanges need of the rest of the router. All of it is safe on any
+// thread and outlives every exchange.
+struct exchange_services
+{
+  const snapshot_cell& mSnapshots;
+  dispatcher& mDispatcher;
+  pause_board& mPauses;
+  report_sinks mSinks;
+  exchange_hooks mHooks;
+};
+
 // Serves one completion or service request from its arrival to its answer.
 asio::awaitable<void> ServeExchange(const exchange_services& aServices,
                                     wire::http_client& aClient,
--- a/include/sapphirespar/router/pages.hpp
+++ b/include/sapphirespar/router/pages.hpp
@@ -1,9 +1,10 @@
-// The router's own pages: entry addresses, health, metrics, status, traces and
-// idempotency tokens.
+// The router's own pages: entry addresses, health, metrics, status, traces,
+// stories of requests and idempotency tokens.
 #pragma once
 
 #include "sapphirespar/router/control_plane.hpp"
 #include "sapphirespar/router/snapshot.hpp"
+#include "sapphirespar/router/story_log.hpp"
 #include "sapphirespar/telemetry/metrics.hpp"
 #include "sapphirespar/telemetry/trace.hpp"
 #include "sapphirespar/wire/http_message.hpp"
@@ -19,9 +20,9 @@
   asio::io_context& mControlContext;
   control_plane& mControl;
   const snapshot_cell& mSnapshots;
-  const dispatcher& mDispatcher;
   const metrics& mMetrics;
   const span_buffer& mSpans;
+  const story_log& mStories;
 };
 
 // Answers a request for one of the pages; 404 for a path that is none.
--- a/include/sapphirespar/router/status.hpp
+++ b/include/sapphirespar/router/status.hpp
@@ -2,7 +2,6 @@
 #pragma once
 
 #include "sapphirespar/model/blackboard.hpp"
-#include "sapphirespar/policy/scheduler.hpp"
 
 #include <span>
 #include <string>
@@ -12,7 +11,7 @@
 // Returns the control state as one JSON object; times are ages in
 // milliseconds before aNow.
 std::string StatusJson(const blackboard& aBoard,
-                       std::span<const policy::scheduler_counts> aQueues,
+                       std::span<const pool_load> aQueues,
                        steady_time aNow);
 
 } // namespace sapphirespar::router
--- a/include/sapphirespar/router/upstream_probe.hpp
+++ b/include/sapphirespar/router/upstream_client.hpp
@@ -1,4 +1,4 @@
-// Asks upstreams how they are, over connections of its own.
+// The control thread's calls to upstreams: probes, load reports, pauses.
 #pragma once
 
 #include "sapphirespar/model/bundle.hpp"
@@ -14,11 +14,11 @@
 namespace asio = boost::asio;
 
 // Callbacks arrive on the executor given.
-class upstream_probe
+class upstream_client
 {
 public:
   // A null context speaks plain TCP.
-  upstream_probe(asio::any_io_executor aExecutor, wire::tls_context_ptr aTls);
+  upstream_client(asio::any_io_executor aExecutor, wire::tls_context_ptr aTls);
 
   // Asks over a fresh connection whether the upstream answers at all. A plain
   // service that answers gives an empty report.
@@ -27,6 +27,12 @@
   // Fetches an engine's load report.
   void FetchLoad(const upstream_spec& aSpec, upstream::load_callback aDone);
 
+  // Pauses a running request at an engine, or lets it go on. Nothing is told
+  // of the result: a request that was not paused just goes on.
+  void SetPaused(const upstream_spec& aSpec,
+                 const request_id& aRequest,
+                 bool aPaused);
+
 private:
   void Ask(const upstream_spec& aSpec,
            wire::connection_choice aChoice,
--- /dev/null
+++ b/src/sapphirespar/router/account_gate.cpp
@@ -0,0 +1,61 @@
+// The account limiter under a lock.
+#include "sapphirespar/router/account_gate.hpp"
+
+namespace sapphirespar::router {
+namespace {
+
+using std::chrono::steady_clock;
+
+// A router that is only suspected may still be letting requests in.
+bool
+SharesLimits(const member& aMember)
+{
+  return aMember.mState == member_state::Live ||
+         aMember.mState == member_state::Leaving ||
+         aMember.mState == member_state::Suspect;
+}
+
+} // namespace
+
+void
+account_gate::Configure(const bundle& aBundle)
+{
+  const std::lock_guard lock(mMutex);
+  mLimiter.Configure(aBundle, steady_clock::now());
+}
+
+void
+account_gate::SetPeers(const blackboard& aBoard)
+{
+  std::vector<policy::peer_demand> peers;
+  for (const auto& [vm, item] : aBoard.mMembers) {
+    if (vm != aBoard.mSelf.mVm && SharesLimits(item)) {
+      peers.push_back({ vm, item.mDemands });
+    }
+  }
+  const std::lock_guard lock(mMutex);
+  mLimiter.SetPeers(peers, steady_clock::now());
+}
+
+std::vector<account_demand>
+account_gate::Publish()
+{
+  const std::lock_guard lock(mMutex);
+  return mLimiter.Publish(steady_clock::now());
+}
+
+std::optional<refusal>
+account_gate::Enter(const account_id& aAccount)
+{
+  const std::lock_guard lock(mMutex);
+  return mLimiter.Admit(aAccount, steady_clock::now());
+}
+
+void
+account_gate::Leave(const account_id& aAccount)
+{
+  const std::lock_guard lock(mMutex);
+  mLimiter.Finish(aAccount);
+}
+
+} // namespace sapphirespar::router
--- a/src/sapphirespar/router/attempt.cpp
+++ b/src/sapphirespar/router/attempt.cpp
@@ -1,9 +1,9 @@
 // Attempts: opening the upstream, relaying events or a whole answer.
 #include "sapphirespar/router/attempt.hpp"
 
+#include "sapphirespar/router/attempt_watch.hpp"
 #include "sapphirespar/router/sse_splitter.hpp"
 
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 
 #include <algorithm>
@@ -20,9 +20,13 @@
 constexpr unsigned kUnavailable = 503;
 
 // Longest silence between two events of a stream that has begun.
-constexpr milliseconds kProgressTimeout{ 5000 };
+constexpr milliseconds kProgressLimit{ 5000 };
 // The first event may take at least this long, however near the target.
-constexpr milliseconds kShortestHeadTimeout{ 1000 };
+constexpr milliseconds kShortestHeadLimit{ 1000 };
+// Times its target that a first event may take before another try is better.
+constexpr int kFirstTokenPatience = 2;
+// Bounds reads whose progress the watch judges, also while a request is paused.
+constexpr milliseconds kLongestSilence{ std::chrono::hours(1) };
 
 milliseconds
 Until(steady_time aTime)
@@ -32,47 +36,16 @@
                   milliseconds(1));
 }
 
-// Until when the upstream must have begun its answer.
-milliseconds
-HeadTimeout(const call& aCall)
+policy::progress_limits
+LimitsOf(const call& aCall)
 {
-  const auto byAnswer = Until(aCall.mQueued.mAnswerBy);
   if (!aCall.mStream) {
-    return byAnswer;
-  }
-  const auto byTarget =
-    std::max(aCall.mClass->mFirstTokenTarget, kShortestHeadTimeout);
-  return std::min(byAnswer, byTarget);
-}
-
-attempt_end
-EndOf(const wire::wire_error& aError)
-{
-  if (aError.mKind == wire::wire_error_kind::Cancelled) {
-    return attempt_end::CallerLeft;
-  }
-  if (!aError.mBytesWritten) {
-    return attempt_end::NotSent;
-  }
-  return aError.mKind == wire::wire_error_kind::Timeout ? attempt_end::TimedOut
-                                                        : attempt_end::Broken;
-}
-
-// Reads the rest of a body within aLimit.
-asio::awaitable<wire::wire_result<std::string>>
-ReadRest(wire::http_stream& aStream, steady_time aLimit)
-{
-  std::string body;
-  while (true) {
-    auto piece = co_await aStream.Read(Until(aLimit));
-    if (!piece) {
-      co_return piece.error();
-    }
-    if (piece.value().empty()) {
-      co_return body;
-    }
-    body += piece.value();
+    return { Until(aCall.mQueued.mAnswerBy), kProgressLimit };
   }
+  const steady_duration target = aCall.mClass->mFirstTokenTarget;
+  return { std::max<steady_duration>(target * kFirstTokenPatience,
+                                     kShortestHeadLimit),
+           kProgressLimit };
 }
 
 wire::http_headers
@@ -97,94 +70,56 @@
            { "X-Request-Id", aCall.mId.mText } };
 }
 
-// Ends a call as soon as its caller has gone. Looks now and then, so that an
-// upstream that sends nothing is left as well.
-class caller_watch : public std::enable_shared_from_this<caller_watch>
-{
-public:
-  caller_watch(asio::any_io_executor aExecutor,
-               wire::http_reply& aReply,
-               wire::call_abort_ptr aAbort)
-    : mTimer(aExecutor)
-    , mReply(&aReply)
-    , mAbort(std::move(aAbort))
-  {
-  }
-
-  void Start()
-  {
-    mTimer.expires_after(kCallerCheck);
-    mTimer.async_wait([self = shared_from_this()](const auto& aError) {
-      if (aError || self->mReply == nullptr) {
-        return;
-      }
-      if (self->mReply->CallerGone()) {
-        self->mAbort->Abort();
-        return;
-      }
-      self->Start();
-    });
-  }
-
-  void Stop()
-  {
-    mReply = nullptr;
-    mTimer.cancel();
-  }
-
-private:
-  static constexpr milliseconds kCallerCheck{ 200 };
-
-  asio::steady_timer mTimer;
-  // Null once the attempt has ended.
-  wire::http_reply* mReply;
-  wire::call_abort_ptr mAbort;
-};
-
 // The state of one attempt while it runs.
 class attempt
 {
 public:
-  attempt(const call& aCall, wire::http_reply& aReply, relay_state& aState)
+  attempt(const call& aCall,
+          attempt_kind aKind,
+          attempt_ends aEnds,
+          relay_state& aState)
     : mCall(aCall)
-    , mReply(aReply)
+    , mKind(aKind)
+    , mEnds(aEnds)
+    , mReply(aEnds.mReply)
     , mState(aState)
   {
   }
 
-  asio::awaitable<attempt_result> Run(wire::endpoint aTarget,
-                                      wire::http_client& aClient)
+  asio::awaitable<attempt_result> Run(wire::endpoint aTarget)
   {
-    const auto watch = std::make_shared<caller_watch>(
-      co_await asio::this_coro::executor, mReply, mAbort);
     // A call that must not be repeated runs to its end, so that its caller can
     // still learn how it ended.
-    if (mCall.mClass->mIdempotent) {
-      watch->Start();
-    }
-    auto result = co_await Exchange(std::move(aTarget), aClient);
-    watch->Stop();
+    const watch_targets targets{ mReply,
+                                 mAbort,
+                                 mEnds.mPauses.Enter(mCall.mId),
+                                 mCall.mClass->mIdempotent,
+                                 LimitsOf(mCall) };
+    mWatch.emplace(co_await asio::this_coro::executor, targets);
+    auto result = co_await Exchange(std::move(aTarget));
+    mWatch->Stop();
+    mEnds.mPauses.Leave(mCall.mId);
     co_return result;
   }
 
 private:
-  asio::awaitable<attempt_result> Exchange(wire::endpoint aTarget,
-                                           wire::http_client& aClient)
+  asio::awaitable<attempt_result> Exchange(wire::endpoint aTarget)
   {
     const auto choice = mCall.mClass->mOnce == once_mode::None
                           ? wire::connection_choice::Pooled
                           : wire::connection_choice::Fresh;
-    auto opened = co_await aClient.Open(
-      aTarget, Forward(), HeadTimeout(mCall), choice, mAbort);
+    auto opened = co_await mEnds.mClient.Open(
+      aTarget, Forward(), kLongestSilence, choice, mAbort);
     if (!opened) {
-      co_return End(EndOf(opened.error()), opened.error().mDetail);
+      co_return Fail(opened.error());
     }
     auto& stream = *opened.value();
     const auto status = stream.Head().mStatus;
     if (status == kTooManyRequests || status == kUnavailable) {
       co_return End(attempt_end::Refused, std::to_string(status));
     }
-    if (status >= kServerErrors) {
+    const bool notResumed = mKind == attempt_kind::Resume && status != kOk;
+    if (status >= kServerErrors || notResumed) {
       co_return End(attempt_end::Broken, std::to_string(status));
     }
     if (mCall.mStream && status == kOk) {
@@ -196,17 +131,39 @@
   wire::http_request Forward() const
   {
     auto request = mCall.mForward;
+    if (mKind == attempt_kind::Resume) {
+      request.mTarget = "/v1/requests/" + mCall.mId.mText +
+                        "/continue?from=" + std::to_string(mState.mEventsSent);
+      request.mBody.clear();
+    }
     request.mHeaders.push_back({ "X-Request-Id", mCall.mId.mText });
     request.mHeaders.push_back(
       { "traceparent", FormatTraceparent(mCall.mTrace) });
     return request;
   }
 
+  // Reads the rest of a body.
+  asio::awaitable<wire::wire_result<std::string>> ReadRest(
+    wire::http_stream& aStream)
+  {
+    std::string body;
+    while (true) {
+      auto piece = co_await aStream.Read(kLongestSilence);
+      if (!piece) {
+        co_return piece.error();
+      }
+      if (piece.value().empty()) {
+        co_return body;
+      }
+      body += piece.value();
+    }
+  }
+
   asio::awaitable<attempt_result> RelayWhole(wire::http_stream& aStream)
   {
-    auto body = co_await ReadRest(aStream, mCall.mQueued.mAnswerBy);
+    auto body = co_await ReadRest(aStream);
     if (!body) {
-      co_return End(EndOf(body.error()), body.error().mDetail);
+      co_return Fail(body.error());
     }
     wire::http_response response;
     response.mStatus = aStream.Head().mStatus;
@@ -233,12 +190,10 @@
   asio::awaitable<attempt_result> RelayEvents(wire::http_stream& aStream)
   {
     sse_splitter splitter;
-    bool first = true;
     while (true) {
-      const auto limit = first ? HeadTimeout(mCall) : kProgressTimeout;
-      auto piece = co_await aStream.Read(limit);
+      auto piece = co_await aStream.Read(kLongestSilence);
       if (!piece) {
-        co_return End(EndOf(piece.error()), piece.error().mDetail);
+        co_return Fail(piece.error());
       }
       if (piece.value().empty()) {
         co_return End(attempt_end::Broken, "ended without [DONE]");
@@ -247,13 +202,16 @@
       if (events.mBytes.empty()) {
         continue;
       }
-      first = false;
+      // A caller that reads slowly is not the upstream's fault.
+      mWatch->Hold(true);
       if (!co_await SendEvents(events)) {
         co_return End(attempt_end::CallerLeft, {});
       }
+      mWatch->Hold(false);
+      mWatch->NoteProgress();
       if (events.mDone) {
         // Reading to the end lets the connection go back to its pool.
-        co_await aStream.Read(kProgressTimeout);
+        co_await aStream.Read(kProgressLimit);
         const bool sent = co_await mReply.Finish();
         co_return End(sent ? attempt_end::Whole : attempt_end::CallerLeft, {});
       }
@@ -285,6 +243,21 @@
     mState.mEventsSent += aEvents;
   }
 
+  attempt_result Fail(const wire::wire_error& aError)
+  {
+    const auto reason = mWatch->Reason();
+    if (reason == watch_reason::CallerGone) {
+      return End(attempt_end::CallerLeft, {});
+    }
+    if (!aError.mBytesWritten) {
+      return End(attempt_end::NotSent, aError.mDetail);
+    }
+    const bool timedOut = reason == watch_reason::NoProgress ||
+                          aError.mKind == wire::wire_error_kind::Timeout;
+    return End(timedOut ? attempt_end::TimedOut : attempt_end::Broken,
+               timedOut ? "no progress" : aError.mDetail);
+  }
+
   attempt_result End(attempt_end aEnd, std::string aDetail)
   {
     mResult.mEnd = aEnd;
@@ -294,8 +267,12 @@
   }
 
   const call& mCall;
+  attempt_kind mKind;
+  attempt_ends mEnds;
   wire::http_reply& mReply;
   relay_state& mState;
+  // Set while the attempt runs.
+  std::optional<attempt_watch> mWatch;
   const wire::call_abort_ptr mAbort = std::make_shared<wire::call_abort>();
   const steady_time mStart = steady_clock::now();
   attempt_result mResult;
@@ -326,15 +303,15 @@
 asio::awaitable<attempt_result>
 RunAttempt(const call& aCall,
            const upstream_spec& aTarget,
-           wire::http_client& aClient,
-           wire::http_reply& aReply,
+           attempt_kind aKind,
+           attempt_ends aEnds,
            relay_state& aState)
 {
-  attempt run(aCall, aReply, aState);
+  attempt run(aCall, aKind, aEnds, aState);
   wire::endpoint target;
   target.mAddress = aTarget.mAddress;
   target.mPort = aTarget.mPort;
-  co_return co_await run.Run(std::move(target), aClient);
+  co_return co_await run.Run(std::move(target));
 }
 
 } // namespace sapphirespar::router
--- a/src/sapphirespar/router/control_plane.cpp
+++ b/src/sapphirespar/router/control_plane.cpp
@@ -6,7 +6,7 @@
 #include "sapphirespar/config/careful_platform.hpp"
 #include "sapphirespar/membership/homes.hpp"
 #include "sapphirespar/membership/membership_controller.hpp"
-#include "sapphirespar/router/upstream_probe.hpp"
+#include "sapphirespar/router/upstream_client.hpp"
 #include "sapphirespar/upstream/drain_watcher.hpp"
 #include "sapphirespar/upstream/health_tracker.hpp"
 #include "sapphirespar/wire/asio_timer_service.hpp"
@@ -18,6 +18,7 @@
 #include <algorithm>
 #include <iterator>
 #include <optional>
+#include <random>
 #include <vector>
 
 namespace sapphirespar::router {
@@ -25,7 +26,7 @@
 
 using std::chrono::milliseconds;
 
-constexpr milliseconds kDispatchTick{ 20 };
+constexpr milliseconds kBrokerTick{ 50 };
 constexpr std::chrono::seconds kMetricsPeriod{ 1 };
 
 blackboard
@@ -120,6 +121,7 @@
 {
   state(const router_settings& aSettings,
         process_id aSelf,
+        policy::scheduler_ptr aScheduler,
         std::uint16_t aCallerPort,
         control_services aServices);
 
@@ -131,13 +133,14 @@
 
   void OnPeerMessage(const process_id& aFrom, const peer_message& aMessage);
   std::optional<wire::endpoint> PeerEndpoint(const vm_id& aVm) const;
-  std::vector<pool_load> PoolLoads() const;
+  void Pause(const policy::pause_order& aOrder);
   void UpdateMetrics();
 
   careful_platform_hooks PlatformHooks();
   wire::peer_mesh_hooks MeshHooks();
   membership::membership_hooks MembershipHooks();
   upstream::health_hooks HealthHooks();
+  slot_broker_hooks BrokerHooks();
 
   control_services mServices;
   router_settings mSettings;
@@ -146,9 +149,12 @@
   wire::asio_timer_service mTimers;
   wire::platform_client mPlatformClient;
   careful_platform mPlatform;
-  upstream_probe mProbe;
+  upstream_client mUpstreams;
   wire::peer_mesh mMesh;
   ledger::once_guard mOnce;
+  slot_broker mBroker;
+  dispatcher mSlots;
+  std::mt19937_64 mRandom{ std::random_device{}() };
   // Empty until Start.
   std::optional<membership::membership_controller> mMembership;
   std::optional<bundle_controller> mBundles;
@@ -160,6 +166,7 @@
 
 control_plane::state::state(const router_settings& aSettings,
                             process_id aSelf,
+                            policy::scheduler_ptr aScheduler,
                             std::uint16_t aCallerPort,
                             control_services aServices)
   : mServices(aServices)
@@ -173,11 +180,18 @@
               mTimers,
               BudgetSettings(aSettings, aSelf),
               PlatformHooks())
-  , mProbe(aServices.mContext.get_executor(), aServices.mTls.mUpstreams)
+  , mUpstreams(aServices.mContext.get_executor(), aServices.mTls.mUpstreams)
   , mMesh(aServices.mContext,
           MeshSettings(aSettings, aSelf, aServices.mTls),
           MeshHooks())
   , mOnce(mBoard, mPlatform, mMesh, mTimers)
+  , mBroker(mBoard,
+            mMesh,
+            mTimers,
+            std::move(aScheduler),
+            slot_broker_settings{},
+            BrokerHooks())
+  , mSlots(aServices.mContext, mBroker)
 {
   Publish();
 }
@@ -220,7 +234,8 @@
 control_plane::state::MembershipHooks()
 {
   membership::membership_hooks hooks;
-  hooks.mPools = [this] { return PoolLoads(); };
+  hooks.mPools = [this] { return mBroker.Loads(); };
+  hooks.mDemands = [this] { return mServices.mAccounts.Publish(); };
   hooks.mChanged = [this] { Publish(); };
   hooks.mPaused = [](steady_duration aPause) {
     const auto length = std::chrono::duration_cast<milliseconds>(aPause);
@@ -235,11 +250,11 @@
   upstream::health_hooks hooks;
   hooks.mProbe = [this](const upstream_spec& aSpec,
                         upstream::load_callback aDone) {
-    mProbe.Probe(aSpec, std::move(aDone));
+    mUpstreams.Probe(aSpec, std::move(aDone));
   };
   hooks.mFetchLoad = [this](const upstream_spec& aSpec,
                             upstream::load_callback aDone) {
-    mProbe.FetchLoad(aSpec, std::move(aDone));
+    mUpstreams.FetchLoad(aSpec, std::move(aDone));
   };
   hooks.mIsHome = [this](const upstream_spec& aSpec) {
     const auto members = membership::ListMembers(mBoard);
@@ -277,11 +292,11 @@
   mBundles.emplace(
     mPlatform, mMesh, mTimers, mBoard, bundles, [this](const bundle_ptr&) {
       mHealth->OnBundle();
+      mServices.mAccounts.Configure(*mBoard.mBundle);
       Publish();
     });
   mBundles->Start();
-  mTick =
-    mTimers.Every(kDispatchTick, [this] { mServices.mDispatcher.Tick(); });
+  mTick = mTimers.Every(kBrokerTick, [this] { mBroker.Tick(); });
   mMetricsTick = mTimers.Every(kMetricsPeriod, [this] { UpdateMetrics(); });
 }
 
@@ -290,9 +305,10 @@
 {
   mServices.mSnapshots.Store(std::make_shared<traffic_snapshot>(mBoard));
   if (mBoard.mBundle) {
-    mServices.mDispatcher.Configure(mBoard.mBundle);
-    mServices.mDispatcher.SetUpstreams(UpstreamViews());
+    mBroker.Configure(mBoard.mBundle);
+    mBroker.SetUpstreams(UpstreamViews());
   }
+  mBroker.OnMembersChanged();
 }
 
 std::vector<policy::upstream_view>
@@ -325,6 +341,7 @@
   if (const auto* beat = std::get_if<heartbeat>(&aMessage)) {
     if (mMembership) {
       mMembership->OnHeartbeat(*beat);
+      mServices.mAccounts.SetPeers(mBoard);
       mBundles->OnHeartbeat(*beat);
     }
     return;
@@ -332,6 +349,9 @@
   if (mBundles && mBundles->OnPeerMessage(aFrom, aMessage)) {
     return;
   }
+  if (mBroker.OnPeerMessage(aFrom, aMessage)) {
+    return;
+  }
   mOnce.OnPeerMessage(aFrom, aMessage);
 }
 
@@ -345,21 +365,24 @@
   return wire::endpoint{ found->second.mAddress, found->second.mPeerPort };
 }
 
-std::vector<pool_load>
-control_plane::state::PoolLoads() const
+slot_broker_hooks
+control_plane::state::BrokerHooks()
 {
-  std::vector<pool_load> loads;
-  std::ranges::transform(mServices.mDispatcher.Counts(),
-                         std::back_inserter(loads),
-                         [](const policy::scheduler_counts& aCounts) {
-                           pool_load load;
-                           load.mPool = aCounts.mPool;
-                           load.mSlots = aCounts.mSlots;
-                           load.mOutstanding = aCounts.mOutstanding;
-                           load.mQueued = aCounts.mQueued;
-                           return load;
-                         });
-  return loads;
+  slot_broker_hooks hooks;
+  hooks.mPause = [this](const policy::pause_order& aOrder) { Pause(aOrder); };
+  hooks.mRandom = [this] { return mRandom(); };
+  return hooks;
+}
+
+void
+control_plane::state::Pause(const policy::pause_order& aOrder)
+{
+  const bool paused = !aOrder.mResume;
+  const auto* target =
+    mBoard.mBundle ? FindUpstream(*mBoard.mBundle, aOrder.mUpstream) : nullptr;
+  if (target != nullptr && mServices.mPauses.Set(aOrder.mRequest, paused)) {
+    mUpstreams.SetPaused(*target, aOrder.mRequest, paused);
+  }
 }
 
 void
@@ -385,7 +408,7 @@
     gauges.Set(
       "sapphirespar_bundle_number", {}, static_cast<double>(version.mNumber));
   }
-  for (const auto& counts : mServices.mDispatcher.Counts()) {
+  for (const auto& counts : mBroker.Loads()) {
     gauges.Set(
       "sapphirespar_queued", { { "pool", counts.mPool } }, counts.mQueued);
     gauges.Set("sapphirespar_outstanding",
@@ -396,10 +419,12 @@
 
 control_plane::control_plane(const router_settings& aSettings,
                              process_id aSelf,
+                             policy::scheduler_ptr aScheduler,
                              std::uint16_t aCallerPort,
                              control_services aServices)
   : mState(std::make_unique<state>(aSettings,
                                    std::move(aSelf),
+                                   std::move(aScheduler),
                                    aCallerPort,
                                    aServices))
 {
@@ -433,6 +458,18 @@
   return mState->mBoard;
 }
 
+std::vector<pool_load>
+control_plane::Loads() const
+{
+  return mState->mBroker.Loads();
+}
+
+dispatcher&
+control_plane::Slots()
+{
+  return mState->mSlots;
+}
+
 ledger::once_guard&
 control_plane::Once()
 {
--- a/src/sapphirespar/router/dispatcher.cpp
+++ b/src/sapphirespar/router/dispatcher.cpp
@@ -1,12 +1,11 @@
-// The dispatcher: a scheduler under a lock, and the coroutines that wait.
+// The dispatcher: hands requests to the broker on the control thread and the
+// broker's answers back to the coroutines that wait.
 #include "sapphirespar/router/dispatcher.hpp"
 
 #include "sapphirespar/router/one_shot.hpp"
 
 #include <boost/asio/this_coro.hpp>
 
-#include <algorithm>
-#include <mutex>
 #include <optional>
 #include <unordered_map>
 
@@ -19,139 +18,92 @@
 // How often a waiting request looks whether its caller is still there.
 constexpr std::chrono::milliseconds kCallerCheck{ 200 };
 
-// A decision on its way to the coroutine that waits for it.
-struct delivery
+slot_answer
+ToAnswer(slot_outcome aOutcome)
 {
-  waiter_ptr mWaiter;
-  slot_answer mAnswer;
-};
+  return std::visit([](auto& aValue) { return slot_answer(std::move(aValue)); },
+                    aOutcome);
+}
 
 } // namespace
 
-struct dispatcher::state
+struct dispatcher::state : std::enable_shared_from_this<state>
 {
-  // Runs aWork on the scheduler and hands out its decisions. A waiter leaves
-  // mWaiters under the same lock under which its decision was made, so a
-  // request that is still there has not been decided.
-  template<class Work>
-  void Change(Work aWork)
+  state(asio::io_context& aControl, slot_broker& aBroker)
+    : mControl(aControl)
+    , mBroker(aBroker)
   {
-    policy::decisions made;
-    std::vector<delivery> deliveries;
-    {
-      const std::lock_guard lock(mMutex);
-      made = aWork(*mScheduler);
-      deliveries = TakeDecided(made);
-    }
-    std::ranges::for_each(made.mPauses, mPause);
-    for (auto& item : deliveries) {
-      item.mWaiter->Set(std::move(item.mAnswer));
-    }
   }
 
-  std::vector<delivery> TakeDecided(const policy::decisions& aDecisions);
-
-  // Takes back a request that has not been decided; false if it has been.
-  bool Withdraw(const request_id& aRequest);
+  // The rest runs on the control thread.
+  void Submit(policy::queued_request aRequest, waiter_ptr aWaiter);
+  void Decide(const request_id& aRequest, slot_answer aAnswer);
+  void Withdraw(const request_id& aRequest);
 
-  // Removes and returns who waits for aRequest, or null. Needs the lock.
-  waiter_ptr TakeWaiter(const request_id& aRequest);
-
-  mutable std::mutex mMutex;
-  policy::scheduler_ptr mScheduler;
-  pause_hook mPause;
+  asio::io_context& mControl;
+  slot_broker& mBroker;
   // One for each request submitted and not yet decided.
   std::unordered_map<request_id, waiter_ptr> mWaiters;
 };
 
-waiter_ptr
-dispatcher::state::TakeWaiter(const request_id& aRequest)
+void
+dispatcher::state::Submit(policy::queued_request aRequest, waiter_ptr aWaiter)
 {
-  auto taken = mWaiters.extract(aRequest);
-  return taken ? std::move(taken.mapped()) : nullptr;
+  const auto id = aRequest.mId;
+  mWaiters.emplace(id, std::move(aWaiter));
+  mBroker.Acquire(std::move(aRequest),
+                  [self = weak_from_this(), id](slot_outcome aOutcome) {
+                    if (const auto live = self.lock()) {
+                      live->Decide(id, ToAnswer(std::move(aOutcome)));
+                    }
+                  });
 }
 
-std::vector<delivery>
-dispatcher::state::TakeDecided(const policy::decisions& aDecisions)
+void
+dispatcher::state::Decide(const request_id& aRequest, slot_answer aAnswer)
 {
-  std::vector<delivery> taken;
-  for (const auto& item : aDecisions.mRejections) {
-    if (auto found = TakeWaiter(item.mRequest)) {
-      taken.push_back({ std::move(found), item.mRefusal });
-    }
-  }
-  for (const auto& item : aDecisions.mAssignments) {
-    if (auto found = TakeWaiter(item.mRequest)) {
-      taken.push_back({ std::move(found), item.mUpstream });
-    }
+  if (auto waiting = mWaiters.extract(aRequest)) {
+    waiting.mapped()->Set(std::move(aAnswer));
   }
-  return taken;
 }
 
-bool
+// A request that has been decided keeps its answer, which is on its way.
+void
 dispatcher::state::Withdraw(const request_id& aRequest)
 {
-  bool waiting = false;
-  Change([&](auto& aScheduler) {
-    waiting = TakeWaiter(aRequest) != nullptr;
-    return waiting
-             ? aScheduler.Withdraw(aRequest, std::chrono::steady_clock::now())
-             : policy::decisions{};
-  });
-  return waiting;
+  if (mWaiters.contains(aRequest)) {
+    mBroker.Withdraw(aRequest);
+    Decide(aRequest, caller_left{});
+  }
 }
 
-dispatcher::dispatcher(policy::scheduler_ptr aScheduler, pause_hook aPause)
-  : mState(std::make_unique<state>())
+dispatcher::dispatcher(asio::io_context& aControl, slot_broker& aBroker)
+  : mState(std::make_shared<state>(aControl, aBroker))
 {
-  mState->mScheduler = std::move(aScheduler);
-  mState->mPause = std::move(aPause);
 }
 
 dispatcher::~dispatcher() = default;
 
-void
-dispatcher::Configure(bundle_ptr aBundle)
-{
-  const std::lock_guard lock(mState->mMutex);
-  mState->mScheduler->Configure(std::move(aBundle));
-}
-
-void
-dispatcher::SetUpstreams(std::span<const policy::upstream_view> aUpstreams)
-{
-  mState->Change([&](auto& aScheduler) {
-    return aScheduler.SetUpstreams(aUpstreams,
-                                   std::chrono::steady_clock::now());
-  });
-}
-
-void
-dispatcher::Tick()
-{
-  mState->Change([](auto& aScheduler) {
-    return aScheduler.Tick(std::chrono::steady_clock::now());
-  });
-}
-
 asio::awaitable<slot_answer>
 dispatcher::Acquire(policy::queued_request aRequest,
                     std::function<bool()> aCallerGone)
 {
+  const auto state = mState;
   const auto id = aRequest.mId;
   const auto own = std::make_shared<waiter>(co_await asio::this_coro::executor);
-  mState->Change([&](auto& aScheduler) {
-    mState->mWaiters.emplace(id, own);
-    return aScheduler.Submit(std::move(aRequest),
-                             std::chrono::steady_clock::now());
-  });
+  asio::post(state->mControl,
+             [state, own, request = std::move(aRequest)]() mutable {
+               state->Submit(std::move(request), own);
+             });
+  bool withdrawn = false;
   while (true) {
     auto answer = co_await own->Wait(kCallerCheck);
     if (answer) {
       co_return *answer;
     }
-    if (aCallerGone() && mState->Withdraw(id)) {
-      co_return caller_left{};
+    if (!withdrawn && aCallerGone()) {
+      withdrawn = true;
+      asio::post(state->mControl, [state, id] { state->Withdraw(id); });
     }
   }
 }
@@ -159,16 +111,9 @@
 void
 dispatcher::Finish(const policy::completion& aCompletion)
 {
-  mState->Change([&](auto& aScheduler) {
-    return aScheduler.Finish(aCompletion, std::chrono::steady_clock::now());
+  asio::post(mState->mControl, [state = mState, aCompletion] {
+    state->mBroker.Finish(aCompletion);
   });
 }
 
-std::vector<policy::scheduler_counts>
-dispatcher::Counts() const
-{
-  const std::lock_guard lock(mState->mMutex);
-  return mState->mScheduler->Counts();
-}
-
 } // namespace sapphirespar::router
--- a/src/sapphirespar/router/exchange.cpp
+++ b/src/sapphirespar/router/exchange.cpp
@@ -1,7 +1,6 @@
 // Exchanges: admission, at-most-once, slots, attempts and the final answer.
 #include "sapphirespar/router/exchange.hpp"
 
-#include "sapphirespar/base/log.hpp"
 #include "sapphirespar/router/answer.hpp"
 #include "sapphirespar/router/one_shot.hpp"
 
@@ -9,97 +8,66 @@
 
 #include <xxhash.h>
 
-#include <algorithm>
-
 namespace sapphirespar::router {
 namespace {
 
 using std::chrono::milliseconds;
 using std::chrono::steady_clock;
-using std::chrono::system_clock;
 
+// Attempts at different upstreams for one request.
 constexpr unsigned kMostAttempts = 3;
+// Resumptions of one stream at the engine that broke it off.
+constexpr unsigned kMostResumes = 2;
 
-// How a request ended for its caller.
-struct exchange_end
-{
-  bool mWhole = false;
-  bool mCallerLeft = false;
-  // Holds unless the answer was whole.
-  refusal mRefusal;
-};
-
-double
-ToMilliseconds(steady_duration aDuration)
+bool
+IsProvablyNotRun(const attempt_result& aResult)
 {
-  return std::chrono::duration<double, std::milli>(aDuration).count();
+  return aResult.mEnd == attempt_end::NotSent ||
+         aResult.mEnd == attempt_end::Refused;
 }
 
-// Whether another attempt can neither repeat work that must not be repeated
-// nor text that the caller already has.
+// Whether nothing remains to be done for the caller.
 bool
-IsRetrySafe(const call& aCall, const attempt_result& aResult)
+IsOver(const attempt_result& aResult)
 {
-  switch (aResult.mEnd) {
-    case attempt_end::NotSent:
-    case attempt_end::Refused:
-      return true;
-    case attempt_end::Broken:
-    case attempt_end::TimedOut:
-      return aCall.mClass->mIdempotent && aResult.mEventsSent == 0;
-    case attempt_end::Whole:
-    case attempt_end::CallerLeft:
-      break;
-  }
-  return false;
+  return aResult.mEnd == attempt_end::Whole ||
+         aResult.mEnd == attempt_end::CallerLeft;
 }
 
 refusal
 RefusalAfter(const attempt_result& aResult)
 {
+  constexpr milliseconds kRetryAfter{ 1000 };
+  const bool notRun = IsProvablyNotRun(aResult);
   refusal refused;
-  const bool timedOut = aResult.mEnd == attempt_end::TimedOut;
-  refused.mReason =
-    timedOut ? refusal_reason::UpstreamTimeout : refusal_reason::UpstreamFailed;
-  const bool notRun = aResult.mEnd == attempt_end::NotSent ||
-                      aResult.mEnd == attempt_end::Refused;
+  refused.mReason = aResult.mEnd == attempt_end::TimedOut
+                      ? refusal_reason::UpstreamTimeout
+                      : refusal_reason::UpstreamFailed;
   refused.mOutcome = notRun ? outcome::NotRun : outcome::Unknown;
   refused.mDetail = aResult.mDetail;
-  constexpr milliseconds kRetryAfter{ 1000 };
   refused.mRetryAfter = notRun ? kRetryAfter : milliseconds(0);
   return refused;
 }
 
+// One understood request on its way.
 class exchange
 {
 public:
   exchange(const exchange_services& aServices,
            wire::http_client& aClient,
-           wire::http_reply& aReply)
-    : mServices(aServices)
+           wire::http_reply& aReply,
+           call& aCall)
+    : mHooks(aServices.mHooks)
+    , mServices(aServices)
     , mClient(aClient)
     , mReply(aReply)
+    , mCall(aCall)
+    , mReport(aServices.mSinks, aCall)
   {
   }
 
-  asio::awaitable<void> Serve(const wire::http_request& aRequest)
+  asio::awaitable<void> Serve()
   {
-    const auto id = NewRequestId();
-    auto parsed =
-      ParseCall(aRequest, mServices.mSnapshots.Load(), id, mArrival);
-    if (auto* refused = std::get_if<refusal>(&parsed)) {
-      CountRefusal("none", *refused);
-      LogEvent(log_level::Info,
-               "request_refused",
-               { { "request", id.mText },
-                 { "code", ToText(refused->mReason) },
-                 { "detail", refused->mDetail } });
-      co_await mReply.Send(RefusalResponse(*refused, id));
-      co_return;
-    }
-    mCall = std::move(std::get<call>(parsed));
-    mSpan = StartSpan("request", mCall.mTrace, system_clock::now());
-    mCall.mTrace = mSpan.mContext;
     // Not a conditional expression: g++ 12 destroys the value of a co_await
     // in one twice.
     exchange_end end;
@@ -109,7 +77,7 @@
       end = co_await ServeOnce();
     }
     co_await Answer(end);
-    Report(end);
+    mReport.Ended(end, mState.mFirstSent);
   }
 
 private:
@@ -120,7 +88,7 @@
     const auto answer = std::make_shared<one_shot<ledger::once_verdict>>(
       co_await asio::this_coro::executor);
     const auto key = OnceKey();
-    mServices.mOnce.mBegin(
+    mHooks.mOnce.mBegin(
       MakeOnceRequest(key),
       [answer](ledger::once_verdict aVerdict) { answer->Set(aVerdict); });
     std::optional<ledger::once_verdict> verdict;
@@ -129,11 +97,13 @@
       verdict = co_await answer->Wait(kWait);
     }
     if (!verdict->mRun) {
+      mReport.Note("repeated", ToText(verdict->mRefusal.mOutcome));
       co_return co_await AnswerRepeated(std::move(*verdict));
     }
-    mKeepAnswer = true;
+    mReport.Note("claimed", mCall.mIdempotencyKey);
+    mState.mKeepAnswer = true;
     auto end = co_await ServeAdmitted();
-    mServices.mOnce.mFinished(key, FateOf(end), mState.mAnswer);
+    mHooks.mOnce.mFinished(key, FateOf(end), mState.mAnswer);
     co_return end;
   }
 
@@ -185,13 +155,13 @@
 
   asio::awaitable<exchange_end> ServeAdmitted()
   {
-    if (auto refused = mServices.mAdmit(mCall)) {
+    if (auto refused = mHooks.mAdmit(mCall)) {
       exchange_end end;
       end.mRefusal = std::move(*refused);
       co_return end;
     }
     auto end = co_await ServeAttempts();
-    mServices.mLeft(mCall);
+    mHooks.mLeft(mCall);
     co_return end;
   }
 
@@ -209,16 +179,15 @@
         end.mCallerLeft = true;
         co_return end;
       }
-      const auto result = co_await AttemptAt(std::get<upstream_id>(slot));
+      const auto result = co_await UseSlot(std::get<upstream_id>(slot));
       end.mWhole = result.mEnd == attempt_end::Whole;
       end.mCallerLeft = result.mEnd == attempt_end::CallerLeft;
-      if (end.mWhole || end.mCallerLeft) {
+      if (IsOver(result)) {
         mFateIfLeft = outcome::Unknown;
         co_return end;
       }
       end.mRefusal = RefusalAfter(result);
-      const bool inTime = steady_clock::now() < mCall.mQueued.mAnswerBy;
-      if (!inTime || !IsRetrySafe(mCall, result)) {
+      if (Decide(result, count, false) != policy::retry_action::Retry) {
         co_return end;
       }
     }
@@ -227,42 +196,79 @@
 
   asio::awaitable<slot_answer> AcquireSlot()
   {
-    auto span = StartSpan("queue", mCall.mTrace, system_clock::now());
     const auto begin = steady_clock::now();
+    auto span = mReport.StartStep("queue");
     const std::function<bool()> callerGone = [this] {
       return mReply.CallerGone();
     };
     auto slot =
       co_await mServices.mDispatcher.Acquire(mCall.mQueued, callerGone);
-    mServices.mMetrics.Observe("sapphirespar_queue_wait_ms",
-                               { { "class", mCall.mClass->mId.mText } },
-                               steady_clock::now() - begin);
-    span.mFailed = !std::holds_alternative<upstream_id>(slot);
-    FinishSpan(std::move(span));
+    const auto* upstream = std::get_if<upstream_id>(&slot);
+    mReport.Waited(steady_clock::now() - begin);
+    mReport.FinishStep(std::move(span), upstream == nullptr);
+    mReport.Note("slot", upstream != nullptr ? upstream->mText : "none");
     co_return slot;
   }
 
-  asio::awaitable<attempt_result> AttemptAt(upstream_id aUpstream)
+  // Runs the request at an upstream, resuming a stream that breaks off where
+  // the engine can, and gives the slot back.
+  asio::awaitable<attempt_result> UseSlot(upstream_id aUpstream)
   {
     attempt_result result;
     const auto* target = mCall.mSnapshot->Upstream(aUpstream);
-    auto span = StartSpan("upstream", mCall.mTrace, system_clock::now());
-    span.mAttributes.push_back({ "upstream", aUpstream.mText });
-    if (target != nullptr) {
-      mState.mKeepAnswer = mKeepAnswer;
-      result = co_await RunAttempt(mCall, *target, mClient, mReply, mState);
-    } else {
+    if (target == nullptr) {
       result.mDetail = "the upstream is no longer declared";
+    } else {
+      result = co_await AttemptAt(*target, attempt_kind::Start);
+    }
+    for (unsigned count = 1; count <= kMostResumes; ++count) {
+      if (IsOver(result) || !CanResume(target) ||
+          Decide(result, count, true) != policy::retry_action::Resume) {
+        break;
+      }
+      result = co_await AttemptAt(*target, attempt_kind::Resume);
     }
     GiveBack(result);
-    mServices.mObserve(aUpstream, result);
-    LogAttempt(aUpstream, result);
-    span.mFailed = result.mEnd != attempt_end::Whole;
-    FinishSpan(std::move(span));
     mCall.mQueued.mExcluded.push_back(std::move(aUpstream));
     co_return result;
   }
 
+  // Only a stream whose caller has part of it is resumed; any other is better
+  // begun anew elsewhere.
+  bool CanResume(const upstream_spec* aTarget) const
+  {
+    return aTarget != nullptr && mCall.mStream && mState.mEventsSent > 0 &&
+           aTarget->mKind == upstream_kind::Engine;
+  }
+
+  asio::awaitable<attempt_result> AttemptAt(const upstream_spec& aTarget,
+                                            attempt_kind aKind)
+  {
+    auto span = mReport.StartStep("upstream");
+    span.mAttributes.push_back({ "upstream", aTarget.mId.mText });
+    const attempt_ends ends{ mClient, mReply, mServices.mPauses };
+    auto result = co_await RunAttempt(mCall, aTarget, aKind, ends, mState);
+    mHooks.mObserve(aTarget.mId, result);
+    mReport.FinishStep(std::move(span), result.mEnd != attempt_end::Whole);
+    mReport.Attempted(aTarget.mId, result);
+    co_return result;
+  }
+
+  policy::retry_action Decide(const attempt_result& aResult,
+                              unsigned aAttempts,
+                              bool aResumeOffered) const
+  {
+    policy::failed_attempt failed;
+    failed.mIdempotent = mCall.mClass->mIdempotent;
+    failed.mBytesWritten = aResult.mEnd != attempt_end::NotSent;
+    failed.mRefusedUpstream = aResult.mEnd == attempt_end::Refused;
+    failed.mSentToCaller = mState.mEventsSent > 0;
+    failed.mResumeOffered = aResumeOffered;
+    failed.mAttempts = aAttempts;
+    failed.mAnswerBy = mCall.mQueued.mAnswerBy;
+    return mHooks.mDecideRetry(failed).mAction;
+  }
+
   void GiveBack(const attempt_result& aResult)
   {
     policy::completion completion;
@@ -274,23 +280,6 @@
     mServices.mDispatcher.Finish(completion);
   }
 
-  void LogAttempt(const upstream_id& aUpstream, const attempt_result& aResult)
-  {
-    mServices.mMetrics.Count(
-      "sapphirespar_attempts_total",
-      { { "upstream", aUpstream.mText }, { "end", ToText(aResult.mEnd) } });
-    if (aResult.mEnd == attempt_end::Whole) {
-      return;
-    }
-    LogEvent(log_level::Warning,
-             "attempt_failed",
-             { { "request", mCall.mId.mText },
-               { "upstream", aUpstream.mText },
-               { "end", ToText(aResult.mEnd) },
-               { "events_sent", aResult.mEventsSent },
-               { "detail", aResult.mDetail } });
-  }
-
   // Sends the refusal, unless the caller has its answer or has left. A stream
   // that has begun ends with an error event and without its proper end.
   asio::awaitable<void> Answer(const exchange_end& aEnd)
@@ -307,68 +296,13 @@
     co_await mReply.Write(event);
   }
 
-  void CountRefusal(std::string_view aClass, const refusal& aRefusal)
-  {
-    mServices.mMetrics.Count("sapphirespar_requests_total",
-                             { { "class", aClass },
-                               { "outcome", ToText(aRefusal.mOutcome) },
-                               { "code", ToText(aRefusal.mReason) } });
-  }
-
-  void Report(const exchange_end& aEnd)
-  {
-    const auto& name = mCall.mClass->mId.mText;
-    if (aEnd.mWhole || aEnd.mCallerLeft) {
-      mServices.mMetrics.Count(
-        "sapphirespar_requests_total",
-        { { "class", name },
-          { "outcome", aEnd.mWhole ? "done" : "caller_left" },
-          { "code", "" } });
-    } else {
-      CountRefusal(name, aEnd.mRefusal);
-    }
-    const auto first = mState.mFirstSent.value_or(steady_clock::now());
-    if (aEnd.mWhole) {
-      mServices.mMetrics.Observe(
-        "sapphirespar_first_token_ms", { { "class", name } }, first - mArrival);
-    }
-    const std::string_view code = aEnd.mWhole ? "done"
-                                  : aEnd.mCallerLeft
-                                    ? "caller_left"
-                                    : ToText(aEnd.mRefusal.mReason);
-    LogEvent(log_level::Info,
-             "request",
-             { { "request", mCall.mId.mText },
-               { "class", name },
-               { "account", mCall.mAccount->mId.mText },
-               { "end", code },
-               { "total_ms", ToMilliseconds(steady_clock::now() - mArrival) },
-               { "trace", mCall.mTrace.mTraceId } });
-    mSpan.mFailed = !aEnd.mWhole;
-    mSpan.mAttributes.push_back({ "class", name });
-    mSpan.mAttributes.push_back({ "end", std::string(code) });
-    FinishSpan(std::move(mSpan));
-  }
-
-  void FinishSpan(trace_span aSpan)
-  {
-    if (!mCall.mTrace.mSampled) {
-      return;
-    }
-    aSpan.mEnd = system_clock::now();
-    aSpan.mAttributes.push_back({ "request", mCall.mId.mText });
-    mServices.mSpans.Add(std::move(aSpan));
-  }
-
+  const exchange_hooks& mHooks;
   const exchange_services& mServices;
   wire::http_client& mClient;
   wire::http_reply& mReply;
-  const steady_time mArrival = steady_clock::now();
-  call mCall;
-  trace_span mSpan;
+  call& mCall;
+  exchange_report mReport;
   relay_state mState;
-  // Whether the answer is kept for a caller that loses its copy.
-  bool mKeepAnswer = false;
   // What is true of a request whose caller left: nothing was sent until the
   // first attempt.
   outcome mFateIfLeft = outcome::NotRun;
@@ -382,8 +316,16 @@
               const wire::http_request& aRequest,
               wire::http_reply& aReply)
 {
-  exchange run(aServices, aClient, aReply);
-  co_await run.Serve(aRequest);
+  const auto id = NewRequestId();
+  auto parsed =
+    ParseCall(aRequest, aServices.mSnapshots.Load(), id, steady_clock::now());
+  if (const auto* refused = std::get_if<refusal>(&parsed)) {
+    ReportUnparsed(aServices.mSinks, id, *refused);
+    co_await aReply.Send(RefusalResponse(*refused, id));
+    co_return;
+  }
+  exchange run(aServices, aClient, aReply, std::get<call>(parsed));
+  co_await run.Serve();
 }
 
 } // namespace sapphirespar::router
--- a/src/sapphirespar/router/pages.cpp
+++ b/src/sapphirespar/router/pages.cpp
@@ -109,7 +109,7 @@
 {
   const std::function<std::string()> write = [&aServices] {
     return StatusJson(aServices.mControl.Board(),
-                      aServices.mDispatcher.Counts(),
+                      aServices.mControl.Loads(),
                       std::chrono::steady_clock::now());
   };
   auto text = co_await OnControlThread(aServices.mControlContext, write);
@@ -125,6 +125,26 @@
     kOk, ToOtlpJson(spans, aServices.mSnapshots.Load()->Self().mVm.mText));
 }
 
+// Tells why a request, or the newest ones of a class, went as they did.
+wire::http_response
+ExplainPage(const story_log& aStories, std::string_view aQuery)
+{
+  const auto request = wire::QueryValue(aQuery, "request");
+  if (!request.empty()) {
+    const auto story = aStories.Find({ std::string(request) });
+    return story ? wire::JsonResponse(kOk, StoryJson(*story))
+                 : PlainText(kNotFound, "this router knows no such request\n");
+  }
+  constexpr std::size_t kStories = 20;
+  const class_id name{ std::string(wire::QueryValue(aQuery, "class")) };
+  std::string list;
+  for (const auto& story : aStories.Recent(name, kStories)) {
+    list += list.empty() ? "" : ",";
+    list += StoryJson(story);
+  }
+  return wire::JsonResponse(kOk, "{\"stories\":[" + list + "]}");
+}
+
 } // namespace
 
 asio::awaitable<wire::http_response>
@@ -147,6 +167,10 @@
   if (path == "/v1/status") {
     co_return co_await StatusPage(aServices);
   }
+  if (path == "/v1/explain") {
+    co_return ExplainPage(aServices.mStories,
+                          wire::SplitTarget(aRequest.mTarget).mQuery);
+  }
   if (path == "/v1/traces") {
     co_return TracePage(aServices);
   }
--- a/src/sapphirespar/router/router_app.cpp
+++ b/src/sapphirespar/router/router_app.cpp
@@ -16,6 +16,7 @@
 #include <algorithm>
 #include <future>
 #include <iterator>
+#include <mutex>
 #include <optional>
 #include <stdexcept>
 #include <thread>
@@ -84,8 +85,10 @@
   asio::awaitable<void> Serve(const wire::http_request& aRequest,
                               wire::http_reply& aReply);
   wire::http_server_settings ServerSettings() const;
-  exchange_services ExchangeServices();
+  exchange_hooks ExchangeHooks();
   once_hooks OnceHooks();
+  policy::retry_decision DecideRetry(const policy::failed_attempt& aAttempt);
+  void Observe(const upstream_id& aUpstream, const attempt_result& aResult);
   std::vector<asio::io_context*> WorkerContexts();
 
   void Drain();
@@ -98,16 +101,21 @@
   tls_contexts mTls;
   metrics mMetrics;
   span_buffer mSpans;
+  story_log mStories;
   snapshot_cell mSnapshots;
+  pause_board mPauses;
+  account_gate mAccounts;
+  std::mutex mRetryMutex;
+  // Guarded by mRetryMutex.
+  policy::retry_budget mRetryBudget;
   // Declared before whatever may hold a coroutine's timer, and so destroyed
   // after it.
   std::vector<std::unique_ptr<worker>> mWorkers;
   asio::io_context mControlContext{ 1 };
   work_guard mControlGuard{ mControlContext.get_executor() };
-  dispatcher mDispatcher;
-  exchange_services mExchange;
-  // Both are empty only during construction.
+  // All three are empty only during construction.
   std::unique_ptr<control_plane> mControl;
+  std::optional<exchange_services> mExchange;
   std::optional<page_services> mPages;
   // Stops accepting before anything that its handler uses goes.
   std::unique_ptr<wire::http_server> mServer;
@@ -123,9 +131,6 @@
   , mOptions(std::move(aOptions))
   , mSelf(MakeSelf(mSettings.mVm))
   , mTls(LoadTls(mSettings))
-  , mDispatcher(MakeSchedulerOrThrow(mOptions.mScheduler),
-                [](const policy::pause_order&) {})
-  , mExchange(ExchangeServices())
 {
   std::generate_n(std::back_inserter(mWorkers),
                   std::max(mSettings.mTrafficThreads, 1U),
@@ -137,13 +142,19 @@
     [this](const wire::http_request& aRequest, wire::http_reply& aReply) {
       return Serve(aRequest, aReply);
     });
-  const control_services services{
-    mControlContext, mSnapshots, mDispatcher, mMetrics, mTls
-  };
-  mControl = std::make_unique<control_plane>(
-    mSettings, mSelf, mServer->Port(), services);
+  const control_services services{ mControlContext, mSnapshots, mPauses,
+                                   mAccounts,       mMetrics,   mTls };
+  mControl =
+    std::make_unique<control_plane>(mSettings,
+                                    mSelf,
+                                    MakeSchedulerOrThrow(mOptions.mScheduler),
+                                    mServer->Port(),
+                                    services);
+  const report_sinks sinks{ mMetrics, mSpans, mStories };
+  mExchange.emplace(exchange_services{
+    mSnapshots, mControl->Slots(), mPauses, sinks, ExchangeHooks() });
   mPages.emplace(page_services{
-    mControlContext, *mControl, mSnapshots, mDispatcher, mMetrics, mSpans });
+    mControlContext, *mControl, mSnapshots, mMetrics, mSpans, mStories });
   mControl->Start();
   mControlThread = std::thread([this] { mControlContext.run(); });
   for (const auto& item : mWorkers) {
@@ -200,23 +211,46 @@
   return hooks;
 }
 
-exchange_services
-router_app::state::ExchangeServices()
+exchange_hooks
+router_app::state::ExchangeHooks()
 {
-  return exchange_services{
-    mSnapshots,
-    mDispatcher,
-    mMetrics,
-    mSpans,
-    OnceHooks(),
-    [](const call&) { return std::optional<refusal>{}; },
-    [](const call&) {},
-    [this](const upstream_id& aUpstream, const attempt_result& aResult) {
-      asio::post(mControlContext, [this, aUpstream, aResult] {
-        mControl->Observe(aUpstream, aResult);
-      });
-    },
+  exchange_hooks hooks;
+  hooks.mOnce = OnceHooks();
+  hooks.mAdmit = [this](const call& aCall) {
+    return mAccounts.Enter(aCall.mAccount->mId);
+  };
+  hooks.mLeft = [this](const call& aCall) {
+    mAccounts.Leave(aCall.mAccount->mId);
+  };
+  hooks.mDecideRetry = [this](const policy::failed_attempt& aAttempt) {
+    return DecideRetry(aAttempt);
+  };
+  hooks.mObserve = [this](const upstream_id& aUpstream,
+                          const attempt_result& aResult) {
+    Observe(aUpstream, aResult);
   };
+  return hooks;
+}
+
+policy::retry_decision
+router_app::state::DecideRetry(const policy::failed_attempt& aAttempt)
+{
+  const std::lock_guard lock(mRetryMutex);
+  return policy::DecideRetry(
+    aAttempt, mRetryBudget, std::chrono::steady_clock::now());
+}
+
+void
+router_app::state::Observe(const upstream_id& aUpstream,
+                           const attempt_result& aResult)
+{
+  if (aResult.mEnd == attempt_end::Whole) {
+    const std::lock_guard lock(mRetryMutex);
+    mRetryBudget.AddSuccess();
+  }
+  asio::post(mControlContext, [this, aUpstream, aResult] {
+    mControl->Observe(aUpstream, aResult);
+  });
 }
 
 asio::awaitable<void>
@@ -224,7 +258,7 @@
                          wire::http_reply& aReply)
 {
   if (IsExchange(aRequest)) {
-    co_await ServeExchange(mExchange, sWorker->mClient, aRequest, aReply);
+    co_await ServeExchange(*mExchange, sWorker->mClient, aRequest, aReply);
     co_return;
   }
   auto page = co_await ServePage(*mPages, aRequest);
--- a/src/sapphirespar/router/status.cpp
+++ b/src/sapphirespar/router/status.cpp
@@ -61,13 +61,13 @@
 }
 
 json::object
-ToJson(const policy::scheduler_counts& aCounts)
+ToJson(const pool_load& aLoad)
 {
   return {
-    { "pool", aCounts.mPool },
-    { "slots", aCounts.mSlots },
-    { "outstanding", aCounts.mOutstanding },
-    { "queued", aCounts.mQueued },
+    { "pool", aLoad.mPool },
+    { "slots", aLoad.mSlots },
+    { "outstanding", aLoad.mOutstanding },
+    { "queued", aLoad.mQueued },
   };
 }
 
@@ -87,7 +87,7 @@
 
 std::string
 StatusJson(const blackboard& aBoard,
-           std::span<const policy::scheduler_counts> aQueues,
+           std::span<const pool_load> aQueues,
            steady_time aNow)
 {
   const auto version =
--- a/src/sapphirespar/router/story_log.cpp
+++ b/src/sapphirespar/router/story_log.cpp
@@ -5,7 +5,6 @@
 
 #include <algorithm>
 #include <iterator>
-#include <ranges>
 
 namespace sapphirespar::router {
 namespace {
@@ -66,12 +65,13 @@
 {
   const std::lock_guard lock(mMutex);
   std::vector<request_story> recent;
-  const auto ofClass = [&](const request_story& aStory) {
-    return aStory.mClass == aClass;
-  };
-  std::ranges::copy(mStories | std::views::reverse |
-                      std::views::filter(ofClass) | std::views::take(aLimit),
-                    std::back_inserter(recent));
+  for (auto item = mStories.rbegin();
+       item != mStories.rend() && recent.size() < aLimit;
+       ++item) {
+    if (item->mClass == aClass) {
+      recent.push_back(*item);
+    }
+  }
   return recent;
 }
 
--- a/src/sapphirespar/router/story_log_test.cpp
+++ b/src/sapphirespar/router/story_log_test.cpp
@@ -48,8 +48,7 @@
 
 TEST(StoryJson, HoldsEveryStep)
 {
-  const auto document =
-    boost::json::parse(StoryJson(MakeStory("a", "brief")));
+  const auto document = boost::json::parse(StoryJson(MakeStory("a", "brief")));
   EXPECT_EQ(document.at_pointer("/steps/0/at_ms").to_number<double>(), 1.5);
   EXPECT_EQ(document.at_pointer("/steps/0/detail").as_string(), "engine-1");
 }
