Show the fault tests of all modules in the matrix

Most tests of faults had names that the matrix does not know, so their cells stood empty. They are renamed after fault, step and promise; their bodies are as they were. Tests with fixtures may carry the fault in the test's own name.

--- a/src/sapphirespar/config/bundle_acceptance_test.cpp
+++ b/src/sapphirespar/config/bundle_acceptance_test.cpp
@@ -90,7 +90,8 @@
   EXPECT_EQ(InForce().mNumber, 1U);
 }
 
-TEST_F(acceptance_steps, OfTwoRacingOperatorsOneWinsAndTheOtherIsTold)
+TEST_F(acceptance_steps,
+       Fault_TwoOperators_Bundle_Accept_OneWinsAndTheOtherIsTold)
 {
   Accept(Candidate(1));
   fake_platform other(mTimers, mStore);
@@ -107,7 +108,8 @@
   EXPECT_EQ(theirs->mInForceSigner, "anna");
 }
 
-TEST_F(acceptance_steps, ALostAnswerIsReadBackAndALostWriteIsRepeated)
+TEST_F(acceptance_steps,
+       Fault_AnswerLost_Bundle_Accept_ItIsReadBackAndALostWriteRepeated)
 {
   mClient.Faults().mLoseAnswers = 1;
   EXPECT_EQ(Accept(Candidate(1)).mVerdict, acceptance::Accepted);
@@ -117,7 +119,8 @@
   EXPECT_EQ(InForce().mNumber, 2U);
 }
 
-TEST_F(acceptance_steps, ALostAnswerIsRecognisedEvenAfterTheNextOneWon)
+TEST_F(acceptance_steps,
+       Fault_AnswerLost_Bundle_Accept_ItIsRecognisedEvenAfterTheNextOneWon)
 {
   Accept(Candidate(1));
   mClient.Faults().mLoseAnswers = 1;
@@ -135,14 +138,16 @@
   EXPECT_EQ(mine->mInForce.mNumber, 3U);
 }
 
-TEST_F(acceptance_steps, AnOutageBeforeTheWriteIsNotWritten)
+TEST_F(acceptance_steps,
+       Fault_StoreOutage_Bundle_Accept_BeforeTheWriteNothingIsWritten)
 {
   mClient.Faults().mOutage = true;
   EXPECT_EQ(Accept(Candidate(1)).mVerdict, acceptance::NotWritten);
   EXPECT_EQ(mStore->Find(CurrentBundleKey()), nullptr);
 }
 
-TEST_F(acceptance_steps, AnOutageThatTheWriteRunsIntoIsNotWritten)
+TEST_F(acceptance_steps,
+       Fault_StoreOutage_Bundle_Accept_AWriteThatRunsIntoItIsNotWritten)
 {
   mClient.Faults().mDelay = 100ms;
   std::optional<acceptance_result> got;
@@ -154,7 +159,8 @@
   EXPECT_EQ(mStore->Find(CurrentBundleKey()), nullptr);
 }
 
-TEST_F(acceptance_steps, AnOutageFromTheWriteOnIsUnknown)
+TEST_F(acceptance_steps,
+       Fault_StoreOutage_Bundle_Accept_FromTheWriteOnItIsUnknown)
 {
   mClient.Faults().mDelay = 100ms;
   std::optional<acceptance_result> got;
@@ -166,7 +172,8 @@
   EXPECT_EQ(got->mVerdict, acceptance::Unknown);
 }
 
-TEST_F(acceptance_steps, ACrashAtAnyStepLeavesTheOldOrTheNewBundle)
+TEST_F(acceptance_steps,
+       Fault_CrashAfter_Bundle_Accept_AnyStepLeavesTheOldOrTheNewBundle)
 {
   Accept(Candidate(1));
   mClient.Faults().mDelay = 100ms;
@@ -186,7 +193,8 @@
   EXPECT_EQ(Accept(Candidate(2)).mVerdict, acceptance::AlreadyAccepted);
 }
 
-TEST_F(acceptance_steps, AThrottledOrFlickeringPlatformIsTriedAgain)
+TEST_F(acceptance_steps,
+       Fault_Slow_Bundle_Accept_AThrottledOrFlickeringPlatformIsTriedAgain)
 {
   mClient.Faults().mThrottle = true;
   std::optional<acceptance_result> got;
--- a/src/sapphirespar/config/bundle_controller_test.cpp
+++ b/src/sapphirespar/config/bundle_controller_test.cpp
@@ -85,7 +85,8 @@
   std::cout << "idle platform calls per second and router: " << rate << '\n';
 }
 
-TEST(BundleController, SpreadsByPeersWhileAllWatchesAreBroken)
+TEST(BundleController,
+     Fault_SilentInbound_Bundle_Learn_SpreadsByPeersWhileAllWatchesAreBroken)
 {
   bundle_world world(9, 3);
   StartWith(world);
@@ -108,7 +109,8 @@
   });
 }
 
-TEST(BundleController, LostNoticesAreMadeUpForByHeartbeats)
+TEST(BundleController,
+     Fault_MessageLost_Bundle_Learn_NoticesAreMadeUpForByHeartbeats)
 {
   bundle_world world(9, 3);
   StartWith(world);
@@ -121,7 +123,8 @@
   EXPECT_TRUE(world.UntilAllCurrent(19s));
 }
 
-TEST(BundleController, LostRequestsOrPushesAreMadeUpForByThePoll)
+TEST(BundleController,
+     Fault_MessageLost_Bundle_Fetch_RequestsAndPushesAreMadeUpForByThePoll)
 {
   for (const auto lost :
        { +[](const peer_message& aMessage) {
@@ -139,7 +142,8 @@
   }
 }
 
-TEST(BundleController, WatchersThatCrashAtAnyStepOfASpreadDoNotStopIt)
+TEST(BundleController,
+     Fault_CrashAfter_Bundle_Learn_WatchersThatCrashDoNotStopASpread)
 {
   for (const auto at : { 5ms, 20ms, 22ms, 24ms, 25ms, 27ms, 30ms }) {
     bundle_world world(9, 3);
@@ -157,7 +161,8 @@
   }
 }
 
-TEST(BundleController, ARouterCutOffFromThePlatformLearnsFromPeers)
+TEST(BundleController,
+     Fault_Partition_Bundle_Learn_ARouterCutOffFromThePlatformLearnsFromPeers)
 {
   bundle_world world(9, 3);
   StartWith(world);
@@ -167,7 +172,7 @@
   EXPECT_TRUE(world.UntilAllCurrent(20s));
 }
 
-TEST(BundleController, AColdStartDuringAnOutageWorksFromPeers)
+TEST(BundleController, Fault_StoreOutage_Bundle_Fetch_AColdStartWorksFromPeers)
 {
   bundle_world world(9, 3);
   StartWith(world);
@@ -180,7 +185,8 @@
   EXPECT_TRUE(world.UntilAllCurrent(5s));
 }
 
-TEST(BundleController, AColdStartWithoutPlatformAndPeersHasNoBundle)
+TEST(BundleController,
+     Fault_StoreOutage_Bundle_Apply_AColdStartWithoutPeersHasNoBundle)
 {
   bundle_world world(2, 1);
   for (auto& router : world.mRouters) {
@@ -193,7 +199,7 @@
   EXPECT_TRUE(world.UntilAllCurrent(30s));
 }
 
-TEST(BundleController, ACompactedWatchListsAgain)
+TEST(BundleController, Fault_StaleList_Bundle_Learn_ACompactedWatchListsAgain)
 {
   bundle_world world(3, 1);
   StartWith(world);
--- a/src/sapphirespar/membership/membership_test.cpp
+++ b/src/sapphirespar/membership/membership_test.cpp
@@ -83,7 +83,9 @@
   EXPECT_EQ(StateOf("new"), member_state::Live);
 }
 
-TEST_F(member_table_test, SilenceMakesSuspectThenDeadAndAHeartbeatRevives)
+TEST_F(
+  member_table_test,
+  Fault_SilentInbound_Member_Hear_SilenceMakesSuspectThenDeadAndAHeartbeatRevives)
 {
   mTable.ApplyHeartbeat(Beat("a", 1, 1), mNow);
   Tick(3499ms);
@@ -96,7 +98,8 @@
   EXPECT_EQ(StateOf("a"), member_state::Live);
 }
 
-TEST_F(member_table_test, ListedButNeverHeardIsDeadInTheEnd)
+TEST_F(member_table_test,
+       Fault_StaleList_Member_List_ListedButNeverHeardIsDeadInTheEnd)
 {
   const std::vector list{ Listing("gone") };
   mTable.ApplyList(list, mNow);
@@ -106,7 +109,8 @@
   EXPECT_FALSE(mBoard.mMembers.contains({ "gone" }));
 }
 
-TEST_F(member_table_test, OlderIncarnationAndOlderSequenceAreIgnored)
+TEST_F(member_table_test,
+       Fault_CrashAfter_Member_Hear_OlderIncarnationAndOlderSequenceAreIgnored)
 {
   EXPECT_TRUE(mTable.ApplyHeartbeat(Beat("a", 2, 5), mNow));
   EXPECT_FALSE(mTable.ApplyHeartbeat(Beat("a", 1, 9, true), mNow));
@@ -131,7 +135,8 @@
   EXPECT_EQ(StateOf("a"), member_state::Live);
 }
 
-TEST_F(member_table_test, UnreachableMemberIsHeldAsSuspectThoughHeard)
+TEST_F(member_table_test,
+       Fault_SilentOutbound_Member_Hear_AnUnreachableMemberIsSuspectThoughHeard)
 {
   mTable.ApplyHeartbeat(Beat("a", 1, 1), mNow);
   mTable.ApplyUnreachable({ "a" }, mNow);
@@ -142,7 +147,8 @@
   EXPECT_EQ(StateOf("a"), member_state::Live);
 }
 
-TEST_F(member_table_test, OwnPauseIsNotBlamedOnOthers)
+TEST_F(member_table_test,
+       Fault_PausePastLease_Member_Hear_AnOwnPauseIsNotBlamedOnOthers)
 {
   mTable.ApplyHeartbeat(Beat("a", 1, 1), mNow);
   mNow += 1min;
--- a/src/sapphirespar/router/end_to_end_test.cpp
+++ b/src/sapphirespar/router/end_to_end_test.cpp
@@ -349,7 +349,8 @@
   , public testing::WithParamInterface<key_source>
 {};
 
-TEST_P(lost_answers, MakeABookingUnknownAndItRunsOnce)
+TEST_P(lost_answers,
+       Fault_AnswerLost_Request_Dispatch_ABookingIsUnknownAndRunsOnce)
 {
   constexpr unsigned kLost = 5;
   SetFaults(mService.Port(), R"({"lose_answers":5})");
@@ -392,7 +393,8 @@
   EXPECT_EQ(runs.size(), answered.size());
 }
 
-TEST_F(whole_system, ACrashedEngineBreaksNoPromise)
+TEST_F(whole_system,
+       Fault_CrashAfter_Request_Stream_ACrashedEngineBreaksNoPromise)
 {
   auto work = Work({ EngineLoad(150), BookingLoad(20, key_source::Token) });
   work.mFaults.push_back({ 500ms, "engine", R"({"crash":true})" });
@@ -403,7 +405,8 @@
   EXPECT_EQ(report.mClasses.back().mInTime, report.mClasses.back().mOffered);
 }
 
-TEST_F(whole_system, AFrozenEngineHoldsNoCallerForGood)
+TEST_F(whole_system,
+       Fault_SilentInbound_Request_Stream_AFrozenEngineHoldsNoCallerForGood)
 {
   auto price = EngineLoad(150);
   price.mClass = "price";
@@ -417,7 +420,8 @@
     << ToTable(report);
 }
 
-TEST_F(whole_system, APlatformOutageStopsNeitherStreamsNorTokenBookings)
+TEST_F(whole_system,
+       Fault_StoreOutage_Request_Stream_NeitherStreamsNorTokenBookingsStop)
 {
   auto work = Work({ EngineLoad(100), BookingLoad(30, key_source::Token) });
   work.mFaults.push_back({ 300ms, "platform", R"({"outage":true})" });
@@ -427,7 +431,8 @@
   }
 }
 
-TEST_F(whole_system, APlatformOutageRefusesClaimedBookingsAsNotRun)
+TEST_F(whole_system,
+       Fault_StoreOutage_Claim_Ask_ClaimedBookingsAreRefusedAsNotRun)
 {
   auto lease = BookingLoad(40, key_source::Own);
   lease.mRetries = 0;
@@ -459,7 +464,8 @@
   }
 }
 
-TEST_F(whole_system, ARouterThatDiesBreaksNoPromise)
+TEST_F(whole_system,
+       Fault_CrashAfter_Request_Dispatch_ARouterThatDiesBreaksNoPromise)
 {
   auto work = Work({ EngineLoad(100),
                      BookingLoad(60, key_source::Token),
--- a/src/sapphirespar/router/slot_broker_test.cpp
+++ b/src/sapphirespar/router/slot_broker_test.cpp
@@ -228,7 +228,8 @@
   EXPECT_EQ(Outstanding(Home()), 1U);
 }
 
-TEST_F(slot_broker_test, RequestThatWaitedTooLongIsRefusedByItsHome)
+TEST_F(slot_broker_test,
+       Fault_Slow_Request_Slot_ARequestThatWaitedTooLongIsRefusedByItsHome)
 {
   Start(3, 1);
   const auto caller = Other();
@@ -241,7 +242,8 @@
   EXPECT_EQ(std::get<refusal>(outcome).mReason, refusal_reason::TooLate);
 }
 
-TEST_F(slot_broker_test, HomeThatDiesWithAQueueIsReplaced)
+TEST_F(slot_broker_test,
+       Fault_CrashAfter_Request_Slot_AHomeThatDiesWithAQueueIsReplaced)
 {
   Start(3, 1);
   const auto dying = Home();
@@ -261,7 +263,8 @@
   EXPECT_TRUE(HasSlot(caller, "c"));
 }
 
-TEST_F(slot_broker_test, SilentHomesLeadToADirectChoice)
+TEST_F(slot_broker_test,
+       Fault_SilentInbound_Request_Slot_SilentHomesLeadToADirectChoice)
 {
   Start(3, 1);
   const auto home = Home();
@@ -285,7 +288,8 @@
   EXPECT_TRUE(HasSlot(caller, "a"));
 }
 
-TEST_F(slot_broker_test, DeadOrRestartedHolderGivesUpItsSlots)
+TEST_F(slot_broker_test,
+       Fault_CrashAfter_Request_Finish_ADeadOrRestartedHolderGivesUpItsSlots)
 {
   Start(3, 1);
   const auto holder = Other();
@@ -303,7 +307,8 @@
   EXPECT_EQ(OutstandingEverywhere(), 0U);
 }
 
-TEST_F(slot_broker_test, RetryAfterALostReleaseAvoidsTheExcludedUpstream)
+TEST_F(slot_broker_test,
+       Fault_MessageLost_Request_Finish_ARetryAvoidsTheExcludedUpstream)
 {
   Start(2, 4);
   const auto caller = Other();
@@ -332,7 +337,8 @@
 
 // Two routers that think they are home grant at most twice the slots, and one
 // count is left once they agree.
-TEST_F(slot_broker_test, DisagreementAboutTheHomeIsBoundedAndEnds)
+TEST_F(slot_broker_test,
+       Fault_StaleList_Request_Slot_DisagreementAboutTheHomeIsBoundedAndEnds)
 {
   Start(3, 1);
   const auto home = Home();
@@ -439,7 +445,7 @@
   }
 };
 
-TEST(SlotBroker, LosesNoRequestAndNoSlotOnALossyNetwork)
+TEST(SlotBroker, Fault_MessageLost_Request_Slot_NoRequestAndNoSlotIsLost)
 {
   EXPECT_TRUE(
     rc::check([](std::uint64_t aSeed) { lossy_network{}.Run(aSeed); }));
--- a/src/sapphirespar/wire/peer_link_test.cpp
+++ b/src/sapphirespar/wire/peer_link_test.cpp
@@ -151,7 +151,8 @@
   EXPECT_EQ(one->mMesh->Traffic().mMessagesDropped, 1U);
 }
 
-TEST_F(peer_link_test, RestartedPeerIsDialledAfresh)
+TEST_F(peer_link_test,
+       Fault_CrashAfter_Member_Hear_ARestartedPeerIsDialledAfresh)
 {
   const auto one = Start("one");
   auto two = Start("two", 1);
@@ -178,7 +179,9 @@
   EXPECT_TRUE(two->mReceived.empty());
 }
 
-TEST_F(peer_link_test, SilentConnectionIsReplacedBeforeThePeerIsBlamed)
+TEST_F(
+  peer_link_test,
+  Fault_SilentInbound_Member_Hear_TheConnectionIsReplacedBeforeThePeerIsBlamed)
 {
   mSettings.mPingPeriod = 20ms;
   mSettings.mPongTimeout = 50ms;
