Spread large bundles by deltas and keep them packed

Change: large bundles are packed by zlib into an object of their own, written before the current one; the current object, which watches carry, and pushes between peers carry the delta. What a delta leads to must have the bundle's signature, otherwise the whole is fetched. The canonical bytes stay what is signed.

--- a/include/sapphirespar/config/bundle_acceptance.hpp
+++ b/include/sapphirespar/config/bundle_acceptance.hpp
@@ -47,6 +47,11 @@
 {
   std::chrono::milliseconds mDeadline{ 20000 };
   std::chrono::milliseconds mRetryAfter{ 250 };
+  // A bundle that takes more than this, packed, gets an object of its own, so
+  // that watches only carry its delta.
+  std::size_t mInlineLimitBytes = 32 * 1024;
+  // A longer delta is left out, and readers fetch the whole.
+  std::size_t mDeltaLimitBytes = 32 * 1024;
   // Who may sign while the platform holds no bundle.
   std::vector<signer> mTrusted;
 };
--- a/include/sapphirespar/config/bundle_controller.hpp
+++ b/include/sapphirespar/config/bundle_controller.hpp
@@ -22,6 +22,10 @@
 // The one object that holds the bundle in force.
 object_key CurrentBundleKey();
 
+// The object that holds the bytes of a large bundle. It has another kind, so
+// that watches of the current bundle do not carry it.
+object_key WholeBundleKey(std::string aName);
+
 struct bundle_controller_settings
 {
   // Who may sign while no bundle is in force.
--- a/include/sapphirespar/config/signed_bundle.hpp
+++ b/include/sapphirespar/config/signed_bundle.hpp
@@ -44,10 +44,16 @@
 {
   std::string mSigner;
   std::string mSignature;
-  // The signed bytes.
+  // The signed bytes; empty while only the delta or the name of the whole is
+  // known.
   std::string mBytes;
-  // The same, read.
+  // The same, read; without mBytes only its version is set.
   bundle mBundle;
+  // From the bundle before it, as JSON, or empty. Not signed: what it leads to
+  // has to have the signature.
+  std::string mDelta;
+  // Name of the platform object that holds a large bundle, or empty.
+  std::string mWholeName;
   // Oldest first.
   std::vector<signer_change> mSignerChanges;
   // Oldest first, the bundle itself last; empty between routers.
@@ -61,8 +67,27 @@
                                  std::string_view aPrivateKey,
                                  const signed_bundle* aBase = nullptr);
 
+enum class bundle_form
+{
+  Whole,
+  // Leaves the bundle out: the reader applies the delta or fetches the whole.
+  WithoutBytes,
+};
+
 // Returns the text that is kept and handed on, a JSON object.
-std::string Serialize(const signed_bundle& aBundle);
+std::string Serialize(const signed_bundle& aBundle,
+                      bundle_form aForm = bundle_form::Whole);
+
+// Packs the signed bytes for an object of their own.
+std::string PackWhole(const signed_bundle& aBundle);
+
+// Returns the name of that object, which no other bundle has.
+std::string MakeWholeName(const signed_bundle& aBundle);
+
+// Completes a bundle without bytes. Both fail with signature_failure or
+// config_failure; CheckSignature tells whether what came out is right.
+result<void> FillFromDelta(signed_bundle& aBundle, const bundle& aBase);
+result<void> FillFromWhole(signed_bundle& aBundle, std::string_view aPacked);
 
 // Takes such a text apart. Fails with signature_failure or config_failure.
 result<signed_bundle> ParseSignedBundle(std::string_view aText);
--- a/include/sapphirespar/model/blackboard.hpp
+++ b/include/sapphirespar/model/blackboard.hpp
@@ -82,8 +82,6 @@
 
   // In force here; null before the first one arrives. Its version only rises.
   bundle_ptr mBundle;
-  // The same with its signature, to hand on to peers.
-  std::string mSignedBundle;
 
   // Whether the last call to the platform worked.
   bool mPlatformUp = false;
--- a/src/sapphirespar/cli/bundle_commands.cpp
+++ b/src/sapphirespar/cli/bundle_commands.cpp
@@ -1,6 +1,7 @@
 // The commands on keys and bundles.
 #include "commands.hpp"
 
+#include "sapphirespar/config/bundle_controller.hpp"
 #include "sapphirespar/config/bundle_delta.hpp"
 #include "sapphirespar/config/bundle_file.hpp"
 #include "sapphirespar/config/settings.hpp"
@@ -96,7 +97,7 @@
 result<std::optional<signed_bundle>>
 ReadCurrent(const connection_options& aOptions)
 {
-  const auto current = FetchCurrent(aOptions);
+  const auto current = FetchObject(aOptions, CurrentBundleKey());
   if (!current) {
     return Fail(exit_code::Failed, current.error().mProblem);
   }
@@ -104,6 +105,13 @@
     return std::optional<signed_bundle>();
   }
   BOOST_LEAF_AUTO(parsed, ParseSignedBundle(current.value().mObject.mValue));
+  if (parsed.mBytes.empty()) {
+    const auto whole = FetchObject(aOptions, WholeBundleKey(parsed.mWholeName));
+    if (!whole) {
+      return Fail(exit_code::Failed, whole.error().mProblem);
+    }
+    BOOST_LEAF_CHECK(FillFromWhole(parsed, whole.value().mObject.mValue));
+  }
   return std::optional(std::move(parsed));
 }
 
--- a/src/sapphirespar/cli/connection.cpp
+++ b/src/sapphirespar/cli/connection.cpp
@@ -1,7 +1,6 @@
 // Waiting calls over an io_context that runs until the answer is there.
 #include "connection.hpp"
 
-#include "sapphirespar/config/bundle_controller.hpp"
 #include "sapphirespar/wire/asio_timer_service.hpp"
 #include "sapphirespar/wire/platform_client.hpp"
 
@@ -106,7 +105,7 @@
 }
 
 connection_result<object_answer>
-FetchCurrent(const connection_options& aOptions)
+FetchObject(const connection_options& aOptions, const object_key& aKey)
 {
   const auto route = MakeRoute(aOptions.mPlatform, aOptions.mTls);
   if (!route) {
@@ -116,8 +115,7 @@
   wire::platform_client client(context.get_executor(),
                                PlatformSettings(route.value()));
   object_answer got;
-  client.Get(CurrentBundleKey(),
-             [&](object_answer aAnswer) { got = std::move(aAnswer); });
+  client.Get(aKey, [&](object_answer aAnswer) { got = std::move(aAnswer); });
   context.run();
   if (got.mStatus != platform_status::Ok &&
       got.mStatus != platform_status::NotFound) {
--- a/src/sapphirespar/cli/connection.hpp
+++ b/src/sapphirespar/cli/connection.hpp
@@ -35,9 +35,9 @@
 // Splits ADDRESS:PORT at its last colon; nothing if it is not that.
 std::optional<wire::endpoint> ParseEndpoint(const std::string& aText);
 
-// Reads the bundle in force at the platform.
-connection_result<object_answer> FetchCurrent(
-  const connection_options& aOptions);
+// Reads an object of the platform, which may be found or not.
+connection_result<object_answer> FetchObject(const connection_options& aOptions,
+                                             const object_key& aKey);
 
 // Runs an acceptance to its end.
 connection_result<acceptance_result> RunAcceptance(
--- a/src/sapphirespar/config/bundle_acceptance.cpp
+++ b/src/sapphirespar/config/bundle_acceptance.cpp
@@ -2,6 +2,7 @@
 #include "sapphirespar/config/bundle_acceptance.hpp"
 
 #include "sapphirespar/config/bundle_controller.hpp"
+#include "sapphirespar/config/bundle_delta.hpp"
 #include "sapphirespar/config/signed_bundle.hpp"
 #include "sapphirespar/config/signing.hpp"
 
@@ -87,9 +88,17 @@
   void Read();
   void OnRead(const object_answer& aAnswer);
   void OnInForce(const platform_object& aObject);
+  void ReadWhole(signed_bundle aInForce, object_version aVersion);
+  void OnWhole(signed_bundle aInForce,
+               object_version aVersion,
+               const object_answer& aAnswer);
   void Decide(const signed_bundle& aInForce, object_version aVersion);
   void OnNothingInForce();
   void Write(object_version aExpected);
+  void WriteWhole(object_version aExpected, std::string aPacked);
+  void WriteCurrent(object_version aExpected, bundle_form aForm);
+  object_callback WhenRunning(
+    std::function<void(state&, const object_answer&)> aThen);
   void OnWritten(const object_answer& aAnswer);
   void ReadLater();
   void OnDeadline();
@@ -127,13 +136,21 @@
 void
 bundle_acceptance::state::Read()
 {
-  mPlatform.Get(CurrentBundleKey(),
-                [weak = weak_from_this()](const object_answer& aAnswer) {
-                  const auto self = weak.lock();
-                  if (self && self->mDone) {
-                    self->OnRead(aAnswer);
-                  }
-                });
+  mPlatform.Get(CurrentBundleKey(), WhenRunning(&state::OnRead));
+}
+
+// Returns a callback that does nothing once the acceptance has ended.
+object_callback
+bundle_acceptance::state::WhenRunning(
+  std::function<void(state&, const object_answer&)> aThen)
+{
+  return [weak = weak_from_this(),
+          then = std::move(aThen)](const object_answer& aAnswer) {
+    const auto self = weak.lock();
+    if (self && self->mDone) {
+      then(*self, aAnswer);
+    }
+  };
 }
 
 void
@@ -165,9 +182,43 @@
     return End(mInDoubt ? acceptance::Accepted : acceptance::AlreadyAccepted,
                "read back from the platform");
   }
+  if (inForce.mBytes.empty() &&
+      Follows(mCandidate.mBundle.mVersion, inForce.mBundle.mVersion)) {
+    return ReadWhole(std::move(inForce), aObject.mVersion);
+  }
   Decide(inForce, aObject.mVersion);
 }
 
+// A large bundle's signers stand in its own object.
+void
+bundle_acceptance::state::ReadWhole(signed_bundle aInForce,
+                                    object_version aVersion)
+{
+  const auto key = WholeBundleKey(aInForce.mWholeName);
+  mPlatform.Get(key,
+                WhenRunning([inForce = std::move(aInForce), aVersion](
+                              state& aState, const object_answer& aAnswer) {
+                  aState.OnWhole(inForce, aVersion, aAnswer);
+                }));
+}
+
+void
+bundle_acceptance::state::OnWhole(signed_bundle aInForce,
+                                  object_version aVersion,
+                                  const object_answer& aAnswer)
+{
+  if (aAnswer.mStatus != platform_status::Ok) {
+    return ReadLater();
+  }
+  const auto problem =
+    ProblemOf([&] { return FillFromWhole(aInForce, aAnswer.mObject.mValue); });
+  if (problem) {
+    return End(acceptance::Refused,
+               "the bundle at the platform can't be read: " + *problem);
+  }
+  Decide(aInForce, aVersion);
+}
+
 void
 bundle_acceptance::state::Decide(const signed_bundle& aInForce,
                                  object_version aVersion)
@@ -186,6 +237,10 @@
     return End(acceptance::Refused, *problem);
   }
   mCandidate.mHistory = aInForce.mHistory;
+  mCandidate.mDelta = ToJson(MakeDelta(aInForce.mBundle, mCandidate.mBundle));
+  if (mCandidate.mDelta.size() > mSettings.mDeltaLimitBytes) {
+    mCandidate.mDelta.clear();
+  }
   Write(aVersion);
 }
 
@@ -199,6 +254,7 @@
     return End(acceptance::Refused, *problem);
   }
   mCandidate.mHistory.clear();
+  mCandidate.mDelta.clear();
   Write(kNoObject);
 }
 
@@ -211,16 +267,46 @@
   if (history.size() > kHistoryLimit) {
     history.erase(history.begin());
   }
+  auto packed = PackWhole(mCandidate);
+  if (packed.size() > mSettings.mInlineLimitBytes) {
+    WriteWhole(aExpected, std::move(packed));
+  } else {
+    WriteCurrent(aExpected, bundle_form::Whole);
+  }
+}
+
+// Writes the bytes first: whoever then reads the current object finds them.
+// That they exist already is as good, since their name holds their digest.
+void
+bundle_acceptance::state::WriteWhole(object_version aExpected,
+                                     std::string aPacked)
+{
+  mCandidate.mWholeName = MakeWholeName(mCandidate);
+  mPlatform.Put(
+    WholeBundleKey(mCandidate.mWholeName),
+    std::move(aPacked),
+    kNoObject,
+    WhenRunning([aExpected](state& aState, const object_answer& aAnswer) {
+      if (aAnswer.mStatus == platform_status::Ok ||
+          aAnswer.mStatus == platform_status::Conflict) {
+        aState.WriteCurrent(aExpected, bundle_form::WithoutBytes);
+      } else if (aAnswer.mStatus == platform_status::TooLarge) {
+        aState.OnWritten(aAnswer);
+      } else {
+        aState.ReadLater();
+      }
+    }));
+}
+
+void
+bundle_acceptance::state::WriteCurrent(object_version aExpected,
+                                       bundle_form aForm)
+{
   mWriting = true;
   mPlatform.Put(CurrentBundleKey(),
-                Serialize(mCandidate),
+                Serialize(mCandidate, aForm),
                 aExpected,
-                [weak = weak_from_this()](const object_answer& aAnswer) {
-                  const auto self = weak.lock();
-                  if (self && self->mDone) {
-                    self->OnWritten(aAnswer);
-                  }
-                });
+                WhenRunning(&state::OnWritten));
 }
 
 // Whatever is not a plain yes is settled by reading the platform again. A
--- a/src/sapphirespar/config/bundle_controller.cpp
+++ b/src/sapphirespar/config/bundle_controller.cpp
@@ -3,6 +3,7 @@
 #include "sapphirespar/config/bundle_controller.hpp"
 
 #include "sapphirespar/base/log.hpp"
+#include "sapphirespar/config/bundle_delta.hpp"
 #include "sapphirespar/config/signed_bundle.hpp"
 
 #include <xxhash.h>
@@ -23,6 +24,12 @@
 // A watch that is silent this long after its wait is taken for broken.
 constexpr milliseconds kWatchGrace{ 5000 };
 
+enum class bundle_source
+{
+  Platform,
+  Peer,
+};
+
 std::uint64_t
 WatcherWeight(const vm_id& aVm)
 {
@@ -45,6 +52,12 @@
   return { std::string(kBundleKind), std::string(kCurrentName) };
 }
 
+object_key
+WholeBundleKey(std::string aName)
+{
+  return { "bundle_whole", std::move(aName) };
+}
+
 // Callbacks hold it weakly: an answer that arrives after the controller's end
 // finds nobody.
 struct bundle_controller::state : std::enable_shared_from_this<state>
@@ -92,8 +105,15 @@
 
   // Force.
   bundle_version Version() const;
-  bool Take(const std::string& aText);
+  void Take(const std::string& aText, bundle_source aSource);
+  void TakeParsed(signed_bundle aBundle, bundle_source aSource);
+  void FetchWhole(signed_bundle aBundle);
+  void OnWhole(signed_bundle aBundle, const object_answer& aAnswer);
+  bool TryDelta(signed_bundle& aBundle);
   void Install(signed_bundle aBundle);
+  void Refuse(std::string_view aProblem);
+  template<class Step>
+  void Guard(const Step& aStep);
 
   milliseconds Jittered(milliseconds aDelay);
 
@@ -114,6 +134,14 @@
   // Doubles with each failure in a row, up to mRetryLimit.
   milliseconds mBackoff{ 0 };
 
+  // In force, without its history; empty before the first one.
+  signed_bundle mInForce;
+  // The version that mInForce's delta starts from.
+  bundle_version mDeltaBase;
+
+  // Who sent the last push.
+  vm_id mAskedFor;
+
   // When the peer asked last is given up.
   steady_time mAskedUntil{};
   std::uint64_t mRefused = 0;
@@ -275,9 +303,8 @@
 {
   const auto current = std::ranges::find(
     aAnswer.mObjects, CurrentBundleKey(), &platform_object::mKey);
-  if (current != aAnswer.mObjects.end() && !current->mDeleted &&
-      Take(current->mValue)) {
-    TellDataCentre();
+  if (current != aAnswer.mObjects.end() && !current->mDeleted) {
+    Take(current->mValue, bundle_source::Platform);
   }
 }
 
@@ -342,7 +369,12 @@
                                     const bundle_request& aRequest)
 {
   if (mBoard.mBundle && Version() > aRequest.mHave) {
-    mNetwork.Send(aFrom.mVm, bundle_push{ Version(), mBoard.mSignedBundle });
+    const bool deltaDoes =
+      mDeltaBase != bundle_version{} && aRequest.mHave == mDeltaBase;
+    const auto form =
+      deltaDoes ? bundle_form::WithoutBytes : bundle_form::Whole;
+    mNetwork.Send(aFrom.mVm,
+                  bundle_push{ Version(), Serialize(mInForce, form) });
   }
 }
 
@@ -357,7 +389,8 @@
   if (aPush.mSignedBundle.empty()) {
     Ask(aFrom.mVm);
   } else {
-    Take(aPush.mSignedBundle);
+    mAskedFor = aFrom.mVm;
+    Take(aPush.mSignedBundle, bundle_source::Peer);
   }
 }
 
@@ -379,32 +412,113 @@
   return mBoard.mBundle ? mBoard.mBundle->mVersion : bundle_version{};
 }
 
+// Runs a step that may fail; failures are noted and change nothing.
+template<class Step>
+void
+bundle_controller::state::Guard(const Step& aStep)
+{
+  leaf::try_handle_all(
+    aStep,
+    [&](const signature_failure& aFailure) { Refuse(aFailure.mProblem); },
+    [&](const config_failure& aFailure) { Refuse(Describe(aFailure)); },
+    [&] { Refuse("unknown failure"); });
+}
+
+void
+bundle_controller::state::Refuse(std::string_view aProblem)
+{
+  ++mRefused;
+  LogEvent(log_level::Error, "bundle_refused", { { "problem", aProblem } });
+}
+
 // Puts the bundle of aText into force if it is newer and rightly signed.
+void
+bundle_controller::state::Take(const std::string& aText, bundle_source aSource)
+{
+  Guard([&]() -> result<void> {
+    BOOST_LEAF_AUTO(parsed, ParseSignedBundle(aText));
+    if (parsed.mBundle.mVersion <= Version()) {
+      return {};
+    }
+    if (!parsed.mBytes.empty() || TryDelta(parsed)) {
+      TakeParsed(std::move(parsed), aSource);
+    } else if (aSource == bundle_source::Platform) {
+      FetchWhole(std::move(parsed));
+    } else {
+      // Says that this router has none, so the answer will be whole.
+      mNetwork.Send(mAskedFor, bundle_request{});
+    }
+    return {};
+  });
+}
+
+// Whether the delta led to bytes that have the signature.
 bool
-bundle_controller::state::Take(const std::string& aText)
+bundle_controller::state::TryDelta(signed_bundle& aBundle)
 {
-  const auto refuse = [this](std::string_view aProblem) {
-    ++mRefused;
-    LogEvent(log_level::Error, "bundle_refused", { { "problem", aProblem } });
+  if (!mBoard.mBundle || aBundle.mDelta.empty()) {
     return false;
-  };
-  const auto& trusted =
-    mBoard.mBundle ? mBoard.mBundle->mSigners : mSettings.mTrusted;
-  return leaf::try_handle_all(
+  }
+  const auto& trusted = mBoard.mBundle->mSigners;
+  const bool good = leaf::try_handle_all(
     [&]() -> result<bool> {
-      BOOST_LEAF_AUTO(parsed, ParseSignedBundle(aText));
-      if (parsed.mBundle.mVersion <= Version()) {
-        return false;
-      }
-      BOOST_LEAF_CHECK(CheckSignature(parsed, trusted, Version()));
-      Install(std::move(parsed));
+      BOOST_LEAF_CHECK(FillFromDelta(aBundle, *mBoard.mBundle));
+      BOOST_LEAF_CHECK(CheckSignature(aBundle, trusted, Version()));
       return true;
     },
-    [&](const signature_failure& aFailure) {
-      return refuse(aFailure.mProblem);
-    },
-    [&](const config_failure& aFailure) { return refuse(Describe(aFailure)); },
-    [&] { return refuse("unknown failure"); });
+    [] { return false; });
+  if (!good) {
+    aBundle.mBytes.clear();
+  }
+  return good;
+}
+
+void
+bundle_controller::state::FetchWhole(signed_bundle aBundle)
+{
+  const auto key = WholeBundleKey(aBundle.mWholeName);
+  mPlatform.Get(key,
+                [weak = weak_from_this(),
+                 wanted = std::move(aBundle)](const object_answer& aAnswer) {
+                  if (const auto self = weak.lock()) {
+                    self->OnWhole(wanted, aAnswer);
+                  }
+                });
+}
+
+void
+bundle_controller::state::OnWhole(signed_bundle aBundle,
+                                  const object_answer& aAnswer)
+{
+  if (aAnswer.mStatus != platform_status::Ok) {
+    // The next call shall bring the current object again.
+    mWatchFrom.reset();
+    return;
+  }
+  Guard([&]() -> result<void> {
+    BOOST_LEAF_CHECK(FillFromWhole(aBundle, aAnswer.mObject.mValue));
+    TakeParsed(std::move(aBundle), bundle_source::Platform);
+    return {};
+  });
+}
+
+void
+bundle_controller::state::TakeParsed(signed_bundle aBundle,
+                                     bundle_source aSource)
+{
+  Guard([&]() -> result<void> {
+    const auto& trusted =
+      mBoard.mBundle ? mBoard.mBundle->mSigners : mSettings.mTrusted;
+    if (aBundle.mBundle.mVersion <= Version()) {
+      return {};
+    }
+    BOOST_LEAF_CHECK(CheckSignature(aBundle, trusted, Version()));
+    Install(std::move(aBundle));
+    if (aSource == bundle_source::Platform) {
+      TellDataCentre();
+    }
+    return {};
+  });
 }
 
 void
@@ -412,8 +526,10 @@
 {
   // The history is for operators, who read it at the platform.
   aBundle.mHistory.clear();
-  mBoard.mSignedBundle = Serialize(aBundle);
-  mBoard.mBundle = std::make_shared<const bundle>(std::move(aBundle.mBundle));
+  const auto delta = ParseDelta(aBundle.mDelta);
+  mDeltaBase = delta ? delta->mBase : bundle_version{};
+  mBoard.mBundle = std::make_shared<const bundle>(aBundle.mBundle);
+  mInForce = std::move(aBundle);
   mAskedUntil = mTimers.Now();
   LogEvent(log_level::Info,
            "bundle_in_force",
--- a/src/sapphirespar/config/bundle_controller_test.cpp
+++ b/src/sapphirespar/config/bundle_controller_test.cpp
@@ -213,6 +213,57 @@
   EXPECT_TRUE(world.UntilAllCurrent(40s));
 }
 
+// Bytes of the bundle messages that arrive while version 2 spreads.
+std::size_t
+CountPushedBytes(bundle_world& aWorld)
+{
+  std::size_t bytes = 0;
+  aWorld.mNetwork.SetCarrier([&bytes](const peer_message& aMessage) {
+    if (const auto* push = std::get_if<bundle_push>(&aMessage)) {
+      bytes += push->mSignedBundle.size();
+    }
+    return std::optional<steady_duration>(1ms);
+  });
+  aWorld.Accept(2, 77);
+  aWorld.Advance(100ms);
+  EXPECT_TRUE(aWorld.UntilAllCurrent(19s));
+  return bytes;
+}
+
+TEST(BundleController, ALargeBundleSpreadsByItsDelta)
+{
+  bundle_world world(9, 3);
+  world.mAcceptance.mInlineLimitBytes = 100;
+  StartWith(world);
+  const auto* first = world.mStore->Find(CurrentBundleKey());
+  const auto whole = ParseSignedBundle(first->mValue).value();
+  EXPECT_TRUE(whole.mBytes.empty());
+  // Six watchers apply the delta of the watch; three others get it by peers.
+  world.Advance(5s);
+  const auto reads = world.mRouters[0].mPlatform->Calls().mReads;
+  EXPECT_GT(CountPushedBytes(world), 0U);
+  EXPECT_EQ(world.mRouters[0].mPlatform->Calls().mReads, reads);
+  EXPECT_EQ(world.mRouters[0].mBoard.mBundle->mClasses[0].mQueueLimit, 77U);
+}
+
+TEST(BundleController, ARouterThatMissedAVersionTakesTheWhole)
+{
+  bundle_world world(3, 1);
+  world.mAcceptance.mInlineLimitBytes = 100;
+  StartWith(world);
+  world.mRouters[2].mPlatform->Faults().mOutage = true;
+  for (const auto& other : world.mRouters) {
+    world.mNetwork.Cut(other.mVm, world.mRouters[2].mVm);
+  }
+  for (const std::uint64_t number : { 2U, 3U }) {
+    world.Accept(number, static_cast<unsigned>(number));
+    world.Advance(5s);
+  }
+  EXPECT_EQ(world.mRouters[2].mBoard.mBundle->mVersion.mNumber, 1U);
+  world.Heal();
+  EXPECT_TRUE(world.UntilAllCurrent(19s));
+}
+
 TEST(BundleController, AnOlderOrForgedBundleIsNeverTaken)
 {
   bundle_world world(2, 1);
@@ -305,6 +356,7 @@
 {
   EXPECT_TRUE(rc::check([] {
     bundle_world world(5, 2);
+    world.mAcceptance.mInlineLimitBytes = *rc::gen::element(1U, 100000U);
     const auto steps = *rc::gen::inRange(1, 40);
     for (int step = 0; step < steps; ++step) {
       Disturb(world);
--- a/src/sapphirespar/config/bundle_delta.cpp
+++ b/src/sapphirespar/config/bundle_delta.cpp
@@ -1,12 +1,34 @@
-// Differences between bundles, found in their canonical JSON.
+// Differences between bundles, found in their canonical JSON, and applied.
 #include "sapphirespar/config/bundle_delta.hpp"
 
+#include "bundle_fields.hpp"
 #include "bundle_json.hpp"
 
+#include <algorithm>
 #include <map>
+#include <set>
 #include <utility>
 
 namespace sapphirespar {
+
+template<some<removed_item> Item>
+void
+Fields(auto& aArchive, Item& aItem)
+{
+  aArchive.Field("section", aItem.mSection, std::string());
+  aArchive.Field("id", aItem.mId, std::string());
+}
+
+template<some<bundle_delta> Item>
+void
+Fields(auto& aArchive, Item& aItem)
+{
+  aArchive.Field("base_epoch", aItem.mBase.mEpoch, std::uint64_t{ 0 });
+  aArchive.Field("base_number", aItem.mBase.mNumber, std::uint64_t{ 0 });
+  Fields(aArchive, aItem.mSet);
+  aArchive.List("removed", aItem.mRemoved);
+}
+
 namespace {
 
 using item_texts = std::map<std::string, std::string>;
@@ -28,7 +50,7 @@
 void
 AppendChanges(std::vector<bundle_change>& aChanges,
               std::string_view aSection,
-              item_texts aBefore,
+              const item_texts& aBefore,
               const item_texts& aAfter)
 {
   std::map<std::string, bundle_change> changes;
@@ -47,6 +69,72 @@
   }
 }
 
+const std::string&
+IdOf(const signer& aItem)
+{
+  return aItem.mName;
+}
+
+template<class Item>
+const std::string&
+IdOf(const Item& aItem)
+{
+  return aItem.mId.mText;
+}
+
+// Calls aCall with the name of each section and its list in each bundle.
+template<class Call>
+void
+ForEachSection(const bundle& aFrom, bundle& aInto, const Call& aCall)
+{
+  aCall("classes", aFrom.mClasses, aInto.mClasses);
+  aCall("accounts", aFrom.mAccounts, aInto.mAccounts);
+  aCall("models", aFrom.mModels, aInto.mModels);
+  aCall("upstreams", aFrom.mUpstreams, aInto.mUpstreams);
+  aCall("signers", aFrom.mSigners, aInto.mSigners);
+}
+
+using id_set = std::set<std::string_view>;
+
+// Identifiers of one section's changed or removed items.
+struct section_ids
+{
+  id_set mSet;
+  id_set mRemoved;
+};
+
+std::map<std::string_view, section_ids>
+GroupChanges(const std::vector<bundle_change>& aChanges)
+{
+  std::map<std::string_view, section_ids> groups;
+  for (const auto& change : aChanges) {
+    auto& group = groups[change.mSection];
+    (change.mAfter.empty() ? group.mRemoved : group.mSet).insert(change.mId);
+  }
+  return groups;
+}
+
+// Replaces items in their place and appends the new ones.
+template<class Item>
+void
+SetItems(std::vector<Item>& aInto, const std::vector<Item>& aSet)
+{
+  std::map<std::string_view, const Item*> left;
+  for (const auto& item : aSet) {
+    left[IdOf(item)] = &item;
+  }
+  for (auto& item : aInto) {
+    const auto found = left.find(IdOf(item));
+    if (found != left.end()) {
+      item = *found->second;
+      left.erase(found);
+    }
+  }
+  std::ranges::copy_if(aSet, std::back_inserter(aInto), [&](const Item& aItem) {
+    return left.contains(IdOf(aItem));
+  });
+}
+
 } // namespace
 
 std::vector<bundle_change>
@@ -62,4 +150,79 @@
   return changes;
 }
 
+bundle_delta
+MakeDelta(const bundle& aBefore, const bundle& aAfter)
+{
+  const auto changes = Diff(aBefore, aAfter);
+  auto groups = GroupChanges(changes);
+  bundle_delta delta;
+  delta.mBase = aBefore.mVersion;
+  delta.mSet.mVersion = aAfter.mVersion;
+  ForEachSection(
+    aAfter,
+    delta.mSet,
+    [&](std::string_view aSection, const auto& aFrom, auto& aInto) {
+      const auto& ids = groups[aSection];
+      std::ranges::copy_if(
+        aFrom, std::back_inserter(aInto), [&](const auto& aItem) {
+          return ids.mSet.contains(IdOf(aItem));
+        });
+      for (const auto id : ids.mRemoved) {
+        delta.mRemoved.push_back({ std::string(aSection), std::string(id) });
+      }
+    });
+  return delta;
+}
+
+bundle
+ApplyDelta(const bundle& aBefore, const bundle_delta& aDelta)
+{
+  std::map<std::string_view, id_set> removed;
+  for (const auto& item : aDelta.mRemoved) {
+    removed[item.mSection].insert(item.mId);
+  }
+  auto after = aBefore;
+  after.mVersion = aDelta.mSet.mVersion;
+  ForEachSection(aDelta.mSet,
+                 after,
+                 [&](std::string_view aSection, const auto& aSet, auto& aInto) {
+                   const auto& gone = removed[aSection];
+                   std::erase_if(aInto, [&](const auto& aItem) {
+                     return gone.contains(IdOf(aItem));
+                   });
+                   SetItems(aInto, aSet);
+                 });
+  return after;
+}
+
+std::string
+ToJson(const bundle_delta& aDelta)
+{
+  json_writer writer;
+  Fields(writer, aDelta);
+  return boost::json::serialize(writer.mObject);
+}
+
+result<bundle_delta>
+ParseDelta(std::string_view aText)
+{
+  constexpr auto kPlace = "bundle delta";
+  boost::json::error_code error;
+  const auto document = boost::json::parse(
+    boost::json::string_view(aText.data(), aText.size()), error);
+  if (error || !document.is_object()) {
+    return leaf::new_error(
+      config_failure{ kPlace, 0, "", "expected a JSON object" });
+  }
+  std::optional<std::string> wrongKey;
+  json_reader reader(document.get_object(), "", wrongKey);
+  bundle_delta delta;
+  Fields(reader, delta);
+  if (wrongKey) {
+    return leaf::new_error(
+      config_failure{ kPlace, 0, *wrongKey, "wrong type or value" });
+  }
+  return delta;
+}
+
 } // namespace sapphirespar
--- a/src/sapphirespar/config/bundle_world_test.cpp
+++ b/src/sapphirespar/config/bundle_world_test.cpp
@@ -108,8 +108,8 @@
   auto next = GoodBundle(aNumber, mAnna.mPublicKey);
   next.mClasses[0].mQueueLimit = aVariant;
   const auto made = SignBundle(next, "anna", mAnna.mPrivateKey).value();
-  mAcceptances.push_back(std::make_unique<bundle_acceptance>(
-    mOperator, mTimers, acceptance_settings()));
+  mAcceptances.push_back(
+    std::make_unique<bundle_acceptance>(mOperator, mTimers, mAcceptance));
   mAcceptances.back()->Start(
     Serialize(made), "now", [this](acceptance_result aResult) {
       mVerdicts.push_back(std::move(aResult));
--- a/src/sapphirespar/config/bundle_world_test.hpp
+++ b/src/sapphirespar/config/bundle_world_test.hpp
@@ -62,6 +62,7 @@
   std::vector<world_router> mRouters;
   std::vector<std::unique_ptr<bundle_acceptance>> mAcceptances;
   std::vector<acceptance_result> mVerdicts;
+  acceptance_settings mAcceptance;
 
 private:
   void Beat(std::size_t aRouter);
--- a/src/sapphirespar/config/json_archive.hpp
+++ b/src/sapphirespar/config/json_archive.hpp
@@ -224,13 +224,4 @@
   std::optional<std::string>& mWrongKey;
 };
 
-template<some<signer> Item>
-void
-Fields(auto& aArchive, Item& aItem)
-{
-  static const signer sDefault;
-  aArchive.Field("name", aItem.mName, sDefault.mName);
-  aArchive.Field("public_key", aItem.mPublicKey, sDefault.mPublicKey);
-}
-
 } // namespace sapphirespar
--- a/src/sapphirespar/config/signed_bundle.cpp
+++ b/src/sapphirespar/config/signed_bundle.cpp
@@ -1,8 +1,10 @@
 // The signed form of a bundle: signing, its JSON, and the chain of trust.
 #include "sapphirespar/config/signed_bundle.hpp"
 
-#include "json_archive.hpp"
+#include "bundle_fields.hpp"
+#include "packing.hpp"
 #include "sapphirespar/config/bundle_codec.hpp"
+#include "sapphirespar/config/bundle_delta.hpp"
 #include "sapphirespar/config/signing.hpp"
 
 #include <algorithm>
@@ -39,15 +41,34 @@
   aArchive.Field("accepted_at", aItem.mAcceptedAt, std::string());
 }
 
-template<some<signed_bundle> Item>
+namespace {
+
+// Smaller bundles stay readable in the text.
+constexpr std::size_t kPlainLimitBytes = 16 * 1024;
+
+// A signed bundle as it stands in its text.
+struct bundle_text
+{
+  signed_bundle mSigned;
+  std::string mPacked;
+};
+
+} // namespace
+
+template<some<bundle_text> Item>
 void
 Fields(auto& aArchive, Item& aItem)
 {
-  aArchive.Field("signer", aItem.mSigner, std::string());
-  aArchive.Field("signature", aItem.mSignature, std::string());
-  aArchive.Field("bundle", aItem.mBytes, std::string());
-  aArchive.List("signer_changes", aItem.mSignerChanges);
-  aArchive.List("history", aItem.mHistory);
+  auto& item = aItem.mSigned;
+  aArchive.Field("signer", item.mSigner, std::string());
+  aArchive.Field("signature", item.mSignature, std::string());
+  Fields(aArchive, item.mBundle.mVersion);
+  aArchive.Field("bundle", item.mBytes, std::string());
+  aArchive.Field("packed", aItem.mPacked, std::string());
+  aArchive.Field("delta", item.mDelta, std::string());
+  aArchive.Field("whole", item.mWholeName, std::string());
+  aArchive.List("signer_changes", item.mSignerChanges);
+  aArchive.List("history", item.mHistory);
 }
 
 namespace {
@@ -139,13 +160,61 @@
 }
 
 std::string
-Serialize(const signed_bundle& aBundle)
+Serialize(const signed_bundle& aBundle, bundle_form aForm)
 {
+  bundle_text text;
+  text.mSigned = aBundle;
+  if (aForm == bundle_form::WithoutBytes) {
+    text.mSigned.mBytes.clear();
+  } else if (aBundle.mBytes.size() > kPlainLimitBytes) {
+    text.mPacked = PackWhole(aBundle);
+    text.mSigned.mBytes.clear();
+  }
   json_writer writer;
-  Fields(writer, aBundle);
+  Fields(writer, std::as_const(text));
   return boost::json::serialize(writer.mObject);
 }
 
+std::string
+PackWhole(const signed_bundle& aBundle)
+{
+  return Pack(aBundle.mBytes);
+}
+
+std::string
+MakeWholeName(const signed_bundle& aBundle)
+{
+  constexpr std::size_t kDigestDigits = 16;
+  const auto& version = aBundle.mBundle.mVersion;
+  return std::to_string(version.mEpoch) + "." +
+         std::to_string(version.mNumber) + "-" +
+         Sha256Hex(aBundle.mBytes).substr(0, kDigestDigits);
+}
+
+result<void>
+FillFromDelta(signed_bundle& aBundle, const bundle& aBase)
+{
+  BOOST_LEAF_AUTO(delta, ParseDelta(aBundle.mDelta));
+  if (delta.mBase != aBase.mVersion) {
+    return Failure("the delta is for another bundle");
+  }
+  aBundle.mBundle = ApplyDelta(aBase, delta);
+  aBundle.mBytes = ToCanonicalJson(aBundle.mBundle);
+  return {};
+}
+
+result<void>
+FillFromWhole(signed_bundle& aBundle, std::string_view aPacked)
+{
+  auto bytes = Unpack(aPacked);
+  if (!bytes) {
+    return Failure("the packed bundle can't be unpacked");
+  }
+  aBundle.mBytes = std::move(*bytes);
+  BOOST_LEAF_ASSIGN(aBundle.mBundle, ParseBundleJson(aBundle.mBytes));
+  return {};
+}
+
 result<signed_bundle>
 ParseSignedBundle(std::string_view aText)
 {
@@ -157,16 +226,23 @@
   }
   std::optional<std::string> wrongKey;
   json_reader reader(document.get_object(), "", wrongKey);
-  signed_bundle parsed;
-  Fields(reader, parsed);
+  bundle_text text;
+  Fields(reader, text);
   if (wrongKey) {
     return Failure("wrong type of \"" + *wrongKey + "\" in a signed bundle");
   }
-  if (parsed.mSigner.empty() || parsed.mBytes.empty()) {
+  auto& parsed = text.mSigned;
+  if (!text.mPacked.empty()) {
+    BOOST_LEAF_CHECK(FillFromWhole(parsed, text.mPacked));
+  } else if (!parsed.mBytes.empty()) {
+    BOOST_LEAF_ASSIGN(parsed.mBundle, ParseBundleJson(parsed.mBytes));
+  }
+  const bool known = !parsed.mBytes.empty() || !parsed.mDelta.empty() ||
+                     !parsed.mWholeName.empty();
+  if (parsed.mSigner.empty() || !known) {
     return Failure("a signed bundle needs signer, signature and bundle");
   }
-  BOOST_LEAF_ASSIGN(parsed.mBundle, ParseBundleJson(parsed.mBytes));
-  return parsed;
+  return std::move(parsed);
 }
 
 result<void>
