--- a/include/sapphirespar/policy/slot_table.hpp
+++ b/include/sapphirespar/policy/slot_table.hpp
@@ -53,8 +53,9 @@
 // Whether aRequest may run there, free slots or not.
 bool MayServe(const slot_state& aState, const queued_request& aRequest);
 
-// Whether a slot could be taken if one request were paused.
-bool PauseFreesSlot(const slot_state& aState);
+// Whether one of its running requests may be paused for another one to start:
+// that adds no load, so foreign work does not count.
+bool MaySwap(const slot_state& aState);
 
 using slot_members = std::vector<slot_state*>;
 
--- a/src/sapphirespar/policy/choose_upstream_test.cpp
+++ b/src/sapphirespar/policy/choose_upstream_test.cpp
@@ -91,6 +91,17 @@
   EXPECT_EQ(FreeSlots(mStates[0]), 1);
 }
 
+TEST_F(an_upstream_choice, LetsAPauseMakeRoomHoweverMuchOthersTake)
+{
+  mStates[0].mRunning = 8;
+  mStates[0].mView.mForeignLoad = 4;
+  EXPECT_FALSE(MaySwap(mStates[0]));
+  mStates[0].mView.mCanPause = true;
+  EXPECT_TRUE(MaySwap(mStates[0]));
+  mStates[0].mView.mState = upstream_state::Probing;
+  EXPECT_FALSE(MaySwap(mStates[0]));
+}
+
 TEST(LengthEstimate, KnowsNothingAtFirstAndThenItsQuantiles)
 {
   length_estimate estimate;
--- a/src/sapphirespar/policy/preemption.cpp
+++ b/src/sapphirespar/policy/preemption.cpp
@@ -64,7 +64,7 @@
     const bool lower =
       !holder.mPaused && holder.mRunningSince < aNow && rules.mTier > aTier;
     if (lower && Serves(upstream, aFor.mPool) && MayServe(upstream, aFor) &&
-        PauseFreesSlot(upstream) &&
+        MaySwap(upstream) &&
         (aTier <= kFirstTier || !FirstTierWaitsFor(aState, upstream))) {
       const auto slack = SlackOf(holder, aHooks, aNow);
       candidates.push_back({ id, rules.mTier, rules.mWeight, slack });
--- a/src/sapphirespar/policy/slot_table.cpp
+++ b/src/sapphirespar/policy/slot_table.cpp
@@ -12,14 +12,21 @@
 // An upstream on probation gets one request at a time.
 constexpr unsigned kProbingSlots = 1;
 
+unsigned
+SlotsOf(const slot_state& aState)
+{
+  const auto slots = aState.mView.mSlots;
+  return aState.mView.mState == upstream_state::Probing
+           ? std::min(kProbingSlots, slots)
+           : slots;
+}
+
 } // namespace
 
 unsigned
 FreeSlots(const slot_state& aState)
 {
-  const auto slots = aState.mView.mState == upstream_state::Probing
-                       ? std::min(kProbingSlots, aState.mView.mSlots)
-                       : aState.mView.mSlots;
+  const auto slots = SlotsOf(aState);
   if (slots == 0) {
     return 0;
   }
@@ -29,11 +36,9 @@
 }
 
 bool
-PauseFreesSlot(const slot_state& aState)
+MaySwap(const slot_state& aState)
 {
-  auto paused = aState;
-  return aState.mView.mCanPause && paused.mRunning-- > 0 &&
-         FreeSlots(paused) > 0;
+  return aState.mView.mCanPause && aState.mRunning <= SlotsOf(aState);
 }
 
 bool
