Test that engines are not given more than their slots

Cause: experiments showed each of three routers using all slots of every engine while homes were not yet wired in: 16 requests waited inside an engine of 8 slots, and 8 % of price answers were in time. Change: an end to end test bounds what waits inside engines once members know each other.

--- a/src/sapphirespar/router/end_to_end_test.cpp
+++ b/src/sapphirespar/router/end_to_end_test.cpp
@@ -344,6 +344,31 @@
   EXPECT_EQ(drafts.mInTime, drafts.mOffered) << ToTable(report);
 }
 
+TEST_F(whole_system, AnEngineIsNotGivenMuchMoreThanItsSlots)
+{
+  // Until members know each other, each takes itself for every engine's home.
+  for (const auto& router : mRouters) {
+    AwaitTrue([&] {
+      const auto status = Call(router->Port(), "GET", "/v1/status");
+      const auto page = boost::json::parse(status.mBody);
+      const auto& members = page.at("members").as_array();
+      return std::ranges::count_if(members, [](const auto& aMember) {
+               return aMember.at("state").as_string() == "live";
+             }) == kRouters;
+    });
+  }
+  auto work = Work({ EngineLoad(20000) });
+  work.mDuration = 100ms;
+  const auto report = Run(work);
+  EXPECT_EQ(report.mClasses.front().mInTime, report.mClasses.front().mOffered);
+  for (const auto& engine : mEngines) {
+    const auto audit = Call(engine->Port(), "GET", "/audit");
+    const auto page = boost::json::parse(audit.mBody);
+    // Three routers that each used all slots would leave twice as many waiting.
+    EXPECT_LT(page.at("most_waiting").as_int64(), QuickEngine().mSlots / 2);
+  }
+}
+
 class lost_answers
   : public whole_system
   , public testing::WithParamInterface<key_source>
