Test more faults of claims and drain notices, and add examples

Owners that crash or pause around a claim, lost answers, holders that are cut off one way, and two operators with one drain notice had no test of their own.

--- /dev/null
+++ b/examples/ledger/retry_elsewhere.cpp
@@ -0,0 +1,72 @@
+// A caller books with a token, loses the answer and retries at another router:
+// the booking runs once, and the second router tells how it ended.
+#include "sapphirespar/ledger/once_guard.hpp"
+#include "sapphirespar/model/fake_network.hpp"
+#include "sapphirespar/model/fake_platform.hpp"
+
+#include <iostream>
+#include <memory>
+#include <optional>
+
+using namespace sapphirespar;
+using namespace std::chrono_literals;
+
+namespace {
+
+// One router's guard with its link and its platform client.
+struct router
+{
+  router(manual_timer_service& aTimers,
+         fake_network& aNetwork,
+         const std::shared_ptr<fake_store>& aStore,
+         const std::string& aVm)
+    : mPlatform(aTimers, aStore)
+  {
+    mBoard.mSelf = { { aVm }, 1 };
+    for (const auto* const vm : { "cesis-1", "smiltene-1" }) {
+      member other;
+      other.mProcess = { { vm }, 1 };
+      other.mState = member_state::Live;
+      mBoard.mMembers[{ vm }] = other;
+    }
+    mLink = aNetwork.Attach(
+      mBoard.mSelf, aTimers, [this](const auto& aFrom, const auto& aMessage) {
+        mGuard->OnPeerMessage(aFrom, aMessage);
+      });
+    mGuard.emplace(mBoard, mPlatform, *mLink, aTimers);
+  }
+
+  fake_platform mPlatform;
+  blackboard mBoard;
+  std::unique_ptr<peer_network> mLink;
+  std::optional<ledger::once_guard> mGuard;
+};
+
+} // namespace
+
+int
+main()
+{
+  manual_timer_service timers;
+  fake_network network(timers);
+  const auto store = std::make_shared<fake_store>();
+  router cesis(timers, network, store, "cesis-1");
+  router smiltene(timers, network, store, "smiltene-1");
+
+  const account_id account{ "abattoir" };
+  ledger::once_request booking;
+  booking.mMode = once_mode::Token;
+  booking.mKey = { account, cesis.mGuard->IssueToken(account) };
+
+  bool first = false;
+  cesis.mGuard->Begin(booking, [&](auto aVerdict) { first = aVerdict.mRun; });
+  std::cout << "first attempt: " << (first ? "run" : "refused") << '\n';
+  cesis.mGuard->Finished(booking.mKey, outcome::Done);
+
+  std::optional<ledger::once_verdict> second;
+  smiltene.mGuard->Begin(booking, [&](auto aVerdict) { second = aVerdict; });
+  timers.Advance(1s);
+  std::cout << "retry elsewhere: " << ToText(second->mRefusal.mOutcome) << '\n';
+  const auto once = first && !second->mRun;
+  return once && second->mRefusal.mOutcome == outcome::Done ? 0 : 1;
+}
--- a/src/sapphirespar/ledger/claims_test.cpp
+++ b/src/sapphirespar/ledger/claims_test.cpp
@@ -150,6 +150,126 @@
   EXPECT_GT(passedOn, 0U);
 }
 
+// Counts the claims that routers ask of others, and loses answers to them.
+struct owner_watch
+{
+  explicit owner_watch(once_world& aWorld)
+  {
+    aWorld.mNetwork.SetCarrier([this](const peer_message& aMessage) {
+      mAsked += std::holds_alternative<claim_request>(aMessage) ? 1 : 0;
+      const auto lost =
+        mLoseAnswers > 0 && std::holds_alternative<claim_answer>(aMessage);
+      mLoseAnswers -= lost ? 1 : 0;
+      return lost ? std::nullopt : std::optional<steady_duration>(1ms);
+    });
+  }
+
+  unsigned mAsked = 0;
+  unsigned mLoseAnswers = 0;
+};
+
+TEST(Fault_AnswerLost, Claim_Ask_TheSameClaimIsAskedForAgain)
+{
+  once_world world(3);
+  owner_watch watch(world);
+  for (int i = 0; i < 6; ++i) {
+    watch.mLoseAnswers = 2;
+    const auto key = "lot-" + std::to_string(i);
+    EXPECT_TRUE(world.Ask(0, kClaim, key).mRun);
+    EXPECT_FALSE(world.Ask(1, kClaim, key).mRun);
+    EXPECT_EQ(world.Runs(key), 1U);
+  }
+  EXPECT_GT(watch.mAsked, 0U);
+}
+
+TEST(Fault_CrashBefore, Claim_Ask_TheNextOwnerDecides)
+{
+  once_world world(3);
+  owner_watch watch(world);
+  for (int i = 0; i < 6; ++i) {
+    const auto key = "lot-" + std::to_string(i);
+    const auto told = world.Send(0, { kClaim, key });
+    world.Crash(1);
+    world.Bury(1);
+    world.mTimers.Advance(10s);
+    EXPECT_TRUE(told->value().mRun);
+    world.Restart(1);
+    EXPECT_FALSE(world.Ask(1, kClaim, key).mRun);
+    EXPECT_EQ(world.Runs(key), 1U);
+  }
+}
+
+TEST(Fault_CrashAfter, Claim_Ask_TheNextOwnerKnowsWhatTheLastOneGranted)
+{
+  once_world world(3);
+  owner_watch watch(world);
+  for (int i = 0; i < 6; ++i) {
+    const auto key = "lot-" + std::to_string(i);
+    // The grant is committed, but its answer never arrives.
+    watch.mLoseAnswers = 3;
+    const auto told = world.Send(0, { kClaim, key });
+    world.mTimers.Advance(300ms);
+    watch.mLoseAnswers = 0;
+    world.Crash(1);
+    world.Bury(1);
+    world.mTimers.Advance(10s);
+    EXPECT_TRUE(told->value().mRun);
+    world.Restart(1);
+    EXPECT_FALSE(world.Ask(2, kClaim, key).mRun);
+    EXPECT_EQ(world.Runs(key), 1U);
+  }
+}
+
+TEST(Fault_PausePastLease, Claim_Ask_APausedOwnerIsReplacedAndWakesHarmlessly)
+{
+  once_world world(3);
+  for (int i = 0; i < 6; ++i) {
+    const auto key = "lot-" + std::to_string(i);
+    world.Router(1).mTimers.Pause();
+    const auto told = world.Send(0, { kClaim, key });
+    world.Bury(1);
+    world.mTimers.Advance(10s);
+    EXPECT_TRUE(told->value().mRun);
+    world.Router(1).mTimers.Resume();
+    EXPECT_FALSE(world.Ask(1, kClaim, key).mRun);
+    EXPECT_EQ(world.Runs(key), 1U);
+  }
+}
+
+TEST(Fault_Slow, Claim_Ask_ASlowNetworkDecidesOrRefusesAndRunsNothingTwice)
+{
+  once_world world(3);
+  world.mNetwork.SetCarrier(
+    [](const auto&) { return std::optional<steady_duration>(2s); });
+  for (int i = 0; i < 6; ++i) {
+    const auto key = "lot-" + std::to_string(i);
+    world.Ask(0, kClaim, key);
+    world.Ask(1, kClaim, key);
+    world.Ask(0, kClaim, key);
+    EXPECT_LE(world.Runs(key), 1U);
+    EXPECT_EQ(world.FalseNotRuns(), 0U);
+  }
+}
+
+TEST(Fault_SilentOutbound, Claim_Fate_AHolderThatHearsNothingLeavesItUnknown)
+{
+  once_world world(3);
+  EXPECT_TRUE(world.Ask(0, kClaim, "lot-7").mRun);
+  world.mNetwork.Cut({ "vm1" }, { "vm0" });
+  world.mNetwork.Cut({ "vm2" }, { "vm0" });
+  EXPECT_EQ(OutcomeTold(world.Ask(1, kClaim, "lot-7")), outcome::Unknown);
+  EXPECT_EQ(world.Runs("lot-7"), 1U);
+}
+
+TEST(Fault_SilentInbound, Claim_Fate_AHolderThatCannotAnswerLeavesItUnknown)
+{
+  once_world world(3);
+  EXPECT_TRUE(world.Ask(0, kClaim, "lot-7").mRun);
+  world.mNetwork.Cut({ "vm0" }, { "vm1" });
+  EXPECT_EQ(OutcomeTold(world.Ask(1, kClaim, "lot-7")), outcome::Unknown);
+  EXPECT_EQ(world.Runs("lot-7"), 1U);
+}
+
 TEST(Fault_Partition, Claim_Ask_ARouterCutOffFromTheOwnerRunsNothingTwice)
 {
   once_world world(2);
--- a/src/sapphirespar/upstream/drain_watcher_test.cpp
+++ b/src/sapphirespar/upstream/drain_watcher_test.cpp
@@ -90,5 +90,50 @@
   EXPECT_EQ(watch.mSeen, kDrained);
 }
 
+TEST(Fault_TwoOperators, Drain_Notice_TheLastOfTwoOperatorsIsInForceEverywhere)
+{
+  test_watch watch;
+  std::set<upstream_id> seenElsewhere;
+  fake_platform elsewhere(watch.mTimers, watch.mStore);
+  const drain_watcher other(
+    elsewhere, watch.mTimers, [&](const auto& aIds) { seenElsewhere = aIds; });
+  object_version version = kNoObject;
+  for (int round = 0; round < 5; ++round) {
+    version =
+      watch.mStore->Write(kEngine, "{}", false, version).mObject.mVersion;
+    watch.mTimers.Advance(7ms);
+    watch.mStore->Write(kEngine, "", true, version);
+    watch.mTimers.Advance(7ms);
+    version = kNoObject;
+  }
+  watch.mStore->Write(kEngine, "{}", false, kNoObject);
+  watch.mTimers.Advance(kNoticeTarget);
+  EXPECT_EQ(watch.mSeen, kDrained);
+  EXPECT_EQ(seenElsewhere, kDrained);
+}
+
+TEST(Fault_CrashAfter, Drain_Notice_ARestartedRouterLearnsIt)
+{
+  test_watch watch;
+  watch.mStore->Write(kEngine, "{}", false, kNoObject);
+  watch.mWatcher.reset();
+  watch.mSeen.clear();
+  watch.mWatcher.emplace(watch.mPlatform, watch.mTimers, [&](const auto& aIds) {
+    watch.mSeen = aIds;
+  });
+  watch.mTimers.Advance(kNoticeTarget);
+  EXPECT_EQ(watch.mSeen, kDrained);
+}
+
+TEST(Fault_Slow, Drain_Notice_ASlowStoreIsStillInTime)
+{
+  test_watch watch;
+  watch.mPlatform.Faults().mDelay = 1s;
+  watch.mTimers.Advance(1min);
+  watch.mStore->Write(kEngine, "{}", false, kNoObject);
+  watch.mTimers.Advance(kNoticeTarget);
+  EXPECT_EQ(watch.mSeen, kDrained);
+}
+
 } // namespace
 } // namespace sapphirespar::upstream
