Predict no wait while nothing runs

The undefined-behaviour sanitizer found a signed overflow: with nothing running the time until the next free slot was half of the longest duration, which was then multiplied. It could also have put an absurd time to come back into a refusal. It is now zero, and times to come back are bounded at ten minutes.

--- a/src/sapphirespar/policy/pool_queue.cpp
+++ b/src/sapphirespar/policy/pool_queue.cpp
@@ -173,7 +173,7 @@
     held += aEstimate.SlotTime(lane.mClass.mId) * lane.mRunning;
     running += lane.mRunning;
   }
-  return running == 0 ? steady_duration::max() / 2 : held / running / running;
+  return running == 0 ? steady_duration::zero() : held / running / running;
 }
 
 } // namespace sapphirespar::policy
--- a/src/sapphirespar/policy/refusals.cpp
+++ b/src/sapphirespar/policy/refusals.cpp
@@ -13,6 +13,9 @@
 // A caller told to come back at once would only add to the load.
 constexpr std::chrono::milliseconds kLeastRetry{ 100 };
 
+// Predictions further ahead than this say nothing.
+constexpr std::chrono::milliseconds kLongestRetry{ 600000 };
+
 } // namespace
 
 rejection
@@ -33,7 +36,7 @@
            { refusal_reason::TooLate,
              outcome::NotRun,
              "the answer would come too late",
-             std::max(aRetryAfter, kLeastRetry) } };
+             std::clamp(aRetryAfter, kLeastRetry, kLongestRetry) } };
 }
 
 rejection
@@ -44,7 +47,7 @@
            { refusal_reason::QueueFull,
              outcome::NotRun,
              "too many requests of class " + aRequest.mClass.mText + " wait",
-             std::max(aRetryAfter, kLeastRetry) } };
+             std::clamp(aRetryAfter, kLeastRetry, kLongestRetry) } };
 }
 
 } // namespace sapphirespar::policy
--- a/src/sapphirespar/policy/tiered_scheduler_test.cpp
+++ b/src/sapphirespar/policy/tiered_scheduler_test.cpp
@@ -2,6 +2,8 @@
 // the reserve.
 #include "sapphirespar/policy/tiered_scheduler.hpp"
 
+#include "sapphirespar/policy/pool_queue.hpp"
+
 #include <gtest/gtest.h>
 
 #include <deque>
@@ -189,6 +191,11 @@
   EXPECT_TRUE(Submit("question").mAssignments.empty());
 }
 
+TEST(PredictNextFree, IsAtOnceWhileNothingRuns)
+{
+  EXPECT_EQ(PredictNextFree(pool_queue(), answer_estimate()), 0s);
+}
+
 TEST(ChoosePause, TakesWhatCanWaitThenTheLowestThenTheLightest)
 {
   const std::vector<pause_candidate> candidates{
