--- a/src/sapphirespar/config/bundle_acceptance.cpp
+++ b/src/sapphirespar/config/bundle_acceptance.cpp
@@ -100,6 +100,7 @@
   object_callback WhenRunning(
     std::function<void(state&, const object_answer&)> aThen);
   void OnWritten(const object_answer& aAnswer);
+  void OnAccepted();
   void ReadLater();
   void OnDeadline();
   void End(acceptance aVerdict, std::string aDetail);
@@ -109,6 +110,8 @@
   acceptance_settings mSettings;
   done_callback mDone;
   signed_bundle mCandidate;
+  // The object with the bytes of the bundle in force, if it has one.
+  platform_object mReplaced;
   std::string mDigest;
   std::string mAcceptedAt;
   acceptance_result mResult;
@@ -216,6 +219,7 @@
     return End(acceptance::Refused,
                "the bundle at the platform can't be read: " + *problem);
   }
+  mReplaced = aAnswer.mObject;
   Decide(aInForce, aVersion);
 }
 
@@ -318,9 +322,7 @@
   mWriting = false;
   switch (aAnswer.mStatus) {
     case platform_status::Ok:
-      mResult.mInForce = mCandidate.mBundle.mVersion;
-      mResult.mInForceSigner = mCandidate.mSigner;
-      return End(acceptance::Accepted, "written");
+      return OnAccepted();
     case platform_status::TooLarge:
       return End(acceptance::Refused,
                  "the bundle is over the platform's limit of " +
@@ -335,6 +337,27 @@
   }
 }
 
+// Removes the bytes of the bundle that was replaced. If that fails they only
+// take room, so the verdict does not depend on it.
+void
+bundle_acceptance::state::OnAccepted()
+{
+  mResult.mInForce = mCandidate.mBundle.mVersion;
+  mResult.mInForceSigner = mCandidate.mSigner;
+  if (mReplaced.mVersion == kNoObject) {
+    return End(acceptance::Accepted, "written");
+  }
+  const auto end = [](state& aState) {
+    aState.End(acceptance::Accepted, "written");
+  };
+  mDeadlineTimer =
+    mTimers.After(mSettings.mDeadline, [this, end] { end(*this); });
+  mPlatform.Delete(
+    mReplaced.mKey,
+    mReplaced.mVersion,
+    WhenRunning([end](state& aState, const object_answer&) { end(aState); }));
+}
+
 void
 bundle_acceptance::state::ReadLater()
 {
--- a/src/sapphirespar/config/bundle_controller_test.cpp
+++ b/src/sapphirespar/config/bundle_controller_test.cpp
@@ -244,9 +244,11 @@
   EXPECT_GT(CountPushedBytes(world), 0U);
   EXPECT_EQ(world.mRouters[0].mPlatform->Calls().mReads, reads);
   EXPECT_EQ(world.mRouters[0].mBoard.mBundle->mClasses[0].mQueueLimit, 77U);
+  const auto replaced = world.mStore->Find(WholeBundleKey(whole.mWholeName));
+  EXPECT_TRUE(replaced->mDeleted);
 }
 
-TEST(BundleController, ARouterThatMissedAVersionTakesTheWhole)
+TEST(BundleController, Fault_Partition_Bundle_Fetch_TheWholeIsTakenAfterwards)
 {
   bundle_world world(3, 1);
   world.mAcceptance.mInlineLimitBytes = 100;
