--- a/src/sapphirespar/config/bundle_controller_test.cpp
+++ b/src/sapphirespar/config/bundle_controller_test.cpp
@@ -248,7 +248,7 @@
   EXPECT_TRUE(replaced->mDeleted);
 }
 
-TEST(BundleController, Fault_Partition_Bundle_Fetch_TheWholeIsTakenAfterwards)
+TEST(BundleController, ARouterThatMissedAVersionTakesTheWhole)
 {
   bundle_world world(3, 1);
   world.mAcceptance.mInlineLimitBytes = 100;
