Let operators load and unload models by fenced orders

Nothing gave the orders that the controller fences. The command finds the engine in the bundle in force, takes a slot of the weight store, sends the order and waits for the engine's own report.

--- a/src/sapphirespar/cli/bundle_commands.cpp
+++ b/src/sapphirespar/cli/bundle_commands.cpp
@@ -1,4 +1,4 @@
-// The commands on keys and bundles.
+// The commands on keys and bundles, and on what the bundle in force declares.
 #include "commands.hpp"
 
 #include "sapphirespar/config/bundle_controller.hpp"
@@ -192,6 +192,42 @@
   return exit_code::Failed;
 }
 
+// Returns an engine that the bundle in force declares.
+result<upstream_spec>
+RequireEngine(const ctl_options& aOptions)
+{
+  BOOST_LEAF_AUTO(current, RequireCurrent(aOptions.mConnection));
+  const auto* const spec =
+    FindUpstream(current.mBundle, { aOptions.mUpstream });
+  if (spec == nullptr || spec->mKind != upstream_kind::Engine) {
+    return Fail(exit_code::Refused,
+                "the bundle in force declares no engine \"" +
+                  aOptions.mUpstream + "\"");
+  }
+  return *spec;
+}
+
+exit_code
+OrderModel(const ctl_options& aOptions,
+           ctl_streams aStreams,
+           upstream::order_kind aKind)
+{
+  return Report(aStreams, [&]() -> result<exit_code> {
+    BOOST_LEAF_AUTO(engine, RequireEngine(aOptions));
+    const upstream::engine_order order{ aKind, { aOptions.mModel } };
+    const auto ended = RunOrder(aOptions.mConnection, engine, order);
+    if (!ended) {
+      return Fail(exit_code::Failed, ended.error().mProblem);
+    }
+    const auto done = ended.value() == upstream::order_end::Done;
+    auto& stream = done ? aStreams.mOut : aStreams.mError;
+    stream << upstream::ToText(aKind) << ' ' << aOptions.mModel << " at "
+           << aOptions.mUpstream << ": " << upstream::ToText(ended.value())
+           << '\n';
+    return done ? exit_code::Ok : exit_code::Failed;
+  });
+}
+
 } // namespace
 
 exit_code
@@ -313,4 +349,16 @@
   });
 }
 
+exit_code
+LoadModel(const ctl_options& aOptions, ctl_streams aStreams)
+{
+  return OrderModel(aOptions, aStreams, upstream::order_kind::LoadModel);
+}
+
+exit_code
+UnloadModel(const ctl_options& aOptions, ctl_streams aStreams)
+{
+  return OrderModel(aOptions, aStreams, upstream::order_kind::UnloadModel);
+}
+
 } // namespace sapphirespar::cli
--- a/src/sapphirespar/cli/commands.hpp
+++ b/src/sapphirespar/cli/commands.hpp
@@ -22,6 +22,7 @@
   std::string mRequest;
   std::string mClass;
   std::string mUpstream;
+  std::string mModel;
   // Takes a drain back.
   bool mEnd = false;
   // For the first bundle of all, which follows none.
@@ -41,6 +42,8 @@
 exit_code AcceptBundle(const ctl_options& aOptions, ctl_streams aStreams);
 exit_code DiffBundles(const ctl_options& aOptions, ctl_streams aStreams);
 exit_code ShowHistory(const ctl_options& aOptions, ctl_streams aStreams);
+exit_code LoadModel(const ctl_options& aOptions, ctl_streams aStreams);
+exit_code UnloadModel(const ctl_options& aOptions, ctl_streams aStreams);
 exit_code Drain(const ctl_options& aOptions, ctl_streams aStreams);
 exit_code ShowStatus(const ctl_options& aOptions, ctl_streams aStreams);
 exit_code Explain(const ctl_options& aOptions, ctl_streams aStreams);
--- a/src/sapphirespar/cli/connection.cpp
+++ b/src/sapphirespar/cli/connection.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/json.hpp>
 
 #include <charconv>
 #include <ctime>
@@ -87,6 +88,71 @@
   }
 }
 
+asio::awaitable<void>
+SendOrder(wire::http_client& aClient,
+          wire::endpoint aEngine,
+          std::string aBody,
+          upstream::order_reply_callback aDone)
+{
+  constexpr unsigned kOk = 200;
+  constexpr unsigned kConflict = 409;
+  wire::http_request request;
+  request.mMethod = "POST";
+  request.mTarget = "/v1/orders";
+  request.mBody = std::move(aBody);
+  const auto response = co_await aClient.Fetch(
+    aEngine, std::move(request), kPageTimeout, wire::connection_choice::Fresh);
+  const auto status = response ? response.value().mStatus : 0;
+  aDone(status == kOk         ? upstream::order_reply::Accepted
+        : status == kConflict ? upstream::order_reply::Refused
+                              : upstream::order_reply::Unknown);
+}
+
+asio::awaitable<void>
+FetchLoad(wire::http_client& aClient,
+          wire::endpoint aEngine,
+          upstream::load_callback aDone)
+{
+  wire::http_request request;
+  request.mTarget = "/v1/load";
+  const auto response =
+    co_await aClient.Fetch(aEngine, std::move(request), kPageTimeout);
+  std::optional<upstream::load_report> report;
+  if (response) {
+    report = upstream::ReadLoadReport(response.value().mBody);
+  }
+  aDone(report);
+}
+
+// Carries orders and load reports over aClient, which must outlive the hooks.
+upstream::order_hooks
+OrderHooks(asio::io_context& aContext, wire::http_client& aClient)
+{
+  upstream::order_hooks hooks;
+  hooks.mSend = [&](const upstream_spec& aEngine,
+                    const upstream::engine_order& aOrder,
+                    std::uint64_t aFence,
+                    upstream::order_reply_callback aDone) {
+    auto body = boost::json::serialize(
+      boost::json::object{ { "fence", aFence },
+                           { "order", upstream::ToText(aOrder.mKind) },
+                           { "model", aOrder.mModel.mText } });
+    wire::endpoint engine{ aEngine.mAddress, aEngine.mPort };
+    asio::co_spawn(
+      aContext,
+      SendOrder(aClient, std::move(engine), std::move(body), std::move(aDone)),
+      asio::detached);
+  };
+  hooks.mFetchLoad = [&](const upstream_spec& aEngine,
+                         upstream::load_callback aDone) {
+    wire::endpoint engine{ aEngine.mAddress, aEngine.mPort };
+    asio::co_spawn(aContext,
+                   FetchLoad(aClient, std::move(engine), std::move(aDone)),
+                   asio::detached);
+  };
+  return hooks;
+}
+
 } // namespace
 
 std::optional<wire::endpoint>
@@ -177,6 +243,30 @@
   return result.mStatus;
 }
 
+connection_result<upstream::order_end>
+RunOrder(const connection_options& aOptions,
+         const upstream_spec& aEngine,
+         const upstream::engine_order& aOrder)
+{
+  const auto route = MakeRoute(aOptions.mPlatform, aOptions.mTls);
+  if (!route) {
+    return route.error();
+  }
+  asio::io_context context;
+  wire::asio_timer_service timers(context.get_executor());
+  wire::platform_client platform(context.get_executor(),
+                                 PlatformSettings(route.value()));
+  wire::http_client client(context.get_executor(), {});
+  upstream::order_controller orders(
+    { { "ctl" }, 1 }, platform, timers, OrderHooks(context, client));
+  auto ended = upstream::order_end::NotSent;
+  orders.Issue(
+    aEngine, aOrder, [&](upstream::order_end aEnd) { ended = aEnd; });
+  // Runs until nothing is left to do, so that the slot is given back too.
+  context.run();
+  return ended;
+}
+
 connection_result<wire::http_response>
 FetchPage(const connection_options& aOptions, const std::string& aTarget)
 {
--- a/src/sapphirespar/cli/connection.hpp
+++ b/src/sapphirespar/cli/connection.hpp
@@ -4,6 +4,7 @@
 #include "sapphirespar/config/bundle_acceptance.hpp"
 #include "sapphirespar/model/platform.hpp"
 #include "sapphirespar/upstream/object_update.hpp"
+#include "sapphirespar/upstream/order_controller.hpp"
 #include "sapphirespar/wire/byte_stream.hpp"
 #include "sapphirespar/wire/http_client.hpp"
 #include "sapphirespar/wire/tls.hpp"
@@ -51,6 +52,12 @@
   object_key aKey,
   upstream::change_decision aDecide);
 
+// Gives one order to an engine, over plain TCP, and waits for its end.
+connection_result<upstream::order_end> RunOrder(
+  const connection_options& aOptions,
+  const upstream_spec& aEngine,
+  const upstream::engine_order& aOrder);
+
 // Gets a page of a router.
 connection_result<wire::http_response> FetchPage(
   const connection_options& aOptions,
--- a/src/sapphirespar/cli/ctl.cpp
+++ b/src/sapphirespar/cli/ctl.cpp
@@ -124,6 +124,25 @@
   aParser.AddPlatform(drain)->required();
 }
 
+void
+AddModelCommands(ctl_parser& aParser)
+{
+  auto* model = aParser.mApp.add_subcommand("model", "Models at engines");
+  model->require_subcommand(1);
+  const auto add =
+    [&](const std::string& aName, const std::string& aHelp, command aCommand) {
+      auto* order = aParser.Add(model, aName, aHelp, aCommand);
+      order->add_option("model", aParser.mOptions.mModel, "name of the model")
+        ->required();
+      order
+        ->add_option("upstream", aParser.mOptions.mUpstream, "id in the bundle")
+        ->required();
+      aParser.AddPlatform(order)->required();
+    };
+  add("load", "Load a model and wait until it is there", LoadModel);
+  add("unload", "Unload a model and wait until it is gone", UnloadModel);
+}
+
 void
 AddRouterCommands(ctl_parser& aParser)
 {
@@ -155,6 +174,7 @@
   AddKeyCommands(parser);
   AddBundleCommands(parser);
   AddUpstreamCommands(parser);
+  AddModelCommands(parser);
   AddRouterCommands(parser);
   try {
     parser.mApp.parse(aCount, aArguments);
--- a/src/sapphirespar/cli/ctl_test.cpp
+++ b/src/sapphirespar/cli/ctl_test.cpp
@@ -243,5 +243,17 @@
   EXPECT_EQ(Run({ "drain", "engine-1" }), exit_code::Usage);
 }
 
+TEST_F(ctl_commands, OrdersModelsOnlyFromDeclaredEngines)
+{
+  one_object_server server;
+  SignFirst();
+  EXPECT_EQ(Run({ "model", "load", "m" }), exit_code::Usage);
+  const std::vector<std::string> load{
+    "model", "load", "m", "engine-9", "--platform", server.Place()
+  };
+  EXPECT_EQ(Run(load), exit_code::Failed);
+  EXPECT_NE(mError.str().find("no bundle is in force"), std::string::npos);
+}
+
 } // namespace
 } // namespace sapphirespar::cli
