Care for upstreams in one place, and follow demand with replicas

Change: upstream_control owns health, drains, cache hints, pauses, orders and the replica plan; homes are found when bundle or members change. A model without bounds is held by every engine that may.

--- a/include/sapphirespar/model/bundle.hpp
+++ b/include/sapphirespar/model/bundle.hpp
@@ -62,11 +62,15 @@
   unsigned mConcurrency = 1000;
 };
 
+// As many replicas as there are engines that may hold the model.
+inline constexpr unsigned kEveryEngine = 100000;
+
+// Engines that hold the model, by demand between these bounds.
 struct model_spec
 {
   model_id mId;
-  unsigned mMinimumReplicas = 1;
-  unsigned mMaximumReplicas = 1;
+  unsigned mMinimumReplicas = kEveryEngine;
+  unsigned mMaximumReplicas = kEveryEngine;
 };
 
 struct upstream_spec
--- a/include/sapphirespar/router/control_plane.hpp
+++ b/include/sapphirespar/router/control_plane.hpp
@@ -11,6 +11,7 @@
 #include "sapphirespar/router/pause_board.hpp"
 #include "sapphirespar/router/snapshot.hpp"
 #include "sapphirespar/router/tls_contexts.hpp"
+#include "sapphirespar/router/upstream_control.hpp"
 #include "sapphirespar/telemetry/metrics.hpp"
 
 #include <boost/asio/io_context.hpp>
@@ -66,8 +67,7 @@
 
   ledger::once_guard& Once();
 
-  // An attempt at an upstream has ended.
-  void Observe(const upstream_id& aUpstream, const attempt_result& aResult);
+  upstream_control& Upstreams();
 
   struct state;
 
--- a/include/sapphirespar/router/exchange.hpp
+++ b/include/sapphirespar/router/exchange.hpp
@@ -39,7 +39,8 @@
   std::function<policy::retry_decision(const policy::failed_attempt&)>
     mDecideRetry;
   // An attempt at an upstream has ended.
-  std::function<void(const upstream_id&, const attempt_result&)> mObserve;
+  std::function<void(const call&, const upstream_id&, const attempt_result&)>
+    mObserve;
 };
 
 // What exchanges need of the rest of the router. All of it is safe on any
--- a/include/sapphirespar/router/upstream_client.hpp
+++ b/include/sapphirespar/router/upstream_client.hpp
@@ -3,11 +3,15 @@
 
 #include "sapphirespar/model/bundle.hpp"
 #include "sapphirespar/upstream/health_tracker.hpp"
+#include "sapphirespar/upstream/order_controller.hpp"
+#include "sapphirespar/upstream/prefix_hints.hpp"
 #include "sapphirespar/wire/http_client.hpp"
 
 #include <boost/asio/any_io_executor.hpp>
 
+#include <functional>
 #include <memory>
+#include <optional>
 
 namespace sapphirespar::router {
 
@@ -27,6 +31,20 @@
   // Fetches an engine's load report.
   void FetchLoad(const upstream_spec& aSpec, upstream::load_callback aDone);
 
+  // Fetches an engine's cache events from a number on; nothing if it gives
+  // none.
+  using cache_callback =
+    std::function<void(std::optional<upstream::cache_report>)>;
+  void FetchCacheEvents(const upstream_spec& aSpec,
+                        std::uint64_t aFrom,
+                        cache_callback aDone);
+
+  // Gives an engine an order with its fencing number.
+  void Send(const upstream_spec& aSpec,
+            const upstream::engine_order& aOrder,
+            std::uint64_t aFence,
+            upstream::order_reply_callback aDone);
+
   // Pauses a running request at an engine, or lets it go on. Nothing is told
   // of the result: a request that was not paused just goes on.
   void SetPaused(const upstream_spec& aSpec,
@@ -34,6 +52,12 @@
                  bool aPaused);
 
 private:
+  using response_callback =
+    std::function<void(wire::wire_result<wire::http_response>)>;
+  void Fetch(const upstream_spec& aSpec,
+             wire::http_request aRequest,
+             wire::connection_choice aChoice,
+             response_callback aDone);
   void Ask(const upstream_spec& aSpec,
            wire::connection_choice aChoice,
            upstream::load_callback aDone);
--- a/src/sapphirespar/config/bundle_file.cpp
+++ b/src/sapphirespar/config/bundle_file.cpp
@@ -29,7 +29,7 @@
 constexpr integer_bounds kTargetBounds{ 1, kMillisecondsPerDay };
 constexpr integer_bounds kPercentBounds{ 0, 100 };
 constexpr integer_bounds kCountBounds{ 1, 1000000 };
-constexpr integer_bounds kReplicaBounds{ 0, 100000 };
+constexpr integer_bounds kReplicaBounds{ 0, kEveryEngine };
 constexpr integer_bounds kVersionBounds{ 0, 1LL << 53 };
 constexpr real_bounds kWeightBounds{ 0, 1e6 };
 constexpr real_bounds kRateBounds{ 0.001, 1e6 };
@@ -163,13 +163,10 @@
 {
   model_spec item;
   item.mId = ReadId(aTable, aBundle.mModels);
-  item.mMinimumReplicas =
-    Count(aTable, "minimum_replicas", kReplicaBounds, item.mMinimumReplicas);
   item.mMaximumReplicas =
-    Count(aTable,
-          "maximum_replicas",
-          kReplicaBounds,
-          std::max(item.mMinimumReplicas, item.mMaximumReplicas));
+    Count(aTable, "maximum_replicas", kReplicaBounds, kEveryEngine);
+  item.mMinimumReplicas =
+    Count(aTable, "minimum_replicas", kReplicaBounds, item.mMaximumReplicas);
   if (item.mMinimumReplicas > item.mMaximumReplicas) {
     aTable.Fail("minimum_replicas", "must not be over maximum_replicas");
   }
--- a/src/sapphirespar/router/call.cpp
+++ b/src/sapphirespar/router/call.cpp
@@ -22,8 +22,8 @@
 constexpr unsigned kDefaultMaximumTokens = 512;
 constexpr unsigned kLargestMaximumTokens = 1'000'000;
 constexpr milliseconds kLongestDeadline{ std::chrono::hours(1) };
-// Bytes of the prompt whose hash names its prefix in engines' caches.
-constexpr std::size_t kPrefixBytes = 1024;
+// Bytes of the prompt whose hash names its prefix in engines' cache events.
+constexpr std::size_t kPrefixBytes = 64;
 constexpr unsigned kBytesPerToken = 4;
 
 refusal
@@ -65,8 +65,10 @@
   if (const auto* text = aValue.if_string()) {
     aText.append(text->data(), text->size());
   } else if (const auto* list = aValue.if_array()) {
-    std::ranges::for_each(*list,
-                          [&](const auto& aItem) { AppendText(aItem, aText); });
+    for (const auto& item : *list) {
+      aText += aText.empty() ? "" : "\n";
+      AppendText(item, aText);
+    }
   } else if (const auto* object = aValue.if_object()) {
     for (const auto key : { "content", "text" }) {
       if (const auto* inner = object->if_contains(key)) {
@@ -129,7 +131,7 @@
   AppendText(*prompt, text);
   result.mPromptTokens = static_cast<unsigned>(text.size() / kBytesPerToken);
   result.mPrefixHash =
-    XXH3_64bits(text.data(), std::min(text.size(), kPrefixBytes));
+    XXH64(text.data(), std::min(text.size(), kPrefixBytes), 0);
   return result;
 }
 
--- a/src/sapphirespar/router/control_plane.cpp
+++ b/src/sapphirespar/router/control_plane.cpp
@@ -4,11 +4,7 @@
 #include "sapphirespar/base/log.hpp"
 #include "sapphirespar/config/bundle_controller.hpp"
 #include "sapphirespar/config/careful_platform.hpp"
-#include "sapphirespar/membership/homes.hpp"
 #include "sapphirespar/membership/membership_controller.hpp"
-#include "sapphirespar/router/upstream_client.hpp"
-#include "sapphirespar/upstream/drain_watcher.hpp"
-#include "sapphirespar/upstream/health_tracker.hpp"
 #include "sapphirespar/wire/asio_timer_service.hpp"
 #include "sapphirespar/wire/peer_link.hpp"
 #include "sapphirespar/wire/platform_client.hpp"
@@ -72,38 +68,6 @@
   return settings;
 }
 
-// How an attempt looks to the health tracker; nothing if it tells nothing.
-std::optional<upstream::attempt_result>
-ToHealth(const attempt_result& aResult)
-{
-  upstream::attempt_result health;
-  switch (aResult.mEnd) {
-    case attempt_end::Whole:
-    case attempt_end::Refused:
-      health.mEnd = upstream::attempt_end::Answered;
-      break;
-    case attempt_end::NotSent:
-      health.mEnd = upstream::attempt_end::ConnectFailed;
-      break;
-    case attempt_end::TimedOut:
-      health.mEnd = upstream::attempt_end::TimedOut;
-      break;
-    case attempt_end::Broken:
-      health.mEnd = upstream::attempt_end::Failed;
-      break;
-    case attempt_end::CallerLeft:
-      return std::nullopt;
-  }
-  health.mFirstToken =
-    std::chrono::duration_cast<milliseconds>(aResult.mFirstToken);
-  const std::chrono::duration<double> streaming =
-    aResult.mTotal - aResult.mFirstToken;
-  if (aResult.mEventsSent > 1 && streaming.count() > 0) {
-    health.mTokensPerSecond = (aResult.mEventsSent - 1) / streaming.count();
-  }
-  return health;
-}
-
 // Processor time that the calling thread has used.
 double
 ThreadCpuSeconds()
@@ -129,17 +93,15 @@
 
   // Hands a new snapshot and the upstreams as they are now to traffic threads.
   void Publish();
-  std::vector<policy::upstream_view> UpstreamViews() const;
 
   void OnPeerMessage(const process_id& aFrom, const peer_message& aMessage);
   std::optional<wire::endpoint> PeerEndpoint(const vm_id& aVm) const;
-  void Pause(const policy::pause_order& aOrder);
   void UpdateMetrics();
 
   careful_platform_hooks PlatformHooks();
+  upstream_control_services UpstreamServices();
   wire::peer_mesh_hooks MeshHooks();
   membership::membership_hooks MembershipHooks();
-  upstream::health_hooks HealthHooks();
   slot_broker_hooks BrokerHooks();
 
   control_services mServices;
@@ -149,7 +111,7 @@
   wire::asio_timer_service mTimers;
   wire::platform_client mPlatformClient;
   careful_platform mPlatform;
-  upstream_client mUpstreams;
+  upstream_control mUpstreams;
   wire::peer_mesh mMesh;
   ledger::once_guard mOnce;
   slot_broker mBroker;
@@ -158,8 +120,6 @@
   // Empty until Start.
   std::optional<membership::membership_controller> mMembership;
   std::optional<bundle_controller> mBundles;
-  std::optional<upstream::health_tracker> mHealth;
-  std::optional<upstream::drain_watcher> mDrains;
   timer_subscription mTick;
   timer_subscription mMetricsTick;
 };
@@ -180,7 +140,7 @@
               mTimers,
               BudgetSettings(aSettings, aSelf),
               PlatformHooks())
-  , mUpstreams(aServices.mContext.get_executor(), aServices.mTls.mUpstreams)
+  , mUpstreams(UpstreamServices())
   , mMesh(aServices.mContext,
           MeshSettings(aSettings, aSelf, aServices.mTls),
           MeshHooks())
@@ -214,6 +174,18 @@
   return hooks;
 }
 
+upstream_control_services
+control_plane::state::UpstreamServices()
+{
+  return { mBoard,
+           mPlatform,
+           mTimers,
+           mServices.mPauses,
+           mServices.mContext.get_executor(),
+           mServices.mTls.mUpstreams,
+           [this] { Publish(); } };
+}
+
 wire::peer_mesh_hooks
 control_plane::state::MeshHooks()
 {
@@ -236,7 +208,10 @@
   membership::membership_hooks hooks;
   hooks.mPools = [this] { return mBroker.Loads(); };
   hooks.mDemands = [this] { return mServices.mAccounts.Publish(); };
-  hooks.mChanged = [this] { Publish(); };
+  hooks.mChanged = [this] {
+    mUpstreams.OnMembers();
+    Publish();
+  };
   hooks.mPaused = [](steady_duration aPause) {
     const auto length = std::chrono::duration_cast<milliseconds>(aPause);
     LogEvent(log_level::Warning, "paused", { { "pause_ms", length.count() } });
@@ -244,32 +219,6 @@
   return hooks;
 }
 
-upstream::health_hooks
-control_plane::state::HealthHooks()
-{
-  upstream::health_hooks hooks;
-  hooks.mProbe = [this](const upstream_spec& aSpec,
-                        upstream::load_callback aDone) {
-    mUpstreams.Probe(aSpec, std::move(aDone));
-  };
-  hooks.mFetchLoad = [this](const upstream_spec& aSpec,
-                            upstream::load_callback aDone) {
-    mUpstreams.FetchLoad(aSpec, std::move(aDone));
-  };
-  hooks.mIsHome = [this](const upstream_spec& aSpec) {
-    const auto members = membership::ListMembers(mBoard);
-    return membership::HomeOf(aSpec.mId, aSpec.mDataCentre, members) ==
-           mBoard.mSelf.mVm;
-  };
-  hooks.mOnChange = [this](const upstream_id& aId, upstream_state aState) {
-    LogEvent(log_level::Info,
-             "upstream_state",
-             { { "upstream", aId.mText }, { "state", ToText(aState) } });
-    Publish();
-  };
-  return hooks;
-}
-
 void
 control_plane::state::Start()
 {
@@ -281,17 +230,13 @@
   membership.mSelf.mPeerPort = mMesh.Port();
   mMembership.emplace(
     mBoard, mPlatform, mMesh, mTimers, membership, MembershipHooks());
-  mHealth.emplace(mBoard, mTimers, HealthHooks());
-  mDrains.emplace(mPlatform, mTimers, [this](const auto& aIds) {
-    mHealth->SetDrained(aIds);
-    Publish();
-  });
+  mUpstreams.Start();
   bundle_controller_settings bundles;
   bundles.mTrusted = mSettings.mSigners;
   bundles.mSeed = mBoard.mSelf.mIncarnation;
   mBundles.emplace(
     mPlatform, mMesh, mTimers, mBoard, bundles, [this](const bundle_ptr&) {
-      mHealth->OnBundle();
+      mUpstreams.OnBundle();
       mServices.mAccounts.Configure(*mBoard.mBundle);
       Publish();
     });
@@ -306,34 +251,11 @@
   mServices.mSnapshots.Store(std::make_shared<traffic_snapshot>(mBoard));
   if (mBoard.mBundle) {
     mBroker.Configure(mBoard.mBundle);
-    mBroker.SetUpstreams(UpstreamViews());
+    mBroker.SetUpstreams(mUpstreams.Views());
   }
   mBroker.OnMembersChanged();
 }
 
-std::vector<policy::upstream_view>
-control_plane::state::UpstreamViews() const
-{
-  std::vector<policy::upstream_view> views;
-  std::ranges::transform(mBoard.mBundle->mUpstreams,
-                         std::back_inserter(views),
-                         [&](const upstream_spec& aSpec) {
-                           policy::upstream_view view;
-                           view.mId = aSpec.mId;
-                           view.mPools = PoolsOf(aSpec);
-                           view.mSlots = aSpec.mSlots;
-                           const auto status =
-                             mBoard.mUpstreams.find(aSpec.mId);
-                           if (status != mBoard.mUpstreams.end()) {
-                             view.mState = status->second.mState;
-                             view.mRelativeSpeed =
-                               status->second.mRelativeSpeed;
-                           }
-                           return view;
-                         });
-  return views;
-}
-
 void
 control_plane::state::OnPeerMessage(const process_id& aFrom,
                                     const peer_message& aMessage)
@@ -369,22 +291,13 @@
 control_plane::state::BrokerHooks()
 {
   slot_broker_hooks hooks;
-  hooks.mPause = [this](const policy::pause_order& aOrder) { Pause(aOrder); };
+  hooks.mPause = [this](const policy::pause_order& aOrder) {
+    mUpstreams.Pause(aOrder);
+  };
   hooks.mRandom = [this] { return mRandom(); };
   return hooks;
 }
 
-void
-control_plane::state::Pause(const policy::pause_order& aOrder)
-{
-  const bool paused = !aOrder.mResume;
-  const auto* target =
-    mBoard.mBundle ? FindUpstream(*mBoard.mBundle, aOrder.mUpstream) : nullptr;
-  if (target != nullptr && mServices.mPauses.Set(aOrder.mRequest, paused)) {
-    mUpstreams.SetPaused(*target, aOrder.mRequest, paused);
-  }
-}
-
 void
 control_plane::state::UpdateMetrics()
 {
@@ -476,14 +389,10 @@
   return mState->mOnce;
 }
 
-void
-control_plane::Observe(const upstream_id& aUpstream,
-                       const attempt_result& aResult)
+upstream_control&
+control_plane::Upstreams()
 {
-  const auto health = ToHealth(aResult);
-  if (health && mState->mHealth) {
-    mState->mHealth->Observe(aUpstream, *health);
-  }
+  return mState->mUpstreams;
 }
 
 } // namespace sapphirespar::router
--- a/src/sapphirespar/router/exchange.cpp
+++ b/src/sapphirespar/router/exchange.cpp
@@ -248,7 +248,7 @@
     span.mAttributes.push_back({ "upstream", aTarget.mId.mText });
     const attempt_ends ends{ mClient, mReply, mServices.mPauses };
     auto result = co_await RunAttempt(mCall, aTarget, aKind, ends, mState);
-    mHooks.mObserve(aTarget.mId, result);
+    mHooks.mObserve(mCall, aTarget.mId, result);
     mReport.FinishStep(std::move(span), result.mEnd != attempt_end::Whole);
     mReport.Attempted(aTarget.mId, result);
     co_return result;
--- a/src/sapphirespar/router/router_app.cpp
+++ b/src/sapphirespar/router/router_app.cpp
@@ -88,7 +88,9 @@
   exchange_hooks ExchangeHooks();
   once_hooks OnceHooks();
   policy::retry_decision DecideRetry(const policy::failed_attempt& aAttempt);
-  void Observe(const upstream_id& aUpstream, const attempt_result& aResult);
+  void Observe(const call& aCall,
+               const upstream_id& aUpstream,
+               const attempt_result& aResult);
   std::vector<asio::io_context*> WorkerContexts();
 
   void Drain();
@@ -225,9 +227,10 @@
   hooks.mDecideRetry = [this](const policy::failed_attempt& aAttempt) {
     return DecideRetry(aAttempt);
   };
-  hooks.mObserve = [this](const upstream_id& aUpstream,
+  hooks.mObserve = [this](const call& aCall,
+                          const upstream_id& aUpstream,
                           const attempt_result& aResult) {
-    Observe(aUpstream, aResult);
+    Observe(aCall, aUpstream, aResult);
   };
   return hooks;
 }
@@ -241,15 +244,17 @@
 }
 
 void
-router_app::state::Observe(const upstream_id& aUpstream,
+router_app::state::Observe(const call& aCall,
+                           const upstream_id& aUpstream,
                            const attempt_result& aResult)
 {
   if (aResult.mEnd == attempt_end::Whole) {
     const std::lock_guard lock(mRetryMutex);
     mRetryBudget.AddSuccess();
   }
-  asio::post(mControlContext, [this, aUpstream, aResult] {
-    mControl->Observe(aUpstream, aResult);
+  const auto prefix = aCall.mQueued.mPrefixHash;
+  asio::post(mControlContext, [this, aUpstream, aResult, prefix] {
+    mControl->Upstreams().Observe(aUpstream, aResult, prefix);
   });
 }
 
--- /dev/null
+++ b/src/sapphirespar/router/upstream_control.cpp
@@ -0,0 +1,320 @@
+// Wires the upstream module's parts to the upstreams and the blackboard.
+#include "sapphirespar/router/upstream_control.hpp"
+
+#include "sapphirespar/base/log.hpp"
+#include "sapphirespar/membership/homes.hpp"
+#include "sapphirespar/router/snapshot.hpp"
+#include "sapphirespar/router/upstream_client.hpp"
+#include "sapphirespar/upstream/drain_watcher.hpp"
+#include "sapphirespar/upstream/health_tracker.hpp"
+#include "sapphirespar/upstream/order_controller.hpp"
+#include "sapphirespar/upstream/prefix_hints.hpp"
+#include "sapphirespar/upstream/replica_planner.hpp"
+
+#include <algorithm>
+#include <iterator>
+#include <optional>
+#include <set>
+
+namespace sapphirespar::router {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr std::chrono::seconds kCachePeriod{ 1 };
+constexpr std::chrono::seconds kPlanPeriod{ 10 };
+
+// How an attempt looks to the health tracker; nothing if it tells nothing.
+std::optional<upstream::attempt_result>
+ToHealth(const attempt_result& aResult)
+{
+  upstream::attempt_result health;
+  switch (aResult.mEnd) {
+    case attempt_end::Whole:
+    case attempt_end::Refused:
+      health.mEnd = upstream::attempt_end::Answered;
+      break;
+    case attempt_end::NotSent:
+      health.mEnd = upstream::attempt_end::ConnectFailed;
+      break;
+    case attempt_end::TimedOut:
+      health.mEnd = upstream::attempt_end::TimedOut;
+      break;
+    case attempt_end::Broken:
+      health.mEnd = upstream::attempt_end::Failed;
+      break;
+    case attempt_end::CallerLeft:
+      return std::nullopt;
+  }
+  health.mFirstToken =
+    std::chrono::duration_cast<milliseconds>(aResult.mFirstToken);
+  const std::chrono::duration<double> streaming =
+    aResult.mTotal - aResult.mFirstToken;
+  if (aResult.mEventsSent > 1 && streaming.count() > 0) {
+    health.mTokensPerSecond = (aResult.mEventsSent - 1) / streaming.count();
+  }
+  return health;
+}
+
+policy::upstream_view
+MakeView(const upstream_spec& aSpec, const upstream_status* aStatus)
+{
+  policy::upstream_view view;
+  view.mId = aSpec.mId;
+  view.mPools = PoolsOf(aSpec);
+  view.mSlots = aSpec.mSlots;
+  view.mCanPause = aSpec.mKind == upstream_kind::Engine;
+  if (aStatus == nullptr) {
+    return view;
+  }
+  view.mState = aStatus->mState;
+  view.mRelativeSpeed = aStatus->mRelativeSpeed;
+  // An engine that has told what it holds serves nothing else.
+  if (!aStatus->mLoaded.empty()) {
+    std::erase_if(view.mPools, [&](const std::string& aPool) {
+      return std::ranges::find(aStatus->mLoaded, model_id{ aPool }) ==
+             aStatus->mLoaded.end();
+    });
+  }
+  return view;
+}
+
+} // namespace
+
+struct upstream_control::state : std::enable_shared_from_this<state>
+{
+  explicit state(upstream_control_services aServices);
+
+  void Start();
+  upstream::health_hooks HealthHooks();
+  upstream::order_hooks OrderHooks();
+
+  // Finds the upstreams that this router is home to.
+  void FindHomed();
+  void FetchCaches();
+  void CarryOutPlan();
+  const upstream_spec* Spec(const upstream_id& aId) const;
+
+  upstream_control_services mServices;
+  upstream_client mClient;
+  upstream::prefix_hints mPrefixes;
+  std::set<upstream_id> mHomed;
+  // Upstreams whose load reports are fetched here: the homed ones and those
+  // that a plan needs to know of.
+  std::set<upstream_id> mReported;
+  // Empty until Start.
+  std::optional<upstream::health_tracker> mHealth;
+  std::optional<upstream::drain_watcher> mDrains;
+  std::optional<upstream::order_controller> mOrders;
+  timer_subscription mCacheTick;
+  timer_subscription mPlanTick;
+};
+
+upstream_control::state::state(upstream_control_services aServices)
+  : mServices(std::move(aServices))
+  , mClient(mServices.mExecutor, mServices.mTls)
+{
+}
+
+void
+upstream_control::state::Start()
+{
+  mHealth.emplace(mServices.mBoard, mServices.mTimers, HealthHooks());
+  mDrains.emplace(
+    mServices.mPlatform, mServices.mTimers, [this](const auto& aIds) {
+      mHealth->SetDrained(aIds);
+      mServices.mOnChange();
+    });
+  mOrders.emplace(mServices.mBoard.mSelf,
+                  mServices.mPlatform,
+                  mServices.mTimers,
+                  OrderHooks());
+  mCacheTick = mServices.mTimers.Every(kCachePeriod, [this] { FetchCaches(); });
+  mPlanTick = mServices.mTimers.Every(kPlanPeriod, [this] { CarryOutPlan(); });
+}
+
+upstream::health_hooks
+upstream_control::state::HealthHooks()
+{
+  upstream::health_hooks hooks;
+  hooks.mProbe = [this](const upstream_spec& aSpec,
+                        upstream::load_callback aDone) {
+    mClient.Probe(aSpec, std::move(aDone));
+  };
+  hooks.mFetchLoad = [this](const upstream_spec& aSpec,
+                            upstream::load_callback aDone) {
+    mClient.FetchLoad(aSpec, std::move(aDone));
+  };
+  hooks.mIsHome = [this](const upstream_spec& aSpec) {
+    return mReported.contains(aSpec.mId);
+  };
+  hooks.mOnChange = [this](const upstream_id& aId, upstream_state aState) {
+    LogEvent(log_level::Info,
+             "upstream_state",
+             { { "upstream", aId.mText }, { "state", ToText(aState) } });
+    if (aState == upstream_state::Ejected) {
+      mPrefixes.Forget(aId);
+    }
+    mServices.mOnChange();
+  };
+  return hooks;
+}
+
+upstream::order_hooks
+upstream_control::state::OrderHooks()
+{
+  upstream::order_hooks hooks;
+  hooks.mSend = [this](const upstream_spec& aSpec,
+                       const upstream::engine_order& aOrder,
+                       std::uint64_t aFence,
+                       upstream::order_reply_callback aDone) {
+    mClient.Send(aSpec, aOrder, aFence, std::move(aDone));
+  };
+  hooks.mFetchLoad = [this](const upstream_spec& aSpec,
+                            upstream::load_callback aDone) {
+    mClient.FetchLoad(aSpec, std::move(aDone));
+  };
+  return hooks;
+}
+
+const upstream_spec*
+upstream_control::state::Spec(const upstream_id& aId) const
+{
+  const auto& bundle = mServices.mBoard.mBundle;
+  return bundle ? FindUpstream(*bundle, aId) : nullptr;
+}
+
+void
+upstream_control::state::FindHomed()
+{
+  mHomed.clear();
+  const auto& board = mServices.mBoard;
+  if (!board.mBundle) {
+    return;
+  }
+  const auto members = membership::ListMembers(board);
+  for (const auto& item : membership::AssignHomes(*board.mBundle, members)) {
+    if (item.mHome == board.mSelf.mVm) {
+      mHomed.insert(item.mUpstream->mId);
+    }
+  }
+  mReported = mHomed;
+}
+
+void
+upstream_control::state::FetchCaches()
+{
+  for (const auto& id : mHomed) {
+    const auto* spec = Spec(id);
+    if (spec == nullptr || spec->mKind != upstream_kind::Engine) {
+      continue;
+    }
+    mClient.FetchCacheEvents(
+      *spec,
+      mPrefixes.NextEvent(id),
+      [weak = weak_from_this(), id](const auto& aReport) {
+        const auto self = weak.lock();
+        if (self && aReport) {
+          self->mPrefixes.Apply(id, *aReport, self->mServices.mTimers.Now());
+        }
+      });
+  }
+  mServices.mOnChange();
+}
+
+void
+upstream_control::state::CarryOutPlan()
+{
+  const auto& board = mServices.mBoard;
+  const std::vector<upstream_id> homed(mHomed.begin(), mHomed.end());
+  mReported = mHomed;
+  for (auto& id : upstream::ReportsNeeded(board, homed)) {
+    mReported.insert(std::move(id));
+  }
+  for (const auto& order : upstream::PlanOrders(board)) {
+    const auto* spec = Spec(order.mUpstream);
+    if (spec == nullptr || !mHomed.contains(order.mUpstream)) {
+      continue;
+    }
+    mOrders->Issue(*spec, order.mOrder, [order](upstream::order_end aEnd) {
+      LogEvent(log_level::Info,
+               "order",
+               { { "upstream", order.mUpstream.mText },
+                 { "order", upstream::ToText(order.mOrder.mKind) },
+                 { "model", order.mOrder.mModel.mText },
+                 { "end", upstream::ToText(aEnd) } });
+    });
+  }
+}
+
+upstream_control::upstream_control(upstream_control_services aServices)
+  : mState(std::make_shared<state>(std::move(aServices)))
+{
+}
+
+upstream_control::~upstream_control() = default;
+
+void
+upstream_control::Start()
+{
+  mState->Start();
+}
+
+void
+upstream_control::OnBundle()
+{
+  mState->FindHomed();
+  mState->mHealth->OnBundle();
+}
+
+void
+upstream_control::OnMembers()
+{
+  mState->FindHomed();
+}
+
+void
+upstream_control::Observe(const upstream_id& aUpstream,
+                          const attempt_result& aResult,
+                          std::uint64_t aPrefix)
+{
+  if (aResult.mEnd == attempt_end::Whole) {
+    mState->mPrefixes.Touch(
+      aUpstream, aPrefix, mState->mServices.mTimers.Now());
+  }
+  if (const auto health = ToHealth(aResult)) {
+    mState->mHealth->Observe(aUpstream, *health);
+  }
+}
+
+void
+upstream_control::Pause(const policy::pause_order& aOrder)
+{
+  const bool paused = !aOrder.mResume;
+  const auto* target = mState->Spec(aOrder.mUpstream);
+  if (target != nullptr &&
+      mState->mServices.mPauses.Set(aOrder.mRequest, paused)) {
+    mState->mClient.SetPaused(*target, aOrder.mRequest, paused);
+  }
+}
+
+std::vector<policy::upstream_view>
+upstream_control::Views() const
+{
+  const auto& board = mState->mServices.mBoard;
+  const auto now = mState->mServices.mTimers.Now();
+  std::vector<policy::upstream_view> views;
+  std::ranges::transform(
+    board.mBundle->mUpstreams,
+    std::back_inserter(views),
+    [&](const upstream_spec& aSpec) {
+      const auto status = board.mUpstreams.find(aSpec.mId);
+      auto view = MakeView(
+        aSpec, status == board.mUpstreams.end() ? nullptr : &status->second);
+      view.mCachedPrefixes = mState->mPrefixes.Prefixes(aSpec.mId, now);
+      return view;
+    });
+  return views;
+}
+
+} // namespace sapphirespar::router
--- a/src/sapphirespar/upstream/prefix_hints.cpp
+++ b/src/sapphirespar/upstream/prefix_hints.cpp
@@ -135,11 +135,10 @@
   }
   using hint = std::pair<std::uint64_t, steady_time>;
   std::vector<hint> live;
-  std::ranges::copy_if(found->second.mHeard,
-                       std::back_inserter(live),
-                       [&](const auto& aItem) {
-                         return aNow - aItem.second < kHintLife;
-                       });
+  std::ranges::copy_if(
+    found->second.mHeard, std::back_inserter(live), [&](const auto& aItem) {
+      return aNow - aItem.second < kHintLife;
+    });
   std::ranges::stable_sort(live, std::ranges::greater{}, &hint::second);
   std::vector<std::uint64_t> prefixes;
   std::ranges::transform(live, std::back_inserter(prefixes), &hint::first);
