--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -21,7 +21,8 @@
 
 struct demand {
   1: string account;
-  2: double requests_per_second;
+  // Shorter than a double for every rate there is.
+  2: i64 requests_per_1000_seconds;
 }
 
 struct pool {
@@ -48,6 +49,7 @@
   7: optional list<demand> demands;
   8: optional list<process> heard;
   9: optional list<process> lost;
+  10: optional bool heard_is_all;
 }
 
 struct bundle_request {
--- a/include/sapphirespar/membership/member_table.hpp
+++ b/include/sapphirespar/membership/member_table.hpp
@@ -13,8 +13,10 @@
 #include "sapphirespar/model/platform.hpp"
 
 #include <chrono>
+#include <functional>
 #include <memory>
 #include <span>
+#include <vector>
 
 namespace sapphirespar::membership {
 
@@ -65,9 +67,13 @@
   // Replaces what this router says of itself.
   void UpdateSelf(const heartbeat& aOwn, steady_time aNow);
 
-  // Judges silence. aLimits may depend on the member.
+  // The routers of aDataCentre are as they were, says its relay.
+  void ApplyUnchanged(const data_centre_id& aDataCentre, steady_time aNow);
+
+  // Judges silence; aLimits may depend on the member. Returns the members that
+  // were live until now and no longer are.
   using limits_function = std::function<silence_limits(const member&)>;
-  void Tick(const limits_function& aLimits, steady_time aNow);
+  std::vector<member> Tick(const limits_function& aLimits, steady_time aNow);
 
   // Rises whenever a member appears, goes or changes state or process.
   std::uint64_t Revision() const;
--- a/include/sapphirespar/membership/membership_controller.hpp
+++ b/include/sapphirespar/membership/membership_controller.hpp
@@ -23,6 +23,14 @@
 // Up to this many routers, each beats to every other each period.
 inline constexpr std::size_t kFullMeshMembers = 12;
 
+// The platform's list is read less often the longer it is, so that its bytes
+// per second stay the same.
+inline constexpr std::chrono::milliseconds kListPeriodPerMember{ 400 };
+
+// Beyond kFullMeshMembers a beat names only so many accounts, those that demand
+// most.
+inline constexpr std::size_t kDemandsPerBeat = 6;
+
 struct membership_settings
 {
   std::chrono::milliseconds mHeartbeatPeriod{ 1000 };
--- a/include/sapphirespar/model/peer_message.hpp
+++ b/include/sapphirespar/model/peer_message.hpp
@@ -49,9 +49,11 @@
   bundle_version mBundle;
   std::vector<pool_load> mPools;
   std::vector<account_demand> mDemands;
-  // Members that the sender hears from directly, told to other data centres
-  // by the one relay of each.
+  // Members that the sender hears from, or hears of: news, or from time to time
+  // all of its data centre's, which the relay of each tells the others.
   std::vector<process_id> mHeard;
+  // Whoever of the sender's data centre is not in mHeard is lost.
+  bool mHeardIsAll = false;
   // Members that were heard but no longer are, told in the same way.
   std::vector<process_id> mLost;
   // Empty address when left out to save bytes.
--- a/src/sapphirespar/membership/beat_planner.cpp
+++ b/src/sapphirespar/membership/beat_planner.cpp
@@ -5,18 +5,23 @@
 #include "sapphirespar/membership/membership_controller.hpp"
 
 #include <algorithm>
-#include <map>
+#include <utility>
 
 namespace sapphirespar::membership {
 namespace {
 
 // Routers of the own data centre that one period's beats reach.
-constexpr std::size_t kLocalFanOut = 4;
+constexpr std::size_t kLocalFanOut = 3;
 // Periods between two beats of one pair of relays.
-constexpr std::size_t kRelayPeriods = 5;
+constexpr std::size_t kRelayPeriods = 15;
+// Of the beats of one pair of relays, every so many names all members.
+constexpr std::size_t kRelayFullBeats = 4;
 // Members elsewhere that a relay repeats in each beat, so that news that was
 // lost is made good.
-constexpr std::size_t kSliceMembers = 3;
+constexpr std::size_t kSliceMembers = 2;
+// Of the beats of one pair in a data centre, every so many says how the sender
+// is reached.
+constexpr std::size_t kContactBeats = 4;
 // Times that each router of the data centre is told a piece of news.
 constexpr std::size_t kNewsRepeats = 2;
 // A router that is no relay hears of members elsewhere only when they change.
@@ -79,169 +84,230 @@
   return mBoard.mMembers.size() <= kFullMeshMembers;
 }
 
-bool
-beat_planner::IsRelay() const
+void
+beat_planner::BeginPeriod()
 {
-  return !IsFullMesh() &&
-         RelayOf(mBoard.mDataCentre, mBoard) == std::optional(mBoard.mSelf.mVm);
+  ++mTick;
+  const auto& self = mBoard.mSelf.mVm;
+  mIsRelay =
+    !IsFullMesh() && RelayOf(mBoard.mDataCentre, mBoard) == std::optional(self);
+  mLocals.clear();
+  for (const auto& [vm, one] : mBoard.mMembers) {
+    if (vm != self && one.mDataCentre == mBoard.mDataCentre) {
+      mLocals.push_back(vm);
+    }
+  }
+  mLocalPeriods =
+    std::max<std::size_t>(1, DivideUp(mLocals.size(), kLocalFanOut));
 }
 
 std::vector<planned_beat>
 beat_planner::Plan(const heartbeat& aOwn)
 {
-  ++mTick;
+  std::vector<planned_beat> plan;
   if (IsFullMesh()) {
-    mNews.clear();
+    mLocalNews.clear();
+    mRelayNews.clear();
     mNewcomers.clear();
-    return PlanFullMesh(aOwn);
+    PlanFullMesh(aOwn, plan);
+    return plan;
   }
-  std::vector<planned_beat> plan;
   PlanLocal(aOwn, plan);
-  if (IsRelay()) {
+  PlanGreetings(aOwn, plan);
+  if (mIsRelay) {
     PlanRelay(aOwn, plan);
   }
-  for (auto& item : mNews) {
-    --item.mPeriodsLeft;
-  }
-  std::erase_if(mNews,
-                [](const news_item& aItem) { return aItem.mPeriodsLeft == 0; });
+  AgeNews(mLocalNews);
+  AgeNews(mRelayNews);
+  mOweAll.clear();
   return plan;
 }
 
-std::vector<planned_beat>
-beat_planner::PlanFullMesh(const heartbeat& aOwn) const
+void
+beat_planner::PlanFullMesh(const heartbeat& aOwn,
+                           std::vector<planned_beat>& aPlan) const
 {
-  std::vector<planned_beat> plan;
   for (const auto& [vm, one] : mBoard.mMembers) {
     if (vm != mBoard.mSelf.mVm) {
-      plan.push_back({ vm, aOwn });
+      aPlan.push_back({ vm, aOwn });
     }
   }
-  return plan;
 }
 
-std::vector<const member*>
-beat_planner::Locals() const
+void
+beat_planner::PlanLocal(const heartbeat& aOwn,
+                        std::vector<planned_beat>& aPlan) const
 {
-  std::vector<const member*> locals;
-  for (const auto& [vm, one] : mBoard.mMembers) {
-    if (vm != mBoard.mSelf.mVm && one.mDataCentre == mBoard.mDataCentre) {
-      locals.push_back(&one);
+  auto beat = aOwn;
+  if (mTick / mLocalPeriods % kContactBeats != 0) {
+    beat.mContact = {};
+  }
+  AddNews(mLocalNews, beat);
+  if (mIsRelay) {
+    AddSlice(beat);
+  }
+  for (std::size_t index = mTick % mLocalPeriods; index < mLocals.size();
+       index += mLocalPeriods) {
+    // A newcomer gets its greeting instead.
+    if (!mNewcomers.contains(mLocals[index])) {
+      aPlan.push_back({ mLocals[index], beat });
     }
   }
-  return locals;
-}
-
-std::size_t
-beat_planner::LocalPeriods() const
-{
-  return std::max<std::size_t>(1, DivideUp(Locals().size(), kLocalFanOut));
 }
 
 void
-beat_planner::PlanLocal(const heartbeat& aOwn, std::vector<planned_beat>& aPlan)
+beat_planner::PlanGreetings(const heartbeat& aOwn,
+                            std::vector<planned_beat>& aPlan)
 {
-  auto beat = aOwn;
-  AddNews(beat);
-  if (IsRelay()) {
-    AddSlice(beat);
-  }
-  const auto locals = Locals();
-  const auto periods = LocalPeriods();
-  for (std::size_t index = mTick % periods; index < locals.size();
-       index += periods) {
-    aPlan.push_back({ locals[index]->mProcess.mVm, beat });
+  if (mNewcomers.empty()) {
+    return;
   }
+  auto greeting = aOwn;
+  greeting.mHeard = LiveElsewhere();
   for (const auto& newcomer : mNewcomers) {
-    auto greeting = aOwn;
-    for (const auto& [vm, one] : mBoard.mMembers) {
-      if (one.mDataCentre != mBoard.mDataCentre &&
-          one.mState == member_state::Live) {
-        greeting.mHeard.push_back(one.mProcess);
-      }
-    }
-    aPlan.push_back({ newcomer, std::move(greeting) });
+    aPlan.push_back({ newcomer, greeting });
   }
   mNewcomers.clear();
 }
 
 void
-beat_planner::PlanRelay(const heartbeat& aOwn,
-                        std::vector<planned_beat>& aPlan) const
+beat_planner::PlanRelay(const heartbeat& aOwn, std::vector<planned_beat>& aPlan)
 {
   auto beat = aOwn;
+  // Loads and demands are of use within a data centre only.
   beat.mPools.clear();
   beat.mDemands.clear();
+  auto full = beat;
+  AddNews(mRelayNews, beat);
+  AddLocals(full);
   std::set<data_centre_id> elsewhere;
   for (const auto& [vm, one] : mBoard.mMembers) {
     if (one.mDataCentre != mBoard.mDataCentre) {
       elsewhere.insert(one.mDataCentre);
-    } else if (one.mState == member_state::Live) {
-      beat.mHeard.push_back(one.mProcess);
     }
   }
-  std::size_t index = mTick;
+  std::size_t turn = mTick;
   for (const auto& dataCentre : elsewhere) {
-    const auto relay = RelayOf(dataCentre, mBoard);
-    if (relay && index++ % kRelayPeriods == 0) {
-      aPlan.push_back({ *relay, beat });
+    const auto relay = FarRelay(dataCentre);
+    ++turn;
+    const bool due = turn % kRelayPeriods == 0;
+    const bool fullDue = turn % (kRelayPeriods * kRelayFullBeats) == 0 ||
+                         mOweAll.contains(dataCentre);
+    if (relay && (due || fullDue || !mRelayNews.empty())) {
+      aPlan.push_back({ *relay, fullDue ? full : beat });
+    }
+  }
+}
+
+// Whom to exchange members with. If everyone there seems gone, tries them in
+// turn, so that a partition that has ended is noticed.
+std::optional<vm_id>
+beat_planner::FarRelay(const data_centre_id& aDataCentre) const
+{
+  if (const auto relay = RelayOf(aDataCentre, mBoard)) {
+    return relay;
+  }
+  std::vector<vm_id> all;
+  for (const auto& [vm, one] : mBoard.mMembers) {
+    if (one.mDataCentre == aDataCentre) {
+      all.push_back(vm);
+    }
+  }
+  return all.empty() ? std::nullopt
+                     : std::optional(all[mTick / kRelayPeriods % all.size()]);
+}
+
+void
+beat_planner::AddLocals(heartbeat& aBeat) const
+{
+  aBeat.mHeardIsAll = true;
+  for (const auto& [vm, one] : mBoard.mMembers) {
+    if (one.mDataCentre == mBoard.mDataCentre &&
+        one.mState == member_state::Live) {
+      aBeat.mHeard.push_back(one.mProcess);
     }
   }
 }
 
 void
-beat_planner::Spread(const process_id& aProcess, bool aLost)
+beat_planner::AddNews(const news_list& aNews, heartbeat& aBeat)
 {
-  std::erase_if(mNews, [&](const news_item& aItem) {
-    return aItem.mProcess.mVm == aProcess.mVm;
-  });
-  mNews.push_back({ aProcess, aLost, kNewsRepeats * LocalPeriods() });
+  for (const auto& item : aNews) {
+    auto& list = item.mLost ? aBeat.mLost : aBeat.mHeard;
+    list.push_back(item.mProcess);
+  }
+}
+
+void
+beat_planner::AgeNews(news_list& aNews)
+{
+  for (auto& item : aNews) {
+    --item.mPeriodsLeft;
+  }
+  std::erase_if(aNews,
+                [](const news_item& aItem) { return aItem.mPeriodsLeft == 0; });
 }
 
 void
 beat_planner::SpreadHeard(const process_id& aProcess)
 {
-  Spread(aProcess, false);
+  mLocalNews.push_back({ aProcess, false, kNewsRepeats * mLocalPeriods });
 }
 
 void
 beat_planner::SpreadLost(const process_id& aProcess)
 {
-  Spread(aProcess, true);
+  mLocalNews.push_back({ aProcess, true, kNewsRepeats * mLocalPeriods });
 }
 
 void
-beat_planner::Greet(const vm_id& aNewcomer)
+beat_planner::RelayHeard(const process_id& aProcess)
 {
-  mNewcomers.insert(aNewcomer);
+  mRelayNews.push_back({ aProcess, false, 1 });
 }
 
 void
-beat_planner::AddNews(heartbeat& aBeat) const
+beat_planner::RelayLost(const process_id& aProcess)
 {
-  for (const auto& item : mNews) {
-    auto& list = item.mLost ? aBeat.mLost : aBeat.mHeard;
-    list.push_back(item.mProcess);
-  }
+  mRelayNews.push_back({ aProcess, true, 1 });
 }
 
-// Adds the next few members elsewhere in turn: the same ones for a whole
-// rotation, so that everyone is told of everyone.
 void
-beat_planner::AddSlice(heartbeat& aBeat) const
+beat_planner::RelayAll(const data_centre_id& aTo)
+{
+  mOweAll.insert(aTo);
+}
+
+void
+beat_planner::Greet(const vm_id& aNewcomer)
+{
+  mNewcomers.insert(aNewcomer);
+}
+
+std::vector<process_id>
+beat_planner::LiveElsewhere() const
 {
-  std::vector<const member*> elsewhere;
+  std::vector<process_id> live;
   for (const auto& [vm, one] : mBoard.mMembers) {
     if (one.mDataCentre != mBoard.mDataCentre &&
         one.mState == member_state::Live) {
-      elsewhere.push_back(&one);
+      live.push_back(one.mProcess);
     }
   }
-  const auto rotation = mTick / LocalPeriods();
+  return live;
+}
+
+// Adds the next few members elsewhere in turn: the same ones for a whole
+// rotation, so that everyone is told of everyone.
+void
+beat_planner::AddSlice(heartbeat& aBeat) const
+{
+  const auto elsewhere = LiveElsewhere();
+  const auto rotation = mTick / mLocalPeriods;
   const auto count = std::min(kSliceMembers, elsewhere.size());
   for (std::size_t offset = 0; offset < count; ++offset) {
     const auto index = (rotation * kSliceMembers + offset) % elsewhere.size();
-    aBeat.mHeard.push_back(elsewhere[index]->mProcess);
+    aBeat.mHeard.push_back(elsewhere[index]);
   }
 }
 
@@ -252,9 +318,9 @@
     return LimitsForPeriod(mPeriod);
   }
   if (aMember.mDataCentre == mBoard.mDataCentre) {
-    return LimitsForPeriod(mPeriod * LocalPeriods());
+    return LimitsForPeriod(mPeriod * mLocalPeriods);
   }
-  if (IsRelay()) {
+  if (mIsRelay) {
     return LimitsForPeriod(mPeriod * kRelayPeriods);
   }
   silence_limits limits;
--- a/src/sapphirespar/membership/member_machine.cpp
+++ b/src/sapphirespar/membership/member_machine.cpp
@@ -48,6 +48,7 @@
   struct transition_table
     : boost::mpl::vector<Row<joining, heard, live>,
                          Row<joining, heard_leaving, leaving>,
+                         Row<joining, missed, suspect>,
                          Row<joining, lost, dead>,
                          Row<live, heard_leaving, leaving>,
                          Row<live, missed, suspect>,
--- a/src/sapphirespar/membership/member_table.cpp
+++ b/src/sapphirespar/membership/member_table.cpp
@@ -193,9 +193,6 @@
     record.mMachine.Miss();
   }
   Publish(aVm);
-  if (!record.mListed && silence >= aLimits.mForgetAfter) {
-    Remove(aVm);
-  }
 }
 
 void
@@ -318,15 +315,44 @@
 }
 
 void
+member_table::ApplyUnchanged(const data_centre_id& aDataCentre,
+                             steady_time aNow)
+{
+  for (const auto& [vm, entry] : mState->mBoard.mMembers) {
+    if (entry.mDataCentre == aDataCentre &&
+        entry.mState == member_state::Live) {
+      mState->mRecords[vm].mSilentSince = aNow;
+    }
+  }
+}
+
+std::vector<member>
 member_table::Tick(const limits_function& aLimits, steady_time aNow)
 {
-  // A copy, because judging may remove entries.
-  const auto members = mState->mBoard.mMembers;
-  for (const auto& [vm, entry] : members) {
-    if (!mState->IsSelf(vm)) {
-      mState->Judge(vm, aLimits(entry), aNow);
+  std::vector<member> lost;
+  std::vector<vm_id> forgotten;
+  for (auto& [vm, entry] : mState->mBoard.mMembers) {
+    if (mState->IsSelf(vm)) {
+      continue;
+    }
+    auto& record = mState->mRecords.at(vm);
+    const auto limits = aLimits(entry);
+    const auto silence = aNow - record.mSilentSince;
+    if (silence < limits.mSuspectAfter) {
+      continue;
+    }
+    const bool wasLive = entry.mState == member_state::Live;
+    mState->Judge(vm, limits, aNow);
+    if (wasLive && entry.mState != member_state::Live) {
+      lost.push_back(entry);
+    }
+    if (!record.mListed && silence >= limits.mForgetAfter) {
+      forgotten.push_back(vm);
     }
   }
+  std::ranges::for_each(forgotten,
+                        [this](const vm_id& aVm) { mState->Remove(aVm); });
+  return lost;
 }
 
 std::uint64_t
--- a/src/sapphirespar/membership/membership_controller.cpp
+++ b/src/sapphirespar/membership/membership_controller.cpp
@@ -6,14 +6,25 @@
 #include "sapphirespar/base/log.hpp"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace sapphirespar::membership {
 namespace {
 
-// The list is read less often the longer it is, so that its bytes per second
-// stay the same.
-constexpr std::chrono::milliseconds kListPeriodPerMember{ 200 };
+// Returns the largest of aDemands, at most kDemandsPerBeat.
+std::vector<account_demand>
+Largest(std::vector<account_demand> aDemands)
+{
+  const auto count = std::min(kDemandsPerBeat, aDemands.size());
+  std::ranges::partial_sort(aDemands,
+                            aDemands.begin() +
+                              static_cast<std::ptrdiff_t>(count),
+                            std::ranges::greater{},
+                            &account_demand::mRequestsPerSecond);
+  aDemands.resize(count);
+  return aDemands;
+}
 
 } // namespace
 
@@ -45,6 +56,9 @@
   heartbeat OwnBeat();
   void SendBeats();
   void JudgeSilence(steady_time aNow);
+  void NoteLost(const member& aMember);
+  void LoseOthers(const std::vector<process_id>& aHeard,
+                  const data_centre_id& aFrom);
   void ReadListIfDue(steady_time aNow);
   void TakeList(const vm_list_answer& aAnswer);
   void TakeBeat(const heartbeat& aBeat);
@@ -88,6 +102,7 @@
 membership_controller::state::Tick()
 {
   const auto now = mTimers.Now();
+  mPlanner.BeginPeriod();
   NoticePause(now);
   NoticeRelayDuty(now);
   SendBeats();
@@ -140,7 +155,8 @@
     beat.mPools = mHooks.mPools();
   }
   if (mHooks.mDemands) {
-    beat.mDemands = mHooks.mDemands();
+    beat.mDemands =
+      mPlanner.IsFullMesh() ? mHooks.mDemands() : Largest(mHooks.mDemands());
   }
   return beat;
 }
@@ -158,21 +174,24 @@
 void
 membership_controller::state::JudgeSilence(steady_time aNow)
 {
-  const auto before = mBoard.mMembers;
-  mTable.Tick(
+  const auto lost = mTable.Tick(
     [this](const member& aMember) { return mPlanner.LimitsFor(aMember); },
     aNow);
+  std::ranges::for_each(lost,
+                        [this](const member& aMember) { NoteLost(aMember); });
+}
+
+// Tells whoever depends on this router that aMember is no longer heard.
+void
+membership_controller::state::NoteLost(const member& aMember)
+{
   if (!mPlanner.IsRelay()) {
     return;
   }
-  for (const auto& [vm, was] : before) {
-    const auto now = mBoard.mMembers.find(vm);
-    const bool stillLive =
-      now != mBoard.mMembers.end() && now->second.mState == member_state::Live;
-    if (was.mState == member_state::Live && !stillLive &&
-        was.mDataCentre != mBoard.mDataCentre) {
-      mPlanner.SpreadLost(was.mProcess);
-    }
+  if (aMember.mDataCentre == mBoard.mDataCentre) {
+    mPlanner.RelayLost(aMember.mProcess);
+  } else {
+    mPlanner.SpreadLost(aMember.mProcess);
   }
 }
 
@@ -214,39 +233,47 @@
 {
   const auto& vm = aBeat.mSender.mVm;
   const auto known = mBoard.mMembers.find(vm);
-  const bool newcomer = known == mBoard.mMembers.end() ||
-                        known->second.mProcess != aBeat.mSender ||
-                        known->second.mState == member_state::Dead;
-  const bool relay = mPlanner.IsRelay();
-  if (!mTable.ApplyHeartbeat(aBeat, mTimers.Now())) {
+  const bool wasLive = known != mBoard.mMembers.end() &&
+                       known->second.mProcess == aBeat.mSender &&
+                       known->second.mState == member_state::Live;
+  if (!mTable.ApplyHeartbeat(aBeat, mTimers.Now()) || mPlanner.IsFullMesh()) {
     return;
   }
-  const auto dataCentre = mBoard.mMembers.at(vm).mDataCentre;
-  if (mPlanner.IsFullMesh()) {
+  const auto& sender = mBoard.mMembers.at(vm);
+  if (sender.mDataCentre != mBoard.mDataCentre) {
+    if (!wasLive) {
+      mPlanner.SpreadHeard(aBeat.mSender);
+      mPlanner.RelayAll(sender.mDataCentre);
+    }
+    TakeRelayNews(aBeat, sender.mDataCentre);
     return;
   }
-  if (dataCentre != mBoard.mDataCentre) {
-    TakeRelayNews(aBeat, dataCentre);
+  TakeLocalNews(aBeat);
+  const bool isLive = sender.mState == member_state::Live;
+  if (!mPlanner.IsRelay() || wasLive == isLive) {
     return;
   }
-  TakeLocalNews(aBeat);
-  if (newcomer && relay) {
+  if (isLive) {
+    mPlanner.RelayHeard(aBeat.mSender);
     mPlanner.Greet(vm);
+  } else {
+    mPlanner.RelayLost(aBeat.mSender);
   }
 }
 
-// Takes over who is heard in another data centre: whoever is not named there
-// any more is lost.
 void
 membership_controller::state::TakeRelayNews(const heartbeat& aBeat,
                                             const data_centre_id& aFrom)
 {
-  if (aBeat.mHeard.empty()) {
-    return;
-  }
   const auto now = mTimers.Now();
-  const std::set<process_id> heard(aBeat.mHeard.begin(), aBeat.mHeard.end());
-  for (const auto& process : heard) {
+  if (aBeat.mHeardIsAll) {
+    LoseOthers(aBeat.mHeard, aFrom);
+  }
+  for (const auto& process : aBeat.mLost) {
+    mTable.ApplyLoss(process, now);
+    mPlanner.SpreadLost(process);
+  }
+  for (const auto& process : aBeat.mHeard) {
     const auto revision = mTable.Revision();
     const bool known = mTable.ApplyHearsay(process, now);
     mListWanted = mListWanted || !known;
@@ -254,6 +281,15 @@
       mPlanner.SpreadHeard(process);
     }
   }
+  mTable.ApplyUnchanged(aFrom, now);
+}
+
+// Whoever is live in aFrom but not among aHeard is lost.
+void
+membership_controller::state::LoseOthers(const std::vector<process_id>& aHeard,
+                                         const data_centre_id& aFrom)
+{
+  const std::set<process_id> heard(aHeard.begin(), aHeard.end());
   std::vector<process_id> missing;
   for (const auto& [vm, one] : mBoard.mMembers) {
     if (one.mDataCentre == aFrom && one.mState == member_state::Live &&
@@ -262,7 +298,7 @@
     }
   }
   for (const auto& process : missing) {
-    mTable.ApplyLoss(process, now);
+    mTable.ApplyLoss(process, mTimers.Now());
     mPlanner.SpreadLost(process);
   }
 }
@@ -321,7 +357,13 @@
 void
 membership_controller::OnUnreachable(const vm_id& aVm)
 {
+  const auto before = mState->mBoard.mMembers.find(aVm);
+  const bool wasLive = before != mState->mBoard.mMembers.end() &&
+                       before->second.mState == member_state::Live;
   mState->mTable.ApplyUnreachable(aVm, mState->mTimers.Now());
+  if (wasLive) {
+    mState->NoteLost(mState->mBoard.mMembers.at(aVm));
+  }
   mState->ReportChanges();
 }
 
--- a/src/sapphirespar/router/slot_broker_test.cpp
+++ b/src/sapphirespar/router/slot_broker_test.cpp
@@ -31,16 +31,16 @@
   unsigned mRepeated = 0;
 };
 
-class slot_broker_test : public testing::Test
+// Routers before upstreams, joined by a network that a test may disturb.
+struct slot_scene
 {
-protected:
-  slot_broker_test()
+  slot_scene()
   {
     mNetwork.SetCarrier([this](const peer_message& aMessage) {
       if (mLose && mLose(aMessage)) {
         return std::optional<steady_duration>();
       }
-      return std::optional<steady_duration>(1ms);
+      return std::optional<steady_duration>(mDelay);
     });
   }
 
@@ -187,6 +187,7 @@
 
   manual_timer_service mTimers;
   fake_network mNetwork{ mTimers };
+  steady_duration mDelay = 1ms;
   std::mt19937_64 mRandom{ 7 };
   std::function<bool(const peer_message&)> mLose;
   std::function<void(const vm_id&, const std::string& aId)> mOnAnswer;
@@ -196,226 +197,246 @@
   std::map<vm_id, std::unique_ptr<node>> mNodes;
 };
 
-TEST_F(slot_broker_test, SlotsOfOneUpstreamAreSharedByAllRouters)
+TEST(SlotBroker, SlotsOfOneUpstreamAreSharedByAllRouters)
 {
-  Start(3, 1);
-  Acquire({ "r0" }, "a", 1min);
-  Acquire({ "r1" }, "b", 1min);
-  mTimers.Advance(10ms);
-  Acquire({ "r2" }, "c", 1min);
-  mTimers.Advance(10ms);
-  EXPECT_TRUE(HasSlot({ "r0" }, "a"));
-  EXPECT_TRUE(HasSlot({ "r1" }, "b"));
-  EXPECT_FALSE(HasSlot({ "r2" }, "c"));
-  EXPECT_EQ(Outstanding(Home()), kSlots);
-  Finish({ "r0" }, "a");
-  mTimers.Advance(10ms);
-  EXPECT_TRUE(HasSlot({ "r2" }, "c"));
+  slot_scene scene;
+  scene.Start(3, 1);
+  scene.Acquire({ "r0" }, "a", 1min);
+  scene.Acquire({ "r1" }, "b", 1min);
+  scene.mTimers.Advance(10ms);
+  scene.Acquire({ "r2" }, "c", 1min);
+  scene.mTimers.Advance(10ms);
+  EXPECT_TRUE(scene.HasSlot({ "r0" }, "a"));
+  EXPECT_TRUE(scene.HasSlot({ "r1" }, "b"));
+  EXPECT_FALSE(scene.HasSlot({ "r2" }, "c"));
+  EXPECT_EQ(scene.Outstanding(scene.Home()), kSlots);
+  scene.Finish({ "r0" }, "a");
+  scene.mTimers.Advance(10ms);
+  EXPECT_TRUE(scene.HasSlot({ "r2" }, "c"));
 }
 
-TEST_F(slot_broker_test, WithdrawnRequestIsNeverGranted)
+TEST(SlotBroker, WithdrawnRequestIsNeverGranted)
 {
-  Start(3, 1);
-  const auto caller = Other();
+  slot_scene scene;
+  scene.Start(3, 1);
+  const auto caller = scene.Other();
   for (const std::string id : { "a", "b", "c" }) {
-    Acquire(caller, id, 1min);
+    scene.Acquire(caller, id, 1min);
   }
-  mTimers.Advance(10ms);
-  mNodes.at(caller)->mBroker->Withdraw({ "c" });
-  Finish(caller, "a");
-  mTimers.Advance(1s);
-  EXPECT_FALSE(mNodes.at(caller)->mOutcomes.contains({ "c" }));
-  EXPECT_EQ(Outstanding(Home()), 1U);
+  scene.mTimers.Advance(10ms);
+  scene.mNodes.at(caller)->mBroker->Withdraw({ "c" });
+  scene.Finish(caller, "a");
+  scene.mTimers.Advance(1s);
+  EXPECT_FALSE(scene.mNodes.at(caller)->mOutcomes.contains({ "c" }));
+  EXPECT_EQ(scene.Outstanding(scene.Home()), 1U);
 }
 
-TEST_F(slot_broker_test,
-       Fault_Slow_Request_Slot_ARequestThatWaitedTooLongIsRefusedByItsHome)
+TEST(SlotBroker, RequestThatWaitedTooLongIsRefusedByItsHome)
 {
-  Start(3, 1);
-  const auto caller = Other();
+  slot_scene scene;
+  scene.Start(3, 1);
+  const auto caller = scene.Other();
   for (const std::string id : { "a", "b" }) {
-    Acquire(caller, id, 1min);
+    scene.Acquire(caller, id, 1min);
   }
-  Acquire(caller, "c", 3s);
-  mTimers.Advance(4s);
-  const auto& outcome = mNodes.at(caller)->mOutcomes.at({ "c" });
+  scene.Acquire(caller, "c", 3s);
+  scene.mTimers.Advance(4s);
+  const auto& outcome = scene.mNodes.at(caller)->mOutcomes.at({ "c" });
   EXPECT_EQ(std::get<refusal>(outcome).mReason, refusal_reason::TooLate);
 }
 
-TEST_F(slot_broker_test,
-       Fault_CrashAfter_Request_Slot_AHomeThatDiesWithAQueueIsReplaced)
+TEST(Fault_CrashAfter, Request_Slot_AHomeThatDiesWithAQueueIsReplaced)
 {
-  Start(3, 1);
-  const auto dying = Home();
-  const auto caller = Other();
+  slot_scene scene;
+  scene.Start(3, 1);
+  const auto dying = scene.Home();
+  const auto caller = scene.Other();
   for (const std::string id : { "a", "b", "c" }) {
-    Acquire(caller, id, 1min);
+    scene.Acquire(caller, id, 1min);
   }
-  mTimers.Advance(10ms);
-  Kill(dying);
-  SetState(dying, member_state::Dead);
-  mTimers.Advance(10ms);
+  scene.mTimers.Advance(10ms);
+  scene.Kill(dying);
+  scene.SetState(dying, member_state::Dead);
+  scene.mTimers.Advance(10ms);
   // The requests that run are made known to the new home before it grants.
-  EXPECT_EQ(Outstanding(Home()), kSlots);
-  EXPECT_FALSE(HasSlot(caller, "c"));
-  Finish(caller, "a");
-  mTimers.Advance(10ms);
-  EXPECT_TRUE(HasSlot(caller, "c"));
+  EXPECT_EQ(scene.Outstanding(scene.Home()), kSlots);
+  EXPECT_FALSE(scene.HasSlot(caller, "c"));
+  scene.Finish(caller, "a");
+  scene.mTimers.Advance(10ms);
+  EXPECT_TRUE(scene.HasSlot(caller, "c"));
 }
 
-TEST_F(slot_broker_test,
-       Fault_SilentInbound_Request_Slot_SilentHomesLeadToADirectChoice)
+TEST(Fault_SilentOutbound, Request_Slot_SilentHomesLeadToADirectChoice)
 {
-  Start(3, 1);
-  const auto home = Home();
-  const auto caller = Other();
-  mNetwork.Cut(caller, home);
-  Acquire(caller, "a", 1min);
-  mTimers.Advance(1s);
-  EXPECT_TRUE(HasSlot(caller, "a"));
-  EXPECT_EQ(mNodes.at(caller)->mBroker->Counts().mDirect, 1U);
+  slot_scene scene;
+  scene.Start(3, 1);
+  const auto home = scene.Home();
+  const auto caller = scene.Other();
+  scene.mNetwork.Cut(caller, home);
+  scene.Acquire(caller, "a", 1min);
+  scene.mTimers.Advance(1s);
+  EXPECT_TRUE(scene.HasSlot(caller, "a"));
+  EXPECT_EQ(scene.mNodes.at(caller)->mBroker->Counts().mDirect, 1U);
 }
 
-TEST_F(slot_broker_test, RefusalOfOneHomeWithoutRoomLeadsToTheNext)
+// A slow home's late grant is given back, so that its slot is not lost.
+TEST(Fault_Slow, Request_Slot_ALateGrantIsGivenBack)
 {
-  Start(2, 8);
-  const auto home = Home();
-  const auto caller = Other();
+  slot_scene scene;
+  scene.Start(3, 1);
+  const auto home = scene.Home();
+  const auto caller = scene.Other();
+  scene.mDelay = 1s;
+  scene.Acquire(caller, "a", 1min);
+  scene.mTimers.Advance(500ms);
+  EXPECT_TRUE(scene.HasSlot(caller, "a"));
+  scene.mDelay = 1ms;
+  scene.mTimers.Advance(5s);
+  EXPECT_EQ(scene.Outstanding(home), 1U);
+  scene.Finish(caller, "a");
+  scene.mTimers.Advance(20s);
+  EXPECT_EQ(scene.OutstandingEverywhere(), 0U);
+  EXPECT_EQ(scene.mNodes.at(caller)->mRepeated, 0U);
+}
+
+TEST(SlotBroker, RefusalOfOneHomeWithoutRoomLeadsToTheNext)
+{
+  slot_scene scene;
+  scene.Start(2, 8);
+  const auto home = scene.Home();
+  const auto caller = scene.Other();
   // The home does not know yet that it is one.
-  mNodes.at(home)->mBroker->SetUpstreams({});
-  Acquire(caller, "a", 1min);
-  mTimers.Advance(1s);
-  EXPECT_TRUE(HasSlot(caller, "a"));
+  scene.mNodes.at(home)->mBroker->SetUpstreams({});
+  scene.Acquire(caller, "a", 1min);
+  scene.mTimers.Advance(1s);
+  EXPECT_TRUE(scene.HasSlot(caller, "a"));
 }
 
-TEST_F(slot_broker_test,
-       Fault_CrashAfter_Request_Finish_ADeadOrRestartedHolderGivesUpItsSlots)
+TEST(Fault_CrashAfter, Request_Finish_ARestartedHolderGivesUpItsSlots)
 {
-  Start(3, 1);
-  const auto holder = Other();
-  Acquire(holder, "a", 1min);
-  Acquire(holder, "b", 1min);
-  Acquire(holder, "c", 1min);
-  mTimers.Advance(10ms);
-  Kill(holder);
-  SetState(holder, member_state::Suspect);
-  EXPECT_EQ(Outstanding(Home()), kSlots);
-  mMembers[holder].mProcess.mIncarnation = 2;
-  StartNode(holder);
-  SetState(holder, member_state::Live);
-  mTimers.Advance(10ms);
-  EXPECT_EQ(OutstandingEverywhere(), 0U);
+  slot_scene scene;
+  scene.Start(3, 1);
+  const auto holder = scene.Other();
+  scene.Acquire(holder, "a", 1min);
+  scene.Acquire(holder, "b", 1min);
+  scene.Acquire(holder, "c", 1min);
+  scene.mTimers.Advance(10ms);
+  scene.Kill(holder);
+  scene.SetState(holder, member_state::Suspect);
+  EXPECT_EQ(scene.Outstanding(scene.Home()), kSlots);
+  scene.mMembers[holder].mProcess.mIncarnation = 2;
+  scene.StartNode(holder);
+  scene.SetState(holder, member_state::Live);
+  scene.mTimers.Advance(10ms);
+  EXPECT_EQ(scene.OutstandingEverywhere(), 0U);
 }
 
-TEST_F(slot_broker_test,
-       Fault_MessageLost_Request_Finish_ARetryAvoidsTheExcludedUpstream)
+TEST(Fault_MessageLost, Request_Slot_ARetryAvoidsTheExcludedUpstream)
 {
-  Start(2, 4);
-  const auto caller = Other();
-  Acquire(caller, "a", 1min);
-  mTimers.Advance(10ms);
+  slot_scene scene;
+  scene.Start(2, 4);
+  const auto caller = scene.Other();
+  scene.Acquire(caller, "a", 1min);
+  scene.mTimers.Advance(10ms);
   const auto first =
-    std::get<upstream_id>(mNodes.at(caller)->mOutcomes.at({ "a" }));
-  mLose = [](const peer_message& aMessage) {
+    std::get<upstream_id>(scene.mNodes.at(caller)->mOutcomes.at({ "a" }));
+  scene.mLose = [](const peer_message& aMessage) {
     return std::holds_alternative<slot_release>(aMessage);
   };
-  Finish(caller, "a");
-  mNodes.at(caller)->mOutcomes.clear();
-  mLose = nullptr;
+  scene.Finish(caller, "a");
+  scene.mNodes.at(caller)->mOutcomes.clear();
+  scene.mLose = nullptr;
   policy::queued_request again;
   again.mId = { "a" };
   again.mPool = kPool;
-  again.mFirstTokenBy = again.mAnswerBy = mTimers.Now() + 1min;
+  again.mFirstTokenBy = again.mAnswerBy = scene.mTimers.Now() + 1min;
   again.mExcluded = { first };
   std::optional<slot_outcome> outcome;
-  mNodes.at(caller)->mBroker->Acquire(
+  scene.mNodes.at(caller)->mBroker->Acquire(
     again, [&](slot_outcome aOutcome) { outcome = aOutcome; });
-  mTimers.Advance(1s);
+  scene.mTimers.Advance(1s);
   ASSERT_TRUE(outcome.has_value());
   EXPECT_NE(std::get<upstream_id>(*outcome), first);
 }
 
 // Two routers that think they are home grant at most twice the slots, and one
 // count is left once they agree.
-TEST_F(slot_broker_test,
-       Fault_StaleList_Request_Slot_DisagreementAboutTheHomeIsBoundedAndEnds)
+TEST(Fault_Partition, Request_Slot_DisagreementAboutTheHomeIsBoundedAndEnds)
 {
-  Start(3, 1);
-  const auto home = Home();
-  const auto loner = Other();
-  auto& lonely = *mNodes.at(loner);
+  slot_scene scene;
+  scene.Start(3, 1);
+  const auto home = scene.Home();
+  const auto loner = scene.Other();
+  auto& lonely = *scene.mNodes.at(loner);
   for (auto& [vm, one] : lonely.mBoard.mMembers) {
     one.mState = vm == loner ? member_state::Live : member_state::Suspect;
   }
   lonely.mBroker->OnMembersChanged();
   for (unsigned number = 0; number < 2 * kSlots; ++number) {
-    Acquire(home, "h" + std::to_string(number), 1min);
-    Acquire(loner, "l" + std::to_string(number), 1min);
+    scene.Acquire(home, "h" + std::to_string(number), 1min);
+    scene.Acquire(loner, "l" + std::to_string(number), 1min);
   }
-  mTimers.Advance(100ms);
-  EXPECT_EQ(OutstandingEverywhere(), 2 * kSlots);
-  SetState(loner, member_state::Live);
-  mTimers.Advance(1s);
-  EXPECT_EQ(Outstanding(home), 2 * kSlots);
+  scene.mTimers.Advance(100ms);
+  EXPECT_EQ(scene.OutstandingEverywhere(), 2 * kSlots);
+  scene.SetState(loner, member_state::Live);
+  scene.mTimers.Advance(1s);
+  EXPECT_EQ(scene.Outstanding(home), 2 * kSlots);
   for (unsigned number = 0; number < 2 * kSlots; ++number) {
-    Finish(home, "h" + std::to_string(number));
-    Finish(loner, "l" + std::to_string(number));
-    mTimers.Advance(10ms);
+    scene.Finish(home, "h" + std::to_string(number));
+    scene.Finish(loner, "l" + std::to_string(number));
+    scene.mTimers.Advance(10ms);
   }
-  EXPECT_TRUE(HasSlot(home, "h3"));
-  EXPECT_TRUE(HasSlot(loner, "l3"));
+  EXPECT_TRUE(scene.HasSlot(home, "h3"));
+  EXPECT_TRUE(scene.HasSlot(loner, "l3"));
 }
 
-// Each kind of message about slots is lost once, wherever it first occurs.
-class lost_message
-  : public slot_broker_test
-  , public testing::WithParamInterface<std::size_t>
-{};
-
-TEST_P(lost_message, IsMadeGood)
+// Loses the first message of one kind, wherever it occurs.
+void
+LoseOneOfKind(std::size_t aKind)
 {
-  Start(3, 2);
+  slot_scene scene;
+  scene.Start(3, 2);
   bool lost = false;
-  mLose = [&](const peer_message& aMessage) {
-    const bool lose = !lost && aMessage.index() == GetParam();
+  scene.mLose = [&](const peer_message& aMessage) {
+    const bool lose = !lost && aMessage.index() == aKind;
     lost = lost || lose;
     return lose;
   };
   std::vector<std::string> ids;
   for (unsigned number = 0; number < 3 * kSlots; ++number) {
     ids.push_back("q" + std::to_string(number));
-    Acquire(Other(), ids.back(), 10min);
+    scene.Acquire(scene.Other(), ids.back(), 10min);
   }
-  mTimers.Advance(3s);
-  const auto dying = Home();
-  const auto caller = Other();
-  Kill(dying);
-  SetState(dying, member_state::Dead);
+  scene.mTimers.Advance(3s);
+  const auto dying = scene.Home();
+  const auto caller = scene.Other();
+  scene.Kill(dying);
+  scene.SetState(dying, member_state::Dead);
   for (const auto& id : ids) {
-    mTimers.Advance(3s);
-    EXPECT_TRUE(HasSlot(caller, id)) << id;
-    Finish(caller, id);
+    scene.mTimers.Advance(3s);
+    EXPECT_TRUE(scene.HasSlot(caller, id)) << id;
+    scene.Finish(caller, id);
   }
-  EXPECT_EQ(mNodes.at(caller)->mRepeated, 0U);
+  EXPECT_EQ(scene.mNodes.at(caller)->mRepeated, 0U);
   // A slot whose release was lost is asked after.
-  mTimers.Advance(20s);
-  EXPECT_EQ(OutstandingEverywhere(), 0U);
+  scene.mTimers.Advance(20s);
+  EXPECT_EQ(scene.OutstandingEverywhere(), 0U);
 }
 
-INSTANTIATE_TEST_SUITE_P(Each,
-                         lost_message,
-                         testing::Values(peer_message(slot_request{}).index(),
-                                         peer_message(slot_grant{}).index(),
-                                         peer_message(slot_waiting{}).index(),
-                                         peer_message(slot_release{}).index(),
-                                         peer_message(slot_holding{}).index()));
+TEST(Fault_MessageLost, Request_Slot_AnyOneMessageIsMadeGood)
+{
+  const peer_message kinds[] = {
+    slot_request{}, slot_grant{}, slot_waiting{}, slot_release{}, slot_holding{}
+  };
+  for (const auto& kind : kinds) {
+    SCOPED_TRACE(kind.index());
+    LoseOneOfKind(kind.index());
+  }
+}
 
 // Runs requests of random lengths while one message in eight is lost.
-class lossy_network : public slot_broker_test
+struct lossy_network : slot_scene
 {
-public:
-  void TestBody() override {}
-
   void Run(std::uint64_t aSeed)
   {
     mRandom.seed(aSeed);
@@ -445,10 +466,10 @@
   }
 };
 
-TEST(SlotBroker, Fault_MessageLost_Request_Slot_NoRequestAndNoSlotIsLost)
+TEST(Fault_MessageLost, Request_Finish_NoRequestAndNoSlotIsEverLost)
 {
   EXPECT_TRUE(
-    rc::check([](std::uint64_t aSeed) { lossy_network{}.Run(aSeed); }));
+    rc::check([](std::uint64_t aSeed) { lossy_network().Run(aSeed); }));
 }
 
 } // namespace
--- a/src/sapphirespar/wire/gen/peer_types.cpp
+++ b/src/sapphirespar/wire/gen/peer_types.cpp
@@ -363,8 +363,8 @@
   this->account = val;
 }
 
-void demand::__set_requests_per_second(const double val) {
-  this->requests_per_second = val;
+void demand::__set_requests_per_1000_seconds(const int64_t val) {
+  this->requests_per_1000_seconds = val;
 }
 std::ostream& operator<<(std::ostream& out, const demand& obj)
 {
@@ -403,9 +403,9 @@
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
-          xfer += iprot->readDouble(this->requests_per_second);
-          this->__isset.requests_per_second = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->requests_per_1000_seconds);
+          this->__isset.requests_per_1000_seconds = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -431,8 +431,8 @@
   xfer += oprot->writeString(this->account);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("requests_per_second", ::apache::thrift::protocol::T_DOUBLE, 2);
-  xfer += oprot->writeDouble(this->requests_per_second);
+  xfer += oprot->writeFieldBegin("requests_per_1000_seconds", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->requests_per_1000_seconds);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -443,29 +443,29 @@
 void swap(demand &a, demand &b) {
   using ::std::swap;
   swap(a.account, b.account);
-  swap(a.requests_per_second, b.requests_per_second);
+  swap(a.requests_per_1000_seconds, b.requests_per_1000_seconds);
   swap(a.__isset, b.__isset);
 }
 
 demand::demand(const demand& other12) {
   account = other12.account;
-  requests_per_second = other12.requests_per_second;
+  requests_per_1000_seconds = other12.requests_per_1000_seconds;
   __isset = other12.__isset;
 }
 demand::demand(demand&& other13) noexcept {
   account = std::move(other13.account);
-  requests_per_second = other13.requests_per_second;
+  requests_per_1000_seconds = other13.requests_per_1000_seconds;
   __isset = other13.__isset;
 }
 demand& demand::operator=(const demand& other14) {
   account = other14.account;
-  requests_per_second = other14.requests_per_second;
+  requests_per_1000_seconds = other14.requests_per_1000_seconds;
   __isset = other14.__isset;
   return *this;
 }
 demand& demand::operator=(demand&& other15) noexcept {
   account = std::move(other15.account);
-  requests_per_second = other15.requests_per_second;
+  requests_per_1000_seconds = other15.requests_per_1000_seconds;
   __isset = other15.__isset;
   return *this;
 }
@@ -473,7 +473,7 @@
   using ::apache::thrift::to_string;
   out << "demand(";
   out << "account=" << to_string(account);
-  out << ", " << "requests_per_second=" << to_string(requests_per_second);
+  out << ", " << "requests_per_1000_seconds=" << to_string(requests_per_1000_seconds);
   out << ")";
 }
 
@@ -856,6 +856,11 @@
   this->lost = val;
 __isset.lost = true;
 }
+
+void heartbeat::__set_heard_is_all(const bool val) {
+  this->heard_is_all = val;
+__isset.heard_is_all = true;
+}
 std::ostream& operator<<(std::ostream& out, const heartbeat& obj)
 {
   obj.printTo(out);
@@ -1004,6 +1009,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->heard_is_all);
+          this->__isset.heard_is_all = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1094,6 +1107,11 @@
     }
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.heard_is_all) {
+    xfer += oprot->writeFieldBegin("heard_is_all", ::apache::thrift::protocol::T_BOOL, 10);
+    xfer += oprot->writeBool(this->heard_is_all);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1110,6 +1128,7 @@
   swap(a.demands, b.demands);
   swap(a.heard, b.heard);
   swap(a.lost, b.lost);
+  swap(a.heard_is_all, b.heard_is_all);
   swap(a.__isset, b.__isset);
 }
 
@@ -1123,6 +1142,7 @@
   demands = other48.demands;
   heard = other48.heard;
   lost = other48.lost;
+  heard_is_all = other48.heard_is_all;
   __isset = other48.__isset;
 }
 heartbeat::heartbeat(heartbeat&& other49) noexcept {
@@ -1135,6 +1155,7 @@
   demands = std::move(other49.demands);
   heard = std::move(other49.heard);
   lost = std::move(other49.lost);
+  heard_is_all = other49.heard_is_all;
   __isset = other49.__isset;
 }
 heartbeat& heartbeat::operator=(const heartbeat& other50) {
@@ -1147,6 +1168,7 @@
   demands = other50.demands;
   heard = other50.heard;
   lost = other50.lost;
+  heard_is_all = other50.heard_is_all;
   __isset = other50.__isset;
   return *this;
 }
@@ -1160,6 +1182,7 @@
   demands = std::move(other51.demands);
   heard = std::move(other51.heard);
   lost = std::move(other51.lost);
+  heard_is_all = other51.heard_is_all;
   __isset = other51.__isset;
   return *this;
 }
@@ -1175,6 +1198,7 @@
   out << ", " << "demands="; (__isset.demands ? (out << to_string(demands)) : (out << "<null>"));
   out << ", " << "heard="; (__isset.heard ? (out << to_string(heard)) : (out << "<null>"));
   out << ", " << "lost="; (__isset.lost ? (out << to_string(lost)) : (out << "<null>"));
+  out << ", " << "heard_is_all="; (__isset.heard_is_all ? (out << to_string(heard_is_all)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/sapphirespar/wire/gen/peer_types.h
+++ b/src/sapphirespar/wire/gen/peer_types.h
@@ -208,9 +208,9 @@
 std::ostream& operator<<(std::ostream& out, const version& obj);
 
 typedef struct _demand__isset {
-  _demand__isset() : account(false), requests_per_second(false) {}
+  _demand__isset() : account(false), requests_per_1000_seconds(false) {}
   bool account :1;
-  bool requests_per_second :1;
+  bool requests_per_1000_seconds :1;
 } _demand__isset;
 
 class demand : public virtual ::apache::thrift::TBase {
@@ -222,24 +222,24 @@
   demand& operator=(demand&&) noexcept;
   demand() noexcept
          : account(),
-           requests_per_second(0) {
+           requests_per_1000_seconds(0) {
   }
 
   virtual ~demand() noexcept;
   std::string account;
-  double requests_per_second;
+  int64_t requests_per_1000_seconds;
 
   _demand__isset __isset;
 
   void __set_account(const std::string& val);
 
-  void __set_requests_per_second(const double val);
+  void __set_requests_per_1000_seconds(const int64_t val);
 
   bool operator == (const demand & rhs) const
   {
     if (!(account == rhs.account))
       return false;
-    if (!(requests_per_second == rhs.requests_per_second))
+    if (!(requests_per_1000_seconds == rhs.requests_per_1000_seconds))
       return false;
     return true;
   }
@@ -392,7 +392,7 @@
 std::ostream& operator<<(std::ostream& out, const contact& obj);
 
 typedef struct _heartbeat__isset {
-  _heartbeat__isset() : sender(false), sequence(false), leaving(false), bundle(false), reach(false), pools(false), demands(false), heard(false), lost(false) {}
+  _heartbeat__isset() : sender(false), sequence(false), leaving(false), bundle(false), reach(false), pools(false), demands(false), heard(false), lost(false), heard_is_all(false) {}
   bool sender :1;
   bool sequence :1;
   bool leaving :1;
@@ -402,6 +402,7 @@
   bool demands :1;
   bool heard :1;
   bool lost :1;
+  bool heard_is_all :1;
 } _heartbeat__isset;
 
 class heartbeat : public virtual ::apache::thrift::TBase {
@@ -413,7 +414,8 @@
   heartbeat& operator=(heartbeat&&) noexcept;
   heartbeat() noexcept
             : sequence(0),
-              leaving(0) {
+              leaving(0),
+              heard_is_all(0) {
   }
 
   virtual ~heartbeat() noexcept;
@@ -426,6 +428,7 @@
   std::vector<demand>  demands;
   std::vector<process>  heard;
   std::vector<process>  lost;
+  bool heard_is_all;
 
   _heartbeat__isset __isset;
 
@@ -447,6 +450,8 @@
 
   void __set_lost(const std::vector<process> & val);
 
+  void __set_heard_is_all(const bool val);
+
   bool operator == (const heartbeat & rhs) const
   {
     if (!(sender == rhs.sender))
@@ -477,6 +482,10 @@
       return false;
     else if (__isset.lost && !(lost == rhs.lost))
       return false;
+    if (__isset.heard_is_all != rhs.__isset.heard_is_all)
+      return false;
+    else if (__isset.heard_is_all && !(heard_is_all == rhs.heard_is_all))
+      return false;
     return true;
   }
   bool operator != (const heartbeat &rhs) const {
--- a/src/sapphirespar/wire/peer_convert.cpp
+++ b/src/sapphirespar/wire/peer_convert.cpp
@@ -1,9 +1,13 @@
 // Translation of heartbeats and bundles.
 #include "peer_convert.hpp"
 
+#include <cmath>
+
 namespace sapphirespar::wire {
 namespace {
 
+constexpr double kDemandScale = 1000;
+
 gen::version
 VersionToWire(const bundle_version& aVersion)
 {
@@ -45,14 +49,16 @@
 {
   gen::demand wire;
   wire.__set_account(aDemand.mAccount.mText);
-  wire.__set_requests_per_second(aDemand.mRequestsPerSecond);
+  wire.__set_requests_per_1000_seconds(
+    std::llround(aDemand.mRequestsPerSecond * kDemandScale));
   return wire;
 }
 
 account_demand
 DemandFromWire(const gen::demand& aWire)
 {
-  return { { aWire.account }, aWire.requests_per_second };
+  const auto scaled = static_cast<double>(aWire.requests_per_1000_seconds);
+  return { { aWire.account }, scaled / kDemandScale };
 }
 
 gen::contact
@@ -132,6 +138,9 @@
   if (!aMessage.mLost.empty()) {
     wire.__set_lost(ProcessesToWire(aMessage.mLost));
   }
+  if (aMessage.mHeardIsAll) {
+    wire.__set_heard_is_all(true);
+  }
   aEnvelope.__set_heartbeat_value(wire);
 }
 
@@ -147,6 +156,7 @@
   message.mDemands = ConvertAll<account_demand>(aWire.demands, DemandFromWire);
   message.mHeard = ProcessesFromWire(aWire.heard);
   message.mLost = ProcessesFromWire(aWire.lost);
+  message.mHeardIsAll = aWire.heard_is_all;
   if (aWire.__isset.reach) {
     message.mContact = ContactFromWire(aWire.reach);
   }
