--- /dev/null
+++ b/examples/router/homes_against_two_choices.cpp
@@ -0,0 +1,318 @@
+// Compares homes with the usual way without them: every router sends each
+// request to the better of two upstreams at random, by load reports that lag.
+// Virtual time, the same arrivals and lengths for both.
+#include "sapphirespar/model/fake_network.hpp"
+#include "sapphirespar/router/slot_broker.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <cstdio>
+#include <deque>
+#include <random>
+
+namespace {
+
+using namespace sapphirespar;
+using namespace std::chrono_literals;
+
+constexpr unsigned kRouters = 6;
+constexpr unsigned kUpstreams = 9;
+constexpr unsigned kSlots = 16;
+constexpr double kMeanSeconds = 4;
+// Standard deviation of the logarithm of the length.
+constexpr double kSpread = 1;
+constexpr auto kArrivals = 300s;
+constexpr auto kReportPeriod = 1s;
+constexpr auto kOneWayDelay = 500us;
+// Longest wait with which the first token can still be in time.
+constexpr std::chrono::duration<double> kWaitTarget = 320ms;
+constexpr std::string_view kPool = "model";
+
+struct job
+{
+  unsigned mRouter = 0;
+  steady_time mArrival{};
+  steady_duration mLength{};
+};
+
+// An upstream that works on kSlots jobs and queues the rest in order.
+struct server
+{
+  unsigned mRunning = 0;
+  std::deque<std::size_t> mQueue;
+
+  unsigned Load() const
+  {
+    return mRunning + static_cast<unsigned>(mQueue.size());
+  }
+};
+
+class trial
+{
+public:
+  trial(double aLoad, std::uint64_t aSeed)
+    : mRandom(aSeed)
+  {
+    const double rate = aLoad * kUpstreams * kSlots / kMeanSeconds;
+    std::exponential_distribution<double> gap(rate);
+    std::lognormal_distribution<double> length(
+      std::log(kMeanSeconds) - kSpread * kSpread / 2, kSpread);
+    std::chrono::duration<double> at(0);
+    while (at < kArrivals) {
+      job one;
+      one.mRouter = static_cast<unsigned>(mRandom() % kRouters);
+      one.mArrival =
+        steady_time(std::chrono::duration_cast<steady_duration>(at));
+      one.mLength = std::chrono::duration_cast<steady_duration>(
+        std::chrono::duration<double>(length(mRandom)));
+      mJobs.push_back(one);
+      at += std::chrono::duration<double>(gap(mRandom));
+    }
+  }
+  virtual ~trial() = default;
+
+  // Returns waits until work begins, sorted.
+  std::vector<double> Run()
+  {
+    for (std::size_t number = 0; number < mJobs.size(); ++number) {
+      mTimers.Advance(mJobs[number].mArrival - mTimers.Now());
+      Arrive(number);
+    }
+    while (mWaits.size() < mJobs.size()) {
+      mTimers.Advance(1s);
+    }
+    std::ranges::sort(mWaits);
+    return mWaits;
+  }
+
+protected:
+  virtual void Arrive(std::size_t aJob) = 0;
+  virtual void Ended(std::size_t) {}
+
+  // Sends a job on its way to an upstream.
+  void Dispatch(std::size_t aJob, unsigned aServer)
+  {
+    Later(kOneWayDelay, [this, aJob, aServer] {
+      mServers[aServer].mQueue.push_back(aJob);
+      Work(aServer);
+    });
+  }
+
+  void Later(steady_duration aDelay, timer_callback aWork)
+  {
+    const auto id = mNextTimer++;
+    mPending[id] = mTimers.After(aDelay, [this, id, work = std::move(aWork)] {
+      const auto done = mPending.extract(id);
+      work();
+    });
+  }
+
+  manual_timer_service mTimers;
+  std::mt19937_64 mRandom;
+  std::vector<job> mJobs;
+  std::vector<server> mServers{ kUpstreams };
+
+private:
+  void Work(unsigned aServer)
+  {
+    auto& one = mServers[aServer];
+    while (one.mRunning < kSlots && !one.mQueue.empty()) {
+      const auto number = one.mQueue.front();
+      one.mQueue.pop_front();
+      ++one.mRunning;
+      const std::chrono::duration<double> wait =
+        mTimers.Now() - mJobs[number].mArrival;
+      mWaits.push_back(wait.count());
+      Later(mJobs[number].mLength, [this, aServer, number] {
+        --mServers[aServer].mRunning;
+        Ended(number);
+        Work(aServer);
+      });
+    }
+  }
+
+  std::uint64_t mNextTimer = 0;
+  std::map<std::uint64_t, timer_subscription> mPending;
+  std::vector<double> mWaits;
+};
+
+class two_choices_trial : public trial
+{
+public:
+  using trial::trial;
+
+private:
+  void Arrive(std::size_t aJob) override
+  {
+    if (mTimers.Now() - mReportedAt >= kReportPeriod) {
+      mReportedAt = mTimers.Now();
+      std::ranges::transform(
+        mServers, mReported.begin(), [](const server& aServer) {
+          return aServer.Load();
+        });
+      mSent.fill({});
+    }
+    const auto router = mJobs[aJob].mRouter;
+    const auto one = static_cast<unsigned>(mRandom() % kUpstreams);
+    const auto other = static_cast<unsigned>(mRandom() % kUpstreams);
+    // What this router itself has sent since the report counts too.
+    const auto load = [&](unsigned aServer) {
+      return mReported[aServer] + mSent[router][aServer];
+    };
+    const auto chosen = load(one) <= load(other) ? one : other;
+    ++mSent[router][chosen];
+    Dispatch(aJob, chosen);
+  }
+
+  steady_time mReportedAt{ -kReportPeriod };
+  std::array<unsigned, kUpstreams> mReported{};
+  std::array<std::array<unsigned, kUpstreams>, kRouters> mSent{};
+};
+
+class homes_trial : public trial
+{
+public:
+  homes_trial(double aLoad, std::uint64_t aSeed)
+    : trial(aLoad, aSeed)
+  {
+    mNetwork.SetCarrier([](const peer_message&) {
+      return std::optional<steady_duration>(kOneWayDelay);
+    });
+    DeclareUpstreams();
+    for (unsigned number = 0; number < kRouters; ++number) {
+      member one;
+      one.mProcess = { { "r" + std::to_string(number) }, 1 };
+      one.mState = member_state::Live;
+      mMembers[one.mProcess.mVm] = one;
+    }
+    for (unsigned number = 0; number < kRouters; ++number) {
+      StartRouter(number);
+    }
+    mReports = mTimers.Every(kReportPeriod, [this] { Gossip(); });
+  }
+
+private:
+  struct router_end
+  {
+    blackboard mBoard;
+    std::unique_ptr<peer_network> mLink;
+    std::unique_ptr<router::slot_broker> mBroker;
+    timer_subscription mTicks;
+  };
+
+  void DeclareUpstreams()
+  {
+    auto declared = std::make_shared<bundle>();
+    for (unsigned number = 0; number < kUpstreams; ++number) {
+      policy::upstream_view view;
+      view.mId = { std::to_string(number) };
+      view.mPools = { std::string(kPool) };
+      view.mSlots = kSlots;
+      mViews.push_back(view);
+      upstream_spec spec;
+      spec.mId = view.mId;
+      declared->mUpstreams.push_back(spec);
+    }
+    mBundle = declared;
+  }
+
+  void StartRouter(unsigned aNumber)
+  {
+    auto& end = mEnds[aNumber];
+    end.mBoard.mSelf = { { "r" + std::to_string(aNumber) }, 1 };
+    end.mBoard.mMembers = mMembers;
+    end.mLink = mNetwork.Attach(
+      end.mBoard.mSelf,
+      mTimers,
+      [&end](const process_id& aFrom, const peer_message& aMessage) {
+        end.mBroker->OnPeerMessage(aFrom, aMessage);
+      });
+    router::slot_broker_hooks hooks;
+    hooks.mRandom = [this] { return mRandom(); };
+    end.mBroker =
+      std::make_unique<router::slot_broker>(end.mBoard,
+                                            *end.mLink,
+                                            mTimers,
+                                            policy::MakeScheduler("tiered"),
+                                            router::slot_broker_settings{},
+                                            hooks);
+    end.mBroker->Configure(mBundle);
+    end.mBroker->SetUpstreams(mViews);
+    end.mTicks = mTimers.Every(50ms, [&end] { end.mBroker->Tick(); });
+  }
+
+  void Gossip()
+  {
+    for (auto& from : mEnds) {
+      for (auto& to : mEnds) {
+        auto& seen = to.mBoard.mMembers[from.mBoard.mSelf.mVm];
+        seen.mPools = from.mBroker->Loads();
+        seen.mLastHeard = mTimers.Now();
+      }
+    }
+  }
+
+  void Arrive(std::size_t aJob) override
+  {
+    constexpr auto kNeverDue = 1h;
+    policy::queued_request request;
+    request.mId = { std::to_string(aJob) };
+    request.mPool = kPool;
+    request.mArrival = mTimers.Now();
+    request.mFirstTokenBy = request.mAnswerBy = mTimers.Now() + kNeverDue;
+    auto& end = mEnds[mJobs[aJob].mRouter];
+    end.mBroker->Acquire(request, [this, aJob](router::slot_outcome aOutcome) {
+      const auto& upstream = std::get<upstream_id>(aOutcome);
+      Dispatch(aJob, static_cast<unsigned>(std::stoul(upstream.mText)));
+    });
+  }
+
+  void Ended(std::size_t aJob) override
+  {
+    policy::completion completion;
+    completion.mRequest = { std::to_string(aJob) };
+    completion.mSucceeded = true;
+    mEnds[mJobs[aJob].mRouter].mBroker->Finish(completion);
+  }
+
+  fake_network mNetwork{ mTimers };
+  std::vector<policy::upstream_view> mViews;
+  bundle_ptr mBundle;
+  std::map<vm_id, member> mMembers;
+  std::array<router_end, kRouters> mEnds;
+  timer_subscription mReports;
+};
+
+void
+Print(double aLoad, const char* aWay, const std::vector<double>& aWaits)
+{
+  const auto quantile = [&](double aShare) {
+    const auto last = static_cast<double>(aWaits.size() - 1);
+    return aWaits[static_cast<std::size_t>(aShare * last)];
+  };
+  const auto inTime = std::ranges::count_if(
+    aWaits, [](double aWait) { return aWait <= kWaitTarget.count(); });
+  std::printf("%5.2f  %-12s %8zu %10.3f %10.3f %10.3f %10.4f\n",
+              aLoad,
+              aWay,
+              aWaits.size(),
+              quantile(0.5),
+              quantile(0.99),
+              aWaits.back(),
+              static_cast<double>(inTime) / static_cast<double>(aWaits.size()));
+}
+
+} // namespace
+
+int
+main()
+{
+  constexpr std::uint64_t kSeed = 20261203;
+  std::printf(" load  way          requests   wait p50   wait p99   wait max "
+              "   in time\n");
+  for (const double load : { 0.7, 0.85, 0.95 }) {
+    Print(load, "two choices", two_choices_trial(load, kSeed).Run());
+    Print(load, "homes", homes_trial(load, kSeed).Run());
+  }
+  return 0;
+}
--- a/src/sapphirespar/router/slot_broker_test.cpp
+++ b/src/sapphirespar/router/slot_broker_test.cpp
@@ -299,6 +299,20 @@
   EXPECT_EQ(scene.mNodes.at(caller)->mRepeated, 0U);
 }
 
+TEST(Fault_StaleList, Request_Slot_AHomeThatWasForgottenIsPassedOver)
+{
+  slot_scene scene;
+  scene.Start(3, 1);
+  const auto home = scene.Home();
+  const auto caller = scene.Other();
+  scene.Kill(home);
+  // The board has changed, and the broker has not been told yet.
+  scene.mNodes.at(caller)->mBoard.mMembers.erase(home);
+  scene.Acquire(caller, "a", 1min);
+  scene.mTimers.Advance(1s);
+  EXPECT_TRUE(scene.HasSlot(caller, "a"));
+}
+
 TEST(SlotBroker, RefusalOfOneHomeWithoutRoomLeadsToTheNext)
 {
   slot_scene scene;
--- a/src/sapphirespar/router/slot_seeker.cpp
+++ b/src/sapphirespar/router/slot_seeker.cpp
@@ -99,7 +99,10 @@
 void
 slot_seeker::Ask(seeking& aSeeking, const vm_id& aHome, steady_time aNow)
 {
-  aSeeking.mHome = mBoard.mMembers.at(aHome).mProcess;
+  const auto found = mBoard.mMembers.find(aHome);
+  // A home that has just gone is passed over at the next change.
+  aSeeking.mHome = found == mBoard.mMembers.end() ? process_id{ aHome, 0 }
+                                                  : found->second.mProcess;
   aSeeking.mAsked = aNow;
   if (!aSeeking.mUnansweredSince) {
     aSeeking.mUnansweredSince = aNow;
