Split the controller, the careful platform and the client by job

Change: the step that puts a bundle into force, the settling of writes and the reading of the platform's answers have files of their own; no change in what they do.

--- a/src/sapphirespar/config/bundle_acceptance.cpp
+++ b/src/sapphirespar/config/bundle_acceptance.cpp
@@ -1,6 +1,7 @@
 // The steps of one acceptance: read, check, write, read back.
 #include "sapphirespar/config/bundle_acceptance.hpp"
 
+#include "problem_of.hpp"
 #include "sapphirespar/config/bundle_controller.hpp"
 #include "sapphirespar/config/bundle_delta.hpp"
 #include "sapphirespar/config/signed_bundle.hpp"
@@ -23,24 +24,6 @@
          std::to_string(aVersion.mNumber);
 }
 
-// Returns the text of the failure that aCall ends with, or nothing.
-template<class Call>
-std::optional<std::string>
-ProblemOf(const Call& aCall)
-{
-  using problem = std::optional<std::string>;
-  return leaf::try_handle_all(
-    [&]() -> result<problem> {
-      BOOST_LEAF_CHECK(aCall());
-      return problem();
-    },
-    [](const signature_failure& aFailure) {
-      return problem(aFailure.mProblem);
-    },
-    [](const config_failure& aFailure) { return problem(Describe(aFailure)); },
-    [] { return problem("unreadable"); });
-}
-
 // Parses aText into aInto and returns the problem if there is one.
 std::optional<std::string>
 ParseInto(signed_bundle& aInto, const std::string& aText)
--- a/src/sapphirespar/config/bundle_controller.cpp
+++ b/src/sapphirespar/config/bundle_controller.cpp
@@ -1,10 +1,8 @@
-// The bundle controller: platform watch and poll, exchange with peers, and the
-// one place where a bundle comes into force.
+// The bundle controller: platform watch and poll, and exchange with peers.
 #include "sapphirespar/config/bundle_controller.hpp"
 
+#include "bundle_controller_state.hpp"
 #include "sapphirespar/base/log.hpp"
-#include "sapphirespar/config/bundle_delta.hpp"
-#include "sapphirespar/config/signed_bundle.hpp"
 
 #include <xxhash.h>
 
@@ -24,12 +22,6 @@
 // A watch that is silent this long after its wait is taken for broken.
 constexpr milliseconds kWatchGrace{ 5000 };
 
-enum class bundle_source
-{
-  Platform,
-  Peer,
-};
-
 std::uint64_t
 WatcherWeight(const vm_id& aVm)
 {
@@ -58,99 +50,6 @@
   return { "bundle_whole", std::move(aName) };
 }
 
-// Callbacks hold it weakly: an answer that arrives after the controller's end
-// finds nobody.
-struct bundle_controller::state : std::enable_shared_from_this<state>
-{
-  state(platform_api& aPlatform,
-        peer_network& aNetwork,
-        timer_service& aTimers,
-        blackboard& aBoard,
-        bundle_controller_settings aSettings,
-        accepted_hook aOnAccepted)
-    : mPlatform(aPlatform)
-    , mNetwork(aNetwork)
-    , mTimers(aTimers)
-    , mBoard(aBoard)
-    , mSettings(std::move(aSettings))
-    , mOnAccepted(std::move(aOnAccepted))
-    , mRandom(mSettings.mSeed)
-  {
-  }
-
-  void Start();
-  bool IsWatcher() const;
-
-  // The platform.
-  void OnRoleTick();
-  void List();
-  void Watch(milliseconds aWait);
-  void OnList(std::uint64_t aCall, const list_answer& aAnswer);
-  void OnWatch(std::uint64_t aCall, const list_answer& aAnswer);
-  void OnObjects(const list_answer& aAnswer);
-  void Expect(milliseconds aWithin);
-  bool IsExpected(std::uint64_t aCall);
-  void Continue();
-  void Retry();
-  void Next(milliseconds aDelay);
-  void Call();
-
-  // Peers.
-  void OnHeartbeat(const heartbeat& aHeartbeat);
-  void OnRequest(const process_id& aFrom, const bundle_request& aRequest);
-  void OnPush(const process_id& aFrom, const bundle_push& aPush);
-  void Ask(const vm_id& aPeer);
-  void AskAnyPeer();
-  void TellDataCentre();
-
-  // Force.
-  bundle_version Version() const;
-  void Take(const std::string& aText, bundle_source aSource);
-  void TakeParsed(signed_bundle aBundle, bundle_source aSource);
-  void FetchWhole(signed_bundle aBundle);
-  void OnWhole(signed_bundle aBundle, const object_answer& aAnswer);
-  bool TryDelta(signed_bundle& aBundle);
-  void Install(signed_bundle aBundle);
-  void Refuse(std::string_view aProblem);
-  template<class Step>
-  void Guard(const Step& aStep);
-
-  milliseconds Jittered(milliseconds aDelay);
-
-  platform_api& mPlatform;
-  peer_network& mNetwork;
-  timer_service& mTimers;
-  blackboard& mBoard;
-  bundle_controller_settings mSettings;
-  accepted_hook mOnAccepted;
-  std::mt19937_64 mRandom;
-
-  // Where the next watch begins; unset asks for a list first.
-  std::optional<object_version> mWatchFrom;
-  // The call that is awaited, if any; answers to others are stale.
-  std::uint64_t mAwaited = 0;
-  std::uint64_t mLastCall = 0;
-  bool mWasWatcher = false;
-  // Doubles with each failure in a row, up to mRetryLimit.
-  milliseconds mBackoff{ 0 };
-
-  // In force, without its history; empty before the first one.
-  signed_bundle mInForce;
-  // The version that mInForce's delta starts from.
-  bundle_version mDeltaBase;
-
-  // Who sent the last push.
-  vm_id mAskedFor;
-
-  // When the peer asked last is given up.
-  steady_time mAskedUntil{};
-  std::uint64_t mRefused = 0;
-
-  timer_subscription mRoleTimer;
-  timer_subscription mNextTimer;
-  timer_subscription mDeadlineTimer;
-};
-
 milliseconds
 bundle_controller::state::Jittered(milliseconds aDelay)
 {
@@ -406,139 +305,6 @@
   }
 }
 
-bundle_version
-bundle_controller::state::Version() const
-{
-  return mBoard.mBundle ? mBoard.mBundle->mVersion : bundle_version{};
-}
-
-// Runs a step that may fail; failures are noted and change nothing.
-template<class Step>
-void
-bundle_controller::state::Guard(const Step& aStep)
-{
-  leaf::try_handle_all(
-    aStep,
-    [&](const signature_failure& aFailure) { Refuse(aFailure.mProblem); },
-    [&](const config_failure& aFailure) { Refuse(Describe(aFailure)); },
-    [&] { Refuse("unknown failure"); });
-}
-
-void
-bundle_controller::state::Refuse(std::string_view aProblem)
-{
-  ++mRefused;
-  LogEvent(log_level::Error, "bundle_refused", { { "problem", aProblem } });
-}
-
-// Puts the bundle of aText into force if it is newer and rightly signed.
-void
-bundle_controller::state::Take(const std::string& aText, bundle_source aSource)
-{
-  Guard([&]() -> result<void> {
-    BOOST_LEAF_AUTO(parsed, ParseSignedBundle(aText));
-    if (parsed.mBundle.mVersion <= Version()) {
-      return {};
-    }
-    if (!parsed.mBytes.empty() || TryDelta(parsed)) {
-      TakeParsed(std::move(parsed), aSource);
-    } else if (aSource == bundle_source::Platform) {
-      FetchWhole(std::move(parsed));
-    } else {
-      // Says that this router has none, so the answer will be whole.
-      mNetwork.Send(mAskedFor, bundle_request{});
-    }
-    return {};
-  });
-}
-
-// Whether the delta led to bytes that have the signature.
-bool
-bundle_controller::state::TryDelta(signed_bundle& aBundle)
-{
-  if (!mBoard.mBundle || aBundle.mDelta.empty()) {
-    return false;
-  }
-  const auto& trusted = mBoard.mBundle->mSigners;
-  const bool good = leaf::try_handle_all(
-    [&]() -> result<bool> {
-      BOOST_LEAF_CHECK(FillFromDelta(aBundle, *mBoard.mBundle));
-      BOOST_LEAF_CHECK(CheckSignature(aBundle, trusted, Version()));
-      return true;
-    },
-    [] { return false; });
-  if (!good) {
-    aBundle.mBytes.clear();
-  }
-  return good;
-}
-
-void
-bundle_controller::state::FetchWhole(signed_bundle aBundle)
-{
-  const auto key = WholeBundleKey(aBundle.mWholeName);
-  mPlatform.Get(key,
-                [weak = weak_from_this(),
-                 wanted = std::move(aBundle)](const object_answer& aAnswer) {
-                  if (const auto self = weak.lock()) {
-                    self->OnWhole(wanted, aAnswer);
-                  }
-                });
-}
-
-void
-bundle_controller::state::OnWhole(signed_bundle aBundle,
-                                  const object_answer& aAnswer)
-{
-  if (aAnswer.mStatus != platform_status::Ok) {
-    // The next call shall bring the current object again.
-    mWatchFrom.reset();
-    return;
-  }
-  Guard([&]() -> result<void> {
-    BOOST_LEAF_CHECK(FillFromWhole(aBundle, aAnswer.mObject.mValue));
-    TakeParsed(std::move(aBundle), bundle_source::Platform);
-    return {};
-  });
-}
-
-void
-bundle_controller::state::TakeParsed(signed_bundle aBundle,
-                                     bundle_source aSource)
-{
-  Guard([&]() -> result<void> {
-    const auto& trusted =
-      mBoard.mBundle ? mBoard.mBundle->mSigners : mSettings.mTrusted;
-    if (aBundle.mBundle.mVersion <= Version()) {
-      return {};
-    }
-    BOOST_LEAF_CHECK(CheckSignature(aBundle, trusted, Version()));
-    Install(std::move(aBundle));
-    if (aSource == bundle_source::Platform) {
-      TellDataCentre();
-    }
-    return {};
-  });
-}
-
-void
-bundle_controller::state::Install(signed_bundle aBundle)
-{
-  // The history is for operators, who read it at the platform.
-  aBundle.mHistory.clear();
-  const auto delta = ParseDelta(aBundle.mDelta);
-  mDeltaBase = delta ? delta->mBase : bundle_version{};
-  mBoard.mBundle = std::make_shared<const bundle>(aBundle.mBundle);
-  mInForce = std::move(aBundle);
-  mAskedUntil = mTimers.Now();
-  LogEvent(log_level::Info,
-           "bundle_in_force",
-           { { "epoch", Version().mEpoch }, { "number", Version().mNumber } });
-  if (mOnAccepted) {
-    mOnAccepted(mBoard.mBundle);
-  }
-}
-
 bundle_controller::bundle_controller(platform_api& aPlatform,
                                      peer_network& aNetwork,
                                      timer_service& aTimers,
--- a/src/sapphirespar/config/careful_platform.cpp
+++ b/src/sapphirespar/config/careful_platform.cpp
@@ -1,13 +1,10 @@
-// The careful platform: budgets, the outage gate and the settling of writes.
+// The careful platform: budgets and the outage gate.
 #include "sapphirespar/config/careful_platform.hpp"
 
-#include "call_budget.hpp"
+#include "careful_platform_state.hpp"
 #include "sapphirespar/base/log.hpp"
 
 #include <algorithm>
-#include <map>
-#include <optional>
-#include <random>
 #include <utility>
 
 namespace sapphirespar {
@@ -21,79 +18,8 @@
 // An object that nobody writes: reading it only tells that the store answers.
 const object_key kProbeKey{ "probe", "probe" };
 
-// One write until it is settled. mValue is unset for a deletion.
-struct careful_write
-{
-  object_key mKey;
-  std::optional<std::string> mValue;
-  object_version mExpected = kNoObject;
-  object_callback mDone;
-  // After this a lost answer is given up.
-  steady_time mDeadline{};
-};
-
-using write_ptr = std::shared_ptr<careful_write>;
-
 } // namespace
 
-struct careful_platform::state : std::enable_shared_from_this<state>
-{
-  state(platform_api& aInner,
-        timer_service& aTimers,
-        careful_platform_settings aSettings,
-        careful_platform_hooks aHooks);
-
-  template<class Answer>
-  using callback = std::function<void(Answer)>;
-
-  // Sends a read through the budget; aSend gets the callback to pass on.
-  template<class Answer>
-  void Read(std::function<void(callback<Answer>)> aSend,
-            callback<Answer> aDone,
-            bool aTellsHealth);
-  template<class Answer>
-  void Refuse(const callback<Answer>& aDone, bool aForRate);
-
-  void Write(write_ptr aWrite);
-  void SendWrite(const write_ptr& aWrite);
-  void OnWritten(const write_ptr& aWrite, object_answer aAnswer);
-  void Settle(const write_ptr& aWrite);
-  void ReadBack(const write_ptr& aWrite);
-  void OnReadBack(const write_ptr& aWrite, const object_answer& aAnswer);
-  void GiveUp(const write_ptr& aWrite);
-
-  void Note(platform_status aStatus);
-  void Tell();
-  void GoDown();
-  void GoUp();
-  void Probe();
-  double Share() const;
-  double Rate(double aFleetRate) const;
-  void SlowDown(double aShare);
-  milliseconds Jittered(milliseconds aDelay);
-  void Later(steady_duration aDelay, std::function<void()> aWork);
-
-  platform_api& mInner;
-  timer_service& mTimers;
-  careful_platform_settings mSettings;
-  careful_platform_hooks mHooks;
-  careful_platform_counts mCounts;
-  std::mt19937_64 mRandom;
-  call_budget mReads;
-  call_budget mWrites;
-
-  bool mUp = true;
-  // Whether the hook has been told of mUp, which starts as a guess.
-  bool mTold = false;
-  milliseconds mProbeDelay{ 0 };
-  // The share of the rate at a moment; it grows from there.
-  double mShare = 1;
-  steady_time mShareAt{};
-
-  std::uint64_t mNextTimer = 1;
-  std::map<std::uint64_t, timer_subscription> mPending;
-};
-
 careful_platform::state::state(platform_api& aInner,
                                timer_service& aTimers,
                                careful_platform_settings aSettings,
@@ -220,94 +146,6 @@
   mWrites.Submit(std::move(call));
 }
 
-void
-careful_platform::state::SendWrite(const write_ptr& aWrite)
-{
-  ++mCounts.mWrites;
-  auto done = [weak = weak_from_this(), aWrite](object_answer aAnswer) {
-    if (const auto self = weak.lock()) {
-      self->OnWritten(aWrite, std::move(aAnswer));
-    }
-  };
-  if (aWrite->mValue) {
-    mInner.Put(aWrite->mKey, *aWrite->mValue, aWrite->mExpected, done);
-  } else {
-    mInner.Delete(aWrite->mKey, aWrite->mExpected, done);
-  }
-}
-
-void
-careful_platform::state::OnWritten(const write_ptr& aWrite,
-                                   object_answer aAnswer)
-{
-  Note(aAnswer.mStatus);
-  if (aAnswer.mStatus == platform_status::Unknown) {
-    Settle(aWrite);
-  } else {
-    aWrite->mDone(std::move(aAnswer));
-  }
-}
-
-// Asks again after a while what has become of a write.
-void
-careful_platform::state::Settle(const write_ptr& aWrite)
-{
-  if (mTimers.Now() >= aWrite->mDeadline) {
-    return GiveUp(aWrite);
-  }
-  Later(Jittered(mSettings.mReadBackAfter),
-        [this, aWrite] { ReadBack(aWrite); });
-}
-
-void
-careful_platform::state::ReadBack(const write_ptr& aWrite)
-{
-  ++mCounts.mReads;
-  mInner.Get(aWrite->mKey,
-             [weak = weak_from_this(), aWrite](const object_answer& aAnswer) {
-               if (const auto self = weak.lock()) {
-                 self->OnReadBack(aWrite, aAnswer);
-               }
-             });
-}
-
-void
-careful_platform::state::OnReadBack(const write_ptr& aWrite,
-                                    const object_answer& aAnswer)
-{
-  const bool exists = aAnswer.mStatus == platform_status::Ok;
-  if (!exists && aAnswer.mStatus != platform_status::NotFound) {
-    return Settle(aWrite);
-  }
-  const auto version = exists ? aAnswer.mObject.mVersion : kNoObject;
-  const bool took = exists ? aWrite->mValue == aAnswer.mObject.mValue
-                           : !aWrite->mValue.has_value();
-  if (took && version != aWrite->mExpected) {
-    ++mCounts.mSettled;
-    auto answer = aAnswer;
-    answer.mStatus = platform_status::Ok;
-    return aWrite->mDone(std::move(answer));
-  }
-  if (version != aWrite->mExpected) {
-    // Somebody else has written since; whether before or after is not known.
-    return GiveUp(aWrite);
-  }
-  if (mTimers.Now() >= aWrite->mDeadline) {
-    return GiveUp(aWrite);
-  }
-  // Both writes expect the same version, so at most one takes effect.
-  SendWrite(aWrite);
-}
-
-void
-careful_platform::state::GiveUp(const write_ptr& aWrite)
-{
-  ++mCounts.mUnsettled;
-  object_answer answer;
-  answer.mStatus = platform_status::Unknown;
-  aWrite->mDone(std::move(answer));
-}
-
 // Learns from the status of a call whether the platform is there.
 void
 careful_platform::state::Note(platform_status aStatus)
--- /dev/null
+++ b/src/sapphirespar/config/careful_write.cpp
@@ -0,0 +1,94 @@
+// The settling of writes whose answer was lost.
+#include "careful_platform_state.hpp"
+
+namespace sapphirespar {
+
+void
+careful_platform::state::SendWrite(const write_ptr& aWrite)
+{
+  ++mCounts.mWrites;
+  auto done = [weak = weak_from_this(), aWrite](object_answer aAnswer) {
+    if (const auto self = weak.lock()) {
+      self->OnWritten(aWrite, std::move(aAnswer));
+    }
+  };
+  if (aWrite->mValue) {
+    mInner.Put(aWrite->mKey, *aWrite->mValue, aWrite->mExpected, done);
+  } else {
+    mInner.Delete(aWrite->mKey, aWrite->mExpected, done);
+  }
+}
+
+void
+careful_platform::state::OnWritten(const write_ptr& aWrite,
+                                   object_answer aAnswer)
+{
+  Note(aAnswer.mStatus);
+  if (aAnswer.mStatus == platform_status::Unknown) {
+    Settle(aWrite);
+  } else {
+    aWrite->mDone(std::move(aAnswer));
+  }
+}
+
+// Asks again after a while what has become of a write.
+void
+careful_platform::state::Settle(const write_ptr& aWrite)
+{
+  if (mTimers.Now() >= aWrite->mDeadline) {
+    return GiveUp(aWrite);
+  }
+  Later(Jittered(mSettings.mReadBackAfter),
+        [this, aWrite] { ReadBack(aWrite); });
+}
+
+void
+careful_platform::state::ReadBack(const write_ptr& aWrite)
+{
+  ++mCounts.mReads;
+  mInner.Get(aWrite->mKey,
+             [weak = weak_from_this(), aWrite](const object_answer& aAnswer) {
+               if (const auto self = weak.lock()) {
+                 self->OnReadBack(aWrite, aAnswer);
+               }
+             });
+}
+
+void
+careful_platform::state::OnReadBack(const write_ptr& aWrite,
+                                    const object_answer& aAnswer)
+{
+  const bool exists = aAnswer.mStatus == platform_status::Ok;
+  if (!exists && aAnswer.mStatus != platform_status::NotFound) {
+    return Settle(aWrite);
+  }
+  const auto version = exists ? aAnswer.mObject.mVersion : kNoObject;
+  const bool took = exists ? aWrite->mValue == aAnswer.mObject.mValue
+                           : !aWrite->mValue.has_value();
+  if (took && version != aWrite->mExpected) {
+    ++mCounts.mSettled;
+    auto answer = aAnswer;
+    answer.mStatus = platform_status::Ok;
+    return aWrite->mDone(std::move(answer));
+  }
+  if (version != aWrite->mExpected) {
+    // Somebody else has written since; whether before or after is not known.
+    return GiveUp(aWrite);
+  }
+  if (mTimers.Now() >= aWrite->mDeadline) {
+    return GiveUp(aWrite);
+  }
+  // Both writes expect the same version, so at most one takes effect.
+  SendWrite(aWrite);
+}
+
+void
+careful_platform::state::GiveUp(const write_ptr& aWrite)
+{
+  ++mCounts.mUnsettled;
+  object_answer answer;
+  answer.mStatus = platform_status::Unknown;
+  aWrite->mDone(std::move(answer));
+}
+
+} // namespace sapphirespar
--- a/src/sapphirespar/wire/platform_client.cpp
+++ b/src/sapphirespar/wire/platform_client.cpp
@@ -1,21 +1,17 @@
 // The platform client: builds requests, and maps answers and their loss.
 #include "sapphirespar/wire/platform_client.hpp"
 
+#include "platform_answer.hpp"
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/json.hpp>
 
-#include <algorithm>
-#include <charconv>
 #include <functional>
-#include <iterator>
-#include <optional>
 #include <utility>
 
 namespace sapphirespar::wire {
 namespace {
 
-namespace json = boost::json;
 using std::chrono::milliseconds;
 
 // What a failed call may have done at the store.
@@ -32,13 +28,6 @@
   milliseconds mTimeout{ 0 };
 };
 
-// The HTTP response, or why there is none, and the status it stands for.
-struct call_result
-{
-  platform_status mStatus = platform_status::Unavailable;
-  http_response mResponse;
-};
-
 std::string
 PercentEncode(std::string_view aText)
 {
@@ -71,14 +60,6 @@
   return KindTarget(aKey.mKind) + "/" + PercentEncode(aKey.mName);
 }
 
-object_version
-ToVersion(std::string_view aText)
-{
-  object_version version = kNoObject;
-  std::from_chars(aText.data(), aText.data() + aText.size(), version);
-  return version;
-}
-
 // A server that answers 503 says that it did nothing; any other failure of
 // its own leaves a write in doubt.
 platform_status
@@ -114,125 +95,6 @@
            : platform_status::Unavailable;
 }
 
-const json::array*
-ArrayAt(const json::value& aDocument, std::string_view aKey)
-{
-  const auto* object = aDocument.if_object();
-  const auto* member = object ? object->if_contains(aKey) : nullptr;
-  return member ? member->if_array() : nullptr;
-}
-
-std::string
-TextAt(const json::object& aObject, std::string_view aKey)
-{
-  const auto* member = aObject.if_contains(aKey);
-  return member && member->is_string() ? std::string(member->get_string()) : "";
-}
-
-std::uint64_t
-NumberAt(const json::object& aObject, std::string_view aKey)
-{
-  const auto* member = aObject.if_contains(aKey);
-  json::error_code error;
-  const auto number = member ? member->to_number<std::uint64_t>(error) : 0;
-  return error ? 0 : number;
-}
-
-bool
-FlagAt(const json::object& aObject, std::string_view aKey)
-{
-  const auto* member = aObject.if_contains(aKey);
-  return member && member->is_bool() && member->get_bool();
-}
-
-std::optional<json::value>
-ParseJson(std::string_view aText)
-{
-  json::error_code error;
-  auto document =
-    json::parse(json::string_view(aText.data(), aText.size()), error);
-  return error ? std::nullopt : std::optional(std::move(document));
-}
-
-platform_object
-ToObject(const json::value& aItem, std::string_view aKind)
-{
-  platform_object object;
-  if (const auto* item = aItem.if_object()) {
-    object.mKey = { std::string(aKind), TextAt(*item, "name") };
-    object.mVersion = NumberAt(*item, "version");
-    object.mValue = TextAt(*item, "value");
-    object.mDeleted = FlagAt(*item, "deleted");
-  }
-  return object;
-}
-
-// An answer that can't be read counts as none.
-list_answer
-ToListAnswer(call_result aResult, std::string_view aKind)
-{
-  list_answer answer{ aResult.mStatus, {}, kNoObject };
-  if (aResult.mStatus != platform_status::Ok) {
-    return answer;
-  }
-  const auto document = ParseJson(aResult.mResponse.mBody);
-  const auto* objects = document ? ArrayAt(*document, "objects") : nullptr;
-  if (!objects) {
-    answer.mStatus = platform_status::Unavailable;
-    return answer;
-  }
-  answer.mVersion = NumberAt(document->get_object(), "version");
-  std::ranges::transform(
-    *objects, std::back_inserter(answer.mObjects), [&](const auto& aItem) {
-      return ToObject(aItem, aKind);
-    });
-  return answer;
-}
-
-vm_listing
-ToListing(const json::value& aItem)
-{
-  vm_listing listing;
-  if (const auto* item = aItem.if_object()) {
-    listing.mVm = TextAt(*item, "vm");
-    listing.mDataCentre = TextAt(*item, "data_centre");
-    listing.mAddress = TextAt(*item, "address");
-    listing.mPort = static_cast<std::uint16_t>(NumberAt(*item, "port"));
-    listing.mPeerPort =
-      static_cast<std::uint16_t>(NumberAt(*item, "peer_port"));
-    listing.mLeaving = FlagAt(*item, "leaving");
-  }
-  return listing;
-}
-
-vm_list_answer
-ToVmAnswer(call_result aResult)
-{
-  vm_list_answer answer{ aResult.mStatus, {} };
-  if (aResult.mStatus != platform_status::Ok) {
-    return answer;
-  }
-  const auto document = ParseJson(aResult.mResponse.mBody);
-  const auto* vms = document ? ArrayAt(*document, "vms") : nullptr;
-  if (!vms) {
-    answer.mStatus = platform_status::Unavailable;
-    return answer;
-  }
-  std::ranges::transform(*vms, std::back_inserter(answer.mVms), ToListing);
-  return answer;
-}
-
-// Of a read the body is the object's value; of a write it is what was sent.
-object_answer
-ToObjectAnswer(call_result aResult, object_key aKey)
-{
-  object_answer answer{ aResult.mStatus, {} };
-  answer.mObject.mKey = std::move(aKey);
-  answer.mObject.mVersion =
-    ToVersion(aResult.mResponse.Header("X-Object-Version"));
-  return answer;
-}
-
 http_request
 WriteRequest(std::string aMethod,
              const object_key& aKey,
