Order and repeat pause orders; send spans to a collector

Cause: a resume that was lost or overtaken by its pause would leave a stream paused until it counted as stalled; spans could only be read at the router. Change: pause_sender sends one order at a time for each request and repeats it until it is answered; trace_export posts OTLP/JSON to the collector of the settings; the sample rate of the settings is used.

--- a/include/sapphirespar/router/control_plane.hpp
+++ b/include/sapphirespar/router/control_plane.hpp
@@ -13,6 +13,7 @@
 #include "sapphirespar/router/tls_contexts.hpp"
 #include "sapphirespar/router/upstream_control.hpp"
 #include "sapphirespar/telemetry/metrics.hpp"
+#include "sapphirespar/telemetry/trace.hpp"
 
 #include <boost/asio/io_context.hpp>
 
@@ -31,6 +32,7 @@
   pause_board& mPauses;
   account_gate& mAccounts;
   metrics& mMetrics;
+  span_buffer& mSpans;
   const tls_contexts& mTls;
 };
 
--- a/include/sapphirespar/router/exchange.hpp
+++ b/include/sapphirespar/router/exchange.hpp
@@ -52,6 +52,9 @@
   pause_board& mPauses;
   report_sinks mSinks;
   exchange_hooks mHooks;
+  // Share of the requests that come without a trace of their own that are
+  // traced, 0 to 1.
+  double mTraceSample = 1;
 };
 
 // Serves one completion or service request from its arrival to its answer.
--- a/include/sapphirespar/router/pause_board.hpp
+++ b/include/sapphirespar/router/pause_board.hpp
@@ -24,6 +24,8 @@
   // The request runs no more.
   void Leave(const request_id& aRequest);
 
+  bool Runs(const request_id& aRequest);
+
   // Sets the flag of a request that runs here; false if none does.
   bool Set(const request_id& aRequest, bool aPaused);
 
--- /dev/null
+++ b/include/sapphirespar/router/trace_export.hpp
@@ -0,0 +1,41 @@
+// Sends finished spans to a collector as OTLP/JSON over HTTP.
+#pragma once
+
+#include "sapphirespar/base/timer_service.hpp"
+#include "sapphirespar/config/settings.hpp"
+#include "sapphirespar/telemetry/metrics.hpp"
+#include "sapphirespar/telemetry/trace.hpp"
+
+#include <boost/asio/any_io_executor.hpp>
+
+#include <memory>
+
+namespace sapphirespar::router {
+
+// Everything named here outlives the export.
+struct trace_export_services
+{
+  boost::asio::any_io_executor mExecutor;
+  timer_service& mTimers;
+  span_buffer& mSpans;
+  metrics& mMetrics;
+};
+
+// Lives on the control thread. Spans that the collector did not take are
+// counted and dropped: traces never hold up traffic.
+class trace_export
+{
+public:
+  trace_export(address_port aCollector,
+               std::string aNode,
+               trace_export_services aServices);
+  ~trace_export();
+  trace_export(const trace_export&) = delete;
+  trace_export& operator=(const trace_export&) = delete;
+
+private:
+  struct state;
+  std::shared_ptr<state> mState;
+};
+
+} // namespace sapphirespar::router
--- a/include/sapphirespar/router/upstream_client.hpp
+++ b/include/sapphirespar/router/upstream_client.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "sapphirespar/model/bundle.hpp"
+#include "sapphirespar/router/pause_sender.hpp"
 #include "sapphirespar/upstream/health_tracker.hpp"
 #include "sapphirespar/upstream/order_controller.hpp"
 #include "sapphirespar/upstream/prefix_hints.hpp"
@@ -45,11 +46,11 @@
             std::uint64_t aFence,
             upstream::order_reply_callback aDone);
 
-  // Pauses a running request at an engine, or lets it go on. Nothing is told
-  // of the result: a request that was not paused just goes on.
+  // Pauses a running request at an engine, or lets it go on.
   void SetPaused(const upstream_spec& aSpec,
                  const request_id& aRequest,
-                 bool aPaused);
+                 bool aPaused,
+                 pause_answer aDone);
 
 private:
   using response_callback =
--- a/src/sapphirespar/router/control_plane.cpp
+++ b/src/sapphirespar/router/control_plane.cpp
@@ -5,6 +5,7 @@
 #include "sapphirespar/config/bundle_controller.hpp"
 #include "sapphirespar/config/careful_platform.hpp"
 #include "sapphirespar/membership/membership_controller.hpp"
+#include "sapphirespar/router/trace_export.hpp"
 #include "sapphirespar/wire/asio_timer_service.hpp"
 #include "sapphirespar/wire/peer_link.hpp"
 #include "sapphirespar/wire/platform_client.hpp"
@@ -120,6 +121,8 @@
   // Empty until Start.
   std::optional<membership::membership_controller> mMembership;
   std::optional<bundle_controller> mBundles;
+  // Empty without a collector in the settings.
+  std::optional<trace_export> mTraces;
   timer_subscription mTick;
   timer_subscription mMetricsTick;
 };
@@ -241,6 +244,14 @@
       Publish();
     });
   mBundles->Start();
+  if (mSettings.mTraceCollector) {
+    const trace_export_services services{ mServices.mContext.get_executor(),
+                                          mTimers,
+                                          mServices.mSpans,
+                                          mServices.mMetrics };
+    mTraces.emplace(
+      *mSettings.mTraceCollector, mBoard.mSelf.mVm.mText, services);
+  }
   mTick = mTimers.Every(kBrokerTick, [this] { mBroker.Tick(); });
   mMetricsTick = mTimers.Every(kMetricsPeriod, [this] { UpdateMetrics(); });
 }
--- a/src/sapphirespar/router/exchange.cpp
+++ b/src/sapphirespar/router/exchange.cpp
@@ -8,6 +8,8 @@
 
 #include <xxhash.h>
 
+#include <random>
+
 namespace sapphirespar::router {
 namespace {
 
@@ -26,6 +28,14 @@
          aResult.mEnd == attempt_end::Refused;
 }
 
+// Returns true with the given probability.
+bool
+Chance(double aProbability)
+{
+  thread_local std::minstd_rand generator{ std::random_device{}() };
+  return std::bernoulli_distribution(aProbability)(generator);
+}
+
 // Whether nothing remains to be done for the caller.
 bool
 IsOver(const attempt_result& aResult)
@@ -324,7 +334,11 @@
     co_await aReply.Send(RefusalResponse(*refused, id));
     co_return;
   }
-  exchange run(aServices, aClient, aReply, std::get<call>(parsed));
+  auto& understood = std::get<call>(parsed);
+  if (aRequest.Header("traceparent").empty()) {
+    understood.mTrace.mSampled = Chance(aServices.mTraceSample);
+  }
+  exchange run(aServices, aClient, aReply, understood);
   co_await run.Serve();
 }
 
--- a/src/sapphirespar/router/pause_board.cpp
+++ b/src/sapphirespar/router/pause_board.cpp
@@ -19,6 +19,13 @@
   mFlags.erase(aRequest);
 }
 
+bool
+pause_board::Runs(const request_id& aRequest)
+{
+  const std::lock_guard lock(mMutex);
+  return mFlags.contains(aRequest);
+}
+
 bool
 pause_board::Set(const request_id& aRequest, bool aPaused)
 {
--- a/src/sapphirespar/router/router_app.cpp
+++ b/src/sapphirespar/router/router_app.cpp
@@ -144,8 +144,9 @@
     [this](const wire::http_request& aRequest, wire::http_reply& aReply) {
       return Serve(aRequest, aReply);
     });
-  const control_services services{ mControlContext, mSnapshots, mPauses,
-                                   mAccounts,       mMetrics,   mTls };
+  const control_services services{
+    mControlContext, mSnapshots, mPauses, mAccounts, mMetrics, mSpans, mTls
+  };
   mControl =
     std::make_unique<control_plane>(mSettings,
                                     mSelf,
@@ -153,8 +154,12 @@
                                     mServer->Port(),
                                     services);
   const report_sinks sinks{ mMetrics, mSpans, mStories };
-  mExchange.emplace(exchange_services{
-    mSnapshots, mControl->Slots(), mPauses, sinks, ExchangeHooks() });
+  mExchange.emplace(exchange_services{ mSnapshots,
+                                       mControl->Slots(),
+                                       mPauses,
+                                       sinks,
+                                       ExchangeHooks(),
+                                       mSettings.mTraceSample });
   mPages.emplace(page_services{
     mControlContext, *mControl, mSnapshots, mMetrics, mSpans, mStories });
   mControl->Start();
--- /dev/null
+++ b/src/sapphirespar/router/trace_export.cpp
@@ -0,0 +1,85 @@
+// The export's timer and its calls to the collector.
+#include "sapphirespar/router/trace_export.hpp"
+
+#include "sapphirespar/base/log.hpp"
+#include "sapphirespar/wire/http_client.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+namespace sapphirespar::router {
+namespace {
+
+constexpr std::chrono::seconds kPeriod{ 2 };
+constexpr std::chrono::milliseconds kTimeout{ 2000 };
+constexpr unsigned kFirstErrorStatus = 300;
+
+} // namespace
+
+struct trace_export::state : std::enable_shared_from_this<state>
+{
+  state(address_port aCollector,
+        std::string aNode,
+        trace_export_services aServices)
+    : mCollector{ aCollector.mAddress, aCollector.mPort }
+    , mNode(std::move(aNode))
+    , mServices(std::move(aServices))
+    , mClient(mServices.mExecutor, {})
+  {
+  }
+
+  void SendNew();
+  boost::asio::awaitable<void> Send(std::vector<trace_span> aSpans);
+
+  wire::endpoint mCollector;
+  std::string mNode;
+  trace_export_services mServices;
+  wire::http_client mClient;
+  timer_subscription mTick;
+};
+
+void
+trace_export::state::SendNew()
+{
+  auto spans = mServices.mSpans.Take();
+  if (!spans.empty()) {
+    boost::asio::co_spawn(
+      mServices.mExecutor, Send(std::move(spans)), boost::asio::detached);
+  }
+}
+
+boost::asio::awaitable<void>
+trace_export::state::Send(std::vector<trace_span> aSpans)
+{
+  const auto self = shared_from_this();
+  wire::http_request request;
+  request.mMethod = "POST";
+  request.mTarget = "/v1/traces";
+  request.mHeaders.push_back({ "Content-Type", "application/json" });
+  request.mBody = ToOtlpJson(aSpans, mNode);
+  const auto response = co_await mClient.Fetch(mCollector, request, kTimeout);
+  const bool taken = response && response.value().mStatus < kFirstErrorStatus;
+  mServices.mMetrics.Count("sapphirespar_spans_total",
+                           { { "sent", taken ? "yes" : "no" } },
+                           static_cast<double>(aSpans.size()));
+  if (!taken) {
+    LogEvent(log_level::Warning,
+             "trace_export_failed",
+             { { "spans", aSpans.size() } });
+  }
+}
+
+trace_export::trace_export(address_port aCollector,
+                           std::string aNode,
+                           trace_export_services aServices)
+  : mState(std::make_shared<state>(std::move(aCollector),
+                                   std::move(aNode),
+                                   std::move(aServices)))
+{
+  mState->mTick =
+    mState->mServices.mTimers.Every(kPeriod, [this] { mState->SendNew(); });
+}
+
+trace_export::~trace_export() = default;
+
+} // namespace sapphirespar::router
--- a/src/sapphirespar/router/upstream_client.cpp
+++ b/src/sapphirespar/router/upstream_client.cpp
@@ -154,20 +154,22 @@
 void
 upstream_client::SetPaused(const upstream_spec& aSpec,
                            const request_id& aRequest,
-                           bool aPaused)
+                           bool aPaused,
+                           pause_answer aDone)
 {
   const auto path =
     "/v1/requests/" + aRequest.mText + (aPaused ? "/pause" : "/resume");
   Fetch(aSpec,
         MakePost(path, {}),
         wire::connection_choice::Pooled,
-        [path](const auto& aResponse) {
+        [path, aDone](const auto& aResponse) {
           if (!aResponse) {
             LogEvent(
               log_level::Warning,
               "pause_failed",
               { { "path", path }, { "error", aResponse.error().mDetail } });
           }
+          aDone(aResponse.has_value());
         });
 }
 
--- a/src/sapphirespar/router/upstream_control.cpp
+++ b/src/sapphirespar/router/upstream_control.cpp
@@ -97,6 +97,7 @@
 
   upstream_control_services mServices;
   upstream_client mClient;
+  pause_sender mPauseSender;
   upstream::prefix_hints mPrefixes;
   std::set<upstream_id> mHomed;
   // Upstreams whose load reports are fetched here: the homed ones and those
@@ -113,6 +114,15 @@
 upstream_control::state::state(upstream_control_services aServices)
   : mServices(std::move(aServices))
   , mClient(mServices.mExecutor, mServices.mTls)
+  , mPauseSender(mServices.mPauses,
+                 mServices.mTimers,
+                 [this](const upstream_spec& aSpec,
+                        const request_id& aRequest,
+                        bool aPaused,
+                        pause_answer aDone) {
+                   mClient.SetPaused(
+                     aSpec, aRequest, aPaused, std::move(aDone));
+                 })
 {
 }
 
@@ -290,11 +300,9 @@
 void
 upstream_control::Pause(const policy::pause_order& aOrder)
 {
-  const bool paused = !aOrder.mResume;
   const auto* target = mState->Spec(aOrder.mUpstream);
-  if (target != nullptr &&
-      mState->mServices.mPauses.Set(aOrder.mRequest, paused)) {
-    mState->mClient.SetPaused(*target, aOrder.mRequest, paused);
+  if (target != nullptr) {
+    mState->mPauseSender.Set(*target, aOrder.mRequest, !aOrder.mResume);
   }
 }
 
