--- a/include/sapphirespar/config/bundle_controller.hpp
+++ b/include/sapphirespar/config/bundle_controller.hpp
@@ -66,6 +66,10 @@
   // Begins to watch or poll.
   void Start();
 
+  // Asks the platform and a peer now, as after a pause of this process, during
+  // which a newer bundle may have been accepted.
+  void Refresh();
+
   // Takes bundle_request and bundle_push; returns false for other messages.
   bool OnPeerMessage(const process_id& aFrom, const peer_message& aMessage);
 
--- a/src/sapphirespar/config/bundle_controller.cpp
+++ b/src/sapphirespar/config/bundle_controller.cpp
@@ -328,6 +328,13 @@
   mState->Start();
 }
 
+void
+bundle_controller::Refresh()
+{
+  mState->AskAnyPeer();
+  mState->Call();
+}
+
 bool
 bundle_controller::OnPeerMessage(const process_id& aFrom,
                                  const peer_message& aMessage)
--- a/src/sapphirespar/config/bundle_controller_test.cpp
+++ b/src/sapphirespar/config/bundle_controller_test.cpp
@@ -266,6 +266,28 @@
   EXPECT_TRUE(world.UntilAllCurrent(19s));
 }
 
+TEST(BundleController, Fault_PausePastLease_Bundle_Learn_AWokenRouterAsksAtOnce)
+{
+  bundle_world world(4, 1);
+  StartWith(world);
+  const auto waking =
+    std::ranges::find_if(world.mRouters, [](const auto& aRouter) {
+      return !aRouter.mController->IsWatcher();
+    });
+  ASSERT_NE(waking, world.mRouters.end());
+  for (const auto& other : world.mRouters) {
+    if (other.mVm != waking->mVm) {
+      world.mNetwork.Cut(other.mVm, waking->mVm);
+    }
+  }
+  world.Accept(2);
+  world.Advance(1s);
+  EXPECT_EQ(waking->mBoard.mBundle->mVersion.mNumber, 1U);
+  waking->mController->Refresh();
+  world.Advance(1s);
+  EXPECT_EQ(waking->mBoard.mBundle->mVersion.mNumber, 2U);
+}
+
 TEST(BundleController, AnOlderOrForgedBundleIsNeverTaken)
 {
   bundle_world world(2, 1);
--- a/src/sapphirespar/router/control_plane.cpp
+++ b/src/sapphirespar/router/control_plane.cpp
@@ -215,10 +215,7 @@
     mUpstreams.OnMembers();
     Publish();
   };
-  hooks.mPaused = [](steady_duration aPause) {
-    const auto length = std::chrono::duration_cast<milliseconds>(aPause);
-    LogEvent(log_level::Warning, "paused", { { "pause_ms", length.count() } });
-  };
+  hooks.mPaused = [this](steady_duration) { mBundles->Refresh(); };
   return hooks;
 }
 
--- a/src/sapphirespar/router/slot_seeker.cpp
+++ b/src/sapphirespar/router/slot_seeker.cpp
@@ -219,9 +219,11 @@
   if (found == mSeeking.end() || found->second.mHome.mVm != aFrom.mVm) {
     return;
   }
-  // Another home may have room; no home can turn back time.
+  // Another home may have room or a shorter wait; none can turn back time.
   const bool elsewhere = aRefusal.mReason == refusal_reason::NoUpstream ||
-                         aRefusal.mReason == refusal_reason::QueueFull;
+                         aRefusal.mReason == refusal_reason::QueueFull ||
+                         (aRefusal.mReason == refusal_reason::TooLate &&
+                          aNow < found->second.mRequest.mAnswerBy);
   auto& one = found->second;
   one.mTried.insert(aFrom.mVm);
   one.mUnansweredSince.reset();
