--- /dev/null
+++ b/include/sapphirespar/router/control_gauges.hpp
@@ -0,0 +1,19 @@
+// What the control thread tells of itself at /metrics.
+#pragma once
+
+#include "sapphirespar/model/blackboard.hpp"
+#include "sapphirespar/telemetry/metrics.hpp"
+#include "sapphirespar/wire/peer_link.hpp"
+
+#include <span>
+
+namespace sapphirespar::router {
+
+// Sets the gauges of processor time, peer traffic, members, bundle and queues.
+// Called on the control thread, whose processor time it reads.
+void SetControlGauges(metrics& aMetrics,
+                      const blackboard& aBoard,
+                      const wire::peer_traffic& aTraffic,
+                      std::span<const pool_load> aLoads);
+
+} // namespace sapphirespar::router
--- a/src/sapphirespar/router/control_plane.cpp
+++ b/src/sapphirespar/router/control_plane.cpp
@@ -5,13 +5,12 @@
 #include "sapphirespar/config/bundle_controller.hpp"
 #include "sapphirespar/config/careful_platform.hpp"
 #include "sapphirespar/membership/membership_controller.hpp"
+#include "sapphirespar/router/control_gauges.hpp"
 #include "sapphirespar/router/trace_export.hpp"
 #include "sapphirespar/wire/asio_timer_service.hpp"
 #include "sapphirespar/wire/peer_link.hpp"
 #include "sapphirespar/wire/platform_client.hpp"
 
-#include <ctime>
-
 #include <algorithm>
 #include <iterator>
 #include <optional>
@@ -69,17 +68,6 @@
   return settings;
 }
 
-// Processor time that the calling thread has used.
-double
-ThreadCpuSeconds()
-{
-  constexpr double kNanosecondsPerSecond = 1e9;
-  std::timespec time{};
-  clock_gettime(CLOCK_THREAD_CPUTIME_ID, &time);
-  return static_cast<double>(time.tv_sec) +
-         static_cast<double>(time.tv_nsec) / kNanosecondsPerSecond;
-}
-
 } // namespace
 
 struct control_plane::state
@@ -97,7 +85,6 @@
 
   void OnPeerMessage(const process_id& aFrom, const peer_message& aMessage);
   std::optional<wire::endpoint> PeerEndpoint(const vm_id& aVm) const;
-  void UpdateMetrics();
 
   careful_platform_hooks PlatformHooks();
   upstream_control_services UpstreamServices();
@@ -250,7 +237,10 @@
       *mSettings.mTraceCollector, mBoard.mSelf.mVm.mText, services);
   }
   mTick = mTimers.Every(kBrokerTick, [this] { mBroker.Tick(); });
-  mMetricsTick = mTimers.Every(kMetricsPeriod, [this] { UpdateMetrics(); });
+  mMetricsTick = mTimers.Every(kMetricsPeriod, [this] {
+    SetControlGauges(
+      mServices.mMetrics, mBoard, mMesh.Traffic(), mBroker.Loads());
+  });
 }
 
 void
@@ -306,38 +296,6 @@
   return hooks;
 }
 
-void
-control_plane::state::UpdateMetrics()
-{
-  auto& gauges = mServices.mMetrics;
-  const auto& traffic = mMesh.Traffic();
-  gauges.Set("sapphirespar_control_cpu_seconds", {}, ThreadCpuSeconds());
-  gauges.Set(
-    "sapphirespar_peer_bytes_in", {}, static_cast<double>(traffic.mBytesIn));
-  gauges.Set(
-    "sapphirespar_peer_bytes_out", {}, static_cast<double>(traffic.mBytesOut));
-  gauges.Set("sapphirespar_members",
-             {},
-             static_cast<double>(std::ranges::count(
-               mBoard.mMembers, member_state::Live, [](const auto& aItem) {
-                 return aItem.second.mState;
-               })));
-  if (mBoard.mBundle) {
-    const auto& version = mBoard.mBundle->mVersion;
-    gauges.Set(
-      "sapphirespar_bundle_epoch", {}, static_cast<double>(version.mEpoch));
-    gauges.Set(
-      "sapphirespar_bundle_number", {}, static_cast<double>(version.mNumber));
-  }
-  for (const auto& counts : mBroker.Loads()) {
-    gauges.Set(
-      "sapphirespar_queued", { { "pool", counts.mPool } }, counts.mQueued);
-    gauges.Set("sapphirespar_outstanding",
-               { { "pool", counts.mPool } },
-               counts.mOutstanding);
-  }
-}
-
 control_plane::control_plane(const router_settings& aSettings,
                              process_id aSelf,
                              policy::scheduler_ptr aScheduler,
--- a/src/sapphirespar/tools/standin_http.cpp
+++ b/src/sapphirespar/tools/standin_http.cpp
@@ -1,6 +1,7 @@
 // JSON, timers and fault switches for the stand-ins.
 #include "standin_http.hpp"
 
+#include <array>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -73,6 +74,20 @@
   return JsonAnswer(aStatus, body);
 }
 
+std::unique_ptr<wire::http_server>
+ServeOn(asio::io_context& aContext,
+        std::string aAddress,
+        std::uint16_t aPort,
+        wire::http_handler aHandler)
+{
+  wire::http_server_settings settings;
+  settings.mAddress = std::move(aAddress);
+  settings.mPort = aPort;
+  const std::array workers{ &aContext };
+  return std::make_unique<wire::http_server>(
+    aContext, workers, std::move(settings), std::move(aHandler));
+}
+
 std::vector<std::string_view>
 PathParts(std::string_view aPath)
 {
--- a/src/sapphirespar/tools/standin_http.hpp
+++ b/src/sapphirespar/tools/standin_http.hpp
@@ -10,6 +10,7 @@
 #include <boost/json.hpp>
 
 #include <chrono>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -36,6 +37,12 @@
 wire::http_response JsonAnswer(unsigned aStatus, const json::value& aBody);
 wire::http_response ErrorAnswer(unsigned aStatus, std::string_view aMessage);
 
+// Serves on one context. A zero port takes any free one.
+std::unique_ptr<wire::http_server> ServeOn(asio::io_context& aContext,
+                                           std::string aAddress,
+                                           std::uint16_t aPort,
+                                           wire::http_handler aHandler);
+
 // Returns the parts of a path between its slashes.
 std::vector<std::string_view> PathParts(std::string_view aPath);
 
--- a/src/sapphirespar/tools/standin_platform.cpp
+++ b/src/sapphirespar/tools/standin_platform.cpp
@@ -393,15 +393,13 @@
 standin_platform::standin_platform(asio::io_context& aContext,
                                    platform_settings aSettings)
 {
-  wire::http_server_settings server;
-  server.mAddress = aSettings.mAddress;
-  server.mPort = aSettings.mPort;
-  const std::array workers{ &aContext };
+  const auto address = aSettings.mAddress;
+  const auto port = aSettings.mPort;
   auto state = std::make_shared<platform_state>(std::move(aSettings));
-  mServer = std::make_unique<wire::http_server>(
+  mServer = ServeOn(
     aContext,
-    workers,
-    std::move(server),
+    address,
+    port,
     [state](const wire::http_request& aRequest, wire::http_reply& aReply) {
       return Handle(*state, aRequest, aReply);
     });
--- a/src/sapphirespar/tools/standin_service.cpp
+++ b/src/sapphirespar/tools/standin_service.cpp
@@ -100,15 +100,13 @@
 standin_service::standin_service(asio::io_context& aContext,
                                  service_settings aSettings)
 {
-  wire::http_server_settings server;
-  server.mAddress = aSettings.mAddress;
-  server.mPort = aSettings.mPort;
-  const std::array workers{ &aContext };
+  const auto address = aSettings.mAddress;
+  const auto port = aSettings.mPort;
   auto state = std::make_shared<service_state>(std::move(aSettings));
-  mServer = std::make_unique<wire::http_server>(
+  mServer = ServeOn(
     aContext,
-    workers,
-    std::move(server),
+    address,
+    port,
     [state](const wire::http_request& aRequest, wire::http_reply& aReply) {
       return Handle(*state, aRequest, aReply);
     });
