--- a/include/sapphirespar/router/upstream_control.hpp
+++ b/include/sapphirespar/router/upstream_control.hpp
@@ -29,6 +29,8 @@
   wire::tls_context_ptr mTls;
   // What upstreams may be given has changed.
   std::function<void()> mOnChange;
+  // Only the hints of prefix caches may have changed.
+  std::function<void()> mOnHints;
 };
 
 // Lives on the control thread.
--- a/src/sapphirespar/router/control_plane.cpp
+++ b/src/sapphirespar/router/control_plane.cpp
@@ -80,8 +80,10 @@
 
   void Start();
 
-  // Hands a new snapshot and the upstreams as they are now to traffic threads.
+  // Hands a new snapshot to traffic threads and the bundle, the upstreams and
+  // the members as they are now to the broker.
   void Publish();
+  void UpdateUpstreams();
 
   void OnPeerMessage(const process_id& aFrom, const peer_message& aMessage);
   std::optional<wire::endpoint> PeerEndpoint(const vm_id& aVm) const;
@@ -173,7 +175,8 @@
            mServices.mPauses,
            mServices.mContext.get_executor(),
            mServices.mTls.mUpstreams,
-           [this] { Publish(); } };
+           [this] { Publish(); },
+           [this] { UpdateUpstreams(); } };
 }
 
 wire::peer_mesh_hooks
@@ -249,11 +252,19 @@
   mServices.mSnapshots.Store(std::make_shared<traffic_snapshot>(mBoard));
   if (mBoard.mBundle) {
     mBroker.Configure(mBoard.mBundle);
-    mBroker.SetUpstreams(mUpstreams.Views());
   }
+  UpdateUpstreams();
   mBroker.OnMembersChanged();
 }
 
+void
+control_plane::state::UpdateUpstreams()
+{
+  if (mBoard.mBundle) {
+    mBroker.SetUpstreams(mUpstreams.Views());
+  }
+}
+
 void
 control_plane::state::OnPeerMessage(const process_id& aFrom,
                                     const peer_message& aMessage)
--- a/src/sapphirespar/router/upstream_control.cpp
+++ b/src/sapphirespar/router/upstream_control.cpp
@@ -229,7 +229,7 @@
         }
       });
   }
-  mServices.mOnChange();
+  mServices.mOnHints();
 }
 
 void
