Say "not run" only if no attempt may have run the request

Cause: an exchange judged its last attempt alone. After an attempt that may have run, one that was not even sent made the answer, and the fate told to the at-most-once guard, not_run; the guard would then have let the key run again. Found by reading the way of a request from end to end. Ruled out: policy::DecideRetry, which judges what it is told rightly. Change: relay_state remembers over all attempts whether one may have run; the refusal, the fate and the decision to retry all follow from it, and the separate fate of a request whose caller left is gone. Conclusion: the end-to-end checks did not catch it, since no engine there both breaks a call and then refuses connections.

--- a/include/sapphirespar/router/attempt.hpp
+++ b/include/sapphirespar/router/attempt.hpp
@@ -52,6 +52,9 @@
   unsigned mEventsSent = 0;
   // When the first of them was sent.
   std::optional<steady_time> mFirstSent;
+  // Whether any attempt so far may have run the request. Never goes back to
+  // false: a later attempt that was not sent does not undo an earlier one.
+  bool mMayHaveRun = false;
   // Whether a whole answer is to be kept in mAnswer.
   bool mKeepAnswer = false;
   ledger::stored_answer_ptr mAnswer;
--- a/src/sapphirespar/router/attempt.cpp
+++ b/src/sapphirespar/router/attempt.cpp
@@ -70,6 +70,13 @@
            { "X-Request-Id", aCall.mId.mText } };
 }
 
+// Whether the attempt itself proves that it did not run the request.
+bool
+IsProvablyNotRun(attempt_end aEnd)
+{
+  return aEnd == attempt_end::NotSent || aEnd == attempt_end::Refused;
+}
+
 // The state of one attempt while it runs.
 class attempt
 {
@@ -261,6 +268,7 @@
   attempt_result End(attempt_end aEnd, std::string aDetail)
   {
     mResult.mEnd = aEnd;
+    mState.mMayHaveRun = mState.mMayHaveRun || !IsProvablyNotRun(aEnd);
     mResult.mDetail = std::move(aDetail);
     mResult.mTotal = steady_clock::now() - mStart;
     return mResult;
--- a/src/sapphirespar/router/exchange.cpp
+++ b/src/sapphirespar/router/exchange.cpp
@@ -21,13 +21,6 @@
 // Resumptions of one stream at the engine that broke it off.
 constexpr unsigned kMostResumes = 2;
 
-bool
-IsProvablyNotRun(const attempt_result& aResult)
-{
-  return aResult.mEnd == attempt_end::NotSent ||
-         aResult.mEnd == attempt_end::Refused;
-}
-
 // Returns true with the given probability.
 bool
 Chance(double aProbability)
@@ -44,18 +37,18 @@
          aResult.mEnd == attempt_end::CallerLeft;
 }
 
+// Tells how the last attempt failed and what is true of all of them.
 refusal
-RefusalAfter(const attempt_result& aResult)
+RefusalAfter(const attempt_result& aResult, bool aMayHaveRun)
 {
   constexpr milliseconds kRetryAfter{ 1000 };
-  const bool notRun = IsProvablyNotRun(aResult);
   refusal refused;
   refused.mReason = aResult.mEnd == attempt_end::TimedOut
                       ? refusal_reason::UpstreamTimeout
                       : refusal_reason::UpstreamFailed;
-  refused.mOutcome = notRun ? outcome::NotRun : outcome::Unknown;
+  refused.mOutcome = aMayHaveRun ? outcome::Unknown : outcome::NotRun;
   refused.mDetail = aResult.mDetail;
-  refused.mRetryAfter = notRun ? kRetryAfter : milliseconds(0);
+  refused.mRetryAfter = aMayHaveRun ? milliseconds(0) : kRetryAfter;
   return refused;
 }
 
@@ -123,7 +116,10 @@
     if (aEnd.mWhole || mState.mAnswer) {
       return outcome::Done;
     }
-    return aEnd.mCallerLeft ? mFateIfLeft : aEnd.mRefusal.mOutcome;
+    if (aEnd.mCallerLeft) {
+      return mState.mMayHaveRun ? outcome::Unknown : outcome::NotRun;
+    }
+    return aEnd.mRefusal.mOutcome;
   }
 
   ledger::once_key OnceKey() const
@@ -193,11 +189,10 @@
       end.mWhole = result.mEnd == attempt_end::Whole;
       end.mCallerLeft = result.mEnd == attempt_end::CallerLeft;
       if (IsOver(result)) {
-        mFateIfLeft = outcome::Unknown;
         co_return end;
       }
-      end.mRefusal = RefusalAfter(result);
-      if (Decide(result, count, false) != policy::retry_action::Retry) {
+      end.mRefusal = RefusalAfter(result, mState.mMayHaveRun);
+      if (Decide(count, false) != policy::retry_action::Retry) {
         co_return end;
       }
     }
@@ -233,7 +228,7 @@
     }
     for (unsigned count = 1; count <= kMostResumes; ++count) {
       if (IsOver(result) || !CanResume(target) ||
-          Decide(result, count, true) != policy::retry_action::Resume) {
+          Decide(count, true) != policy::retry_action::Resume) {
         break;
       }
       result = co_await AttemptAt(*target, attempt_kind::Resume);
@@ -264,14 +259,11 @@
     co_return result;
   }
 
-  policy::retry_action Decide(const attempt_result& aResult,
-                              unsigned aAttempts,
-                              bool aResumeOffered) const
+  policy::retry_action Decide(unsigned aAttempts, bool aResumeOffered) const
   {
     policy::failed_attempt failed;
     failed.mIdempotent = mCall.mClass->mIdempotent;
-    failed.mBytesWritten = aResult.mEnd != attempt_end::NotSent;
-    failed.mRefusedUpstream = aResult.mEnd == attempt_end::Refused;
+    failed.mBytesWritten = mState.mMayHaveRun;
     failed.mSentToCaller = mState.mEventsSent > 0;
     failed.mResumeOffered = aResumeOffered;
     failed.mAttempts = aAttempts;
@@ -313,9 +305,6 @@
   call& mCall;
   exchange_report mReport;
   relay_state mState;
-  // What is true of a request whose caller left: nothing was sent until the
-  // first attempt.
-  outcome mFateIfLeft = outcome::NotRun;
 };
 
 } // namespace
