Speak the platform's object form in the one store client

Objects now travel with metadata, revision and spec, lists in pages, watches as events; creating is a POST, replacing a PUT under the revision. The stand-in platform and the tests of the client, the stand-in, ctl and the whole system learn the same form. Values of our own are JSON strings, byte for byte.

Tests as strict as before, in the new form: each HTTP status, lost answers, refused connections, damaged answers; new ones for creating, deleting, conflicts, JSON of others and paging.

--- a/include/sapphirespar/tools/standin_platform.hpp
+++ b/include/sapphirespar/tools/standin_platform.hpp
@@ -1,7 +1,8 @@
 // A stand-in for the platform: its object API and its list of vms, in memory,
 // with faults that can be switched over HTTP.
 //
-//   GET|PUT|DELETE /objects/{kind}/{name}   GET /objects/{kind}[?watch_from=N]
+//   GET|PUT|DELETE /objects/{kind}/{name}   POST /objects/{kind}
+//   GET /objects/{kind}[?after=NAME|?watch=N&wait_ms=M]
 //   GET|PUT /vms   GET|PUT /faults   GET /stats
 #pragma once
 
@@ -27,6 +28,8 @@
   double mWritesPerSecond = 300;
   // Changes kept for watches; older start versions are answered 410.
   std::size_t mChangesKept = 10000;
+  // Objects in one page of a list.
+  std::size_t mPageSize = 500;
 };
 
 class standin_platform
--- a/src/sapphirespar/cli/ctl_test.cpp
+++ b/src/sapphirespar/cli/ctl_test.cpp
@@ -5,9 +5,11 @@
 #include "sapphirespar/wire/http_server.hpp"
 
 #include <boost/asio/io_context.hpp>
+#include <boost/json.hpp>
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <array>
 #include <filesystem>
 #include <fstream>
@@ -56,23 +58,66 @@
     if (aRequest.mTarget == "/v1/status") {
       response.mBody = R"({"vm":"vm-1","bundle":{"epoch":1,"number":4},
         "members":[{"vm":"vm-2","state":"live"}]})";
-    } else if (aRequest.mTarget != "/objects/bundle/current" &&
-               aRequest.mTarget != "/objects/drain/engine-1") {
+    } else if (!IsObject(wire::SplitTarget(aRequest.mTarget).mPath)) {
       response.mStatus = 404;
     } else if (aRequest.mMethod == "GET") {
       response.mStatus = mValue.empty() ? 404 : 200;
-      response.mBody = mValue;
-    } else if (aRequest.Header("If-Match") ==
-               std::to_string(mValue.empty() ? 0 : mVersion)) {
-      mValue = aRequest.mBody;
-      ++mVersion;
+      response.mBody = Object();
     } else {
-      response.mStatus = 409;
+      const bool done = aRequest.mMethod == "DELETE" ? Delete(aRequest.mTarget)
+                                                     : Write(aRequest.mBody);
+      response.mStatus = done ? 200 : 409;
+      response.mBody = Object();
     }
-    response.mHeaders = { { "X-Object-Version", std::to_string(mVersion) } };
     co_await aReply.Send(std::move(response));
   }
 
+  static bool IsObject(std::string_view aTarget)
+  {
+    constexpr std::array<std::string_view, 4> kTargets{
+      "/objects/bundle",
+      "/objects/bundle/current",
+      "/objects/drain",
+      "/objects/drain/engine-1"
+    };
+    return std::ranges::find(kTargets, aTarget) != kTargets.end();
+  }
+
+  // Takes the value if it expects the version that is here.
+  bool Write(std::string_view aBody)
+  {
+    const auto body = boost::json::parse(aBody);
+    const auto& about = body.at("metadata").as_object();
+    const auto* revision = about.if_contains("revision");
+    const auto expected =
+      revision == nullptr ? 0 : revision->to_number<std::uint64_t>();
+    if (expected != (mValue.empty() ? 0 : mVersion)) {
+      return false;
+    }
+    mValue = body.at("spec").as_string();
+    ++mVersion;
+    return true;
+  }
+
+  bool Delete(std::string_view aTarget)
+  {
+    const auto query = wire::SplitTarget(aTarget).mQuery;
+    if (wire::QueryValue(query, "revision") != std::to_string(mVersion)) {
+      return false;
+    }
+    mValue.clear();
+    ++mVersion;
+    return true;
+  }
+
+  std::string Object() const
+  {
+    boost::json::object object;
+    object["metadata"] = { { "name", "any" }, { "revision", mVersion } };
+    object["spec"] = mValue;
+    return boost::json::serialize(object);
+  }
+
   boost::asio::io_context mContext;
   std::string mValue;
   std::uint64_t mVersion = 0;
--- a/src/sapphirespar/router/end_to_end_test.cpp
+++ b/src/sapphirespar/router/end_to_end_test.cpp
@@ -2,6 +2,7 @@
 // byte and every booking is audited while parts of the system fail.
 #include "sapphirespar/config/signed_bundle.hpp"
 #include "sapphirespar/config/signing.hpp"
+#include "sapphirespar/model/platform.hpp"
 #include "sapphirespar/router/router_app.hpp"
 #include "sapphirespar/tools/report.hpp"
 #include "sapphirespar/tools/standin_engine.hpp"
@@ -12,7 +13,6 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
-
 #include <boost/json.hpp>
 
 #include <gtest/gtest.h>
@@ -148,13 +148,20 @@
   // Writes the bundle over the one before.
   void PutBundle(const signed_bundle& aBundle)
   {
-    const auto answer = Call(mPlatform.Port(),
-                             "PUT",
-                             "/objects/bundle/current",
-                             Serialize(aBundle),
-                             mBundleVersion);
+    boost::json::object body;
+    body["metadata"] = { { "name", "current" },
+                         { "revision", mBundleVersion } };
+    body["spec"] = Serialize(aBundle);
+    const bool creates = mBundleVersion == kNoObject;
+    const auto answer =
+      Call(mPlatform.Port(),
+           creates ? "POST" : "PUT",
+           creates ? "/objects/bundle" : "/objects/bundle/current",
+           boost::json::serialize(body));
     ASSERT_EQ(answer.mStatus, 200U);
-    mBundleVersion = answer.Header("X-Object-Version");
+    mBundleVersion = boost::json::parse(answer.mBody)
+                       .at_pointer("/metadata/revision")
+                       .to_number<object_version>();
   }
 
   signed_bundle SignedBundle(const bundle& aBundle,
@@ -177,8 +184,7 @@
   wire::http_response Call(std::uint16_t aPort,
                            std::string aMethod,
                            std::string aTarget,
-                           std::string aBody = {},
-                           std::string aVersion = "0")
+                           std::string aBody = {})
   {
     asio::io_context context;
     wire::http_client client(context.get_executor(), {});
@@ -186,7 +192,6 @@
     request.mMethod = std::move(aMethod);
     request.mTarget = std::move(aTarget);
     request.mBody = std::move(aBody);
-    request.mHeaders.push_back({ "If-Match", std::move(aVersion) });
     wire::http_response answer;
     answer.mStatus = 0;
     const auto fetch = [](wire::http_client& aClient,
@@ -330,7 +335,7 @@
   }
 
   // Version of the bundle's object at the platform.
-  std::string mBundleVersion = "0";
+  object_version mBundleVersion = kNoObject;
   const signing_key mKey = NewSigningKey();
 };
 
--- a/src/sapphirespar/tools/standin_platform.cpp
+++ b/src/sapphirespar/tools/standin_platform.cpp
@@ -14,8 +14,6 @@
 
 using steady_time = std::chrono::steady_clock::time_point;
 
-constexpr std::string_view kVersionHeader = "X-Object-Version";
-
 // Allows a rate with a burst of one second's worth.
 class rate_gate
 {
@@ -107,39 +105,64 @@
   }
 }
 
-json::value
+// The store keeps each value as the JSON text of its "spec".
+json::object
 ToJson(const platform_object& aObject)
 {
+  json::object about;
+  about["name"] = aObject.mKey.mName;
+  about["revision"] = aObject.mVersion;
+  about["finalizers"] = json::array();
+  about["deletion_pending"] = false;
   json::object item;
-  item["name"] = aObject.mKey.mName;
-  item["version"] = aObject.mVersion;
-  if (aObject.mDeleted) {
-    item["deleted"] = true;
-  } else {
-    item["value"] = aObject.mValue;
-  }
+  item["metadata"] = std::move(about);
+  item["spec"] =
+    aObject.mValue.empty() ? json::value() : json::parse(aObject.mValue);
+  item["status"] = nullptr;
   return item;
 }
 
+// Lists the objects after a name, at most a page of them.
 wire::http_response
-ListAnswer(object_version aVersion,
-           const std::vector<platform_object>& aObjects)
+ListPage(const platform_state& aState,
+         const std::string& aKind,
+         std::string_view aAfter)
 {
+  const auto objects = aState.mStore.List(aKind);
   json::array items;
-  for (const auto& object : aObjects) {
+  bool more = false;
+  for (const auto& object : objects) {
+    if (object.mKey.mName <= aAfter) {
+      continue;
+    }
+    more = items.size() >= aState.mSettings.mPageSize;
+    if (more) {
+      break;
+    }
     items.push_back(ToJson(object));
   }
   json::object body;
-  body["version"] = aVersion;
-  body["objects"] = std::move(items);
+  body["entries"] = std::move(items);
+  body["has_more"] = more;
+  body["at"] = aState.mStore.Version();
   return JsonAnswer(200, body);
 }
 
-void
-AddVersion(wire::http_response& aResponse, object_version aVersion)
+wire::http_response
+EventsAnswer(object_version aVersion,
+             const std::vector<platform_object>& aChanges)
 {
-  aResponse.mHeaders.push_back(
-    { std::string(kVersionHeader), std::to_string(aVersion) });
+  json::array events;
+  for (const auto& change : aChanges) {
+    json::object event;
+    event["deleted"] = change.mDeleted;
+    event["object"] = ToJson(change);
+    events.push_back(std::move(event));
+  }
+  json::object body;
+  body["events"] = std::move(events);
+  body["at"] = aVersion;
+  return JsonAnswer(200, body);
 }
 
 wire::http_response
@@ -149,46 +172,91 @@
   if (object == nullptr) {
     return ErrorAnswer(404, "no such object");
   }
-  wire::http_response response;
-  response.mBody = object->mValue;
-  AddVersion(response, object->mVersion);
-  return response;
+  return JsonAnswer(200, ToJson({ aKey, object->mVersion, object->mValue }));
 }
 
+// Answers with the object as it is now.
 wire::http_response
-WriteAnswer(const object_answer& aAnswer)
+WriteAnswer(const platform_state& aState, const object_answer& aAnswer)
 {
   if (aAnswer.mStatus == platform_status::NotFound) {
     return ErrorAnswer(404, "no such object");
   }
   const bool written = aAnswer.mStatus == platform_status::Ok;
-  auto response = written ? JsonAnswer(200, json::object())
-                          : ErrorAnswer(409, "the version is another");
-  AddVersion(response, aAnswer.mObject.mVersion);
+  auto response = ReadObject(aState, aAnswer.mObject.mKey);
+  if (response.mStatus == 404) {
+    // Deleted by this call.
+    return JsonAnswer(200, ToJson(aAnswer.mObject));
+  }
+  response.mStatus = written ? 200 : 409;
   return response;
 }
 
+// A write as it was sent: what it expects and what it puts there.
+struct object_write
+{
+  std::string mName;
+  object_version mExpected = kNoObject;
+  std::string mSpec;
+};
+
+std::optional<object_write>
+ParseWrite(const wire::http_request& aRequest)
+{
+  const auto body = ParseObject(aRequest.mBody);
+  const auto* about = body ? body->if_contains("metadata") : nullptr;
+  const auto* spec = body ? body->if_contains("spec") : nullptr;
+  if (about == nullptr || !about->is_object() || spec == nullptr) {
+    return std::nullopt;
+  }
+  object_write write;
+  write.mName = TextOr(about->get_object(), "name", "");
+  write.mExpected = static_cast<object_version>(
+    NumberOr(about->get_object(), "revision", kNoObject));
+  write.mSpec = json::serialize(*spec);
+  return write;
+}
+
 wire::http_response
-WriteObject(platform_state& aState,
-            const wire::http_request& aRequest,
-            const object_key& aKey)
+PutObject(platform_state& aState,
+          const wire::http_request& aRequest,
+          object_key aKey)
 {
-  if (aRequest.mBody.size() > kObjectLimitBytes) {
+  const auto write = ParseWrite(aRequest);
+  if (!write) {
+    return ErrorAnswer(400, "expected a JSON object with metadata and spec");
+  }
+  if (write->mSpec.size() > kObjectLimitBytes) {
     return ErrorAnswer(413, "the value is over one megabyte");
   }
-  const auto expected = aRequest.Header("If-Match");
-  if (expected.empty() ||
-      expected.find_first_not_of("0123456789") != std::string_view::npos) {
-    return ErrorAnswer(400, "If-Match must hold a version");
+  const bool creates = aRequest.mMethod == "POST";
+  if (creates) {
+    aKey.mName = write->mName;
+  } else if (aState.mStore.Find(aKey) == nullptr) {
+    return ErrorAnswer(404, "no such object");
+  }
+  const auto expected = creates ? kNoObject : write->mExpected;
+  return WriteAnswer(aState, aState.mStore.Put(aKey, write->mSpec, expected));
+}
+
+wire::http_response
+WriteObject(platform_state& aState,
+            const wire::http_request& aRequest,
+            object_key aKey)
+{
+  const auto before = aState.mStore.Version();
+  wire::http_response response;
+  if (aRequest.mMethod == "DELETE") {
+    const auto query = wire::SplitTarget(aRequest.mTarget).mQuery;
+    const auto expected = QueryNumber(query, "revision", kNoObject);
+    response = WriteAnswer(aState, aState.mStore.Delete(aKey, expected));
+  } else {
+    response = PutObject(aState, aRequest, std::move(aKey));
   }
-  const auto version = std::stoull(std::string(expected));
-  const auto answer = aRequest.mMethod == "PUT"
-                        ? aState.mStore.Put(aKey, aRequest.mBody, version)
-                        : aState.mStore.Delete(aKey, version);
-  if (answer.mStatus == platform_status::Ok) {
+  if (aState.mStore.Version() != before) {
     WakeWatches(aState);
   }
-  return WriteAnswer(answer);
+  return response;
 }
 
 // Waits until something of the kind changes after aFrom.
@@ -212,7 +280,7 @@
     const auto changes = aState.mStore.Changes(aKind, aFrom);
     const auto now = std::chrono::steady_clock::now();
     if (!changes.empty() || now >= end || aReply.CallerGone()) {
-      co_return ListAnswer(aState.mStore.Version(), changes);
+      co_return EventsAnswer(aState.mStore.Version(), changes);
     }
     const auto left =
       std::chrono::duration_cast<std::chrono::microseconds>(end - now);
@@ -344,18 +412,23 @@
   if (parts.size() < 2 || parts.size() > 3 || parts[0] != "objects") {
     co_return ErrorAnswer(404, "no such page");
   }
-  std::string kind(parts[1]);
+  object_key key{ std::string(parts[1]), {} };
+  if (parts.size() == 3) {
+    key.mName = parts[2];
+  }
+  if (aRequest.mMethod != "GET") {
+    co_return WriteObject(aState, aRequest, std::move(key));
+  }
   if (parts.size() == 3) {
-    const object_key key{ std::move(kind), std::string(parts[2]) };
-    co_return aRequest.mMethod == "GET" ? ReadObject(aState, key)
-                                        : WriteObject(aState, aRequest, key);
+    co_return ReadObject(aState, key);
   }
-  if (wire::QueryValue(target.mQuery, "watch_from").empty()) {
-    const auto objects = aState.mStore.List(kind);
-    co_return ListAnswer(aState.mStore.Version(), objects);
+  auto kind = std::move(key.mKind);
+  if (wire::QueryValue(target.mQuery, "watch").empty()) {
+    const auto after = wire::QueryValue(target.mQuery, "after");
+    co_return ListPage(aState, kind, after);
   }
   ++aState.mCounts.mWatches;
-  const auto from = QueryNumber(target.mQuery, "watch_from", 0);
+  const auto from = QueryNumber(target.mQuery, "watch", 0);
   const milliseconds wait(QueryNumber(target.mQuery, "wait_ms", 0));
   co_return co_await Watch(aState, std::move(kind), from, wait, aReply);
 }
--- a/src/sapphirespar/tools/standin_test.cpp
+++ b/src/sapphirespar/tools/standin_test.cpp
@@ -195,16 +195,28 @@
 class platform_exchange : public standin_exchange
 {
 protected:
+  // Creates the object for revision 0, replaces it otherwise.
   asio::awaitable<wire::http_response> Write(std::string aValue,
-                                             std::string aVersion)
+                                             std::uint64_t aRevision)
   {
-    wire::http_headers headers;
-    headers.push_back({ "If-Match", std::move(aVersion) });
+    std::string body = R"({"metadata":{"name":"current","revision":)" +
+                       std::to_string(aRevision) + R"(},"spec":")" + aValue +
+                       R"("})";
+    const bool creates = aRevision == 0;
     co_return co_await Call(mPlatform.Port(),
-                            "PUT",
-                            "/objects/bundle/current",
-                            std::move(aValue),
-                            std::move(headers));
+                            creates ? "POST" : "PUT",
+                            creates ? "/objects/bundle"
+                                    : "/objects/bundle/current",
+                            std::move(body));
+  }
+
+  // What the store answers for an object of this value and revision.
+  static std::string Object(std::string_view aValue, unsigned aRevision)
+  {
+    return R"({"metadata":{"name":"current","revision":)" +
+           std::to_string(aRevision) +
+           R"(,"finalizers":[],"deletion_pending":false},"spec":")" +
+           std::string(aValue) + R"(","status":null})";
   }
 
   standin_platform mPlatform{ mContext, platform_settings{} };
@@ -213,17 +225,25 @@
 TEST_F(platform_exchange, OnlyTheExpectedVersionIsReplaced)
 {
   Run([](auto* aSelf) -> asio::awaitable<void> {
-    const auto created = co_await aSelf->Write("one", "0");
+    const auto created = co_await aSelf->Write("one", 0);
     EXPECT_EQ(created.mStatus, 200U);
-    const std::string version(created.Header("X-Object-Version"));
-    const auto raced = co_await aSelf->Write("two", "0");
+    EXPECT_EQ(created.mBody, Object("one", 1));
+    const auto raced = co_await aSelf->Write("two", 0);
     EXPECT_EQ(raced.mStatus, 409U);
-    EXPECT_EQ(raced.Header("X-Object-Version"), version);
-    const auto replaced = co_await aSelf->Write("three", version);
+    EXPECT_EQ(raced.mBody, Object("one", 1));
+    const auto replaced = co_await aSelf->Write("three", 1);
     EXPECT_EQ(replaced.mStatus, 200U);
     const auto read = co_await aSelf->Call(
       aSelf->mPlatform.Port(), "GET", "/objects/bundle/current");
-    EXPECT_EQ(read.mBody, "three");
+    EXPECT_EQ(read.mBody, Object("three", 2));
+    const auto stale = co_await aSelf->Call(
+      aSelf->mPlatform.Port(), "DELETE", "/objects/bundle/current?revision=1");
+    EXPECT_EQ(stale.mStatus, 409U);
+    const auto gone = co_await aSelf->Call(
+      aSelf->mPlatform.Port(), "DELETE", "/objects/bundle/current?revision=2");
+    EXPECT_EQ(gone.mStatus, 200U);
+    const auto late = co_await aSelf->Write("four", 2);
+    EXPECT_EQ(late.mStatus, 404U);
   }(this));
 }
 
@@ -232,11 +252,11 @@
   Run([](auto* aSelf) -> asio::awaitable<void> {
     const auto port = aSelf->mPlatform.Port();
     co_await aSelf->Call(port, "PUT", "/faults", R"({"lose_answers":1})");
-    const auto answer = co_await aSelf->Write("one", "0");
+    const auto answer = co_await aSelf->Write("one", 0);
     EXPECT_EQ(answer.mStatus, 0U);
     const auto read =
       co_await aSelf->Call(port, "GET", "/objects/bundle/current");
-    EXPECT_EQ(read.mBody, "one");
+    EXPECT_EQ(read.mBody, Object("one", 1));
   }(this));
 }
 
@@ -246,17 +266,15 @@
     mContext,
     [](auto* aSelf) -> asio::awaitable<void> {
       co_await Sleep(10ms);
-      co_await aSelf->Write("one", "0");
+      co_await aSelf->Write("one", 0);
     }(this),
     asio::detached);
   Run([](auto* aSelf) -> asio::awaitable<void> {
-    const auto seen =
-      co_await aSelf->Call(aSelf->mPlatform.Port(),
-                           "GET",
-                           "/objects/bundle?watch_from=0&wait_ms=9000");
-    EXPECT_EQ(
-      seen.mBody,
-      R"({"version":1,"objects":[{"name":"current","version":1,"value":"one"}]})");
+    const auto seen = co_await aSelf->Call(
+      aSelf->mPlatform.Port(), "GET", "/objects/bundle?watch=0&wait_ms=9000");
+    EXPECT_EQ(seen.mBody,
+              R"({"events":[{"deleted":false,"object":)" + Object("one", 1) +
+                R"(}],"at":1})");
   }(this));
 }
 
@@ -265,7 +283,7 @@
   Run([](auto* aSelf) -> asio::awaitable<void> {
     const auto port = aSelf->mPlatform.Port();
     co_await aSelf->Call(port, "PUT", "/faults", R"({"outage":true})");
-    const auto answer = co_await aSelf->Write("one", "0");
+    const auto answer = co_await aSelf->Write("one", 0);
     EXPECT_EQ(answer.mStatus, 503U);
     co_await aSelf->Call(port, "PUT", "/faults", R"({"outage":false})");
     const auto read =
--- a/src/sapphirespar/wire/platform_answer.cpp
+++ b/src/sapphirespar/wire/platform_answer.cpp
@@ -15,14 +15,6 @@
 
 namespace json = boost::json;
 
-object_version
-ToVersion(std::string_view aText)
-{
-  object_version version = kNoObject;
-  std::from_chars(aText.data(), aText.data() + aText.size(), version);
-  return version;
-}
-
 const json::array*
 ArrayAt(const json::value& aDocument, std::string_view aKey)
 {
@@ -63,19 +55,72 @@
   return error ? std::nullopt : std::optional(std::move(document));
 }
 
+const json::object*
+ObjectAt(const json::object& aObject, std::string_view aKey)
+{
+  const auto* member = aObject.if_contains(aKey);
+  return member ? member->if_object() : nullptr;
+}
+
+// Values of our own are JSON strings, kept byte for byte. Whatever else writes
+// to the store puts its JSON there as it is.
+std::string
+ValueOf(const json::object& aItem)
+{
+  const auto* value = aItem.if_contains("spec");
+  if (value == nullptr || value->is_null()) {
+    return {};
+  }
+  return value->is_string() ? std::string(value->get_string())
+                            : json::serialize(*value);
+}
+
 platform_object
-ToObject(const json::value& aItem, std::string_view aKind)
+ToObject(const json::object& aItem, std::string_view aKind)
 {
   platform_object object;
-  if (const auto* item = aItem.if_object()) {
-    object.mKey = { std::string(aKind), TextAt(*item, "name") };
-    object.mVersion = NumberAt(*item, "version");
-    object.mValue = TextAt(*item, "value");
-    object.mDeleted = FlagAt(*item, "deleted");
+  object.mKey.mKind = aKind;
+  object.mValue = ValueOf(aItem);
+  if (const auto* about = ObjectAt(aItem, "metadata")) {
+    object.mKey.mName = TextAt(*about, "name");
+    object.mVersion = NumberAt(*about, "revision");
   }
   return object;
 }
 
+// Of one event of a watch.
+platform_object
+ToChange(const json::object& aEvent, std::string_view aKind)
+{
+  const auto* item = ObjectAt(aEvent, "object");
+  auto object = item ? ToObject(*item, aKind) : platform_object{};
+  object.mDeleted = FlagAt(aEvent, "deleted");
+  return object;
+}
+
+// Reads the objects that stand in an array of the document. Elements that are
+// no objects, or have no name, are left out.
+template<class Read>
+list_answer
+ReadItems(const json::value& aDocument, std::string_view aKey, Read aRead)
+{
+  list_answer answer;
+  const auto* items = ArrayAt(aDocument, aKey);
+  if (items == nullptr) {
+    return answer;
+  }
+  answer.mStatus = platform_status::Ok;
+  answer.mVersion = NumberAt(aDocument.get_object(), "at");
+  for (const auto& item : *items) {
+    const auto* object = item.if_object();
+    auto read = object ? aRead(*object) : platform_object{};
+    if (!read.mKey.mName.empty()) {
+      answer.mObjects.push_back(std::move(read));
+    }
+  }
+  return answer;
+}
+
 vm_listing
 ToListing(const json::value& aItem)
 {
@@ -94,24 +139,39 @@
 
 } // namespace
 
-list_answer
-ToListAnswer(call_result aResult, std::string_view aKind)
+list_page
+ToListPage(call_result aResult, std::string_view aKind)
 {
-  list_answer answer{ aResult.mStatus, {}, kNoObject };
+  list_page page;
+  page.mAnswer.mStatus = aResult.mStatus;
   if (aResult.mStatus != platform_status::Ok) {
-    return answer;
+    return page;
   }
-  const auto document = ParseJson(aResult.mResponse.mBody);
-  const auto* objects = document ? ArrayAt(*document, "objects") : nullptr;
-  if (!objects) {
-    answer.mStatus = platform_status::Unavailable;
+  page.mAnswer.mStatus = platform_status::Unavailable;
+  if (const auto document = ParseJson(aResult.mResponse.mBody)) {
+    page.mAnswer = ReadItems(*document, "entries", [&](const auto& aItem) {
+      return ToObject(aItem, aKind);
+    });
+    page.mHasMore =
+      document->is_object() && FlagAt(document->get_object(), "has_more");
+  }
+  return page;
+}
+
+list_answer
+ToWatchAnswer(call_result aResult, std::string_view aKind)
+{
+  list_answer answer;
+  answer.mStatus = aResult.mStatus;
+  if (aResult.mStatus != platform_status::Ok) {
     return answer;
   }
-  answer.mVersion = NumberAt(document->get_object(), "version");
-  std::ranges::transform(
-    *objects, std::back_inserter(answer.mObjects), [&](const auto& aItem) {
-      return ToObject(aItem, aKind);
+  answer.mStatus = platform_status::Unavailable;
+  if (const auto document = ParseJson(aResult.mResponse.mBody)) {
+    answer = ReadItems(*document, "events", [&](const auto& aItem) {
+      return ToChange(aItem, aKind);
     });
+  }
   return answer;
 }
 
@@ -136,10 +196,30 @@
 ToObjectAnswer(call_result aResult, object_key aKey)
 {
   object_answer answer{ aResult.mStatus, {} };
+  const auto document = ParseJson(aResult.mResponse.mBody);
+  if (document && document->is_object()) {
+    answer.mObject = ToObject(document->get_object(), aKey.mKind);
+  } else if (aResult.mStatus == platform_status::Ok) {
+    answer.mStatus = platform_status::Unknown;
+  }
   answer.mObject.mKey = std::move(aKey);
-  answer.mObject.mVersion =
-    ToVersion(aResult.mResponse.Header("X-Object-Version"));
   return answer;
 }
 
+std::string
+ObjectBody(std::string_view aName,
+           std::string_view aValue,
+           object_version aExpected)
+{
+  json::object about;
+  about["name"] = aName;
+  if (aExpected != kNoObject) {
+    about["revision"] = aExpected;
+  }
+  json::object body;
+  body["metadata"] = std::move(about);
+  body["spec"] = aValue;
+  return json::serialize(body);
+}
+
 } // namespace sapphirespar::wire
--- a/src/sapphirespar/wire/platform_client.cpp
+++ b/src/sapphirespar/wire/platform_client.cpp
@@ -6,7 +6,9 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
+#include <algorithm>
 #include <functional>
+#include <iterator>
 #include <utility>
 
 namespace sapphirespar::wire {
@@ -67,6 +69,7 @@
 {
   switch (aStatus) {
     case 200:
+    case 201:
     case 204:
       return platform_status::Ok;
     case 404:
@@ -95,17 +98,28 @@
            : platform_status::Unavailable;
 }
 
+// Creates the object if none is expected, replaces it otherwise.
 http_request
-WriteRequest(std::string aMethod,
-             const object_key& aKey,
-             object_version aExpected,
-             std::string aBody)
+PutRequest(const object_key& aKey,
+           std::string_view aValue,
+           object_version aExpected)
 {
+  const bool creates = aExpected == kNoObject;
   http_request request;
-  request.mMethod = std::move(aMethod);
-  request.mTarget = ObjectTarget(aKey);
-  request.mHeaders = { { "If-Match", std::to_string(aExpected) } };
-  request.mBody = std::move(aBody);
+  request.mMethod = creates ? "POST" : "PUT";
+  request.mTarget = creates ? KindTarget(aKey.mKind) : ObjectTarget(aKey);
+  request.mHeaders = { { "Content-Type", "application/json" } };
+  request.mBody = ObjectBody(aKey.mName, aValue, aExpected);
+  return request;
+}
+
+http_request
+DeleteRequest(const object_key& aKey, object_version aExpected)
+{
+  http_request request;
+  request.mMethod = "DELETE";
+  request.mTarget =
+    ObjectTarget(aKey) + "?revision=" + std::to_string(aExpected);
   return request;
 }
 
@@ -146,6 +160,41 @@
     Call(std::move(call), std::move(aDone));
   }
 
+  // Lists page by page; aSoFar holds the pages before the one after aAfter.
+  void ListFrom(std::string aKind,
+                std::string aAfter,
+                list_answer aSoFar,
+                list_callback aDone)
+  {
+    auto target = KindTarget(aKind);
+    if (!aAfter.empty()) {
+      target += "?after=" + PercentEncode(aAfter);
+    }
+    Read(std::move(target),
+         milliseconds::zero(),
+         [this, kind = std::move(aKind), soFar = std::move(aSoFar), aDone](
+           call_result aResult) mutable {
+           auto page = ToListPage(std::move(aResult), kind);
+           if (page.mAnswer.mStatus != platform_status::Ok) {
+             aDone(std::move(page.mAnswer));
+             return;
+           }
+           const bool first = soFar.mStatus != platform_status::Ok;
+           soFar.mStatus = platform_status::Ok;
+           // What changes while later pages are read comes by a watch from the
+           // first page's version.
+           soFar.mVersion = first ? page.mAnswer.mVersion : soFar.mVersion;
+           std::ranges::move(page.mAnswer.mObjects,
+                             std::back_inserter(soFar.mObjects));
+           if (page.mHasMore && !soFar.mObjects.empty()) {
+             auto last = soFar.mObjects.back().mKey.mName;
+             ListFrom(kind, std::move(last), std::move(soFar), aDone);
+             return;
+           }
+           aDone(std::move(soFar));
+         });
+  }
+
   void Write(http_request aRequest, result_callback aDone)
   {
     platform_call call;
@@ -200,23 +249,14 @@
   mState->Read(std::move(target),
                milliseconds::zero(),
                [key = std::move(aKey), aDone](call_result aResult) {
-                 auto answer = ToObjectAnswer(aResult, key);
-                 if (answer.mStatus == platform_status::Ok) {
-                   answer.mObject.mValue = std::move(aResult.mResponse.mBody);
-                 }
-                 aDone(std::move(answer));
+                 aDone(ToObjectAnswer(std::move(aResult), key));
                });
 }
 
 void
 platform_client::List(std::string aKind, list_callback aDone)
 {
-  auto target = KindTarget(aKind);
-  mState->Read(std::move(target),
-               milliseconds::zero(),
-               [kind = std::move(aKind), aDone](call_result aResult) {
-                 aDone(ToListAnswer(std::move(aResult), kind));
-               });
+  mState->ListFrom(std::move(aKind), {}, {}, std::move(aDone));
 }
 
 void
@@ -225,13 +265,14 @@
                      object_version aExpected,
                      object_callback aDone)
 {
-  auto request = WriteRequest("PUT", aKey, aExpected, aValue);
+  auto request = PutRequest(aKey, aValue, aExpected);
   mState->Write(std::move(request),
-                [key = std::move(aKey), value = std::move(aValue), aDone](
-                  call_result aResult) {
+                [key = std::move(aKey), aDone](call_result aResult) {
                   auto answer = ToObjectAnswer(std::move(aResult), key);
-                  if (answer.mStatus == platform_status::Ok) {
-                    answer.mObject.mValue = value;
+                  if (answer.mStatus == platform_status::NotFound) {
+                    // The object that was to be replaced is gone.
+                    answer.mStatus = platform_status::Conflict;
+                    answer.mObject.mVersion = kNoObject;
                   }
                   aDone(std::move(answer));
                 });
@@ -242,7 +283,7 @@
                         object_version aExpected,
                         object_callback aDone)
 {
-  auto request = WriteRequest("DELETE", aKey, aExpected, {});
+  auto request = DeleteRequest(aKey, aExpected);
   mState->Write(
     std::move(request), [key = std::move(aKey), aDone](call_result aResult) {
       auto answer = ToObjectAnswer(std::move(aResult), key);
@@ -257,12 +298,12 @@
                        milliseconds aWait,
                        list_callback aDone)
 {
-  auto target = KindTarget(aKind) + "?watch_from=" + std::to_string(aFrom) +
+  auto target = KindTarget(aKind) + "?watch=" + std::to_string(aFrom) +
                 "&wait_ms=" + std::to_string(aWait.count());
   mState->Read(std::move(target),
                aWait,
                [kind = std::move(aKind), aDone](call_result aResult) {
-                 aDone(ToListAnswer(std::move(aResult), kind));
+                 aDone(ToWatchAnswer(std::move(aResult), kind));
                });
 }
 
--- a/src/sapphirespar/wire/platform_client_test.cpp
+++ b/src/sapphirespar/wire/platform_client_test.cpp
@@ -12,6 +12,7 @@
 
 #include <array>
 #include <optional>
+#include <utility>
 
 namespace sapphirespar::wire {
 namespace {
@@ -50,7 +51,11 @@
   {
     mSeen = aRequest;
     if (mAnswer) {
-      co_await aReply.Send(*mAnswer);
+      const auto answer = *mAnswer;
+      if (mNextAnswer) {
+        mAnswer = std::exchange(mNextAnswer, std::nullopt);
+      }
+      co_await aReply.Send(answer);
     }
   }
 
@@ -85,6 +90,8 @@
 
   asio::io_context mContext;
   std::optional<http_response> mAnswer = http_response();
+  // Takes the place of mAnswer once that has been sent.
+  std::optional<http_response> mNextAnswer;
   http_request mSeen;
   std::unique_ptr<http_server> mServer;
   std::unique_ptr<platform_client> mClient;
@@ -92,14 +99,54 @@
 
 TEST_F(platform_calls, AWriteNamesTheVersionItExpects)
 {
-  mAnswer->mHeaders = { { "X-Object-Version", "9" } };
+  mAnswer->mBody = R"({"metadata":{"name":"a/b","revision":9},"spec":"value"})";
   const auto answer = Put();
   EXPECT_EQ(answer.mStatus, platform_status::Ok);
   EXPECT_EQ(answer.mObject.mVersion, 9U);
+  EXPECT_EQ(answer.mObject.mValue, "value");
   EXPECT_EQ(mSeen.mMethod, "PUT");
   EXPECT_EQ(mSeen.mTarget, "/objects/bundle/a%2Fb");
-  EXPECT_EQ(mSeen.Header("If-Match"), "3");
-  EXPECT_EQ(mSeen.mBody, "value");
+  EXPECT_EQ(mSeen.mBody,
+            R"({"metadata":{"name":"a/b","revision":3},"spec":"value"})");
+}
+
+TEST_F(platform_calls, AnObjectThatMustNotExistIsCreated)
+{
+  mAnswer->mBody = R"({"metadata":{"name":"a/b","revision":9},"spec":"value"})";
+  const auto answer = Wait<object_answer>(
+    [&](auto aDone) { mClient->Put(kKey, "value", kNoObject, aDone); });
+  EXPECT_EQ(answer.mObject.mVersion, 9U);
+  EXPECT_EQ(mSeen.mMethod, "POST");
+  EXPECT_EQ(mSeen.mTarget, "/objects/bundle");
+  EXPECT_EQ(mSeen.mBody, R"({"metadata":{"name":"a/b"},"spec":"value"})");
+}
+
+TEST_F(platform_calls, ADeleteNamesTheVersionItExpects)
+{
+  mAnswer->mBody = R"({"metadata":{"name":"a/b","revision":9},"spec":"value"})";
+  const auto answer =
+    Wait<object_answer>([&](auto aDone) { mClient->Delete(kKey, 9, aDone); });
+  EXPECT_EQ(answer.mStatus, platform_status::Ok);
+  EXPECT_TRUE(answer.mObject.mDeleted);
+  EXPECT_EQ(mSeen.mMethod, "DELETE");
+  EXPECT_EQ(mSeen.mTarget, "/objects/bundle/a%2Fb?revision=9");
+}
+
+TEST_F(platform_calls, AConflictTellsTheCurrentObject)
+{
+  mAnswer->mStatus = 409;
+  mAnswer->mBody = R"({"metadata":{"name":"a/b","revision":8},"spec":"other"})";
+  const auto answer = Put();
+  EXPECT_EQ(answer.mStatus, platform_status::Conflict);
+  EXPECT_EQ(answer.mObject.mVersion, 8U);
+  EXPECT_EQ(answer.mObject.mValue, "other");
+}
+
+TEST_F(platform_calls, AValueThatIsNoTextIsGivenAsJson)
+{
+  mAnswer->mBody =
+    R"({"metadata":{"name":"a/b","revision":8},"spec":{"version":7}})";
+  EXPECT_EQ(Get().mObject.mValue, R"({"version":7})");
 }
 
 TEST_F(platform_calls, EachHttpStatusHasItsMeaning)
@@ -110,12 +157,15 @@
     { 429, platform_status::Throttled },
     { 503, platform_status::Unavailable },
     { 500, platform_status::Unknown },
-    { 404, platform_status::NotFound },
+    // The object that was to be replaced is not there.
+    { 404, platform_status::Conflict },
   } };
   for (const auto& [status, meaning] : meanings) {
     mAnswer->mStatus = status;
     EXPECT_EQ(Put().mStatus, meaning) << status;
   }
+  mAnswer->mStatus = 404;
+  EXPECT_EQ(Get().mStatus, platform_status::NotFound);
   mAnswer->mStatus = 410;
   EXPECT_EQ(Watch().mStatus, platform_status::Compacted);
 }
@@ -140,11 +190,13 @@
 
 TEST_F(platform_calls, ReadsListsWatchesAndVms)
 {
-  mAnswer->mBody = R"({"version":12,"objects":[
-    {"name":"current","version":7,"value":"text"},
-    {"name":"old","version":12,"deleted":true}]})";
+  mAnswer->mBody = R"({"at":12,"events":[
+    {"deleted":false,"object":
+      {"metadata":{"name":"current","revision":7},"spec":"text"}},
+    {"deleted":true,"object":{"metadata":{"name":"old","revision":12}}},
+    {"deleted":false,"object":"no object"}]})";
   const auto watched = Watch();
-  EXPECT_EQ(mSeen.mTarget, "/objects/bundle?watch_from=4&wait_ms=10");
+  EXPECT_EQ(mSeen.mTarget, "/objects/bundle?watch=4&wait_ms=10");
   ASSERT_EQ(watched.mObjects.size(), 2U);
   EXPECT_EQ(watched.mVersion, 12U);
   EXPECT_EQ(watched.mObjects[0].mKey, (object_key{ "bundle", "current" }));
@@ -162,6 +214,22 @@
   EXPECT_EQ(Watch().mStatus, platform_status::Unavailable);
 }
 
+TEST_F(platform_calls, AListIsReadPageByPage)
+{
+  mAnswer->mBody = R"({"at":5,"has_more":true,"entries":[
+    {"metadata":{"name":"a","revision":1},"spec":"one"}]})";
+  mNextAnswer = http_response{ 200, {}, R"({"at":9,"has_more":false,"entries":[
+    {"metadata":{"name":"b","revision":2},"spec":"two"}]})" };
+  const auto listed =
+    Wait<list_answer>([&](auto aDone) { mClient->List("bundle", aDone); });
+  EXPECT_EQ(listed.mStatus, platform_status::Ok);
+  ASSERT_EQ(listed.mObjects.size(), 2U);
+  EXPECT_EQ(listed.mObjects[1].mValue, "two");
+  // What changed between the two pages is not missed from here on.
+  EXPECT_EQ(listed.mVersion, 5U);
+  EXPECT_EQ(mSeen.mTarget, "/objects/bundle?after=a");
+}
+
 RC_GTEST_FIXTURE_PROP(platform_calls, ADamagedAnswerIsReadOrUnavailable, ())
 {
   const auto damage = *rc::gen::container<std::vector<text_mutation>>(
@@ -171,19 +239,18 @@
       rc::gen::oneOf(rc::gen::arbitrary<std::string>(),
                      rc::gen::element<std::string>(
                        "", "\"", "{", "[]", "null", "-1", "1e99"))));
-  mAnswer->mHeaders = { { "X-Object-Version",
-                          Mutate("9", { damage.data(), damage.size() / 4 }) } };
-  // A header cannot hold a line break; the server would not send it.
-  std::erase_if(mAnswer->mHeaders[0].mValue, [](unsigned char aLetter) {
-    return aLetter < ' ' || aLetter > '~';
-  });
-  mAnswer->mBody = Mutate(
-    R"({"version":12,"objects":[{"name":"a","version":7,"value":"text"}]})",
-    damage);
+  mAnswer->mBody =
+    Mutate(R"({"at":12,"events":[{"deleted":false,"object":)"
+           R"({"metadata":{"name":"a","revision":7},"spec":"text"}}]})",
+           damage);
   const auto watched = Watch();
   RC_ASSERT(watched.mStatus == platform_status::Ok ||
             watched.mStatus == platform_status::Unavailable);
-  Get();
+  mAnswer->mBody =
+    Mutate(R"({"metadata":{"name":"a","revision":7},"spec":"text"})", damage);
+  const auto read = Get();
+  RC_ASSERT(read.mStatus == platform_status::Ok ||
+            read.mStatus == platform_status::Unknown);
   Put();
   mAnswer->mBody = Mutate(
     R"({"vms":[{"vm":"v","data_centre":"g","address":"127.0.0.1","port":80}]})",
