--- a/include/sapphirespar/base/log.hpp
+++ b/include/sapphirespar/base/log.hpp
@@ -1,6 +1,7 @@
 // Structured logs: one line of key=value pairs for each event, by log4cplus.
 #pragma once
 
+#include <cstdint>
 #include <initializer_list>
 #include <string>
 #include <string_view>
@@ -36,9 +37,22 @@
   }
 };
 
-// Sends all later events of at least aLevel to standard error, each line
-// carrying node=aNode.
-void StartLog(log_level aLevel, std::string_view aNode);
+enum class log_target
+{
+  // Each line is written before the event returns.
+  StandardError,
+  // Never waits for a reader: what does not fit is dropped and counted.
+  StandardOutput,
+};
+
+// Sends all later events of at least aLevel to aTarget, each line carrying
+// node=aNode. A second call changes the level only.
+void StartLog(log_level aLevel,
+              std::string_view aNode,
+              log_target aTarget = log_target::StandardError);
+
+// Lines that were dropped because nobody read them, since the start.
+std::uint64_t DroppedLogLines();
 
 // Writes "event=aEvent key=value ..." with values quoted where needed. Does
 // nothing before StartLog.
--- a/include/sapphirespar/wire/byte_stream.hpp
+++ b/include/sapphirespar/wire/byte_stream.hpp
@@ -11,6 +11,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -58,6 +59,13 @@
   // Whether the far end has closed its side, found without waiting.
   virtual bool LooksClosed() = 0;
 
+  // Whether nothing has arrived that nobody has read: neither bytes nor an end.
+  virtual bool LooksIdle() = 0;
+
+  // Calls aClosed once if the far end closes before it sends another byte. A
+  // later call replaces the hook; an empty one ends the watch.
+  virtual void WatchClose(std::function<void()> aClosed) = 0;
+
   // Closes at once; operations in progress end with an error.
   virtual void Close() = 0;
 
--- a/include/sapphirespar/wire/http_client.hpp
+++ b/include/sapphirespar/wire/http_client.hpp
@@ -54,7 +54,8 @@
 struct http_client_settings
 {
   std::chrono::milliseconds mConnectTimeout{ 1000 };
-  // An idle connection older than this is closed rather than used.
+  // An idle connection older than this is closed rather than used, and sooner
+  // if the far end has announced a shorter limit.
   std::chrono::milliseconds mIdleLimit{ 10000 };
   std::size_t mIdlePerEndpoint = 64;
   std::uint64_t mBodyLimitBytes = 16 * 1024 * 1024;
@@ -72,6 +73,17 @@
   // Status and headers; the body is empty.
   virtual const http_response& Head() const = 0;
 
+  // Whether the connection had carried an earlier request.
+  virtual bool Reused() const = 0;
+
+  // Whether all of the body has been read.
+  virtual bool Finished() const = 0;
+
+  // Discards this response and reads the head of the next one on the same
+  // connection, for responses that belong to an earlier request.
+  virtual asio::awaitable<wire_result<bool>> SkipResponse(
+    std::chrono::milliseconds aTimeout) = 0;
+
   // Returns the next piece of the body, or an empty string at its proper end.
   // A body that breaks off is an error, never an end.
   virtual asio::awaitable<wire_result<std::string>> Read(
--- a/include/sapphirespar/wire/http_server.hpp
+++ b/include/sapphirespar/wire/http_server.hpp
@@ -27,11 +27,13 @@
   // Sends a whole response.
   virtual asio::awaitable<bool> Send(http_response aResponse) = 0;
 
-  // Starts a chunked response.
+  // Starts a chunked response, whose first piece may go along.
   virtual asio::awaitable<bool> Begin(unsigned aStatus,
-                                      http_headers aHeaders) = 0;
+                                      http_headers aHeaders,
+                                      std::string_view aFirst = {}) = 0;
   virtual asio::awaitable<bool> Write(std::string_view aBytes) = 0;
-  virtual asio::awaitable<bool> Finish() = 0;
+  // Ends the response, with a last piece if there is one.
+  virtual asio::awaitable<bool> Finish(std::string_view aLast = {}) = 0;
 
   // Whether anything has been sent.
   virtual bool Started() const = 0;
@@ -40,6 +42,10 @@
   // waiting.
   virtual bool CallerGone() = 0;
 
+  // Calls aGone once if the caller closes its connection before the handler
+  // has returned. An empty hook ends the watch.
+  virtual void OnCallerGone(std::function<void()> aGone) = 0;
+
   // Address of the other end, without the port.
   virtual std::string RemoteAddress() const = 0;
 };
@@ -50,15 +56,24 @@
 using http_handler =
   std::function<asio::awaitable<void>(const http_request&, http_reply&)>;
 
+// What a caller may send and how long it may take.
+struct http_limits
+{
+  std::uint64_t mHeaderBytes = 16 * 1024;
+  std::uint64_t mBodyBytes = 4 * 1024 * 1024;
+  // From a request's first byte to the end of its headers.
+  std::chrono::milliseconds mHeaderTimeout{ 60000 };
+  // Longest wait for the next request or for more of a body.
+  std::chrono::milliseconds mIdleTimeout{ 60000 };
+};
+
 struct http_server_settings
 {
   std::string mAddress = "127.0.0.1";
   // Zero takes any free port.
   std::uint16_t mPort = 0;
-  std::uint64_t mHeaderLimitBytes = 16 * 1024;
-  std::uint64_t mBodyLimitBytes = 4 * 1024 * 1024;
-  // Longest wait for the next request or for the rest of one.
-  std::chrono::seconds mReadTimeout{ 60 };
+  // Asked anew for each request; never empty.
+  std::function<http_limits()> mLimits = [] { return http_limits{}; };
   std::chrono::seconds mWriteTimeout{ 30 };
   // Null serves plain TCP.
   tls_context_ptr mTls;
@@ -89,6 +104,10 @@
   // Connections with a request in progress.
   std::size_t Busy() const;
 
+  // Answers with "Connection: close" from now on but accepts as before. Safe on
+  // any thread.
+  void CloseAfterAnswers();
+
   // Stops accepting, answers what is in progress with "Connection: close" and
   // closes connections as their next request ends. Safe on any thread.
   void Drain();
--- a/include/sapphirespar/wire/sse_splitter.hpp
+++ b/include/sapphirespar/wire/sse_splitter.hpp
@@ -5,7 +5,7 @@
 #include <string>
 #include <string_view>
 
-namespace sapphirespar::router {
+namespace sapphirespar::wire {
 
 // What one piece of the stream completed.
 struct sse_events
@@ -16,6 +16,8 @@
   unsigned mCount = 0;
   // Whether "data: [DONE]" was among them; nothing after it is kept.
   bool mDone = false;
+  // The last identifier among them; empty if none has one.
+  std::string mLastId;
 };
 
 class sse_splitter
@@ -24,9 +26,12 @@
   // Takes the next piece of the stream.
   sse_events Feed(std::string_view aPiece);
 
+  // What has come after the last whole event.
+  const std::string& Rest() const { return mPartial; }
+
 private:
   // The beginning of an event whose end has not arrived.
   std::string mPartial;
 };
 
-} // namespace sapphirespar::router
+} // namespace sapphirespar::wire
--- /dev/null
+++ b/src/sapphirespar/base/boot_clock.cpp
@@ -0,0 +1,17 @@
+// The clock that goes on while the machine is suspended.
+#include "sapphirespar/base/boot_clock.hpp"
+
+#include <ctime>
+
+namespace sapphirespar {
+
+boot_time
+boot_clock::now()
+{
+  timespec now{};
+  ::clock_gettime(CLOCK_BOOTTIME, &now);
+  return boot_time(std::chrono::seconds(now.tv_sec) +
+                   std::chrono::nanoseconds(now.tv_nsec));
+}
+
+} // namespace sapphirespar
--- a/src/sapphirespar/base/log.cpp
+++ b/src/sapphirespar/base/log.cpp
@@ -5,6 +5,10 @@
 #include <log4cplus/initializer.h>
 #include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
+#include <log4cplus/spi/loggingevent.h>
+
+#include <fcntl.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <atomic>
@@ -16,6 +20,7 @@
 // Zero until StartLog has run, so that tests log nothing.
 std::atomic<bool> sStarted{ false };
 std::string sNode;
+std::atomic<std::uint64_t> sDropped{ 0 };
 
 log4cplus::LogLevel
 ToLibraryLevel(log_level aLevel)
@@ -42,8 +47,68 @@
          });
 }
 
+// Writes lines to standard output without ever waiting for its reader.
+class output_appender : public log4cplus::Appender
+{
+public:
+  output_appender()
+  {
+    const int flags = ::fcntl(STDOUT_FILENO, F_GETFL);
+    ::fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+  }
+  ~output_appender() override { destructorImpl(); }
+
+  void close() override { closed = true; }
+
+protected:
+  // Calls come one at a time.
+  void append(const log4cplus::spi::InternalLoggingEvent& aEvent) override
+  {
+    // About a second of the busiest gateway's lines.
+    constexpr std::size_t kLongestBacklog = 256 * 1024;
+    if (mBacklog.size() > kLongestBacklog) {
+      Flush();
+    }
+    if (mBacklog.size() > kLongestBacklog) {
+      ++sDropped;
+      return;
+    }
+    mBacklog += formatEvent(aEvent);
+    Flush();
+  }
+
+private:
+  void Flush()
+  {
+    const auto count = ::write(STDOUT_FILENO, mBacklog.data(), mBacklog.size());
+    if (count > 0) {
+      mBacklog.erase(0, static_cast<std::size_t>(count));
+    }
+  }
+
+  // Lines that standard output did not take yet.
+  std::string mBacklog;
+};
+
+log4cplus::SharedAppenderPtr
+MakeAppender(log_target aTarget)
+{
+  constexpr bool kToStandardError = true;
+  constexpr bool kFlushEachLine = true;
+  return log4cplus::SharedAppenderPtr(
+    aTarget == log_target::StandardOutput
+      ? static_cast<log4cplus::Appender*>(new output_appender)
+      : new log4cplus::ConsoleAppender(kToStandardError, kFlushEachLine));
+}
+
 } // namespace
 
+std::uint64_t
+DroppedLogLines()
+{
+  return sDropped;
+}
+
 std::string
 QuoteLogValue(std::string_view aValue)
 {
@@ -61,19 +126,18 @@
 }
 
 void
-StartLog(log_level aLevel, std::string_view aNode)
+StartLog(log_level aLevel, std::string_view aNode, log_target aTarget)
 {
   static log4cplus::Initializer initializer;
-  constexpr bool kToStandardError = true;
-  constexpr bool kFlushEachLine = true;
-  log4cplus::SharedAppenderPtr appender(
-    new log4cplus::ConsoleAppender(kToStandardError, kFlushEachLine));
+  auto root = log4cplus::Logger::getRoot();
+  root.setLogLevel(ToLibraryLevel(aLevel));
+  if (sStarted) {
+    return;
+  }
+  auto appender = MakeAppender(aTarget);
   appender->setLayout(std::make_unique<log4cplus::PatternLayout>(
     "time=%d{%Y-%m-%dT%H:%M:%S.%qZ} level=%p %m%n"));
-  auto root = log4cplus::Logger::getRoot();
-  root.removeAllAppenders();
   root.addAppender(appender);
-  root.setLogLevel(ToLibraryLevel(aLevel));
   sNode = QuoteLogValue(aNode);
   sStarted = true;
 }
--- a/src/sapphirespar/router/attempt.cpp
+++ b/src/sapphirespar/router/attempt.cpp
@@ -2,7 +2,7 @@
 #include "sapphirespar/router/attempt.hpp"
 
 #include "sapphirespar/router/attempt_watch.hpp"
-#include "sapphirespar/router/sse_splitter.hpp"
+#include "sapphirespar/wire/sse_splitter.hpp"
 
 #include <boost/asio/this_coro.hpp>
 
@@ -196,7 +196,7 @@
 
   asio::awaitable<attempt_result> RelayEvents(wire::http_stream& aStream)
   {
-    sse_splitter splitter;
+    wire::sse_splitter splitter;
     while (true) {
       auto piece = co_await aStream.Read(kLongestSilence);
       if (!piece) {
@@ -225,7 +225,7 @@
     }
   }
 
-  asio::awaitable<bool> SendEvents(const sse_events& aEvents)
+  asio::awaitable<bool> SendEvents(const wire::sse_events& aEvents)
   {
     if (!mReply.Started()) {
       const bool begun = co_await mReply.Begin(kOk, StreamHeaders(mCall));
--- a/src/sapphirespar/router/attempt_test.cpp
+++ b/src/sapphirespar/router/attempt_test.cpp
@@ -27,10 +27,13 @@
     mText += aResponse.mBody;
     co_return !mGone;
   }
-  asio::awaitable<bool> Begin(unsigned, wire::http_headers) override
+  asio::awaitable<bool> Begin(unsigned,
+                              wire::http_headers,
+                              std::string_view aFirst) override
   {
     ++mBegun;
     mStarted = true;
+    mText += aFirst;
     co_return !mGone;
   }
   asio::awaitable<bool> Write(std::string_view aBytes) override
@@ -38,13 +41,15 @@
     mText += aBytes;
     co_return !mGone;
   }
-  asio::awaitable<bool> Finish() override
+  asio::awaitable<bool> Finish(std::string_view aLast) override
   {
+    mText += aLast;
     mFinished = true;
     co_return !mGone;
   }
   bool Started() const override { return mStarted; }
   bool CallerGone() override { return mGone; }
+  void OnCallerGone(std::function<void()>) override {}
   std::string RemoteAddress() const override { return {}; }
 
   std::string mText;
--- a/src/sapphirespar/wire/byte_stream.cpp
+++ b/src/sapphirespar/wire/byte_stream.cpp
@@ -9,6 +9,7 @@
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/ssl/ssl_stream.hpp>
 
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 #include <cerrno>
@@ -62,19 +63,27 @@
     co_return error;
   }
 
-  bool LooksClosed() override
+  bool LooksClosed() override { return Peek() == peeked::Closed; }
+  bool LooksIdle() override { return Peek() == peeked::Nothing; }
+
+  void WatchClose(std::function<void()> aClosed) override
   {
-    auto& socket = Lowest().socket();
-    if (!socket.is_open()) {
-      return true;
+    mClosed = std::move(aClosed);
+    if (mWatching || !mClosed) {
+      return;
     }
-    char byte = 0;
-    const auto count =
-      ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    if (count > 0) {
-      return false;
-    }
-    return count == 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+    mWatching = true;
+    Lowest().socket().async_wait(
+      asio::socket_base::wait_read,
+      [this, alive = std::weak_ptr(mAlive)](const error_code& aError) {
+        if (alive.expired()) {
+          return;
+        }
+        mWatching = false;
+        if (!aError && mClosed && LooksClosed()) {
+          std::exchange(mClosed, nullptr)();
+        }
+      });
   }
 
   void Close() override
@@ -93,11 +102,61 @@
   }
 
 private:
+  enum class peeked
+  {
+    Nothing,
+    Bytes,
+    Closed,
+  };
+
+  peeked Peek()
+  {
+    auto& socket = Lowest().socket();
+    if (!socket.is_open()) {
+      return peeked::Closed;
+    }
+    char byte = 0;
+    const auto count =
+      ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    if (count > 0) {
+      return peeked::Bytes;
+    }
+    const bool waits = errno == EAGAIN || errno == EWOULDBLOCK;
+    return count < 0 && waits ? peeked::Nothing : peeked::Closed;
+  }
+
   plain_stream& Lowest() { return beast::get_lowest_layer(mStream); }
 
   Stream mStream;
+  // Empty while nobody asks whether the far end closes.
+  std::function<void()> mClosed;
+  bool mWatching = false;
+  // Expires with the stream, before the wait on its socket ends.
+  std::shared_ptr<bool> mAlive = std::make_shared<bool>(true);
 };
 
+// Ends a connection whose far end is gone without a word: a machine that has
+// lost power, or a path that has lost track of the connection.
+void
+DetectSilence(asio::ip::tcp::socket& aSocket)
+{
+  // Unacknowledged bytes; several losses in a row on a bad link take less.
+  constexpr int kUnacknowledgedMs = 4000;
+  constexpr int kProbeAfterIdleSeconds = 2;
+  constexpr int kProbeEachSeconds = 1;
+  constexpr int kProbes = 3;
+  const auto set = [&](int aOption, int aValue) {
+    ::setsockopt(
+      aSocket.native_handle(), IPPROTO_TCP, aOption, &aValue, sizeof(aValue));
+  };
+  error_code ignored;
+  aSocket.set_option(asio::socket_base::keep_alive(true), ignored);
+  set(TCP_USER_TIMEOUT, kUnacknowledgedMs);
+  set(TCP_KEEPIDLE, kProbeAfterIdleSeconds);
+  set(TCP_KEEPINTVL, kProbeEachSeconds);
+  set(TCP_KEEPCNT, kProbes);
+}
+
 asio::awaitable<stream_result<byte_stream_ptr>>
 Secure(plain_stream aStream,
        tls_context_ptr aTls,
@@ -136,6 +195,7 @@
   }
   error_code ignored;
   stream.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
+  DetectSilence(stream.socket());
   if (aTls) {
     co_return co_await Secure(
       std::move(stream), aTls, asio::ssl::stream_base::client, aTimeout);
@@ -151,6 +211,7 @@
 {
   error_code ignored;
   aSocket.set_option(asio::ip::tcp::no_delay(true), ignored);
+  DetectSilence(aSocket);
   plain_stream stream(std::move(aSocket));
   if (aTls) {
     co_return co_await Secure(
--- /dev/null
+++ b/src/sapphirespar/wire/gen/gossip_types.cpp
@@ -0,0 +1,584 @@
+#include "gossip_types.h"
+
+#include <algorithm>
+#include <ostream>
+
+#include <thrift/TToString.h>
+
+namespace sapphirespar { namespace wire { namespace gen {
+
+
+gossip_load::~gossip_load() noexcept {
+}
+
+
+void gossip_load::__set_upstream(const int64_t val) {
+  this->upstream = val;
+}
+
+void gossip_load::__set_urgent_tokens(const int32_t val) {
+  this->urgent_tokens = val;
+}
+
+void gossip_load::__set_other_tokens(const int32_t val) {
+  this->other_tokens = val;
+}
+
+void gossip_load::__set_memory_tokens(const int32_t val) {
+  this->memory_tokens = val;
+}
+
+void gossip_load::__set_running(const int32_t val) {
+  this->running = val;
+}
+
+void gossip_load::__set_interactive(const int32_t val) {
+  this->interactive = val;
+}
+std::ostream& operator<<(std::ostream& out, const gossip_load& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t gossip_load::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->upstream);
+          this->__isset.upstream = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->urgent_tokens);
+          this->__isset.urgent_tokens = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->other_tokens);
+          this->__isset.other_tokens = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->memory_tokens);
+          this->__isset.memory_tokens = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->running);
+          this->__isset.running = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->interactive);
+          this->__isset.interactive = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t gossip_load::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("gossip_load");
+
+  xfer += oprot->writeFieldBegin("upstream", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->upstream);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("urgent_tokens", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->urgent_tokens);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("other_tokens", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->other_tokens);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("memory_tokens", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->memory_tokens);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("running", ::apache::thrift::protocol::T_I32, 5);
+  xfer += oprot->writeI32(this->running);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("interactive", ::apache::thrift::protocol::T_I32, 6);
+  xfer += oprot->writeI32(this->interactive);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(gossip_load &a, gossip_load &b) {
+  using ::std::swap;
+  swap(a.upstream, b.upstream);
+  swap(a.urgent_tokens, b.urgent_tokens);
+  swap(a.other_tokens, b.other_tokens);
+  swap(a.memory_tokens, b.memory_tokens);
+  swap(a.running, b.running);
+  swap(a.interactive, b.interactive);
+  swap(a.__isset, b.__isset);
+}
+
+gossip_load::gossip_load(const gossip_load& other0) noexcept {
+  upstream = other0.upstream;
+  urgent_tokens = other0.urgent_tokens;
+  other_tokens = other0.other_tokens;
+  memory_tokens = other0.memory_tokens;
+  running = other0.running;
+  interactive = other0.interactive;
+  __isset = other0.__isset;
+}
+gossip_load::gossip_load(gossip_load&& other1) noexcept {
+  upstream = other1.upstream;
+  urgent_tokens = other1.urgent_tokens;
+  other_tokens = other1.other_tokens;
+  memory_tokens = other1.memory_tokens;
+  running = other1.running;
+  interactive = other1.interactive;
+  __isset = other1.__isset;
+}
+gossip_load& gossip_load::operator=(const gossip_load& other2) noexcept {
+  upstream = other2.upstream;
+  urgent_tokens = other2.urgent_tokens;
+  other_tokens = other2.other_tokens;
+  memory_tokens = other2.memory_tokens;
+  running = other2.running;
+  interactive = other2.interactive;
+  __isset = other2.__isset;
+  return *this;
+}
+gossip_load& gossip_load::operator=(gossip_load&& other3) noexcept {
+  upstream = other3.upstream;
+  urgent_tokens = other3.urgent_tokens;
+  other_tokens = other3.other_tokens;
+  memory_tokens = other3.memory_tokens;
+  running = other3.running;
+  interactive = other3.interactive;
+  __isset = other3.__isset;
+  return *this;
+}
+void gossip_load::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "gossip_load(";
+  out << "upstream=" << to_string(upstream);
+  out << ", " << "urgent_tokens=" << to_string(urgent_tokens);
+  out << ", " << "other_tokens=" << to_string(other_tokens);
+  out << ", " << "memory_tokens=" << to_string(memory_tokens);
+  out << ", " << "running=" << to_string(running);
+  out << ", " << "interactive=" << to_string(interactive);
+  out << ")";
+}
+
+
+gossip_state::~gossip_state() noexcept {
+}
+
+
+void gossip_state::__set_vm(const std::string& val) {
+  this->vm = val;
+}
+
+void gossip_state::__set_incarnation(const int64_t val) {
+  this->incarnation = val;
+}
+
+void gossip_state::__set_sequence(const int64_t val) {
+  this->sequence = val;
+}
+
+void gossip_state::__set_data_centre(const std::string& val) {
+  this->data_centre = val;
+}
+
+void gossip_state::__set_address(const std::string& val) {
+  this->address = val;
+}
+
+void gossip_state::__set_caller_port(const int32_t val) {
+  this->caller_port = val;
+}
+
+void gossip_state::__set_admin_port(const int32_t val) {
+  this->admin_port = val;
+}
+
+void gossip_state::__set_ready(const bool val) {
+  this->ready = val;
+}
+
+void gossip_state::__set_leaving(const bool val) {
+  this->leaving = val;
+}
+
+void gossip_state::__set_routing_version(const int64_t val) {
+  this->routing_version = val;
+}
+
+void gossip_state::__set_loads(const std::vector<gossip_load> & val) {
+  this->loads = val;
+}
+
+void gossip_state::__set_asks(const bool val) {
+  this->asks = val;
+}
+std::ostream& operator<<(std::ostream& out, const gossip_state& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t gossip_state::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->vm);
+          this->__isset.vm = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->incarnation);
+          this->__isset.incarnation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sequence);
+          this->__isset.sequence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->data_centre);
+          this->__isset.data_centre = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->address);
+          this->__isset.address = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->caller_port);
+          this->__isset.caller_port = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->admin_port);
+          this->__isset.admin_port = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->ready);
+          this->__isset.ready = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->leaving);
+          this->__isset.leaving = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->routing_version);
+          this->__isset.routing_version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->loads.clear();
+            uint32_t _size4;
+            ::apache::thrift::protocol::TType _etype7;
+            xfer += iprot->readListBegin(_etype7, _size4);
+            this->loads.resize(_size4);
+            uint32_t _i8;
+            for (_i8 = 0; _i8 < _size4; ++_i8)
+            {
+              xfer += this->loads[_i8].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.loads = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->asks);
+          this->__isset.asks = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t gossip_state::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("gossip_state");
+
+  xfer += oprot->writeFieldBegin("vm", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->vm);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("incarnation", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->incarnation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->sequence);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("data_centre", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->data_centre);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("address", ::apache::thrift::protocol::T_STRING, 5);
+  xfer += oprot->writeString(this->address);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("caller_port", ::apache::thrift::protocol::T_I32, 6);
+  xfer += oprot->writeI32(this->caller_port);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("admin_port", ::apache::thrift::protocol::T_I32, 7);
+  xfer += oprot->writeI32(this->admin_port);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("ready", ::apache::thrift::protocol::T_BOOL, 8);
+  xfer += oprot->writeBool(this->ready);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("leaving", ::apache::thrift::protocol::T_BOOL, 9);
+  xfer += oprot->writeBool(this->leaving);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("routing_version", ::apache::thrift::protocol::T_I64, 10);
+  xfer += oprot->writeI64(this->routing_version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 11);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
+    std::vector<gossip_load> ::const_iterator _iter9;
+    for (_iter9 = this->loads.begin(); _iter9 != this->loads.end(); ++_iter9)
+    {
+      xfer += (*_iter9).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("asks", ::apache::thrift::protocol::T_BOOL, 12);
+  xfer += oprot->writeBool(this->asks);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(gossip_state &a, gossip_state &b) {
+  using ::std::swap;
+  swap(a.vm, b.vm);
+  swap(a.incarnation, b.incarnation);
+  swap(a.sequence, b.sequence);
+  swap(a.data_centre, b.data_centre);
+  swap(a.address, b.address);
+  swap(a.caller_port, b.caller_port);
+  swap(a.admin_port, b.admin_port);
+  swap(a.ready, b.ready);
+  swap(a.leaving, b.leaving);
+  swap(a.routing_version, b.routing_version);
+  swap(a.loads, b.loads);
+  swap(a.asks, b.asks);
+  swap(a.__isset, b.__isset);
+}
+
+gossip_state::gossip_state(const gossip_state& other10) {
+  vm = other10.vm;
+  incarnation = other10.incarnation;
+  sequence = other10.sequence;
+  data_centre = other10.data_centre;
+  address = other10.address;
+  caller_port = other10.caller_port;
+  admin_port = other10.admin_port;
+  ready = other10.ready;
+  leaving = other10.leaving;
+  routing_version = other10.routing_version;
+  loads = other10.loads;
+  asks = other10.asks;
+  __isset = other10.__isset;
+}
+gossip_state::gossip_state(gossip_state&& other11) noexcept {
+  vm = std::move(other11.vm);
+  incarnation = other11.incarnation;
+  sequence = other11.sequence;
+  data_centre = std::move(other11.data_centre);
+  address = std::move(other11.address);
+  caller_port = other11.caller_port;
+  admin_port = other11.admin_port;
+  ready = other11.ready;
+  leaving = other11.leaving;
+  routing_version = other11.routing_version;
+  loads = std::move(other11.loads);
+  asks = other11.asks;
+  __isset = other11.__isset;
+}
+gossip_state& gossip_state::operator=(const gossip_state& other12) {
+  vm = other12.vm;
+  incarnation = other12.incarnation;
+  sequence = other12.sequence;
+  data_centre = other12.data_centre;
+  address = other12.address;
+  caller_port = other12.caller_port;
+  admin_port = other12.admin_port;
+  ready = other12.ready;
+  leaving = other12.leaving;
+  routing_version = other12.routing_version;
+  loads = other12.loads;
+  asks = other12.asks;
+  __isset = other12.__isset;
+  return *this;
+}
+gossip_state& gossip_state::operator=(gossip_state&& other13) noexcept {
+  vm = std::move(other13.vm);
+  incarnation = other13.incarnation;
+  sequence = other13.sequence;
+  data_centre = std::move(other13.data_centre);
+  address = std::move(other13.address);
+  caller_port = other13.caller_port;
+  admin_port = other13.admin_port;
+  ready = other13.ready;
+  leaving = other13.leaving;
+  routing_version = other13.routing_version;
+  loads = std::move(other13.loads);
+  asks = other13.asks;
+  __isset = other13.__isset;
+  return *this;
+}
+void gossip_state::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "gossip_state(";
+  out << "vm=" << to_string(vm);
+  out << ", " << "incarnation=" << to_string(incarnation);
+  out << ", " << "sequence=" << to_string(sequence);
+  out << ", " << "data_centre=" << to_string(data_centre);
+  out << ", " << "address=" << to_string(address);
+  out << ", " << "caller_port=" << to_string(caller_port);
+  out << ", " << "admin_port=" << to_string(admin_port);
+  out << ", " << "ready=" << to_string(ready);
+  out << ", " << "leaving=" << to_string(leaving);
+  out << ", " << "routing_version=" << to_string(routing_version);
+  out << ", " << "loads=" << to_string(loads);
+  out << ", " << "asks=" << to_string(asks);
+  out << ")";
+}
+
+}}} // namespace
--- /dev/null
+++ b/src/sapphirespar/wire/gossip_codec.cpp
@@ -0,0 +1,123 @@
+// Encodes and decodes gossip.
+#include "sapphirespar/wire/gossip_codec.hpp"
+
+#include "gen/gossip_types.h"
+
+#include <thrift/Thrift.h>
+#include <thrift/protocol/TCompactProtocol.h>
+#include <thrift/transport/TBufferTransports.h>
+
+#include <algorithm>
+#include <iterator>
+#include <limits>
+#include <memory>
+
+namespace sapphirespar::wire {
+namespace {
+
+using apache::thrift::protocol::TCompactProtocolT;
+using apache::thrift::transport::TMemoryBuffer;
+
+gen::gossip_load
+ToWire(const gossip_load& aLoad)
+{
+  gen::gossip_load load;
+  load.upstream = static_cast<std::int64_t>(aLoad.mUpstream);
+  load.urgent_tokens = static_cast<std::int32_t>(aLoad.mUrgentTokens);
+  load.other_tokens = static_cast<std::int32_t>(aLoad.mOtherTokens);
+  load.memory_tokens = static_cast<std::int32_t>(aLoad.mMemoryTokens);
+  load.running = static_cast<std::int32_t>(aLoad.mRunning);
+  load.interactive = static_cast<std::int32_t>(aLoad.mInteractive);
+  return load;
+}
+
+std::uint32_t
+NotNegative(std::int32_t aNumber)
+{
+  return static_cast<std::uint32_t>(std::max(aNumber, 0));
+}
+
+gossip_load
+FromWire(const gen::gossip_load& aLoad)
+{
+  gossip_load load;
+  load.mUpstream = static_cast<std::uint64_t>(aLoad.upstream);
+  load.mUrgentTokens = NotNegative(aLoad.urgent_tokens);
+  load.mOtherTokens = NotNegative(aLoad.other_tokens);
+  load.mMemoryTokens = NotNegative(aLoad.memory_tokens);
+  load.mRunning = NotNegative(aLoad.running);
+  load.mInteractive = NotNegative(aLoad.interactive);
+  return load;
+}
+
+bool
+IsPort(std::int32_t aNumber)
+{
+  return aNumber >= 0 && aNumber <= std::numeric_limits<std::uint16_t>::max();
+}
+
+} // namespace
+
+std::string
+EncodeGossip(const gossip_state& aState)
+{
+  gen::gossip_state state;
+  state.vm = aState.mSender.mVm.mText;
+  state.incarnation = static_cast<std::int64_t>(aState.mSender.mIncarnation);
+  state.sequence = static_cast<std::int64_t>(aState.mSequence);
+  state.data_centre = aState.mDataCentre.mText;
+  state.address = aState.mAddress;
+  state.caller_port = aState.mCallerPort;
+  state.admin_port = aState.mAdminPort;
+  state.ready = aState.mReady;
+  state.leaving = aState.mLeaving;
+  state.routing_version = static_cast<std::int64_t>(aState.mRouting);
+  std::ranges::transform(
+    aState.mLoads, std::back_inserter(state.loads), ToWire);
+  state.asks = aState.mAsks;
+  const auto buffer = std::make_shared<TMemoryBuffer>();
+  TCompactProtocolT<TMemoryBuffer> protocol(buffer);
+  state.write(&protocol);
+  return buffer->getBufferAsString();
+}
+
+std::optional<gossip_state>
+DecodeGossip(std::string_view aBytes)
+{
+  // The buffer only reads, although its interface takes a mutable pointer.
+  auto* bytes =
+    reinterpret_cast<std::uint8_t*>(const_cast<char*>(aBytes.data()));
+  gen::gossip_state state;
+  try {
+    const auto buffer = std::make_shared<TMemoryBuffer>(
+      bytes, static_cast<std::uint32_t>(aBytes.size()));
+    TCompactProtocolT<TMemoryBuffer> protocol(buffer);
+    if (state.read(&protocol) != aBytes.size()) {
+      return std::nullopt;
+    }
+  } catch (const apache::thrift::TException&) {
+    return std::nullopt;
+  }
+  if (state.vm.empty() || !IsPort(state.caller_port) ||
+      !IsPort(state.admin_port)) {
+    return std::nullopt;
+  }
+  gossip_state read;
+  read.mSender.mVm.mText = state.vm;
+  read.mSender.mIncarnation =
+    static_cast<incarnation_number>(state.incarnation);
+  read.mSequence = static_cast<std::uint64_t>(state.sequence);
+  read.mDataCentre.mText = state.data_centre;
+  read.mAddress = state.address;
+  read.mCallerPort = static_cast<std::uint16_t>(state.caller_port);
+  read.mAdminPort = static_cast<std::uint16_t>(state.admin_port);
+  read.mReady = state.ready;
+  read.mLeaving = state.leaving;
+  read.mRouting = static_cast<routing_version>(state.routing_version);
+  std::ranges::transform(
+    state.loads, std::back_inserter(read.mLoads), FromWire);
+  read.mAsks = state.asks;
+  return read;
+}
+
+} // namespace sapphirespar::wire
--- /dev/null
+++ b/src/sapphirespar/wire/gossip_codec_test.cpp
@@ -0,0 +1,54 @@
+// Tests of gossip on the wire.
+#include "sapphirespar/wire/gossip_codec.hpp"
+
+#include "sapphirespar/base/mutation.hpp"
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+#include <vector>
+
+namespace sapphirespar::wire {
+namespace {
+
+gossip_state
+Sample()
+{
+  gossip_state state;
+  state.mSender = { { "vm-1" }, 77 };
+  state.mSequence = 12;
+  state.mDataCentre = { "galle" };
+  state.mAddress = "10.0.0.1";
+  state.mCallerPort = 8080;
+  state.mAdminPort = 8081;
+  state.mReady = true;
+  state.mLeaving = true;
+  state.mRouting = 9;
+  state.mLoads = { { 0xffffffffffffffffULL, 1, 2, 3, 4, 5 } };
+  state.mAsks = true;
+  return state;
+}
+
+TEST(GossipCodec, KeepsEveryField)
+{
+  const auto read = DecodeGossip(EncodeGossip(Sample()));
+  ASSERT_TRUE(read);
+  EXPECT_EQ(*read, Sample());
+}
+
+TEST(GossipCodec, TakesNoDamageForGossipOfNobody)
+{
+  EXPECT_FALSE(DecodeGossip(""));
+  EXPECT_FALSE(DecodeGossip("GET / HTTP/1.1"));
+  EXPECT_TRUE(rc::check([] {
+    const auto damage = *rc::gen::container<std::vector<text_mutation>>(
+      rc::gen::construct<text_mutation>(rc::gen::inRange<std::size_t>(0, 80),
+                                        rc::gen::inRange<std::size_t>(0, 4),
+                                        rc::gen::arbitrary<std::string>()));
+    const auto read = DecodeGossip(Mutate(EncodeGossip(Sample()), damage));
+    RC_ASSERT(!read || !read->mSender.mVm.Empty());
+  }));
+}
+
+} // namespace
+} // namespace sapphirespar::wire
--- a/src/sapphirespar/wire/http_client.cpp
+++ b/src/sapphirespar/wire/http_client.cpp
@@ -3,9 +3,13 @@
 
 #include "http_codec.hpp"
 
+#include <boost/beast/core/string.hpp>
+
 #include <algorithm>
+#include <charconv>
 #include <functional>
 #include <map>
+#include <optional>
 #include <utility>
 #include <vector>
 
@@ -24,6 +28,9 @@
   std::shared_ptr<byte_stream> mStream;
   beast::flat_buffer mBuffer;
   steady_clock::time_point mIdleSince{};
+  // How long the far end keeps it without a request.
+  milliseconds mIdleLimit{ 0 };
+  bool mReused = false;
 };
 
 using connection_ptr = std::unique_ptr<connection>;
@@ -53,7 +60,11 @@
   message.set(http::field::host,
               aEndpoint.mAddress + ":" + std::to_string(aEndpoint.mPort));
   for (const auto& header : aRequest.mHeaders) {
-    message.set(header.mName, header.mValue);
+    if (beast::iequals(header.mName, "Host")) {
+      message.set(http::field::host, header.mValue);
+    } else {
+      message.insert(header.mName, header.mValue);
+    }
   }
   message.body() = std::move(aRequest.mBody);
   message.prepare_payload();
@@ -73,6 +84,25 @@
   return head;
 }
 
+// Returns how long the far end keeps an idle connection open, less the time in
+// which its close may cross a request; aLongest if it does not say.
+milliseconds
+IdleLimitOf(const http_response& aHead, milliseconds aLongest)
+{
+  constexpr std::string_view kName = "timeout=";
+  constexpr milliseconds kMargin{ 300 };
+  const auto value = aHead.Header("Keep-Alive");
+  const auto start = value.find(kName);
+  if (start == std::string_view::npos) {
+    return aLongest;
+  }
+  const auto digits = value.substr(start + kName.size());
+  unsigned seconds = 0;
+  std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
+  const milliseconds limit = std::chrono::seconds(seconds) - kMargin;
+  return std::clamp(limit, milliseconds::zero(), aLongest);
+}
+
 milliseconds
 Until(steady_clock::time_point aEnd)
 {
@@ -90,50 +120,92 @@
   response_reader(connection_ptr aConnection,
                   keep_connection aKeep,
                   call_abort_ptr aAbort,
-                  std::uint64_t aBodyLimit)
+                  const http_client_settings& aSettings,
+                  bool aHasBody)
     : mConnection(std::move(aConnection))
     , mKeep(std::move(aKeep))
     , mAbort(std::move(aAbort))
+    , mIdleLimit(aSettings.mIdleLimit)
+    , mBodyLimit(aSettings.mBodyLimitBytes)
+    , mHasBody(aHasBody)
+    , mReused(mConnection->mReused)
   {
-    mParser.body_limit(aBodyLimit);
-    mParser.eager(true);
+    RestartParser();
   }
 
   const http_response& Head() const override { return mHead; }
+  bool Reused() const override { return mReused; }
+  bool Finished() const override
+  {
+    return mParser->is_done() && mParser->get().body().empty();
+  }
 
   asio::awaitable<error_code> ReadHead(milliseconds aTimeout)
   {
     error_code error;
-    while (!error && !mParser.is_header_done()) {
-      error = co_await ReadMore(
-        *mConnection->mStream, mConnection->mBuffer, mParser, aTimeout);
+    bool interim = true;
+    while (!error && interim) {
+      error = Feed(mConnection->mBuffer, *mParser);
+      while (!error && !mParser->is_header_done()) {
+        error = co_await ReadMore(
+          *mConnection->mStream, mConnection->mBuffer, *mParser, aTimeout);
+      }
+      interim = !error && IsInterim(mParser->get().result_int());
+      if (interim) {
+        RestartParser();
+      }
     }
     if (!error) {
-      mHead = ToHead(mParser.get());
+      mHead = ToHead(mParser->get());
     }
     co_return error;
   }
 
   asio::awaitable<wire_result<std::string>> Read(milliseconds aTimeout) override
   {
-    while (mParser.get().body().empty() && !mParser.is_done()) {
+    while (mParser->get().body().empty() && !mParser->is_done()) {
       if (!mConnection) {
         co_return wire_error{ wire_error_kind::Read, kBytesWritten, "closed" };
       }
       const auto error = co_await ReadMore(
-        *mConnection->mStream, mConnection->mBuffer, mParser, aTimeout);
+        *mConnection->mStream, mConnection->mBuffer, *mParser, aTimeout);
       if (error) {
         mConnection.reset();
         co_return ReadError(error);
       }
     }
-    auto piece = std::exchange(mParser.get().body(), std::string{});
-    if (piece.empty()) {
+    auto piece = std::exchange(mParser->get().body(), std::string{});
+    if (mParser->is_done()) {
       GiveBack();
     }
     co_return piece;
   }
 
+  asio::awaitable<wire_result<bool>> SkipResponse(
+    milliseconds aTimeout) override
+  {
+    error_code error;
+    while (!error && !mParser->is_done()) {
+      mParser->get().body().clear();
+      error = co_await ReadMore(
+        *mConnection->mStream, mConnection->mBuffer, *mParser, aTimeout);
+    }
+    if (!error && !mParser->keep_alive()) {
+      error = asio::error::eof;
+    }
+    if (!error) {
+      RestartParser();
+      // Whoever sends answers out of turn may do it again.
+      mMayKeep = false;
+      error = co_await ReadHead(aTimeout);
+    }
+    if (error) {
+      mConnection.reset();
+      co_return ReadError(error);
+    }
+    co_return true;
+  }
+
   wire_error ReadError(const error_code& aError) const
   {
     const auto kind = mAbort && mAbort->Aborted() ? wire_error_kind::Cancelled
@@ -142,24 +214,46 @@
   }
 
 private:
+  static bool IsInterim(unsigned aStatus)
+  {
+    constexpr unsigned kSwitchingProtocols = 101;
+    return aStatus < 200 && aStatus != kSwitchingProtocols;
+  }
+
+  void RestartParser()
+  {
+    mParser.emplace();
+    mParser->body_limit(mBodyLimit);
+    mParser->eager(true);
+    mParser->skip(!mHasBody);
+  }
+
   // Returns the connection to the pool if it can carry another request.
   void GiveBack()
   {
     if (mAbort) {
       mAbort->Attach(nullptr);
     }
-    if (mConnection && mParser.get().keep_alive() &&
+    if (mConnection && mMayKeep && mParser->keep_alive() &&
         mConnection->mBuffer.size() == 0) {
+      mConnection->mIdleLimit = IdleLimitOf(mHead, mIdleLimit);
       mKeep(std::move(mConnection));
     }
     mConnection.reset();
   }
 
+  // Null once the response has been read or has failed.
   connection_ptr mConnection;
   keep_connection mKeep;
   // Null for a call that nobody else may end.
   call_abort_ptr mAbort;
-  response_parser mParser;
+  milliseconds mIdleLimit;
+  std::uint64_t mBodyLimit;
+  bool mHasBody;
+  bool mReused;
+  bool mMayKeep = true;
+  // Of the response that is being read; never empty.
+  std::optional<response_parser> mParser;
   http_response mHead;
 };
 
@@ -224,14 +318,16 @@
 http_client::state::TakeIdle(const endpoint& aEndpoint)
 {
   auto& idle = mIdle[aEndpoint];
-  const auto oldest = steady_clock::now() - mSettings.mIdleLimit;
+  const auto now = steady_clock::now();
   std::erase_if(idle, [&](const connection_ptr& aConnection) {
-    return aConnection->mIdleSince < oldest;
+    return now - aConnection->mIdleSince >= aConnection->mIdleLimit;
   });
   while (!idle.empty()) {
     auto line = std::move(idle.back());
     idle.pop_back();
-    if (!line->mStream->LooksClosed()) {
+    // Bytes that nobody asked for belong to no later request.
+    if (line->mStream->LooksIdle()) {
+      line->mReused = true;
       return line;
     }
   }
@@ -284,6 +380,7 @@
       co_return wire_error{ wire_error_kind::Cancelled, kNothingWritten, {} };
     }
   }
+  const bool hasBody = aRequest.mMethod != "HEAD";
   const auto bytes = ToBytes(aEndpoint, std::move(aRequest));
   const auto writeError = co_await line->mStream->Write(bytes, aHeadTimeout);
   if (writeError) {
@@ -293,7 +390,7 @@
     state->Keep(aEndpoint, std::move(aConnection));
   };
   auto reader = std::make_unique<response_reader>(
-    std::move(line), keep, aAbort, settings.mBodyLimitBytes);
+    std::move(line), keep, aAbort, settings, hasBody);
   const auto headError = co_await reader->ReadHead(aHeadTimeout);
   if (headError) {
     co_return reader->ReadError(headError);
--- a/src/sapphirespar/wire/http_codec.hpp
+++ b/src/sapphirespar/wire/http_codec.hpp
@@ -71,22 +71,6 @@
   co_return Feed(aBuffer, aParser);
 }
 
-// Reads until aParser has its whole message.
-template<class Parser>
-asio::awaitable<boost::system::error_code>
-ReadMessage(byte_stream& aStream,
-            beast::flat_buffer& aBuffer,
-            Parser& aParser,
-            std::chrono::milliseconds aTimeout)
-{
-  aParser.eager(true);
-  auto error = Feed(aBuffer, aParser);
-  while (!error && !aParser.is_done()) {
-    error = co_await ReadMore(aStream, aBuffer, aParser, aTimeout);
-  }
-  co_return error;
-}
-
 namespace detail {
 
 template<class Message, class Done>
--- a/src/sapphirespar/wire/http_server.cpp
+++ b/src/sapphirespar/wire/http_server.cpp
@@ -13,7 +13,10 @@
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <boost/beast/core/string.hpp>
+
 #include <algorithm>
+#include <array>
 #include <atomic>
 #include <optional>
 #include <vector>
@@ -26,6 +29,9 @@
 {
   http_server_settings mSettings;
   http_handler mHandler;
+  // Answers carry "Connection: close".
+  std::atomic<bool> mClosing{ false };
+  // Nothing is accepted any more; implies mClosing.
   std::atomic<bool> mDraining{ false };
   std::atomic<std::size_t> mBusy{ 0 };
 };
@@ -77,13 +83,16 @@
 {
 public:
   stream_reply(byte_stream& aStream,
-               const http_server_settings& aSettings,
+               const connection_services& aServices,
                bool aKeepAlive)
     : mStream(aStream)
-    , mSettings(aSettings)
+    , mServices(aServices)
     , mKeepAlive(aKeepAlive)
   {
   }
+  ~stream_reply() override { mStream.WatchClose(nullptr); }
+  stream_reply(const stream_reply&) = delete;
+  stream_reply& operator=(const stream_reply&) = delete;
 
   asio::awaitable<bool> Send(http_response aResponse) override
   {
@@ -96,13 +105,15 @@
     co_return mFinished;
   }
 
-  asio::awaitable<bool> Begin(unsigned aStatus, http_headers aHeaders) override
+  asio::awaitable<bool> Begin(unsigned aStatus,
+                              http_headers aHeaders,
+                              std::string_view aFirst) override
   {
     mStarted = true;
     http::response<http::empty_body> message;
     SetHead(message, aStatus, aHeaders);
     message.chunked(true);
-    co_return co_await WriteBytes(SerializeHead(message));
+    co_return co_await WriteBytes(SerializeHead(message) + ToChunk(aFirst));
   }
 
   asio::awaitable<bool> Write(std::string_view aBytes) override
@@ -110,47 +121,61 @@
     if (aBytes.empty()) {
       co_return true;
     }
-    const asio::const_buffer bytes(aBytes.data(), aBytes.size());
-    co_return co_await WriteBytes(
-      beast::buffers_to_string(http::make_chunk(bytes)));
+    co_return co_await WriteBytes(ToChunk(aBytes));
   }
 
-  asio::awaitable<bool> Finish() override
+  asio::awaitable<bool> Finish(std::string_view aLast) override
   {
-    mFinished =
-      co_await WriteBytes(beast::buffers_to_string(http::make_chunk_last()));
+    const auto end = beast::buffers_to_string(http::make_chunk_last());
+    mFinished = co_await WriteBytes(ToChunk(aLast) + end);
     co_return mFinished;
   }
 
   bool Started() const override { return mStarted; }
   bool CallerGone() override { return mStream.LooksClosed(); }
+  void OnCallerGone(std::function<void()> aGone) override
+  {
+    mStream.WatchClose(std::move(aGone));
+  }
   std::string RemoteAddress() const override { return mStream.RemoteAddress(); }
 
   // Whether the response went out whole and the connection may be kept.
   bool Reusable() const { return mFinished && mKeepAlive; }
 
 private:
+  // Returns nothing for an empty piece, which would end the body.
+  static std::string ToChunk(std::string_view aBytes)
+  {
+    if (aBytes.empty()) {
+      return {};
+    }
+    const asio::const_buffer bytes(aBytes.data(), aBytes.size());
+    return beast::buffers_to_string(http::make_chunk(bytes));
+  }
+
   template<class Body>
   void SetHead(http::response<Body>& aMessage,
                unsigned aStatus,
-               const http_headers& aHeaders) const
+               const http_headers& aHeaders)
   {
+    mKeepAlive = mKeepAlive && !mServices.mClosing;
     aMessage.result(aStatus);
     aMessage.version(kHttpVersion);
     aMessage.keep_alive(mKeepAlive);
     for (const auto& header : aHeaders) {
-      aMessage.set(header.mName, header.mValue);
+      aMessage.insert(header.mName, header.mValue);
     }
   }
 
   asio::awaitable<bool> WriteBytes(std::string aBytes)
   {
-    const auto error = co_await mStream.Write(aBytes, mSettings.mWriteTimeout);
+    const auto error =
+      co_await mStream.Write(aBytes, mServices.mSettings.mWriteTimeout);
     co_return !error;
   }
 
   byte_stream& mStream;
-  const http_server_settings& mSettings;
+  const connection_services& mServices;
   bool mKeepAlive;
   bool mStarted = false;
   // Set only once the last byte of the response has been handed over.
@@ -175,9 +200,10 @@
 };
 
 unsigned
-StatusOfParseError(const boost::system::error_code& aError)
+StatusOfReadError(const boost::system::error_code& aError)
 {
   constexpr unsigned kBadRequest = 400;
+  constexpr unsigned kTimeout = 408;
   constexpr unsigned kTooLarge = 413;
   constexpr unsigned kHeadersTooLarge = 431;
   if (aError == http::error::body_limit) {
@@ -186,44 +212,124 @@
   if (aError == http::error::header_limit) {
     return kHeadersTooLarge;
   }
+  if (IsTimeout(aError)) {
+    return kTimeout;
+  }
   return kBadRequest;
 }
 
+// Reads on for a while: closing a connection that holds unread bytes resets
+// it, and the caller may then lose the response.
+asio::awaitable<void>
+DiscardRest(byte_stream& aStream)
+{
+  constexpr std::chrono::milliseconds kPatience{ 1000 };
+  constexpr unsigned kMostReads = 256;
+  std::array<char, 16 * 1024> bytes{};
+  for (unsigned reads = 0; reads < kMostReads; ++reads) {
+    const auto got = co_await aStream.ReadSome(asio::buffer(bytes), kPatience);
+    if (got.mError) {
+      co_return;
+    }
+  }
+}
+
 asio::awaitable<void>
 RefuseUnparsed(services_ptr aServices, byte_stream& aStream, error_code aError)
 {
   constexpr bool kKeepAlive = false;
-  stream_reply reply(aStream, aServices->mSettings, kKeepAlive);
-  const auto status = StatusOfParseError(aError);
+  stream_reply reply(aStream, *aServices, kKeepAlive);
+  const auto status = StatusOfReadError(aError);
   auto response = aServices->mSettings.mBadRequest
                     ? aServices->mSettings.mBadRequest(status, aError.message())
                     : http_response{ status, {}, aError.message() };
-  co_await reply.Send(std::move(response));
+  if (co_await reply.Send(std::move(response))) {
+    co_await DiscardRest(aStream);
+  }
+}
+
+// How reading a request ended. Without a first byte there is nobody to answer.
+struct request_read
+{
+  error_code mError;
+  bool mBegun = false;
+};
+
+// Answers a caller that waits for leave to send its body.
+asio::awaitable<error_code>
+ContinueIfExpected(byte_stream& aStream, const request_parser& aParser)
+{
+  constexpr std::chrono::seconds kPatience{ 5 };
+  if (!beast::iequals(aParser.get()[http::field::expect], "100-continue")) {
+    co_return error_code{};
+  }
+  co_return co_await aStream.Write("HTTP/1.1 100 Continue\r\n\r\n", kPatience);
+}
+
+asio::awaitable<request_read>
+ReadRequest(byte_stream& aStream,
+            beast::flat_buffer& aBuffer,
+            request_parser& aParser,
+            const http_limits& aLimits)
+{
+  using std::chrono::steady_clock;
+  request_read read;
+  aParser.eager(true);
+  if (aBuffer.size() == 0) {
+    constexpr std::size_t kReadBytes = 8 * 1024;
+    const auto got = co_await aStream.ReadSome(aBuffer.prepare(kReadBytes),
+                                               aLimits.mIdleTimeout);
+    aBuffer.commit(got.mBytes);
+    if (got.mError) {
+      read.mError = got.mError;
+      co_return read;
+    }
+  }
+  read.mBegun = true;
+  const auto headersBy = steady_clock::now() + aLimits.mHeaderTimeout;
+  read.mError = Feed(aBuffer, aParser);
+  while (!read.mError && !aParser.is_header_done()) {
+    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
+      headersBy - steady_clock::now());
+    read.mError =
+      co_await ReadMore(aStream,
+                        aBuffer,
+                        aParser,
+                        std::max(left, std::chrono::milliseconds::zero()));
+  }
+  if (!read.mError && !aParser.is_done()) {
+    read.mError = co_await ContinueIfExpected(aStream, aParser);
+  }
+  while (!read.mError && !aParser.is_done()) {
+    read.mError =
+      co_await ReadMore(aStream, aBuffer, aParser, aLimits.mIdleTimeout);
+  }
+  co_return read;
 }
 
 // Serves requests on one connection until it closes.
 asio::awaitable<void>
 ServeRequests(services_ptr aServices, byte_stream& aStream)
 {
-  const auto& settings = aServices->mSettings;
   beast::flat_buffer buffer;
   bool open = true;
   while (open) {
+    const auto limits = aServices->mSettings.mLimits();
     request_parser parser;
-    parser.header_limit(static_cast<std::uint32_t>(settings.mHeaderLimitBytes));
-    parser.body_limit(settings.mBodyLimitBytes);
-    const auto error =
-      co_await ReadMessage(aStream, buffer, parser, settings.mReadTimeout);
-    if (error) {
-      if (IsParseError(error)) {
-        co_await RefuseUnparsed(aServices, aStream, error);
+    parser.header_limit(static_cast<std::uint32_t>(limits.mHeaderBytes));
+    parser.body_limit(limits.mBodyBytes);
+    const auto read = co_await ReadRequest(aStream, buffer, parser, limits);
+    if (read.mError) {
+      const bool answers = IsParseError(read.mError) || IsTimeout(read.mError);
+      if (read.mBegun && answers) {
+        co_await RefuseUnparsed(aServices, aStream, read.mError);
       }
       break;
     }
     const busy_mark busy(aServices->mBusy);
-    const bool keepAlive = parser.get().keep_alive() && !aServices->mDraining;
+    const bool keepAlive = parser.get().keep_alive();
     const auto request = ToRequest(parser.release());
-    stream_reply reply(aStream, settings, keepAlive);
+    stream_reply reply(aStream, *aServices, keepAlive);
     co_await aServices->mHandler(request, reply);
     open = reply.Reusable();
   }
@@ -232,9 +338,9 @@
 asio::awaitable<void>
 ServeConnection(services_ptr aServices, asio::ip::tcp::socket aSocket)
 {
-  auto accepted = co_await AcceptStream(std::move(aSocket),
-                                        aServices->mSettings.mTls,
-                                        aServices->mSettings.mReadTimeout);
+  constexpr std::chrono::seconds kHandshakeTimeout{ 60 };
+  auto accepted = co_await AcceptStream(
+    std::move(aSocket), aServices->mSettings.mTls, kHandshakeTimeout);
   if (!accepted) {
     LogEvent(log_level::Debug,
              "handshake_failed",
@@ -332,9 +438,16 @@
   return mState->mServices->mBusy;
 }
 
+void
+http_server::CloseAfterAnswers()
+{
+  mState->mServices->mClosing = true;
+}
+
 void
 http_server::Drain()
 {
+  CloseAfterAnswers();
   if (mState->mServices->mDraining.exchange(true)) {
     return;
   }
--- a/src/sapphirespar/wire/http_test.cpp
+++ b/src/sapphirespar/wire/http_test.cpp
@@ -55,7 +55,7 @@
   http_exchange()
   {
     http_server_settings settings;
-    settings.mBodyLimitBytes = 1000;
+    settings.mLimits = [this] { return mLimits; };
     settings.mBadRequest = [](unsigned aStatus, std::string_view aReason) {
       return JsonResponse(aStatus,
                           "{\"reason\":\"" + std::string(aReason) + "\"}");
@@ -97,6 +97,7 @@
     co_return answer;
   }
 
+  http_limits mLimits{ .mBodyBytes = 1000 };
   asio::io_context mContext;
   std::unique_ptr<http_server> mServer;
   std::unique_ptr<http_client> mClient;
--- a/src/sapphirespar/wire/sse_splitter_test.cpp
+++ b/src/sapphirespar/wire/sse_splitter_test.cpp
@@ -1,10 +1,10 @@
 // Tests of event boundaries, with every way of cutting a stream.
-#include "sapphirespar/router/sse_splitter.hpp"
+#include "sapphirespar/wire/sse_splitter.hpp"
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
-namespace sapphirespar::router {
+namespace sapphirespar::wire {
 namespace {
 
 TEST(SseSplitter, KeepsAnUnfinishedEventBack)
@@ -20,6 +20,16 @@
   EXPECT_TRUE(second.mDone);
 }
 
+TEST(SseSplitter, TellsTheLastIdentifier)
+{
+  sse_splitter splitter;
+  const auto events = splitter.Feed(
+    "id: 7\ndata: a\n\ndata: b\n\nid:8\r\ndata: c\r\n\r\nid: 9\ndata");
+  EXPECT_EQ(events.mCount, 3U);
+  EXPECT_EQ(events.mLastId, "8");
+  EXPECT_EQ(splitter.Rest(), "id: 9\ndata");
+}
+
 RC_GTEST_PROP(SseSplitter, PiecesNeverChangeTheStream, ())
 {
   const std::string whole =
@@ -34,4 +44,4 @@
 }
 
 } // namespace
-} // namespace sapphirespar::router
+} // namespace sapphirespar::wire
