Forward requests on the platform through a gateway and an adapter

The gateway routes by host and longest prefix, checks keys against a routing whose age counts from the sending of the read, places requests on engines by predicted first event, retries within the fleet's budget, resumes streams, and tells callers which gateways to use. platform/ decodes headers and objects.

--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -17,7 +17,7 @@
   list(TRANSFORM ARG_DEPENDS PREPEND sapphirespar_ OUTPUT_VARIABLE depends)
   target_link_libraries(sapphirespar_${name} PUBLIC ${depends} ${ARG_LIBRARIES}
                                                     Threads::Threads)
-  if(tests)
+  if(SAPPHIRESPAR_TESTS AND tests)
     add_executable(${name}_test ${tests})
     list(TRANSFORM ARG_TEST_DEPENDS PREPEND sapphirespar_)
     target_link_libraries(${name}_test sapphirespar_${name}
@@ -30,6 +30,9 @@
   endif()
   file(GLOB examples CONFIGURE_DEPENDS
        ${PROJECT_SOURCE_DIR}/examples/${name}/*.cpp)
+  if(NOT SAPPHIRESPAR_TESTS)
+    set(examples)
+  endif()
   foreach(example ${examples})
     get_filename_component(program ${example} NAME_WE)
     add_executable(example_${name}_${program} ${example})
--- /dev/null
+++ b/idl/gossip.thrift
@@ -0,0 +1,31 @@
+// What gateways tell each other in datagrams. The values that the rest of the
+// system sees are in include/sapphirespar/model/gossip.hpp; field numbers here
+// are never reused, so that versions can meet during a roll-out. Regenerate
+// with scripts/generate-thrift after a change.
+namespace cpp sapphirespar.wire.gen
+
+struct gossip_load {
+  // Names the upstream: a hash of its identifier and birth.
+  1: i64 upstream;
+  2: i32 urgent_tokens;
+  3: i32 other_tokens;
+  4: i32 memory_tokens;
+  5: i32 running;
+  6: i32 interactive;
+}
+
+struct gossip_state {
+  1: string vm;
+  2: i64 incarnation;
+  3: i64 sequence;
+  4: string data_centre;
+  5: string address;
+  6: i32 caller_port;
+  7: i32 admin_port;
+  8: bool ready;
+  9: bool leaving;
+  10: i64 routing_version;
+  11: list<gossip_load> loads;
+  // Asks for the receiver's state in return.
+  12: bool asks;
+}
--- /dev/null
+++ b/include/sapphirespar/gateway/peer_board.hpp
@@ -0,0 +1,92 @@
+// What a gateway knows of the others from their gossip: who takes requests, and
+// what work they have on which upstream.
+#pragma once
+
+#include "sapphirespar/base/timer_service.hpp"
+#include "sapphirespar/gateway/protocol.hpp"
+#include "sapphirespar/model/gossip.hpp"
+#include "sapphirespar/policy/upstream_load.hpp"
+
+#include <map>
+#include <span>
+#include <unordered_map>
+#include <vector>
+
+namespace sapphirespar::gateway {
+
+// Where a gateway's datagrams are received, whether it lives or not.
+struct peer_contact
+{
+  vm_id mVm;
+  std::string mAddress;
+
+  auto operator<=>(const peer_contact&) const = default;
+};
+
+enum class gossip_effect
+{
+  // Older than what is known, or this gateway's own.
+  Ignored,
+  // From a process not heard before.
+  NewProcess,
+  Updated,
+};
+
+class peer_board
+{
+public:
+  explicit peer_board(vm_id aSelf);
+
+  gossip_effect Receive(const gossip_state& aState, steady_time aNow);
+
+  // Takes over who is registered in the platform's store.
+  void SetRegistered(std::vector<peer_contact> aContacts, steady_time aNow);
+
+  // Forgets who has been silent for long. Returns the gateways that were live
+  // until now and no longer are.
+  std::vector<vm_id> Tick(steady_time aNow);
+
+  // Gateways that take requests now, this one not among them.
+  std::vector<entry_point> EntryPoints(steady_time aNow) const;
+
+  // Admin addresses of live gateways that take requests.
+  std::vector<entry_point> AdminPoints(steady_time aNow) const;
+
+  // Live gateways, this one not among them.
+  std::vector<vm_id> LiveNames(steady_time aNow) const;
+
+  // Everyone to whom gossip is to be sent.
+  std::vector<peer_contact> Contacts() const;
+
+  // The work of all live gateways together, by the upstreams' keys.
+  std::unordered_map<std::uint64_t, policy::upstream_load> Loads(
+    steady_time aNow) const;
+
+  // Gateways heard or registered of late, this one included; zero until any
+  // other has been heard or the register has been read.
+  unsigned MostGateways(steady_time aNow) const;
+
+  // Registered gateways that have been silent for so long that they are gone.
+  std::vector<vm_id> LostRegistered(steady_time aNow) const;
+
+  // Time between two datagrams of each gateway that has nothing new to tell.
+  std::chrono::milliseconds BeatPeriod() const;
+
+private:
+  struct peer
+  {
+    gossip_state mState;
+    steady_time mHeard{};
+    bool mLive = false;
+  };
+
+  bool IsLive(const peer& aPeer, steady_time aNow) const;
+
+  vm_id mSelf;
+  std::map<vm_id, peer> mPeers;
+  // Registered gateways and since when.
+  std::map<peer_contact, steady_time> mRegistered;
+  bool mRegisterRead = false;
+};
+
+} // namespace sapphirespar::gateway
--- a/include/sapphirespar/policy/retry.hpp
+++ b/include/sapphirespar/policy/retry.hpp
@@ -5,8 +5,13 @@
 #include "sapphirespar/model/outcome.hpp"
 #include "sapphirespar/policy/retry_budget.hpp"
 
+#include <functional>
+
 namespace sapphirespar::policy {
 
+// Each further try meets the same cause more often than not.
+inline constexpr unsigned kMaximumAttempts = 3;
+
 // All that is known about the failed attempt.
 struct failed_attempt
 {
@@ -19,8 +24,9 @@
   bool mSentToCaller = false;
   // The engine can go on with this stream where it broke off.
   bool mResumeOffered = false;
-  // Attempts made so far, this one included.
+  // Attempts made so far, this one included, and how many there may be.
   unsigned mAttempts = 1;
+  unsigned mMaximumAttempts = kMaximumAttempts;
   steady_time mAnswerBy{};
 };
 
@@ -41,8 +47,14 @@
   outcome mOutcome = outcome::Unknown;
 };
 
-// Retries only where a second run does no harm and helps. Spends aBudget only
-// when it says Retry for work that may have run or Resume.
+// Spends one retry of a budget; false if there is none left.
+using take_retry = std::function<bool()>;
+
+// Retries only where a second run does no harm and helps. Spends a retry for
+// each further attempt unless the upstream has seen nothing of this one.
+retry_decision DecideRetry(const failed_attempt& aAttempt,
+                           const take_retry& aTakeRetry,
+                           steady_time aNow);
 retry_decision DecideRetry(const failed_attempt& aAttempt,
                            retry_budget& aBudget,
                            steady_time aNow);
--- /dev/null
+++ b/src/sapphirespar/config/gateway_settings.cpp
@@ -0,0 +1,147 @@
+// Reading of a gateway's settings file.
+#include "sapphirespar/config/gateway_settings.hpp"
+
+#include "sapphirespar/config/toml_reader.hpp"
+#include "setting_values.hpp"
+
+#include <charconv>
+
+namespace sapphirespar {
+namespace {
+
+constexpr integer_bounds kFileBounds{ 64, 1'000'000 };
+constexpr integer_bounds kFreshnessBounds{ 500, 600'000 };
+constexpr integer_bounds kWindowBounds{ 1, 3600 };
+constexpr real_bounds kSecondsBounds{ 0.1, 3600 };
+constexpr real_bounds kRatioBounds{ 0, 10 };
+constexpr real_bounds kSlackBounds{ 0, 1'000'000 };
+
+// Reads "10.0.0.1:8080"; fails the file otherwise.
+address_port
+ToPlace(toml_table& aTable, std::string_view aKey, const std::string& aText)
+{
+  address_port place;
+  const auto colon = aText.rfind(':');
+  const auto* end = aText.data() + aText.size();
+  std::from_chars_result read{ end, std::errc::invalid_argument };
+  if (colon != std::string::npos) {
+    place.mAddress = aText.substr(0, colon);
+    read = std::from_chars(aText.data() + colon + 1, end, place.mPort);
+  }
+  if (read.ec != std::errc{} || read.ptr != end || place.mAddress.empty()) {
+    aTable.Fail(aKey, "expected ADDRESS:PORT, found \"" + aText + "\"");
+  }
+  return place;
+}
+
+address_port
+ReadPlace(toml_table& aTable, std::string_view aKey)
+{
+  const auto text = aTable.Text(aKey);
+  return aTable.Failed() ? address_port{} : ToPlace(aTable, aKey, text);
+}
+
+std::chrono::milliseconds
+ReadSeconds(toml_table& aTable,
+            std::string_view aKey,
+            std::chrono::milliseconds aFallback)
+{
+  constexpr double kMsPerSecond = 1000;
+  const auto seconds =
+    aTable.Real(aKey,
+                kSecondsBounds,
+                static_cast<double>(aFallback.count()) / kMsPerSecond);
+  return std::chrono::milliseconds(
+    static_cast<std::int64_t>(seconds * kMsPerSecond));
+}
+
+void
+ReadNode(toml_table& aTable, gateway_settings& aSettings)
+{
+  aSettings.mVm = { aTable.Text("vm") };
+  aSettings.mDataCentre = { aTable.Text("data_centre") };
+}
+
+void
+ReadListen(toml_table& aTable, gateway_settings& aSettings)
+{
+  aSettings.mCallers = ReadPlace(aTable, "callers");
+  aSettings.mReadiness = ReadPlace(aTable, "readiness");
+  aSettings.mEntry = ReadPlace(aTable, "entry");
+  aSettings.mAdmin = ReadPlace(aTable, "admin");
+  const auto address = aTable.Text("address");
+  const auto port = [&](std::string_view aKey) {
+    return static_cast<std::uint16_t>(aTable.Integer(aKey, kListenPortBounds));
+  };
+  aSettings.mGossip = { address, port("gossip_port") };
+  aSettings.mMetrics = { address, port("metrics_port") };
+}
+
+void
+ReadPlatform(toml_table& aTable, gateway_settings& aSettings)
+{
+  aSettings.mPlatform = ReadPlace(aTable, "address");
+}
+
+void
+ReadPeers(toml_table& aTable, gateway_settings& aSettings)
+{
+  for (const auto& seed : aTable.Texts("seeds")) {
+    aSettings.mSeeds.push_back(ToPlace(aTable, "seeds", seed));
+  }
+}
+
+void
+ReadBounds(toml_table& aTable, gateway_settings& aSettings)
+{
+  aSettings.mKeyFreshness = aTable.Milliseconds(
+    "key_freshness_ms", kFreshnessBounds, aSettings.mKeyFreshness.count());
+  aSettings.mDrainTime = ReadSeconds(aTable, "drain_s", aSettings.mDrainTime);
+  aSettings.mRetryRatio =
+    aTable.Real("retry_ratio", kRatioBounds, aSettings.mRetryRatio);
+  aSettings.mRetrySlack =
+    aTable.Real("retry_slack", kSlackBounds, aSettings.mRetrySlack);
+  aSettings.mRetryWindow = std::chrono::seconds(aTable.Integer(
+    "retry_window_s", kWindowBounds, aSettings.mRetryWindow.count()));
+  aSettings.mEntryTtl = ReadSeconds(aTable, "entry_ttl_s", aSettings.mEntryTtl);
+}
+
+void
+ReadAll(toml_table& aRoot, gateway_settings& aSettings)
+{
+  const auto with = [&](auto aRead) {
+    return [&, aRead](toml_table& aTable) { aRead(aTable, aSettings); };
+  };
+  ReadRequiredTable(aRoot, "node", with(ReadNode));
+  ReadRequiredTable(aRoot, "listen", with(ReadListen));
+  ReadRequiredTable(aRoot, "platform", with(ReadPlatform));
+  aRoot.Table("peers", with(ReadPeers));
+  aRoot.Table("limits", [&](toml_table& aTable) {
+    aSettings.mOpenFiles = static_cast<unsigned>(
+      aTable.Integer("open_files", kFileBounds, aSettings.mOpenFiles));
+  });
+  aRoot.Table("bounds", with(ReadBounds));
+  aRoot.Table("log", [&](toml_table& aTable) {
+    aSettings.mLogLevel = ReadLogLevel(aTable, "level", aSettings.mLogLevel);
+  });
+}
+
+} // namespace
+
+result<gateway_settings>
+ParseGatewaySettings(std::string_view aText, std::string_view aFile)
+{
+  gateway_settings settings;
+  BOOST_LEAF_CHECK(ReadToml(
+    aText, aFile, [&](toml_table& aRoot) { ReadAll(aRoot, settings); }));
+  return settings;
+}
+
+result<gateway_settings>
+LoadGatewaySettings(const std::string& aPath)
+{
+  BOOST_LEAF_AUTO(text, ReadTextFile(aPath));
+  return ParseGatewaySettings(text, aPath);
+}
+
+} // namespace sapphirespar
--- /dev/null
+++ b/src/sapphirespar/config/gateway_settings_test.cpp
@@ -0,0 +1,75 @@
+// Tests of a gateway's settings: defaults, and the text of each failure.
+#include "sapphirespar/config/gateway_settings.hpp"
+
+#include "test_support.hpp"
+
+#include <gtest/gtest.h>
+
+namespace sapphirespar {
+namespace {
+
+using namespace std::chrono_literals;
+
+const std::string kGood = R"([node]
+vm = "vm-1"
+data_centre = "valmiera"
+[listen]
+callers = "10.0.0.1:8080"
+readiness = "10.0.0.1:8081"
+entry = "10.0.0.1:8082"
+admin = "10.0.0.1:8083"
+address = "10.0.0.1"
+gossip_port = 7340
+metrics_port = 9464
+[platform]
+address = "10.0.0.9:7000"
+)";
+
+std::string
+FailureOf(const std::string& aText)
+{
+  return FailureText([&] { return ParseGatewaySettings(aText, "g.toml"); });
+}
+
+TEST(GatewaySettings, TakesDefaultsForWhatIsAbsent)
+{
+  const auto settings = ParseGatewaySettings(kGood, "g.toml");
+  ASSERT_TRUE(settings);
+  EXPECT_EQ(settings->mCallers.mPort, 8080);
+  EXPECT_EQ(settings->mGossip.mAddress, "10.0.0.1");
+  EXPECT_EQ(settings->mPlatform.mAddress, "10.0.0.9");
+  EXPECT_EQ(settings->mKeyFreshness, 5s);
+  EXPECT_TRUE(settings->mSeeds.empty());
+}
+
+TEST(GatewaySettings, TakesBoundsInTheirUnits)
+{
+  const auto settings = ParseGatewaySettings(kGood + R"([peers]
+seeds = ["10.0.0.2:8083"]
+[bounds]
+key_freshness_ms = 4000
+drain_s = 2.5
+retry_ratio = 0.1
+entry_ttl_s = 3
+)",
+                                             "g.toml");
+  ASSERT_TRUE(settings);
+  EXPECT_EQ(settings->mSeeds.at(0).mPort, 8083);
+  EXPECT_EQ(settings->mKeyFreshness, 4s);
+  EXPECT_EQ(settings->mDrainTime, 2500ms);
+  EXPECT_EQ(settings->mEntryTtl, 3s);
+}
+
+TEST(GatewaySettings, NamesFileLineAndKeyOfEachFailure)
+{
+  EXPECT_EQ(FailureOf(kGood + "[peers]\nseeds = [\"10.0.0.2\"]\n"),
+            "g.toml:15: peers.seeds: expected ADDRESS:PORT, found "
+            "\"10.0.0.2\"");
+  EXPECT_EQ(FailureOf(kGood + "[limits]\nopen_files = 3\n"),
+            "g.toml:15: limits.open_files: expected 64 to 1000000, found 3");
+  EXPECT_EQ(FailureOf("[node]\nvm = \"a\"\ndata_centre = \"b\"\n"),
+            "g.toml:1: listen: required table is missing");
+}
+
+} // namespace
+} // namespace sapphirespar
--- /dev/null
+++ b/src/sapphirespar/gateway/gossip_link.cpp
@@ -0,0 +1,202 @@
+// The datagram socket and the times at which it is used.
+#include "sapphirespar/gateway/gossip_link.hpp"
+
+#include "sapphirespar/base/log.hpp"
+#include "sapphirespar/wire/gossip_codec.hpp"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/ip/udp.hpp>
+
+#include <algorithm>
+#include <array>
+
+namespace sapphirespar::gateway {
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::udp;
+using boost::system::error_code;
+using std::chrono::milliseconds;
+
+// Largest datagram that is taken in.
+constexpr std::size_t kMostBytes = 32 * 1024;
+
+// Seeds may be back under the same address after a long time.
+constexpr std::chrono::seconds kSeedPeriod{ 5 };
+
+} // namespace
+
+struct gossip_link::state : std::enable_shared_from_this<state>
+{
+  state(asio::io_context& aContext,
+        timer_service& aTimers,
+        peer_board& aPeers,
+        gossip_settings aSettings,
+        gossip_hooks aHooks)
+    : mTimers(aTimers)
+    , mPeers(aPeers)
+    , mSettings(std::move(aSettings))
+    , mHooks(std::move(aHooks))
+    , mSocket(aContext,
+              udp::endpoint(asio::ip::make_address(mSettings.mListen.mAddress),
+                            mSettings.mListen.mPort))
+  {
+    mSocket.non_blocking(true);
+  }
+
+  void Receive()
+  {
+    mSocket.async_receive_from(
+      asio::buffer(mBytes),
+      mFrom,
+      [weak = weak_from_this()](const error_code& aError, std::size_t aCount) {
+        const auto self = weak.lock();
+        if (!self || aError == asio::error::operation_aborted) {
+          return;
+        }
+        // An error stems from an earlier datagram that nobody took.
+        if (!aError) {
+          self->OnDatagram(std::string_view(self->mBytes.data(), aCount));
+        }
+        self->Receive();
+      });
+  }
+
+  void OnDatagram(std::string_view aBytes)
+  {
+    const auto told = wire::DecodeGossip(aBytes);
+    if (!told) {
+      LogEvent(log_level::Warning,
+               "gossip_unreadable",
+               { { "from", mFrom.address().to_string() },
+                 { "bytes", aBytes.size() } });
+      return;
+    }
+    const auto effect = mPeers.Receive(*told, mTimers.Now());
+    if (effect == gossip_effect::NewProcess) {
+      LogEvent(log_level::Info,
+               "gateway_found",
+               { { "vm", told->mSender.mVm.mText },
+                 { "incarnation", told->mSender.mIncarnation },
+                 { "address", told->mAddress } });
+    }
+    if (told->mAsks || effect == gossip_effect::NewProcess) {
+      SendTo(told->mAddress, Encode(false));
+    }
+    if (effect != gossip_effect::Ignored) {
+      mHooks.mReceived();
+    }
+  }
+
+  std::string Encode(bool aAsks)
+  {
+    auto self = mHooks.mSelf();
+    self.mSequence = ++mSequence;
+    self.mAsks = aAsks;
+    return wire::EncodeGossip(self);
+  }
+
+  void SendTo(const std::string& aAddress, const std::string& aBytes)
+  {
+    error_code error;
+    const auto address = asio::ip::make_address(aAddress, error);
+    if (error) {
+      return;
+    }
+    // Datagrams may be lost; the next one says the same.
+    mSocket.send_to(asio::buffer(aBytes),
+                    udp::endpoint(address, mSettings.mListen.mPort),
+                    0,
+                    error);
+  }
+
+  void Tick()
+  {
+    const auto now = mTimers.Now();
+    for (const auto& vm : mPeers.Tick(now)) {
+      LogEvent(log_level::Warning, "gateway_lost", { { "vm", vm.mText } });
+    }
+    const auto loads = mHooks.mSelf().mLoads;
+    const auto since = now - mLastTold;
+    const auto pause =
+      loads == mLastLoads ? mPeers.BeatPeriod() : PauseWithNews();
+    // Ticks come a little early or late.
+    if (since + mSettings.mShortestPause / 2 >= pause) {
+      Tell();
+    }
+    const bool alone = mPeers.LiveNames(now).empty();
+    if (alone && now - mLastSeeds >= kSeedPeriod / (mSequence < 40 ? 10 : 1)) {
+      mLastSeeds = now;
+      const auto bytes = Encode(true);
+      std::ranges::for_each(mSettings.mSeeds, [&](const std::string& aSeed) {
+        SendTo(aSeed, bytes);
+      });
+    }
+  }
+
+  // Between datagrams that tell of changed work; a large fleet hears less
+  // often of each, so that all together cost the same.
+  milliseconds PauseWithNews() const
+  {
+    return std::max(mSettings.mShortestPause, mPeers.BeatPeriod() / 4);
+  }
+
+  void Tell()
+  {
+    mLastTold = mTimers.Now();
+    const auto bytes = Encode(false);
+    mLastLoads = mHooks.mSelf().mLoads;
+    for (const auto& contact : mPeers.Contacts()) {
+      SendTo(contact.mAddress, bytes);
+    }
+  }
+
+  timer_service& mTimers;
+  peer_board& mPeers;
+  gossip_settings mSettings;
+  gossip_hooks mHooks;
+  udp::socket mSocket;
+  std::array<char, kMostBytes> mBytes{};
+  udp::endpoint mFrom;
+  std::uint64_t mSequence = 0;
+  std::vector<gossip_load> mLastLoads;
+  steady_time mLastTold{};
+  steady_time mLastSeeds{};
+  timer_subscription mTick;
+};
+
+gossip_link::gossip_link(asio::io_context& aContext,
+                         timer_service& aTimers,
+                         peer_board& aPeers,
+                         gossip_settings aSettings,
+                         gossip_hooks aHooks)
+  : mState(std::make_shared<state>(aContext,
+                                   aTimers,
+                                   aPeers,
+                                   std::move(aSettings),
+                                   std::move(aHooks)))
+{
+}
+
+gossip_link::~gossip_link()
+{
+  error_code ignored;
+  mState->mSocket.close(ignored);
+}
+
+void
+gossip_link::Start()
+{
+  mState->Receive();
+  mState->mTick = mState->mTimers.Every(
+    mState->mSettings.mShortestPause, [self = mState.get()] { self->Tick(); });
+  mState->Tick();
+}
+
+void
+gossip_link::TellNow()
+{
+  mState->Tell();
+}
+
+} // namespace sapphirespar::gateway
--- /dev/null
+++ b/src/sapphirespar/gateway/peer_board.cpp
@@ -0,0 +1,212 @@
+// Judges gossip and its silence.
+#include "sapphirespar/gateway/peer_board.hpp"
+
+#include <algorithm>
+#include <iterator>
+#include <set>
+
+namespace sapphirespar::gateway {
+namespace {
+
+using std::chrono::milliseconds;
+
+// So many datagrams a second are received at most while nothing changes.
+constexpr milliseconds kBeatPerPeer{ 12 };
+constexpr milliseconds kShortestBeat{ 400 };
+
+// Datagrams are lost now and then: a gateway counts as live until it has missed
+// three beats and a network delay.
+constexpr int kMissedBeats = 3;
+constexpr milliseconds kDelay{ 200 };
+
+// A silent gateway may still send to upstreams for so long as callers that
+// know it keep its address.
+constexpr std::chrono::seconds kForgetAfter{ 30 };
+
+// Longer than a process takes to start again.
+constexpr std::chrono::seconds kLostAfter{ 20 };
+
+} // namespace
+
+peer_board::peer_board(vm_id aSelf)
+  : mSelf(std::move(aSelf))
+{
+}
+
+milliseconds
+peer_board::BeatPeriod() const
+{
+  const auto scaled = kBeatPerPeer * static_cast<int>(mPeers.size());
+  return std::max<milliseconds>(kShortestBeat, scaled);
+}
+
+bool
+peer_board::IsLive(const peer& aPeer, steady_time aNow) const
+{
+  return aNow - aPeer.mHeard <= kMissedBeats * BeatPeriod() + kDelay;
+}
+
+gossip_effect
+peer_board::Receive(const gossip_state& aState, steady_time aNow)
+{
+  const auto& sender = aState.mSender;
+  if (sender.mVm == mSelf) {
+    return gossip_effect::Ignored;
+  }
+  const auto found = mPeers.find(sender.mVm);
+  const bool known = found != mPeers.end();
+  if (known) {
+    const auto& last = found->second.mState;
+    const bool older = sender.mIncarnation < last.mSender.mIncarnation ||
+                       (sender.mIncarnation == last.mSender.mIncarnation &&
+                        aState.mSequence <= last.mSequence);
+    if (older) {
+      return gossip_effect::Ignored;
+    }
+  }
+  const bool sameProcess = known && found->second.mState.mSender == sender;
+  mPeers[sender.mVm] = peer{ aState, aNow, true };
+  return sameProcess ? gossip_effect::Updated : gossip_effect::NewProcess;
+}
+
+void
+peer_board::SetRegistered(std::vector<peer_contact> aContacts, steady_time aNow)
+{
+  std::map<peer_contact, steady_time> registered;
+  for (auto& contact : aContacts) {
+    if (contact.mVm != mSelf) {
+      const auto known = mRegistered.find(contact);
+      const auto since = known == mRegistered.end() ? aNow : known->second;
+      registered.emplace(std::move(contact), since);
+    }
+  }
+  mRegistered = std::move(registered);
+  mRegisterRead = true;
+}
+
+std::vector<vm_id>
+peer_board::Tick(steady_time aNow)
+{
+  std::vector<vm_id> lost;
+  for (auto& [vm, known] : mPeers) {
+    const bool live = IsLive(known, aNow);
+    if (known.mLive && !live) {
+      lost.push_back(vm);
+    }
+    known.mLive = live;
+  }
+  std::erase_if(mPeers, [&](const auto& aItem) {
+    return aNow - aItem.second.mHeard > kForgetAfter;
+  });
+  return lost;
+}
+
+std::vector<entry_point>
+peer_board::EntryPoints(steady_time aNow) const
+{
+  std::vector<entry_point> points;
+  for (const auto& [vm, known] : mPeers) {
+    const auto& state = known.mState;
+    if (IsLive(known, aNow) && state.mReady && !state.mLeaving) {
+      points.push_back({ state.mAddress, state.mCallerPort });
+    }
+  }
+  return points;
+}
+
+std::vector<entry_point>
+peer_board::AdminPoints(steady_time aNow) const
+{
+  std::vector<entry_point> points;
+  for (const auto& [vm, known] : mPeers) {
+    if (IsLive(known, aNow) && known.mState.mReady) {
+      points.push_back({ known.mState.mAddress, known.mState.mAdminPort });
+    }
+  }
+  return points;
+}
+
+std::vector<vm_id>
+peer_board::LiveNames(steady_time aNow) const
+{
+  std::vector<vm_id> names;
+  for (const auto& [vm, known] : mPeers) {
+    if (IsLive(known, aNow)) {
+      names.push_back(vm);
+    }
+  }
+  return names;
+}
+
+std::vector<peer_contact>
+peer_board::Contacts() const
+{
+  std::set<std::string> addresses;
+  std::vector<peer_contact> contacts;
+  const auto add = [&](const vm_id& aVm, const std::string& aAddress) {
+    if (addresses.insert(aAddress).second) {
+      contacts.push_back({ aVm, aAddress });
+    }
+  };
+  for (const auto& [vm, known] : mPeers) {
+    add(vm, known.mState.mAddress);
+  }
+  for (const auto& [contact, since] : mRegistered) {
+    add(contact.mVm, contact.mAddress);
+  }
+  return contacts;
+}
+
+std::unordered_map<std::uint64_t, policy::upstream_load>
+peer_board::Loads(steady_time aNow) const
+{
+  std::unordered_map<std::uint64_t, policy::upstream_load> loads;
+  for (const auto& [vm, known] : mPeers) {
+    if (!IsLive(known, aNow)) {
+      continue;
+    }
+    for (const auto& told : known.mState.mLoads) {
+      policy::upstream_load load;
+      load.mUrgentTokens = told.mUrgentTokens;
+      load.mOtherTokens = told.mOtherTokens;
+      load.mMemoryTokens = told.mMemoryTokens;
+      load.mRunning = static_cast<int>(told.mRunning);
+      load.mInteractive = static_cast<int>(told.mInteractive);
+      loads[told.mUpstream] += load;
+    }
+  }
+  return loads;
+}
+
+unsigned
+peer_board::MostGateways(steady_time aNow) const
+{
+  std::set<vm_id> names{ mSelf };
+  for (const auto& [vm, known] : mPeers) {
+    if (aNow - known.mHeard <= kForgetAfter) {
+      names.insert(vm);
+    }
+  }
+  for (const auto& [contact, since] : mRegistered) {
+    names.insert(contact.mVm);
+  }
+  const bool known = mRegisterRead || names.size() > 1;
+  return known ? static_cast<unsigned>(names.size()) : 0;
+}
+
+std::vector<vm_id>
+peer_board::LostRegistered(steady_time aNow) const
+{
+  std::vector<vm_id> lost;
+  for (const auto& [contact, since] : mRegistered) {
+    const auto known = mPeers.find(contact.mVm);
+    const auto heard =
+      known == mPeers.end() ? since : std::max(since, known->second.mHeard);
+    if (aNow - heard > kLostAfter) {
+      lost.push_back(contact.mVm);
+    }
+  }
+  return lost;
+}
+
+} // namespace sapphirespar::gateway
--- /dev/null
+++ b/src/sapphirespar/gateway/upstream_directory.cpp
@@ -0,0 +1,168 @@
+// Keeps upstreams by their entries in the store.
+#include "sapphirespar/gateway/upstream_directory.hpp"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <cmath>
+#include <set>
+
+namespace sapphirespar::gateway {
+namespace {
+
+// How long an engine is believed to keep a shared part that nobody uses.
+constexpr std::chrono::seconds kPromptKept{ 30 };
+
+// Bounds the memory for shared parts of one upstream.
+constexpr std::size_t kMostPrompts = 1024;
+
+std::uint64_t
+KeyOf(const upstream_entry& aEntry)
+{
+  return XXH3_64bits_withSeed(aEntry.mId.mText.data(),
+                              aEntry.mId.mText.size(),
+                              static_cast<std::uint64_t>(aEntry.mBorn));
+}
+
+std::uint32_t
+Rounded(double aNumber)
+{
+  return static_cast<std::uint32_t>(std::lround(std::max(aNumber, 0.0)));
+}
+
+} // namespace
+
+void
+prompt_memory::Add(std::uint64_t aKey, steady_time aNow)
+{
+  if (mReadAt.size() >= kMostPrompts) {
+    std::erase_if(mReadAt, [&](const auto& aItem) {
+      return aNow - aItem.second > kPromptKept;
+    });
+  }
+  if (mReadAt.size() >= kMostPrompts) {
+    mReadAt.clear();
+  }
+  mReadAt[aKey] = aNow;
+}
+
+bool
+prompt_memory::Holds(std::uint64_t aKey, steady_time aNow) const
+{
+  const auto found = mReadAt.find(aKey);
+  return found != mReadAt.end() && aNow - found->second <= kPromptKept;
+}
+
+work_ticket::work_ticket(upstream_ptr aUpstream,
+                         const policy::upstream_load& aLoad)
+  : mUpstream(std::move(aUpstream))
+  , mLoad(aLoad)
+{
+  mUpstream->mOwn += mLoad;
+}
+
+work_ticket::~work_ticket()
+{
+  mUpstream->mOwn -= mLoad;
+}
+
+void
+work_ticket::FirstEvent()
+{
+  policy::upstream_load read;
+  read.mUrgentTokens = mLoad.mUrgentTokens;
+  read.mOtherTokens = mLoad.mOtherTokens;
+  mUpstream->mOwn -= read;
+  mLoad -= read;
+}
+
+directory_change
+upstream_directory::ApplyList(std::span<const upstream_entry> aEntries,
+                              list_trust aTrust)
+{
+  directory_change change;
+  std::set<upstream_id> listed;
+  for (const auto& entry : aEntries) {
+    listed.insert(entry.mId);
+    auto& known = mUpstreams[entry.mId];
+    const auto key = KeyOf(entry);
+    if (known && known->mKey == key) {
+      if (entry.mDraining && !known->mEntry.mDraining) {
+        change.mDraining.push_back(entry.mId);
+      }
+      known->mEntry = entry;
+      continue;
+    }
+    if (known) {
+      known->mGone = true;
+      change.mGone.push_back(entry.mId);
+    }
+    known = std::make_shared<upstream>();
+    known->mEntry = entry;
+    known->mKey = key;
+    change.mAdded.push_back(entry.mId);
+  }
+  std::vector<upstream_id> missing;
+  for (const auto& [id, known] : mUpstreams) {
+    const bool mayReturn =
+      aTrust == list_trust::JustBack && !known->mEntry.mDraining;
+    if (!listed.contains(id) && !mayReturn) {
+      missing.push_back(id);
+    }
+  }
+  std::ranges::for_each(missing,
+                        [&](const upstream_id& aId) { Drop(aId, change); });
+  return change;
+}
+
+void
+upstream_directory::Drop(upstream_id aId, directory_change& aChange)
+{
+  const auto found = mUpstreams.find(aId);
+  found->second->mGone = true;
+  mUpstreams.erase(found);
+  aChange.mGone.push_back(std::move(aId));
+}
+
+void
+upstream_directory::SetOthers(
+  const std::unordered_map<std::uint64_t, policy::upstream_load>& aLoads)
+{
+  for (const auto& [id, known] : mUpstreams) {
+    const auto found = aLoads.find(known->mKey);
+    known->mOthers =
+      found == aLoads.end() ? policy::upstream_load{} : found->second;
+  }
+}
+
+std::vector<upstream_ptr>
+upstream_directory::Members(std::string_view aPool) const
+{
+  std::vector<upstream_ptr> members;
+  for (const auto& [id, known] : mUpstreams) {
+    if (known->mEntry.mPool == aPool && known->TakesWork()) {
+      members.push_back(known);
+    }
+  }
+  return members;
+}
+
+std::vector<gossip_load>
+upstream_directory::OwnLoads() const
+{
+  std::vector<gossip_load> loads;
+  for (const auto& [id, known] : mUpstreams) {
+    const auto& own = known->mOwn;
+    if (!own.Empty()) {
+      loads.push_back({ known->mKey,
+                        Rounded(own.mUrgentTokens),
+                        Rounded(own.mOtherTokens),
+                        Rounded(own.mMemoryTokens),
+                        Rounded(own.mRunning),
+                        Rounded(own.mInteractive) });
+    }
+  }
+  return loads;
+}
+
+} // namespace sapphirespar::gateway
--- /dev/null
+++ b/src/sapphirespar/policy/engine_choice.cpp
@@ -0,0 +1,185 @@
+// Predicts the first event at each engine and takes the best.
+#include "sapphirespar/policy/engine_choice.hpp"
+
+#include <algorithm>
+#include <bit>
+#include <cmath>
+#include <vector>
+
+namespace sapphirespar::policy {
+namespace {
+
+// Prompt tokens that an engine reads in a millisecond; from the engines' data
+// sheet.
+constexpr double kTokensPerMs = 81.9;
+
+// Milliseconds to the first event of an empty prompt on an idle engine; from
+// the engines' data sheet.
+constexpr double kFirstEventMs = 41;
+
+// Engines read prompts in pieces of so many tokens, between which a more
+// urgent prompt may go ahead; from the engines' data sheet.
+constexpr double kPieceTokens = 4096;
+
+// Each running request slows the others by about this much per event.
+constexpr double kRunningMs = 0.5;
+
+// Behind this much more waiting, interactive work goes to a bulk engine: about
+// the pause that a long prompt there would cause.
+constexpr double kInteractiveStraysMs = 250;
+
+// Behind this much more waiting, a long prompt goes to an interactive engine,
+// and for each stream that it makes pause there.
+constexpr double kBulkStraysMs = 1500;
+constexpr double kPerSpoiledStreamMs = 100;
+
+// A request without a free slot, or without memory, waits for others to end.
+constexpr double kNoSlotMs = 1000;
+constexpr double kNoMemoryMs = 2000;
+
+// Differences below this are noise.
+constexpr double kTieMs = 8;
+
+std::uint64_t
+Mix(std::uint64_t aValue)
+{
+  aValue ^= aValue >> 31U;
+  aValue *= 0x9e3779b97f4a7c15ULL;
+  aValue ^= aValue >> 29U;
+  aValue *= 0xbf58476d1ce4e5b9ULL;
+  return aValue ^ (aValue >> 32U);
+}
+
+// Which engines are of the interactive group: the first of an order that all
+// routers agree on.
+std::vector<bool>
+InteractiveGroup(std::span<const engine_candidate> aCandidates,
+                 interactive_share aShare)
+{
+  const auto count = aCandidates.size();
+  std::vector<std::size_t> order(count);
+  for (std::size_t index = 0; index < count; ++index) {
+    order[index] = index;
+  }
+  std::ranges::sort(order, {}, [&](std::size_t aIndex) {
+    return Mix(aCandidates[aIndex].mKey);
+  });
+  std::vector<bool> group(count, false);
+  if (count < 2) {
+    return group;
+  }
+  const auto wanted =
+    static_cast<std::size_t>(std::lround(aShare * static_cast<double>(count)));
+  const auto size = std::clamp<std::size_t>(wanted, 1, count - 1);
+  std::ranges::for_each(std::span(order).first(size),
+                        [&](std::size_t aIndex) { group[aIndex] = true; });
+  return group;
+}
+
+// The engine of the group on which a shared part is kept when nobody has it.
+std::size_t
+HomeOf(std::uint64_t aSharedKey,
+       std::span<const engine_candidate> aCandidates,
+       const std::vector<bool>& aGroup,
+       bool aInteractive)
+{
+  std::size_t home = aCandidates.size();
+  std::uint64_t highest = 0;
+  for (std::size_t index = 0; index < aCandidates.size(); ++index) {
+    const auto weight = Mix(aSharedKey ^ Mix(aCandidates[index].mKey));
+    const bool own = aCandidates.size() < 2 || aGroup[index] == aInteractive;
+    if (own && weight >= highest) {
+      highest = weight;
+      home = index;
+    }
+  }
+  return home;
+}
+
+double
+StrayMs(const prompt_work& aWork, const engine_candidate& aEngine, bool aOwn)
+{
+  if (aOwn) {
+    return 0;
+  }
+  if (aWork.mInteractive) {
+    return kInteractiveStraysMs;
+  }
+  return kBulkStraysMs + kPerSpoiledStreamMs * aEngine.mLoad.mInteractive;
+}
+
+double
+WaitMs(const prompt_work& aWork, const engine_candidate& aEngine)
+{
+  const auto& load = aEngine.mLoad;
+  const double ahead =
+    aWork.mUrgent
+      ? load.mUrgentTokens + std::min(load.mOtherTokens, kPieceTokens)
+      : load.mUrgentTokens + load.mOtherTokens;
+  return ReadingMs(std::max(ahead, 0.0));
+}
+
+double
+CrowdingMs(const prompt_work& aWork, const engine_candidate& aEngine)
+{
+  const auto& load = aEngine.mLoad;
+  double cost = kRunningMs * load.mRunning;
+  const int slots = static_cast<int>(aEngine.mSlots);
+  if (slots > 0 && load.mRunning >= slots) {
+    cost += kNoSlotMs * (1 + load.mRunning - slots) / slots;
+  }
+  const double needed =
+    load.mMemoryTokens + aWork.mPromptTokens + aWork.mMaximumOutputTokens;
+  if (aEngine.mMemoryTokens > 0 && needed > aEngine.mMemoryTokens) {
+    cost += kNoMemoryMs * needed / aEngine.mMemoryTokens;
+  }
+  return cost;
+}
+
+} // namespace
+
+double
+ReadingMs(double aTokens)
+{
+  return aTokens / kTokensPerMs;
+}
+
+std::optional<engine_choice>
+ChooseEngine(const prompt_work& aWork,
+             std::span<const engine_candidate> aCandidates,
+             interactive_share aShare,
+             double aDraw)
+{
+  const auto group = InteractiveGroup(aCandidates, aShare);
+  const auto home =
+    aWork.mSharedKey == 0
+      ? aCandidates.size()
+      : HomeOf(aWork.mSharedKey, aCandidates, group, aWork.mInteractive);
+  std::optional<engine_choice> best;
+  double lowest = 0;
+  for (std::size_t index = 0; index < aCandidates.size(); ++index) {
+    const auto& engine = aCandidates[index];
+    const bool own =
+      aCandidates.size() < 2 || group[index] == aWork.mInteractive;
+    const bool holds = engine.mHoldsShared || index == home;
+    const double tokens =
+      aWork.mPromptTokens - (holds ? aWork.mSharedTokens : 0);
+    const double firstEvent = kFirstEventMs + ReadingMs(tokens) +
+                              WaitMs(aWork, engine) +
+                              CrowdingMs(aWork, engine) + engine.mPenaltyMs;
+    // A different small handicap for each engine and draw.
+    const auto handicap =
+      std::ldexp(static_cast<double>(
+                   Mix(engine.mKey ^ std::bit_cast<std::uint64_t>(aDraw))),
+                 -64) *
+      kTieMs;
+    const double cost = firstEvent + StrayMs(aWork, engine, own) + handicap;
+    if (!best || cost < lowest) {
+      best = engine_choice{ index, firstEvent, tokens };
+      lowest = cost;
+    }
+  }
+  return best;
+}
+
+} // namespace sapphirespar::policy
--- a/src/sapphirespar/policy/retry.cpp
+++ b/src/sapphirespar/policy/retry.cpp
@@ -5,9 +5,6 @@
 
 namespace {
 
-// Each further try meets the same cause more often than not.
-constexpr unsigned kMaximumAttempts = 3;
-
 bool
 ProvablyNotRun(const failed_attempt& aAttempt)
 {
@@ -18,24 +15,34 @@
 
 retry_decision
 DecideRetry(const failed_attempt& aAttempt,
-            retry_budget& aBudget,
+            const take_retry& aTakeRetry,
             steady_time aNow)
 {
   const bool notRun = ProvablyNotRun(aAttempt);
   const retry_decision giveUp{ retry_action::GiveUp,
                                notRun ? outcome::NotRun : outcome::Unknown };
-  if (aNow >= aAttempt.mAnswerBy || aAttempt.mAttempts >= kMaximumAttempts) {
+  if (aNow >= aAttempt.mAnswerBy ||
+      aAttempt.mAttempts >= aAttempt.mMaximumAttempts) {
     return giveUp;
   }
   if (aAttempt.mSentToCaller || aAttempt.mResumeOffered) {
-    const bool resumes = aAttempt.mResumeOffered && aBudget.TryTake();
+    const bool resumes = aAttempt.mResumeOffered && aTakeRetry();
     return resumes ? retry_decision{ retry_action::Resume } : giveUp;
   }
-  if (notRun) {
+  if (!aAttempt.mBytesWritten) {
     return { retry_action::Retry };
   }
-  const bool retries = aAttempt.mIdempotent && aBudget.TryTake();
+  const bool retries = (notRun || aAttempt.mIdempotent) && aTakeRetry();
   return retries ? retry_decision{ retry_action::Retry } : giveUp;
 }
 
+retry_decision
+DecideRetry(const failed_attempt& aAttempt,
+            retry_budget& aBudget,
+            steady_time aNow)
+{
+  return DecideRetry(
+    aAttempt, [&] { return aBudget.TryTake(); }, aNow);
+}
+
 } // namespace sapphirespar::policy
