Refuse, while leaving, streams that the process's own end would cut

The time to stop now reaches admission: streams need 5 s, plain answers 0.5 s; others get 503 and come back at once to another gateway.

--- a/include/sapphirespar/base/boot_clock.hpp
+++ b/include/sapphirespar/base/boot_clock.hpp
@@ -9,14 +9,10 @@
 struct boot_clock
 {
   using duration = std::chrono::nanoseconds;
-  using rep = duration::rep;
-  using period = duration::period;
-  using time_point = std::chrono::time_point<boot_clock>;
-  static constexpr bool is_steady = true;
-
-  static time_point now();
 };
 
-using boot_time = boot_clock::time_point;
+using boot_time = std::chrono::time_point<boot_clock>;
+
+boot_time BootNow();
 
 } // namespace sapphirespar
--- a/src/sapphirespar/base/boot_clock.cpp
+++ b/src/sapphirespar/base/boot_clock.cpp
@@ -6,7 +6,7 @@
 namespace sapphirespar {
 
 boot_time
-boot_clock::now()
+BootNow()
 {
   timespec now{};
   ::clock_gettime(CLOCK_BOOTTIME, &now);
--- a/src/sapphirespar/gateway/forward.cpp
+++ b/src/sapphirespar/gateway/forward.cpp
@@ -28,6 +28,17 @@
 constexpr milliseconds kComeBackSoon{ 500 };
 constexpr milliseconds kComeBackLater{ 1000 };
 
+// Timers may fire this much early.
+constexpr milliseconds kTimerGrain{ 5 };
+
+// While the gateway is leaving, work is begun only if it ends before the
+// process does: the longest streams take about as long, plain answers a moment.
+constexpr milliseconds kLongStream{ 5000 };
+constexpr milliseconds kPlainAnswer{ 500 };
+
+// A caller that comes back at once goes to another gateway.
+constexpr milliseconds kComeBackElsewhere{ 20 };
+
 // Why a request is answered here rather than by an upstream.
 struct refusal_answer
 {
@@ -133,6 +144,9 @@
         return refusal;
       }
     }
+    if (WouldBeCut()) {
+      return refusal_answer{ 503, "leaving", kComeBackElsewhere };
+    }
     const auto timeout = mForwarded.mRoute->mTimeout;
     const auto deadline = mForwarded.mFacts.mDeadline.value_or(timeout);
     mForwarded.mDue = mForwarded.mArrived + timeout;
@@ -141,6 +155,15 @@
     return std::nullopt;
   }
 
+  // Whether this process may end before the answer does.
+  bool WouldBeCut() const
+  {
+    const auto left = mServices.mTimeToStop();
+    const auto needed =
+      mForwarded.mRoute->mStreams ? kLongStream : kPlainAnswer;
+    return left && *left < needed;
+  }
+
   std::optional<refusal_answer> CheckKey(bool aFresh)
   {
     const auto* account = mForwarded.mRouting->FindKey(mForwarded.mFacts.mKey);
@@ -257,7 +280,7 @@
       co_await mReply.Send(std::move(*aResult.mFailure));
       co_return std::nullopt;
     }
-    const bool late = steady_clock::now() >= mForwarded.mDue;
+    const bool late = LeftUntil(mForwarded.mDue) <= kTimerGrain;
     if (late && mProgress.mMayHaveRun) {
       co_return refusal_answer{ 504, "timeout" };
     }
@@ -330,7 +353,7 @@
   const forward_services& mServices;
   wire::http_reply& mReply;
   forwarded_request mForwarded;
-  const boot_time mArrivedBoot = boot_clock::now();
+  const boot_time mArrivedBoot = BootNow();
   std::optional<boot_clock::duration> mRoutingAge;
   relay_progress mProgress;
   std::vector<upstream_ptr> mTried;
--- a/src/sapphirespar/gateway/gateway_app.cpp
+++ b/src/sapphirespar/gateway/gateway_app.cpp
@@ -283,7 +283,7 @@
 gateway_app::state::ReaderHooks()
 {
   store_reader_hooks hooks;
-  hooks.mNow = boot_clock::now;
+  hooks.mNow = BootNow;
   hooks.mAskPeer = [this](copy_callback aDone) { AskPeer(std::move(aDone)); };
   return hooks;
 }
@@ -329,7 +329,7 @@
 bool
 gateway_app::state::IsReady() const
 {
-  const auto age = mRouting.Age(boot_clock::now());
+  const auto age = mRouting.Age(BootNow());
   const bool fresh = age && *age + kReadinessMargin < mSettings.mKeyFreshness;
   return fresh && mUpstreams.Size() > 0 && !IsLeaving();
 }
@@ -382,7 +382,7 @@
     return TextResponse(200, mMetrics.Render());
   }
   if (path == kStatusPath) {
-    const auto age = mRouting.Age(boot_clock::now());
+    const auto age = mRouting.Age(BootNow());
     const auto ageMs =
       age ? std::chrono::duration_cast<milliseconds>(*age).count() : -1;
     return wire::JsonResponse(
