Rank requests by account first and by route within an account

An account's priority replaced the route's, so that all kinds of request of most accounts had the same rank at engines, and an engine under pressure took whichever was newest. Change: the rank is the account's priority, then the route's. Test: RouteTable.RanksByAccountFirstAndByRouteWithinAnAccount.

--- a/include/sapphirespar/model/routing.hpp
+++ b/include/sapphirespar/model/routing.hpp
@@ -70,7 +70,7 @@
 {
   account_id mId;
   std::vector<std::string> mKeys;
-  // Goes before the route's priority if set.
+  // Goes before the route's priority: zero is the most urgent.
   std::optional<unsigned> mPriority;
 };
 
--- a/include/sapphirespar/policy/route_table.hpp
+++ b/include/sapphirespar/policy/route_table.hpp
@@ -29,6 +29,12 @@
   // Returns null for an unknown pool.
   const upstream_pool* FindPool(std::string_view aName) const;
 
+  // Ranks a request for upstreams, zero first: by its account's priority, and
+  // by its route's among accounts of the same one. An account without a
+  // priority, or none, ranks with the most urgent accounts.
+  unsigned PriorityOf(const route& aRoute,
+                      const routing_account* aAccount) const;
+
   const routing_config& Config() const { return mConfig; }
   routing_version Version() const { return mConfig.mVersion; }
 
@@ -37,6 +43,8 @@
   // Routes of each host in lower case, longest prefix first.
   std::unordered_map<std::string, std::vector<const route*>> mHosts;
   std::unordered_map<std::string, const routing_account*> mKeys;
+  // One more than the highest priority of a route.
+  unsigned mRoutePriorities = 1;
 };
 
 // Returns the pool that a draw between 0 and 1 selects by weight.
--- a/src/sapphirespar/gateway/forward.cpp
+++ b/src/sapphirespar/gateway/forward.cpp
@@ -138,7 +138,8 @@
       return fresh ? refusal_answer{ 404, "no_such_route" }
                    : refusal_answer{ 503, "routing_stale", kComeBackSoon };
     }
-    mForwarded.mPriority = mForwarded.mRoute->mPriority;
+    mForwarded.mPriority =
+      mForwarded.mRouting->PriorityOf(*mForwarded.mRoute, nullptr);
     if (!mForwarded.mRoute->mPublic) {
       if (const auto refusal = CheckKey(fresh)) {
         return refusal;
@@ -175,7 +176,8 @@
       return refusal_answer{ 503, "key_not_proved", kComeBackLater };
     }
     mForwarded.mAccount = account->mId;
-    mForwarded.mPriority = account->mPriority.value_or(mForwarded.mPriority);
+    mForwarded.mPriority =
+      mForwarded.mRouting->PriorityOf(*mForwarded.mRoute, account);
     return std::nullopt;
   }
 
--- a/src/sapphirespar/gateway/placement.cpp
+++ b/src/sapphirespar/gateway/placement.cpp
@@ -160,7 +160,7 @@
   work.mPromptTokens = facts.mPromptTokens;
   work.mMaximumOutputTokens = facts.mMaximumOutputTokens;
   work.mInteractive = aForwarded.mRoute->mTargetGap <= kInteractiveGap;
-  work.mUrgent = aForwarded.mPriority == 0;
+  work.mUrgent = aForwarded.mRoute->mPriority == 0;
   if (facts.mPrompt.size() > 1) {
     const auto shared =
       std::span(facts.mPrompt).first(facts.mPrompt.size() - 1);
--- a/src/sapphirespar/policy/route_table.cpp
+++ b/src/sapphirespar/policy/route_table.cpp
@@ -25,6 +25,7 @@
 {
   for (const auto& item : mConfig.mRoutes) {
     mHosts[HostName(item.mHost)].push_back(&item);
+    mRoutePriorities = std::max(mRoutePriorities, item.mPriority + 1);
   }
   for (auto& [host, routes] : mHosts) {
     std::ranges::stable_sort(routes, std::greater{}, [](const route* aRoute) {
@@ -67,6 +68,15 @@
   return found == mConfig.mPools.end() ? nullptr : &*found;
 }
 
+unsigned
+route_table::PriorityOf(const route& aRoute,
+                        const routing_account* aAccount) const
+{
+  const auto account =
+    aAccount == nullptr ? 0 : aAccount->mPriority.value_or(0);
+  return account * mRoutePriorities + aRoute.mPriority;
+}
+
 const std::string&
 ChoosePool(const route& aRoute, double aDraw)
 {
--- a/src/sapphirespar/policy/route_table_test.cpp
+++ b/src/sapphirespar/policy/route_table_test.cpp
@@ -62,6 +62,24 @@
   EXPECT_EQ(table.FindKey(""), nullptr);
 }
 
+TEST(RouteTable, RanksByAccountFirstAndByRouteWithinAnAccount)
+{
+  routing_config config;
+  config.mRoutes = { RouteAt("quick", "h", "/q/"),
+                     RouteAt("bulk", "h", "/b/") };
+  config.mRoutes[1].mPriority = 2;
+  config.mAccounts = { { { "first" }, {}, 0 }, { { "second" }, {}, 1 } };
+  const route_table table(std::move(config));
+  const auto& quick = table.Config().mRoutes[0];
+  const auto& bulk = table.Config().mRoutes[1];
+  const auto* first = &table.Config().mAccounts[0];
+  const auto* second = &table.Config().mAccounts[1];
+  EXPECT_EQ(table.PriorityOf(quick, first), 0U);
+  EXPECT_LT(table.PriorityOf(bulk, first), table.PriorityOf(quick, second));
+  EXPECT_LT(table.PriorityOf(quick, second), table.PriorityOf(bulk, second));
+  EXPECT_EQ(table.PriorityOf(bulk, nullptr), 2U);
+}
+
 TEST(ChoosePool, SplitsByWeight)
 {
   route split;
