Keep shared parts of prompts at one engine, and the engine groups fixed

Change: each shared part has a home and a second engine by rendezvous within a fixed group; a request waits 0.25 ms longer for each shared token rather than have it read elsewhere. work_mix goes.

--- a/include/sapphirespar/gateway/forward.hpp
+++ b/include/sapphirespar/gateway/forward.hpp
@@ -6,7 +6,6 @@
 #include "sapphirespar/gateway/routing_state.hpp"
 #include "sapphirespar/gateway/upstream_directory.hpp"
 #include "sapphirespar/policy/fleet_retry_budget.hpp"
-#include "sapphirespar/policy/work_mix.hpp"
 #include "sapphirespar/telemetry/metrics.hpp"
 #include "sapphirespar/wire/http_client.hpp"
 #include "sapphirespar/wire/http_server.hpp"
@@ -27,7 +26,6 @@
   const protocol& mProtocol;
   const routing_state& mRouting;
   upstream_directory& mUpstreams;
-  policy::work_mix& mMix;
   policy::fleet_retry_budget& mRetries;
   wire::http_client& mClient;
   metrics& mMetrics;
--- a/include/sapphirespar/policy/engine_choice.hpp
+++ b/include/sapphirespar/policy/engine_choice.hpp
@@ -2,7 +2,9 @@
 // that run there. Answers a load of long prompts beside short interactive ones:
 // an engine that reads long prompts one after another makes every stream on it
 // pause, so engines are split into an interactive and a bulk group, and either
-// kind of work enters the other's group only when its own is far behind.
+// kind of work enters the other's group only when its own is far behind. Within
+// a group, requests that share a part of their prompt go to the same engine,
+// which need not read it again, unless that is far behind.
 #pragma once
 
 #include "sapphirespar/policy/upstream_load.hpp"
@@ -54,15 +56,11 @@
   double mTokensToRead = 0;
 };
 
-// Share of the engines that is kept for interactive work, between 0 and 1.
-using interactive_share = double;
-
 // Returns nothing without candidates. aDraw, between 0 and 1, breaks near ties
 // differently at each router.
 std::optional<engine_choice> ChooseEngine(
   const prompt_work& aWork,
   std::span<const engine_candidate> aCandidates,
-  interactive_share aShare,
   double aDraw);
 
 // Milliseconds in which an engine reads so many prompt tokens.
--- a/src/sapphirespar/gateway/forward.cpp
+++ b/src/sapphirespar/gateway/forward.cpp
@@ -90,7 +90,7 @@
              wire::http_reply& aReply)
     : mServices(aServices)
     , mReply(aReply)
-    , mForwarded{ .mRequest = aRequest, .mArrived = steady_clock::now() }
+    , mForwarded(aRequest)
   {
   }
 
@@ -190,9 +190,6 @@
       mForwarded.mEngine = pool->mEngine;
     }
     mServices.mRetries.CountRequest(mForwarded.mPool, mForwarded.mArrived);
-    if (mForwarded.mEngine) {
-      mServices.mMix.Add(WorkOf(mForwarded), mForwarded.mArrived);
-    }
   }
 
   // Tries upstreams until one has answered or none may be tried any more.
--- a/src/sapphirespar/gateway/forward_state.hpp
+++ b/src/sapphirespar/gateway/forward_state.hpp
@@ -14,6 +14,11 @@
 // A request after it has been understood and let in.
 struct forwarded_request
 {
+  explicit forwarded_request(const wire::http_request& aRequest)
+    : mRequest(aRequest)
+  {
+  }
+
   const wire::http_request& mRequest;
   request_facts mFacts;
   // Keeps alive what mRoute points at.
@@ -25,7 +30,7 @@
   std::string mPool;
   // Unset for a plain service.
   std::optional<engine_traits> mEngine;
-  steady_time mArrived{};
+  const steady_time mArrived = std::chrono::steady_clock::now();
   // The final answer is due by then.
   steady_time mDue{};
   // When the caller itself gives up.
--- a/src/sapphirespar/gateway/forward_world_test.hpp
+++ b/src/sapphirespar/gateway/forward_world_test.hpp
@@ -65,7 +65,6 @@
   protocol mProtocol = TestProtocol();
   routing_state mRouting;
   upstream_directory mUpstreams;
-  policy::work_mix mMix;
   policy::fleet_retry_budget mRetries{ { 0, 1000, std::chrono::seconds(10) } };
   metrics mMetrics;
   // Routes of the host "h"; "/stream/", "/resume/", "/once/" and "/safe/".
--- a/src/sapphirespar/gateway/gateway_app.cpp
+++ b/src/sapphirespar/gateway/gateway_app.cpp
@@ -99,6 +99,14 @@
   return settings;
 }
 
+wire::http_client_settings
+PeerClientSettings()
+{
+  wire::http_client_settings settings;
+  settings.mConnectTimeout = kPeerTimeout;
+  return settings;
+}
+
 wire::http_response
 TextResponse(unsigned aStatus, std::string aBody)
 {
@@ -147,7 +155,6 @@
   routing_state mRouting;
   upstream_directory mUpstreams;
   peer_board mPeers;
-  policy::work_mix mMix;
   policy::fleet_retry_budget mRetries;
   store_reader mReader;
   gateway_register mRegister;
@@ -174,7 +181,7 @@
   , mTimers(aContext.get_executor())
   , mPlatform(aContext.get_executor(), StoreSettings(mSettings))
   , mUpstreamClient(aContext.get_executor(), UpstreamClientSettings())
-  , mPeerClient(aContext.get_executor(), { .mConnectTimeout = kPeerTimeout })
+  , mPeerClient(aContext.get_executor(), PeerClientSettings())
   , mPeers(mSettings.mVm)
   , mRetries(RetryLimits(mSettings))
   , mReader(mPlatform,
@@ -265,7 +272,6 @@
   return { .mProtocol = mProtocol,
            .mRouting = mRouting,
            .mUpstreams = mUpstreams,
-           .mMix = mMix,
            .mRetries = mRetries,
            .mClient = mUpstreamClient,
            .mMetrics = mMetrics,
--- a/src/sapphirespar/gateway/placement.cpp
+++ b/src/sapphirespar/gateway/placement.cpp
@@ -75,6 +75,28 @@
   return candidate;
 }
 
+// The work that a request asks of an engine.
+policy::prompt_work
+WorkOf(const forwarded_request& aForwarded)
+{
+  const auto& facts = aForwarded.mFacts;
+  policy::prompt_work work;
+  work.mPromptTokens = facts.mPromptTokens;
+  work.mMaximumOutputTokens = facts.mMaximumOutputTokens;
+  work.mInteractive = aForwarded.mRoute->mTargetGap <= kInteractiveGap;
+  work.mUrgent = aForwarded.mRoute->mPriority == 0;
+  if (facts.mPrompt.size() > 1) {
+    const auto shared =
+      std::span(facts.mPrompt).first(facts.mPrompt.size() - 1);
+    work.mSharedKey = shared.back().mId;
+    work.mSharedTokens = std::accumulate(
+      shared.begin(), shared.end(), 0.0, [](double aSum, const auto& aPart) {
+        return aSum + aPart.mTokens;
+      });
+  }
+  return work;
+}
+
 policy::upstream_load
 AddedLoad(const policy::prompt_work& aWork, double aTokensToRead)
 {
@@ -120,8 +142,8 @@
     aMembers, std::back_inserter(candidates), [&](const upstream_ptr& aMember) {
       return ToCandidate(*aMember, *aForwarded.mEngine, work.mSharedKey, now);
     });
-  const auto choice = policy::ChooseEngine(
-    work, candidates, aServices.mMix.Share(), aServices.mDraw());
+  const auto choice =
+    policy::ChooseEngine(work, candidates, aServices.mDraw());
   attempt_target target;
   target.mUpstream = aMembers[choice->mIndex];
   target.mPredictedMs = choice->mFirstEventMs;
@@ -152,27 +174,6 @@
 
 } // namespace
 
-policy::prompt_work
-WorkOf(const forwarded_request& aForwarded)
-{
-  const auto& facts = aForwarded.mFacts;
-  policy::prompt_work work;
-  work.mPromptTokens = facts.mPromptTokens;
-  work.mMaximumOutputTokens = facts.mMaximumOutputTokens;
-  work.mInteractive = aForwarded.mRoute->mTargetGap <= kInteractiveGap;
-  work.mUrgent = aForwarded.mRoute->mPriority == 0;
-  if (facts.mPrompt.size() > 1) {
-    const auto shared =
-      std::span(facts.mPrompt).first(facts.mPrompt.size() - 1);
-    work.mSharedKey = shared.back().mId;
-    work.mSharedTokens = std::accumulate(
-      shared.begin(), shared.end(), 0.0, [](double aSum, const auto& aPart) {
-        return aSum + aPart.mTokens;
-      });
-  }
-  return work;
-}
-
 std::optional<attempt_target>
 PlaceRequest(const forward_services& aServices,
              const forwarded_request& aForwarded,
--- a/src/sapphirespar/gateway/placement.hpp
+++ b/src/sapphirespar/gateway/placement.hpp
@@ -8,9 +8,6 @@
 
 namespace sapphirespar::gateway {
 
-// The work that a request asks of an engine.
-policy::prompt_work WorkOf(const forwarded_request& aForwarded);
-
 // Returns nothing if there is no upstream left. aTried are passed over.
 std::optional<attempt_target> PlaceRequest(
   const forward_services& aServices,
--- a/src/sapphirespar/policy/engine_choice.cpp
+++ b/src/sapphirespar/policy/engine_choice.cpp
@@ -4,6 +4,8 @@
 #include <algorithm>
 #include <bit>
 #include <cmath>
+#include <numeric>
+#include <utility>
 #include <vector>
 
 namespace sapphirespar::policy {
@@ -24,6 +26,14 @@
 // Each running request slows the others by about this much per event.
 constexpr double kRunningMs = 0.5;
 
+// Share of the engines that is kept for interactive work: about its share of
+// the engines' time.
+constexpr double kInteractiveShare = 0.34;
+
+// Reading a shared part again wastes the engine's time and memory, so a request
+// rather waits this long for each of its tokens at the engine that has it.
+constexpr double kRereadMsPerToken = 0.25;
+
 // Behind this much more waiting, interactive work goes to a bulk engine: about
 // the pause that a long prompt there would cause.
 constexpr double kInteractiveStraysMs = 250;
@@ -51,49 +61,78 @@
 }
 
 // Which engines are of the interactive group: the first of an order that all
-// routers agree on.
+// routers agree on. The share is fixed, as a change would move the shared parts
+// of all prompts to other engines.
 std::vector<bool>
-InteractiveGroup(std::span<const engine_candidate> aCandidates,
-                 interactive_share aShare)
+InteractiveGroup(std::span<const engine_candidate> aCandidates)
 {
   const auto count = aCandidates.size();
-  std::vector<std::size_t> order(count);
-  for (std::size_t index = 0; index < count; ++index) {
-    order[index] = index;
-  }
-  std::ranges::sort(order, {}, [&](std::size_t aIndex) {
-    return Mix(aCandidates[aIndex].mKey);
-  });
   std::vector<bool> group(count, false);
   if (count < 2) {
     return group;
   }
-  const auto wanted =
-    static_cast<std::size_t>(std::lround(aShare * static_cast<double>(count)));
+  std::vector<std::size_t> order(count);
+  std::iota(order.begin(), order.end(), std::size_t{ 0 });
+  std::ranges::sort(order, {}, [&](std::size_t aIndex) {
+    return Mix(aCandidates[aIndex].mKey);
+  });
+  const auto wanted = static_cast<std::size_t>(
+    std::lround(kInteractiveShare * static_cast<double>(count)));
   const auto size = std::clamp<std::size_t>(wanted, 1, count - 1);
   std::ranges::for_each(std::span(order).first(size),
                         [&](std::size_t aIndex) { group[aIndex] = true; });
   return group;
 }
 
-// The engine of the group on which a shared part is kept when nobody has it.
-std::size_t
-HomeOf(std::uint64_t aSharedKey,
-       std::span<const engine_candidate> aCandidates,
-       const std::vector<bool>& aGroup,
-       bool aInteractive)
+// The two engines of a group on which a shared part is kept: its home, and the
+// one that takes over what the home is too busy for. Out of range if there are
+// none.
+struct shared_homes
 {
-  std::size_t home = aCandidates.size();
-  std::uint64_t highest = 0;
-  for (std::size_t index = 0; index < aCandidates.size(); ++index) {
-    const auto weight = Mix(aSharedKey ^ Mix(aCandidates[index].mKey));
-    const bool own = aCandidates.size() < 2 || aGroup[index] == aInteractive;
-    if (own && weight >= highest) {
-      highest = weight;
-      home = index;
+  std::size_t mFirst;
+  std::size_t mSecond;
+};
+
+shared_homes
+HomesOf(std::uint64_t aSharedKey,
+        std::span<const engine_candidate> aCandidates,
+        const std::vector<bool>& aGroup,
+        bool aInteractive)
+{
+  const auto none = aCandidates.size();
+  shared_homes homes{ none, none };
+  if (aSharedKey == 0) {
+    return homes;
+  }
+  const auto weight = [&](std::size_t aIndex) {
+    return Mix(aSharedKey ^ Mix(aCandidates[aIndex].mKey));
+  };
+  for (std::size_t index = 0; index < none; ++index) {
+    if (none >= 2 && aGroup[index] != aInteractive) {
+      continue;
     }
+    if (homes.mFirst == none || weight(index) > weight(homes.mFirst)) {
+      homes.mSecond = std::exchange(homes.mFirst, index);
+    } else if (homes.mSecond == none ||
+               weight(index) > weight(homes.mSecond)) {
+      homes.mSecond = index;
+    }
+  }
+  return homes;
+}
+
+// What it costs to have a shared part read anew here.
+double
+RereadMs(const prompt_work& aWork,
+         const engine_candidate& aEngine,
+         std::size_t aIndex,
+         const shared_homes& aHomes)
+{
+  if (aEngine.mHoldsShared || aIndex == aHomes.mFirst) {
+    return 0;
   }
-  return home;
+  const double cost = kRereadMsPerToken * aWork.mSharedTokens;
+  return aIndex == aHomes.mSecond ? cost / 2 : cost;
 }
 
 double
@@ -147,21 +186,18 @@
 std::optional<engine_choice>
 ChooseEngine(const prompt_work& aWork,
              std::span<const engine_candidate> aCandidates,
-             interactive_share aShare,
              double aDraw)
 {
-  const auto group = InteractiveGroup(aCandidates, aShare);
-  const auto home =
-    aWork.mSharedKey == 0
-      ? aCandidates.size()
-      : HomeOf(aWork.mSharedKey, aCandidates, group, aWork.mInteractive);
+  const auto group = InteractiveGroup(aCandidates);
+  const auto homes =
+    HomesOf(aWork.mSharedKey, aCandidates, group, aWork.mInteractive);
   std::optional<engine_choice> best;
   double lowest = 0;
   for (std::size_t index = 0; index < aCandidates.size(); ++index) {
     const auto& engine = aCandidates[index];
     const bool own =
       aCandidates.size() < 2 || group[index] == aWork.mInteractive;
-    const bool holds = engine.mHoldsShared || index == home;
+    const bool holds = engine.mHoldsShared || index == homes.mFirst;
     const double tokens =
       aWork.mPromptTokens - (holds ? aWork.mSharedTokens : 0);
     const double firstEvent = kFirstEventMs + ReadingMs(tokens) +
@@ -173,7 +209,8 @@
                    Mix(engine.mKey ^ std::bit_cast<std::uint64_t>(aDraw))),
                  -64) *
       kTieMs;
-    const double cost = firstEvent + StrayMs(aWork, engine, own) + handicap;
+    const double cost = firstEvent + StrayMs(aWork, engine, own) +
+                        RereadMs(aWork, engine, index, homes) + handicap;
     if (!best || cost < lowest) {
       best = engine_choice{ index, firstEvent, tokens };
       lowest = cost;
