--- a/idl/gossip.thrift
+++ b/idl/gossip.thrift
@@ -24,8 +24,14 @@
   7: i32 admin_port;
   8: bool ready;
   9: bool leaving;
-  10: i64 routing_version;
   11: list<gossip_load> loads;
   // Asks for the receiver's state in return.
   12: bool asks;
+  // The sequence number with which the receiver asked; zero if it did not.
+  13: i64 answers;
+  // Ages in milliseconds, counted up; negative if nothing has been read.
+  14: i32 routing_age_ms;
+  15: i64 routing_revision;
+  16: i32 upstreams_age_ms;
+  17: i64 upstreams_digest;
 }
--- a/include/sapphirespar/gateway/gossip_link.hpp
+++ b/include/sapphirespar/gateway/gossip_link.hpp
@@ -27,12 +27,15 @@
   std::chrono::milliseconds mShortestPause{ 100 };
 };
 
+// The state with which a gateway answered, or nothing.
+using gossip_answer = std::function<void(const gossip_state*)>;
+
 struct gossip_hooks
 {
   // What this gateway says of itself now; the link numbers it.
   std::function<gossip_state()> mSelf;
   // Somebody's state has been taken over.
-  std::function<void()> mReceived;
+  std::function<void(const gossip_state&)> mReceived;
 };
 
 class gossip_link
@@ -54,6 +57,12 @@
   // Tells everyone now, whatever the pause.
   void TellNow();
 
+  // Asks a gateway for its state and calls aDone once: with the answer, or with
+  // null when aTimeout has passed.
+  void Ask(const std::string& aAddress,
+           std::chrono::milliseconds aTimeout,
+           gossip_answer aDone);
+
 private:
   struct state;
   std::shared_ptr<state> mState;
--- a/include/sapphirespar/gateway/peer_board.hpp
+++ b/include/sapphirespar/gateway/peer_board.hpp
@@ -49,9 +49,16 @@
   // Gateways that take requests now, this one not among them.
   std::vector<entry_point> EntryPoints(steady_time aNow) const;
 
-  // Admin addresses of live gateways that take requests.
+  // Admin addresses of live gateways that have read the store.
   std::vector<entry_point> AdminPoints(steady_time aNow) const;
 
+  // The gateways that read the store for all, this one possibly among them.
+  // Gateways that see the same others name the same ones.
+  std::vector<vm_id> Readers(steady_time aNow) const;
+
+  // What a gateway last said of itself; null for one that was never heard.
+  const gossip_state* Find(const vm_id& aVm) const;
+
   // Live gateways, this one not among them.
   std::vector<vm_id> LiveNames(steady_time aNow) const;
 
--- a/include/sapphirespar/gateway/store_reader.hpp
+++ b/include/sapphirespar/gateway/store_reader.hpp
@@ -1,5 +1,7 @@
-// Reads the routing and the upstreams from the platform's store again and
-// again, and from another gateway while the store does not answer here.
+// Keeps the routing and the upstreams as the platform's store has them. A few
+// gateways read the store for all; the others ask these what they have read and
+// how long ago, fetch it if it is new to them, and read the store themselves
+// where nobody's answer is recent enough.
 //
 // Whole reads rather than watches: a watch may hear nothing for a while
 // although something has changed, and proves nothing of the time before it
@@ -11,6 +13,7 @@
 #include "sapphirespar/gateway/protocol.hpp"
 #include "sapphirespar/gateway/routing_state.hpp"
 #include "sapphirespar/gateway/upstream_directory.hpp"
+#include "sapphirespar/model/gossip.hpp"
 #include "sapphirespar/model/platform.hpp"
 
 #include <chrono>
@@ -25,21 +28,25 @@
 struct store_copy
 {
   platform_object mRouting;
-  std::vector<platform_object> mUpstreams;
+  std::vector<upstream_entry> mUpstreams;
   // How long before this copy was made the reads of either were sent.
   std::chrono::milliseconds mRoutingAge{ 0 };
   std::chrono::milliseconds mUpstreamsAge{ 0 };
 };
 
 using copy_callback = std::function<void(std::optional<store_copy>)>;
+using summary_callback = std::function<void(std::optional<store_summary>)>;
 
 struct store_reader_settings
 {
-  // Between the starts of two reads; with a failed read and another after it,
-  // well within the two seconds in which changes must take effect.
-  std::chrono::milliseconds mPeriod{ 800 };
-  // Before the next read after a failed one.
-  std::chrono::milliseconds mRetryDelay{ 250 };
+  // Between the starts of two rounds. A change is known everywhere after two
+  // rounds and a fetch, within the two seconds in which it must take effect.
+  std::chrono::milliseconds mPeriod{ 600 };
+  // Before the next round after a failed one, for readers and for others.
+  std::chrono::milliseconds mReaderRetry{ 250 };
+  std::chrono::milliseconds mOtherRetry{ 1000 };
+  // Older answers of other gateways are of no use: a reader has missed a round.
+  std::chrono::milliseconds mOldestAnswer{ 1000 };
   // For so long after the store is back, entries that are not listed may have
   // lapsed meanwhile and may come back.
   std::chrono::milliseconds mLapseGrace{ 2200 };
@@ -47,12 +54,16 @@
 
 struct store_reader_hooks
 {
-  // Asks another gateway for its copy; may be empty.
-  std::function<void(copy_callback)> mAskPeer;
   // The time since the machine was started.
   std::function<boot_time()> mNow;
-  // The routing has been replaced; may be empty.
-  std::function<void()> mRoutingChanged;
+  // The other gateways that read the store for all; empty if this one does.
+  std::function<std::vector<vm_id>()> mReaders;
+  // Asks a gateway what it has read.
+  std::function<void(const vm_id&, summary_callback)> mAsk;
+  // Fetches what a gateway has read; of any gateway if no name is given.
+  std::function<void(const std::optional<vm_id>&, copy_callback)> mFetch;
+  // Something that others have to know has changed here.
+  std::function<void()> mChanged;
 };
 
 class store_reader
@@ -72,8 +83,12 @@
 
   void Start();
 
-  // What has been read here; nothing before both reads have succeeded once.
+  // Another gateway says what it has read; begins a round if that is new here.
+  void Hear(const store_summary& aSummary);
+
+  // What is known here; nothing before both parts have been read once.
   std::optional<store_copy> Copy() const;
+  std::optional<store_summary> Summary() const;
 
 private:
   struct state;
--- a/include/sapphirespar/gateway/upstream_directory.hpp
+++ b/include/sapphirespar/gateway/upstream_directory.hpp
@@ -101,12 +101,20 @@
   // What this gateway tells others of its work.
   std::vector<gossip_load> OwnLoads() const;
 
+  // The entries as they are now, and a number that is the same for directories
+  // that lead to the same choices.
+  std::vector<upstream_entry> Entries() const;
+  std::uint64_t Digest() const { return mDigest; }
+
   std::size_t Size() const { return mUpstreams.size(); }
 
 private:
   void Drop(upstream_id aId, directory_change& aChange);
+  std::uint64_t MakeDigest() const;
 
   std::map<upstream_id, upstream_ptr> mUpstreams;
+  // Of mUpstreams as they are now.
+  std::uint64_t mDigest = 0;
 };
 
 } // namespace sapphirespar::gateway
--- a/include/sapphirespar/model/gossip.hpp
+++ b/include/sapphirespar/model/gossip.hpp
@@ -2,9 +2,10 @@
 #pragma once
 
 #include "sapphirespar/base/ids.hpp"
-#include "sapphirespar/model/routing.hpp"
 
+#include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -24,6 +25,20 @@
   bool operator==(const gossip_load&) const = default;
 };
 
+// What a gateway has read of the platform's store, and how long ago the reads
+// were sent, rounded up.
+struct store_summary
+{
+  std::chrono::milliseconds mRoutingAge{ 0 };
+  // Revision of the routing's object.
+  std::uint64_t mRoutingRevision = 0;
+  std::chrono::milliseconds mUpstreamsAge{ 0 };
+  // The same for gateways that know the same upstreams.
+  std::uint64_t mUpstreamsDigest = 0;
+
+  bool operator==(const store_summary&) const = default;
+};
+
 struct gossip_state
 {
   process_id mSender;
@@ -36,11 +51,14 @@
   bool mReady = false;
   // Is shutting down.
   bool mLeaving = false;
-  routing_version mRouting = 0;
   // Upstreams that the sender has work on.
   std::vector<gossip_load> mLoads;
   // Asks for the receiver's state in return.
   bool mAsks = false;
+  // Sequence number with which the receiver asked; zero if it did not.
+  std::uint64_t mAnswers = 0;
+  // Unset before anything has been read.
+  std::optional<store_summary> mStore;
 
   bool operator==(const gossip_state&) const = default;
 };
--- a/src/sapphirespar/gateway/forward_world_test.cpp
+++ b/src/sapphirespar/gateway/forward_world_test.cpp
@@ -116,7 +116,7 @@
   mServices.reset(new forward_services{ mProtocol,
                                         mRouting,
                                         mUpstreams,
-                                                                            mRetries,
+                                        mRetries,
                                         *mUpstreamClient,
                                         mMetrics,
                                         [] { return 1U; },
--- a/src/sapphirespar/gateway/gateway_app.cpp
+++ b/src/sapphirespar/gateway/gateway_app.cpp
@@ -46,6 +46,9 @@
 
 constexpr milliseconds kStoreTimeout{ 1200 };
 constexpr milliseconds kPeerTimeout{ 400 };
+
+// For a datagram there and back between data centres, and a busy receiver.
+constexpr milliseconds kAnswerTimeout{ 120 };
 constexpr milliseconds kConnectTimeout{ 400 };
 
 // Idle connections to upstreams whose announced limit is longer, or that
@@ -139,7 +142,9 @@
   bool IsReady() const;
   bool IsLeaving() const { return mLeaveBegun.has_value(); }
   std::optional<milliseconds> TimeToStop() const;
-  void AskPeer(copy_callback aDone);
+  // The admin address of a gateway, or of any that has read the store.
+  std::optional<wire::endpoint> AdminOf(const std::optional<vm_id>& aVm);
+  void FetchCopy(const std::optional<vm_id>& aVm, copy_callback aDone);
   void StopWhenIdle();
 
   boost::asio::io_context& mContext;
@@ -290,7 +295,28 @@
 {
   store_reader_hooks hooks;
   hooks.mNow = BootNow;
-  hooks.mAskPeer = [this](copy_callback aDone) { AskPeer(std::move(aDone)); };
+  hooks.mReaders = [this] {
+    auto readers = mPeers.Readers(mTimers.Now());
+    const bool reads =
+      std::ranges::find(readers, mSettings.mVm) != readers.end();
+    return reads ? std::vector<vm_id>{} : readers;
+  };
+  hooks.mAsk = [this](const vm_id& aVm, summary_callback aDone) {
+    const auto* peer = mPeers.Find(aVm);
+    if (peer == nullptr) {
+      boost::asio::post(mContext, [aDone] { aDone(std::nullopt); });
+      return;
+    }
+    mGossip.Ask(peer->mAddress,
+                kAnswerTimeout,
+                [done = std::move(aDone)](const gossip_state* aAnswer) {
+                  done(aAnswer ? aAnswer->mStore : std::nullopt);
+                });
+  };
+  hooks.mFetch = [this](const std::optional<vm_id>& aVm, copy_callback aDone) {
+    FetchCopy(aVm, std::move(aDone));
+  };
+  hooks.mChanged = [this] { mGossip.TellNow(); };
   return hooks;
 }
 
@@ -310,8 +336,11 @@
 {
   gossip_hooks hooks;
   hooks.mSelf = [this] { return OwnState(); };
-  hooks.mReceived = [this] {
+  hooks.mReceived = [this](const gossip_state& aState) {
     mUpstreams.SetOthers(mPeers.Loads(mTimers.Now()));
+    if (aState.mStore) {
+      mReader.Hear(*aState.mStore);
+    }
   };
   return hooks;
 }
@@ -327,7 +356,7 @@
   own.mAdminPort = mSettings.mAdmin.mPort;
   own.mReady = IsReady();
   own.mLeaving = IsLeaving();
-  own.mRouting = mRouting.Version();
+  own.mStore = mReader.Summary();
   own.mLoads = mUpstreams.OwnLoads();
   return own;
 }
@@ -409,18 +438,38 @@
   return TextResponse(404, "no such page\n");
 }
 
-void
-gateway_app::state::AskPeer(copy_callback aDone)
+std::optional<wire::endpoint>
+gateway_app::state::AdminOf(const std::optional<vm_id>& aVm)
 {
+  wire::endpoint place;
+  if (aVm) {
+    const auto* peer = mPeers.Find(*aVm);
+    if (peer == nullptr) {
+      return std::nullopt;
+    }
+    place.mAddress = peer->mAddress;
+    place.mPort = peer->mAdminPort;
+    return place;
+  }
   const auto points = mPeers.AdminPoints(mTimers.Now());
   if (points.empty()) {
-    boost::asio::post(mContext, [aDone] { aDone(std::nullopt); });
-    return;
+    return std::nullopt;
   }
   const auto& point = points[mRandom() % points.size()];
-  wire::endpoint place;
   place.mAddress = point.mAddress;
   place.mPort = point.mPort;
+  return place;
+}
+
+void
+gateway_app::state::FetchCopy(const std::optional<vm_id>& aVm,
+                              copy_callback aDone)
+{
+  auto place = AdminOf(aVm);
+  if (!place) {
+    boost::asio::post(mContext, [aDone] { aDone(std::nullopt); });
+    return;
+  }
   const auto fetch = [](wire::http_client& aClient,
                         wire::endpoint aPlace,
                         copy_callback aThen) -> asio::awaitable<void> {
@@ -432,7 +481,7 @@
     aThen(read ? DecodeStoreCopy(answer.value().mBody) : std::nullopt);
   };
   boost::asio::co_spawn(mContext,
-                        fetch(mPeerClient, std::move(place), std::move(aDone)),
+                        fetch(mPeerClient, std::move(*place), std::move(aDone)),
                         boost::asio::detached);
 }
 
--- a/src/sapphirespar/gateway/gossip_link.cpp
+++ b/src/sapphirespar/gateway/gossip_link.cpp
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <array>
+#include <map>
 
 namespace sapphirespar::gateway {
 namespace {
@@ -81,19 +82,47 @@
                  { "address", told->mAddress } });
     }
     if (told->mAsks || effect == gossip_effect::NewProcess) {
-      SendTo(told->mAddress, Encode(false));
+      auto answer = Self();
+      answer.mAnswers = told->mAsks ? told->mSequence : 0;
+      SendTo(told->mAddress, wire::EncodeGossip(answer));
+    }
+    const auto asked = mAsked.find(told->mAnswers);
+    if (asked != mAsked.end()) {
+      const auto done = std::move(asked->second.mDone);
+      mAsked.erase(asked);
+      done(&*told);
     }
     if (effect != gossip_effect::Ignored) {
-      mHooks.mReceived();
+      mHooks.mReceived(*told);
     }
   }
 
-  std::string Encode(bool aAsks)
+  // This gateway's state with the next number.
+  gossip_state Self()
   {
     auto self = mHooks.mSelf();
     self.mSequence = ++mSequence;
-    self.mAsks = aAsks;
-    return wire::EncodeGossip(self);
+    return self;
+  }
+
+  void Ask(const std::string& aAddress,
+           milliseconds aTimeout,
+           gossip_answer aDone)
+  {
+    auto self = Self();
+    self.mAsks = true;
+    const auto sequence = self.mSequence;
+    auto& question = mAsked[sequence];
+    question.mDone = std::move(aDone);
+    question.mTimeout = mTimers.After(aTimeout, [this, sequence] {
+      const auto asked = mAsked.find(sequence);
+      if (asked != mAsked.end()) {
+        const auto done = std::move(asked->second.mDone);
+        mAsked.erase(asked);
+        done(nullptr);
+      }
+    });
+    SendTo(aAddress, wire::EncodeGossip(self));
   }
 
   void SendTo(const std::string& aAddress, const std::string& aBytes)
@@ -127,7 +156,9 @@
     const bool alone = mPeers.LiveNames(now).empty();
     if (alone && now - mLastSeeds >= kSeedPeriod / (mSequence < 40 ? 10 : 1)) {
       mLastSeeds = now;
-      const auto bytes = Encode(true);
+      auto self = Self();
+      self.mAsks = true;
+      const auto bytes = wire::EncodeGossip(self);
       std::ranges::for_each(mSettings.mSeeds, [&](const std::string& aSeed) {
         SendTo(aSeed, bytes);
       });
@@ -144,17 +175,26 @@
   void Tell()
   {
     mLastTold = mTimers.Now();
-    const auto bytes = Encode(false);
-    mLastLoads = mHooks.mSelf().mLoads;
+    auto self = Self();
+    const auto bytes = wire::EncodeGossip(self);
+    mLastLoads = std::move(self.mLoads);
     for (const auto& contact : mPeers.Contacts()) {
       SendTo(contact.mAddress, bytes);
     }
   }
 
+  struct question
+  {
+    gossip_answer mDone;
+    timer_subscription mTimeout;
+  };
+
   timer_service& mTimers;
   peer_board& mPeers;
   gossip_settings mSettings;
   gossip_hooks mHooks;
+  // Questions without an answer so far, by their sequence numbers.
+  std::map<std::uint64_t, question> mAsked;
   udp::socket mSocket;
   std::array<char, kMostBytes> mBytes{};
   udp::endpoint mFrom;
@@ -193,6 +233,14 @@
   mState->Tick();
 }
 
+void
+gossip_link::Ask(const std::string& aAddress,
+                 milliseconds aTimeout,
+                 gossip_answer aDone)
+{
+  mState->Ask(aAddress, aTimeout, std::move(aDone));
+}
+
 void
 gossip_link::TellNow()
 {
--- a/src/sapphirespar/gateway/peer_board.cpp
+++ b/src/sapphirespar/gateway/peer_board.cpp
@@ -1,6 +1,8 @@
 // Judges gossip and its silence.
 #include "sapphirespar/gateway/peer_board.hpp"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <iterator>
 #include <set>
@@ -23,6 +25,9 @@
 // know it keep its address.
 constexpr std::chrono::seconds kForgetAfter{ 30 };
 
+// Enough that one is left while another fails.
+constexpr std::size_t kReaders = 2;
+
 // Longer than a process takes to start again.
 constexpr std::chrono::seconds kLostAfter{ 20 };
 
@@ -119,13 +124,37 @@
 {
   std::vector<entry_point> points;
   for (const auto& [vm, known] : mPeers) {
-    if (IsLive(known, aNow) && known.mState.mReady) {
+    if (IsLive(known, aNow) && known.mState.mStore) {
       points.push_back({ known.mState.mAddress, known.mState.mAdminPort });
     }
   }
   return points;
 }
 
+std::vector<vm_id>
+peer_board::Readers(steady_time aNow) const
+{
+  std::vector<vm_id> names{ mSelf };
+  for (const auto& [vm, known] : mPeers) {
+    const auto& state = known.mState;
+    if (IsLive(known, aNow) && state.mReady && !state.mLeaving) {
+      names.push_back(vm);
+    }
+  }
+  std::ranges::sort(names, {}, [](const vm_id& aVm) {
+    return XXH3_64bits(aVm.mText.data(), aVm.mText.size());
+  });
+  names.resize(std::min(names.size(), kReaders));
+  return names;
+}
+
+const gossip_state*
+peer_board::Find(const vm_id& aVm) const
+{
+  const auto found = mPeers.find(aVm);
+  return found == mPeers.end() ? nullptr : &found->second.mState;
+}
+
 std::vector<vm_id>
 peer_board::LiveNames(steady_time aNow) const
 {
--- a/src/sapphirespar/gateway/peer_board_test.cpp
+++ b/src/sapphirespar/gateway/peer_board_test.cpp
@@ -94,6 +94,27 @@
   EXPECT_EQ(board.MostGateways(kNow + 31s), 2U);
 }
 
+TEST(PeerBoard, AgreesOnWhoReadsTheStoreForAll)
+{
+  peer_board first({ "1" });
+  peer_board second({ "2" });
+  EXPECT_EQ(first.Readers(kNow).size(), 1U);
+  for (const auto* name : { "1", "2", "3", "4", "5" }) {
+    first.Receive(From(name), kNow);
+    second.Receive(From(name), kNow);
+  }
+  const auto readers = first.Readers(kNow);
+  EXPECT_EQ(readers.size(), 2U);
+  EXPECT_EQ(readers, second.Readers(kNow));
+  // One that falls silent is replaced.
+  for (const auto* name : { "1", "2", "3", "4", "5" }) {
+    if (readers[0].mText != name) {
+      first.Receive(From(name, 2), kNow + 3s);
+    }
+  }
+  EXPECT_EQ(first.Readers(kNow + 3s).size(), 2U);
+}
+
 TEST(PeerBoard, TellsWhichRegisteredGatewaysAreGone)
 {
   peer_board board({ "1" });
--- a/src/sapphirespar/gateway/placement.cpp
+++ b/src/sapphirespar/gateway/placement.cpp
@@ -142,8 +142,7 @@
     aMembers, std::back_inserter(candidates), [&](const upstream_ptr& aMember) {
       return ToCandidate(*aMember, *aForwarded.mEngine, work.mSharedKey, now);
     });
-  const auto choice =
-    policy::ChooseEngine(work, candidates, aServices.mDraw());
+  const auto choice = policy::ChooseEngine(work, candidates, aServices.mDraw());
   attempt_target target;
   target.mUpstream = aMembers[choice->mIndex];
   target.mPredictedMs = choice->mFirstEventMs;
--- a/src/sapphirespar/gateway/store_reader.cpp
+++ b/src/sapphirespar/gateway/store_reader.cpp
@@ -1,4 +1,5 @@
-// The two reading loops and the way round a store that does not answer.
+// Rounds of reading, and the ways round a store or a reader that does not
+// answer.
 #include "sapphirespar/gateway/store_reader.hpp"
 
 #include "sapphirespar/base/log.hpp"
@@ -60,24 +61,114 @@
     };
   }
 
-  void ReadRouting()
+  void BeginRound()
   {
+    mRoundBegun = mHooks.mNow();
+    mInRound = true;
+    mReaders = mHooks.mReaders();
+    AskNextReader();
+  }
+
+  void EndRound(bool aSucceeded)
+  {
+    mInRound = false;
+    steady_duration delay{};
+    if (aSucceeded) {
+      const auto passed = mHooks.mNow() - mRoundBegun;
+      delay = std::max<steady_duration>(mSettings.mPeriod - passed,
+                                        milliseconds::zero());
+    } else {
+      delay = mHooks.mReaders().empty() ? mSettings.mReaderRetry
+                                        : mSettings.mOtherRetry;
+    }
+    mRoundTimer = mTimers.After(delay, [this] { BeginRound(); });
+  }
+
+  // Asks the readers one after another, then reads the store.
+  void AskNextReader()
+  {
+    if (mReaders.empty()) {
+      ReadStore();
+      return;
+    }
+    const auto reader = mReaders.back();
+    mReaders.pop_back();
     const auto sent = mHooks.mNow();
-    mPlatform.Get({ mProtocol.mRoutingKind, mProtocol.mRoutingName },
-                  IfAlive([this, sent](object_answer aAnswer) {
-                    OnRouting(aAnswer, sent);
+    mHooks.mAsk(
+      reader,
+      IfAlive([this, sent, reader](std::optional<store_summary> aSummary) {
+        OnSummary(aSummary, sent, reader);
+      }));
+  }
+
+  void OnSummary(const std::optional<store_summary>& aSummary,
+                 boot_time aSent,
+                 const vm_id& aReader)
+  {
+    const bool recent = aSummary &&
+                        aSummary->mRoutingAge <= mSettings.mOldestAnswer &&
+                        aSummary->mUpstreamsAge <= mSettings.mOldestAnswer;
+    if (!recent) {
+      AskNextReader();
+      return;
+    }
+    if (IsKnown(*aSummary)) {
+      mRouting.Confirm(aSent - aSummary->mRoutingAge);
+      mUpstreamsRead =
+        std::max(*mUpstreamsRead, aSent - aSummary->mUpstreamsAge);
+      NoteAnswer(true, "peer");
+      EndRound(true);
+      return;
+    }
+    const auto asked = mHooks.mNow();
+    mHooks.mFetch(aReader,
+                  IfAlive([this, asked](std::optional<store_copy> aCopy) {
+                    if (!aCopy) {
+                      AskNextReader();
+                      return;
+                    }
+                    TakeCopy(std::move(*aCopy), asked);
+                    NoteAnswer(true, "peer");
+                    EndRound(true);
                   }));
   }
 
-  void OnRouting(const object_answer& aAnswer, boot_time aSent)
+  bool IsKnown(const store_summary& aSummary) const
+  {
+    return mUpstreamsRead &&
+           mRoutingObject.mVersion == aSummary.mRoutingRevision &&
+           mUpstreams.Digest() == aSummary.mUpstreamsDigest;
+  }
+
+  void Hear(const store_summary& aSummary)
+  {
+    const bool news =
+      aSummary.mRoutingRevision > mRoutingObject.mVersion ||
+      (aSummary.mUpstreamsDigest != mUpstreams.Digest() &&
+       (!mUpstreamsRead ||
+        mHooks.mNow() - aSummary.mUpstreamsAge > *mUpstreamsRead));
+    if (news && !mInRound) {
+      BeginRound();
+    }
+  }
+
+  // Both reads at once; the round ends with the later answer. While the store
+  // is away one read tells as much as two.
+  void ReadStore()
   {
-    const bool read = aAnswer.mStatus == platform_status::Ok;
-    if (read) {
-      TakeRouting(aAnswer.mObject, aSent, "store");
+    mReadsLeft = mAway ? 1 : 2;
+    mReadFailed = false;
+    const auto sent = mHooks.mNow();
+    mPlatform.Get({ mProtocol.mRoutingKind, mProtocol.mRoutingName },
+                  IfAlive([this, sent](object_answer aAnswer) {
+                    if (aAnswer.mStatus == platform_status::Ok) {
+                      TakeRouting(aAnswer.mObject, sent, "store");
+                    }
+                    OnRead(aAnswer.mStatus);
+                  }));
+    if (mReadsLeft > 1) {
+      ReadUpstreams();
     }
-    NoteCall(aAnswer.mStatus);
-    mRoutingTimer =
-      mTimers.After(NextDelay(read, aSent), [this] { ReadRouting(); });
   }
 
   void ReadUpstreams()
@@ -85,68 +176,66 @@
     const auto sent = mHooks.mNow();
     mPlatform.List(mProtocol.mUpstreamKind,
                    IfAlive([this, sent](list_answer aAnswer) {
-                     OnUpstreams(std::move(aAnswer), sent);
+                     if (aAnswer.mStatus == platform_status::Ok) {
+                       TakeList(aAnswer.mObjects, sent);
+                     }
+                     OnRead(aAnswer.mStatus);
                    }));
   }
 
-  void OnUpstreams(list_answer aAnswer, boot_time aSent)
+  void OnRead(platform_status aStatus)
   {
-    const bool read = aAnswer.mStatus == platform_status::Ok;
-    NoteCall(aAnswer.mStatus);
-    if (read) {
-      TakeUpstreams(std::move(aAnswer.mObjects), aSent, "store");
+    const bool wasAway = mAway;
+    const bool answers =
+      aStatus == platform_status::Ok || aStatus == platform_status::NotFound;
+    NoteAnswer(answers, ToText(aStatus));
+    mReadFailed = mReadFailed || aStatus != platform_status::Ok;
+    if (wasAway && answers) {
+      // The other read was left out.
+      ReadUpstreams();
+      return;
     }
-    mUpstreamTimer =
-      mTimers.After(NextDelay(read, aSent), [this] { ReadUpstreams(); });
-  }
-
-  steady_duration NextDelay(bool aRead, boot_time aSent) const
-  {
-    if (!aRead) {
-      return mSettings.mRetryDelay;
+    if (--mReadsLeft > 0) {
+      return;
+    }
+    if (mAway) {
+      FetchFromAnyone();
+      return;
     }
-    const auto passed = mHooks.mNow() - aSent;
-    return std::max<steady_duration>(mSettings.mPeriod - passed,
-                                     milliseconds::zero());
+    EndRound(!mReadFailed);
   }
 
-  // Follows whether the store answers here, and turns to a peer if not.
-  void NoteCall(platform_status aStatus)
+  // Follows whether the store's contents reach this gateway.
+  void NoteAnswer(bool aAnswers, std::string_view aDetail)
   {
-    const bool answers =
-      aStatus == platform_status::Ok || aStatus == platform_status::NotFound;
     const auto now = mHooks.mNow();
-    if (answers && mAway) {
+    if (aAnswers && mAway) {
       LogEvent(log_level::Info,
                "store_regained",
-               { { "away_ms", Milliseconds(now - mAwaySince) } });
+               { { "away_ms", Milliseconds(now - mAwaySince) },
+                 { "detail", aDetail } });
       mBackAt = now;
-    } else if (!answers && !mAway) {
-      LogEvent(log_level::Warning,
-               "store_lost",
-               { { "status", ToText(aStatus) },
-                 { "routing_version", mRouting.Version() } });
+    } else if (!aAnswers && !mAway) {
+      LogEvent(
+        log_level::Warning,
+        "store_lost",
+        { { "detail", aDetail }, { "routing_version", mRouting.Version() } });
       mAwaySince = now;
     }
-    mAway = !answers;
-    if (mAway) {
-      AskPeer();
-    }
+    mAway = !aAnswers;
   }
 
-  void AskPeer()
+  // Some other gateway may reach the store although this one does not.
+  void FetchFromAnyone()
   {
-    if (mAsking || !mHooks.mAskPeer) {
-      return;
-    }
-    mAsking = true;
-    const auto sent = mHooks.mNow();
-    mHooks.mAskPeer(IfAlive([this, sent](std::optional<store_copy> aCopy) {
-      mAsking = false;
-      if (aCopy) {
-        TakeCopy(std::move(*aCopy), sent);
-      }
-    }));
+    const auto asked = mHooks.mNow();
+    mHooks.mFetch(std::nullopt,
+                  IfAlive([this, asked](std::optional<store_copy> aCopy) {
+                    if (aCopy) {
+                      TakeCopy(std::move(*aCopy), asked);
+                    }
+                    EndRound(false);
+                  }));
   }
 
   // The copy was made after it was asked for, so its ages count from there.
@@ -154,8 +243,9 @@
   {
     TakeRouting(aCopy.mRouting, aAsked - aCopy.mRoutingAge, "peer");
     const auto read = aAsked - aCopy.mUpstreamsAge;
-    if (read > mUpstreamsRead) {
-      TakeUpstreams(std::move(aCopy.mUpstreams), read, "peer");
+    if (!mUpstreamsRead || read > *mUpstreamsRead) {
+      mUpstreamsRead = read;
+      TakeEntries(aCopy.mUpstreams, list_trust::Whole, "peer");
     }
   }
 
@@ -168,6 +258,9 @@
       mRouting.Confirm(aSent);
       return;
     }
+    if (aObject.mVersion < mRoutingObject.mVersion) {
+      return;
+    }
     auto config = mProtocol.mReadRouting(aObject.mValue);
     if (!config) {
       LogEvent(log_level::Error,
@@ -181,10 +274,10 @@
     auto table = std::make_shared<policy::route_table>(std::move(*config));
     const auto routes = table->Config().mRoutes.size();
     const auto accounts = table->Config().mAccounts.size();
+    mRoutingObject = aObject;
     if (!mRouting.Apply(std::move(table), aSent)) {
       return;
     }
-    mRoutingObject = aObject;
     LogEvent(log_level::Info,
              "routing_changed",
              { { "source", aSource },
@@ -193,14 +286,10 @@
                { "routes", routes },
                { "accounts", accounts },
                { "read_age_ms", Milliseconds(mHooks.mNow() - aSent) } });
-    if (mHooks.mRoutingChanged) {
-      mHooks.mRoutingChanged();
-    }
+    mHooks.mChanged();
   }
 
-  void TakeUpstreams(std::vector<platform_object> aObjects,
-                     boot_time aSent,
-                     std::string_view aSource)
+  void TakeList(std::span<const platform_object> aObjects, boot_time aSent)
   {
     std::vector<upstream_entry> entries;
     for (const auto& object : aObjects) {
@@ -209,32 +298,53 @@
         entries.push_back(std::move(*entry));
       }
     }
+    if (mUpstreamsRead && aSent < *mUpstreamsRead) {
+      return;
+    }
+    mUpstreamsRead = aSent;
     const bool justBack =
       mBackAt && mHooks.mNow() - *mBackAt < mSettings.mLapseGrace;
-    const auto trust = justBack ? list_trust::JustBack : list_trust::Whole;
-    const auto change = mUpstreams.ApplyList(entries, trust);
-    mUpstreamsRead = aSent;
-    mUpstreamObjects = std::move(aObjects);
-    LogChange(change, aSource, justBack);
+    const bool mayLapse = justBack || mAway;
+    TakeEntries(
+      entries, mayLapse ? list_trust::JustBack : list_trust::Whole, "store");
   }
 
-  void LogChange(const directory_change& aChange,
-                 std::string_view aSource,
-                 bool aJustBack) const
+  void TakeEntries(std::span<const upstream_entry> aEntries,
+                   list_trust aTrust,
+                   std::string_view aSource)
   {
-    if (aChange.Empty()) {
+    const auto change = mUpstreams.ApplyList(aEntries, aTrust);
+    if (change.Empty()) {
       return;
     }
     LogEvent(
       log_level::Info,
       "upstreams_changed",
       { { "source", aSource },
-        { "added", JoinNames(aChange.mAdded) },
-        { "draining", JoinNames(aChange.mDraining) },
-        { "gone", JoinNames(aChange.mGone) },
+        { "added", JoinNames(change.mAdded) },
+        { "draining", JoinNames(change.mDraining) },
+        { "gone", JoinNames(change.mGone) },
         { "known", mUpstreams.Size() },
-        { "store_just_back", static_cast<int>(aJustBack) },
-        { "read_age_ms", Milliseconds(mHooks.mNow() - mUpstreamsRead) } });
+        { "store_just_back", static_cast<int>(aTrust == list_trust::JustBack) },
+        { "read_age_ms", Milliseconds(mHooks.mNow() - *mUpstreamsRead) } });
+    mHooks.mChanged();
+  }
+
+  bool HasBoth() const
+  {
+    return mRoutingObject.mVersion != kNoObject && mRouting.Table() &&
+           mUpstreamsRead.has_value();
+  }
+
+  // Rounded up, so that nothing ever looks fresher than it is.
+  milliseconds RoutingAge() const
+  {
+    return std::chrono::ceil<milliseconds>(
+      mRouting.Age(mHooks.mNow()).value_or(std::chrono::hours(24)));
+  }
+  milliseconds UpstreamsAge() const
+  {
+    return std::chrono::ceil<milliseconds>(mHooks.mNow() - *mUpstreamsRead);
   }
 
   platform_api& mPlatform;
@@ -245,20 +355,27 @@
   store_reader_settings mSettings;
   store_reader_hooks mHooks;
 
-  // As last read, for peers.
+  // As last read; its version only rises.
   platform_object mRoutingObject;
-  std::vector<platform_object> mUpstreamObjects;
-  boot_time mUpstreamsRead{};
+  // When the read of what mUpstreams holds was sent; only rises. Unset before
+  // the first.
+  std::optional<boot_time> mUpstreamsRead;
+
+  bool mInRound = false;
+  boot_time mRoundBegun{};
+  // Readers that have not been asked in this round.
+  std::vector<vm_id> mReaders;
+  // Calls to the store that this round waits for.
+  int mReadsLeft = 0;
+  bool mReadFailed = false;
 
-  // The last call failed.
+  // The store's contents do not reach this gateway.
   bool mAway = false;
   // Only meaningful while mAway.
   boot_time mAwaySince{};
   // Unset before the first return.
   std::optional<boot_time> mBackAt;
-  bool mAsking = false;
-  timer_subscription mRoutingTimer;
-  timer_subscription mUpstreamTimer;
+  timer_subscription mRoundTimer;
 };
 
 store_reader::store_reader(platform_api& aPlatform,
@@ -283,28 +400,41 @@
 void
 store_reader::Start()
 {
-  mState->ReadRouting();
-  mState->ReadUpstreams();
+  mState->BeginRound();
+}
+
+void
+store_reader::Hear(const store_summary& aSummary)
+{
+  mState->Hear(aSummary);
 }
 
 std::optional<store_copy>
 store_reader::Copy() const
 {
-  const auto now = mState->mHooks.mNow();
-  const auto age = mState->mRouting.Age(now);
-  const bool complete = mState->mRoutingObject.mVersion != kNoObject &&
-                        mState->mUpstreamsRead != boot_time{};
-  if (!age || !complete) {
+  if (!mState->HasBoth()) {
     return std::nullopt;
   }
   store_copy copy;
   copy.mRouting = mState->mRoutingObject;
-  copy.mUpstreams = mState->mUpstreamObjects;
-  // Rounded up, so that the copy never looks fresher than it is.
-  copy.mRoutingAge = std::chrono::ceil<milliseconds>(*age);
-  copy.mUpstreamsAge =
-    std::chrono::ceil<milliseconds>(now - mState->mUpstreamsRead);
+  copy.mUpstreams = mState->mUpstreams.Entries();
+  copy.mRoutingAge = mState->RoutingAge();
+  copy.mUpstreamsAge = mState->UpstreamsAge();
   return copy;
 }
 
+std::optional<store_summary>
+store_reader::Summary() const
+{
+  if (!mState->HasBoth()) {
+    return std::nullopt;
+  }
+  store_summary summary;
+  summary.mRoutingAge = mState->RoutingAge();
+  summary.mRoutingRevision = mState->mRoutingObject.mVersion;
+  summary.mUpstreamsAge = mState->UpstreamsAge();
+  summary.mUpstreamsDigest = mState->mUpstreams.Digest();
+  return summary;
+}
+
 } // namespace sapphirespar::gateway
--- /dev/null
+++ b/src/sapphirespar/gateway/store_reader_test.cpp
@@ -0,0 +1,275 @@
+// Tests of reading the store, alone and for others, under virtual time.
+#include "sapphirespar/gateway/store_reader.hpp"
+
+#include "store_copy_codec.hpp"
+
+#include "sapphirespar/model/fake_platform.hpp"
+
+#include <gtest/gtest.h>
+
+#include <charconv>
+
+namespace sapphirespar::gateway {
+namespace {
+
+using namespace std::chrono_literals;
+
+// Routings are numbers, upstreams the port that they listen on.
+protocol
+NumberProtocol()
+{
+  protocol made;
+  made.mRoutingKind = "config";
+  made.mRoutingName = "main";
+  made.mUpstreamKind = "servers";
+  made.mReadRouting =
+    [](std::string_view aValue) -> std::optional<routing_config> {
+    routing_config config;
+    std::from_chars(
+      aValue.data(), aValue.data() + aValue.size(), config.mVersion);
+    return config.mVersion > 0 ? std::optional(config) : std::nullopt;
+  };
+  made.mReadUpstream =
+    [](std::string_view aName,
+       std::string_view aValue) -> std::optional<upstream_entry> {
+    upstream_entry entry;
+    entry.mId = { std::string(aName) };
+    entry.mPool = "pool";
+    std::from_chars(aValue.data(), aValue.data() + aValue.size(), entry.mPort);
+    return entry.mPort != 0 ? std::optional(entry) : std::nullopt;
+  };
+  return made;
+}
+
+// One gateway with its own path to the store.
+struct reading_gateway
+{
+  reading_gateway(manual_timer_service& aTimers,
+                  std::shared_ptr<fake_store> aStore)
+    : mTimers(aTimers)
+    , mPlatform(aTimers, std::move(aStore))
+    , mReader(mPlatform, aTimers, mProtocol, mRouting, mUpstreams, {}, Hooks())
+  {
+  }
+
+  boot_time Now() const { return boot_time(mTimers.Now().time_since_epoch()); }
+
+  std::size_t Members() const { return mUpstreams.Members("pool").size(); }
+
+  store_reader_hooks Hooks()
+  {
+    store_reader_hooks hooks;
+    hooks.mNow = [this] { return Now(); };
+    hooks.mReaders = [this] {
+      return mPeer ? std::vector<vm_id>{ { "peer" } } : std::vector<vm_id>{};
+    };
+    hooks.mAsk = [this](const vm_id&, summary_callback aDone) {
+      ++mAsked;
+      Later([this, aDone] {
+        aDone(mPeerAnswers ? mPeer->mReader.Summary() : std::nullopt);
+      });
+    };
+    hooks.mFetch = [this](const std::optional<vm_id>&, copy_callback aDone) {
+      Later([this, aDone] {
+        const auto* from = mPeer ? mPeer : mOther;
+        const auto copy =
+          from && mPeerAnswers ? from->mReader.Copy() : std::nullopt;
+        aDone(copy ? DecodeStoreCopy(EncodeStoreCopy(*copy)) : std::nullopt);
+      });
+    };
+    hooks.mChanged = [this] { ++mChanges; };
+    return hooks;
+  }
+
+  void Later(std::function<void()> aWork)
+  {
+    mPending.push_back(mTimers.After(mPeerDelay, std::move(aWork)));
+  }
+
+  manual_timer_service& mTimers;
+  protocol mProtocol = NumberProtocol();
+  routing_state mRouting;
+  upstream_directory mUpstreams;
+  fake_platform mPlatform;
+  // Reads the store for this one; null if it reads itself.
+  reading_gateway* mPeer = nullptr;
+  // Has read the store, but not for this one.
+  reading_gateway* mOther = nullptr;
+  bool mPeerAnswers = true;
+  std::chrono::milliseconds mPeerDelay{ 1 };
+  unsigned mAsked = 0;
+  unsigned mChanges = 0;
+  std::vector<timer_subscription> mPending;
+  store_reader mReader;
+};
+
+class store_reads : public testing::Test
+{
+protected:
+  store_reads()
+  {
+    Write({ "config", "main" }, "7");
+    Write({ "servers", "a" }, "80");
+    Write({ "servers", "b" }, "81");
+  }
+
+  void Write(object_key aKey, std::string aValue)
+  {
+    const auto* known = mStore->Find(aKey);
+    const bool exists = known && !known->mDeleted;
+    const auto version = exists ? known->mVersion : kNoObject;
+    mStore->Write(aKey, std::move(aValue), false, version);
+  }
+
+  void Remove(object_key aKey)
+  {
+    mStore->Write(aKey, {}, true, mStore->Find(aKey)->mVersion);
+  }
+
+  manual_timer_service mTimers;
+  std::shared_ptr<fake_store> mStore = std::make_shared<fake_store>();
+};
+
+TEST_F(store_reads, FollowsTheStoreWithinItsPeriod)
+{
+  reading_gateway gateway(mTimers, mStore);
+  EXPECT_FALSE(gateway.mReader.Copy());
+  gateway.mReader.Start();
+  mTimers.Advance(10ms);
+  EXPECT_EQ(gateway.mRouting.Version(), 7U);
+  EXPECT_EQ(gateway.Members(), 2U);
+  Write({ "config", "main" }, "9");
+  Remove({ "servers", "a" });
+  mTimers.Advance(700ms);
+  EXPECT_EQ(gateway.mRouting.Version(), 9U);
+  EXPECT_EQ(gateway.Members(), 1U);
+  EXPECT_EQ(gateway.mChanges, 4U);
+}
+
+TEST_F(store_reads, TakesBackWhatLapsedWhileTheStoreWasAway)
+{
+  reading_gateway gateway(mTimers, mStore);
+  gateway.mReader.Start();
+  mTimers.Advance(10ms);
+  gateway.mPlatform.Faults().mOutage = true;
+  mTimers.Advance(8s);
+  EXPECT_EQ(gateway.Members(), 2U);
+  EXPECT_GT(gateway.mRouting.Age(gateway.Now()), 7s);
+  // Both entries lapsed; only one comes back.
+  Remove({ "servers", "a" });
+  Remove({ "servers", "b" });
+  gateway.mPlatform.Faults().mOutage = false;
+  mTimers.Advance(1s);
+  EXPECT_EQ(gateway.Members(), 2U);
+  Write({ "servers", "a" }, "80");
+  mTimers.Advance(3s);
+  EXPECT_EQ(gateway.Members(), 1U);
+}
+
+TEST_F(store_reads, OneReadsForAnother)
+{
+  reading_gateway reader(mTimers, mStore);
+  reading_gateway other(mTimers, mStore);
+  other.mPeer = &reader;
+  reader.mReader.Start();
+  mTimers.Advance(10ms);
+  other.mReader.Start();
+  mTimers.Advance(10ms);
+  EXPECT_EQ(other.mRouting.Version(), 7U);
+  EXPECT_EQ(other.Members(), 2U);
+  Write({ "config", "main" }, "9");
+  Remove({ "servers", "a" });
+  mTimers.Advance(1300ms);
+  EXPECT_EQ(other.mRouting.Version(), 9U);
+  EXPECT_EQ(other.Members(), 1U);
+  EXPECT_EQ(other.mPlatform.Calls().Total(), 0U);
+  // Never fresher than the reader's own knowledge.
+  EXPECT_GE(other.mRouting.Age(other.Now()), reader.mRouting.Age(reader.Now()));
+}
+
+TEST_F(store_reads, NewsIsFetchedAtOnce)
+{
+  reading_gateway reader(mTimers, mStore);
+  reading_gateway other(mTimers, mStore);
+  other.mPeer = &reader;
+  reader.mReader.Start();
+  other.mReader.Start();
+  mTimers.Advance(1s);
+  Write({ "config", "main" }, "9");
+  while (reader.mRouting.Version() != 9) {
+    mTimers.Advance(10ms);
+  }
+  other.mReader.Hear(*reader.mReader.Summary());
+  mTimers.Advance(20ms);
+  EXPECT_EQ(other.mRouting.Version(), 9U);
+  const auto asked = other.mAsked;
+  other.mReader.Hear(*reader.mReader.Summary());
+  mTimers.Advance(20ms);
+  EXPECT_EQ(other.mAsked, asked);
+}
+
+TEST_F(store_reads, ReadsItselfWhereNoReaderIsOfUse)
+{
+  reading_gateway reader(mTimers, mStore);
+  reading_gateway other(mTimers, mStore);
+  other.mPeer = &reader;
+  reader.mReader.Start();
+  other.mReader.Start();
+  mTimers.Advance(1s);
+  // The reader does not reach the store any more.
+  reader.mPlatform.Faults().mOutage = true;
+  Write({ "config", "main" }, "9");
+  mTimers.Advance(3s);
+  EXPECT_EQ(other.mRouting.Version(), 9U);
+  // Nor does it answer.
+  other.mPeerAnswers = false;
+  Write({ "config", "main" }, "11");
+  mTimers.Advance(2s);
+  EXPECT_EQ(other.mRouting.Version(), 11U);
+  EXPECT_LT(other.mRouting.Age(other.Now()), 1s);
+}
+
+TEST_F(store_reads, WhoIsCutOffFromTheStoreTakesWhatOthersHaveRead)
+{
+  reading_gateway sound(mTimers, mStore);
+  reading_gateway cut(mTimers, mStore);
+  cut.mOther = &sound;
+  sound.mReader.Start();
+  cut.mReader.Start();
+  mTimers.Advance(1s);
+  cut.mPlatform.Faults().mOutage = true;
+  Write({ "config", "main" }, "9");
+  mTimers.Advance(3s);
+  EXPECT_EQ(cut.mRouting.Version(), 9U);
+  EXPECT_LT(cut.mRouting.Age(cut.Now()), 2s);
+}
+
+TEST_F(store_reads, KeepsOnWithWhatItKnowsWhenAnEntryCannotBeRead)
+{
+  reading_gateway gateway(mTimers, mStore);
+  gateway.mReader.Start();
+  mTimers.Advance(10ms);
+  Write({ "config", "main" }, "nonsense");
+  Write({ "servers", "b" }, "nonsense");
+  mTimers.Advance(1s);
+  EXPECT_EQ(gateway.mRouting.Version(), 7U);
+  EXPECT_EQ(gateway.Members(), 1U);
+}
+
+TEST_F(store_reads, ACopySurvivesItsJourneyAndDamageDoesNot)
+{
+  reading_gateway gateway(mTimers, mStore);
+  gateway.mReader.Start();
+  mTimers.Advance(10ms);
+  const auto copy = gateway.mReader.Copy();
+  ASSERT_TRUE(copy);
+  const auto read = DecodeStoreCopy(EncodeStoreCopy(*copy));
+  ASSERT_TRUE(read);
+  EXPECT_EQ(read->mUpstreams, copy->mUpstreams);
+  EXPECT_EQ(read->mRouting.mValue, "7");
+  EXPECT_FALSE(DecodeStoreCopy("{}"));
+  EXPECT_FALSE(DecodeStoreCopy("nonsense"));
+}
+
+} // namespace
+} // namespace sapphirespar::gateway
--- a/src/sapphirespar/gateway/upstream_directory.cpp
+++ b/src/sapphirespar/gateway/upstream_directory.cpp
@@ -5,7 +5,9 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 #include <set>
+#include <string>
 
 namespace sapphirespar::gateway {
 namespace {
@@ -112,6 +114,7 @@
   }
   std::ranges::for_each(missing,
                         [&](const upstream_id& aId) { Drop(aId, change); });
+  mDigest = MakeDigest();
   return change;
 }
 
@@ -124,6 +127,33 @@
   aChange.mGone.push_back(std::move(aId));
 }
 
+std::vector<upstream_entry>
+upstream_directory::Entries() const
+{
+  std::vector<upstream_entry> entries;
+  std::ranges::transform(
+    mUpstreams, std::back_inserter(entries), [](const auto& aItem) {
+      return aItem.second->mEntry;
+    });
+  return entries;
+}
+
+std::uint64_t
+upstream_directory::MakeDigest() const
+{
+  std::uint64_t digest = mUpstreams.size();
+  for (const auto& [id, known] : mUpstreams) {
+    const auto& entry = known->mEntry;
+    const std::string text = entry.mPool + ' ' + entry.mAddress + ' ' +
+                             std::to_string(entry.mPort) + ' ' +
+                             std::to_string(entry.mSlots) + ' ' +
+                             std::to_string(static_cast<int>(entry.mDraining));
+    digest =
+      XXH3_64bits_withSeed(text.data(), text.size(), digest ^ known->mKey);
+  }
+  return digest;
+}
+
 void
 upstream_directory::SetOthers(
   const std::unordered_map<std::uint64_t, policy::upstream_load>& aLoads)
--- a/src/sapphirespar/gateway/upstream_directory_test.cpp
+++ b/src/sapphirespar/gateway/upstream_directory_test.cpp
@@ -94,6 +94,26 @@
   EXPECT_TRUE(directory.OwnLoads().empty());
 }
 
+TEST(UpstreamDirectory, ItsDigestFollowsWhatMatters)
+{
+  upstream_directory first;
+  upstream_directory second;
+  std::vector entries{ Entry("a"), Entry("b") };
+  first.ApplyList(entries, list_trust::Whole);
+  second.ApplyList(first.Entries(), list_trust::Whole);
+  EXPECT_EQ(first.Digest(), second.Digest());
+  // A heartbeat that only counts down changes nothing.
+  entries[0].mColdRemaining = 30ms;
+  first.ApplyList(entries, list_trust::Whole);
+  EXPECT_EQ(first.Digest(), second.Digest());
+  entries[0].mDraining = true;
+  first.ApplyList(entries, list_trust::Whole);
+  EXPECT_NE(first.Digest(), second.Digest());
+  entries[0] = Entry("a", 2);
+  second.ApplyList(entries, list_trust::Whole);
+  EXPECT_NE(first.Digest(), second.Digest());
+}
+
 TEST(PromptMemory, ForgetsWhatNobodyUsed)
 {
   prompt_memory memory;
--- a/src/sapphirespar/policy/engine_choice.cpp
+++ b/src/sapphirespar/policy/engine_choice.cpp
@@ -113,8 +113,7 @@
     }
     if (homes.mFirst == none || weight(index) > weight(homes.mFirst)) {
       homes.mSecond = std::exchange(homes.mFirst, index);
-    } else if (homes.mSecond == none ||
-               weight(index) > weight(homes.mSecond)) {
+    } else if (homes.mSecond == none || weight(index) > weight(homes.mSecond)) {
       homes.mSecond = index;
     }
   }
--- a/src/sapphirespar/policy/engine_choice_test.cpp
+++ b/src/sapphirespar/policy/engine_choice_test.cpp
@@ -132,8 +132,8 @@
 {
   EXPECT_TRUE(rc::check([] {
     auto engines = Engines(6);
-    const auto work = *rc::gen::arbitrary<bool>() ? LongPrompt(3)
-                                                  : ShortPrompt(3);
+    const auto work =
+      *rc::gen::arbitrary<bool>() ? LongPrompt(3) : ShortPrompt(3);
     for (auto& engine : engines) {
       engine.mLoad.mOtherTokens = *rc::gen::inRange(0, 100'000);
       engine.mLoad.mRunning = *rc::gen::inRange(0, 64);
@@ -213,16 +213,14 @@
   for (double now = 0; now < kLengthMs; now += gap(random)) {
     if (kind(random) < kLongPerMs) {
       ++longs;
-      longsInTime += load.Play(LongPrompt(subject(random)), now) <
-                         kLongInTimeMs
-                       ? 1
-                       : 0;
+      longsInTime +=
+        load.Play(LongPrompt(subject(random)), now) < kLongInTimeMs ? 1 : 0;
     } else {
       ++shorts;
-      shortsInTime += load.Play(ShortPrompt(1000 + subject(random)), now) <
-                          kShortInTimeMs
-                        ? 1
-                        : 0;
+      shortsInTime +=
+        load.Play(ShortPrompt(1000 + subject(random)), now) < kShortInTimeMs
+          ? 1
+          : 0;
     }
   }
   EXPECT_GE(longsInTime, longs * 99 / 100);
--- a/src/sapphirespar/wire/gen/gossip_types.cpp
+++ b/src/sapphirespar/wire/gen/gossip_types.cpp
@@ -259,10 +259,6 @@
   this->leaving = val;
 }
 
-void gossip_state::__set_routing_version(const int64_t val) {
-  this->routing_version = val;
-}
-
 void gossip_state::__set_loads(const std::vector<gossip_load> & val) {
   this->loads = val;
 }
@@ -270,6 +266,26 @@
 void gossip_state::__set_asks(const bool val) {
   this->asks = val;
 }
+
+void gossip_state::__set_answers(const int64_t val) {
+  this->answers = val;
+}
+
+void gossip_state::__set_routing_age_ms(const int32_t val) {
+  this->routing_age_ms = val;
+}
+
+void gossip_state::__set_routing_revision(const int64_t val) {
+  this->routing_revision = val;
+}
+
+void gossip_state::__set_upstreams_age_ms(const int32_t val) {
+  this->upstreams_age_ms = val;
+}
+
+void gossip_state::__set_upstreams_digest(const int64_t val) {
+  this->upstreams_digest = val;
+}
 std::ostream& operator<<(std::ostream& out, const gossip_state& obj)
 {
   obj.printTo(out);
@@ -370,14 +386,6 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 10:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->routing_version);
-          this->__isset.routing_version = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
       case 11:
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
@@ -406,6 +414,46 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->answers);
+          this->__isset.answers = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->routing_age_ms);
+          this->__isset.routing_age_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 15:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->routing_revision);
+          this->__isset.routing_revision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 16:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->upstreams_age_ms);
+          this->__isset.upstreams_age_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 17:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->upstreams_digest);
+          this->__isset.upstreams_digest = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -459,10 +507,6 @@
   xfer += oprot->writeBool(this->leaving);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("routing_version", ::apache::thrift::protocol::T_I64, 10);
-  xfer += oprot->writeI64(this->routing_version);
-  xfer += oprot->writeFieldEnd();
-
   xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 11);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
@@ -479,6 +523,26 @@
   xfer += oprot->writeBool(this->asks);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("answers", ::apache::thrift::protocol::T_I64, 13);
+  xfer += oprot->writeI64(this->answers);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("routing_age_ms", ::apache::thrift::protocol::T_I32, 14);
+  xfer += oprot->writeI32(this->routing_age_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("routing_revision", ::apache::thrift::protocol::T_I64, 15);
+  xfer += oprot->writeI64(this->routing_revision);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("upstreams_age_ms", ::apache::thrift::protocol::T_I32, 16);
+  xfer += oprot->writeI32(this->upstreams_age_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("upstreams_digest", ::apache::thrift::protocol::T_I64, 17);
+  xfer += oprot->writeI64(this->upstreams_digest);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -495,9 +559,13 @@
   swap(a.admin_port, b.admin_port);
   swap(a.ready, b.ready);
   swap(a.leaving, b.leaving);
-  swap(a.routing_version, b.routing_version);
   swap(a.loads, b.loads);
   swap(a.asks, b.asks);
+  swap(a.answers, b.answers);
+  swap(a.routing_age_ms, b.routing_age_ms);
+  swap(a.routing_revision, b.routing_revision);
+  swap(a.upstreams_age_ms, b.upstreams_age_ms);
+  swap(a.upstreams_digest, b.upstreams_digest);
   swap(a.__isset, b.__isset);
 }
 
@@ -511,9 +579,13 @@
   admin_port = other10.admin_port;
   ready = other10.ready;
   leaving = other10.leaving;
-  routing_version = other10.routing_version;
   loads = other10.loads;
   asks = other10.asks;
+  answers = other10.answers;
+  routing_age_ms = other10.routing_age_ms;
+  routing_revision = other10.routing_revision;
+  upstreams_age_ms = other10.upstreams_age_ms;
+  upstreams_digest = other10.upstreams_digest;
   __isset = other10.__isset;
 }
 gossip_state::gossip_state(gossip_state&& other11) noexcept {
@@ -526,9 +598,13 @@
   admin_port = other11.admin_port;
   ready = other11.ready;
   leaving = other11.leaving;
-  routing_version = other11.routing_version;
   loads = std::move(other11.loads);
   asks = other11.asks;
+  answers = other11.answers;
+  routing_age_ms = other11.routing_age_ms;
+  routing_revision = other11.routing_revision;
+  upstreams_age_ms = other11.upstreams_age_ms;
+  upstreams_digest = other11.upstreams_digest;
   __isset = other11.__isset;
 }
 gossip_state& gossip_state::operator=(const gossip_state& other12) {
@@ -541,9 +617,13 @@
   admin_port = other12.admin_port;
   ready = other12.ready;
   leaving = other12.leaving;
-  routing_version = other12.routing_version;
   loads = other12.loads;
   asks = other12.asks;
+  answers = other12.answers;
+  routing_age_ms = other12.routing_age_ms;
+  routing_revision = other12.routing_revision;
+  upstreams_age_ms = other12.upstreams_age_ms;
+  upstreams_digest = other12.upstreams_digest;
   __isset = other12.__isset;
   return *this;
 }
@@ -557,9 +637,13 @@
   admin_port = other13.admin_port;
   ready = other13.ready;
   leaving = other13.leaving;
-  routing_version = other13.routing_version;
   loads = std::move(other13.loads);
   asks = other13.asks;
+  answers = other13.answers;
+  routing_age_ms = other13.routing_age_ms;
+  routing_revision = other13.routing_revision;
+  upstreams_age_ms = other13.upstreams_age_ms;
+  upstreams_digest = other13.upstreams_digest;
   __isset = other13.__isset;
   return *this;
 }
@@ -575,9 +659,13 @@
   out << ", " << "admin_port=" << to_string(admin_port);
   out << ", " << "ready=" << to_string(ready);
   out << ", " << "leaving=" << to_string(leaving);
-  out << ", " << "routing_version=" << to_string(routing_version);
   out << ", " << "loads=" << to_string(loads);
   out << ", " << "asks=" << to_string(asks);
+  out << ", " << "answers=" << to_string(answers);
+  out << ", " << "routing_age_ms=" << to_string(routing_age_ms);
+  out << ", " << "routing_revision=" << to_string(routing_revision);
+  out << ", " << "upstreams_age_ms=" << to_string(upstreams_age_ms);
+  out << ", " << "upstreams_digest=" << to_string(upstreams_digest);
   out << ")";
 }
 
--- a/src/sapphirespar/wire/gen/gossip_types.h
+++ b/src/sapphirespar/wire/gen/gossip_types.h
@@ -100,7 +100,7 @@
 std::ostream& operator<<(std::ostream& out, const gossip_load& obj);
 
 typedef struct _gossip_state__isset {
-  _gossip_state__isset() : vm(false), incarnation(false), sequence(false), data_centre(false), address(false), caller_port(false), admin_port(false), ready(false), leaving(false), routing_version(false), loads(false), asks(false) {}
+  _gossip_state__isset() : vm(false), incarnation(false), sequence(false), data_centre(false), address(false), caller_port(false), admin_port(false), ready(false), leaving(false), loads(false), asks(false), answers(false), routing_age_ms(false), routing_revision(false), upstreams_age_ms(false), upstreams_digest(false) {}
   bool vm :1;
   bool incarnation :1;
   bool sequence :1;
@@ -110,9 +110,13 @@
   bool admin_port :1;
   bool ready :1;
   bool leaving :1;
-  bool routing_version :1;
   bool loads :1;
   bool asks :1;
+  bool answers :1;
+  bool routing_age_ms :1;
+  bool routing_revision :1;
+  bool upstreams_age_ms :1;
+  bool upstreams_digest :1;
 } _gossip_state__isset;
 
 class gossip_state : public virtual ::apache::thrift::TBase {
@@ -132,8 +136,12 @@
                  admin_port(0),
                  ready(0),
                  leaving(0),
-                 routing_version(0),
-                 asks(0) {
+                 asks(0),
+                 answers(0),
+                 routing_age_ms(0),
+                 routing_revision(0),
+                 upstreams_age_ms(0),
+                 upstreams_digest(0) {
   }
 
   virtual ~gossip_state() noexcept;
@@ -146,9 +154,13 @@
   int32_t admin_port;
   bool ready;
   bool leaving;
-  int64_t routing_version;
   std::vector<gossip_load>  loads;
   bool asks;
+  int64_t answers;
+  int32_t routing_age_ms;
+  int64_t routing_revision;
+  int32_t upstreams_age_ms;
+  int64_t upstreams_digest;
 
   _gossip_state__isset __isset;
 
@@ -170,12 +182,20 @@
 
   void __set_leaving(const bool val);
 
-  void __set_routing_version(const int64_t val);
-
   void __set_loads(const std::vector<gossip_load> & val);
 
   void __set_asks(const bool val);
 
+  void __set_answers(const int64_t val);
+
+  void __set_routing_age_ms(const int32_t val);
+
+  void __set_routing_revision(const int64_t val);
+
+  void __set_upstreams_age_ms(const int32_t val);
+
+  void __set_upstreams_digest(const int64_t val);
+
   bool operator == (const gossip_state & rhs) const
   {
     if (!(vm == rhs.vm))
@@ -196,12 +216,20 @@
       return false;
     if (!(leaving == rhs.leaving))
       return false;
-    if (!(routing_version == rhs.routing_version))
-      return false;
     if (!(loads == rhs.loads))
       return false;
     if (!(asks == rhs.asks))
       return false;
+    if (!(answers == rhs.answers))
+      return false;
+    if (!(routing_age_ms == rhs.routing_age_ms))
+      return false;
+    if (!(routing_revision == rhs.routing_revision))
+      return false;
+    if (!(upstreams_age_ms == rhs.upstreams_age_ms))
+      return false;
+    if (!(upstreams_digest == rhs.upstreams_digest))
+      return false;
     return true;
   }
   bool operator != (const gossip_state &rhs) const {
--- a/src/sapphirespar/wire/gossip_codec.cpp
+++ b/src/sapphirespar/wire/gossip_codec.cpp
@@ -50,6 +50,14 @@
   return load;
 }
 
+// Ages beyond a day are all alike.
+std::int32_t
+ToAge(std::chrono::milliseconds aAge)
+{
+  constexpr std::chrono::milliseconds kOldest = std::chrono::hours(24);
+  return static_cast<std::int32_t>(std::min(aAge, kOldest).count());
+}
+
 bool
 IsPort(std::int32_t aNumber)
 {
@@ -71,10 +79,18 @@
   state.admin_port = aState.mAdminPort;
   state.ready = aState.mReady;
   state.leaving = aState.mLeaving;
-  state.routing_version = static_cast<std::int64_t>(aState.mRouting);
   std::ranges::transform(
     aState.mLoads, std::back_inserter(state.loads), ToWire);
   state.asks = aState.mAsks;
+  state.answers = static_cast<std::int64_t>(aState.mAnswers);
+  state.routing_age_ms = -1;
+  if (aState.mStore) {
+    const auto& store = *aState.mStore;
+    state.routing_age_ms = ToAge(store.mRoutingAge);
+    state.routing_revision = static_cast<std::int64_t>(store.mRoutingRevision);
+    state.upstreams_age_ms = ToAge(store.mUpstreamsAge);
+    state.upstreams_digest = static_cast<std::int64_t>(store.mUpstreamsDigest);
+  }
   const auto buffer = std::make_shared<TMemoryBuffer>();
   TCompactProtocolT<TMemoryBuffer> protocol(buffer);
   state.write(&protocol);
@@ -113,10 +129,17 @@
   read.mAdminPort = static_cast<std::uint16_t>(state.admin_port);
   read.mReady = state.ready;
   read.mLeaving = state.leaving;
-  read.mRouting = static_cast<routing_version>(state.routing_version);
   std::ranges::transform(
     state.loads, std::back_inserter(read.mLoads), FromWire);
   read.mAsks = state.asks;
+  read.mAnswers = static_cast<std::uint64_t>(state.answers);
+  if (state.routing_age_ms >= 0 && state.upstreams_age_ms >= 0) {
+    read.mStore =
+      store_summary{ std::chrono::milliseconds(state.routing_age_ms),
+                     static_cast<std::uint64_t>(state.routing_revision),
+                     std::chrono::milliseconds(state.upstreams_age_ms),
+                     static_cast<std::uint64_t>(state.upstreams_digest) };
+  }
   return read;
 }
 
--- a/src/sapphirespar/wire/gossip_codec_test.cpp
+++ b/src/sapphirespar/wire/gossip_codec_test.cpp
@@ -23,9 +23,13 @@
   state.mAdminPort = 8081;
   state.mReady = true;
   state.mLeaving = true;
-  state.mRouting = 9;
   state.mLoads = { { 0xffffffffffffffffULL, 1, 2, 3, 4, 5 } };
   state.mAsks = true;
+  state.mAnswers = 13;
+  state.mStore = store_summary{ std::chrono::milliseconds(20),
+                                9,
+                                std::chrono::milliseconds(30),
+                                0xfffffffffffffff0ULL };
   return state;
 }
 
@@ -36,6 +40,13 @@
   EXPECT_EQ(*read, Sample());
 }
 
+TEST(GossipCodec, TellsWhenNothingHasBeenRead)
+{
+  auto state = Sample();
+  state.mStore.reset();
+  EXPECT_EQ(DecodeGossip(EncodeGossip(state)), state);
+}
+
 TEST(GossipCodec, TakesNoDamageForGossipOfNobody)
 {
   EXPECT_FALSE(DecodeGossip(""));
