Refuse bulk work that would be late; split engines by what work occupies

Change: the split follows slots held and reading time of the whole fleet, in steps; interactive work counts only interactive slots as taken; bulk work is refused once its first event would miss its target, interactive work only when its caller would be gone.

--- a/idl/gossip.thrift
+++ b/idl/gossip.thrift
@@ -34,4 +34,7 @@
   15: i64 routing_revision;
   16: i32 upstreams_age_ms;
   17: i64 upstreams_digest;
+  // Thousandths of an engine that the sender's prompts keep reading.
+  18: i32 interactive_reading;
+  19: i32 bulk_reading;
 }
--- a/include/sapphirespar/gateway/forward.hpp
+++ b/include/sapphirespar/gateway/forward.hpp
@@ -5,6 +5,7 @@
 #include "sapphirespar/gateway/protocol.hpp"
 #include "sapphirespar/gateway/routing_state.hpp"
 #include "sapphirespar/gateway/upstream_directory.hpp"
+#include "sapphirespar/policy/engine_split.hpp"
 #include "sapphirespar/policy/fleet_retry_budget.hpp"
 #include "sapphirespar/telemetry/metrics.hpp"
 #include "sapphirespar/wire/http_client.hpp"
@@ -27,6 +28,8 @@
   const routing_state& mRouting;
   upstream_directory& mUpstreams;
   policy::fleet_retry_budget& mRetries;
+  policy::reading_meter& mReading;
+  const policy::engine_split& mSplit;
   wire::http_client& mClient;
   metrics& mMetrics;
   // Highest number of gateways that may be live; zero if not known.
--- a/include/sapphirespar/gateway/peer_board.hpp
+++ b/include/sapphirespar/gateway/peer_board.hpp
@@ -5,6 +5,7 @@
 #include "sapphirespar/base/timer_service.hpp"
 #include "sapphirespar/gateway/protocol.hpp"
 #include "sapphirespar/model/gossip.hpp"
+#include "sapphirespar/policy/engine_split.hpp"
 #include "sapphirespar/policy/upstream_load.hpp"
 
 #include <map>
@@ -69,6 +70,9 @@
   std::unordered_map<std::uint64_t, policy::upstream_load> Loads(
     steady_time aNow) const;
 
+  // The engines that the prompts of all live gateways keep reading.
+  policy::engine_demand Reading(steady_time aNow) const;
+
   // Gateways heard or registered of late, this one included; zero until any
   // other has been heard or the register has been read.
   unsigned MostGateways(steady_time aNow) const;
--- a/include/sapphirespar/gateway/upstream_directory.hpp
+++ b/include/sapphirespar/gateway/upstream_directory.hpp
@@ -5,6 +5,7 @@
 #include "sapphirespar/base/timer_service.hpp"
 #include "sapphirespar/model/gossip.hpp"
 #include "sapphirespar/model/routing.hpp"
+#include "sapphirespar/policy/engine_split.hpp"
 #include "sapphirespar/policy/upstream_load.hpp"
 #include "sapphirespar/policy/upstream_record.hpp"
 
@@ -98,6 +99,9 @@
   // The upstreams of a pool that take new work.
   std::vector<upstream_ptr> Members(std::string_view aPool) const;
 
+  // The engines' worth of slots that the requests of all gateways hold.
+  policy::engine_demand SlotsHeld() const;
+
   // What this gateway tells others of its work.
   std::vector<gossip_load> OwnLoads() const;
 
--- a/include/sapphirespar/model/gossip.hpp
+++ b/include/sapphirespar/model/gossip.hpp
@@ -57,6 +57,9 @@
   bool mAsks = false;
   // Sequence number with which the receiver asked; zero if it did not.
   std::uint64_t mAnswers = 0;
+  // Thousandths of an engine that the sender's prompts keep reading.
+  std::uint32_t mInteractiveReading = 0;
+  std::uint32_t mBulkReading = 0;
   // Unset before anything has been read.
   std::optional<store_summary> mStore;
 
--- a/include/sapphirespar/policy/engine_choice.hpp
+++ b/include/sapphirespar/policy/engine_choice.hpp
@@ -57,10 +57,11 @@
 };
 
 // Returns nothing without candidates. aDraw, between 0 and 1, breaks near ties
-// differently at each router.
+// differently at each router; aInteractiveShare is that of the engines.
 std::optional<engine_choice> ChooseEngine(
   const prompt_work& aWork,
   std::span<const engine_candidate> aCandidates,
+  double aInteractiveShare,
   double aDraw);
 
 // Milliseconds in which an engine reads so many prompt tokens.
--- a/src/sapphirespar/gateway/forward.cpp
+++ b/src/sapphirespar/gateway/forward.cpp
@@ -5,7 +5,9 @@
 #include "placement.hpp"
 
 #include "sapphirespar/base/log.hpp"
+#include "sapphirespar/policy/engine_choice.hpp"
 #include "sapphirespar/policy/retry.hpp"
+#include "sapphirespar/policy/wait_limit.hpp"
 
 #include <algorithm>
 #include <cstdio>
@@ -205,6 +207,11 @@
         co_return refusal;
       }
       mTried.push_back(target->mUpstream);
+      if (mForwarded.mEngine) {
+        mServices.mReading.Add(target->mInteractive,
+                               policy::ReadingMs(target->mTokensToRead),
+                               steady_clock::now());
+      }
       const auto begun = steady_clock::now();
       auto result =
         co_await RunAttempt(mServices, mForwarded, *target, mReply, mProgress);
@@ -222,22 +229,24 @@
     }
   }
 
-  // Refuses at once what would begin only after its caller has given up.
   std::optional<refusal_answer> CheckWait(const attempt_target& aTarget)
   {
     if (!mForwarded.mEngine || mProgress.mSends > 0) {
       return std::nullopt;
     }
-    const auto patience = std::min({ FirstEventPatience(*mForwarded.mRoute),
-                                     LeftUntil(mForwarded.mDue),
-                                     LeftUntil(mForwarded.mCallerDue) });
-    const milliseconds wait(static_cast<std::int64_t>(aTarget.mPredictedMs));
-    if (wait <= patience) {
+    policy::expected_wait wait;
+    wait.mFirstEvent =
+      milliseconds(static_cast<std::int64_t>(aTarget.mPredictedMs));
+    wait.mInteractive = aTarget.mInteractive;
+    wait.mTarget = mForwarded.mRoute->mTargetLatency;
+    wait.mPatience = std::min({ FirstEventPatience(*mForwarded.mRoute),
+                                LeftUntil(mForwarded.mDue),
+                                LeftUntil(mForwarded.mCallerDue) });
+    const auto comeBack = policy::RefuseWait(wait, mServices.mDraw());
+    if (!comeBack) {
       return std::nullopt;
     }
-    return refusal_answer{ 503,
-                           "too_long_a_wait",
-                           std::max(wait - patience, kComeBackSoon) };
+    return refusal_answer{ 503, "too_long_a_wait", *comeBack };
   }
 
   bool MayTryAgain(const attempt_result& aResult)
--- a/src/sapphirespar/gateway/forward_state.hpp
+++ b/src/sapphirespar/gateway/forward_state.hpp
@@ -90,6 +90,9 @@
   upstream_ptr mUpstream;
   // Until the first event.
   double mPredictedMs = 0;
+  // Of an engine: what it will have to read, and for whom.
+  double mTokensToRead = 0;
+  bool mInteractive = false;
   // Shared part that the upstream will have read with the first event.
   std::uint64_t mSharedKey = 0;
   // Ends when the attempt does.
--- a/src/sapphirespar/gateway/forward_world_test.cpp
+++ b/src/sapphirespar/gateway/forward_world_test.cpp
@@ -117,6 +117,8 @@
                                         mRouting,
                                         mUpstreams,
                                         mRetries,
+                                        mReading,
+                                        mSplit,
                                         *mUpstreamClient,
                                         mMetrics,
                                         [] { return 1U; },
--- a/src/sapphirespar/gateway/forward_world_test.hpp
+++ b/src/sapphirespar/gateway/forward_world_test.hpp
@@ -66,6 +66,8 @@
   routing_state mRouting;
   upstream_directory mUpstreams;
   policy::fleet_retry_budget mRetries{ { 0, 1000, std::chrono::seconds(10) } };
+  policy::reading_meter mReading;
+  policy::engine_split mSplit;
   metrics mMetrics;
   // Routes of the host "h"; "/stream/", "/resume/", "/once/" and "/safe/".
   std::vector<route> mRoutes;
--- a/src/sapphirespar/gateway/gateway_app.cpp
+++ b/src/sapphirespar/gateway/gateway_app.cpp
@@ -44,6 +44,9 @@
 constexpr milliseconds kStopMargin{ 400 };
 constexpr milliseconds kStopCheck{ 50 };
 
+// How often the split of the engines is looked at.
+constexpr milliseconds kSplitPeriod{ 200 };
+
 constexpr milliseconds kStoreTimeout{ 1200 };
 constexpr milliseconds kPeerTimeout{ 400 };
 
@@ -110,6 +113,13 @@
   return settings;
 }
 
+std::uint32_t
+ToThousandths(double aNumber)
+{
+  constexpr double kThousand = 1000;
+  return static_cast<std::uint32_t>(kThousand * std::max(aNumber, 0.0));
+}
+
 wire::http_response
 TextResponse(unsigned aStatus, std::string aBody)
 {
@@ -146,6 +156,7 @@
   std::optional<wire::endpoint> AdminOf(const std::optional<vm_id>& aVm);
   void FetchCopy(const std::optional<vm_id>& aVm, copy_callback aDone);
   void StopWhenIdle();
+  void UpdateSplit();
 
   boost::asio::io_context& mContext;
   gateway_settings mSettings;
@@ -161,6 +172,8 @@
   upstream_directory mUpstreams;
   peer_board mPeers;
   policy::fleet_retry_budget mRetries;
+  policy::reading_meter mReading;
+  policy::engine_split mSplit;
   store_reader mReader;
   gateway_register mRegister;
   gossip_link mGossip;
@@ -173,6 +186,7 @@
   std::unique_ptr<wire::http_server> mMetricsServer;
   // Unset unless the process is leaving.
   std::optional<steady_time> mLeaveBegun;
+  timer_subscription mSplitTimer;
   timer_subscription mStopTimer;
 };
 
@@ -213,6 +227,7 @@
   mAdmin = ServePages(mSettings.mAdmin, own(&state::AdminPage));
   mMetricsServer = ServePages(mSettings.mMetrics, own(&state::AdminPage));
   mCallers = ServeCallers();
+  mSplitTimer = mTimers.Every(kSplitPeriod, [this] { UpdateSplit(); });
   mReader.Start();
   mGossip.Start();
   mRegister.Start();
@@ -278,6 +293,8 @@
            .mRouting = mRouting,
            .mUpstreams = mUpstreams,
            .mRetries = mRetries,
+           .mReading = mReading,
+           .mSplit = mSplit,
            .mClient = mUpstreamClient,
            .mMetrics = mMetrics,
            .mGateways = [this] { return mPeers.MostGateways(mTimers.Now()); },
@@ -358,6 +375,9 @@
   own.mLeaving = IsLeaving();
   own.mStore = mReader.Summary();
   own.mLoads = mUpstreams.OwnLoads();
+  const auto reading = mReading.Demand(mTimers.Now());
+  own.mInteractiveReading = ToThousandths(reading.mInteractive);
+  own.mBulkReading = ToThousandths(reading.mBulk);
   return own;
 }
 
@@ -485,6 +505,16 @@
                         boost::asio::detached);
 }
 
+void
+gateway_app::state::UpdateSplit()
+{
+  const auto now = mTimers.Now();
+  auto demand = mUpstreams.SlotsHeld();
+  demand += mPeers.Reading(now);
+  demand += mReading.Demand(now);
+  mSplit.Update(demand, now);
+}
+
 std::optional<milliseconds>
 gateway_app::state::TimeToStop() const
 {
--- a/src/sapphirespar/gateway/peer_board.cpp
+++ b/src/sapphirespar/gateway/peer_board.cpp
@@ -207,6 +207,20 @@
   return loads;
 }
 
+policy::engine_demand
+peer_board::Reading(steady_time aNow) const
+{
+  constexpr double kThousandth = 0.001;
+  policy::engine_demand sum;
+  for (const auto& [vm, known] : mPeers) {
+    if (IsLive(known, aNow)) {
+      sum += { kThousandth * known.mState.mInteractiveReading,
+               kThousandth * known.mState.mBulkReading };
+    }
+  }
+  return sum;
+}
+
 unsigned
 peer_board::MostGateways(steady_time aNow) const
 {
--- a/src/sapphirespar/gateway/placement.cpp
+++ b/src/sapphirespar/gateway/placement.cpp
@@ -142,11 +142,14 @@
     aMembers, std::back_inserter(candidates), [&](const upstream_ptr& aMember) {
       return ToCandidate(*aMember, *aForwarded.mEngine, work.mSharedKey, now);
     });
-  const auto choice = policy::ChooseEngine(work, candidates, aServices.mDraw());
+  const auto choice = policy::ChooseEngine(
+    work, candidates, aServices.mSplit.Share(), aServices.mDraw());
   attempt_target target;
   target.mUpstream = aMembers[choice->mIndex];
   target.mPredictedMs = choice->mFirstEventMs;
   target.mSharedKey = work.mSharedKey;
+  target.mTokensToRead = choice->mTokensToRead;
+  target.mInteractive = work.mInteractive;
   target.mTicket = std::make_unique<work_ticket>(
     target.mUpstream, AddedLoad(work, choice->mTokensToRead));
   return target;
--- a/src/sapphirespar/gateway/upstream_directory.cpp
+++ b/src/sapphirespar/gateway/upstream_directory.cpp
@@ -177,6 +177,23 @@
   return members;
 }
 
+policy::engine_demand
+upstream_directory::SlotsHeld() const
+{
+  policy::engine_demand held;
+  for (const auto& [id, known] : mUpstreams) {
+    auto load = known->mOwn;
+    load += known->mOthers;
+    // Only prompts need memory: plain services hold no slots of engines.
+    if (load.mMemoryTokens > 0 && known->mEntry.mSlots > 0) {
+      const auto slots = static_cast<double>(known->mEntry.mSlots);
+      held += { load.mInteractive / slots,
+                (load.mRunning - load.mInteractive) / slots };
+    }
+  }
+  return held;
+}
+
 std::vector<gossip_load>
 upstream_directory::OwnLoads() const
 {
--- a/src/sapphirespar/policy/engine_choice.cpp
+++ b/src/sapphirespar/policy/engine_choice.cpp
@@ -26,10 +26,6 @@
 // Each running request slows the others by about this much per event.
 constexpr double kRunningMs = 0.5;
 
-// Share of the engines that is kept for interactive work: about its share of
-// the engines' time.
-constexpr double kInteractiveShare = 0.34;
-
 // Reading a shared part again wastes the engine's time and memory, so a request
 // rather waits this long for each of its tokens at the engine that has it.
 constexpr double kRereadMsPerToken = 0.25;
@@ -43,8 +39,10 @@
 constexpr double kBulkStraysMs = 1500;
 constexpr double kPerSpoiledStreamMs = 100;
 
-// A request without a free slot, or without memory, waits for others to end.
-constexpr double kNoSlotMs = 1000;
+// A request without a free slot, or without memory, waits for others to end,
+// which last about so long, or takes the slot of one that is then read again.
+constexpr double kNoSlotMs = 3000;
+constexpr double kPreemptionMs = 300;
 constexpr double kNoMemoryMs = 2000;
 
 // Differences below this are noise.
@@ -61,10 +59,9 @@
 }
 
 // Which engines are of the interactive group: the first of an order that all
-// routers agree on. The share is fixed, as a change would move the shared parts
-// of all prompts to other engines.
+// routers agree on.
 std::vector<bool>
-InteractiveGroup(std::span<const engine_candidate> aCandidates)
+InteractiveGroup(std::span<const engine_candidate> aCandidates, double aShare)
 {
   const auto count = aCandidates.size();
   std::vector<bool> group(count, false);
@@ -76,8 +73,8 @@
   std::ranges::sort(order, {}, [&](std::size_t aIndex) {
     return Mix(aCandidates[aIndex].mKey);
   });
-  const auto wanted = static_cast<std::size_t>(
-    std::lround(kInteractiveShare * static_cast<double>(count)));
+  const auto wanted =
+    static_cast<std::size_t>(std::lround(aShare * static_cast<double>(count)));
   const auto size = std::clamp<std::size_t>(wanted, 1, count - 1);
   std::ranges::for_each(std::span(order).first(size),
                         [&](std::size_t aIndex) { group[aIndex] = true; });
@@ -163,8 +160,12 @@
   const auto& load = aEngine.mLoad;
   double cost = kRunningMs * load.mRunning;
   const int slots = static_cast<int>(aEngine.mSlots);
-  if (slots > 0 && load.mRunning >= slots) {
-    cost += kNoSlotMs * (1 + load.mRunning - slots) / slots;
+  // Interactive work is the more urgent: it takes the slot of other work.
+  const int ahead = aWork.mInteractive ? load.mInteractive : load.mRunning;
+  if (slots > 0 && ahead >= slots) {
+    cost += kNoSlotMs * (1 + ahead - slots) / slots;
+  } else if (slots > 0 && load.mRunning >= slots) {
+    cost += kPreemptionMs;
   }
   const double needed =
     load.mMemoryTokens + aWork.mPromptTokens + aWork.mMaximumOutputTokens;
@@ -185,9 +186,10 @@
 std::optional<engine_choice>
 ChooseEngine(const prompt_work& aWork,
              std::span<const engine_candidate> aCandidates,
+             double aInteractiveShare,
              double aDraw)
 {
-  const auto group = InteractiveGroup(aCandidates);
+  const auto group = InteractiveGroup(aCandidates, aInteractiveShare);
   const auto homes =
     HomesOf(aWork.mSharedKey, aCandidates, group, aWork.mInteractive);
   std::optional<engine_choice> best;
--- a/src/sapphirespar/policy/engine_choice_test.cpp
+++ b/src/sapphirespar/policy/engine_choice_test.cpp
@@ -15,6 +15,8 @@
 namespace sapphirespar::policy {
 namespace {
 
+constexpr double kShare = 0.34;
+
 std::vector<engine_candidate>
 Engines(unsigned aCount)
 {
@@ -56,12 +58,12 @@
           const std::vector<engine_candidate>& aEngines,
           double aDraw = 0.5)
 {
-  return ChooseEngine(aWork, aEngines, aDraw)->mIndex;
+  return ChooseEngine(aWork, aEngines, kShare, aDraw)->mIndex;
 }
 
 TEST(ChooseEngine, ChoosesNothingWithoutEngines)
 {
-  EXPECT_FALSE(ChooseEngine(LongPrompt(7), {}, 0.5));
+  EXPECT_FALSE(ChooseEngine(LongPrompt(7), {}, kShare, 0.5));
   EXPECT_EQ(ChosenFor(LongPrompt(7), Engines(1)), 0U);
   EXPECT_EQ(ChosenFor(ShortPrompt(7), Engines(1)), 0U);
 }
@@ -138,11 +140,11 @@
       engine.mLoad.mOtherTokens = *rc::gen::inRange(0, 100'000);
       engine.mLoad.mRunning = *rc::gen::inRange(0, 64);
     }
-    const auto before = ChooseEngine(work, engines, 0.5);
+    const auto before = ChooseEngine(work, engines, kShare, 0.5);
     for (auto& engine : engines) {
       engine.mLoad.mOtherTokens += 8192;
     }
-    const auto after = ChooseEngine(work, engines, 0.5);
+    const auto after = ChooseEngine(work, engines, kShare, 0.5);
     RC_ASSERT(after->mFirstEventMs >= before->mFirstEventMs);
   }));
 }
--- /dev/null
+++ b/src/sapphirespar/policy/wait_limit_test.cpp
@@ -0,0 +1,66 @@
+// Tests of refusals: single ones, and a load above capacity with what its
+// callers get.
+#include "sapphirespar/policy/wait_limit.hpp"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <random>
+
+namespace sapphirespar::policy {
+namespace {
+
+using namespace std::chrono_literals;
+
+TEST(RefuseWait, RefusesBulkWorkThatWouldBeLate)
+{
+  expected_wait wait{ 1900ms, false, 2000ms, 8000ms };
+  EXPECT_FALSE(RefuseWait(wait, 0.5));
+  wait.mFirstEvent = 2600ms;
+  EXPECT_EQ(RefuseWait(wait, 0), 600ms);
+  EXPECT_EQ(RefuseWait(wait, 1), 2100ms);
+}
+
+TEST(RefuseWait, RefusesInteractiveWorkOnlyWhenItsCallerWouldBeGone)
+{
+  expected_wait wait{ 1900ms, true, 300ms, 2000ms };
+  EXPECT_FALSE(RefuseWait(wait, 0.5));
+  wait.mFirstEvent = 2001ms;
+  EXPECT_TRUE(RefuseWait(wait, 0.5));
+}
+
+TEST(RefuseWait, NeverLetsACallerComeBackAtOnce)
+{
+  EXPECT_GE(RefuseWait({ 2001ms, false, 2000ms, 8000ms }, 0), 500ms);
+}
+
+// Bulk work arrives at twice the rate at which one engine takes it. With the
+// limit those that are served are in time; with patience alone nearly all that
+// come later are late.
+TEST(RefuseWait, KeepsThoseInTimeWhomItServesWhenTwiceTooManyCome)
+{
+  constexpr double kWorkMs = 80;
+  constexpr double kLengthMs = 20000;
+  const auto inTime = [&](std::chrono::milliseconds aTarget) {
+    std::mt19937_64 random(20261203);
+    std::exponential_distribution<double> gap(2 / kWorkMs);
+    double freeAt = 0;
+    int served = 0;
+    for (double now = 0; now < kLengthMs; now += gap(random)) {
+      const double begin = std::max(freeAt, now);
+      const std::chrono::milliseconds wait(
+        static_cast<int>(begin + kWorkMs - now));
+      if (!RefuseWait({ wait, false, aTarget, 8000ms }, 0.5)) {
+        freeAt = begin + kWorkMs;
+        served += wait <= 2000ms ? 1 : 0;
+      }
+    }
+    return served;
+  };
+  const int capacity = static_cast<int>(kLengthMs / kWorkMs);
+  EXPECT_GT(inTime(2000ms), capacity * 9 / 10);
+  EXPECT_LT(inTime(8000ms), capacity / 3);
+}
+
+} // namespace
+} // namespace sapphirespar::policy
--- a/src/sapphirespar/wire/gen/gossip_types.cpp
+++ b/src/sapphirespar/wire/gen/gossip_types.cpp
@@ -286,6 +286,14 @@
 void gossip_state::__set_upstreams_digest(const int64_t val) {
   this->upstreams_digest = val;
 }
+
+void gossip_state::__set_interactive_reading(const int32_t val) {
+  this->interactive_reading = val;
+}
+
+void gossip_state::__set_bulk_reading(const int32_t val) {
+  this->bulk_reading = val;
+}
 std::ostream& operator<<(std::ostream& out, const gossip_state& obj)
 {
   obj.printTo(out);
@@ -454,6 +462,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 18:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->interactive_reading);
+          this->__isset.interactive_reading = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 19:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->bulk_reading);
+          this->__isset.bulk_reading = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -543,6 +567,14 @@
   xfer += oprot->writeI64(this->upstreams_digest);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("interactive_reading", ::apache::thrift::protocol::T_I32, 18);
+  xfer += oprot->writeI32(this->interactive_reading);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("bulk_reading", ::apache::thrift::protocol::T_I32, 19);
+  xfer += oprot->writeI32(this->bulk_reading);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -566,6 +598,8 @@
   swap(a.routing_revision, b.routing_revision);
   swap(a.upstreams_age_ms, b.upstreams_age_ms);
   swap(a.upstreams_digest, b.upstreams_digest);
+  swap(a.interactive_reading, b.interactive_reading);
+  swap(a.bulk_reading, b.bulk_reading);
   swap(a.__isset, b.__isset);
 }
 
@@ -586,6 +620,8 @@
   routing_revision = other10.routing_revision;
   upstreams_age_ms = other10.upstreams_age_ms;
   upstreams_digest = other10.upstreams_digest;
+  interactive_reading = other10.interactive_reading;
+  bulk_reading = other10.bulk_reading;
   __isset = other10.__isset;
 }
 gossip_state::gossip_state(gossip_state&& other11) noexcept {
@@ -605,6 +641,8 @@
   routing_revision = other11.routing_revision;
   upstreams_age_ms = other11.upstreams_age_ms;
   upstreams_digest = other11.upstreams_digest;
+  interactive_reading = other11.interactive_reading;
+  bulk_reading = other11.bulk_reading;
   __isset = other11.__isset;
 }
 gossip_state& gossip_state::operator=(const gossip_state& other12) {
@@ -624,6 +662,8 @@
   routing_revision = other12.routing_revision;
   upstreams_age_ms = other12.upstreams_age_ms;
   upstreams_digest = other12.upstreams_digest;
+  interactive_reading = other12.interactive_reading;
+  bulk_reading = other12.bulk_reading;
   __isset = other12.__isset;
   return *this;
 }
@@ -644,6 +684,8 @@
   routing_revision = other13.routing_revision;
   upstreams_age_ms = other13.upstreams_age_ms;
   upstreams_digest = other13.upstreams_digest;
+  interactive_reading = other13.interactive_reading;
+  bulk_reading = other13.bulk_reading;
   __isset = other13.__isset;
   return *this;
 }
@@ -666,6 +708,8 @@
   out << ", " << "routing_revision=" << to_string(routing_revision);
   out << ", " << "upstreams_age_ms=" << to_string(upstreams_age_ms);
   out << ", " << "upstreams_digest=" << to_string(upstreams_digest);
+  out << ", " << "interactive_reading=" << to_string(interactive_reading);
+  out << ", " << "bulk_reading=" << to_string(bulk_reading);
   out << ")";
 }
 
--- a/src/sapphirespar/wire/gen/gossip_types.h
+++ b/src/sapphirespar/wire/gen/gossip_types.h
@@ -100,7 +100,7 @@
 std::ostream& operator<<(std::ostream& out, const gossip_load& obj);
 
 typedef struct _gossip_state__isset {
-  _gossip_state__isset() : vm(false), incarnation(false), sequence(false), data_centre(false), address(false), caller_port(false), admin_port(false), ready(false), leaving(false), loads(false), asks(false), answers(false), routing_age_ms(false), routing_revision(false), upstreams_age_ms(false), upstreams_digest(false) {}
+  _gossip_state__isset() : vm(false), incarnation(false), sequence(false), data_centre(false), address(false), caller_port(false), admin_port(false), ready(false), leaving(false), loads(false), asks(false), answers(false), routing_age_ms(false), routing_revision(false), upstreams_age_ms(false), upstreams_digest(false), interactive_reading(false), bulk_reading(false) {}
   bool vm :1;
   bool incarnation :1;
   bool sequence :1;
@@ -117,6 +117,8 @@
   bool routing_revision :1;
   bool upstreams_age_ms :1;
   bool upstreams_digest :1;
+  bool interactive_reading :1;
+  bool bulk_reading :1;
 } _gossip_state__isset;
 
 class gossip_state : public virtual ::apache::thrift::TBase {
@@ -141,7 +143,9 @@
                  routing_age_ms(0),
                  routing_revision(0),
                  upstreams_age_ms(0),
-                 upstreams_digest(0) {
+                 upstreams_digest(0),
+                 interactive_reading(0),
+                 bulk_reading(0) {
   }
 
   virtual ~gossip_state() noexcept;
@@ -161,6 +165,8 @@
   int64_t routing_revision;
   int32_t upstreams_age_ms;
   int64_t upstreams_digest;
+  int32_t interactive_reading;
+  int32_t bulk_reading;
 
   _gossip_state__isset __isset;
 
@@ -196,6 +202,10 @@
 
   void __set_upstreams_digest(const int64_t val);
 
+  void __set_interactive_reading(const int32_t val);
+
+  void __set_bulk_reading(const int32_t val);
+
   bool operator == (const gossip_state & rhs) const
   {
     if (!(vm == rhs.vm))
@@ -230,6 +240,10 @@
       return false;
     if (!(upstreams_digest == rhs.upstreams_digest))
       return false;
+    if (!(interactive_reading == rhs.interactive_reading))
+      return false;
+    if (!(bulk_reading == rhs.bulk_reading))
+      return false;
     return true;
   }
   bool operator != (const gossip_state &rhs) const {
--- a/src/sapphirespar/wire/gossip_codec.cpp
+++ b/src/sapphirespar/wire/gossip_codec.cpp
@@ -83,6 +83,9 @@
     aState.mLoads, std::back_inserter(state.loads), ToWire);
   state.asks = aState.mAsks;
   state.answers = static_cast<std::int64_t>(aState.mAnswers);
+  state.interactive_reading =
+    static_cast<std::int32_t>(aState.mInteractiveReading);
+  state.bulk_reading = static_cast<std::int32_t>(aState.mBulkReading);
   state.routing_age_ms = -1;
   if (aState.mStore) {
     const auto& store = *aState.mStore;
@@ -132,6 +135,8 @@
   std::ranges::transform(
     state.loads, std::back_inserter(read.mLoads), FromWire);
   read.mAsks = state.asks;
+  read.mInteractiveReading = NotNegative(state.interactive_reading);
+  read.mBulkReading = NotNegative(state.bulk_reading);
   read.mAnswers = static_cast<std::uint64_t>(state.answers);
   if (state.routing_age_ms >= 0 && state.upstreams_age_ms >= 0) {
     read.mStore =
--- a/src/sapphirespar/wire/gossip_codec_test.cpp
+++ b/src/sapphirespar/wire/gossip_codec_test.cpp
@@ -26,6 +26,8 @@
   state.mLoads = { { 0xffffffffffffffffULL, 1, 2, 3, 4, 5 } };
   state.mAsks = true;
   state.mAnswers = 13;
+  state.mInteractiveReading = 250;
+  state.mBulkReading = 1400;
   state.mStore = store_summary{ std::chrono::milliseconds(20),
                                 9,
                                 std::chrono::milliseconds(30),
