Change the split of engines only when one kind is short of them

Change: need is the larger of slots / 0.8 and reading time / 0.6 of each kind; the split moves only when one kind's need exceeds its engines.

--- a/include/sapphirespar/policy/engine_split.hpp
+++ b/include/sapphirespar/policy/engine_split.hpp
@@ -7,11 +7,25 @@
 
 namespace sapphirespar::policy {
 
-// Engines that each kind of work would keep fully busy.
+// What one kind of work takes of engines: those whose slots it would fill, and
+// those that reading its prompts would keep busy.
+struct work_demand
+{
+  double mSlots = 0;
+  double mReading = 0;
+
+  work_demand& operator+=(const work_demand& aOther)
+  {
+    mSlots += aOther.mSlots;
+    mReading += aOther.mReading;
+    return *this;
+  }
+};
+
 struct engine_demand
 {
-  double mInteractive = 0;
-  double mBulk = 0;
+  work_demand mInteractive;
+  work_demand mBulk;
 
   engine_demand& operator+=(const engine_demand& aOther)
   {
@@ -42,15 +56,18 @@
 class engine_split
 {
 public:
-  // Takes over what all routers together ask for now.
-  void Update(const engine_demand& aDemand, steady_time aNow);
+  // Takes over what all routers together ask of so many engines now.
+  void Update(const engine_demand& aDemand, double aEngines, steady_time aNow);
 
-  // Share of the engines for interactive work, between 0 and 1. Changes in
-  // steps, as each moves shared parts of prompts to other engines.
+  // Share of the engines for interactive work, between 0 and 1. Changes only
+  // when one kind is short of engines, as each change moves shared parts of
+  // prompts to other engines.
   double Share() const { return mShare; }
 
 private:
-  engine_demand mSmoothed;
+  // Engines that each kind needs.
+  double mInteractive = 0;
+  double mBulk = 0;
   double mShare = 0.34;
   steady_time mUpdated{};
 };
--- a/src/sapphirespar/gateway/gateway_app.cpp
+++ b/src/sapphirespar/gateway/gateway_app.cpp
@@ -156,6 +156,7 @@
   std::optional<wire::endpoint> AdminOf(const std::optional<vm_id>& aVm);
   void FetchCopy(const std::optional<vm_id>& aVm, copy_callback aDone);
   void StopWhenIdle();
+  double CountEngines() const;
   void UpdateSplit();
 
   boost::asio::io_context& mContext;
@@ -376,8 +377,8 @@
   own.mStore = mReader.Summary();
   own.mLoads = mUpstreams.OwnLoads();
   const auto reading = mReading.Demand(mTimers.Now());
-  own.mInteractiveReading = ToThousandths(reading.mInteractive);
-  own.mBulkReading = ToThousandths(reading.mBulk);
+  own.mInteractiveReading = ToThousandths(reading.mInteractive.mReading);
+  own.mBulkReading = ToThousandths(reading.mBulk.mReading);
   return own;
 }
 
@@ -505,6 +506,19 @@
                         boost::asio::detached);
 }
 
+double
+gateway_app::state::CountEngines() const
+{
+  double count = 0;
+  if (const auto& table = mRouting.Table()) {
+    for (const auto& pool : table->Config().mPools) {
+      const auto members = mUpstreams.Members(pool.mName).size();
+      count += pool.mEngine ? static_cast<double>(members) : 0;
+    }
+  }
+  return count;
+}
+
 void
 gateway_app::state::UpdateSplit()
 {
@@ -512,7 +526,7 @@
   auto demand = mUpstreams.SlotsHeld();
   demand += mPeers.Reading(now);
   demand += mReading.Demand(now);
-  mSplit.Update(demand, now);
+  mSplit.Update(demand, CountEngines(), now);
 }
 
 std::optional<milliseconds>
--- a/src/sapphirespar/gateway/peer_board.cpp
+++ b/src/sapphirespar/gateway/peer_board.cpp
@@ -214,8 +214,9 @@
   policy::engine_demand sum;
   for (const auto& [vm, known] : mPeers) {
     if (IsLive(known, aNow)) {
-      sum += { kThousandth * known.mState.mInteractiveReading,
-               kThousandth * known.mState.mBulkReading };
+      sum.mInteractive.mReading +=
+        kThousandth * known.mState.mInteractiveReading;
+      sum.mBulk.mReading += kThousandth * known.mState.mBulkReading;
     }
   }
   return sum;
--- a/src/sapphirespar/gateway/upstream_directory.cpp
+++ b/src/sapphirespar/gateway/upstream_directory.cpp
@@ -187,8 +187,8 @@
     // Only prompts need memory: plain services hold no slots of engines.
     if (load.mMemoryTokens > 0 && known->mEntry.mSlots > 0) {
       const auto slots = static_cast<double>(known->mEntry.mSlots);
-      held += { load.mInteractive / slots,
-                (load.mRunning - load.mInteractive) / slots };
+      held.mInteractive.mSlots += load.mInteractive / slots;
+      held.mBulk.mSlots += (load.mRunning - load.mInteractive) / slots;
     }
   }
   return held;
--- a/src/sapphirespar/policy/engine_split.cpp
+++ b/src/sapphirespar/policy/engine_split.cpp
@@ -12,15 +12,20 @@
 constexpr double kMeterHalfLifeSeconds = 2;
 constexpr double kSplitHalfLifeSeconds = 2;
 
-// Interactive work waits badly, so its engines are left this much emptier.
-constexpr double kHeadroom = 1.1;
+// An engine is busy enough when so much of its slots or of its time for reading
+// is taken; beyond that, streams slow down and first events wait.
+constexpr double kFullSlots = 0.8;
+constexpr double kFullReading = 0.6;
 
 constexpr double kLowest = 0.12;
 constexpr double kHighest = 0.6;
-constexpr double kStep = 0.15;
+constexpr double kLeastStep = 0.05;
 
-// Work below this, in engines, says nothing about the mix.
-constexpr double kLeastDemand = 0.2;
+double
+EnginesNeeded(const work_demand& aDemand)
+{
+  return std::max(aDemand.mSlots / kFullSlots, aDemand.mReading / kFullReading);
+}
 
 double
 Fading(steady_duration aPassed, double aHalfLifeSeconds)
@@ -55,27 +60,30 @@
   const double meanLifeMs =
     kMeterHalfLifeSeconds / std::log(2.0) * kMsPerSecond;
   const double scale = Kept(aNow) / meanLifeMs;
-  return { mInteractiveMs * scale, mBulkMs * scale };
+  return { { 0, mInteractiveMs * scale }, { 0, mBulkMs * scale } };
 }
 
 void
-engine_split::Update(const engine_demand& aDemand, steady_time aNow)
+engine_split::Update(const engine_demand& aDemand,
+                     double aEngines,
+                     steady_time aNow)
 {
   const double kept = Fading(aNow - mUpdated, kSplitHalfLifeSeconds);
   mUpdated = std::max(mUpdated, aNow);
-  const auto follow = [&](double aOld, double aNew) {
-    return aNew + kept * (aOld - aNew);
+  const auto follow = [&](double aOld, const work_demand& aNew) {
+    const double needed = EnginesNeeded(aNew);
+    return needed + kept * (aOld - needed);
   };
-  mSmoothed.mInteractive =
-    follow(mSmoothed.mInteractive, kHeadroom * aDemand.mInteractive);
-  mSmoothed.mBulk = follow(mSmoothed.mBulk, aDemand.mBulk);
-  const double total = mSmoothed.mInteractive + mSmoothed.mBulk;
-  if (total < kLeastDemand) {
+  mInteractive = follow(mInteractive, aDemand.mInteractive);
+  mBulk = follow(mBulk, aDemand.mBulk);
+  const bool isShort =
+    mInteractive > mShare * aEngines || mBulk > (1 - mShare) * aEngines;
+  if (!isShort) {
     return;
   }
   const double wanted =
-    std::clamp(mSmoothed.mInteractive / total, kLowest, kHighest);
-  if (std::abs(wanted - mShare) >= kStep) {
+    std::clamp(mInteractive / (mInteractive + mBulk), kLowest, kHighest);
+  if (std::abs(wanted - mShare) >= kLeastStep) {
     mShare = wanted;
   }
 }
