Let one gateway read the store; let entries lapse only in long outages

Any failed call of a reader counted as an outage, after which missing entries were kept for 2.2 s, again and again. Change: the grace needs an outage of 2 s, as entries are given three heartbeats; one gateway, with the largest share of a core, reads for all, at a period taken from the bounds in the settings; others read for themselves only when what they know is old. Gateways write their entry with one call, and only the reader reads the entries again.

--- a/idl/gossip.thrift
+++ b/idl/gossip.thrift
@@ -37,4 +37,6 @@
   // Thousandths of an engine that the sender's prompts keep reading.
   18: i32 interactive_reading;
   19: i32 bulk_reading;
+  // Thousandths of a core that the sender may use.
+  20: i32 processor;
 }
--- a/include/sapphirespar/config/gateway_settings.hpp
+++ b/include/sapphirespar/config/gateway_settings.hpp
@@ -39,10 +39,14 @@
 
   // Descriptors that the process may open.
   unsigned mOpenFiles = 1024;
+  // Share of a core that the process may use.
+  double mProcessor = 1;
 
   // A request with a key is refused when the routing has not been confirmed for
   // this long, as the key may have been taken away.
   std::chrono::milliseconds mKeyFreshness{ 5000 };
+  // Changes of the routing and of upstreams are to take effect within this.
+  std::chrono::milliseconds mChangeBound{ 2000 };
   // From a request to stop until the process is killed.
   std::chrono::milliseconds mDrainTime{ 8000 };
   // Attempts beyond the first, by all gateways together: a share of the
--- a/include/sapphirespar/gateway/peer_board.hpp
+++ b/include/sapphirespar/gateway/peer_board.hpp
@@ -36,7 +36,8 @@
 class peer_board
 {
 public:
-  explicit peer_board(vm_id aSelf);
+  // aProcessor is this gateway's thousandths of a core.
+  explicit peer_board(vm_id aSelf, std::uint32_t aProcessor = 0);
 
   gossip_effect Receive(const gossip_state& aState, steady_time aNow);
 
@@ -53,9 +54,10 @@
   // Admin addresses of live gateways that have read the store.
   std::vector<entry_point> AdminPoints(steady_time aNow) const;
 
-  // The gateways that read the store for all, this one possibly among them.
-  // Gateways that see the same others name the same ones.
-  std::vector<vm_id> Readers(steady_time aNow) const;
+  // The gateway that reads the store for all, which may be this one: one with
+  // the largest share of a core. Gateways that see the same others name the
+  // same one.
+  vm_id Reader(steady_time aNow) const;
 
   // What a gateway last said of itself; null for one that was never heard.
   const gossip_state* Find(const vm_id& aVm) const;
@@ -94,6 +96,7 @@
   bool IsLive(const peer& aPeer, steady_time aNow) const;
 
   vm_id mSelf;
+  std::uint32_t mProcessor;
   std::map<vm_id, peer> mPeers;
   // Registered gateways and since when.
   std::map<peer_contact, steady_time> mRegistered;
--- a/include/sapphirespar/gateway/store_reader.hpp
+++ b/include/sapphirespar/gateway/store_reader.hpp
@@ -40,13 +40,21 @@
 struct store_reader_settings
 {
   // Between the starts of two rounds. A change is known everywhere after two
-  // rounds and a fetch, within the two seconds in which it must take effect.
+  // rounds and a fetch, so it takes effect within three periods.
   std::chrono::milliseconds mPeriod{ 600 };
   // Before the next round after a failed one, for readers and for others.
   std::chrono::milliseconds mReaderRetry{ 250 };
   std::chrono::milliseconds mOtherRetry{ 1000 };
   // Older answers of other gateways are of no use: a reader has missed a round.
   std::chrono::milliseconds mOldestAnswer{ 1000 };
+  // Without a useful answer, the store is read when what is known here is as
+  // old as this; until then readers are asked again after a while.
+  std::chrono::milliseconds mOldestKnowledge{ 1100 };
+  std::chrono::milliseconds mAskAgain{ 150 };
+  // Entries lapse only when the store has been away for at least this long:
+  // they are given three heartbeats of 1.2 s, the first of which may be nearly
+  // over.
+  std::chrono::milliseconds mShortestLapse{ 2000 };
   // For so long after the store is back, entries that are not listed may have
   // lapsed meanwhile and may come back.
   std::chrono::milliseconds mLapseGrace{ 2200 };
--- a/include/sapphirespar/model/gossip.hpp
+++ b/include/sapphirespar/model/gossip.hpp
@@ -60,6 +60,8 @@
   // Thousandths of an engine that the sender's prompts keep reading.
   std::uint32_t mInteractiveReading = 0;
   std::uint32_t mBulkReading = 0;
+  // Thousandths of a core that the sender may use.
+  std::uint32_t mProcessor = 0;
   // Unset before anything has been read.
   std::optional<store_summary> mStore;
 
--- a/src/sapphirespar/config/gateway_settings.cpp
+++ b/src/sapphirespar/config/gateway_settings.cpp
@@ -4,6 +4,7 @@
 #include "sapphirespar/config/toml_reader.hpp"
 #include "setting_values.hpp"
 
+#include <algorithm>
 #include <charconv>
 
 namespace sapphirespar {
@@ -13,6 +14,7 @@
 constexpr integer_bounds kFreshnessBounds{ 500, 600'000 };
 constexpr integer_bounds kWindowBounds{ 1, 3600 };
 constexpr real_bounds kSecondsBounds{ 0.1, 3600 };
+constexpr real_bounds kProcessorBounds{ 0.001, 1024 };
 constexpr real_bounds kRatioBounds{ 0, 10 };
 constexpr real_bounds kSlackBounds{ 0, 1'000'000 };
 
@@ -96,6 +98,12 @@
 {
   aSettings.mKeyFreshness = aTable.Milliseconds(
     "key_freshness_ms", kFreshnessBounds, aSettings.mKeyFreshness.count());
+  const auto change = [&](std::string_view aKey) {
+    return aTable.Milliseconds(
+      aKey, kFreshnessBounds, aSettings.mChangeBound.count());
+  };
+  aSettings.mChangeBound =
+    std::min(change("routing_change_ms"), change("upstream_change_ms"));
   aSettings.mDrainTime = ReadSeconds(aTable, "drain_s", aSettings.mDrainTime);
   aSettings.mRetryRatio =
     aTable.Real("retry_ratio", kRatioBounds, aSettings.mRetryRatio);
@@ -119,6 +127,8 @@
   aRoot.Table("limits", [&](toml_table& aTable) {
     aSettings.mOpenFiles = static_cast<unsigned>(
       aTable.Integer("open_files", kFileBounds, aSettings.mOpenFiles));
+    aSettings.mProcessor =
+      aTable.Real("processor", kProcessorBounds, aSettings.mProcessor);
   });
   aRoot.Table("bounds", with(ReadBounds));
   aRoot.Table("log", [&](toml_table& aTable) {
--- a/src/sapphirespar/gateway/gateway_app.cpp
+++ b/src/sapphirespar/gateway/gateway_app.cpp
@@ -51,7 +51,7 @@
 constexpr milliseconds kPeerTimeout{ 400 };
 
 // For a datagram there and back between data centres, and a busy receiver.
-constexpr milliseconds kAnswerTimeout{ 120 };
+constexpr milliseconds kAnswerTimeout{ 250 };
 constexpr milliseconds kConnectTimeout{ 400 };
 
 // Idle connections to upstreams whose announced limit is longer, or that
@@ -96,6 +96,19 @@
   return settings;
 }
 
+store_reader_settings
+ReaderSettings(const gateway_settings& aSettings)
+{
+  store_reader_settings settings;
+  // Three periods and some delay fit into the bound.
+  constexpr double kPeriodsInBound = 3.3;
+  settings.mPeriod = std::chrono::duration_cast<milliseconds>(
+    aSettings.mChangeBound / kPeriodsInBound);
+  settings.mOldestAnswer = settings.mPeriod * 5 / 3;
+  settings.mOldestKnowledge = settings.mPeriod * 11 / 6;
+  return settings;
+}
+
 wire::http_client_settings
 UpstreamClientSettings()
 {
@@ -202,14 +215,14 @@
   , mPlatform(aContext.get_executor(), StoreSettings(mSettings))
   , mUpstreamClient(aContext.get_executor(), UpstreamClientSettings())
   , mPeerClient(aContext.get_executor(), PeerClientSettings())
-  , mPeers(mSettings.mVm)
+  , mPeers(mSettings.mVm, ToThousandths(mSettings.mProcessor))
   , mRetries(RetryLimits(mSettings))
   , mReader(mPlatform,
             mTimers,
             mProtocol,
             mRouting,
             mUpstreams,
-            {},
+            ReaderSettings(mSettings),
             ReaderHooks())
   , mRegister(mPlatform,
               mTimers,
@@ -314,10 +327,9 @@
   store_reader_hooks hooks;
   hooks.mNow = BootNow;
   hooks.mReaders = [this] {
-    auto readers = mPeers.Readers(mTimers.Now());
-    const bool reads =
-      std::ranges::find(readers, mSettings.mVm) != readers.end();
-    return reads ? std::vector<vm_id>{} : readers;
+    auto reader = mPeers.Reader(mTimers.Now());
+    return reader == mSettings.mVm ? std::vector<vm_id>{}
+                                   : std::vector<vm_id>{ std::move(reader) };
   };
   hooks.mAsk = [this](const vm_id& aVm, summary_callback aDone) {
     const auto* peer = mPeers.Find(aVm);
@@ -378,6 +390,7 @@
   own.mLoads = mUpstreams.OwnLoads();
   const auto reading = mReading.Demand(mTimers.Now());
   own.mInteractiveReading = ToThousandths(reading.mInteractive.mReading);
+  own.mProcessor = ToThousandths(mSettings.mProcessor);
   own.mBulkReading = ToThousandths(reading.mBulk.mReading);
   return own;
 }
--- a/src/sapphirespar/gateway/gateway_register.cpp
+++ b/src/sapphirespar/gateway/gateway_register.cpp
@@ -2,7 +2,6 @@
 #include "sapphirespar/gateway/gateway_register.hpp"
 
 #include "sapphirespar/base/log.hpp"
-#include "sapphirespar/upstream/object_update.hpp"
 
 #include <algorithm>
 #include <map>
@@ -15,9 +14,6 @@
 constexpr std::chrono::seconds kReadPeriod{ 10 };
 constexpr std::chrono::seconds kRetryDelay{ 1 };
 
-// How long one attempt to write goes on before it is begun anew.
-constexpr std::chrono::seconds kWritePatience{ 20 };
-
 } // namespace
 
 struct gateway_register::state : std::enable_shared_from_this<state>
@@ -40,33 +36,35 @@
 
   // Writes the entry. It stays when this process ends: most processes are back
   // under the same address before it matters.
-  void Write()
+  void Write(object_version aExpected)
   {
-    const auto decide = [own = mSelf.mAddress](std::string_view aValue) {
-      using upstream::change_kind;
-      return aValue == own ? upstream::object_change{ change_kind::Keep, {} }
-                           : upstream::object_change{ change_kind::Write, own };
-    };
-    upstream::UpdateObject(
-      mPlatform,
-      mTimers,
-      KeyOf(mSelf.mVm),
-      decide,
-      kWritePatience,
-      weak_from_this(),
-      [this](upstream::update_result aResult) { OnWritten(aResult); });
+    mPlatform.Put(KeyOf(mSelf.mVm),
+                  mSelf.mAddress,
+                  aExpected,
+                  [weak = weak_from_this()](const object_answer& aAnswer) {
+                    if (const auto self = weak.lock()) {
+                      self->OnWritten(aAnswer);
+                    }
+                  });
   }
 
-  void OnWritten(const upstream::update_result& aResult)
+  void OnWritten(const object_answer& aAnswer)
   {
-    const bool done = aResult.mStatus == upstream::update_status::Ok;
+    const bool conflict = aAnswer.mStatus == platform_status::Conflict;
+    const bool done = aAnswer.mStatus == platform_status::Ok ||
+                      (conflict && aAnswer.mObject.mValue == mSelf.mAddress);
     LogEvent(done ? log_level::Info : log_level::Warning,
              "gateway_entry",
              { { "written", static_cast<int>(done) },
+               { "status", ToText(aAnswer.mStatus) },
                { "address", mSelf.mAddress },
-               { "revision", aResult.mVersion } });
+               { "revision", aAnswer.mObject.mVersion } });
     if (!done) {
-      mWriteTimer = mTimers.After(kRetryDelay, [this] { Write(); });
+      // A write of unknown fate is tried again as well: it conflicts with
+      // itself if it took effect.
+      const auto expected = conflict ? aAnswer.mObject.mVersion : kNoObject;
+      mWriteTimer =
+        mTimers.After(kRetryDelay, [this, expected] { Write(expected); });
     }
   }
 
@@ -80,11 +78,24 @@
                    });
   }
 
+  // Reads again only where this gateway reads the store for all; the others
+  // learn of new gateways by gossip.
+  void ReadAgain()
+  {
+    if (mPeers.Reader(mTimers.Now()) == mSelf.mVm) {
+      Read();
+    } else {
+      mReadTimer = mTimers.After(kReadPeriod, [this] { ReadAgain(); });
+    }
+  }
+
   void OnRead(const list_answer& aAnswer)
   {
     const bool read = aAnswer.mStatus == platform_status::Ok;
     if (read) {
       TakeEntries(aAnswer);
+      mReadTimer = mTimers.After(kReadPeriod, [this] { ReadAgain(); });
+      return;
     }
     mReadTimer =
       mTimers.After(read ? kReadPeriod : kRetryDelay, [this] { Read(); });
@@ -101,7 +112,7 @@
     }
     const auto now = mTimers.Now();
     mPeers.SetRegistered(std::move(contacts), now);
-    if (!IsFirst(now)) {
+    if (mPeers.Reader(now) != mSelf.mVm) {
       return;
     }
     for (const auto& vm : mPeers.LostRegistered(now)) {
@@ -112,14 +123,6 @@
     }
   }
 
-  // Whether this is the live gateway that removes entries of lost ones.
-  bool IsFirst(steady_time aNow) const
-  {
-    const auto live = mPeers.LiveNames(aNow);
-    return std::ranges::all_of(
-      live, [&](const vm_id& aVm) { return mSelf.mVm < aVm; });
-  }
-
   platform_api& mPlatform;
   timer_service& mTimers;
   peer_board& mPeers;
@@ -142,7 +145,7 @@
 void
 gateway_register::Start()
 {
-  mState->Write();
+  mState->Write(kNoObject);
   mState->Read();
 }
 
--- a/src/sapphirespar/gateway/peer_board.cpp
+++ b/src/sapphirespar/gateway/peer_board.cpp
@@ -25,16 +25,14 @@
 // know it keep its address.
 constexpr std::chrono::seconds kForgetAfter{ 30 };
 
-// Enough that one is left while another fails.
-constexpr std::size_t kReaders = 2;
-
 // Longer than a process takes to start again.
 constexpr std::chrono::seconds kLostAfter{ 20 };
 
 } // namespace
 
-peer_board::peer_board(vm_id aSelf)
+peer_board::peer_board(vm_id aSelf, std::uint32_t aProcessor)
   : mSelf(std::move(aSelf))
+  , mProcessor(aProcessor)
 {
 }
 
@@ -131,21 +129,24 @@
   return points;
 }
 
-std::vector<vm_id>
-peer_board::Readers(steady_time aNow) const
+vm_id
+peer_board::Reader(steady_time aNow) const
 {
-  std::vector<vm_id> names{ mSelf };
+  const auto rank = [](const vm_id& aVm, std::uint32_t aProcessor) {
+    return std::pair(aProcessor,
+                     XXH3_64bits(aVm.mText.data(), aVm.mText.size()));
+  };
+  auto best = rank(mSelf, mProcessor);
+  auto reader = mSelf;
   for (const auto& [vm, known] : mPeers) {
     const auto& state = known.mState;
-    if (IsLive(known, aNow) && state.mReady && !state.mLeaving) {
-      names.push_back(vm);
+    const auto own = rank(vm, state.mProcessor);
+    if (IsLive(known, aNow) && state.mReady && !state.mLeaving && own > best) {
+      best = own;
+      reader = vm;
     }
   }
-  std::ranges::sort(names, {}, [](const vm_id& aVm) {
-    return XXH3_64bits(aVm.mText.data(), aVm.mText.size());
-  });
-  names.resize(std::min(names.size(), kReaders));
-  return names;
+  return reader;
 }
 
 const gossip_state*
--- a/src/sapphirespar/gateway/store_reader.cpp
+++ b/src/sapphirespar/gateway/store_reader.cpp
@@ -66,6 +66,7 @@
     mRoundBegun = mHooks.mNow();
     mInRound = true;
     mReaders = mHooks.mReaders();
+    mAskedAny = false;
     AskNextReader();
   }
 
@@ -88,9 +89,16 @@
   void AskNextReader()
   {
     if (mReaders.empty()) {
+      if (mAskedAny && IsRecent()) {
+        mRoundTimer =
+          mTimers.After(mSettings.mAskAgain, [this] { BeginRound(); });
+        mInRound = false;
+        return;
+      }
       ReadStore();
       return;
     }
+    mAskedAny = true;
     const auto reader = mReaders.back();
     mReaders.pop_back();
     const auto sent = mHooks.mNow();
@@ -133,6 +141,13 @@
                   }));
   }
 
+  // Whether what is known here is recent enough without another read.
+  bool IsRecent() const
+  {
+    return HasBoth() && RoutingAge() < mSettings.mOldestKnowledge &&
+           UpstreamsAge() < mSettings.mOldestKnowledge;
+  }
+
   bool IsKnown(const store_summary& aSummary) const
   {
     return mUpstreamsRead &&
@@ -214,7 +229,9 @@
                "store_regained",
                { { "away_ms", Milliseconds(now - mAwaySince) },
                  { "detail", aDetail } });
-      mBackAt = now;
+      if (now - mAwaySince >= mSettings.mShortestLapse) {
+        mBackAt = now;
+      }
     } else if (!aAnswers && !mAway) {
       LogEvent(
         log_level::Warning,
@@ -302,11 +319,12 @@
       return;
     }
     mUpstreamsRead = aSent;
-    const bool justBack =
-      mBackAt && mHooks.mNow() - *mBackAt < mSettings.mLapseGrace;
-    const bool mayLapse = justBack || mAway;
-    TakeEntries(
-      entries, mayLapse ? list_trust::JustBack : list_trust::Whole, "store");
+    const auto now = mHooks.mNow();
+    const bool justBack = mBackAt && now - *mBackAt < mSettings.mLapseGrace;
+    const bool longAway = mAway && now - mAwaySince >= mSettings.mShortestLapse;
+    TakeEntries(entries,
+                justBack || longAway ? list_trust::JustBack : list_trust::Whole,
+                "store");
   }
 
   void TakeEntries(std::span<const upstream_entry> aEntries,
@@ -365,6 +383,7 @@
   boot_time mRoundBegun{};
   // Readers that have not been asked in this round.
   std::vector<vm_id> mReaders;
+  bool mAskedAny = false;
   // Calls to the store that this round waits for.
   int mReadsLeft = 0;
   bool mReadFailed = false;
--- a/src/sapphirespar/gateway/store_reader_test.cpp
+++ b/src/sapphirespar/gateway/store_reader_test.cpp
@@ -166,6 +166,37 @@
   EXPECT_EQ(gateway.Members(), 1U);
 }
 
+TEST_F(store_reads, AStoreThatWasAwayBrieflyLetsNothingLapse)
+{
+  reading_gateway gateway(mTimers, mStore);
+  gateway.mReader.Start();
+  mTimers.Advance(10ms);
+  gateway.mPlatform.Faults().mOutage = true;
+  mTimers.Advance(1200ms);
+  // Leaves without a word; no server's entry lapses in so short a time.
+  Remove({ "servers", "a" });
+  gateway.mPlatform.Faults().mOutage = false;
+  mTimers.Advance(700ms);
+  EXPECT_EQ(gateway.Members(), 1U);
+}
+
+TEST_F(store_reads, AsksAgainBeforeItReadsForItself)
+{
+  reading_gateway reader(mTimers, mStore);
+  reading_gateway other(mTimers, mStore);
+  other.mPeer = &reader;
+  reader.mReader.Start();
+  other.mReader.Start();
+  mTimers.Advance(1s);
+  const auto calls = other.mPlatform.Calls().Total();
+  // Answers are lost for a moment.
+  other.mPeerAnswers = false;
+  mTimers.Advance(700ms);
+  other.mPeerAnswers = true;
+  mTimers.Advance(1s);
+  EXPECT_EQ(other.mPlatform.Calls().Total(), calls);
+}
+
 TEST_F(store_reads, OneReadsForAnother)
 {
   reading_gateway reader(mTimers, mStore);
--- a/src/sapphirespar/wire/gen/gossip_types.cpp
+++ b/src/sapphirespar/wire/gen/gossip_types.cpp
@@ -294,6 +294,10 @@
 void gossip_state::__set_bulk_reading(const int32_t val) {
   this->bulk_reading = val;
 }
+
+void gossip_state::__set_processor(const int32_t val) {
+  this->processor = val;
+}
 std::ostream& operator<<(std::ostream& out, const gossip_state& obj)
 {
   obj.printTo(out);
@@ -478,6 +482,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 20:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->processor);
+          this->__isset.processor = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -575,6 +587,10 @@
   xfer += oprot->writeI32(this->bulk_reading);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("processor", ::apache::thrift::protocol::T_I32, 20);
+  xfer += oprot->writeI32(this->processor);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -600,6 +616,7 @@
   swap(a.upstreams_digest, b.upstreams_digest);
   swap(a.interactive_reading, b.interactive_reading);
   swap(a.bulk_reading, b.bulk_reading);
+  swap(a.processor, b.processor);
   swap(a.__isset, b.__isset);
 }
 
@@ -622,6 +639,7 @@
   upstreams_digest = other10.upstreams_digest;
   interactive_reading = other10.interactive_reading;
   bulk_reading = other10.bulk_reading;
+  processor = other10.processor;
   __isset = other10.__isset;
 }
 gossip_state::gossip_state(gossip_state&& other11) noexcept {
@@ -643,6 +661,7 @@
   upstreams_digest = other11.upstreams_digest;
   interactive_reading = other11.interactive_reading;
   bulk_reading = other11.bulk_reading;
+  processor = other11.processor;
   __isset = other11.__isset;
 }
 gossip_state& gossip_state::operator=(const gossip_state& other12) {
@@ -664,6 +683,7 @@
   upstreams_digest = other12.upstreams_digest;
   interactive_reading = other12.interactive_reading;
   bulk_reading = other12.bulk_reading;
+  processor = other12.processor;
   __isset = other12.__isset;
   return *this;
 }
@@ -686,6 +706,7 @@
   upstreams_digest = other13.upstreams_digest;
   interactive_reading = other13.interactive_reading;
   bulk_reading = other13.bulk_reading;
+  processor = other13.processor;
   __isset = other13.__isset;
   return *this;
 }
@@ -710,6 +731,7 @@
   out << ", " << "upstreams_digest=" << to_string(upstreams_digest);
   out << ", " << "interactive_reading=" << to_string(interactive_reading);
   out << ", " << "bulk_reading=" << to_string(bulk_reading);
+  out << ", " << "processor=" << to_string(processor);
   out << ")";
 }
 
--- a/src/sapphirespar/wire/gen/gossip_types.h
+++ b/src/sapphirespar/wire/gen/gossip_types.h
@@ -100,7 +100,7 @@
 std::ostream& operator<<(std::ostream& out, const gossip_load& obj);
 
 typedef struct _gossip_state__isset {
-  _gossip_state__isset() : vm(false), incarnation(false), sequence(false), data_centre(false), address(false), caller_port(false), admin_port(false), ready(false), leaving(false), loads(false), asks(false), answers(false), routing_age_ms(false), routing_revision(false), upstreams_age_ms(false), upstreams_digest(false), interactive_reading(false), bulk_reading(false) {}
+  _gossip_state__isset() : vm(false), incarnation(false), sequence(false), data_centre(false), address(false), caller_port(false), admin_port(false), ready(false), leaving(false), loads(false), asks(false), answers(false), routing_age_ms(false), routing_revision(false), upstreams_age_ms(false), upstreams_digest(false), interactive_reading(false), bulk_reading(false), processor(false) {}
   bool vm :1;
   bool incarnation :1;
   bool sequence :1;
@@ -119,6 +119,7 @@
   bool upstreams_digest :1;
   bool interactive_reading :1;
   bool bulk_reading :1;
+  bool processor :1;
 } _gossip_state__isset;
 
 class gossip_state : public virtual ::apache::thrift::TBase {
@@ -145,7 +146,8 @@
                  upstreams_age_ms(0),
                  upstreams_digest(0),
                  interactive_reading(0),
-                 bulk_reading(0) {
+                 bulk_reading(0),
+                 processor(0) {
   }
 
   virtual ~gossip_state() noexcept;
@@ -167,6 +169,7 @@
   int64_t upstreams_digest;
   int32_t interactive_reading;
   int32_t bulk_reading;
+  int32_t processor;
 
   _gossip_state__isset __isset;
 
@@ -206,6 +209,8 @@
 
   void __set_bulk_reading(const int32_t val);
 
+  void __set_processor(const int32_t val);
+
   bool operator == (const gossip_state & rhs) const
   {
     if (!(vm == rhs.vm))
@@ -244,6 +249,8 @@
       return false;
     if (!(bulk_reading == rhs.bulk_reading))
       return false;
+    if (!(processor == rhs.processor))
+      return false;
     return true;
   }
   bool operator != (const gossip_state &rhs) const {
--- a/src/sapphirespar/wire/gossip_codec.cpp
+++ b/src/sapphirespar/wire/gossip_codec.cpp
@@ -86,6 +86,7 @@
   state.interactive_reading =
     static_cast<std::int32_t>(aState.mInteractiveReading);
   state.bulk_reading = static_cast<std::int32_t>(aState.mBulkReading);
+  state.processor = static_cast<std::int32_t>(aState.mProcessor);
   state.routing_age_ms = -1;
   if (aState.mStore) {
     const auto& store = *aState.mStore;
@@ -137,6 +138,7 @@
   read.mAsks = state.asks;
   read.mInteractiveReading = NotNegative(state.interactive_reading);
   read.mBulkReading = NotNegative(state.bulk_reading);
+  read.mProcessor = NotNegative(state.processor);
   read.mAnswers = static_cast<std::uint64_t>(state.answers);
   if (state.routing_age_ms >= 0 && state.upstreams_age_ms >= 0) {
     read.mStore =
--- a/src/sapphirespar/wire/gossip_codec_test.cpp
+++ b/src/sapphirespar/wire/gossip_codec_test.cpp
@@ -28,6 +28,7 @@
   state.mAnswers = 13;
   state.mInteractiveReading = 250;
   state.mBulkReading = 1400;
+  state.mProcessor = 250;
   state.mStore = store_summary{ std::chrono::milliseconds(20),
                                 9,
                                 std::chrono::milliseconds(30),
