--- /dev/null
+++ b/src/sapphirespar/soak/world.cpp
@@ -0,0 +1,332 @@
+// Starting and ending of processes, the store's contents, and the upstreams.
+#include "world.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/json.hpp>
+
+#include <fcntl.h>
+#include <spawn.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <array>
+#include <csignal>
+#include <fstream>
+#include <stdexcept>
+
+namespace sapphirespar::soak {
+namespace {
+
+namespace json = boost::json;
+using asio::ip::tcp;
+
+// Ports of every gateway; they differ by their addresses on loopback.
+constexpr unsigned kCallerPort = 18080;
+constexpr unsigned kReadinessPort = 18081;
+constexpr unsigned kEntryPort = 18082;
+constexpr unsigned kAdminPort = 18083;
+constexpr unsigned kMetricsPort = 18084;
+constexpr unsigned kGossipPort = 18085;
+
+tcp::endpoint
+Loopback(std::uint16_t aPort)
+{
+  return { asio::ip::make_address("127.0.0.1"), aPort };
+}
+
+std::string
+SettingsText(const gateway_process& aGateway)
+{
+  const auto at = [&](unsigned aPort) {
+    return "\"" + aGateway.mAddress + ":" + std::to_string(aPort) + "\"\n";
+  };
+  return "[node]\nvm = \"" + aGateway.mName + "\"\ndata_centre = \"here\"\n" +
+         "[listen]\ncallers = " + at(kCallerPort) +
+         "readiness = " + at(kReadinessPort) + "entry = " + at(kEntryPort) +
+         "admin = " + at(kAdminPort) + "address = \"" + aGateway.mAddress +
+         "\"\ngossip_port = " + std::to_string(kGossipPort) +
+         "\nmetrics_port = " + std::to_string(kMetricsPort) +
+         "\n[platform]\naddress = \"127.0.0.1:" +
+         std::to_string(aGateway.mStorePath->Port()) +
+         "\"\n[bounds]\nretry_slack = 100\n";
+}
+
+json::object
+RouteOf(std::string_view aPath, std::string_view aKind, bool aResumable)
+{
+  return { { "name", aPath },
+           { "host", "soak" },
+           { "path_prefix", aPath },
+           { "route_type", aKind },
+           { "stream_resume", aResumable },
+           { "service", "pool" },
+           { "timeout_ms", 4000 },
+           { "target_latency_ms", 300 },
+           { "target_gap_ms", 300 },
+           { "max_attempts", 3 } };
+}
+
+} // namespace
+
+world::world(soak_options aOptions)
+  : mOptions(std::move(aOptions))
+  , mRandom(mOptions.mSeed)
+  , mStore(mContext, tools::platform_settings{})
+  , mStoreClient(mContext.get_executor(), wire::http_client_settings{})
+{
+  std::string name =
+    (std::filesystem::temp_directory_path() / "soak_XXXXXX").string();
+  if (mkdtemp(name.data()) == nullptr) {
+    throw std::runtime_error("no directory for the soak's files");
+  }
+  mDirectory = name;
+  mKeys = { "k0", "k1", "k2" };
+  const std::array workers{ &mContext };
+  for (unsigned number = 0; number < mOptions.mUpstreams; ++number) {
+    soak_upstream upstream;
+    upstream.mServer = std::make_unique<wire::http_server>(
+      mContext,
+      workers,
+      wire::http_server_settings{},
+      [this](const wire::http_request& aRequest, wire::http_reply& aReply) {
+        return Upstream(aRequest, aReply);
+      });
+    upstream.mPath = std::make_unique<fault_proxy>(
+      mContext, Loopback(upstream.mServer->Port()));
+    mUpstreams.push_back(std::move(upstream));
+  }
+  for (unsigned number = 0; number < mOptions.mGateways; ++number) {
+    MakeGateway(number);
+  }
+}
+
+world::~world()
+{
+  for (const auto& gateway : mGateways) {
+    if (gateway->mPid != 0) {
+      ::kill(gateway->mPid, SIGKILL);
+      Reap(*gateway);
+    }
+  }
+}
+
+void
+world::MakeGateway(unsigned aNumber)
+{
+  auto gateway = std::make_unique<gateway_process>();
+  gateway->mName = "gateway-" + std::to_string(aNumber);
+  // Each run has addresses of its own, so that runs can go side by side.
+  const auto net = 1 + static_cast<unsigned>(::getpid()) % 250;
+  gateway->mAddress =
+    "127.1." + std::to_string(net) + "." + std::to_string(10 + aNumber);
+  gateway->mSettings = mDirectory / (gateway->mName + ".toml");
+  gateway->mLog = mDirectory / (gateway->mName + ".log");
+  gateway->mStorePath =
+    std::make_unique<fault_proxy>(mContext, Loopback(mStore.Port()));
+  std::ofstream(gateway->mSettings) << SettingsText(*gateway);
+  mGateways.push_back(std::move(gateway));
+}
+
+void
+world::StartGateway(gateway_process& aGateway)
+{
+  posix_spawn_file_actions_t files;
+  ::posix_spawn_file_actions_init(&files);
+  constexpr mode_t kMode = 0644;
+  ::posix_spawn_file_actions_addopen(&files,
+                                     STDOUT_FILENO,
+                                     aGateway.mLog.c_str(),
+                                     O_WRONLY | O_CREAT | O_APPEND,
+                                     kMode);
+  ::posix_spawn_file_actions_adddup2(&files, STDOUT_FILENO, STDERR_FILENO);
+  std::string program = mOptions.mGatewayProgram;
+  std::string flag = "--settings";
+  std::string settings = aGateway.mSettings.string();
+  std::array<char*, 4> arguments{
+    program.data(), flag.data(), settings.data(), nullptr
+  };
+  const int error = ::posix_spawn(&aGateway.mPid,
+                                  program.c_str(),
+                                  &files,
+                                  nullptr,
+                                  arguments.data(),
+                                  environ);
+  ::posix_spawn_file_actions_destroy(&files);
+  if (error != 0) {
+    throw std::runtime_error("cannot start " + program);
+  }
+}
+
+void
+world::Reap(gateway_process& aGateway)
+{
+  ::waitpid(aGateway.mPid, nullptr, 0);
+  aGateway.mPid = 0;
+  aGateway.mStopped = false;
+}
+
+void
+world::Signal(gateway_process& aGateway, int aSignal)
+{
+  if (aGateway.mPid != 0) {
+    ::kill(aGateway.mPid, aSignal);
+  }
+}
+
+unsigned
+world::Draw(unsigned aBelow)
+{
+  return std::uniform_int_distribution<unsigned>(0, aBelow - 1)(mRandom);
+}
+
+bool
+world::Over() const
+{
+  return std::chrono::steady_clock::now() >= mEnd;
+}
+
+asio::awaitable<wire::http_response>
+world::CallStore(std::string aMethod, std::string aTarget, std::string aBody)
+{
+  constexpr milliseconds kTimeout{ 2000 };
+  wire::http_request request;
+  request.mMethod = std::move(aMethod);
+  request.mTarget = std::move(aTarget);
+  request.mBody = std::move(aBody);
+  wire::endpoint store;
+  store.mAddress = "127.0.0.1";
+  store.mPort = mStore.Port();
+  const auto answer =
+    co_await mStoreClient.Fetch(store, std::move(request), kTimeout);
+  wire::http_response lost;
+  lost.mStatus = 0;
+  co_return answer ? answer.value() : lost;
+}
+
+asio::awaitable<void>
+world::WriteRouting(unsigned aVersion)
+{
+  json::array accounts;
+  for (const auto& key : mKeys) {
+    accounts.push_back(json::object{ { "name", "account-" + key },
+                                     { "api_keys", json::array{ key } } });
+  }
+  json::object routing;
+  routing["version"] = aVersion;
+  routing["routes"] = json::array{ RouteOf("/once/", "non_idempotent", false),
+                                   RouteOf("/safe/", "idempotent", false),
+                                   RouteOf("/stream/", "streaming", false),
+                                   RouteOf("/resume/", "streaming", true) };
+  routing["services"] = json::array{ json::object{ { "name", "pool" } } };
+  routing["tenants"] = std::move(accounts);
+  json::object body;
+  body["metadata"] =
+    json::object{ { "name", "main" }, { "revision", mRoutingRevision } };
+  body["spec"] = std::move(routing);
+  const bool creates = mRoutingRevision == 0;
+  std::string method = creates ? "POST" : "PUT";
+  std::string target = creates ? "/objects/config" : "/objects/config/main";
+  const auto answer = co_await CallStore(
+    std::move(method), std::move(target), json::serialize(body));
+  if (answer.mStatus == 200) {
+    mRoutingRevision = json::parse(answer.mBody)
+                         .at_pointer("/metadata/revision")
+                         .to_number<std::uint64_t>();
+  }
+}
+
+asio::awaitable<void>
+world::WriteUpstreams()
+{
+  for (std::size_t number = 0; number < mUpstreams.size(); ++number) {
+    json::object entry;
+    entry["service"] = "pool";
+    entry["address"] =
+      "127.0.0.1:" + std::to_string(mUpstreams[number].mPath->Port());
+    entry["zone"] = "here";
+    entry["slots"] = 16;
+    entry["state"] = "ready";
+    json::object body;
+    body["metadata"] =
+      json::object{ { "name", "upstream-" + std::to_string(number) } };
+    body["spec"] = std::move(entry);
+    std::string method = "POST";
+    std::string target = "/objects/servers";
+    co_await CallStore(
+      std::move(method), std::move(target), json::serialize(body));
+  }
+}
+
+asio::awaitable<void>
+world::Upstream(const wire::http_request& aRequest, wire::http_reply& aReply)
+{
+  constexpr milliseconds kEventPause{ 25 };
+  const std::string id(aRequest.Header("X-Request-Id"));
+  const bool stream = aRequest.mTarget.starts_with("/stream/") ||
+                      aRequest.mTarget.starts_with("/resume/");
+  mJudge.Runs(id, std::string(aRequest.Header("X-Tenant")));
+  wire::http_headers headers{ { "X-Request-Id", id },
+                              { "X-Upstream-Signature", "made-" + id } };
+  if (!stream) {
+    wire::http_response answer{ 200, std::move(headers), {} };
+    answer.mBody = judge::BodyOf(id, request_kind::Once);
+    co_await aReply.Send(std::move(answer));
+    co_return;
+  }
+  headers.push_back({ "Content-Type", "text/event-stream" });
+  const std::string last(aRequest.Header("Last-Event-Id"));
+  const int from = last.empty() ? 1 : std::stoi(last) + 1;
+  bool open = co_await aReply.Begin(200, std::move(headers));
+  asio::steady_timer timer(mContext);
+  for (int number = from; open && number <= kStreamEvents; ++number) {
+    const auto event = EventOf(id, number);
+    open = co_await aReply.Write(event);
+    timer.expires_after(kEventPause);
+    co_await timer.async_wait(asio::use_awaitable);
+  }
+  if (open) {
+    co_await aReply.Finish();
+  }
+}
+
+void
+world::Run()
+{
+  std::exception_ptr problem;
+  asio::co_spawn(mContext, Play(), [&](std::exception_ptr aProblem) {
+    problem = aProblem;
+    mContext.stop();
+  });
+  mContext.run();
+  if (problem) {
+    std::rethrow_exception(problem);
+  }
+}
+
+asio::awaitable<void>
+world::Play()
+{
+  constexpr milliseconds kStarting{ 1500 };
+  constexpr milliseconds kEnding{ 5500 };
+  co_await WriteRouting(1);
+  co_await WriteUpstreams();
+  for (const auto& gateway : mGateways) {
+    StartGateway(*gateway);
+  }
+  asio::steady_timer timer(mContext, kStarting);
+  co_await timer.async_wait(asio::use_awaitable);
+  mEnd = std::chrono::steady_clock::now() + mOptions.mLength;
+  for (unsigned number = 0; number < mOptions.mCallers; ++number) {
+    asio::co_spawn(mContext, PlayCaller(number), asio::detached);
+  }
+  co_await PlayFaults();
+  // What is in progress ends by its route's timeout; a late run shows here.
+  timer.expires_after(kEnding);
+  co_await timer.async_wait(asio::use_awaitable);
+}
+
+} // namespace sapphirespar::soak
