--- a/include/sapphirespar/soak/world.hpp
+++ b/include/sapphirespar/soak/world.hpp
@@ -2,8 +2,8 @@
 // platform's store and the upstreams here, a fault proxy on each path between.
 #pragma once
 
-#include "fault_proxy.hpp"
-#include "judge.hpp"
+#include "sapphirespar/soak/fault_proxy.hpp"
+#include "sapphirespar/soak/judge.hpp"
 
 #include "sapphirespar/tools/standin_platform.hpp"
 #include "sapphirespar/wire/http_client.hpp"
--- a/programs/soak/main.cpp
+++ b/programs/soak/main.cpp
@@ -1,6 +1,6 @@
 // sapphirespar-soak: plays random faults to real gateway processes and checks
 // what callers and upstreams see.
-#include "world.hpp"
+#include "sapphirespar/soak/world.hpp"
 
 #include <CLI/CLI.hpp>
 
--- a/src/sapphirespar/soak/fault_proxy.cpp
+++ b/src/sapphirespar/soak/fault_proxy.cpp
@@ -1,5 +1,5 @@
 // Copies bytes either way as the fault of the moment allows.
-#include "fault_proxy.hpp"
+#include "sapphirespar/soak/fault_proxy.hpp"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/buffer.hpp>
--- a/src/sapphirespar/soak/judge.cpp
+++ b/src/sapphirespar/soak/judge.cpp
@@ -1,5 +1,5 @@
 // The promises, one function for each side that sees them.
-#include "judge.hpp"
+#include "sapphirespar/soak/judge.hpp"
 
 namespace sapphirespar::soak {
 namespace {
--- a/src/sapphirespar/soak/play.cpp
+++ b/src/sapphirespar/soak/play.cpp
@@ -1,5 +1,5 @@
 // The callers and the faults of a soak.
-#include "world.hpp"
+#include "sapphirespar/soak/world.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
--- a/src/sapphirespar/soak/world.cpp
+++ b/src/sapphirespar/soak/world.cpp
@@ -1,5 +1,5 @@
 // Starting and ending of processes, the store's contents, and the upstreams.
-#include "world.hpp"
+#include "sapphirespar/soak/world.hpp"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
