Split the gateway's wiring, pages and settings; hear restarts after a clock step

Reading of requests leaves http_server; pages and the settings of parts leave gateway_app. Found in the read-through: a gateway that restarts after its clock was set back has a lower incarnation, and the others ignored it for 30 s, so that no look-up named it. It is now heard once the process before is silent. Test: PeerBoard.TakesBackAProcessThatStartedAfterItsClockWasSetBack, failed before.

--- a/src/sapphirespar/gateway/gateway_app.cpp
+++ b/src/sapphirespar/gateway/gateway_app.cpp
@@ -1,6 +1,8 @@
 // Wires the parts of a gateway, serves its pages, and ends it in order.
 #include "sapphirespar/gateway/gateway_app.hpp"
 
+#include "pages.hpp"
+#include "part_settings.hpp"
 #include "store_copy_codec.hpp"
 
 #include "sapphirespar/base/log.hpp"
@@ -28,15 +30,13 @@
 constexpr std::string_view kCopyPath = "/v1/store-copy";
 constexpr std::string_view kStatusPath = "/v1/status";
 constexpr std::string_view kMetricsPath = "/metrics";
+constexpr auto kNoPage = "no such page\n";
 
 // Callers keep an answer for up to three times as long as they are told, and
 // must have let go of a gateway before it ends.
 constexpr milliseconds kEntryTtl{ 2000 };
 constexpr int kEntryKeptFor = 3;
 
-// Most addresses in one answer.
-constexpr std::size_t kMostEntries = 64;
-
 // Readiness ends this long before keys are no longer accepted.
 constexpr milliseconds kReadinessMargin{ 500 };
 
@@ -47,25 +47,8 @@
 // How often the split of the engines is looked at.
 constexpr milliseconds kSplitPeriod{ 200 };
 
-constexpr milliseconds kStoreTimeout{ 1200 };
-constexpr milliseconds kPeerTimeout{ 400 };
-
 // For a datagram there and back between data centres, and a busy receiver.
 constexpr milliseconds kAnswerTimeout{ 250 };
-constexpr milliseconds kConnectTimeout{ 400 };
-
-// Idle connections to upstreams whose announced limit is longer, or that
-// announce none.
-constexpr milliseconds kUpstreamIdle{ 4000 };
-
-wire::endpoint
-ToEndpoint(const address_port& aPlace)
-{
-  wire::endpoint place;
-  place.mAddress = aPlace.mAddress;
-  place.mPort = aPlace.mPort;
-  return place;
-}
 
 // Numbers this process's life by the wall clock, so that a restart gets a
 // higher number unless the clock has been set back; then others hear it once
@@ -79,53 +62,6 @@
   return { aVm, static_cast<incarnation_number>(count) };
 }
 
-policy::fleet_retry_limits
-RetryLimits(const gateway_settings& aSettings)
-{
-  return { aSettings.mRetryRatio,
-           aSettings.mRetrySlack,
-           aSettings.mRetryWindow };
-}
-
-wire::platform_client_settings
-StoreSettings(const gateway_settings& aSettings)
-{
-  wire::platform_client_settings settings;
-  settings.mPlatform = ToEndpoint(aSettings.mPlatform);
-  settings.mTimeout = kStoreTimeout;
-  return settings;
-}
-
-store_reader_settings
-ReaderSettings(const gateway_settings& aSettings)
-{
-  store_reader_settings settings;
-  // Three periods and some delay fit into the bound.
-  constexpr double kPeriodsInBound = 3.3;
-  settings.mPeriod = std::chrono::duration_cast<milliseconds>(
-    aSettings.mChangeBound / kPeriodsInBound);
-  settings.mOldestAnswer = settings.mPeriod * 5 / 3;
-  settings.mOldestKnowledge = settings.mPeriod * 11 / 6;
-  return settings;
-}
-
-wire::http_client_settings
-UpstreamClientSettings()
-{
-  wire::http_client_settings settings;
-  settings.mConnectTimeout = kConnectTimeout;
-  settings.mIdleLimit = kUpstreamIdle;
-  return settings;
-}
-
-wire::http_client_settings
-PeerClientSettings()
-{
-  wire::http_client_settings settings;
-  settings.mConnectTimeout = kPeerTimeout;
-  return settings;
-}
-
 std::uint32_t
 ToThousandths(double aNumber)
 {
@@ -133,12 +69,6 @@
   return static_cast<std::uint32_t>(kThousand * std::max(aNumber, 0.0));
 }
 
-wire::http_response
-TextResponse(unsigned aStatus, std::string aBody)
-{
-  return { aStatus, { { "Content-Type", "text/plain" } }, std::move(aBody) };
-}
-
 } // namespace
 
 struct gateway_app::state
@@ -147,19 +77,20 @@
         gateway_settings aSettings,
         protocol aProtocol);
 
-  using page = std::function<wire::http_response(const wire::http_request&)>;
+  // Makes the response to a path.
+  using page = std::function<wire::http_response(std::string_view)>;
   std::unique_ptr<wire::http_server> ServePages(const address_port& aPlace,
                                                 page aPage);
   std::unique_ptr<wire::http_server> ServeCallers();
 
   forward_services ForwardServices();
   store_reader_hooks ReaderHooks();
-  gossip_settings GossipSettings() const;
   gossip_hooks GossipHooks();
 
-  wire::http_response EntryPage(const wire::http_request& aRequest);
-  wire::http_response ReadinessPage(const wire::http_request& aRequest);
-  wire::http_response AdminPage(const wire::http_request& aRequest);
+  wire::http_response ServeEntry(std::string_view aPath);
+  wire::http_response ServeReadiness(std::string_view aPath);
+  wire::http_response ServeAdmin(std::string_view aPath);
+  gateway_status Status() const;
 
   gossip_state OwnState() const;
   bool IsReady() const;
@@ -228,18 +159,17 @@
               mTimers,
               mPeers,
               { mSettings.mVm, mSettings.mGossip.mAddress })
-  , mGossip(aContext, mTimers, mPeers, GossipSettings(), GossipHooks())
+  , mGossip(aContext, mTimers, mPeers, GossipSettings(mSettings), GossipHooks())
   , mForward(ForwardServices())
 {
   const auto own = [this](auto aPage) {
-    return [this, aPage](const wire::http_request& aRequest) {
-      return (this->*aPage)(aRequest);
-    };
+    return
+      [this, aPage](std::string_view aPath) { return (this->*aPage)(aPath); };
   };
-  mReadiness = ServePages(mSettings.mReadiness, own(&state::ReadinessPage));
-  mEntry = ServePages(mSettings.mEntry, own(&state::EntryPage));
-  mAdmin = ServePages(mSettings.mAdmin, own(&state::AdminPage));
-  mMetricsServer = ServePages(mSettings.mMetrics, own(&state::AdminPage));
+  mReadiness = ServePages(mSettings.mReadiness, own(&state::ServeReadiness));
+  mEntry = ServePages(mSettings.mEntry, own(&state::ServeEntry));
+  mAdmin = ServePages(mSettings.mAdmin, own(&state::ServeAdmin));
+  mMetricsServer = ServePages(mSettings.mMetrics, own(&state::ServeAdmin));
   mCallers = ServeCallers();
   mSplitTimer = mTimers.Every(kSplitPeriod, [this] { UpdateSplit(); });
   mReader.Start();
@@ -261,7 +191,7 @@
     [page =
        std::move(aPage)](const wire::http_request& aRequest,
                          wire::http_reply& aReply) -> asio::awaitable<void> {
-      auto response = page(aRequest);
+      auto response = page(wire::SplitTarget(aRequest.mTarget).mPath);
       co_await aReply.Send(std::move(response));
     });
 }
@@ -350,17 +280,6 @@
   return hooks;
 }
 
-gossip_settings
-gateway_app::state::GossipSettings() const
-{
-  gossip_settings settings;
-  settings.mListen = ToEndpoint(mSettings.mGossip);
-  std::ranges::transform(mSettings.mSeeds,
-                         std::back_inserter(settings.mSeeds),
-                         &address_port::mAddress);
-  return settings;
-}
-
 gossip_hooks
 gateway_app::state::GossipHooks()
 {
@@ -404,72 +323,65 @@
 }
 
 wire::http_response
-gateway_app::state::ReadinessPage(const wire::http_request& aRequest)
+gateway_app::state::ServeReadiness(std::string_view aPath)
 {
-  const auto path = wire::SplitTarget(aRequest.mTarget).mPath;
-  if (path != mProtocol.mReadinessPath) {
-    return TextResponse(404, "no such page\n");
-  }
-  return IsReady() ? TextResponse(200, "ready\n")
-                   : TextResponse(503, "not ready\n");
+  return aPath == mProtocol.mReadinessPath ? ReadinessPage(IsReady())
+                                           : TextResponse(404, kNoPage);
 }
 
 wire::http_response
-gateway_app::state::EntryPage(const wire::http_request& aRequest)
+gateway_app::state::ServeEntry(std::string_view aPath)
 {
-  const auto path = wire::SplitTarget(aRequest.mTarget).mPath;
-  if (path != mProtocol.mEntryPath) {
-    return TextResponse(404, "no such page\n");
+  if (aPath != mProtocol.mEntryPath) {
+    return TextResponse(404, kNoPage);
   }
+  mMetrics.Count("gateway_entry_answers_total");
   auto points = mPeers.EntryPoints(mTimers.Now());
   std::ranges::shuffle(points, mRandom);
   if (IsReady()) {
     points.insert(points.begin(),
                   { mSettings.mCallers.mAddress, mSettings.mCallers.mPort });
   }
-  if (points.size() > kMostEntries) {
-    points.resize(kMostEntries);
-  }
-  mMetrics.Count("gateway_entry_answers_total");
-  if (points.empty()) {
-    return TextResponse(503, "no gateway takes requests\n");
-  }
   const auto ttl = std::min(kEntryTtl, mSettings.mEntryTtl);
-  return wire::JsonResponse(200, mProtocol.mEntryBody(points, ttl));
+  return EntryPage(mProtocol, std::move(points), ttl);
 }
 
 wire::http_response
-gateway_app::state::AdminPage(const wire::http_request& aRequest)
+gateway_app::state::ServeAdmin(std::string_view aPath)
 {
-  const auto path = wire::SplitTarget(aRequest.mTarget).mPath;
-  if (path == kMetricsPath) {
+  if (aPath == kMetricsPath) {
+    const auto status = Status();
     mMetrics.Set(
       "log_lines_dropped", {}, static_cast<double>(DroppedLogLines()));
     mMetrics.Set(
-      "gateway_upstreams", {}, static_cast<double>(mUpstreams.Size()));
-    mMetrics.Set("gateway_gateways", {}, mPeers.MostGateways(mTimers.Now()));
+      "gateway_upstreams", {}, static_cast<double>(status.mUpstreams));
+    mMetrics.Set("gateway_gateways", {}, status.mGateways);
     return TextResponse(200, mMetrics.Render());
   }
-  if (path == kStatusPath) {
-    const auto age = mRouting.Age(BootNow());
-    const auto ageMs =
-      age ? std::chrono::duration_cast<milliseconds>(*age).count() : -1;
-    return wire::JsonResponse(
-      200,
-      "{\"ready\":" + std::string(IsReady() ? "true" : "false") +
-        ",\"leaving\":" + (IsLeaving() ? "true" : "false") +
-        ",\"routing_version\":" + std::to_string(mRouting.Version()) +
-        ",\"routing_age_ms\":" + std::to_string(ageMs) +
-        ",\"upstreams\":" + std::to_string(mUpstreams.Size()) +
-        ",\"gateways\":" + std::to_string(mPeers.MostGateways(mTimers.Now())) +
-        "}");
+  if (aPath == kStatusPath) {
+    return StatusPage(Status());
   }
-  if (path == kCopyPath) {
+  if (aPath == kCopyPath) {
     const auto copy = mReader.Copy();
     return copy ? wire::JsonResponse(200, EncodeStoreCopy(*copy))
                 : TextResponse(503, "nothing read yet\n");
   }
-  return TextResponse(404, "no such page\n");
+  return TextResponse(404, kNoPage);
+}
+
+gateway_status
+gateway_app::state::Status() const
+{
+  gateway_status status;
+  status.mReady = IsReady();
+  status.mLeaving = IsLeaving();
+  status.mRouting = mRouting.Version();
+  if (const auto age = mRouting.Age(BootNow())) {
+    status.mRoutingAge = std::chrono::duration_cast<milliseconds>(*age);
+  }
+  status.mUpstreams = mUpstreams.Size();
+  status.mGateways = mPeers.MostGateways(mTimers.Now());
+  return status;
 }
 
 std::optional<wire::endpoint>
--- /dev/null
+++ b/src/sapphirespar/gateway/part_settings.hpp
@@ -0,0 +1,24 @@
+// Settings of a gateway's parts, made from those of the process. Internal to
+// gateway.
+#pragma once
+
+#include "sapphirespar/config/gateway_settings.hpp"
+#include "sapphirespar/gateway/gossip_link.hpp"
+#include "sapphirespar/gateway/store_reader.hpp"
+#include "sapphirespar/policy/fleet_retry_budget.hpp"
+#include "sapphirespar/wire/http_client.hpp"
+#include "sapphirespar/wire/platform_client.hpp"
+
+namespace sapphirespar::gateway {
+
+// For one call between gateways.
+inline constexpr std::chrono::milliseconds kPeerTimeout{ 400 };
+
+policy::fleet_retry_limits RetryLimits(const gateway_settings& aSettings);
+wire::platform_client_settings StoreSettings(const gateway_settings& aSettings);
+store_reader_settings ReaderSettings(const gateway_settings& aSettings);
+gossip_settings GossipSettings(const gateway_settings& aSettings);
+wire::http_client_settings UpstreamClientSettings();
+wire::http_client_settings PeerClientSettings();
+
+} // namespace sapphirespar::gateway
--- a/src/sapphirespar/gateway/peer_board.cpp
+++ b/src/sapphirespar/gateway/peer_board.cpp
@@ -60,9 +60,12 @@
   const bool known = found != mPeers.end();
   if (known) {
     const auto& last = found->second.mState;
-    const bool older = sender.mIncarnation < last.mSender.mIncarnation ||
-                       (sender.mIncarnation == last.mSender.mIncarnation &&
-                        aState.mSequence <= last.mSequence);
+    // A process that started after its clock was set back has a lower number
+    // than the one before; that one is silent by then.
+    const bool older = IsLive(found->second, aNow) &&
+                       (sender.mIncarnation < last.mSender.mIncarnation ||
+                        (sender.mIncarnation == last.mSender.mIncarnation &&
+                         aState.mSequence <= last.mSequence));
     if (older) {
       return gossip_effect::Ignored;
     }
--- a/src/sapphirespar/gateway/peer_board_test.cpp
+++ b/src/sapphirespar/gateway/peer_board_test.cpp
@@ -66,6 +66,18 @@
   EXPECT_EQ(board.Receive(From("2", 9), kNow), gossip_effect::Ignored);
 }
 
+TEST(PeerBoard, TakesBackAProcessThatStartedAfterItsClockWasSetBack)
+{
+  peer_board board({ "1" });
+  board.Receive(From("2", 7), kNow);
+  auto restarted = From("2", 1);
+  restarted.mSender.mIncarnation = 4;
+  EXPECT_EQ(board.Receive(restarted, kNow + 500ms), gossip_effect::Ignored);
+  restarted.mSequence = 2;
+  EXPECT_EQ(board.Receive(restarted, kNow + 1500ms), gossip_effect::NewProcess);
+  EXPECT_EQ(board.EntryPoints(kNow + 1500ms).size(), 1U);
+}
+
 TEST(PeerBoard, AddsUpTheWorkOfLiveGateways)
 {
   peer_board board({ "1" });
--- a/src/sapphirespar/wire/http_server.cpp
+++ b/src/sapphirespar/wire/http_server.cpp
@@ -2,6 +2,7 @@
 #include "sapphirespar/wire/http_server.hpp"
 
 #include "http_codec.hpp"
+#include "http_request_read.hpp"
 
 #include "sapphirespar/base/log.hpp"
 
@@ -13,10 +14,7 @@
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
-#include <boost/beast/core/string.hpp>
-
 #include <algorithm>
-#include <array>
 #include <atomic>
 #include <optional>
 #include <vector>
@@ -59,7 +57,6 @@
 // Completes with the error code as a value instead of throwing it.
 constexpr auto kAsTuple = asio::as_tuple(asio::use_awaitable);
 
-using request_parser = http::request_parser<http::string_body>;
 using server_state = std::shared_ptr<http_server_state>;
 using services_ptr = std::shared_ptr<connection_services>;
 
@@ -199,41 +196,6 @@
   std::atomic<std::size_t>& mCount;
 };
 
-unsigned
-StatusOfReadError(const boost::system::error_code& aError)
-{
-  constexpr unsigned kBadRequest = 400;
-  constexpr unsigned kTimeout = 408;
-  constexpr unsigned kTooLarge = 413;
-  constexpr unsigned kHeadersTooLarge = 431;
-  if (aError == http::error::body_limit) {
-    return kTooLarge;
-  }
-  if (aError == http::error::header_limit) {
-    return kHeadersTooLarge;
-  }
-  if (IsTimeout(aError)) {
-    return kTimeout;
-  }
-  return kBadRequest;
-}
-
-// Reads on for a while: closing a connection that holds unread bytes resets
-// it, and the caller may then lose the response.
-asio::awaitable<void>
-DiscardRest(byte_stream& aStream)
-{
-  constexpr std::chrono::milliseconds kPatience{ 1000 };
-  constexpr unsigned kMostReads = 256;
-  std::array<char, 16 * 1024> bytes{};
-  for (unsigned reads = 0; reads < kMostReads; ++reads) {
-    const auto got = co_await aStream.ReadSome(asio::buffer(bytes), kPatience);
-    if (got.mError) {
-      co_return;
-    }
-  }
-}
-
 asio::awaitable<void>
 RefuseUnparsed(services_ptr aServices, byte_stream& aStream, error_code aError)
 {
@@ -248,65 +210,6 @@
   }
 }
 
-// How reading a request ended. Without a first byte there is nobody to answer.
-struct request_read
-{
-  error_code mError;
-  bool mBegun = false;
-};
-
-// Answers a caller that waits for leave to send its body.
-asio::awaitable<error_code>
-ContinueIfExpected(byte_stream& aStream, const request_parser& aParser)
-{
-  constexpr std::chrono::seconds kPatience{ 5 };
-  if (!beast::iequals(aParser.get()[http::field::expect], "100-continue")) {
-    co_return error_code{};
-  }
-  co_return co_await aStream.Write("HTTP/1.1 100 Continue\r\n\r\n", kPatience);
-}
-
-asio::awaitable<request_read>
-ReadRequest(byte_stream& aStream,
-            beast::flat_buffer& aBuffer,
-            request_parser& aParser,
-            const http_limits& aLimits)
-{
-  using std::chrono::steady_clock;
-  request_read read;
-  aParser.eager(true);
-  if (aBuffer.size() == 0) {
-    constexpr std::size_t kReadBytes = 8 * 1024;
-    const auto got = co_await aStream.ReadSome(aBuffer.prepare(kReadBytes),
-                                               aLimits.mIdleTimeout);
-    aBuffer.commit(got.mBytes);
-    if (got.mError) {
-      read.mError = got.mError;
-      co_return read;
-    }
-  }
-  read.mBegun = true;
-  const auto headersBy = steady_clock::now() + aLimits.mHeaderTimeout;
-  read.mError = Feed(aBuffer, aParser);
-  while (!read.mError && !aParser.is_header_done()) {
-    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
-      headersBy - steady_clock::now());
-    read.mError =
-      co_await ReadMore(aStream,
-                        aBuffer,
-                        aParser,
-                        std::max(left, std::chrono::milliseconds::zero()));
-  }
-  if (!read.mError && !aParser.is_done()) {
-    read.mError = co_await ContinueIfExpected(aStream, aParser);
-  }
-  while (!read.mError && !aParser.is_done()) {
-    read.mError =
-      co_await ReadMore(aStream, aBuffer, aParser, aLimits.mIdleTimeout);
-  }
-  co_return read;
-}
-
 // Serves requests on one connection until it closes.
 asio::awaitable<void>
 ServeRequests(services_ptr aServices, byte_stream& aStream)
