Spread requests that may not run twice over upstreams

Ruled out: the order of service; none was late or refused.

Change: among upstreams within 1.25 of the mean load, a request that may not run twice goes where the fewest of its kind run.

--- a/include/sapphirespar/policy/choose_upstream.hpp
+++ b/include/sapphirespar/policy/choose_upstream.hpp
@@ -22,9 +22,10 @@
 double LoadOf(const slot_state& aState);
 
 // Returns the least loaded upstream, or one that has the prompt's beginning
-// cached if its load is within bounds. An upstream that is too slow for the
-// request's deadlines is passed over while there are faster ones, free or
-// not. Returns null if none will do now.
+// cached if its load is within bounds. Requests that may not run twice are
+// spread over upstreams whose load is within bounds. An upstream that is too
+// slow for the request's deadlines is passed over while there are faster ones,
+// free or not. Returns null if none will do now.
 const slot_state* ChooseUpstream(const placement& aPlacement);
 
 } // namespace sapphirespar::policy
--- a/include/sapphirespar/policy/scheduler.hpp
+++ b/include/sapphirespar/policy/scheduler.hpp
@@ -31,6 +31,9 @@
   steady_time mArrival{};
   steady_time mFirstTokenBy{};
   steady_time mAnswerBy{};
+  // Set by the scheduler: the class may not run twice, so that a request is
+  // lost with its upstream.
+  bool mRunsOnce = false;
   // Upstreams that have failed this request already.
   std::vector<upstream_id> mExcluded;
 };
--- a/include/sapphirespar/policy/slot_table.hpp
+++ b/include/sapphirespar/policy/slot_table.hpp
@@ -20,6 +20,8 @@
   // Requests that run here now; paused ones do not count.
   unsigned mRunning = 0;
   unsigned mPaused = 0;
+  // Those of both that may not run twice.
+  unsigned mRunsOnce = 0;
   // False once the owner no longer names it; an unnamed upstream goes at
   // the next change of upstreams after its last request.
   bool mNamed = true;
--- a/src/sapphirespar/experiment/targets_test.cpp
+++ b/src/sapphirespar/experiment/targets_test.cpp
@@ -70,6 +70,23 @@
   }
 }
 
+// What may not run twice is lost with its engine, so it must be spread.
+TEST(StatedTargets, ACrashBreaksFewOfTheFirstTierWhateverTheSeed)
+{
+  for (const auto& load : { KalnozolsLoad(), LankaSeaboardLoad() }) {
+    for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+      const auto scheduler = policy::MakeScheduler("tiered");
+      const auto result =
+        RunTrial({ load, scenario::Crash, seed, true }, *scheduler);
+      std::ostringstream table;
+      Print(table, result);
+      EXPECT_GE(result.FirstTierAttainment(), kFirstTierTarget)
+        << load.mName << " seed " << seed << '\n'
+        << table.str();
+    }
+  }
+}
+
 TEST(StatedTargets, GoodputUnderABurstBeatsLeastOutstanding)
 {
   for (const auto& load : { KalnozolsLoad(), LankaSeaboardLoad() }) {
--- a/src/sapphirespar/policy/choose_upstream.cpp
+++ b/src/sapphirespar/policy/choose_upstream.cpp
@@ -3,14 +3,15 @@
 
 #include <algorithm>
 #include <numeric>
+#include <tuple>
 
 namespace sapphirespar::policy {
 
 namespace {
 
-// A cached prefix may draw work to an upstream up to this multiple of the
-// mean load.
-constexpr double kPrefixLoadGuard = 1.25;
+// A cached prefix, or the wish to spread work that may not run twice, may draw
+// a request to an upstream up to this multiple of the mean load.
+constexpr double kLoadGuard = 1.25;
 
 constexpr double kLeastSpeed = 0.01;
 
@@ -78,7 +79,7 @@
   if (aPrefix == 0) {
     return nullptr;
   }
-  const auto limit = kPrefixLoadGuard * MeanLoad(aMembers);
+  const auto limit = kLoadGuard * MeanLoad(aMembers);
   slot_members holders;
   std::ranges::copy_if(
     aMembers, std::back_inserter(holders), [&](const slot_state* aState) {
@@ -88,6 +89,18 @@
   return LeastLoaded(holders);
 }
 
+// A crash loses all that an upstream ran and that may not run twice, so such
+// work is spread, within bounds of load. The free ones must not be empty.
+const slot_state*
+LeastAtRisk(const slot_members& aFree, double aMeanLoad)
+{
+  const auto limit = kLoadGuard * aMeanLoad;
+  return *std::ranges::min_element(aFree, {}, [&](const slot_state* aState) {
+    const auto load = LoadOf(*aState);
+    return std::tuple(load > limit, aState->mRunsOnce, load);
+  });
+}
+
 } // namespace
 
 double
@@ -116,9 +129,12 @@
         PrefixHolder(usable, aPlacement.mRequest.mPrefixHash)) {
     return holder;
   }
+  const auto meanLoad = MeanLoad(usable);
   std::erase_if(
     usable, [](const slot_state* aState) { return FreeSlots(*aState) == 0; });
-  return LeastLoaded(usable);
+  return aPlacement.mRequest.mRunsOnce && !usable.empty()
+           ? LeastAtRisk(usable, meanLoad)
+           : LeastLoaded(usable);
 }
 
 } // namespace sapphirespar::policy
--- a/src/sapphirespar/policy/choose_upstream_test.cpp
+++ b/src/sapphirespar/policy/choose_upstream_test.cpp
@@ -67,6 +67,21 @@
   EXPECT_EQ(Choose(), "a");
 }
 
+TEST_F(an_upstream_choice, SpreadsWhatMayNotRunTwiceWithinTheLoadGuard)
+{
+  mRequest.mRunsOnce = true;
+  for (auto& state : mStates) {
+    state.mRunning = 5;
+    state.mRunsOnce = 1;
+  }
+  mStates[0].mRunning = 4;
+  mStates[0].mRunsOnce = 2;
+  EXPECT_EQ(Choose(), "b");
+  mStates[0].mRunning = 1;
+  mStates[1].mRunning = mStates[2].mRunning = 7;
+  EXPECT_EQ(Choose(), "a");
+}
+
 TEST_F(an_upstream_choice, PassesOverASlowOneThatWouldBeLate)
 {
   mStates[2].mView.mState = upstream_state::Slow;
--- a/src/sapphirespar/policy/scheduler_state.cpp
+++ b/src/sapphirespar/policy/scheduler_state.cpp
@@ -86,6 +86,7 @@
                          const queue_key& aKey,
                          queued_request aRequest)
 {
+  aRequest.mRunsOnce = !aLane.mClass.mIdempotent;
   mPlaces.emplace(aRequest.mId, place{ aRequest.mPool, aRequest.mClass, aKey });
   Push(aLane, aKey, std::move(aRequest));
 }
@@ -124,7 +125,9 @@
     return;
   }
   Withdraw(aRequest.mId);
-  ++LaneIn(PoolOf(aRequest.mPool), aRequest.mClass).mRunning;
+  auto& lane = LaneIn(PoolOf(aRequest.mPool), aRequest.mClass);
+  ++lane.mRunning;
+  aRequest.mRunsOnce = !lane.mClass.mIdempotent;
   mSlots.Take(std::move(aRequest), aUpstream, aNow);
 }
 
--- a/src/sapphirespar/policy/slot_table.cpp
+++ b/src/sapphirespar/policy/slot_table.cpp
@@ -121,6 +121,7 @@
     found->second.mNamed = false;
   }
   ++found->second.mRunning;
+  found->second.mRunsOnce += aRequest.mRunsOnce;
   const auto id = aRequest.mId;
   mHolders.insert_or_assign(
     id, slot_holder{ std::move(aRequest), &found->second, aNow, aNow });
@@ -135,6 +136,7 @@
   }
   auto holder = std::move(found->second);
   mHolders.erase(found);
+  holder.mUpstream->mRunsOnce -= holder.mRequest.mRunsOnce;
   --(holder.mPaused ? holder.mUpstream->mPaused : holder.mUpstream->mRunning);
   return holder;
 }
