Give nothing to an engine whose last model is unloaded

A report with an empty list of models counted as one that doesn't tell, so the engine was still taken to hold all that it may. The two now differ, a changed list reaches the scheduler at once, and an order is not taken as carried out by a report without a list.

--- a/include/sapphirespar/model/blackboard.hpp
+++ b/include/sapphirespar/model/blackboard.hpp
@@ -8,6 +8,7 @@
 #include "sapphirespar/model/peer_message.hpp"
 
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -69,8 +70,8 @@
   unsigned mReportedRunning = 0;
   unsigned mReportedQueued = 0;
   steady_time mReportedAt{};
-  // Models loaded, as last reported.
-  std::vector<model_id> mLoaded;
+  // Models loaded, as last reported; nothing until it has told.
+  std::optional<std::vector<model_id>> mLoaded;
 };
 
 struct blackboard
--- a/include/sapphirespar/upstream/health_tracker.hpp
+++ b/include/sapphirespar/upstream/health_tracker.hpp
@@ -40,7 +40,8 @@
   unsigned mRunning = 0;
   unsigned mQueued = 0;
   unsigned mSlots = 0;
-  std::vector<model_id> mModels;
+  // Models loaded; nothing if it does not tell.
+  std::optional<std::vector<model_id>> mModels;
   // Highest fencing number of an order that it has carried out.
   std::uint64_t mFence = 0;
 };
@@ -61,6 +62,8 @@
   std::function<bool(const upstream_spec&)> mIsHome;
   // A status on the blackboard has changed its state.
   std::function<void(const upstream_id&, upstream_state)> mOnChange;
+  // The models loaded at an upstream, as on the blackboard, have changed.
+  std::function<void(const upstream_status&)> mOnModels;
 };
 
 struct health_settings
--- a/src/sapphirespar/router/status.cpp
+++ b/src/sapphirespar/router/status.cpp
@@ -44,11 +44,14 @@
 json::object
 ToJson(const upstream_status& aStatus, steady_time aNow)
 {
-  json::array loaded;
-  std::ranges::transform(
-    aStatus.mLoaded, std::back_inserter(loaded), [](const auto& aModel) {
-      return json::value(aModel.mText);
-    });
+  json::value loaded;
+  if (aStatus.mLoaded) {
+    auto& models = loaded.emplace_array();
+    std::ranges::transform(
+      *aStatus.mLoaded, std::back_inserter(models), [](const auto& aModel) {
+        return json::value(aModel.mText);
+      });
+  }
   return {
     { "upstream", aStatus.mId.mText },
     { "state", ToText(aStatus.mState) },
--- a/src/sapphirespar/router/upstream_control.cpp
+++ b/src/sapphirespar/router/upstream_control.cpp
@@ -5,6 +5,7 @@
 #include "sapphirespar/membership/homes.hpp"
 #include "sapphirespar/router/snapshot.hpp"
 #include "sapphirespar/router/upstream_client.hpp"
+#include "sapphirespar/router/upstream_view.hpp"
 #include "sapphirespar/upstream/drain_watcher.hpp"
 #include "sapphirespar/upstream/health_tracker.hpp"
 #include "sapphirespar/upstream/order_controller.hpp"
@@ -56,29 +57,6 @@
   return health;
 }
 
-policy::upstream_view
-MakeView(const upstream_spec& aSpec, const upstream_status* aStatus)
-{
-  policy::upstream_view view;
-  view.mId = aSpec.mId;
-  view.mPools = PoolsOf(aSpec);
-  view.mSlots = aSpec.mSlots;
-  view.mCanPause = aSpec.mKind == upstream_kind::Engine;
-  if (aStatus == nullptr) {
-    return view;
-  }
-  view.mState = aStatus->mState;
-  view.mRelativeSpeed = aStatus->mRelativeSpeed;
-  // An engine that has told what it holds serves nothing else.
-  if (!aStatus->mLoaded.empty()) {
-    std::erase_if(view.mPools, [&](const std::string& aPool) {
-      return std::ranges::find(aStatus->mLoaded, model_id{ aPool }) ==
-             aStatus->mLoaded.end();
-    });
-  }
-  return view;
-}
-
 } // namespace
 
 struct upstream_control::state : std::enable_shared_from_this<state>
@@ -167,6 +145,15 @@
     }
     mServices.mOnChange();
   };
+  hooks.mOnModels = [this](const upstream_status& aStatus) {
+    const auto& loaded = aStatus.mLoaded;
+    LogEvent(
+      log_level::Info,
+      "upstream_models",
+      { { "upstream", aStatus.mId.mText },
+        { "loaded", loaded ? std::to_string(loaded->size()) : "unknown" } });
+    mServices.mOnChange();
+  };
   return hooks;
 }
 
--- a/src/sapphirespar/upstream/health_tracker.cpp
+++ b/src/sapphirespar/upstream/health_tracker.cpp
@@ -333,8 +333,13 @@
   auto& status = found->second;
   status.mReportedRunning = aReport.mRunning;
   status.mReportedQueued = aReport.mQueued;
-  status.mLoaded = aReport.mModels;
   status.mReportedAt = mTimers.Now();
+  if (status.mLoaded != aReport.mModels) {
+    status.mLoaded = aReport.mModels;
+    if (mHooks.mOnModels) {
+      mHooks.mOnModels(status);
+    }
+  }
 }
 
 void
--- a/src/sapphirespar/upstream/health_tracker_test.cpp
+++ b/src/sapphirespar/upstream/health_tracker_test.cpp
@@ -36,6 +36,7 @@
     hooks.mFetchLoad = [this](const auto&, const auto& aDone) {
       aDone(mReport);
     };
+    hooks.mOnModels = [this](const auto&) { ++mModelChanges; };
     hooks.mIsHome = [](const auto& aSpec) { return aSpec.mId == Id(0); };
     mTracker.emplace(mBoard, mTimers, hooks);
     Publish();
@@ -68,8 +69,9 @@
   manual_timer_service mTimers;
   blackboard mBoard;
   std::set<upstream_id> mAlive;
-  load_report mReport{ 3, 1, 8, { { "tiny" } }, 0 };
+  load_report mReport{ 3, 1, 8, std::vector<model_id>{ { "tiny" } }, 0 };
   unsigned mProbes = 0;
+  unsigned mModelChanges = 0;
   std::optional<health_tracker> mTracker;
 };
 
@@ -150,6 +152,7 @@
 TEST(HealthTracker, LoadReportsComeFromTheHomeOnly)
 {
   test_pool pool(2);
+  EXPECT_EQ(pool.mBoard.mUpstreams[test_pool::Id(0)].mLoaded, std::nullopt);
   pool.mTimers.Advance(1s);
   const auto& home = pool.mBoard.mUpstreams.at(test_pool::Id(0));
   EXPECT_EQ(home.mReportedRunning, 3U);
@@ -219,6 +222,27 @@
   }
 }
 
+TEST(HealthTracker, TellsOfEachChangeOfTheModelsLoaded)
+{
+  test_pool pool(2);
+  pool.mTimers.Advance(5s);
+  EXPECT_EQ(pool.mModelChanges, 1U);
+  pool.mReport.mModels->clear();
+  pool.mTimers.Advance(5s);
+  EXPECT_EQ(pool.mModelChanges, 2U);
+  const auto& loaded = pool.mBoard.mUpstreams.at(test_pool::Id(0)).mLoaded;
+  ASSERT_TRUE(loaded);
+  EXPECT_TRUE(loaded->empty());
+}
+
+TEST(LoadReport, AnEngineWithoutModelsDiffersFromOneThatDoesNotTell)
+{
+  const auto empty = ReadLoadReport(R"({"slots":8,"models":[]})");
+  ASSERT_TRUE(empty->mModels);
+  EXPECT_TRUE(empty->mModels->empty());
+  EXPECT_FALSE(ReadLoadReport(R"({"slots":8})")->mModels);
+}
+
 RC_GTEST_PROP(LoadReport, AnyBodyIsReadOrRefused, (const std::string& aText))
 {
   ReadLoadReport(aText);
--- a/src/sapphirespar/upstream/load_report.cpp
+++ b/src/sapphirespar/upstream/load_report.cpp
@@ -24,14 +24,14 @@
   return error ? 0 : number;
 }
 
-std::vector<model_id>
+std::optional<std::vector<model_id>>
 ModelsOf(const json::object& aObject)
 {
-  std::vector<model_id> models;
   const auto* const value = aObject.if_contains("models");
   if (value == nullptr || !value->is_array()) {
-    return models;
+    return std::nullopt;
   }
+  std::vector<model_id> models;
   for (const auto& item : value->get_array()) {
     if (const auto* const name = item.if_string()) {
       models.push_back({ std::string(name->data(), name->size()) });
--- a/src/sapphirespar/upstream/order_controller.cpp
+++ b/src/sapphirespar/upstream/order_controller.cpp
@@ -18,8 +18,12 @@
 bool
 IsCarriedOut(const engine_order& aOrder, const load_report& aReport)
 {
-  const auto loaded =
-    std::ranges::find(aReport.mModels, aOrder.mModel) != aReport.mModels.end();
+  // An engine that doesn't tell proves nothing.
+  if (!aReport.mModels) {
+    return false;
+  }
+  const auto& models = *aReport.mModels;
+  const bool loaded = std::ranges::find(models, aOrder.mModel) != models.end();
   return loaded == (aOrder.mKind == order_kind::LoadModel);
 }
 
--- a/src/sapphirespar/upstream/replica_planner.cpp
+++ b/src/sapphirespar/upstream/replica_planner.cpp
@@ -55,8 +55,9 @@
 bool
 Holds(const upstream_status* aStatus, const model_id& aModel)
 {
-  return aStatus != nullptr &&
-         std::ranges::find(aStatus->mLoaded, aModel) != aStatus->mLoaded.end();
+  return aStatus != nullptr && aStatus->mLoaded &&
+         std::ranges::find(*aStatus->mLoaded, aModel) !=
+           aStatus->mLoaded->end();
 }
 
 unsigned
--- a/src/sapphirespar/upstream/replica_planner_test.cpp
+++ b/src/sapphirespar/upstream/replica_planner_test.cpp
@@ -49,7 +49,8 @@
   void Apply(const std::vector<planned_order>& aOrders)
   {
     for (const auto& order : aOrders) {
-      auto& loaded = mBoard.mUpstreams[order.mUpstream].mLoaded;
+      auto& told = mBoard.mUpstreams[order.mUpstream].mLoaded;
+      auto& loaded = told ? *told : told.emplace();
       std::erase(loaded, order.mOrder.mModel);
       if (order.mOrder.mKind == order_kind::LoadModel) {
         loaded.push_back(order.mOrder.mModel);
@@ -84,14 +85,14 @@
 TEST_F(replica_fixture, UnloadsOnlyOnceTheWantedReplicasAreLoaded)
 {
   for (auto& [id, status] : mBoard.mUpstreams) {
-    status.mLoaded = { { "wool" } };
+    status.mLoaded = std::vector<model_id>{ { "wool" } };
   }
   SetDemand(1);
   const auto host = [&] {
     mBoard.mBundle = std::make_shared<const bundle>(mBundle);
     return ReplicaHosts(mBoard, { "wool" }, 1).at(0);
   }();
-  mBoard.mUpstreams[host].mLoaded.clear();
+  mBoard.mUpstreams[host].mLoaded->clear();
   auto orders = Plan();
   ASSERT_EQ(orders.size(), 1U);
   EXPECT_EQ(orders[0].mOrder.mKind, order_kind::LoadModel);
