Let a busy fleet wait for the home of a shared part rather than read it again

Ruled out by playing the load on a scratch model of 112 engines and 87 gateways (trials): ties, group borders, the price of a taken slot.

Change: the cost of reading again rises from 0.25 to 2 ms a token as the share of slots taken goes from 0.5 to 0.9; a quarter at the second home.

The new test fails before.

--- a/src/sapphirespar/policy/engine_choice.cpp
+++ b/src/sapphirespar/policy/engine_choice.cpp
@@ -26,9 +26,20 @@
 // Each running request slows the others by about this much per event.
 constexpr double kRunningMs = 0.5;
 
-// Reading a shared part again wastes the engine's time and memory, so a request
-// rather waits this long for each of its tokens at the engine that has it.
-constexpr double kRereadMsPerToken = 0.25;
+// Reading a shared part again takes time from all that runs at the engine, so a
+// request rather waits this long for each of its tokens at the engine that has
+// it: the first while many slots are free, the second while hardly any is and
+// each token read again keeps another request out. Found by playing bursts, see
+// docs/bench/2026-12-04-placement.md.
+constexpr double kIdleRereadMsPerToken = 0.25;
+constexpr double kBusyRereadMsPerToken = 2;
+
+// Shares of the slots taken at which the cost begins and ceases to rise.
+constexpr double kIdleSlots = 0.5;
+constexpr double kBusySlots = 0.9;
+
+// The second home of a shared part has often read it.
+constexpr double kSecondHomeShare = 0.25;
 
 // Behind this much more waiting, interactive work goes to a bulk engine: about
 // the pause that a long prompt there would cause.
@@ -117,9 +128,35 @@
   return homes;
 }
 
+// The share of a group's slots that is taken; zero if it has none.
+double
+SlotsTaken(std::span<const engine_candidate> aCandidates,
+           const std::vector<bool>& aGroup,
+           bool aInteractive)
+{
+  double taken = 0;
+  double slots = 0;
+  for (std::size_t index = 0; index < aCandidates.size(); ++index) {
+    if (aCandidates.size() < 2 || aGroup[index] == aInteractive) {
+      const auto& engine = aCandidates[index];
+      taken += std::min<double>(engine.mLoad.mRunning, engine.mSlots);
+      slots += engine.mSlots;
+    }
+  }
+  return slots > 0 ? taken / slots : 0;
+}
+
+double
+RereadMsPerToken(double aSlotsTaken)
+{
+  const double part = std::clamp(
+    (aSlotsTaken - kIdleSlots) / (kBusySlots - kIdleSlots), 0.0, 1.0);
+  return std::lerp(kIdleRereadMsPerToken, kBusyRereadMsPerToken, part);
+}
+
 // What it costs to have a shared part read anew here.
 double
-RereadMs(const prompt_work& aWork,
+RereadMs(double aCost,
          const engine_candidate& aEngine,
          std::size_t aIndex,
          const shared_homes& aHomes)
@@ -127,8 +164,7 @@
   if (aEngine.mHoldsShared || aIndex == aHomes.mFirst) {
     return 0;
   }
-  const double cost = kRereadMsPerToken * aWork.mSharedTokens;
-  return aIndex == aHomes.mSecond ? cost / 2 : cost;
+  return aIndex == aHomes.mSecond ? kSecondHomeShare * aCost : aCost;
 }
 
 double
@@ -192,6 +228,9 @@
   const auto group = InteractiveGroup(aCandidates, aInteractiveShare);
   const auto homes =
     HomesOf(aWork.mSharedKey, aCandidates, group, aWork.mInteractive);
+  const double reread =
+    aWork.mSharedTokens *
+    RereadMsPerToken(SlotsTaken(aCandidates, group, aWork.mInteractive));
   std::optional<engine_choice> best;
   double lowest = 0;
   for (std::size_t index = 0; index < aCandidates.size(); ++index) {
@@ -211,7 +250,7 @@
                  -64) *
       kTieMs;
     const double cost = firstEvent + StrayMs(aWork, engine, own) +
-                        RereadMs(aWork, engine, index, homes) + handicap;
+                        RereadMs(reread, engine, index, homes) + handicap;
     if (!best || cost < lowest) {
       best = engine_choice{ index, firstEvent, tokens };
       lowest = cost;
--- a/src/sapphirespar/policy/engine_choice_test.cpp
+++ b/src/sapphirespar/policy/engine_choice_test.cpp
@@ -104,6 +104,18 @@
   EXPECT_EQ(ChosenFor(LongPrompt(7), engines, 0.1), second);
 }
 
+TEST(ChooseEngine, ABusyFleetWaitsForTheHomeRatherThanReadAgain)
+{
+  auto engines = Engines(9);
+  const auto home = ChosenFor(LongPrompt(7), engines);
+  engines[home].mLoad.mOtherTokens = 80'000;
+  EXPECT_NE(ChosenFor(LongPrompt(7), engines), home);
+  for (auto& engine : engines) {
+    engine.mLoad.mRunning = 60;
+  }
+  EXPECT_EQ(ChosenFor(LongPrompt(7), engines), home);
+}
+
 TEST(ChooseEngine, AnEngineLessMovesFewSharedParts)
 {
   const auto engines = Engines(18);
