--- a/include/sapphirespar/policy/engine_choice.hpp
+++ b/include/sapphirespar/policy/engine_choice.hpp
@@ -50,10 +50,13 @@
 {
   // Place in the candidates.
   std::size_t mIndex = 0;
-  // Until the first event.
+  // Until the first event, and the part of it that is spent on other work.
   double mFirstEventMs = 0;
+  double mQueueingMs = 0;
   // Prompt tokens that the engine will have to read.
   double mTokensToRead = 0;
+  // Share of the slots taken on engines for work of this kind.
+  double mSlotsTaken = 0;
 };
 
 // Returns nothing without candidates. aDraw, between 0 and 1, breaks near ties
--- a/src/sapphirespar/gateway/forward.cpp
+++ b/src/sapphirespar/gateway/forward.cpp
@@ -237,6 +237,9 @@
     policy::expected_wait wait;
     wait.mFirstEvent =
       milliseconds(static_cast<std::int64_t>(aTarget.mPredictedMs));
+    wait.mQueueing =
+      milliseconds(static_cast<std::int64_t>(aTarget.mQueueingMs));
+    wait.mSlotsTaken = aTarget.mSlotsTaken;
     wait.mInteractive = aTarget.mInteractive;
     wait.mTarget = mForwarded.mRoute->mTargetLatency;
     wait.mPatience = std::min({ FirstEventPatience(*mForwarded.mRoute),
@@ -246,6 +249,16 @@
     if (!comeBack) {
       return std::nullopt;
     }
+    constexpr double kPercent = 100;
+    LogEvent(log_level::Info,
+             "wait_refused",
+             { { "request", mForwarded.mFacts.mId },
+               { "upstream", aTarget.mUpstream->mEntry.mId.mText },
+               { "predicted_ms", wait.mFirstEvent.count() },
+               { "queueing_ms", wait.mQueueing.count() },
+               { "slots_taken_percent",
+                 static_cast<int>(kPercent * wait.mSlotsTaken) },
+               { "others_running", aTarget.mUpstream->mOthers.mRunning } });
     return refusal_answer{ 503, "too_long_a_wait", *comeBack };
   }
 
--- a/src/sapphirespar/gateway/forward_state.hpp
+++ b/src/sapphirespar/gateway/forward_state.hpp
@@ -88,8 +88,11 @@
 struct attempt_target
 {
   upstream_ptr mUpstream;
-  // Until the first event.
+  // Until the first event, and the part of it that is spent on other work.
   double mPredictedMs = 0;
+  double mQueueingMs = 0;
+  // Share of the slots taken on engines for work of this kind.
+  double mSlotsTaken = 0;
   // Of an engine: what it will have to read, and for whom.
   double mTokensToRead = 0;
   bool mInteractive = false;
--- a/src/sapphirespar/gateway/placement.cpp
+++ b/src/sapphirespar/gateway/placement.cpp
@@ -147,6 +147,8 @@
   attempt_target target;
   target.mUpstream = aMembers[choice->mIndex];
   target.mPredictedMs = choice->mFirstEventMs;
+  target.mQueueingMs = choice->mQueueingMs;
+  target.mSlotsTaken = choice->mSlotsTaken;
   target.mSharedKey = work.mSharedKey;
   target.mTokensToRead = choice->mTokensToRead;
   target.mInteractive = work.mInteractive;
--- a/src/sapphirespar/policy/engine_choice.cpp
+++ b/src/sapphirespar/policy/engine_choice.cpp
@@ -228,9 +228,8 @@
   const auto group = InteractiveGroup(aCandidates, aInteractiveShare);
   const auto homes =
     HomesOf(aWork.mSharedKey, aCandidates, group, aWork.mInteractive);
-  const double reread =
-    aWork.mSharedTokens *
-    RereadMsPerToken(SlotsTaken(aCandidates, group, aWork.mInteractive));
+  const double taken = SlotsTaken(aCandidates, group, aWork.mInteractive);
+  const double reread = aWork.mSharedTokens * RereadMsPerToken(taken);
   std::optional<engine_choice> best;
   double lowest = 0;
   for (std::size_t index = 0; index < aCandidates.size(); ++index) {
@@ -240,9 +239,9 @@
     const bool holds = engine.mHoldsShared || index == homes.mFirst;
     const double tokens =
       aWork.mPromptTokens - (holds ? aWork.mSharedTokens : 0);
-    const double firstEvent = kFirstEventMs + ReadingMs(tokens) +
-                              WaitMs(aWork, engine) +
-                              CrowdingMs(aWork, engine) + engine.mPenaltyMs;
+    const double queueing =
+      WaitMs(aWork, engine) + CrowdingMs(aWork, engine) + engine.mPenaltyMs;
+    const double firstEvent = kFirstEventMs + ReadingMs(tokens) + queueing;
     // A different small handicap for each engine and draw.
     const auto handicap =
       std::ldexp(static_cast<double>(
@@ -252,7 +251,7 @@
     const double cost = firstEvent + StrayMs(aWork, engine, own) +
                         RereadMs(reread, engine, index, homes) + handicap;
     if (!best || cost < lowest) {
-      best = engine_choice{ index, firstEvent, tokens };
+      best = engine_choice{ index, firstEvent, queueing, tokens, taken };
       lowest = cost;
     }
   }
