Spread refused callers over half a second

Cause: bulk work is in time for 2 s from its first attempt; a caller that was sent away for up to 2 s could no longer be.

Change: the spread of the return is 0.5 s instead of 1.5 s; never sooner than 0.5 s as before.

The test's value for the latest return follows the constant; its floor of 0.5 s stays.

--- a/src/sapphirespar/policy/wait_limit.cpp
+++ b/src/sapphirespar/policy/wait_limit.cpp
@@ -11,7 +11,7 @@
 using std::chrono::milliseconds;
 
 // Callers that were refused together come back spread over this time.
-constexpr milliseconds kSpread{ 1500 };
+constexpr milliseconds kSpread{ 500 };
 constexpr milliseconds kSoonest{ 500 };
 
 // Bulk work may queue for its whole target while at most the first share of the
