--- a/programs/experiment/main.cpp
+++ b/programs/experiment/main.cpp
@@ -1,6 +1,7 @@
 // sapphirespar-experiment: runs the schedulers side by side on fake engines
 // under virtual time and prints attainment, goodput and wasted work.
 #include "event_cost.hpp"
+#include "sapphirespar/experiment/prompt_trial.hpp"
 #include "sapphirespar/experiment/trial.hpp"
 
 #include <CLI/CLI.hpp>
@@ -60,6 +61,17 @@
   }
 }
 
+void
+PlayPrompts(std::uint64_t aSeed)
+{
+  for (const bool bursts : { false, true }) {
+    const auto load = experiment::DigestsAndQuestions(bursts);
+    std::cout << load.mName << (bursts ? " with bursts" : " calm") << " seed "
+              << aSeed << '\n';
+    experiment::Print(std::cout, experiment::PlayPrompts(load, aSeed));
+  }
+}
+
 } // namespace
 
 int
@@ -82,6 +94,10 @@
   bool costs = false;
   app.add_flag(
     "--event-costs", costs, "Only the processor time of scheduling events");
+  bool prompts = false;
+  app.add_flag("--prompts",
+               prompts,
+               "Only gateways that place prompts at many engines, by --seed");
   app.set_version_flag("--version", SAPPHIRESPAR_VERSION);
   try {
     app.parse(aCount, aArguments);
@@ -93,6 +109,10 @@
     PrintEventCosts();
     return 0;
   }
+  if (prompts) {
+    PlayPrompts(selected.mSeed);
+    return 0;
+  }
   for (const auto& load :
        { experiment::KalnozolsLoad(), experiment::LankaSeaboardLoad() }) {
     if (selected.mUser.empty() || selected.mUser == load.mName) {
--- a/src/sapphirespar/experiment/workload.cpp
+++ b/src/sapphirespar/experiment/workload.cpp
@@ -1,9 +1,10 @@
 // The two users' loads and their arrivals.
 #include "sapphirespar/experiment/workload.hpp"
 
+#include "sapphirespar/experiment/draws.hpp"
+
 #include <algorithm>
 #include <cmath>
-#include <random>
 #include <utility>
 
 namespace sapphirespar::experiment {
@@ -15,31 +16,6 @@
 constexpr unsigned kAccounts = 10;
 constexpr double kBurstFactor = 2.0;
 
-using random_engine = std::mt19937_64;
-
-// Uniform above zero and up to one; the standard distributions differ between
-// libraries.
-double
-Uniform(random_engine& aRandom)
-{
-  constexpr double kSteps = 9007199254740992.0;
-  return (static_cast<double>(aRandom() >> 11) + 1) / kSteps;
-}
-
-double
-Exponential(random_engine& aRandom, double aRate)
-{
-  return -std::log(Uniform(aRandom)) / aRate;
-}
-
-double
-Normal(random_engine& aRandom)
-{
-  constexpr double kPi = 3.14159265358979323846;
-  const auto radius = std::sqrt(-2 * std::log(Uniform(aRandom)));
-  return radius * std::cos(2 * kPi * Uniform(aRandom));
-}
-
 request_class
 Class(std::string aName,
       unsigned aTier,
