Relay the sums of work between data centres of large fleets

Change: from 48 other gateways on, work is told directly within a data centre only, every 100 ms or, where more than 33 listen, as often as a small processor can take it; two relays a data centre (the largest shares of a core) exchange sums with those of the others every 200 ms each.

--- a/idl/gossip.thrift
+++ b/idl/gossip.thrift
@@ -14,6 +14,13 @@
   6: i32 interactive;
 }
 
+// The sum of all work from one data centre.
+struct gossip_zone {
+  1: string data_centre;
+  2: i32 age_ms;
+  3: list<gossip_load> loads;
+}
+
 struct gossip_state {
   1: string vm;
   2: i64 incarnation;
@@ -39,4 +46,7 @@
   19: i32 bulk_reading;
   // Thousandths of a core that the sender may use.
   20: i32 processor;
+  // Only from relays: their own data centre to relays of others, the others to
+  // gateways of their own.
+  21: list<gossip_zone> zones;
 }
--- a/include/sapphirespar/gateway/gossip_link.hpp
+++ b/include/sapphirespar/gateway/gossip_link.hpp
@@ -1,6 +1,5 @@
-// Sends this gateway's state to the others by datagram and takes in theirs: at
-// once when its work has changed, but not more often than the shortest pause,
-// and from time to time while nothing changes.
+// Sends gossip to the other gateways by datagram, as gossip_plan.hpp decides,
+// and takes in theirs.
 #pragma once
 
 #include "sapphirespar/base/timer_service.hpp"
--- a/include/sapphirespar/gateway/peer_board.hpp
+++ b/include/sapphirespar/gateway/peer_board.hpp
@@ -15,6 +15,15 @@
 
 namespace sapphirespar::gateway {
 
+// Who a gateway is to the others.
+struct peer_self
+{
+  vm_id mVm;
+  data_centre_id mDataCentre;
+  // Thousandths of a core.
+  std::uint32_t mProcessor = 0;
+};
+
 // Where a gateway's datagrams are received, whether it lives or not.
 struct peer_contact
 {
@@ -36,8 +45,7 @@
 class peer_board
 {
 public:
-  // aProcessor is this gateway's thousandths of a core.
-  explicit peer_board(vm_id aSelf, std::uint32_t aProcessor = 0);
+  explicit peer_board(peer_self aSelf);
 
   gossip_effect Receive(const gossip_state& aState, steady_time aNow);
 
@@ -65,8 +73,27 @@
   // Live gateways, this one not among them.
   std::vector<vm_id> LiveNames(steady_time aNow) const;
 
-  // Everyone to whom gossip is to be sent.
-  std::vector<peer_contact> Contacts() const;
+  // Whether relays pass on the work of other data centres, as it is in fleets
+  // so large that each gateway could tell all others only rarely.
+  bool UsesRelays() const;
+
+  // Whether this gateway is a relay of its data centre. Gateways that see the
+  // same others agree on it.
+  bool IsRelay(steady_time aNow) const;
+
+  // Everyone to whom gossip is to be sent, by whether they are known to be in
+  // this gateway's data centre.
+  std::vector<peer_contact> Contacts(bool aNear) const;
+
+  // Addresses of the relays of all other data centres.
+  std::vector<std::string> FarRelays(steady_time aNow) const;
+
+  // The work of this data centre, aOwn being this gateway's.
+  zone_loads NearLoads(std::span<const gossip_load> aOwn,
+                       steady_time aNow) const;
+
+  // The work of the other data centres, as their relays last told it.
+  std::vector<zone_loads> FarLoads(steady_time aNow) const;
 
   // The work of all live gateways together, by the upstreams' keys.
   std::unordered_map<std::uint64_t, policy::upstream_load> Loads(
@@ -85,6 +112,11 @@
   // Time between two datagrams of each gateway that has nothing new to tell.
   std::chrono::milliseconds BeatPeriod() const;
 
+  // Time between two datagrams of each gateway that has work to tell of, to
+  // those who hear of it directly; aShortest at least.
+  std::chrono::milliseconds NewsPeriod(
+    std::chrono::milliseconds aShortest) const;
+
 private:
   struct peer
   {
@@ -93,11 +125,25 @@
     bool mLive = false;
   };
 
-  bool IsLive(const peer& aPeer, steady_time aNow) const;
+  struct zone
+  {
+    std::vector<gossip_load> mLoads;
+    steady_time mSummed{};
+  };
 
-  vm_id mSelf;
-  std::uint32_t mProcessor;
+  bool IsLive(const peer& aPeer, steady_time aNow) const;
+  bool IsNear(const peer& aPeer) const;
+  // The live gateways that are the relays of a data centre.
+  std::vector<vm_id> Relays(const data_centre_id& aDataCentre,
+                            steady_time aNow) const;
+  // Null unless the data centre's sum is of use.
+  const zone* FindZone(const data_centre_id& aDataCentre,
+                       steady_time aNow) const;
+
+  const peer_self mSelf;
   std::map<vm_id, peer> mPeers;
+  // The newest sums of other data centres.
+  std::map<data_centre_id, zone> mZones;
   // Registered gateways and since when.
   std::map<peer_contact, steady_time> mRegistered;
   bool mRegisterRead = false;
--- a/include/sapphirespar/model/gossip.hpp
+++ b/include/sapphirespar/model/gossip.hpp
@@ -25,6 +25,17 @@
   bool operator==(const gossip_load&) const = default;
 };
 
+// The work that all gateways of a data centre have, summed by one of them.
+struct zone_loads
+{
+  data_centre_id mDataCentre;
+  // How long ago it was summed, rounded up.
+  std::chrono::milliseconds mAge{ 0 };
+  std::vector<gossip_load> mLoads;
+
+  bool operator==(const zone_loads&) const = default;
+};
+
 // What a gateway has read of the platform's store, and how long ago the reads
 // were sent, rounded up.
 struct store_summary
@@ -64,6 +75,8 @@
   std::uint32_t mProcessor = 0;
   // Unset before anything has been read.
   std::optional<store_summary> mStore;
+  // What a relay passes on; see gateway/gossip_plan.hpp.
+  std::vector<zone_loads> mZones;
 
   bool operator==(const gossip_state&) const = default;
 };
--- a/src/sapphirespar/gateway/gateway_app.cpp
+++ b/src/sapphirespar/gateway/gateway_app.cpp
@@ -146,7 +146,9 @@
   , mPlatform(aContext.get_executor(), StoreSettings(mSettings))
   , mUpstreamClient(aContext.get_executor(), UpstreamClientSettings())
   , mPeerClient(aContext.get_executor(), PeerClientSettings())
-  , mPeers(mSettings.mVm, ToThousandths(mSettings.mProcessor))
+  , mPeers({ mSettings.mVm,
+             mSettings.mDataCentre,
+             ToThousandths(mSettings.mProcessor) })
   , mRetries(RetryLimits(mSettings))
   , mReader(mPlatform,
             mTimers,
--- a/src/sapphirespar/gateway/gossip_link.cpp
+++ b/src/sapphirespar/gateway/gossip_link.cpp
@@ -2,6 +2,7 @@
 #include "sapphirespar/gateway/gossip_link.hpp"
 
 #include "sapphirespar/base/log.hpp"
+#include "sapphirespar/gateway/gossip_plan.hpp"
 #include "sapphirespar/wire/gossip_codec.hpp"
 
 #include <boost/asio/buffer.hpp>
@@ -38,6 +39,7 @@
     , mPeers(aPeers)
     , mSettings(std::move(aSettings))
     , mHooks(std::move(aHooks))
+    , mPlan(mPeers, mSettings.mShortestPause, mHooks.mSelf)
     , mSocket(aContext,
               udp::endpoint(asio::ip::make_address(mSettings.mListen.mAddress),
                             mSettings.mListen.mPort))
@@ -145,14 +147,7 @@
     for (const auto& vm : mPeers.Tick(now)) {
       LogEvent(log_level::Warning, "gateway_lost", { { "vm", vm.mText } });
     }
-    const auto loads = mHooks.mSelf().mLoads;
-    const auto since = now - mLastTold;
-    const auto pause =
-      loads == mLastLoads ? mPeers.BeatPeriod() : PauseWithNews();
-    // Ticks come a little early or late.
-    if (since + mSettings.mShortestPause / 2 >= pause) {
-      Tell();
-    }
+    Send(mPlan.Due(now));
     const bool alone = mPeers.LiveNames(now).empty();
     if (alone && now - mLastSeeds >= kSeedPeriod / (mSequence < 40 ? 10 : 1)) {
       mLastSeeds = now;
@@ -165,21 +160,16 @@
     }
   }
 
-  // Between datagrams that tell of changed work; a large fleet hears less
-  // often of each, so that all together cost the same.
-  milliseconds PauseWithNews() const
-  {
-    return std::max(mSettings.mShortestPause, mPeers.BeatPeriod() / 4);
-  }
+  void TellNow() { Send(mPlan.TellAll(mTimers.Now())); }
 
-  void Tell()
+  void Send(std::vector<gossip_mail> aMails)
   {
-    mLastTold = mTimers.Now();
-    auto self = Self();
-    const auto bytes = wire::EncodeGossip(self);
-    mLastLoads = std::move(self.mLoads);
-    for (const auto& contact : mPeers.Contacts()) {
-      SendTo(contact.mAddress, bytes);
+    for (auto& mail : aMails) {
+      mail.mState.mSequence = ++mSequence;
+      const auto bytes = wire::EncodeGossip(mail.mState);
+      for (const auto& address : mail.mTo) {
+        SendTo(address, bytes);
+      }
     }
   }
 
@@ -193,14 +183,13 @@
   peer_board& mPeers;
   gossip_settings mSettings;
   gossip_hooks mHooks;
+  gossip_plan mPlan;
   // Questions without an answer so far, by their sequence numbers.
   std::map<std::uint64_t, question> mAsked;
   udp::socket mSocket;
   std::array<char, kMostBytes> mBytes{};
   udp::endpoint mFrom;
   std::uint64_t mSequence = 0;
-  std::vector<gossip_load> mLastLoads;
-  steady_time mLastTold{};
   steady_time mLastSeeds{};
   timer_subscription mTick;
 };
@@ -244,7 +233,7 @@
 void
 gossip_link::TellNow()
 {
-  mState->Tell();
+  mState->TellNow();
 }
 
 } // namespace sapphirespar::gateway
--- a/src/sapphirespar/gateway/peer_board.cpp
+++ b/src/sapphirespar/gateway/peer_board.cpp
@@ -4,7 +4,9 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <functional>
 #include <iterator>
+#include <ranges>
 #include <set>
 
 namespace sapphirespar::gateway {
@@ -16,6 +18,9 @@
 constexpr milliseconds kBeatPerPeer{ 12 };
 constexpr milliseconds kShortestBeat{ 400 };
 
+// Changed work is told this many times as often.
+constexpr int kNewsPerBeat = 4;
+
 // Datagrams are lost now and then: a gateway counts as live until it has missed
 // three beats and a network delay.
 constexpr int kMissedBeats = 3;
@@ -28,11 +33,49 @@
 // Longer than a process takes to start again.
 constexpr std::chrono::seconds kLostAfter{ 20 };
 
+// From so many others on, news that everyone tells everyone directly, within
+// the datagrams that a small processor can take in, are older than relayed
+// ones.
+constexpr std::size_t kRelayedFrom = 48;
+
+// Two, so that sums come on while one of them is lost and not yet missed.
+constexpr std::size_t kRelays = 2;
+
+// Sums are used until the loss of both relays has been noticed and others have
+// taken over.
+constexpr std::chrono::seconds kZoneKept{ 5 };
+
+// Sums of more upstreams don't fit into a datagram; those with the least work
+// are left out.
+constexpr std::size_t kMostSums = 1000;
+
+using load_sums = std::unordered_map<std::uint64_t, policy::upstream_load>;
+
+void
+AddTo(load_sums& aSums, std::span<const gossip_load> aLoads)
+{
+  for (const auto& told : aLoads) {
+    policy::upstream_load load;
+    load.mUrgentTokens = told.mUrgentTokens;
+    load.mOtherTokens = told.mOtherTokens;
+    load.mMemoryTokens = told.mMemoryTokens;
+    load.mRunning = static_cast<int>(told.mRunning);
+    load.mInteractive = static_cast<int>(told.mInteractive);
+    aSums[told.mUpstream] += load;
+  }
+}
+
+// What the order of preference among gateways goes by: the larger ones first.
+auto
+RankOf(const vm_id& aVm, std::uint32_t aProcessor)
+{
+  return std::pair(aProcessor, XXH3_64bits(aVm.mText.data(), aVm.mText.size()));
+}
+
 } // namespace
 
-peer_board::peer_board(vm_id aSelf, std::uint32_t aProcessor)
+peer_board::peer_board(peer_self aSelf)
   : mSelf(std::move(aSelf))
-  , mProcessor(aProcessor)
 {
 }
 
@@ -43,6 +86,19 @@
   return std::max<milliseconds>(kShortestBeat, scaled);
 }
 
+milliseconds
+peer_board::NewsPeriod(milliseconds aShortest) const
+{
+  const auto listeners =
+    UsesRelays()
+      ? std::ranges::count_if(
+          mPeers, [&](const auto& aItem) { return IsNear(aItem.second); })
+      : static_cast<std::ptrdiff_t>(mPeers.size());
+  return std::max<milliseconds>({ aShortest,
+                                  kShortestBeat / kNewsPerBeat,
+                                  kBeatPerPeer * listeners / kNewsPerBeat });
+}
+
 bool
 peer_board::IsLive(const peer& aPeer, steady_time aNow) const
 {
@@ -53,7 +109,7 @@
 peer_board::Receive(const gossip_state& aState, steady_time aNow)
 {
   const auto& sender = aState.mSender;
-  if (sender.mVm == mSelf) {
+  if (sender.mVm == mSelf.mVm) {
     return gossip_effect::Ignored;
   }
   const auto found = mPeers.find(sender.mVm);
@@ -71,7 +127,15 @@
     }
   }
   const bool sameProcess = known && found->second.mState.mSender == sender;
+  for (const auto& told : aState.mZones) {
+    const auto summed = aNow - told.mAge;
+    auto& zone = mZones[told.mDataCentre];
+    if (told.mDataCentre != mSelf.mDataCentre && summed > zone.mSummed) {
+      zone = { told.mLoads, summed };
+    }
+  }
   mPeers[sender.mVm] = peer{ aState, aNow, true };
+  mPeers[sender.mVm].mState.mZones.clear();
   return sameProcess ? gossip_effect::Updated : gossip_effect::NewProcess;
 }
 
@@ -80,7 +144,7 @@
 {
   std::map<peer_contact, steady_time> registered;
   for (auto& contact : aContacts) {
-    if (contact.mVm != mSelf) {
+    if (contact.mVm != mSelf.mVm) {
       const auto known = mRegistered.find(contact);
       const auto since = known == mRegistered.end() ? aNow : known->second;
       registered.emplace(std::move(contact), since);
@@ -135,15 +199,11 @@
 vm_id
 peer_board::Reader(steady_time aNow) const
 {
-  const auto rank = [](const vm_id& aVm, std::uint32_t aProcessor) {
-    return std::pair(aProcessor,
-                     XXH3_64bits(aVm.mText.data(), aVm.mText.size()));
-  };
-  auto best = rank(mSelf, mProcessor);
-  auto reader = mSelf;
+  auto best = RankOf(mSelf.mVm, mSelf.mProcessor);
+  auto reader = mSelf.mVm;
   for (const auto& [vm, known] : mPeers) {
     const auto& state = known.mState;
-    const auto own = rank(vm, state.mProcessor);
+    const auto own = RankOf(vm, state.mProcessor);
     if (IsLive(known, aNow) && state.mReady && !state.mLeaving && own > best) {
       best = own;
       reader = vm;
@@ -152,6 +212,119 @@
   return reader;
 }
 
+bool
+peer_board::UsesRelays() const
+{
+  return mPeers.size() >= kRelayedFrom &&
+         !std::ranges::all_of(
+           mPeers, [&](const auto& aItem) { return IsNear(aItem.second); });
+}
+
+bool
+peer_board::IsNear(const peer& aPeer) const
+{
+  return aPeer.mState.mDataCentre == mSelf.mDataCentre;
+}
+
+std::vector<vm_id>
+peer_board::Relays(const data_centre_id& aDataCentre, steady_time aNow) const
+{
+  std::vector<std::pair<std::pair<std::uint32_t, XXH64_hash_t>, vm_id>> ranked;
+  if (aDataCentre == mSelf.mDataCentre) {
+    ranked.emplace_back(RankOf(mSelf.mVm, mSelf.mProcessor), mSelf.mVm);
+  }
+  for (const auto& [vm, known] : mPeers) {
+    const auto& state = known.mState;
+    if (state.mDataCentre == aDataCentre && !state.mLeaving &&
+        IsLive(known, aNow)) {
+      ranked.emplace_back(RankOf(vm, state.mProcessor), vm);
+    }
+  }
+  std::ranges::sort(ranked, std::greater<>{});
+  std::vector<vm_id> relays;
+  for (auto& [rank, vm] : ranked | std::views::take(kRelays)) {
+    relays.push_back(std::move(vm));
+  }
+  return relays;
+}
+
+bool
+peer_board::IsRelay(steady_time aNow) const
+{
+  const auto relays = Relays(mSelf.mDataCentre, aNow);
+  return std::ranges::find(relays, mSelf.mVm) != relays.end();
+}
+
+std::vector<std::string>
+peer_board::FarRelays(steady_time aNow) const
+{
+  std::set<data_centre_id> centres;
+  for (const auto& [vm, known] : mPeers) {
+    if (!IsNear(known)) {
+      centres.insert(known.mState.mDataCentre);
+    }
+  }
+  std::vector<std::string> addresses;
+  for (const auto& centre : centres) {
+    for (const auto& vm : Relays(centre, aNow)) {
+      addresses.push_back(mPeers.at(vm).mState.mAddress);
+    }
+  }
+  return addresses;
+}
+
+zone_loads
+peer_board::NearLoads(std::span<const gossip_load> aOwn, steady_time aNow) const
+{
+  load_sums sums;
+  AddTo(sums, aOwn);
+  for (const auto& [vm, known] : mPeers) {
+    if (IsNear(known) && IsLive(known, aNow)) {
+      AddTo(sums, known.mState.mLoads);
+    }
+  }
+  zone_loads near{ mSelf.mDataCentre, {}, {} };
+  for (const auto& [upstream, load] : sums) {
+    near.mLoads.push_back({ upstream,
+                            static_cast<std::uint32_t>(load.mUrgentTokens),
+                            static_cast<std::uint32_t>(load.mOtherTokens),
+                            static_cast<std::uint32_t>(load.mMemoryTokens),
+                            static_cast<std::uint32_t>(load.mRunning),
+                            static_cast<std::uint32_t>(load.mInteractive) });
+  }
+  if (near.mLoads.size() > kMostSums) {
+    std::ranges::partial_sort(near.mLoads,
+                              near.mLoads.begin() + kMostSums,
+                              std::greater<>{},
+                              &gossip_load::mRunning);
+    near.mLoads.resize(kMostSums);
+  }
+  return near;
+}
+
+const peer_board::zone*
+peer_board::FindZone(const data_centre_id& aDataCentre, steady_time aNow) const
+{
+  const auto found = mZones.find(aDataCentre);
+  const bool isOfUse =
+    found != mZones.end() && aNow - found->second.mSummed <= kZoneKept;
+  return isOfUse ? &found->second : nullptr;
+}
+
+std::vector<zone_loads>
+peer_board::FarLoads(steady_time aNow) const
+{
+  std::vector<zone_loads> loads;
+  for (const auto& [centre, known] : mZones) {
+    if (FindZone(centre, aNow)) {
+      loads.push_back({ centre,
+                        std::chrono::ceil<milliseconds>(aNow - known.mSummed),
+                        known.mLoads });
+    }
+  }
+  return loads;
+}
+
 const gossip_state*
 peer_board::Find(const vm_id& aVm) const
 {
@@ -172,20 +345,21 @@
 }
 
 std::vector<peer_contact>
-peer_board::Contacts() const
+peer_board::Contacts(bool aNear) const
 {
   std::set<std::string> addresses;
   std::vector<peer_contact> contacts;
-  const auto add = [&](const vm_id& aVm, const std::string& aAddress) {
-    if (addresses.insert(aAddress).second) {
-      contacts.push_back({ aVm, aAddress });
-    }
-  };
   for (const auto& [vm, known] : mPeers) {
-    add(vm, known.mState.mAddress);
+    const auto& address = known.mState.mAddress;
+    if (addresses.insert(address).second && IsNear(known) == aNear) {
+      contacts.push_back({ vm, address });
+    }
   }
+  // Whoever has not been heard may be anywhere.
   for (const auto& [contact, since] : mRegistered) {
-    add(contact.mVm, contact.mAddress);
+    if (addresses.insert(contact.mAddress).second && !aNear) {
+      contacts.push_back(contact);
+    }
   }
   return contacts;
 }
@@ -193,19 +367,16 @@
 std::unordered_map<std::uint64_t, policy::upstream_load>
 peer_board::Loads(steady_time aNow) const
 {
-  std::unordered_map<std::uint64_t, policy::upstream_load> loads;
+  load_sums loads;
   for (const auto& [vm, known] : mPeers) {
-    if (!IsLive(known, aNow)) {
-      continue;
+    const auto& centre = known.mState.mDataCentre;
+    if (IsLive(known, aNow) && (IsNear(known) || !FindZone(centre, aNow))) {
+      AddTo(loads, known.mState.mLoads);
     }
-    for (const auto& told : known.mState.mLoads) {
-      policy::upstream_load load;
-      load.mUrgentTokens = told.mUrgentTokens;
-      load.mOtherTokens = told.mOtherTokens;
-      load.mMemoryTokens = told.mMemoryTokens;
-      load.mRunning = static_cast<int>(told.mRunning);
-      load.mInteractive = static_cast<int>(told.mInteractive);
-      loads[told.mUpstream] += load;
+  }
+  for (const auto& [centre, known] : mZones) {
+    if (FindZone(centre, aNow)) {
+      AddTo(loads, known.mLoads);
     }
   }
   return loads;
@@ -229,7 +400,7 @@
 unsigned
 peer_board::MostGateways(steady_time aNow) const
 {
-  std::set<vm_id> names{ mSelf };
+  std::set<vm_id> names{ mSelf.mVm };
   for (const auto& [vm, known] : mPeers) {
     if (aNow - known.mHeard <= kForgetAfter) {
       names.insert(vm);
--- a/src/sapphirespar/gateway/peer_board_test.cpp
+++ b/src/sapphirespar/gateway/peer_board_test.cpp
@@ -25,7 +25,7 @@
 
 TEST(PeerBoard, NamesOnlyGatewaysThatTakeRequests)
 {
-  peer_board board({ "1" });
+  peer_board board({ { "1" }, {}, 0 });
   board.Receive(From("1"), kNow);
   board.Receive(From("2"), kNow);
   auto leaving = From("3");
@@ -42,21 +42,21 @@
 
 TEST(PeerBoard, DropsWhoIsSilentAndTakesItBack)
 {
-  peer_board board({ "1" });
+  peer_board board({ { "1" }, {}, 0 });
   board.Receive(From("2", 1), kNow);
   EXPECT_TRUE(board.Tick(kNow + 1s).empty());
   EXPECT_EQ(board.EntryPoints(kNow + 1s).size(), 1U);
   EXPECT_TRUE(board.EntryPoints(kNow + 2s).empty());
   EXPECT_EQ(board.Tick(kNow + 2s).size(), 1U);
   // Gossip still goes there, so that a cut heals from either side.
-  EXPECT_EQ(board.Contacts().size(), 1U);
+  EXPECT_EQ(board.Contacts(true).size(), 1U);
   board.Receive(From("2", 2), kNow + 3s);
   EXPECT_EQ(board.EntryPoints(kNow + 3s).size(), 1U);
 }
 
 TEST(PeerBoard, IgnoresGossipThatWasOvertaken)
 {
-  peer_board board({ "1" });
+  peer_board board({ { "1" }, {}, 0 });
   EXPECT_EQ(board.Receive(From("2", 7), kNow), gossip_effect::NewProcess);
   EXPECT_EQ(board.Receive(From("2", 6), kNow), gossip_effect::Ignored);
   EXPECT_EQ(board.Receive(From("2", 8), kNow), gossip_effect::Updated);
@@ -68,7 +68,7 @@
 
 TEST(PeerBoard, TakesBackAProcessThatStartedAfterItsClockWasSetBack)
 {
-  peer_board board({ "1" });
+  peer_board board({ { "1" }, {}, 0 });
   board.Receive(From("2", 7), kNow);
   auto restarted = From("2", 1);
   restarted.mSender.mIncarnation = 4;
@@ -80,7 +80,7 @@
 
 TEST(PeerBoard, AddsUpTheWorkOfLiveGateways)
 {
-  peer_board board({ "1" });
+  peer_board board({ { "1" }, {}, 0 });
   auto second = From("2");
   second.mLoads = { { 7, 10, 20, 30, 1, 1 }, { 8, 0, 5, 6, 1, 0 } };
   auto third = From("3");
@@ -95,7 +95,7 @@
 
 TEST(PeerBoard, CountsGatewaysSafely)
 {
-  peer_board board({ "1" });
+  peer_board board({ { "1" }, {}, 0 });
   EXPECT_EQ(board.MostGateways(kNow), 0U);
   board.SetRegistered({ { { "1" }, "a" }, { { "2" }, "b" } }, kNow);
   EXPECT_EQ(board.MostGateways(kNow), 2U);
@@ -108,8 +108,8 @@
 
 TEST(PeerBoard, AgreesOnWhoReadsTheStoreForAll)
 {
-  peer_board first({ "1" }, 120);
-  peer_board second({ "2" }, 120);
+  peer_board first({ { "1" }, {}, 120 });
+  peer_board second({ { "2" }, {}, 120 });
   EXPECT_EQ(first.Reader(kNow).mText, "1");
   for (const auto* name : { "1", "2", "3", "4", "5" }) {
     auto state = From(name);
@@ -132,7 +132,7 @@
 
 TEST(PeerBoard, TellsWhichRegisteredGatewaysAreGone)
 {
-  peer_board board({ "1" });
+  peer_board board({ { "1" }, {}, 0 });
   board.SetRegistered({ { { "2" }, "b" }, { { "3" }, "c" } }, kNow);
   board.Receive(From("3"), kNow + 15s);
   EXPECT_TRUE(board.LostRegistered(kNow + 20s).empty());
--- a/src/sapphirespar/wire/gen/gossip_types.cpp
+++ b/src/sapphirespar/wire/gen/gossip_types.cpp
@@ -219,6 +219,171 @@
 }
 
 
+gossip_zone::~gossip_zone() noexcept {
+}
+
+
+void gossip_zone::__set_data_centre(const std::string& val) {
+  this->data_centre = val;
+}
+
+void gossip_zone::__set_age_ms(const int32_t val) {
+  this->age_ms = val;
+}
+
+void gossip_zone::__set_loads(const std::vector<gossip_load> & val) {
+  this->loads = val;
+}
+std::ostream& operator<<(std::ostream& out, const gossip_zone& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t gossip_zone::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->data_centre);
+          this->__isset.data_centre = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->age_ms);
+          this->__isset.age_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->loads.clear();
+            uint32_t _size4;
+            ::apache::thrift::protocol::TType _etype7;
+            xfer += iprot->readListBegin(_etype7, _size4);
+            this->loads.resize(_size4);
+            uint32_t _i8;
+            for (_i8 = 0; _i8 < _size4; ++_i8)
+            {
+              xfer += this->loads[_i8].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.loads = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t gossip_zone::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("gossip_zone");
+
+  xfer += oprot->writeFieldBegin("data_centre", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->data_centre);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("age_ms", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->age_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
+    std::vector<gossip_load> ::const_iterator _iter9;
+    for (_iter9 = this->loads.begin(); _iter9 != this->loads.end(); ++_iter9)
+    {
+      xfer += (*_iter9).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(gossip_zone &a, gossip_zone &b) {
+  using ::std::swap;
+  swap(a.data_centre, b.data_centre);
+  swap(a.age_ms, b.age_ms);
+  swap(a.loads, b.loads);
+  swap(a.__isset, b.__isset);
+}
+
+gossip_zone::gossip_zone(const gossip_zone& other10) {
+  data_centre = other10.data_centre;
+  age_ms = other10.age_ms;
+  loads = other10.loads;
+  __isset = other10.__isset;
+}
+gossip_zone::gossip_zone(gossip_zone&& other11) noexcept {
+  data_centre = std::move(other11.data_centre);
+  age_ms = other11.age_ms;
+  loads = std::move(other11.loads);
+  __isset = other11.__isset;
+}
+gossip_zone& gossip_zone::operator=(const gossip_zone& other12) {
+  data_centre = other12.data_centre;
+  age_ms = other12.age_ms;
+  loads = other12.loads;
+  __isset = other12.__isset;
+  return *this;
+}
+gossip_zone& gossip_zone::operator=(gossip_zone&& other13) noexcept {
+  data_centre = std::move(other13.data_centre);
+  age_ms = other13.age_ms;
+  loads = std::move(other13.loads);
+  __isset = other13.__isset;
+  return *this;
+}
+void gossip_zone::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "gossip_zone(";
+  out << "data_centre=" << to_string(data_centre);
+  out << ", " << "age_ms=" << to_string(age_ms);
+  out << ", " << "loads=" << to_string(loads);
+  out << ")";
+}
+
+
 gossip_state::~gossip_state() noexcept {
 }
 
@@ -298,6 +463,10 @@
 void gossip_state::__set_processor(const int32_t val) {
   this->processor = val;
 }
+
+void gossip_state::__set_zones(const std::vector<gossip_zone> & val) {
+  this->zones = val;
+}
 std::ostream& operator<<(std::ostream& out, const gossip_state& obj)
 {
   obj.printTo(out);
@@ -402,14 +571,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->loads.clear();
-            uint32_t _size4;
-            ::apache::thrift::protocol::TType _etype7;
-            xfer += iprot->readListBegin(_etype7, _size4);
-            this->loads.resize(_size4);
-            uint32_t _i8;
-            for (_i8 = 0; _i8 < _size4; ++_i8)
+            uint32_t _size14;
+            ::apache::thrift::protocol::TType _etype17;
+            xfer += iprot->readListBegin(_etype17, _size14);
+            this->loads.resize(_size14);
+            uint32_t _i18;
+            for (_i18 = 0; _i18 < _size14; ++_i18)
             {
-              xfer += this->loads[_i8].read(iprot);
+              xfer += this->loads[_i18].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -490,6 +659,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 21:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->zones.clear();
+            uint32_t _size19;
+            ::apache::thrift::protocol::TType _etype22;
+            xfer += iprot->readListBegin(_etype22, _size19);
+            this->zones.resize(_size19);
+            uint32_t _i23;
+            for (_i23 = 0; _i23 < _size19; ++_i23)
+            {
+              xfer += this->zones[_i23].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.zones = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -546,10 +735,10 @@
   xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 11);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
-    std::vector<gossip_load> ::const_iterator _iter9;
-    for (_iter9 = this->loads.begin(); _iter9 != this->loads.end(); ++_iter9)
+    std::vector<gossip_load> ::const_iterator _iter24;
+    for (_iter24 = this->loads.begin(); _iter24 != this->loads.end(); ++_iter24)
     {
-      xfer += (*_iter9).write(oprot);
+      xfer += (*_iter24).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -591,6 +780,18 @@
   xfer += oprot->writeI32(this->processor);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("zones", ::apache::thrift::protocol::T_LIST, 21);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->zones.size()));
+    std::vector<gossip_zone> ::const_iterator _iter25;
+    for (_iter25 = this->zones.begin(); _iter25 != this->zones.end(); ++_iter25)
+    {
+      xfer += (*_iter25).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -617,97 +818,102 @@
   swap(a.interactive_reading, b.interactive_reading);
   swap(a.bulk_reading, b.bulk_reading);
   swap(a.processor, b.processor);
+  swap(a.zones, b.zones);
   swap(a.__isset, b.__isset);
 }
 
-gossip_state::gossip_state(const gossip_state& other10) {
-  vm = other10.vm;
-  incarnation = other10.incarnation;
-  sequence = other10.sequence;
-  data_centre = other10.data_centre;
-  address = other10.address;
-  caller_port = other10.caller_port;
-  admin_port = other10.admin_port;
-  ready = other10.ready;
-  leaving = other10.leaving;
-  loads = other10.loads;
-  asks = other10.asks;
-  answers = other10.answers;
-  routing_age_ms = other10.routing_age_ms;
-  routing_revision = other10.routing_revision;
-  upstreams_age_ms = other10.upstreams_age_ms;
-  upstreams_digest = other10.upstreams_digest;
-  interactive_reading = other10.interactive_reading;
-  bulk_reading = other10.bulk_reading;
-  processor = other10.processor;
-  __isset = other10.__isset;
-}
-gossip_state::gossip_state(gossip_state&& other11) noexcept {
-  vm = std::move(other11.vm);
-  incarnation = other11.incarnation;
-  sequence = other11.sequence;
-  data_centre = std::move(other11.data_centre);
-  address = std::move(other11.address);
-  caller_port = other11.caller_port;
-  admin_port = other11.admin_port;
-  ready = other11.ready;
-  leaving = other11.leaving;
-  loads = std::move(other11.loads);
-  asks = other11.asks;
-  answers = other11.answers;
-  routing_age_ms = other11.routing_age_ms;
-  routing_revision = other11.routing_revision;
-  upstreams_age_ms = other11.upstreams_age_ms;
-  upstreams_digest = other11.upstreams_digest;
-  interactive_reading = other11.interactive_reading;
-  bulk_reading = other11.bulk_reading;
-  processor = other11.processor;
-  __isset = other11.__isset;
-}
-gossip_state& gossip_state::operator=(const gossip_state& other12) {
-  vm = other12.vm;
-  incarnation = other12.incarnation;
-  sequence = other12.sequence;
-  data_centre = other12.data_centre;
-  address = other12.address;
-  caller_port = other12.caller_port;
-  admin_port = other12.admin_port;
-  ready = other12.ready;
-  leaving = other12.leaving;
-  loads = other12.loads;
-  asks = other12.asks;
-  answers = other12.answers;
-  routing_age_ms = other12.routing_age_ms;
-  routing_revision = other12.routing_revision;
-  upstreams_age_ms = other12.upstreams_age_ms;
-  upstreams_digest = other12.upstreams_digest;
-  interactive_reading = other12.interactive_reading;
-  bulk_reading = other12.bulk_reading;
-  processor = other12.processor;
-  __isset = other12.__isset;
+gossip_state::gossip_state(const gossip_state& other26) {
+  vm = other26.vm;
+  incarnation = other26.incarnation;
+  sequence = other26.sequence;
+  data_centre = other26.data_centre;
+  address = other26.address;
+  caller_port = other26.caller_port;
+  admin_port = other26.admin_port;
+  ready = other26.ready;
+  leaving = other26.leaving;
+  loads = other26.loads;
+  asks = other26.asks;
+  answers = other26.answers;
+  routing_age_ms = other26.routing_age_ms;
+  routing_revision = other26.routing_revision;
+  upstreams_age_ms = other26.upstreams_age_ms;
+  upstreams_digest = other26.upstreams_digest;
+  interactive_reading = other26.interactive_reading;
+  bulk_reading = other26.bulk_reading;
+  processor = other26.processor;
+  zones = other26.zones;
+  __isset = other26.__isset;
+}
+gossip_state::gossip_state(gossip_state&& other27) noexcept {
+  vm = std::move(other27.vm);
+  incarnation = other27.incarnation;
+  sequence = other27.sequence;
+  data_centre = std::move(other27.data_centre);
+  address = std::move(other27.address);
+  caller_port = other27.caller_port;
+  admin_port = other27.admin_port;
+  ready = other27.ready;
+  leaving = other27.leaving;
+  loads = std::move(other27.loads);
+  asks = other27.asks;
+  answers = other27.answers;
+  routing_age_ms = other27.routing_age_ms;
+  routing_revision = other27.routing_revision;
+  upstreams_age_ms = other27.upstreams_age_ms;
+  upstreams_digest = other27.upstreams_digest;
+  interactive_reading = other27.interactive_reading;
+  bulk_reading = other27.bulk_reading;
+  processor = other27.processor;
+  zones = std::move(other27.zones);
+  __isset = other27.__isset;
+}
+gossip_state& gossip_state::operator=(const gossip_state& other28) {
+  vm = other28.vm;
+  incarnation = other28.incarnation;
+  sequence = other28.sequence;
+  data_centre = other28.data_centre;
+  address = other28.address;
+  caller_port = other28.caller_port;
+  admin_port = other28.admin_port;
+  ready = other28.ready;
+  leaving = other28.leaving;
+  loads = other28.loads;
+  asks = other28.asks;
+  answers = other28.answers;
+  routing_age_ms = other28.routing_age_ms;
+  routing_revision = other28.routing_revision;
+  upstreams_age_ms = other28.upstreams_age_ms;
+  upstreams_digest = other28.upstreams_digest;
+  interactive_reading = other28.interactive_reading;
+  bulk_reading = other28.bulk_reading;
+  processor = other28.processor;
+  zones = other28.zones;
+  __isset = other28.__isset;
   return *this;
 }
-gossip_state& gossip_state::operator=(gossip_state&& other13) noexcept {
-  vm = std::move(other13.vm);
-  incarnation = other13.incarnation;
-  sequence = other13.sequence;
-  data_centre = std::move(other13.data_centre);
-  address = std::move(other13.address);
-  caller_port = other13.caller_port;
-  admin_port = other13.admin_port;
-  ready = other13.ready;
-  leaving = other13.leaving;
-  loads = std::move(other13.loads);
-  asks = other13.asks;
-  answers = other13.answers;
-  routing_age_ms = other13.routing_age_ms;
-  routing_revision = other13.routing_revision;
-  upstreams_age_ms = other13.upstreams_age_ms;
-  upstreams_digest = other13.upstreams_digest;
-  interactive_reading = other13.interactive_reading;
-  bulk_reading = other13.bulk_reading;
-  processor = other13.processor;
-  __isset = other13.__isset;
+gossip_state& gossip_state::operator=(gossip_state&& other29) noexcept {
+  vm = std::move(other29.vm);
+  incarnation = other29.incarnation;
+  sequence = other29.sequence;
+  data_centre = std::move(other29.data_centre);
+  address = std::move(other29.address);
+  caller_port = other29.caller_port;
+  admin_port = other29.admin_port;
+  ready = other29.ready;
+  leaving = other29.leaving;
+  loads = std::move(other29.loads);
+  asks = other29.asks;
+  answers = other29.answers;
+  routing_age_ms = other29.routing_age_ms;
+  routing_revision = other29.routing_revision;
+  upstreams_age_ms = other29.upstreams_age_ms;
+  upstreams_digest = other29.upstreams_digest;
+  interactive_reading = other29.interactive_reading;
+  bulk_reading = other29.bulk_reading;
+  processor = other29.processor;
+  zones = std::move(other29.zones);
+  __isset = other29.__isset;
   return *this;
 }
 void gossip_state::printTo(std::ostream& out) const {
@@ -732,6 +938,7 @@
   out << ", " << "interactive_reading=" << to_string(interactive_reading);
   out << ", " << "bulk_reading=" << to_string(bulk_reading);
   out << ", " << "processor=" << to_string(processor);
+  out << ", " << "zones=" << to_string(zones);
   out << ")";
 }
 
--- a/src/sapphirespar/wire/gen/gossip_types.h
+++ b/src/sapphirespar/wire/gen/gossip_types.h
@@ -17,6 +17,8 @@
 
 class gossip_load;
 
+class gossip_zone;
+
 class gossip_state;
 
 typedef struct _gossip_load__isset {
@@ -99,8 +101,66 @@
 
 std::ostream& operator<<(std::ostream& out, const gossip_load& obj);
 
+typedef struct _gossip_zone__isset {
+  _gossip_zone__isset() : data_centre(false), age_ms(false), loads(false) {}
+  bool data_centre :1;
+  bool age_ms :1;
+  bool loads :1;
+} _gossip_zone__isset;
+
+class gossip_zone : public virtual ::apache::thrift::TBase {
+ public:
+
+  gossip_zone(const gossip_zone&);
+  gossip_zone(gossip_zone&&) noexcept;
+  gossip_zone& operator=(const gossip_zone&);
+  gossip_zone& operator=(gossip_zone&&) noexcept;
+  gossip_zone() noexcept
+              : data_centre(),
+                age_ms(0) {
+  }
+
+  virtual ~gossip_zone() noexcept;
+  std::string data_centre;
+  int32_t age_ms;
+  std::vector<gossip_load>  loads;
+
+  _gossip_zone__isset __isset;
+
+  void __set_data_centre(const std::string& val);
+
+  void __set_age_ms(const int32_t val);
+
+  void __set_loads(const std::vector<gossip_load> & val);
+
+  bool operator == (const gossip_zone & rhs) const
+  {
+    if (!(data_centre == rhs.data_centre))
+      return false;
+    if (!(age_ms == rhs.age_ms))
+      return false;
+    if (!(loads == rhs.loads))
+      return false;
+    return true;
+  }
+  bool operator != (const gossip_zone &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const gossip_zone & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(gossip_zone &a, gossip_zone &b);
+
+std::ostream& operator<<(std::ostream& out, const gossip_zone& obj);
+
 typedef struct _gossip_state__isset {
-  _gossip_state__isset() : vm(false), incarnation(false), sequence(false), data_centre(false), address(false), caller_port(false), admin_port(false), ready(false), leaving(false), loads(false), asks(false), answers(false), routing_age_ms(false), routing_revision(false), upstreams_age_ms(false), upstreams_digest(false), interactive_reading(false), bulk_reading(false), processor(false) {}
+  _gossip_state__isset() : vm(false), incarnation(false), sequence(false), data_centre(false), address(false), caller_port(false), admin_port(false), ready(false), leaving(false), loads(false), asks(false), answers(false), routing_age_ms(false), routing_revision(false), upstreams_age_ms(false), upstreams_digest(false), interactive_reading(false), bulk_reading(false), processor(false), zones(false) {}
   bool vm :1;
   bool incarnation :1;
   bool sequence :1;
@@ -120,6 +180,7 @@
   bool interactive_reading :1;
   bool bulk_reading :1;
   bool processor :1;
+  bool zones :1;
 } _gossip_state__isset;
 
 class gossip_state : public virtual ::apache::thrift::TBase {
@@ -170,6 +231,7 @@
   int32_t interactive_reading;
   int32_t bulk_reading;
   int32_t processor;
+  std::vector<gossip_zone>  zones;
 
   _gossip_state__isset __isset;
 
@@ -211,6 +273,8 @@
 
   void __set_processor(const int32_t val);
 
+  void __set_zones(const std::vector<gossip_zone> & val);
+
   bool operator == (const gossip_state & rhs) const
   {
     if (!(vm == rhs.vm))
@@ -251,6 +315,8 @@
       return false;
     if (!(processor == rhs.processor))
       return false;
+    if (!(zones == rhs.zones))
+      return false;
     return true;
   }
   bool operator != (const gossip_state &rhs) const {
--- a/src/sapphirespar/wire/gossip_codec.cpp
+++ b/src/sapphirespar/wire/gossip_codec.cpp
@@ -19,7 +19,7 @@
 using apache::thrift::transport::TMemoryBuffer;
 
 gen::gossip_load
-ToWire(const gossip_load& aLoad)
+ToWireLoad(const gossip_load& aLoad)
 {
   gen::gossip_load load;
   load.upstream = static_cast<std::int64_t>(aLoad.mUpstream);
@@ -38,7 +38,7 @@
 }
 
 gossip_load
-FromWire(const gen::gossip_load& aLoad)
+FromWireLoad(const gen::gossip_load& aLoad)
 {
   gossip_load load;
   load.mUpstream = static_cast<std::uint64_t>(aLoad.upstream);
@@ -58,6 +58,28 @@
   return static_cast<std::int32_t>(std::min(aAge, kOldest).count());
 }
 
+gen::gossip_zone
+ToWireZone(const zone_loads& aZone)
+{
+  gen::gossip_zone zone;
+  zone.data_centre = aZone.mDataCentre.mText;
+  zone.age_ms = ToAge(aZone.mAge);
+  std::ranges::transform(
+    aZone.mLoads, std::back_inserter(zone.loads), ToWireLoad);
+  return zone;
+}
+
+zone_loads
+FromWireZone(const gen::gossip_zone& aZone)
+{
+  zone_loads zone;
+  zone.mDataCentre.mText = aZone.data_centre;
+  zone.mAge = std::chrono::milliseconds(NotNegative(aZone.age_ms));
+  std::ranges::transform(
+    aZone.loads, std::back_inserter(zone.mLoads), FromWireLoad);
+  return zone;
+}
+
 bool
 IsPort(std::int32_t aNumber)
 {
@@ -80,13 +102,15 @@
   state.ready = aState.mReady;
   state.leaving = aState.mLeaving;
   std::ranges::transform(
-    aState.mLoads, std::back_inserter(state.loads), ToWire);
+    aState.mLoads, std::back_inserter(state.loads), ToWireLoad);
   state.asks = aState.mAsks;
   state.answers = static_cast<std::int64_t>(aState.mAnswers);
   state.interactive_reading =
     static_cast<std::int32_t>(aState.mInteractiveReading);
   state.bulk_reading = static_cast<std::int32_t>(aState.mBulkReading);
   state.processor = static_cast<std::int32_t>(aState.mProcessor);
+  std::ranges::transform(
+    aState.mZones, std::back_inserter(state.zones), ToWireZone);
   state.routing_age_ms = -1;
   if (aState.mStore) {
     const auto& store = *aState.mStore;
@@ -134,7 +158,9 @@
   read.mReady = state.ready;
   read.mLeaving = state.leaving;
   std::ranges::transform(
-    state.loads, std::back_inserter(read.mLoads), FromWire);
+    state.loads, std::back_inserter(read.mLoads), FromWireLoad);
+  std::ranges::transform(
+    state.zones, std::back_inserter(read.mZones), FromWireZone);
   read.mAsks = state.asks;
   read.mInteractiveReading = NotNegative(state.interactive_reading);
   read.mBulkReading = NotNegative(state.bulk_reading);
