Send other gateways only what has changed of the upstreams

Change: a gateway tells the digest of its list and the revision of its routing when it fetches; the answer holds the entries that have changed since, or the whole list where that is not remembered (64 steps). A result whose digest differs is logged and the whole is fetched next.

--- a/include/sapphirespar/gateway/store_reader.hpp
+++ b/include/sapphirespar/gateway/store_reader.hpp
@@ -24,11 +24,24 @@
 
 namespace sapphirespar::gateway {
 
+// What a gateway has of the store already; zero stands for nothing.
+struct store_known
+{
+  object_version mRoutingRevision = kNoObject;
+  std::uint64_t mUpstreamsDigest = 0;
+};
+
 // What one gateway has read of the store, for another.
 struct store_copy
 {
+  // Without its value if the other has it.
   platform_object mRouting;
+  // All upstreams; none if mDelta is set.
   std::vector<upstream_entry> mUpstreams;
+  // What has changed since the other's list.
+  std::optional<upstream_delta> mDelta;
+  // Of the list that results.
+  std::uint64_t mUpstreamsDigest = 0;
   // How long before this copy was made the reads of either were sent.
   std::chrono::milliseconds mRoutingAge{ 0 };
   std::chrono::milliseconds mUpstreamsAge{ 0 };
@@ -68,8 +81,11 @@
   std::function<std::vector<vm_id>()> mReaders;
   // Asks a gateway what it has read.
   std::function<void(const vm_id&, summary_callback)> mAsk;
-  // Fetches what a gateway has read; of any gateway if no name is given.
-  std::function<void(const std::optional<vm_id>&, copy_callback)> mFetch;
+  // Fetches what a gateway has read beyond what is known here; of any gateway
+  // if no name is given.
+  std::function<
+    void(const std::optional<vm_id>&, const store_known&, copy_callback)>
+    mFetch;
   // Something that others have to know has changed here.
   std::function<void()> mChanged;
 };
@@ -94,8 +110,9 @@
   // Another gateway says what it has read; begins a round if that is new here.
   void Hear(const store_summary& aSummary);
 
-  // What is known here; nothing before both parts have been read once.
-  std::optional<store_copy> Copy() const;
+  // What is known here, for another gateway that has aKnown; nothing before
+  // both parts have been read once.
+  std::optional<store_copy> Copy(const store_known& aKnown = {}) const;
   std::optional<store_summary> Summary() const;
 
 private:
--- a/include/sapphirespar/gateway/upstream_directory.hpp
+++ b/include/sapphirespar/gateway/upstream_directory.hpp
@@ -9,8 +9,11 @@
 #include "sapphirespar/policy/upstream_load.hpp"
 #include "sapphirespar/policy/upstream_record.hpp"
 
+#include <deque>
 #include <map>
 #include <memory>
+#include <optional>
+#include <set>
 #include <span>
 #include <string_view>
 #include <unordered_map>
@@ -85,6 +88,15 @@
   }
 };
 
+// How one list of upstreams differs from an earlier one.
+struct upstream_delta
+{
+  // Digest of the earlier list.
+  std::uint64_t mBase = 0;
+  std::vector<upstream_entry> mChanged;
+  std::vector<upstream_id> mRemoved;
+};
+
 class upstream_directory
 {
 public:
@@ -110,13 +122,30 @@
   std::vector<upstream_entry> Entries() const;
   std::uint64_t Digest() const { return mDigest; }
 
+  // What has changed since the entries had the digest aBase; nothing if that is
+  // not known any more.
+  std::optional<upstream_delta> ChangedSince(std::uint64_t aBase) const;
+
+  // The entries with a change applied; nothing unless it builds on them.
+  std::optional<std::vector<upstream_entry>> WithDelta(
+    const upstream_delta& aDelta) const;
+
   std::size_t Size() const { return mUpstreams.size(); }
 
 private:
   void Drop(upstream_id aId, directory_change& aChange);
   std::uint64_t MakeDigest() const;
 
+  // The entries went from one digest to the next.
+  struct step
+  {
+    std::uint64_t mFrom = 0;
+    std::set<upstream_id> mTouched;
+  };
+
   std::map<upstream_id, upstream_ptr> mUpstreams;
+  // The newest steps in order; the last one led to mDigest.
+  std::deque<step> mSteps;
   // Of mUpstreams as they are now.
   std::uint64_t mDigest = 0;
 };
--- a/src/sapphirespar/gateway/gateway_app.cpp
+++ b/src/sapphirespar/gateway/gateway_app.cpp
@@ -27,7 +27,6 @@
 using std::chrono::milliseconds;
 using std::chrono::steady_clock;
 
-constexpr std::string_view kCopyPath = "/v1/store-copy";
 constexpr std::string_view kStatusPath = "/v1/status";
 constexpr std::string_view kMetricsPath = "/metrics";
 constexpr auto kNoPage = "no such page\n";
@@ -77,8 +76,8 @@
         gateway_settings aSettings,
         protocol aProtocol);
 
-  // Makes the response to a path.
-  using page = std::function<wire::http_response(std::string_view)>;
+  // Makes the response to a target.
+  using page = std::function<wire::http_response(const wire::http_target&)>;
   std::unique_ptr<wire::http_server> ServePages(const address_port& aPlace,
                                                 page aPage);
   std::unique_ptr<wire::http_server> ServeCallers();
@@ -87,9 +86,9 @@
   store_reader_hooks ReaderHooks();
   gossip_hooks GossipHooks();
 
-  wire::http_response ServeEntry(std::string_view aPath);
-  wire::http_response ServeReadiness(std::string_view aPath);
-  wire::http_response ServeAdmin(std::string_view aPath);
+  wire::http_response ServeEntry(const wire::http_target& aTarget);
+  wire::http_response ServeReadiness(const wire::http_target& aTarget);
+  wire::http_response ServeAdmin(const wire::http_target& aTarget);
   gateway_status Status() const;
 
   gossip_state OwnState() const;
@@ -98,7 +97,9 @@
   std::optional<milliseconds> TimeToStop() const;
   // The admin address of a gateway, or of any that has read the store.
   std::optional<wire::endpoint> AdminOf(const std::optional<vm_id>& aVm);
-  void FetchCopy(const std::optional<vm_id>& aVm, copy_callback aDone);
+  void FetchCopy(const std::optional<vm_id>& aVm,
+                 const store_known& aKnown,
+                 copy_callback aDone);
   void StopWhenIdle();
   double CountEngines() const;
   void UpdateSplit();
@@ -165,8 +166,9 @@
   , mForward(ForwardServices())
 {
   const auto own = [this](auto aPage) {
-    return
-      [this, aPage](std::string_view aPath) { return (this->*aPage)(aPath); };
+    return [this, aPage](const wire::http_target& aTarget) {
+      return (this->*aPage)(aTarget);
+    };
   };
   mReadiness = ServePages(mSettings.mReadiness, own(&state::ServeReadiness));
   mEntry = ServePages(mSettings.mEntry, own(&state::ServeEntry));
@@ -193,7 +195,7 @@
     [page =
        std::move(aPage)](const wire::http_request& aRequest,
                          wire::http_reply& aReply) -> asio::awaitable<void> {
-      auto response = page(wire::SplitTarget(aRequest.mTarget).mPath);
+      auto response = page(wire::SplitTarget(aRequest.mTarget));
       co_await aReply.Send(std::move(response));
     });
 }
@@ -275,8 +277,10 @@
                   done(aAnswer ? aAnswer->mStore : std::nullopt);
                 });
   };
-  hooks.mFetch = [this](const std::optional<vm_id>& aVm, copy_callback aDone) {
-    FetchCopy(aVm, std::move(aDone));
+  hooks.mFetch = [this](const std::optional<vm_id>& aVm,
+                        const store_known& aKnown,
+                        copy_callback aDone) {
+    FetchCopy(aVm, aKnown, std::move(aDone));
   };
   hooks.mChanged = [this] { mGossip.TellNow(); };
   return hooks;
@@ -325,16 +329,16 @@
 }
 
 wire::http_response
-gateway_app::state::ServeReadiness(std::string_view aPath)
+gateway_app::state::ServeReadiness(const wire::http_target& aTarget)
 {
-  return aPath == mProtocol.mReadinessPath ? ReadinessPage(IsReady())
-                                           : TextResponse(404, kNoPage);
+  return aTarget.mPath == mProtocol.mReadinessPath ? ReadinessPage(IsReady())
+                                                   : TextResponse(404, kNoPage);
 }
 
 wire::http_response
-gateway_app::state::ServeEntry(std::string_view aPath)
+gateway_app::state::ServeEntry(const wire::http_target& aTarget)
 {
-  if (aPath != mProtocol.mEntryPath) {
+  if (aTarget.mPath != mProtocol.mEntryPath) {
     return TextResponse(404, kNoPage);
   }
   mMetrics.Count("gateway_entry_answers_total");
@@ -349,9 +353,9 @@
 }
 
 wire::http_response
-gateway_app::state::ServeAdmin(std::string_view aPath)
+gateway_app::state::ServeAdmin(const wire::http_target& aTarget)
 {
-  if (aPath == kMetricsPath) {
+  if (aTarget.mPath == kMetricsPath) {
     const auto status = Status();
     mMetrics.Set(
       "log_lines_dropped", {}, static_cast<double>(DroppedLogLines()));
@@ -360,11 +364,11 @@
     mMetrics.Set("gateway_gateways", {}, status.mGateways);
     return TextResponse(200, mMetrics.Render());
   }
-  if (aPath == kStatusPath) {
+  if (aTarget.mPath == kStatusPath) {
     return StatusPage(Status());
   }
-  if (aPath == kCopyPath) {
-    const auto copy = mReader.Copy();
+  if (aTarget.mPath == kStoreCopyPath) {
+    const auto copy = mReader.Copy(ReadKnown(aTarget.mQuery));
     return copy ? wire::JsonResponse(200, EncodeStoreCopy(*copy))
                 : TextResponse(503, "nothing read yet\n");
   }
@@ -411,6 +415,7 @@
 
 void
 gateway_app::state::FetchCopy(const std::optional<vm_id>& aVm,
+                              const store_known& aKnown,
                               copy_callback aDone)
 {
   auto place = AdminOf(aVm);
@@ -420,17 +425,19 @@
   }
   const auto fetch = [](wire::http_client& aClient,
                         wire::endpoint aPlace,
+                        std::string aTarget,
                         copy_callback aThen) -> asio::awaitable<void> {
     wire::http_request request;
-    request.mTarget = kCopyPath;
+    request.mTarget = std::move(aTarget);
     const auto answer = co_await aClient.Fetch(
       std::move(aPlace), std::move(request), kPeerTimeout);
     const bool read = answer && answer.value().mStatus == 200;
     aThen(read ? DecodeStoreCopy(answer.value().mBody) : std::nullopt);
   };
-  boost::asio::co_spawn(mContext,
-                        fetch(mPeerClient, std::move(*place), std::move(aDone)),
-                        boost::asio::detached);
+  boost::asio::co_spawn(
+    mContext,
+    fetch(mPeerClient, std::move(*place), CopyTarget(aKnown), std::move(aDone)),
+    boost::asio::detached);
 }
 
 double
--- a/src/sapphirespar/gateway/store_copy_codec.cpp
+++ b/src/sapphirespar/gateway/store_copy_codec.cpp
@@ -1,8 +1,13 @@
 // Copies of the store between gateways.
 #include "store_copy_codec.hpp"
 
+#include "sapphirespar/wire/http_message.hpp"
+
 #include <boost/json.hpp>
 
+#include <charconv>
+#include <span>
+
 namespace sapphirespar::gateway {
 namespace {
 
@@ -67,18 +72,86 @@
   return std::chrono::milliseconds(age);
 }
 
+json::array
+ToJson(std::span<const upstream_entry> aEntries)
+{
+  json::array entries;
+  for (const auto& entry : aEntries) {
+    entries.push_back(ToJson(entry));
+  }
+  return entries;
+}
+
+json::value
+ToJson(const std::optional<upstream_delta>& aDelta)
+{
+  if (!aDelta) {
+    return nullptr;
+  }
+  json::array removed;
+  for (const auto& id : aDelta->mRemoved) {
+    removed.emplace_back(id.mText);
+  }
+  return { { "base", aDelta->mBase },
+           { "changed", ToJson(aDelta->mChanged) },
+           { "removed", std::move(removed) } };
+}
+
+std::vector<upstream_entry>
+ReadEntries(const json::value& aValue)
+{
+  std::vector<upstream_entry> entries;
+  for (const auto& item : aValue.as_array()) {
+    entries.push_back(ReadEntry(item));
+  }
+  return entries;
+}
+
+std::optional<upstream_delta>
+ReadDelta(const json::value& aValue)
+{
+  if (aValue.is_null()) {
+    return std::nullopt;
+  }
+  upstream_delta delta;
+  delta.mBase = aValue.at("base").to_number<std::uint64_t>();
+  delta.mChanged = ReadEntries(aValue.at("changed"));
+  for (const auto& item : aValue.at("removed").as_array()) {
+    delta.mRemoved.push_back({ std::string(item.as_string()) });
+  }
+  return delta;
+}
+
 } // namespace
 
+std::string
+CopyTarget(const store_known& aKnown)
+{
+  return std::string(kStoreCopyPath) +
+         "?routing=" + std::to_string(aKnown.mRoutingRevision) +
+         "&upstreams=" + std::to_string(aKnown.mUpstreamsDigest);
+}
+
+store_known
+ReadKnown(std::string_view aQuery)
+{
+  const auto number = [&](std::string_view aKey) {
+    const auto text = wire::QueryValue(aQuery, aKey);
+    std::uint64_t value = 0;
+    std::from_chars(text.data(), text.data() + text.size(), value);
+    return value;
+  };
+  return { number("routing"), number("upstreams") };
+}
+
 std::string
 EncodeStoreCopy(const store_copy& aCopy)
 {
-  json::array upstreams;
-  for (const auto& entry : aCopy.mUpstreams) {
-    upstreams.push_back(ToJson(entry));
-  }
   json::object body;
   body["routing"] = ToJson(aCopy.mRouting);
-  body["upstreams"] = std::move(upstreams);
+  body["upstreams"] = ToJson(aCopy.mUpstreams);
+  body["delta"] = ToJson(aCopy.mDelta);
+  body["upstreams_digest"] = aCopy.mUpstreamsDigest;
   body["routing_age_ms"] = aCopy.mRoutingAge.count();
   body["upstreams_age_ms"] = aCopy.mUpstreamsAge.count();
   return json::serialize(body);
@@ -92,9 +165,10 @@
       json::parse(json::string_view(aText.data(), aText.size()));
     store_copy copy;
     copy.mRouting = ReadObject(body.at("routing"));
-    for (const auto& item : body.at("upstreams").as_array()) {
-      copy.mUpstreams.push_back(ReadEntry(item));
-    }
+    copy.mUpstreams = ReadEntries(body.at("upstreams"));
+    copy.mDelta = ReadDelta(body.at("delta"));
+    copy.mUpstreamsDigest =
+      body.at("upstreams_digest").to_number<std::uint64_t>();
     copy.mRoutingAge = ReadAge(body, "routing_age_ms");
     copy.mUpstreamsAge = ReadAge(body, "upstreams_age_ms");
     return copy;
--- a/src/sapphirespar/gateway/store_reader.cpp
+++ b/src/sapphirespar/gateway/store_reader.cpp
@@ -129,16 +129,16 @@
       return;
     }
     const auto asked = mHooks.mNow();
-    mHooks.mFetch(aReader,
-                  IfAlive([this, asked](std::optional<store_copy> aCopy) {
-                    if (!aCopy) {
-                      AskNextReader();
-                      return;
-                    }
-                    TakeCopy(std::move(*aCopy), asked);
-                    NoteAnswer(true, "peer");
-                    EndRound(true);
-                  }));
+    mHooks.mFetch(
+      aReader, Known(), IfAlive([this, asked](std::optional<store_copy> aCopy) {
+        if (!aCopy) {
+          AskNextReader();
+          return;
+        }
+        TakeCopy(std::move(*aCopy), asked);
+        NoteAnswer(true, "peer");
+        EndRound(true);
+      }));
   }
 
   // Whether what is known here is recent enough without another read.
@@ -247,6 +247,7 @@
   {
     const auto asked = mHooks.mNow();
     mHooks.mFetch(std::nullopt,
+                  Known(),
                   IfAlive([this, asked](std::optional<store_copy> aCopy) {
                     if (aCopy) {
                       TakeCopy(std::move(*aCopy), asked);
@@ -255,14 +256,40 @@
                   }));
   }
 
+  store_known Known() const
+  {
+    store_known known{ mRoutingObject.mVersion, 0 };
+    if (mUpstreamsRead && !mWantsWhole) {
+      known.mUpstreamsDigest = mUpstreams.Digest();
+    }
+    return known;
+  }
+
   // The copy was made after it was asked for, so its ages count from there.
   void TakeCopy(store_copy aCopy, boot_time aAsked)
   {
     TakeRouting(aCopy.mRouting, aAsked - aCopy.mRoutingAge, "peer");
     const auto read = aAsked - aCopy.mUpstreamsAge;
-    if (!mUpstreamsRead || read > *mUpstreamsRead) {
-      mUpstreamsRead = read;
-      TakeEntries(aCopy.mUpstreams, list_trust::Whole, "peer");
+    if (mUpstreamsRead && read <= *mUpstreamsRead) {
+      return;
+    }
+    if (aCopy.mDelta) {
+      auto entries = mUpstreams.WithDelta(*aCopy.mDelta);
+      if (!entries) {
+        // The list has changed here since it was asked for.
+        return;
+      }
+      aCopy.mUpstreams = *std::move(entries);
+    }
+    mUpstreamsRead = read;
+    TakeEntries(aCopy.mUpstreams, list_trust::Whole, "peer");
+    mWantsWhole = mUpstreams.Digest() != aCopy.mUpstreamsDigest;
+    if (mWantsWhole) {
+      LogEvent(log_level::Warning,
+               "upstreams_differ",
+               { { "digest", mUpstreams.Digest() },
+                 { "peer", aCopy.mUpstreamsDigest },
+                 { "delta", static_cast<int>(aCopy.mDelta.has_value()) } });
     }
   }
 
@@ -378,6 +405,8 @@
   // When the read of what mUpstreams holds was sent; only rises. Unset before
   // the first.
   std::optional<boot_time> mUpstreamsRead;
+  // The last change from another gateway did not lead to that one's list.
+  bool mWantsWhole = false;
 
   bool mInRound = false;
   boot_time mRoundBegun{};
@@ -429,14 +458,24 @@
 }
 
 std::optional<store_copy>
-store_reader::Copy() const
+store_reader::Copy(const store_known& aKnown) const
 {
   if (!mState->HasBoth()) {
     return std::nullopt;
   }
   store_copy copy;
   copy.mRouting = mState->mRoutingObject;
-  copy.mUpstreams = mState->mUpstreams.Entries();
+  if (copy.mRouting.mVersion == aKnown.mRoutingRevision) {
+    copy.mRouting.mValue.clear();
+  }
+  const auto& upstreams = mState->mUpstreams;
+  copy.mUpstreamsDigest = upstreams.Digest();
+  if (aKnown.mUpstreamsDigest != 0) {
+    copy.mDelta = upstreams.ChangedSince(aKnown.mUpstreamsDigest);
+  }
+  if (!copy.mDelta) {
+    copy.mUpstreams = upstreams.Entries();
+  }
   copy.mRoutingAge = mState->RoutingAge();
   copy.mUpstreamsAge = mState->UpstreamsAge();
   return copy;
--- a/src/sapphirespar/gateway/store_reader_test.cpp
+++ b/src/sapphirespar/gateway/store_reader_test.cpp
@@ -69,12 +69,17 @@
         aDone(mPeerAnswers ? mPeer->mReader.Summary() : std::nullopt);
       });
     };
-    hooks.mFetch = [this](const std::optional<vm_id>&, copy_callback aDone) {
-      Later([this, aDone] {
+    hooks.mFetch = [this](const std::optional<vm_id>&,
+                          const store_known& aKnown,
+                          copy_callback aDone) {
+      const auto query = wire::SplitTarget(CopyTarget(aKnown)).mQuery;
+      Later([this, known = ReadKnown(query), aDone] {
         const auto* from = mPeer ? mPeer : mOther;
         const auto copy =
-          from && mPeerAnswers ? from->mReader.Copy() : std::nullopt;
-        aDone(copy ? DecodeStoreCopy(EncodeStoreCopy(*copy)) : std::nullopt);
+          from && mPeerAnswers ? from->mReader.Copy(known) : std::nullopt;
+        const auto text = copy ? EncodeStoreCopy(*copy) : std::string();
+        mCopyBytes = text.size();
+        aDone(copy ? DecodeStoreCopy(text) : std::nullopt);
       });
     };
     hooks.mChanged = [this] { ++mChanges; };
@@ -98,6 +103,8 @@
   bool mPeerAnswers = true;
   std::chrono::milliseconds mPeerDelay{ 1 };
   unsigned mAsked = 0;
+  // Of the last copy that was fetched.
+  std::size_t mCopyBytes = 0;
   unsigned mChanges = 0;
   std::vector<timer_subscription> mPending;
   store_reader mReader;
@@ -239,6 +246,50 @@
   EXPECT_EQ(other.mAsked, asked);
 }
 
+TEST_F(store_reads, FetchesOnlyWhatHasChangedOfALongList)
+{
+  for (int index = 0; index < 1000; ++index) {
+    Write({ "servers", "s" + std::to_string(index) }, "82");
+  }
+  reading_gateway reader(mTimers, mStore);
+  reading_gateway other(mTimers, mStore);
+  other.mPeer = &reader;
+  reader.mReader.Start();
+  mTimers.Advance(10ms);
+  other.mReader.Start();
+  mTimers.Advance(1s);
+  EXPECT_EQ(other.Members(), 1002U);
+  const auto whole = other.mCopyBytes;
+  Remove({ "servers", "s7" });
+  Write({ "servers", "s8" }, "83");
+  Write({ "servers", "new" }, "84");
+  mTimers.Advance(2s);
+  EXPECT_EQ(other.mUpstreams.Entries(), reader.mUpstreams.Entries());
+  EXPECT_EQ(other.Members(), 1002U);
+  EXPECT_LT(other.mCopyBytes, whole / 50);
+}
+
+TEST_F(store_reads, FetchesTheWholeListWhereTheChangesAreForgotten)
+{
+  reading_gateway reader(mTimers, mStore);
+  reading_gateway other(mTimers, mStore);
+  other.mPeer = &reader;
+  reader.mReader.Start();
+  mTimers.Advance(10ms);
+  other.mReader.Start();
+  mTimers.Advance(1s);
+  other.mPeerAnswers = false;
+  other.mPlatform.Faults().mOutage = true;
+  for (int change = 0; change < 100; ++change) {
+    Write({ "servers", "c" + std::to_string(change) }, "82");
+    mTimers.Advance(700ms);
+  }
+  EXPECT_NE(other.mUpstreams.Entries(), reader.mUpstreams.Entries());
+  other.mPeerAnswers = true;
+  mTimers.Advance(3s);
+  EXPECT_EQ(other.mUpstreams.Entries(), reader.mUpstreams.Entries());
+}
+
 TEST_F(store_reads, ReadsItselfWhereNoReaderIsOfUse)
 {
   reading_gateway reader(mTimers, mStore);
--- a/src/sapphirespar/gateway/upstream_directory.cpp
+++ b/src/sapphirespar/gateway/upstream_directory.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <cmath>
 #include <iterator>
+#include <ranges>
 #include <set>
 #include <string>
 
@@ -18,6 +19,10 @@
 // Bounds the memory for shared parts of one upstream.
 constexpr std::size_t kMostPrompts = 1024;
 
+// Steps that are remembered for others who are behind. While a service is
+// replaced there are some a second.
+constexpr std::size_t kMostSteps = 64;
+
 std::uint64_t
 KeyOf(const upstream_entry& aEntry)
 {
@@ -83,6 +88,7 @@
                               list_trust aTrust)
 {
   directory_change change;
+  step made{ mDigest, {} };
   std::set<upstream_id> listed;
   for (const auto& entry : aEntries) {
     listed.insert(entry.mId);
@@ -92,9 +98,13 @@
       if (entry.mDraining && !known->mEntry.mDraining) {
         change.mDraining.push_back(entry.mId);
       }
-      known->mEntry = entry;
+      if (known->mEntry != entry) {
+        made.mTouched.insert(entry.mId);
+        known->mEntry = entry;
+      }
       continue;
     }
+    made.mTouched.insert(entry.mId);
     if (known) {
       known->mGone = true;
       change.mGone.push_back(entry.mId);
@@ -114,10 +124,64 @@
   }
   std::ranges::for_each(missing,
                         [&](const upstream_id& aId) { Drop(aId, change); });
+  made.mTouched.insert(missing.begin(), missing.end());
   mDigest = MakeDigest();
+  if (mDigest != made.mFrom) {
+    mSteps.push_back(std::move(made));
+    if (mSteps.size() > kMostSteps) {
+      mSteps.pop_front();
+    }
+  }
   return change;
 }
 
+std::optional<upstream_delta>
+upstream_directory::ChangedSince(std::uint64_t aBase) const
+{
+  upstream_delta delta{ aBase, {}, {} };
+  if (aBase == mDigest) {
+    return delta;
+  }
+  std::set<upstream_id> touched;
+  for (const auto& taken : mSteps | std::views::reverse) {
+    touched.insert(taken.mTouched.begin(), taken.mTouched.end());
+    if (taken.mFrom != aBase) {
+      continue;
+    }
+    for (const auto& id : touched) {
+      const auto found = mUpstreams.find(id);
+      if (found == mUpstreams.end()) {
+        delta.mRemoved.push_back(id);
+      } else {
+        delta.mChanged.push_back(found->second->mEntry);
+      }
+    }
+    return delta;
+  }
+  return std::nullopt;
+}
+
+std::optional<std::vector<upstream_entry>>
+upstream_directory::WithDelta(const upstream_delta& aDelta) const
+{
+  if (aDelta.mBase != mDigest) {
+    return std::nullopt;
+  }
+  std::map<upstream_id, upstream_entry> entries;
+  for (const auto& [id, known] : mUpstreams) {
+    entries.emplace(id, known->mEntry);
+  }
+  for (const auto& id : aDelta.mRemoved) {
+    entries.erase(id);
+  }
+  for (const auto& entry : aDelta.mChanged) {
+    entries.insert_or_assign(entry.mId, entry);
+  }
+  std::vector<upstream_entry> list;
+  std::ranges::copy(entries | std::views::values, std::back_inserter(list));
+  return list;
+}
+
 void
 upstream_directory::Drop(upstream_id aId, directory_change& aChange)
 {
