Tell in the log how many lines a stalled reader has cost

Dropped lines were only counted in the metrics. A test plays a burst of 20,000 lines against a reader that stalls: logging never waits, and lines kept and told as dropped add up.

--- a/include/sapphirespar/base/log.hpp
+++ b/include/sapphirespar/base/log.hpp
@@ -41,7 +41,8 @@
 {
   // Each line is written before the event returns.
   StandardError,
-  // Never waits for a reader: what does not fit is dropped and counted.
+  // Never waits for a reader: what does not fit is dropped, counted, and told
+  // of by an event log_lines_dropped once there is room.
   StandardOutput,
 };
 
--- a/src/sapphirespar/base/log.cpp
+++ b/src/sapphirespar/base/log.cpp
@@ -13,6 +13,7 @@
 #include <algorithm>
 #include <atomic>
 #include <memory>
+#include <utility>
 
 namespace sapphirespar {
 namespace {
@@ -71,8 +72,14 @@
     }
     if (mBacklog.size() > kLongestBacklog) {
       ++sDropped;
+      ++mUntold;
       return;
     }
+    if (mUntold > 0) {
+      mBacklog += "level=WARN node=" + sNode +
+                  " event=log_lines_dropped lines=" +
+                  std::to_string(std::exchange(mUntold, 0)) + '\n';
+    }
     mBacklog += formatEvent(aEvent);
     Flush();
   }
@@ -88,6 +95,8 @@
 
   // Lines that standard output did not take yet.
   std::string mBacklog;
+  // Lines that were dropped since the last one that was kept.
+  std::uint64_t mUntold = 0;
 };
 
 log4cplus::SharedAppenderPtr
--- a/src/sapphirespar/base/log_test.cpp
+++ b/src/sapphirespar/base/log_test.cpp
@@ -1,11 +1,23 @@
-// Tests of log line formatting.
+// Tests of log lines, and of a reader that stalls.
 #include "sapphirespar/base/log.hpp"
 
 #include <gtest/gtest.h>
 
+#include <poll.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <array>
+#include <chrono>
+#include <cstdio>
+#include <string>
+#include <string_view>
+
 namespace sapphirespar {
 namespace {
 
+using namespace std::chrono_literals;
+
 TEST(LogValue, QuotesOnlyWhereNeeded)
 {
   EXPECT_EQ(QuoteLogValue("plain"), "plain");
@@ -19,5 +31,87 @@
   EXPECT_EQ(QuoteLogValue("one\ntwo"), "\"one two\"");
 }
 
+constexpr int kBurst = 20'000;
+
+struct pipe_ends
+{
+  pipe_ends() { EXPECT_EQ(::pipe(mEnds.data()), 0); }
+
+  int Reader() const { return mEnds[0]; }
+  int Writer() const { return mEnds[1]; }
+
+  std::array<int, 2> mEnds{};
+};
+
+// Runs in a process of its own. Logs far more than its reader's pipe and the
+// backlog hold, says so on aReady, and logs on until told to stop. Returns the
+// exit status: 0 if it never had to wait.
+int
+LogABurst(int aReady, int aStop)
+{
+  StartLog(log_level::Info, "vm", log_target::StandardOutput);
+  const auto begun = std::chrono::steady_clock::now();
+  for (int line = 0; line < kBurst; ++line) {
+    LogEvent(log_level::Info, "burst", { { "text", std::string(100, 'x') } });
+  }
+  const bool waited = std::chrono::steady_clock::now() - begun > 5s;
+  const char ready = 'r';
+  const bool told = ::write(aReady, &ready, 1) == 1;
+  pollfd stop{ aStop, POLLIN, 0 };
+  for (int line = 0; ::poll(&stop, 1, 1) == 0; ++line) {
+    LogEvent(log_level::Info, "later", { { "line", line } });
+  }
+  return !waited && told && DroppedLogLines() > 0 ? 0 : 1;
+}
+
+int
+NumberAtEnd(const std::string& aLine)
+{
+  return std::stoi(aLine.substr(aLine.rfind('=') + 1));
+}
+
+bool
+Tells(const std::string& aLine, std::string_view aEvent)
+{
+  return aLine.find(" event=" + std::string(aEvent) + ' ') != std::string::npos;
+}
+
+TEST(LogOutput, NeitherWaitsForAStalledReaderNorHidesWhatItDropped)
+{
+  const pipe_ends output;
+  const pipe_ends ready;
+  const pipe_ends stop;
+  const auto child = ::fork();
+  if (child == 0) {
+    ::dup2(output.Writer(), STDOUT_FILENO);
+    ::_exit(LogABurst(ready.Writer(), stop.Reader()));
+  }
+  ::close(output.Writer());
+  char byte = 0;
+  ASSERT_EQ(::read(ready.Reader(), &byte, 1), 1);
+  auto* const lines = ::fdopen(output.Reader(), "r");
+  int kept = 0;
+  int dropped = 0;
+  int firstLater = -1;
+  std::array<char, 4096> buffer{};
+  while (firstLater < 0 &&
+         std::fgets(buffer.data(), buffer.size(), lines) != nullptr) {
+    const std::string line(buffer.data());
+    ASSERT_NE(line.find("node=vm event="), std::string::npos) << line;
+    kept += Tells(line, "burst") ? 1 : 0;
+    dropped += Tells(line, "log_lines_dropped") ? NumberAtEnd(line) : 0;
+    firstLater = Tells(line, "later") ? NumberAtEnd(line) : firstLater;
+  }
+  EXPECT_GT(dropped, 0);
+  EXPECT_EQ(kept + dropped, kBurst + firstLater);
+  ASSERT_EQ(::write(stop.Writer(), &byte, 1), 1);
+  while (std::fgets(buffer.data(), buffer.size(), lines) != nullptr) {
+  }
+  int status = 0;
+  ASSERT_EQ(::waitpid(child, &status, 0), child);
+  EXPECT_EQ(WEXITSTATUS(status), 0);
+  std::fclose(lines);
+}
+
 } // namespace
 } // namespace sapphirespar
