Let a gateway that starts learn from the others before it asks the store

Cause: each start cost about ten calls to the platform although others had read all of it, and one that started while the store was away knew only the seeds, as the register of gateways was out of reach.

Change: at the start a gateway waits 30 ms for gossip and takes the routing, the upstreams and the other gateways from any that has read them; only without one does it read the store. The register is then read once after 10 s, for gateways that started at the same moment and missed each other.

The new tests can't be built before.

--- a/include/sapphirespar/gateway/gateway_register.hpp
+++ b/include/sapphirespar/gateway/gateway_register.hpp
@@ -25,7 +25,9 @@
   gateway_register(const gateway_register&) = delete;
   gateway_register& operator=(const gateway_register&) = delete;
 
-  // Writes this gateway's entry and reads the others' from time to time.
+  // Writes this gateway's entry. Reads the others' soon, or, where another
+  // gateway has told who they are, after a while, as that one may have missed a
+  // gateway that started at the same time.
   void Start();
 
 private:
--- a/include/sapphirespar/gateway/peer_board.hpp
+++ b/include/sapphirespar/gateway/peer_board.hpp
@@ -52,6 +52,13 @@
   // Takes over who is registered in the platform's store.
   void SetRegistered(std::vector<peer_contact> aContacts, steady_time aNow);
 
+  // Takes over whom another gateway knows, for as long as the store's register
+  // has not been read here.
+  void Introduce(std::span<const peer_contact> aContacts, steady_time aNow);
+
+  // Whether the other gateways are known, from the register or another gateway.
+  bool IsIntroduced() const { return mIntroduced; }
+
   // Forgets who has been silent for long. Returns the gateways that were live
   // until now and no longer are.
   std::vector<vm_id> Tick(steady_time aNow);
@@ -85,6 +92,9 @@
   // this gateway's data centre.
   std::vector<peer_contact> Contacts(bool aNear) const;
 
+  // All of them.
+  std::vector<peer_contact> Contacts() const;
+
   // Addresses of the relays of all other data centres.
   std::vector<std::string> FarRelays(steady_time aNow) const;
 
@@ -147,6 +157,7 @@
   // Registered gateways and since when.
   std::map<peer_contact, steady_time> mRegistered;
   bool mRegisterRead = false;
+  bool mIntroduced = false;
 };
 
 } // namespace sapphirespar::gateway
--- a/include/sapphirespar/gateway/store_reader.hpp
+++ b/include/sapphirespar/gateway/store_reader.hpp
@@ -10,6 +10,7 @@
 
 #include "sapphirespar/base/boot_clock.hpp"
 #include "sapphirespar/base/timer_service.hpp"
+#include "sapphirespar/gateway/peer_board.hpp"
 #include "sapphirespar/gateway/protocol.hpp"
 #include "sapphirespar/gateway/routing_state.hpp"
 #include "sapphirespar/gateway/upstream_directory.hpp"
@@ -45,6 +46,8 @@
   // How long before this copy was made the reads of either were sent.
   std::chrono::milliseconds mRoutingAge{ 0 };
   std::chrono::milliseconds mUpstreamsAge{ 0 };
+  // The gateways that the copier knows; whoever passes the copy on adds them.
+  std::vector<peer_contact> mGateways;
 };
 
 using copy_callback = std::function<void(std::optional<store_copy>)>;
@@ -52,6 +55,8 @@
 
 struct store_reader_settings
 {
+  // At the start, how long to wait for another gateway that has read the store.
+  std::chrono::milliseconds mFirstLook{ 0 };
   // Between the starts of two rounds. A change is known everywhere after two
   // rounds and a fetch, so it takes effect within three periods.
   std::chrono::milliseconds mPeriod{ 600 };
--- a/src/sapphirespar/gateway/gateway_app.cpp
+++ b/src/sapphirespar/gateway/gateway_app.cpp
@@ -176,8 +176,8 @@
   mMetricsServer = ServePages(mSettings.mMetrics, own(&state::ServeAdmin));
   mCallers = ServeCallers();
   mSplitTimer = mTimers.Every(kSplitPeriod, [this] { UpdateSplit(); });
-  mReader.Start();
   mGossip.Start();
+  mReader.Start();
   mRegister.Start();
 }
 
@@ -368,7 +368,13 @@
     return StatusPage(Status());
   }
   if (aTarget.mPath == kStoreCopyPath) {
-    const auto copy = mReader.Copy(ReadKnown(aTarget.mQuery));
+    const auto known = ReadKnown(aTarget.mQuery);
+    auto copy = mReader.Copy(known);
+    const bool isNew = known.mRoutingRevision == kNoObject;
+    if (copy && isNew && mPeers.IsIntroduced()) {
+      copy->mGateways = mPeers.Contacts();
+      copy->mGateways.push_back({ mSettings.mVm, mSettings.mGossip.mAddress });
+    }
     return copy ? wire::JsonResponse(200, EncodeStoreCopy(*copy))
                 : TextResponse(503, "nothing read yet\n");
   }
@@ -434,9 +440,17 @@
     const bool read = answer && answer.value().mStatus == 200;
     aThen(read ? DecodeStoreCopy(answer.value().mBody) : std::nullopt);
   };
+  auto introduce = [this,
+                    done = std::move(aDone)](std::optional<store_copy> aCopy) {
+    if (aCopy && !aCopy->mGateways.empty()) {
+      mPeers.Introduce(aCopy->mGateways, mTimers.Now());
+    }
+    done(std::move(aCopy));
+  };
   boost::asio::co_spawn(
     mContext,
-    fetch(mPeerClient, std::move(*place), CopyTarget(aKnown), std::move(aDone)),
+    fetch(
+      mPeerClient, std::move(*place), CopyTarget(aKnown), std::move(introduce)),
     boost::asio::detached);
 }
 
--- a/src/sapphirespar/gateway/gateway_register.cpp
+++ b/src/sapphirespar/gateway/gateway_register.cpp
@@ -14,6 +14,9 @@
 constexpr std::chrono::seconds kReadPeriod{ 10 };
 constexpr std::chrono::seconds kRetryDelay{ 1 };
 
+// By then another gateway has told who the others are, if there is one.
+constexpr std::chrono::milliseconds kFirstRead{ 100 };
+
 } // namespace
 
 struct gateway_register::state : std::enable_shared_from_this<state>
@@ -78,6 +81,17 @@
                    });
   }
 
+  void ReadOnceIntroduced()
+  {
+    mReadTimer = mTimers.After(kFirstRead, [this] {
+      if (mPeers.IsIntroduced()) {
+        mReadTimer = mTimers.After(kReadPeriod, [this] { Read(); });
+      } else {
+        Read();
+      }
+    });
+  }
+
   // Reads again only where this gateway reads the store for all; the others
   // learn of new gateways by gossip.
   void ReadAgain()
@@ -146,7 +160,7 @@
 gateway_register::Start()
 {
   mState->Write(kNoObject);
-  mState->Read();
+  mState->ReadOnceIntroduced();
 }
 
 } // namespace sapphirespar::gateway
--- a/src/sapphirespar/gateway/part_settings.cpp
+++ b/src/sapphirespar/gateway/part_settings.cpp
@@ -15,6 +15,9 @@
 // Several times the way between data centres.
 constexpr milliseconds kConnectTimeout{ 400 };
 
+// For a datagram to a seed and its answer.
+constexpr milliseconds kFirstLook{ 30 };
+
 // Idle connections to upstreams whose announced limit is longer, or that
 // announce none.
 constexpr milliseconds kUpstreamIdle{ 4000 };
@@ -55,6 +58,7 @@
   constexpr double kPeriodsInBound = 3.3;
   settings.mPeriod = std::chrono::duration_cast<milliseconds>(
     aSettings.mChangeBound / kPeriodsInBound);
+  settings.mFirstLook = kFirstLook;
   settings.mOldestAnswer = settings.mPeriod * 5 / 3;
   settings.mOldestKnowledge = settings.mPeriod * 11 / 6;
   return settings;
--- a/src/sapphirespar/gateway/peer_board.cpp
+++ b/src/sapphirespar/gateway/peer_board.cpp
@@ -152,6 +152,21 @@
   }
   mRegistered = std::move(registered);
   mRegisterRead = true;
+  mIntroduced = true;
+}
+
+void
+peer_board::Introduce(std::span<const peer_contact> aContacts, steady_time aNow)
+{
+  if (mRegisterRead) {
+    return;
+  }
+  for (const auto& contact : aContacts) {
+    if (contact.mVm != mSelf.mVm) {
+      mRegistered.emplace(contact, aNow);
+    }
+  }
+  mIntroduced = true;
 }
 
 std::vector<vm_id>
@@ -364,6 +379,14 @@
   return contacts;
 }
 
+std::vector<peer_contact>
+peer_board::Contacts() const
+{
+  auto contacts = Contacts(true);
+  std::ranges::move(Contacts(false), std::back_inserter(contacts));
+  return contacts;
+}
+
 std::unordered_map<std::uint64_t, policy::upstream_load>
 peer_board::Loads(steady_time aNow) const
 {
@@ -409,7 +432,7 @@
   for (const auto& [contact, since] : mRegistered) {
     names.insert(contact.mVm);
   }
-  const bool known = mRegisterRead || names.size() > 1;
+  const bool known = mIntroduced || names.size() > 1;
   return known ? static_cast<unsigned>(names.size()) : 0;
 }
 
--- a/src/sapphirespar/gateway/peer_board_test.cpp
+++ b/src/sapphirespar/gateway/peer_board_test.cpp
@@ -106,6 +106,22 @@
   EXPECT_EQ(board.MostGateways(kNow + 31s), 2U);
 }
 
+TEST(PeerBoard, IsIntroducedToOthersUntilItHasReadTheRegister)
+{
+  peer_board board({ { "1" }, {}, 0 });
+  EXPECT_FALSE(board.IsIntroduced());
+  const std::vector<peer_contact> told{ { { "1" }, "a" }, { { "2" }, "b" } };
+  board.Introduce(told, kNow);
+  EXPECT_TRUE(board.IsIntroduced());
+  ASSERT_EQ(board.Contacts().size(), 1U);
+  EXPECT_EQ(board.Contacts()[0].mAddress, "b");
+  EXPECT_EQ(board.MostGateways(kNow), 2U);
+  board.SetRegistered({ { { "3" }, "c" } }, kNow);
+  board.Introduce(told, kNow);
+  ASSERT_EQ(board.Contacts().size(), 1U);
+  EXPECT_EQ(board.Contacts()[0].mAddress, "c");
+}
+
 TEST(PeerBoard, AgreesOnWhoReadsTheStoreForAll)
 {
   peer_board first({ { "1" }, {}, 120 });
--- a/src/sapphirespar/gateway/store_copy_codec.cpp
+++ b/src/sapphirespar/gateway/store_copy_codec.cpp
@@ -32,6 +32,12 @@
            { "born", aEntry.mBorn } };
 }
 
+json::object
+ToJson(const peer_contact& aContact)
+{
+  return { { "vm", aContact.mVm.mText }, { "address", aContact.mAddress } };
+}
+
 std::string
 TextAt(const json::value& aValue, std::string_view aKey)
 {
@@ -147,11 +153,16 @@
 std::string
 EncodeStoreCopy(const store_copy& aCopy)
 {
+  json::array gateways;
+  for (const auto& contact : aCopy.mGateways) {
+    gateways.push_back(ToJson(contact));
+  }
   json::object body;
   body["routing"] = ToJson(aCopy.mRouting);
   body["upstreams"] = ToJson(aCopy.mUpstreams);
   body["delta"] = ToJson(aCopy.mDelta);
   body["upstreams_digest"] = aCopy.mUpstreamsDigest;
+  body["gateways"] = std::move(gateways);
   body["routing_age_ms"] = aCopy.mRoutingAge.count();
   body["upstreams_age_ms"] = aCopy.mUpstreamsAge.count();
   return json::serialize(body);
@@ -169,6 +180,10 @@
     copy.mDelta = ReadDelta(body.at("delta"));
     copy.mUpstreamsDigest =
       body.at("upstreams_digest").to_number<std::uint64_t>();
+    for (const auto& item : body.at("gateways").as_array()) {
+      copy.mGateways.push_back(
+        { { TextAt(item, "vm") }, TextAt(item, "address") });
+    }
     copy.mRoutingAge = ReadAge(body, "routing_age_ms");
     copy.mUpstreamsAge = ReadAge(body, "upstreams_age_ms");
     return copy;
--- a/src/sapphirespar/gateway/store_reader.cpp
+++ b/src/sapphirespar/gateway/store_reader.cpp
@@ -63,6 +63,7 @@
 
   void BeginRound()
   {
+    mRoundTimer = {};
     mRoundBegun = mHooks.mNow();
     mInRound = true;
     mReaders = mHooks.mReaders();
@@ -95,7 +96,11 @@
         mInRound = false;
         return;
       }
-      ReadStore();
+      if (HasBoth() || mAskedAny) {
+        ReadStore();
+      } else {
+        FetchFirst();
+      }
       return;
     }
     mAskedAny = true;
@@ -242,6 +247,23 @@
     mAway = !aAnswers;
   }
 
+  // After the start, whatever any gateway has read spares the store a call, and
+  // serves while the store is away.
+  void FetchFirst()
+  {
+    const auto asked = mHooks.mNow();
+    mHooks.mFetch(std::nullopt,
+                  Known(),
+                  IfAlive([this, asked](std::optional<store_copy> aCopy) {
+                    if (!aCopy) {
+                      ReadStore();
+                      return;
+                    }
+                    TakeCopy(std::move(*aCopy), asked);
+                    EndRound(true);
+                  }));
+  }
+
   // Some other gateway may reach the store although this one does not.
   void FetchFromAnyone()
   {
@@ -448,7 +470,9 @@
 void
 store_reader::Start()
 {
-  mState->BeginRound();
+  mState->mRoundTimer =
+    mState->mTimers.After(mState->mSettings.mFirstLook,
+                          [state = mState.get()] { state->BeginRound(); });
 }
 
 void
--- a/src/sapphirespar/gateway/store_reader_test.cpp
+++ b/src/sapphirespar/gateway/store_reader_test.cpp
@@ -246,6 +246,21 @@
   EXPECT_EQ(other.mAsked, asked);
 }
 
+TEST_F(store_reads, OneThatStartsTakesWhatOthersHaveReadAlsoWithoutTheStore)
+{
+  reading_gateway sound(mTimers, mStore);
+  reading_gateway starting(mTimers, mStore);
+  starting.mOther = &sound;
+  sound.mReader.Start();
+  mTimers.Advance(10ms);
+  starting.mPlatform.Faults().mOutage = true;
+  starting.mReader.Start();
+  mTimers.Advance(10ms);
+  EXPECT_EQ(starting.mRouting.Version(), 7U);
+  EXPECT_EQ(starting.Members(), 2U);
+  EXPECT_EQ(starting.mPlatform.Calls().Total(), 0U);
+}
+
 TEST_F(store_reads, FetchesOnlyWhatHasChangedOfALongList)
 {
   for (int index = 0; index < 1000; ++index) {
@@ -343,12 +358,14 @@
   reading_gateway gateway(mTimers, mStore);
   gateway.mReader.Start();
   mTimers.Advance(10ms);
-  const auto copy = gateway.mReader.Copy();
+  auto copy = gateway.mReader.Copy();
   ASSERT_TRUE(copy);
+  copy->mGateways = { { { "vm-2" }, "10.0.0.2" } };
   const auto read = DecodeStoreCopy(EncodeStoreCopy(*copy));
   ASSERT_TRUE(read);
   EXPECT_EQ(read->mUpstreams, copy->mUpstreams);
   EXPECT_EQ(read->mRouting.mValue, "7");
+  EXPECT_EQ(read->mGateways, copy->mGateways);
   EXPECT_FALSE(DecodeStoreCopy("{}"));
   EXPECT_FALSE(DecodeStoreCopy("nonsense"));
 }
