--- a/src/sapphirespar/gateway/gossip_plan_test.cpp
+++ b/src/sapphirespar/gateway/gossip_plan_test.cpp
@@ -9,7 +9,6 @@
 #include <algorithm>
 #include <map>
 #include <memory>
-#include <ranges>
 
 namespace sapphirespar::gateway {
 namespace {
--- a/src/sapphirespar/gateway/peer_board.cpp
+++ b/src/sapphirespar/gateway/peer_board.cpp
@@ -6,7 +6,6 @@
 #include <algorithm>
 #include <functional>
 #include <iterator>
-#include <ranges>
 #include <set>
 
 namespace sapphirespar::gateway {
@@ -257,9 +256,10 @@
   }
   std::ranges::sort(ranked, std::greater<>{});
   std::vector<vm_id> relays;
-  for (auto& [rank, vm] : ranked | std::views::take(kRelays)) {
-    relays.push_back(std::move(vm));
-  }
+  const auto count = std::min(ranked.size(), kRelays);
+  std::ranges::transform(std::span(ranked).first(count),
+                         std::back_inserter(relays),
+                         [](const auto& aItem) { return aItem.second; });
   return relays;
 }
 
--- a/src/sapphirespar/gateway/upstream_directory.cpp
+++ b/src/sapphirespar/gateway/upstream_directory.cpp
@@ -6,7 +6,6 @@
 #include <algorithm>
 #include <cmath>
 #include <iterator>
-#include <ranges>
 #include <set>
 #include <string>
 
@@ -143,9 +142,9 @@
     return delta;
   }
   std::set<upstream_id> touched;
-  for (const auto& taken : mSteps | std::views::reverse) {
-    touched.insert(taken.mTouched.begin(), taken.mTouched.end());
-    if (taken.mFrom != aBase) {
+  for (auto taken = mSteps.rbegin(); taken != mSteps.rend(); ++taken) {
+    touched.insert(taken->mTouched.begin(), taken->mTouched.end());
+    if (taken->mFrom != aBase) {
       continue;
     }
     for (const auto& id : touched) {
@@ -178,7 +177,9 @@
     entries.insert_or_assign(entry.mId, entry);
   }
   std::vector<upstream_entry> list;
-  std::ranges::copy(entries | std::views::values, std::back_inserter(list));
+  std::ranges::transform(entries,
+                         std::back_inserter(list),
+                         [](const auto& aItem) { return aItem.second; });
   return list;
 }
 
