Ask three gateways in turn before the store is read

Change: the three largest gateways are asked one after another; the second and third read the store at once where those before them are of no use, so that the others find one that is recent.

The new test fails without the change (20 calls of a third gateway during an outage of the first reader, 4 allowed).

--- a/include/sapphirespar/gateway/peer_board.hpp
+++ b/include/sapphirespar/gateway/peer_board.hpp
@@ -69,10 +69,12 @@
   // Admin addresses of live gateways that have read the store.
   std::vector<entry_point> AdminPoints(steady_time aNow) const;
 
-  // The gateway that reads the store for all, which may be this one: one with
-  // the largest share of a core. Gateways that see the same others name the
-  // same one.
-  vm_id Reader(steady_time aNow) const;
+  // The gateways that read the store for all, this one among them if it is one:
+  // those with the largest shares of a core. The first one reads; each of the
+  // others only where those before it fail. Gateways that see the same others
+  // name the same ones.
+  std::vector<vm_id> Readers(steady_time aNow) const;
+  bool IsFirstReader(steady_time aNow) const;
 
   // What a gateway last said of itself; null for one that was never heard.
   const gossip_state* Find(const vm_id& aVm) const;
--- a/include/sapphirespar/gateway/store_reader.hpp
+++ b/include/sapphirespar/gateway/store_reader.hpp
@@ -82,8 +82,11 @@
 {
   // The time since the machine was started.
   std::function<boot_time()> mNow;
-  // The other gateways that read the store for all; empty if this one does.
+  // The other gateways that are to be asked before this one reads the store, in
+  // this order.
   std::function<std::vector<vm_id>()> mReaders;
+  // Whether others may ask this one.
+  std::function<bool()> mIsReader;
   // Asks a gateway what it has read.
   std::function<void(const vm_id&, summary_callback)> mAsk;
   // Fetches what a gateway has read beyond what is known here; of any gateway
--- a/src/sapphirespar/gateway/gateway_app.cpp
+++ b/src/sapphirespar/gateway/gateway_app.cpp
@@ -261,9 +261,14 @@
   store_reader_hooks hooks;
   hooks.mNow = BootNow;
   hooks.mReaders = [this] {
-    auto reader = mPeers.Reader(mTimers.Now());
-    return reader == mSettings.mVm ? std::vector<vm_id>{}
-                                   : std::vector<vm_id>{ std::move(reader) };
+    auto readers = mPeers.Readers(mTimers.Now());
+    const auto self = std::ranges::find(readers, mSettings.mVm);
+    readers.erase(self, readers.end());
+    return readers;
+  };
+  hooks.mIsReader = [this] {
+    const auto readers = mPeers.Readers(mTimers.Now());
+    return std::ranges::find(readers, mSettings.mVm) != readers.end();
   };
   hooks.mAsk = [this](const vm_id& aVm, summary_callback aDone) {
     const auto* peer = mPeers.Find(aVm);
--- a/src/sapphirespar/gateway/gateway_register.cpp
+++ b/src/sapphirespar/gateway/gateway_register.cpp
@@ -96,7 +96,7 @@
   // learn of new gateways by gossip.
   void ReadAgain()
   {
-    if (mPeers.Reader(mTimers.Now()) == mSelf.mVm) {
+    if (mPeers.IsFirstReader(mTimers.Now())) {
       Read();
     } else {
       mReadTimer = mTimers.After(kReadPeriod, [this] { ReadAgain(); });
@@ -126,7 +126,7 @@
     }
     const auto now = mTimers.Now();
     mPeers.SetRegistered(std::move(contacts), now);
-    if (mPeers.Reader(now) != mSelf.mVm) {
+    if (!mPeers.IsFirstReader(now)) {
       return;
     }
     for (const auto& vm : mPeers.LostRegistered(now)) {
--- a/src/sapphirespar/gateway/peer_board.cpp
+++ b/src/sapphirespar/gateway/peer_board.cpp
@@ -40,6 +40,9 @@
 // Two, so that sums come on while one of them is lost and not yet missed.
 constexpr std::size_t kRelays = 2;
 
+// Where the first one fails, a few go on to read the store rather than all.
+constexpr std::size_t kReaders = 3;
+
 // Sums are used until the loss of both relays has been noticed and others have
 // taken over.
 constexpr std::chrono::seconds kZoneKept{ 5 };
@@ -65,10 +68,25 @@
 }
 
 // What the order of preference among gateways goes by: the larger ones first.
-auto
+using rank = std::pair<std::uint32_t, XXH64_hash_t>;
+using ranking = std::vector<std::pair<rank, vm_id>>;
+
+rank
 RankOf(const vm_id& aVm, std::uint32_t aProcessor)
 {
-  return std::pair(aProcessor, XXH3_64bits(aVm.mText.data(), aVm.mText.size()));
+  return { aProcessor, XXH3_64bits(aVm.mText.data(), aVm.mText.size()) };
+}
+
+std::vector<vm_id>
+TopOf(ranking aRanked, std::size_t aMost)
+{
+  std::ranges::sort(aRanked, std::greater<>{});
+  aRanked.resize(std::min(aRanked.size(), aMost));
+  std::vector<vm_id> names;
+  std::ranges::transform(aRanked,
+                         std::back_inserter(names),
+                         [](const auto& aItem) { return aItem.second; });
+  return names;
 }
 
 } // namespace
@@ -210,20 +228,23 @@
   return points;
 }
 
-vm_id
-peer_board::Reader(steady_time aNow) const
+std::vector<vm_id>
+peer_board::Readers(steady_time aNow) const
 {
-  auto best = RankOf(mSelf.mVm, mSelf.mProcessor);
-  auto reader = mSelf.mVm;
+  ranking ranked{ { RankOf(mSelf.mVm, mSelf.mProcessor), mSelf.mVm } };
   for (const auto& [vm, known] : mPeers) {
     const auto& state = known.mState;
-    const auto own = RankOf(vm, state.mProcessor);
-    if (IsLive(known, aNow) && state.mReady && !state.mLeaving && own > best) {
-      best = own;
-      reader = vm;
+    if (IsLive(known, aNow) && state.mReady && !state.mLeaving) {
+      ranked.emplace_back(RankOf(vm, state.mProcessor), vm);
     }
   }
-  return reader;
+  return TopOf(std::move(ranked), kReaders);
+}
+
+bool
+peer_board::IsFirstReader(steady_time aNow) const
+{
+  return Readers(aNow).front() == mSelf.mVm;
 }
 
 bool
@@ -243,7 +264,7 @@
 std::vector<vm_id>
 peer_board::Relays(const data_centre_id& aDataCentre, steady_time aNow) const
 {
-  std::vector<std::pair<std::pair<std::uint32_t, XXH64_hash_t>, vm_id>> ranked;
+  ranking ranked;
   if (aDataCentre == mSelf.mDataCentre) {
     ranked.emplace_back(RankOf(mSelf.mVm, mSelf.mProcessor), mSelf.mVm);
   }
@@ -254,13 +275,7 @@
       ranked.emplace_back(RankOf(vm, state.mProcessor), vm);
     }
   }
-  std::ranges::sort(ranked, std::greater<>{});
-  std::vector<vm_id> relays;
-  const auto count = std::min(ranked.size(), kRelays);
-  std::ranges::transform(std::span(ranked).first(count),
-                         std::back_inserter(relays),
-                         [](const auto& aItem) { return aItem.second; });
-  return relays;
+  return TopOf(std::move(ranked), kRelays);
 }
 
 bool
--- a/src/sapphirespar/gateway/peer_board_test.cpp
+++ b/src/sapphirespar/gateway/peer_board_test.cpp
@@ -3,6 +3,8 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+
 namespace sapphirespar::gateway {
 namespace {
 
@@ -126,15 +128,15 @@
 {
   peer_board first({ { "1" }, {}, 120 });
   peer_board second({ { "2" }, {}, 120 });
-  EXPECT_EQ(first.Reader(kNow).mText, "1");
+  EXPECT_EQ(first.Readers(kNow).at(0).mText, "1");
   for (const auto* name : { "1", "2", "3", "4", "5" }) {
     auto state = From(name);
     state.mProcessor = name[0] == '4' ? 500 : 120;
     first.Receive(state, kNow);
     second.Receive(state, kNow);
   }
-  EXPECT_EQ(first.Reader(kNow).mText, "4");
-  EXPECT_EQ(second.Reader(kNow).mText, "4");
+  EXPECT_EQ(first.Readers(kNow).at(0).mText, "4");
+  EXPECT_EQ(second.Readers(kNow).at(0).mText, "4");
   // One that falls silent is replaced.
   for (const auto* name : { "1", "2", "3", "5" }) {
     auto state = From(name, 2);
@@ -142,8 +144,12 @@
     first.Receive(state, kNow + 3s);
     second.Receive(state, kNow + 3s);
   }
-  EXPECT_NE(first.Reader(kNow + 3s).mText, "4");
-  EXPECT_EQ(first.Reader(kNow + 3s), second.Reader(kNow + 3s));
+  const auto readers = first.Readers(kNow + 3s);
+  EXPECT_EQ(std::ranges::count(readers, vm_id{ "4" }), 0);
+  EXPECT_EQ(readers, second.Readers(kNow + 3s));
+  // Others are at hand where the first one fails.
+  EXPECT_EQ(readers.size(), 3U);
+  EXPECT_EQ(first.IsFirstReader(kNow + 3s), readers[0].mText == "1");
 }
 
 TEST(PeerBoard, TellsWhichRegisteredGatewaysAreGone)
--- a/src/sapphirespar/gateway/store_reader.cpp
+++ b/src/sapphirespar/gateway/store_reader.cpp
@@ -67,6 +67,7 @@
     mRoundBegun = mHooks.mNow();
     mInRound = true;
     mReaders = mHooks.mReaders();
+    std::ranges::reverse(mReaders);
     mAskedAny = false;
     AskNextReader();
   }
@@ -90,7 +91,7 @@
   void AskNextReader()
   {
     if (mReaders.empty()) {
-      if (mAskedAny && IsRecent()) {
+      if (mAskedAny && IsRecent() && !mHooks.mIsReader()) {
         mRoundTimer =
           mTimers.After(mSettings.mAskAgain, [this] { BeginRound(); });
         mInRound = false;
@@ -432,7 +433,7 @@
 
   bool mInRound = false;
   boot_time mRoundBegun{};
-  // Readers that have not been asked in this round.
+  // Readers that have not been asked in this round, the next one at the back.
   std::vector<vm_id> mReaders;
   bool mAskedAny = false;
   // Calls to the store that this round waits for.
--- a/src/sapphirespar/gateway/store_reader_test.cpp
+++ b/src/sapphirespar/gateway/store_reader_test.cpp
@@ -61,20 +61,30 @@
     store_reader_hooks hooks;
     hooks.mNow = [this] { return Now(); };
     hooks.mReaders = [this] {
-      return mPeer ? std::vector<vm_id>{ { "peer" } } : std::vector<vm_id>{};
+      std::vector<vm_id> readers;
+      if (mPeer) {
+        readers.push_back({ "peer" });
+      }
+      if (mSecondPeer) {
+        readers.push_back({ "second" });
+      }
+      return readers;
     };
-    hooks.mAsk = [this](const vm_id&, summary_callback aDone) {
+    hooks.mIsReader = [this] { return !mPeer || mIsSecond; };
+    hooks.mAsk = [this](const vm_id& aVm, summary_callback aDone) {
       ++mAsked;
-      Later([this, aDone] {
-        aDone(mPeerAnswers ? mPeer->mReader.Summary() : std::nullopt);
+      const auto* asked = aVm.mText == "second" ? mSecondPeer : mPeer;
+      Later([this, asked, aDone] {
+        aDone(mPeerAnswers ? asked->mReader.Summary() : std::nullopt);
       });
     };
-    hooks.mFetch = [this](const std::optional<vm_id>&,
+    hooks.mFetch = [this](const std::optional<vm_id>& aVm,
                           const store_known& aKnown,
                           copy_callback aDone) {
       const auto query = wire::SplitTarget(CopyTarget(aKnown)).mQuery;
-      Later([this, known = ReadKnown(query), aDone] {
-        const auto* from = mPeer ? mPeer : mOther;
+      const bool second = aVm && aVm->mText == "second";
+      Later([this, known = ReadKnown(query), second, aDone] {
+        const auto* from = second ? mSecondPeer : mPeer ? mPeer : mOther;
         const auto copy =
           from && mPeerAnswers ? from->mReader.Copy(known) : std::nullopt;
         const auto text = copy ? EncodeStoreCopy(*copy) : std::string();
@@ -98,6 +108,10 @@
   fake_platform mPlatform;
   // Reads the store for this one; null if it reads itself.
   reading_gateway* mPeer = nullptr;
+  // Is asked where that one is of no use; may be null.
+  reading_gateway* mSecondPeer = nullptr;
+  // Reads the store for others where its peer is of no use.
+  bool mIsSecond = false;
   // Has read the store, but not for this one.
   reading_gateway* mOther = nullptr;
   bool mPeerAnswers = true;
@@ -326,6 +340,30 @@
   EXPECT_LT(other.mRouting.Age(other.Now()), 1s);
 }
 
+// While the first reader can't reach the store, one more reads it and not all.
+TEST_F(store_reads, FewReadTheStoreWhereTheFirstReaderFails)
+{
+  reading_gateway first(mTimers, mStore);
+  reading_gateway second(mTimers, mStore);
+  second.mPeer = &first;
+  second.mIsSecond = true;
+  reading_gateway other(mTimers, mStore);
+  other.mPeer = &first;
+  other.mSecondPeer = &second;
+  first.mReader.Start();
+  mTimers.Advance(10ms);
+  second.mReader.Start();
+  other.mReader.Start();
+  mTimers.Advance(1s);
+  first.mPlatform.Faults().mOutage = true;
+  mTimers.Advance(10s);
+  Write({ "config", "main" }, "9");
+  mTimers.Advance(3s);
+  EXPECT_EQ(other.mRouting.Version(), 9U);
+  EXPECT_GT(second.mPlatform.Calls().Total(), 10U);
+  EXPECT_LE(other.mPlatform.Calls().Total(), 4U);
+}
+
 TEST_F(store_reads, WhoIsCutOffFromTheStoreTakesWhatOthersHaveRead)
 {
   reading_gateway sound(mTimers, mStore);
