Dispatch a token once after each NotRun

After a dispatch that ended as not run, BeginOwnToken added a second entry under the same key. The table kept the old entry, which stayed NotRun, so every further request with the token was dispatched: one token three times. The known entry now becomes Running again, and adding a known key asserts.

--- a/src/sapphirespar/ledger/at_most_once_guard_test.cpp
+++ b/src/sapphirespar/ledger/at_most_once_guard_test.cpp
@@ -41,6 +41,53 @@
   EXPECT_TRUE(cluster.SendAndWait(0, kToken, token).mMayDispatch);
 }
 
+// A retry that was allowed after "not run" is a dispatch like the first one:
+// while it runs, and after its end, the token must not be dispatched again.
+TEST(AtMostOnceGuard, ARetryAfterNotRunIsDispatchedOnce)
+{
+  test_cluster cluster(1);
+  const auto token = cluster.IssueToken(0);
+  EXPECT_TRUE(cluster.SendAndWait(0, kToken, token).mMayDispatch);
+  cluster.Finish(0, token, outcome::NotRun);
+  EXPECT_TRUE(cluster.SendAndWait(0, kToken, token).mMayDispatch);
+  const auto beside = cluster.SendAndWait(0, kToken, token);
+  EXPECT_FALSE(beside.mMayDispatch);
+  EXPECT_EQ(beside.mRefusal.mOutcome, outcome::Unknown);
+  cluster.Finish(0, token, outcome::Done);
+  const auto after = cluster.SendAndWait(0, kToken, token);
+  EXPECT_FALSE(after.mMayDispatch);
+  EXPECT_EQ(after.mRefusal.mOutcome, outcome::Done);
+}
+
+TEST(AtMostOnceGuard, ATokenMayBeRetriedAfterEachNotRun)
+{
+  test_cluster cluster(1);
+  const auto token = cluster.IssueToken(0);
+  for (int attempt = 0; attempt < 4; ++attempt) {
+    ASSERT_TRUE(cluster.SendAndWait(0, kToken, token).mMayDispatch);
+    cluster.Finish(0, token, outcome::NotRun);
+  }
+}
+
+// The retry's content decides about later requests with the same token.
+TEST(AtMostOnceGuard, ARetryAfterNotRunReplacesTheContentHash)
+{
+  test_cluster cluster(1);
+  const auto token = cluster.IssueToken(0);
+  auto& guard = *cluster.Router(0).mGuard;
+  std::optional<dispatch_decision> decision;
+  const auto keep = [&](auto aDecision) { decision = aDecision; };
+  dispatch_request request{ kToken, { kAccount, token }, 1, false };
+  guard.Begin(request, keep);
+  guard.Finished(request.mKey, outcome::NotRun);
+  request.mContentHash = 2;
+  guard.Begin(request, keep);
+  EXPECT_TRUE(decision->mMayDispatch);
+  guard.Finished(request.mKey, outcome::Done);
+  guard.Begin(request, keep);
+  EXPECT_EQ(decision->mRefusal.mOutcome, outcome::Done);
+}
+
 TEST(AtMostOnceGuard, MissingInvalidAndOverlongKeysAreRefused)
 {
   test_cluster cluster(1);
--- a/src/sapphirespar/ledger/at_most_once_tokens.cpp
+++ b/src/sapphirespar/ledger/at_most_once_tokens.cpp
@@ -2,6 +2,7 @@
 // Other processes query the issuer for the outcome.
 #include "at_most_once_state.hpp"
 
+#include <algorithm>
 #include <optional>
 #include <utility>
 
@@ -36,15 +37,21 @@
     return RefuseDispatch(
       refusal_reason::DuplicateKey, outcome::Unknown, "the token has expired");
   }
-  idempotency_entry entry;
-  entry.mContentHash = aRequest.mContentHash;
-  entry.mKeepUntil = ExpiryOf(aToken);
-  if (mTable.Add(aRequest.mKey, std::move(entry)) == nullptr) {
+  // A known token was not run by its earlier dispatch; Begin refuses all
+  // others.
+  auto* entry = mTable.Find(aRequest.mKey);
+  if (entry == nullptr) {
+    entry = mTable.Add(aRequest.mKey, {});
+  }
+  if (entry == nullptr) {
     return RefuseDispatch(refusal_reason::NotReady,
                           outcome::NotRun,
                           "too many requests to keep apart",
                           mSettings.mRetryAfter);
   }
+  entry->mState = entry_state::Running;
+  entry->mContentHash = aRequest.mContentHash;
+  entry->mKeepUntil = std::max(entry->mKeepUntil, ExpiryOf(aToken));
   return AllowDispatch();
 }
 
--- a/src/sapphirespar/ledger/claims_property_test.cpp
+++ b/src/sapphirespar/ledger/claims_property_test.cpp
@@ -48,11 +48,13 @@
 
   void SendStep(unsigned aRouter, unsigned aArgument)
   {
+    // The quotient and the remainder are independent, so every key is sent with
+    // and without a dispatch.
     const auto& key = mKeys[aArgument % mKeys.size()];
+    const auto dispatch = aArgument / mKeys.size() % 2 == 0;
     const auto first = std::ranges::find(mSent, key) == mSent.end();
     mSent.push_back(key);
-    mCluster.Send(aRouter,
-                  { at_most_once_mode::Claim, key, first, aArgument % 5 != 4 });
+    mCluster.Send(aRouter, { at_most_once_mode::Claim, key, first, dispatch });
   }
 
   void StoreStep(unsigned aRouter, unsigned aArgument)
--- a/src/sapphirespar/ledger/idempotency_table.cpp
+++ b/src/sapphirespar/ledger/idempotency_table.cpp
@@ -2,6 +2,7 @@
 #include "idempotency_table.hpp"
 
 #include <algorithm>
+#include <cassert>
 #include <utility>
 
 namespace sapphirespar::ledger {
@@ -24,7 +25,9 @@
   if (mEntries.size() >= mSettings.mMaxEntries) {
     return nullptr;
   }
-  return &mEntries.emplace(aKey, std::move(aEntry)).first->second;
+  const auto [place, added] = mEntries.emplace(aKey, std::move(aEntry));
+  assert(added);
+  return &place->second;
 }
 
 void
