End the timers of an order with its controller

The timer that waits for an earlier order captured the controller's state and the run that owns the timer. If the controller ended meanwhile, the timer kept the run alive and called a destroyed object. It now holds weak pointers like the other timers.

Test that failed first (it crashed): Order_Fence_AnEndedControllerDoesNothingMore.

--- a/src/sapphirespar/upstream/order_controller.cpp
+++ b/src/sapphirespar/upstream/order_controller.cpp
@@ -205,7 +205,7 @@
     Send(aRun);
   } else if (aRun->mEarlierOpen) {
     aRun->mTimer = mTimers.After(mSettings.mMaxOrderDuration,
-                                 [this, aRun] { Confirm(aRun); });
+                                 BindStep(aRun, &state::Confirm));
   } else {
     Confirm(aRun);
   }
--- a/src/sapphirespar/upstream/order_controller_test.cpp
+++ b/src/sapphirespar/upstream/order_controller_test.cpp
@@ -228,6 +228,24 @@
   EXPECT_EQ(fixture.mSecond.mEnd, order_outcome::Done);
 }
 
+// A controller that ends while it waits for an earlier order to end must leave
+// no timer behind that uses it.
+TEST(Fault_CrashAfter, Order_Fence_AnEndedControllerDoesNothingMore)
+{
+  order_fixture fixture;
+  fixture.mUnfencedEngine.mOrderTime = 100s;
+  fixture.mFirst.Issue(fixture.mUnfencedEngine);
+  fixture.mTimers.Advance(1s);
+  fixture.mSecond.Issue(fixture.mUnfencedEngine);
+  fixture.mTimers.Advance(1s);
+  const auto& calls = fixture.mSecond.mPlatform.Calls();
+  const auto before = calls.Total();
+  fixture.mSecond.mOrders.reset();
+  fixture.mTimers.Advance(2 * order_settings{}.mMaxOrderDuration);
+  EXPECT_EQ(calls.Total(), before);
+  EXPECT_EQ(fixture.mSecond.mEnd, std::nullopt);
+}
+
 TEST(Fault_CrashAfter, Order_Send_TheNextHolderWaitsTheOrderOut)
 {
   order_fixture fixture;
