Retry the fetch of a full bundle and keep the watch's start

A failed fetch of a full bundle reset the version that an open watch starts from. The answer of that watch then read an empty optional, and where no watch was open, the router waited a whole poll period, or for good if the fetch got no answer. A failed or unanswered fetch now abandons the watch and lists again after a backoff of its own, which lists and watches that succeed do not reset.

Tests that failed first: AFailedFetchOfTheFullBundleIsRetried, AnUnansweredFetchOfTheFullBundleIsRetried. FailedFetchesBackOff bounds the retries, and the convergence property also draws these faults.

--- a/include/sapphirespar/model/fake_platform.hpp
+++ b/include/sapphirespar/model/fake_platform.hpp
@@ -63,6 +63,10 @@
   bool mThrottle = false;
   // Watches report no change and return Unavailable when their wait has passed.
   bool mBreakWatches = false;
+  // Single objects cannot be read, although lists and watches succeed: a Get
+  // returns Unavailable, or nothing with mIgnoreGets.
+  bool mFailGets = false;
+  bool mIgnoreGets = false;
   // Number of upcoming writes that take effect but return Unknown.
   unsigned mLoseAnswers = 0;
   // Number of upcoming writes that have no effect and return Unknown.
--- a/src/sapphirespar/config/bundle_controller.cpp
+++ b/src/sapphirespar/config/bundle_controller.cpp
@@ -21,8 +21,6 @@
 // Interval at which a router checks whether it is a watcher, because the role
 // depends on the members.
 constexpr milliseconds kRolePeriod{ 1000 };
-// A call times out this long after its wait, which is zero for a list.
-constexpr milliseconds kAnswerGrace{ 5000 };
 
 std::uint64_t
 WatcherWeight(const vm_id& aVm)
@@ -64,6 +62,7 @@
 bundle_controller::state::Start()
 {
   mBackoff = mSettings.mRetryAfter;
+  mFetchBackoff = mSettings.mRetryAfter;
   mWasWatcher = IsWatcher();
   mRoleTimer = mTimers.Every(kRolePeriod, [this] { OnRoleTick(); });
   RequestFromAnyPeer();
--- a/src/sapphirespar/config/bundle_controller_state.hpp
+++ b/src/sapphirespar/config/bundle_controller_state.hpp
@@ -11,6 +11,10 @@
 
 namespace sapphirespar {
 
+// A call to the platform times out this long after its wait, which is zero for
+// reads.
+inline constexpr std::chrono::milliseconds kAnswerGrace{ 5000 };
+
 enum class bundle_source
 {
   Platform,
@@ -67,7 +71,10 @@
   void ProcessText(const std::string& aText, bundle_source aSource);
   void ProcessBundle(signed_bundle aBundle, bundle_source aSource);
   void FetchFullBundle(signed_bundle aBundle);
-  void OnFullBundle(signed_bundle aBundle, const object_answer& aAnswer);
+  void OnFullBundle(std::uint64_t aFetch,
+                    signed_bundle aBundle,
+                    const object_answer& aAnswer);
+  void RetryFetch(std::string_view aProblem);
   bool TryDelta(signed_bundle& aBundle);
   void Install(signed_bundle aBundle);
   void Refuse(std::string_view aProblem);
@@ -85,6 +92,7 @@
   std::mt19937_64 mRandom;
 
   // Version from which the next watch starts; if unset, a list comes first.
+  // Always set while a watch is the call in progress.
   std::optional<object_version> mWatchFrom;
   // Number of the call in progress, or zero. Answers to other calls are stale
   // and ignored.
@@ -95,6 +103,14 @@
   // mRetryLimit.
   std::chrono::milliseconds mBackoff{ 0 };
 
+  // Number of the fetch of a full bundle in progress, or zero. Answers to other
+  // fetches are stale and ignored.
+  std::uint64_t mCurrentFetch = 0;
+  std::uint64_t mLastFetch = 0;
+  // Delay after the next failed fetch. Doubles with each failure in a row, up
+  // to mRetryLimit.
+  std::chrono::milliseconds mFetchBackoff{ 0 };
+
   // The bundle in force, without its history; empty before the first one.
   signed_bundle mInForce;
   // The version to which mInForce's delta applies; empty without a delta.
@@ -110,6 +126,7 @@
   timer_subscription mRoleTimer;
   timer_subscription mCallTimer;
   timer_subscription mDeadlineTimer;
+  timer_subscription mFetchDeadlineTimer;
 };
 
 } // namespace sapphirespar
--- a/src/sapphirespar/config/bundle_controller_test.cpp
+++ b/src/sapphirespar/config/bundle_controller_test.cpp
@@ -270,6 +270,64 @@
   EXPECT_TRUE(cluster.AdvanceUntilAllCurrent(19s));
 }
 
+// Starts routers without peers whose full bundle cannot be read, and accepts a
+// bundle that is too large for the current object. Returns whether all routers
+// have the bundle within aLimit after the full bundle can be read again.
+bool
+InstallsAfterFailedGets(bundle_cluster& aCluster,
+                        bool platform_faults::*aFault,
+                        steady_duration aLimit)
+{
+  aCluster.mAcceptance.mInlineLimitBytes = 100;
+  for (auto& router : aCluster.mRouters) {
+    router.mPlatform->Faults().*aFault = true;
+    for (const auto& other : aCluster.mRouters) {
+      aCluster.mNetwork.Block(other.mVm, router.mVm);
+    }
+  }
+  aCluster.Accept(1);
+  aCluster.Advance(20s);
+  EXPECT_EQ(aCluster.Current().mNumber, 1U);
+  // Another change ends watches that are open after the failed fetch.
+  aCluster.Accept(2);
+  aCluster.Advance(20s);
+  for (auto& router : aCluster.mRouters) {
+    EXPECT_EQ(router.mBoard.mBundle, nullptr);
+    router.mPlatform->Faults().*aFault = false;
+  }
+  return aCluster.AdvanceUntilAllCurrent(aLimit).has_value();
+}
+
+TEST(BundleController,
+     Fault_StoreOutage_Bundle_Fetch_AFailedFetchOfTheFullBundleIsRetried)
+{
+  bundle_cluster cluster(4, 1);
+  EXPECT_TRUE(
+    InstallsAfterFailedGets(cluster, &platform_faults::mFailGets, 30s));
+}
+
+TEST(BundleController,
+     Fault_AnswerLost_Bundle_Fetch_AnUnansweredFetchOfTheFullBundleIsRetried)
+{
+  bundle_cluster cluster(4, 1);
+  EXPECT_TRUE(
+    InstallsAfterFailedGets(cluster, &platform_faults::mIgnoreGets, 30s));
+}
+
+TEST(BundleController, Fault_StoreOutage_Bundle_Fetch_FailedFetchesBackOff)
+{
+  bundle_cluster cluster(1, 1);
+  cluster.mAcceptance.mInlineLimitBytes = 100;
+  cluster.mRouters[0].mPlatform->Faults().mFailGets = true;
+  cluster.Accept(1);
+  cluster.Advance(60s);
+  const auto before = cluster.mRouters[0].mPlatform->Calls().mReads;
+  cluster.Advance(150s);
+  // At the retry limit of 15 s and a jitter of a half, each retry is one list
+  // and one fetch.
+  EXPECT_LE(cluster.mRouters[0].mPlatform->Calls().mReads - before, 44U);
+}
+
 TEST(BundleController, Fault_PausePastLease_Bundle_Learn_AWokenRouterAsksAtOnce)
 {
   bundle_cluster cluster(4, 1);
@@ -352,9 +410,12 @@
     case 6:
       aCluster.Restart(static_cast<std::size_t>(*rc::gen::inRange(0, count)));
       break;
-    case 7:
-      router().mPlatform->Faults().mBreakWatches = true;
+    case 7: {
+      auto& faults = router().mPlatform->Faults();
+      **rc::gen::element(
+        &faults.mBreakWatches, &faults.mFailGets, &faults.mIgnoreGets) = true;
       break;
+    }
     case 8:
       aCluster.mOperator.Faults().mLoseAnswers += 1;
       aCluster.mOperator.Faults().mLoseRequests += 1;
--- a/src/sapphirespar/config/bundle_install.cpp
+++ b/src/sapphirespar/config/bundle_install.cpp
@@ -4,6 +4,8 @@
 #include "sapphirespar/base/log.hpp"
 #include "sapphirespar/config/bundle_delta.hpp"
 
+#include <algorithm>
+
 namespace sapphirespar {
 
 bundle_version
@@ -82,24 +84,35 @@
 bundle_controller::state::FetchFullBundle(signed_bundle aBundle)
 {
   const auto key = FullBundleKey(aBundle.mFullBundleName);
+  const auto fetch = ++mLastFetch;
+  mCurrentFetch = fetch;
+  mFetchDeadlineTimer = mTimers.After(kAnswerGrace, [this, fetch] {
+    if (fetch == mCurrentFetch) {
+      RetryFetch("no answer");
+    }
+  });
   mPlatform.Get(key,
-                [weak = weak_from_this(),
-                 wanted = std::move(aBundle)](const object_answer& aAnswer) {
+                [weak = weak_from_this(), fetch, wanted = std::move(aBundle)](
+                  const object_answer& aAnswer) {
                   if (const auto self = weak.lock()) {
-                    self->OnFullBundle(wanted, aAnswer);
+                    self->OnFullBundle(fetch, wanted, aAnswer);
                   }
                 });
 }
 
 void
-bundle_controller::state::OnFullBundle(signed_bundle aBundle,
+bundle_controller::state::OnFullBundle(std::uint64_t aFetch,
+                                       signed_bundle aBundle,
                                        const object_answer& aAnswer)
 {
+  if (aFetch != mCurrentFetch) {
+    return;
+  }
   if (aAnswer.mStatus != platform_status::Ok) {
-    // Makes the next call a list, which returns the current object again.
-    mWatchFrom.reset();
+    RetryFetch(ToText(aAnswer.mStatus));
     return;
   }
+  mCurrentFetch = 0;
   RunOrRefuse([&]() -> result<void> {
     BOOST_LEAF_CHECK(FillFromFullBundle(aBundle, aAnswer.mObject.mValue));
     ProcessBundle(std::move(aBundle), bundle_source::Platform);
@@ -107,6 +120,21 @@
   });
 }
 
+// Lists again after a delay. The list returns the current object, which a watch
+// would return only after its next change, so an open watch is abandoned.
+void
+bundle_controller::state::RetryFetch(std::string_view aProblem)
+{
+  LogEvent(log_level::Warning,
+           "full_bundle_not_fetched",
+           { { "problem", aProblem }, { "retry_ms", mFetchBackoff.count() } });
+  mCurrentFetch = 0;
+  mCurrentCall = 0;
+  mWatchFrom.reset();
+  CallAfter(Jittered(mFetchBackoff));
+  mFetchBackoff = std::min(2 * mFetchBackoff, mSettings.mRetryLimit);
+}
+
 void
 bundle_controller::state::ProcessBundle(signed_bundle aBundle,
                                         bundle_source aSource)
@@ -135,6 +163,7 @@
   mDeltaBase = delta ? delta->mBase : bundle_version{};
   mBoard.mBundle = std::make_shared<const bundle>(aBundle.mBundle);
   mInForce = std::move(aBundle);
+  mFetchBackoff = mSettings.mRetryAfter;
   mPeerDeadline = mTimers.Now();
   LogEvent(log_level::Info,
            "bundle_in_force",
--- a/src/sapphirespar/model/fake_platform.cpp
+++ b/src/sapphirespar/model/fake_platform.cpp
@@ -102,8 +102,12 @@
       answer.mStatus = exists ? platform_status::Ok : platform_status::NotFound;
       answer.mObject = exists ? *object : platform_object{};
     }
-    RunAfter(mFaults.mDelay / 2, [this, answer, done] {
-      done(mFaults.mOutage ? object_answer{} : answer);
+    if (mFaults.mIgnoreGets) {
+      return;
+    }
+    const bool fails = mFaults.mFailGets;
+    RunAfter(mFaults.mDelay / 2, [this, answer, done, fails] {
+      done(mFaults.mOutage || fails ? object_answer{} : answer);
     });
   });
 }
