--- a/include/sapphirespar/config/gateway_settings.hpp
+++ b/include/sapphirespar/config/gateway_settings.hpp
@@ -6,6 +6,7 @@
 #include "sapphirespar/base/ids.hpp"
 #include "sapphirespar/base/log.hpp"
 #include "sapphirespar/config/settings.hpp"
+#include "sapphirespar/model/engine_figures.hpp"
 
 #include <chrono>
 #include <string>
@@ -58,6 +59,9 @@
   // Longest time for which callers may cache an answer of mEntry.
   std::chrono::milliseconds mEntryTtl{ 5000 };
 
+  // Speed of the engines from which learning starts.
+  engine_figures mEngines;
+
   log_level mLogLevel = log_level::Info;
 };
 
--- a/include/sapphirespar/experiment/prompt_trial.hpp
+++ b/include/sapphirespar/experiment/prompt_trial.hpp
@@ -56,6 +56,8 @@
   // How often gateways report their load to each other.
   double mReportPeriodMs = 300;
   prompt_engine_settings mEngineSettings;
+  // The engines' speed as the gateways believe it to be.
+  engine_figures mFigures{ 81.9, 41, 4096, 3.74, 0.081 };
   std::vector<prompt_class> mClasses;
   std::vector<prompt_burst> mBursts;
   double mDurationMs = 0;
@@ -96,6 +98,7 @@
   std::function<std::optional<policy::engine_choice>(
     const policy::prompt_work&,
     std::span<const policy::engine_candidate>,
+    const engine_figures&,
     double aInteractiveShare,
     double aDraw)>
     mChooseEngine = policy::ChooseEngine;
--- a/include/sapphirespar/gateway/forward.hpp
+++ b/include/sapphirespar/gateway/forward.hpp
@@ -5,8 +5,10 @@
 #include "sapphirespar/gateway/protocol.hpp"
 #include "sapphirespar/gateway/routing_state.hpp"
 #include "sapphirespar/gateway/upstream_directory.hpp"
+#include "sapphirespar/policy/engine_model.hpp"
 #include "sapphirespar/policy/engine_split.hpp"
 #include "sapphirespar/policy/fleet_retry_budget.hpp"
+#include "sapphirespar/policy/prompt_kinds.hpp"
 #include "sapphirespar/telemetry/metrics.hpp"
 #include "sapphirespar/wire/http_client.hpp"
 #include "sapphirespar/wire/http_server.hpp"
@@ -30,6 +32,8 @@
   policy::fleet_retry_budget& mRetries;
   policy::prefill_meter& mPrefill;
   const policy::engine_split& mSplit;
+  policy::engine_models& mModels;
+  policy::prompt_kinds& mKinds;
   wire::http_client& mClient;
   metrics& mMetrics;
   // Upper bound of the number of live gateways; zero if unknown.
--- a/include/sapphirespar/gateway/upstream_directory.hpp
+++ b/include/sapphirespar/gateway/upstream_directory.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "sapphirespar/base/timer_service.hpp"
+#include "sapphirespar/gateway/protocol.hpp"
 #include "sapphirespar/model/gossip.hpp"
 #include "sapphirespar/model/routing.hpp"
 #include "sapphirespar/policy/engine_split.hpp"
@@ -21,15 +22,17 @@
 
 namespace sapphirespar::gateway {
 
-// Estimates which shared prompt prefixes an upstream has in its cache: those
+// Estimates which shared prompt segments an upstream has in its cache: those
 // that this gateway sent there recently.
 class prefix_cache_estimate
 {
 public:
-  // Records that the upstream has processed the prefix.
-  void Add(std::uint64_t aKey, steady_time aNow);
-  // Whether the upstream is likely to have the prefix cached.
-  bool IsLikelyCached(std::uint64_t aKey, steady_time aNow) const;
+  // Records that the upstream has processed the segments.
+  void Add(std::span<const prompt_segment> aSegments, steady_time aNow);
+  // The tokens of the leading segments that the upstream is likely to have
+  // cached. A segment is of use only after all those before it.
+  double CachedTokens(std::span<const prompt_segment> aSegments,
+                      steady_time aNow) const;
 
 private:
   std::unordered_map<std::uint64_t, steady_time> mAddedAt;
--- a/include/sapphirespar/model/routing.hpp
+++ b/include/sapphirespar/model/routing.hpp
@@ -57,6 +57,8 @@
   unsigned mSlots = 0;
   // Memory for running requests and cached prompts, in tokens.
   std::uint64_t mMemoryTokens = 0;
+  // Tokens that one event of a stream holds.
+  unsigned mTokensPerEvent = 1;
 };
 
 struct upstream_pool
--- a/include/sapphirespar/policy/engine_choice.hpp
+++ b/include/sapphirespar/policy/engine_choice.hpp
@@ -2,6 +2,7 @@
 // that run there.
 #pragma once
 
+#include "sapphirespar/model/engine_figures.hpp"
 #include "sapphirespar/policy/upstream_load.hpp"
 
 #include <cstdint>
@@ -19,6 +20,11 @@
   double mSharedTokens = 0;
   // Identifies the shared prefix; zero if there is none.
   std::uint64_t mSharedKey = 0;
+  // Target time until the first event, in milliseconds.
+  double mTargetMs = 0;
+  // Prefill, in milliseconds, that fits between two events of an interactive
+  // stream.
+  double mGapBudgetMs = 0;
   double mMaximumOutputTokens = 0;
   // A stream whose callers notice short pauses.
   bool mInteractive = false;
@@ -37,8 +43,9 @@
   // Recent lateness of its first events against the prediction, plus the cost
   // of its failures, in milliseconds.
   double mPenaltyMs = 0;
-  // Is believed to have the shared prefix cached.
-  bool mHasSharedPrefix = false;
+  // Leading tokens of the shared prefix that this router believes to be cached
+  // there.
+  double mCachedTokens = 0;
 };
 
 struct engine_choice
@@ -64,16 +71,14 @@
 // engine, which has the prefix cached, unless that engine is far behind.
 //
 // aInteractiveShare is the share of the engines that belongs to the interactive
-// group. aDraw, a random number between 0 and 1, breaks near ties differently
-// at each router. Returns nothing without candidates.
+// group; with zero, the engines are not split. aDraw, a random number between 0
+// and 1, breaks near ties differently at each router. Returns nothing without
+// candidates.
 std::optional<engine_choice> ChooseEngine(
   const prompt_work& aWork,
   std::span<const engine_candidate> aCandidates,
+  const engine_figures& aFigures,
   double aInteractiveShare,
   double aDraw);
 
-// Returns the milliseconds that an engine needs to process aTokens prompt
-// tokens.
-double PrefillMs(double aTokens);
-
 } // namespace sapphirespar::policy
--- /dev/null
+++ b/include/sapphirespar/policy/engine_model.hpp
@@ -0,0 +1,99 @@
+// Learns the speed of the engines of a pool from the times of their answers.
+// Starts from configured figures, so that the first requests are placed well.
+#pragma once
+
+#include "sapphirespar/model/engine_figures.hpp"
+
+#include <cstddef>
+#include <map>
+#include <span>
+#include <string>
+
+namespace sapphirespar::policy {
+
+// Returns the milliseconds that an engine needs to process aTokens prompt
+// tokens.
+double PrefillMs(const engine_figures& aFigures, double aTokens);
+
+// Returns the milliseconds between two events of a stream of aTokensPerEvent
+// tokens per event while its engine generates tokens of aRunning requests and
+// processes one chunk of prompts after another.
+double StalledGapMs(const engine_figures& aFigures,
+                    unsigned aTokensPerEvent,
+                    unsigned aRunning);
+
+// An estimate of a quantile of positive samples.
+struct quantile_estimate
+{
+  explicit quantile_estimate(double aStart)
+    : mStart(aStart)
+    , mValue(aStart)
+  {
+  }
+
+  double mStart;
+  double mValue;
+  unsigned mSamples = 0;
+};
+
+// Each sample moves an estimate by a limited factor towards itself, however far
+// away it is, and by a few per cent once there have been some. So lost, late or
+// wrong answers, and a minority of engines with another speed, do not distort
+// the estimates. A figure never leaves the range of kMaximumFactor times below
+// and above its start.
+class engine_model
+{
+public:
+  static constexpr double kMaximumFactor = 16;
+
+  explicit engine_model(const engine_figures& aStart);
+
+  // The current estimates.
+  const engine_figures& Figures() const { return mFigures; }
+
+  // Records the time until the first event of a prompt with aPrefillTokens
+  // tokens to process and hardly any other work ahead of it.
+  void AddFirstEvent(double aPrefillTokens, double aTookMs);
+
+  // Number of successive gaps that AddGaps compares.
+  static constexpr std::size_t kGaps = 4;
+
+  // Records the latest gaps between events of a stream, oldest first, in
+  // milliseconds. Each event holds aTokensPerEvent tokens, and aRunning
+  // requests ran at the engine.
+  void AddGaps(std::span<const double, kGaps> aGaps,
+               unsigned aTokensPerEvent,
+               unsigned aRunning);
+
+private:
+  engine_figures mFigures;
+  // The learned figures; the rate is tracked as its inverse, since a prompt may
+  // take no measurable time.
+  quantile_estimate mTokenMs;
+  quantile_estimate mFirstEventMs;
+  quantile_estimate mChunkTokens;
+  quantile_estimate mStepMs;
+};
+
+// The models of all pools of engines.
+class engine_models
+{
+public:
+  explicit engine_models(const engine_figures& aStart = {})
+    : mStart(aStart)
+  {
+  }
+
+  engine_model& Of(const std::string& aPool)
+  {
+    return mModels.try_emplace(aPool, mStart).first->second;
+  }
+
+  const std::map<std::string, engine_model>& All() const { return mModels; }
+
+private:
+  engine_figures mStart;
+  std::map<std::string, engine_model> mModels;
+};
+
+} // namespace sapphirespar::policy
--- a/include/sapphirespar/policy/route_table.hpp
+++ b/include/sapphirespar/policy/route_table.hpp
@@ -4,6 +4,7 @@
 
 #include "sapphirespar/model/routing.hpp"
 
+#include <chrono>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -29,6 +30,10 @@
   // Returns null for an unknown pool.
   const upstream_pool* FindPool(std::string_view aName) const;
 
+  // Returns the smallest target gap of the streams of a pool; zero if no stream
+  // of the pool has a target.
+  std::chrono::milliseconds SmallestGap(const std::string& aPool) const;
+
   // Returns the priority of a request at upstreams; zero is the most urgent.
   // The account's priority counts first, then the route's. Without an account,
   // or if the account has no priority, the account's counts as zero.
@@ -39,10 +44,14 @@
   routing_version Version() const { return mConfig.mVersion; }
 
 private:
+  void AddGap(const route& aRoute);
+
   routing_config mConfig;
   // Routes of each host in lower case, longest prefix first.
   std::unordered_map<std::string, std::vector<const route*>> mHosts;
   std::unordered_map<std::string, const routing_account*> mKeys;
+  // The smallest target gap of each pool that has streams with a target.
+  std::unordered_map<std::string, std::chrono::milliseconds> mSmallestGaps;
   // One more than the largest priority value of a route.
   unsigned mRoutePriorities = 1;
 };
--- a/src/sapphirespar/config/gateway_settings.cpp
+++ b/src/sapphirespar/config/gateway_settings.cpp
@@ -17,6 +17,11 @@
 constexpr real_bounds kProcessorBounds{ 0.001, 1024 };
 constexpr real_bounds kRatioBounds{ 0, 10 };
 constexpr real_bounds kSlackBounds{ 0, 1'000'000 };
+constexpr real_bounds kTokenRateBounds{ 0.01, 100'000 };
+constexpr real_bounds kFirstEventBounds{ 0.1, 60'000 };
+constexpr real_bounds kChunkBounds{ 16, 1'000'000 };
+constexpr real_bounds kStepBounds{ 0.001, 10'000 };
+constexpr real_bounds kStepGrowthBounds{ 0, 1000 };
 
 // Parses a text such as "10.0.0.1:8080". Fails if aText has another form.
 address_port
@@ -117,6 +122,21 @@
   aSettings.mEntryTtl = ReadSeconds(aTable, "entry_ttl_s", aSettings.mEntryTtl);
 }
 
+void
+ReadEngines(toml_table& aTable, gateway_settings& aSettings)
+{
+  auto& engines = aSettings.mEngines;
+  const auto read =
+    [&](std::string_view aKey, const real_bounds& aBounds, double& aFigure) {
+      aFigure = aTable.Real(aKey, aBounds, aFigure);
+    };
+  read("prefill_tokens_per_ms", kTokenRateBounds, engines.mPrefillTokensPerMs);
+  read("first_event_ms", kFirstEventBounds, engines.mFirstEventMs);
+  read("chunk_tokens", kChunkBounds, engines.mChunkTokens);
+  read("step_ms", kStepBounds, engines.mStepMs);
+  read("step_ms_per_request", kStepGrowthBounds, engines.mStepMsPerRequest);
+}
+
 void
 ReadAll(toml_table& aRoot, gateway_settings& aSettings)
 {
@@ -134,6 +154,7 @@
       aTable.Real("processor", kProcessorBounds, aSettings.mProcessor);
   });
   aRoot.Table("bounds", with(ReadBounds));
+  aRoot.Table("engines", with(ReadEngines));
   aRoot.Table("log", [&](toml_table& aTable) {
     aSettings.mLogLevel = ReadLogLevel(aTable, "level", aSettings.mLogLevel);
   });
--- a/src/sapphirespar/experiment/prompt_trial.cpp
+++ b/src/sapphirespar/experiment/prompt_trial.cpp
@@ -2,6 +2,7 @@
 #include "sapphirespar/experiment/prompt_trial.hpp"
 
 #include "sapphirespar/experiment/draws.hpp"
+#include "sapphirespar/policy/engine_model.hpp"
 #include "sapphirespar/policy/engine_split.hpp"
 
 #include <algorithm>
@@ -213,11 +214,13 @@
     work.mMaximumOutputTokens = kind.mMaximumOutputTokens;
     work.mInteractive = kind.mInteractive;
     work.mUrgent = kind.mPriority == 0;
+    work.mTargetMs = kind.mTargetMs;
     return work;
   }
 
   std::vector<policy::engine_candidate> Candidates(const gateway& aGateway,
-                                                   std::uint64_t aKey) const
+                                                   std::uint64_t aKey,
+                                                   double aSharedTokens) const
   {
     std::vector<policy::engine_candidate> candidates(mEngines.size());
     for (std::size_t index = 0; index < candidates.size(); ++index) {
@@ -230,9 +233,9 @@
       candidate.mMemoryTokens = mLoad.mEngineSettings.mMemoryTokens;
       const auto& sent = aGateway.mSentPrefixes[index];
       const auto found = sent.find(aKey);
-      candidate.mHasSharedPrefix =
-        found != sent.end() &&
-        mQueue.NowMs() - found->second <= kAssumedCacheTimeMs;
+      const bool cached = found != sent.end() && mQueue.NowMs() - found->second <=
+                                                   kAssumedCacheTimeMs;
+      candidate.mCachedTokens = cached ? aSharedTokens : 0;
     }
     return candidates;
   }
@@ -252,9 +255,10 @@
     auto& gateway = mGateways[aCaller->mGateway];
     const auto& kind = mLoad.mClasses[aCaller->mClass];
     const auto work = WorkOf(*aCaller);
-    const auto candidates = Candidates(gateway, work.mSharedKey);
+    const auto candidates = Candidates(gateway, work.mSharedKey, work.mSharedTokens);
     const auto choice =
-      mPolicy.mChooseEngine(work, candidates, mSplit.Share(), Uniform(mRandom));
+      mPolicy.mChooseEngine(
+        work, candidates, mLoad.mFigures, mSplit.Share(), Uniform(mRandom));
     policy::expected_wait wait;
     wait.mFirstEvent = ToMilliseconds(choice->mFirstEventMs);
     wait.mQueueing = ToMilliseconds(choice->mQueueingMs);
@@ -311,7 +315,7 @@
     gateway.mOwn[aChoice.mIndex] += load;
     gateway.mSentPrefixes[aChoice.mIndex][aWork.mSharedKey] = mQueue.NowMs();
     gateway.mPrefill.Add(aWork.mInteractive,
-                         policy::PrefillMs(aChoice.mPrefillTokens),
+                         policy::PrefillMs(mLoad.mFigures, aChoice.mPrefillTokens),
                          ToSteady(mQueue.NowMs()));
     mResult.mSharedTokens += aWork.mSharedTokens;
     mCallers[aCaller->mJob.mId] = aCaller;
--- a/src/sapphirespar/gateway/forward.cpp
+++ b/src/sapphirespar/gateway/forward.cpp
@@ -5,7 +5,6 @@
 #include "placement.hpp"
 
 #include "sapphirespar/base/log.hpp"
-#include "sapphirespar/policy/engine_choice.hpp"
 #include "sapphirespar/policy/retry.hpp"
 #include "sapphirespar/policy/wait_limit.hpp"
 
@@ -214,9 +213,11 @@
       }
       mTried.push_back(target->mUpstream);
       if (mForwarded.mEngine) {
-        mServices.mPrefill.Add(target->mInteractive,
-                               policy::PrefillMs(target->mPrefillTokens),
-                               steady_clock::now());
+        const auto& figures = mServices.mModels.Of(mForwarded.mPool).Figures();
+        mServices.mPrefill.Add(
+          target->mInteractive,
+          policy::PrefillMs(figures, target->mPrefillTokens),
+          steady_clock::now());
       }
       const auto begun = steady_clock::now();
       auto result =
--- a/src/sapphirespar/gateway/forward_attempt.cpp
+++ b/src/sapphirespar/gateway/forward_attempt.cpp
@@ -4,6 +4,7 @@
 #include "sapphirespar/wire/sse_splitter.hpp"
 
 #include <algorithm>
+#include <array>
 
 namespace sapphirespar::gateway {
 namespace {
@@ -11,6 +12,10 @@
 using std::chrono::milliseconds;
 using std::chrono::steady_clock;
 
+// A first event tells the engine's speed if at most this share of its predicted
+// time is spent on other requests.
+constexpr double kUndisturbedShare = 0.15;
+
 bool
 IsEventStream(const wire::http_response& aHead)
 {
@@ -222,15 +227,53 @@
     if (mTarget.mReservation) {
       mTarget.mReservation->OnFirstEvent();
     }
-    if (mTarget.mSharedKey != 0) {
-      mUpstream.mPrefixCache.Add(mTarget.mSharedKey, now);
-    }
+    mUpstream.mPrefixCache.Add(mTarget.mShared, now);
     if (mForwarded.mEngine) {
       const std::chrono::duration<double, std::milli> took = now - mStarted;
       mUpstream.mHealth.AddDelay(took.count() - mTarget.mPredictedMs, now);
+      LearnFirstEvent(took.count());
+    }
+  }
+
+  // Corrects the model of the engines by a request that hardly waited for
+  // others.
+  void LearnFirstEvent(double aTookMs)
+  {
+    if (mTarget.mQueueingMs > kUndisturbedShare * mTarget.mPredictedMs) {
+      return;
+    }
+    // Whether another gateway's request has brought the rest of the prefix into
+    // the cache is not known.
+    if (mTarget.mCachedTokens >= mTarget.mSharedTokens) {
+      mServices.mModels.Of(mForwarded.mPool)
+        .AddFirstEvent(mForwarded.mInfo.mPromptTokens - mTarget.mCachedTokens,
+                       aTookMs);
     }
   }
 
+  // Corrects the model of the engines by the gaps between events.
+  void LearnGap(steady_time aNow)
+  {
+    if (!mForwarded.mEngine) {
+      return;
+    }
+    if (mLastEventAt) {
+      const std::chrono::duration<double, std::milli> gap =
+        aNow - *mLastEventAt;
+      std::ranges::rotate(mGaps, mGaps.begin() + 1);
+      mGaps.back() = gap.count();
+      if (mGaps.front() > 0) {
+        auto load = mUpstream.mOwnLoad;
+        load += mUpstream.mPeerLoad;
+        mServices.mModels.Of(mForwarded.mPool)
+          .AddGaps(mGaps,
+                   mForwarded.mEngine->mTokensPerEvent,
+                   static_cast<unsigned>(std::max(load.mRunning, 1)));
+      }
+    }
+    mLastEventAt = aNow;
+  }
+
   asio::awaitable<attempt_result> RelayStream()
   {
     bool first = true;
@@ -251,6 +294,9 @@
         first = false;
         RecordFirstEvent();
       }
+      if (!events.mBytes.empty()) {
+        LearnGap(steady_clock::now());
+      }
       if (!co_await SendEvents(events.mBytes, ends)) {
         co_return End(attempt_end::CallerDisconnected);
       }
@@ -288,6 +334,10 @@
   wire::http_reply& mReply;
   relay_progress& mProgress;
   const steady_time mStarted = steady_clock::now();
+  // When the latest events arrived; unset before the first. And the latest gaps
+  // between events in milliseconds, oldest first; zero for each missing one.
+  std::optional<steady_time> mLastEventAt;
+  std::array<double, policy::engine_model::kGaps> mGaps{};
   wire::sse_splitter mSplitter;
   // Null until the head of an answer has arrived.
   wire::http_stream_ptr mStream;
--- a/src/sapphirespar/gateway/forward_fixture_test.cpp
+++ b/src/sapphirespar/gateway/forward_fixture_test.cpp
@@ -119,6 +119,8 @@
                                         mRetries,
                                         mPrefill,
                                         mSplit,
+                                        mModels,
+                                        mKinds,
                                         *mUpstreamClient,
                                         mMetrics,
                                         [] { return 1U; },
--- a/src/sapphirespar/gateway/forward_fixture_test.hpp
+++ b/src/sapphirespar/gateway/forward_fixture_test.hpp
@@ -67,6 +67,8 @@
   policy::fleet_retry_budget mRetries{ { 0, 1000, std::chrono::seconds(10) } };
   policy::prefill_meter mPrefill;
   policy::engine_split mSplit;
+  policy::engine_models mModels;
+  policy::prompt_kinds mKinds;
   metrics mMetrics;
   // Routes of the host "h" with the prefixes "/stream/", "/resume/" (resumable
   // stream), "/once/" (not idempotent) and "/safe/" (idempotent).
--- a/src/sapphirespar/gateway/forward_state.hpp
+++ b/src/sapphirespar/gateway/forward_state.hpp
@@ -6,6 +6,7 @@
 
 #include <memory>
 #include <optional>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -99,9 +100,12 @@
   double mPrefillTokens = 0;
   // Whether the request is interactive, as used for the split of engines.
   bool mInteractive = false;
-  // Key of the shared prefix that the upstream will have cached by the time of
-  // the first event; zero if there is none.
-  std::uint64_t mSharedKey = 0;
+  // The shared segments, which the upstream will have cached by the time of the
+  // first event, their tokens, and how many of these are known to be cached
+  // there already. mShared points into the request.
+  std::span<const prompt_segment> mShared;
+  double mSharedTokens = 0;
+  double mCachedTokens = 0;
   // Counts the request's load on the upstream while the attempt lasts.
   std::unique_ptr<load_reservation> mReservation;
   // Maximum wait for the first event and between events.
--- a/src/sapphirespar/gateway/gateway_app.cpp
+++ b/src/sapphirespar/gateway/gateway_app.cpp
@@ -19,6 +19,8 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
+#include <map>
 #include <random>
 
 namespace sapphirespar::gateway {
@@ -106,6 +108,7 @@
   void StopWhenIdle();
   double CountEngines() const;
   void UpdateSplit();
+  void LogModels();
 
   boost::asio::io_context& mContext;
   gateway_settings mSettings;
@@ -123,6 +126,8 @@
   policy::fleet_retry_budget mRetries;
   policy::prefill_meter mPrefill;
   policy::engine_split mSplit;
+  policy::engine_models mModels;
+  policy::prompt_kinds mKinds;
   store_reader mReader;
   gateway_registry mRegistry;
   gossip_link mGossip;
@@ -135,6 +140,8 @@
   std::unique_ptr<wire::http_server> mMetricsServer;
   // Unset unless the process is shutting down.
   std::optional<steady_time> mLeaveBegun;
+  // The figures of each pool's engines that were logged last.
+  std::map<std::string, engine_figures> mLoggedModels;
   timer_subscription mSplitTimer;
   timer_subscription mStopTimer;
 };
@@ -154,6 +161,7 @@
              mSettings.mDataCentre,
              ToThousandths(mSettings.mProcessor) })
   , mRetries(RetryLimits(mSettings))
+  , mModels(mSettings.mEngines)
   , mReader(mPlatform,
             mTimers,
             mProtocol,
@@ -179,7 +187,10 @@
   mAdmin = ServePages(mSettings.mAdmin, bindPage(&state::ServeAdmin));
   mMetricsServer = ServePages(mSettings.mMetrics, bindPage(&state::ServeAdmin));
   mCallers = ServeCallers();
-  mSplitTimer = mTimers.Every(kSplitPeriod, [this] { UpdateSplit(); });
+  mSplitTimer = mTimers.Every(kSplitPeriod, [this] {
+    UpdateSplit();
+    LogModels();
+  });
   mGossip.Start();
   mReader.Start();
   mRegistry.Start();
@@ -249,6 +260,8 @@
     .mRetries = mRetries,
     .mPrefill = mPrefill,
     .mSplit = mSplit,
+    .mModels = mModels,
+    .mKinds = mKinds,
     .mClient = mUpstreamClient,
     .mMetrics = mMetrics,
     .mGateways = [this] { return mPeers.MaximumGateways(mTimers.Now()); },
@@ -489,6 +502,33 @@
   mSplit.Update(demand, CountEngines(), now);
 }
 
+// Logs the learned speed of the engines once it has changed noticeably.
+void
+gateway_app::state::LogModels()
+{
+  constexpr double kNoticeable = 0.15;
+  const auto differs = [](double aOld, double aNew) {
+    return std::abs(aNew - aOld) > kNoticeable * aOld;
+  };
+  for (const auto& [pool, model] : mModels.All()) {
+    const auto& now = model.Figures();
+    auto& last =
+      mLoggedModels.try_emplace(pool, mSettings.mEngines).first->second;
+    if (differs(last.mPrefillTokensPerMs, now.mPrefillTokensPerMs) ||
+        differs(last.mFirstEventMs, now.mFirstEventMs) ||
+        differs(last.mChunkTokens, now.mChunkTokens)) {
+      last = now;
+      LogEvent(log_level::Info,
+               "engine_model",
+               { { "pool", pool },
+                 { "prefill_tokens_per_ms", now.mPrefillTokensPerMs },
+                 { "first_event_ms", now.mFirstEventMs },
+                 { "chunk_tokens", now.mChunkTokens },
+                 { "step_ms", now.mStepMs } });
+    }
+  }
+}
+
 std::optional<milliseconds>
 gateway_app::state::TimeToStop() const
 {
--- a/src/sapphirespar/gateway/placement.cpp
+++ b/src/sapphirespar/gateway/placement.cpp
@@ -13,11 +13,6 @@
 
 using std::chrono::milliseconds;
 
-// Streams whose target for the gap between events is at most this are
-// interactive: the prefill of one long prompt on the same engine would violate
-// their target.
-constexpr milliseconds kInteractiveGap{ 600 };
-
 // Timeouts as multiples of the route's target latency or target gap, with a
 // minimum. After a timeout the request is tried at another upstream.
 constexpr int kTimeoutInTargets = 3;
@@ -63,7 +58,7 @@
 policy::engine_candidate
 ToCandidate(const upstream& aUpstream,
             const engine_traits& aEngine,
-            std::uint64_t aSharedKey,
+            std::span<const prompt_segment> aShared,
             steady_time aNow)
 {
   policy::engine_candidate candidate;
@@ -72,23 +67,50 @@
   candidate.mSlots = aUpstream.mEntry.mSlots;
   candidate.mMemoryTokens = static_cast<double>(aEngine.mMemoryTokens);
   candidate.mPenaltyMs = aUpstream.mHealth.PenaltyMs(aNow);
-  candidate.mHasSharedPrefix =
-    aSharedKey != 0 && aUpstream.mPrefixCache.IsLikelyCached(aSharedKey, aNow);
+  candidate.mCachedTokens = aUpstream.mPrefixCache.CachedTokens(aShared, aNow);
   return candidate;
 }
 
+// The segments that the prompt shares with other requests.
+std::span<const prompt_segment>
+SharedSegments(const request_info& aInfo)
+{
+  const std::span segments(aInfo.mPrompt);
+  return segments.first(segments.empty() ? 0 : segments.size() - 1);
+}
+
+policy::kind_separation
+Separate(const forward_services& aServices,
+         const forwarded_request& aForwarded,
+         const engine_figures& aFigures)
+{
+  const auto& route = *aForwarded.mRoute;
+  const policy::prompt_kind kind{ route.mTargetLatency, route.mTargetGap };
+  aServices.mKinds.Add(kind, aForwarded.mInfo.mPromptTokens);
+  const policy::stream_pool pool{ aFigures,
+                                  aForwarded.mEngine->mSlots,
+                                  aForwarded.mEngine->mTokensPerEvent,
+                                  aForwarded.mRouting->SmallestGap(
+                                    aForwarded.mPool) };
+  return aServices.mKinds.Separate(kind, route.mPriority == 0, pool);
+}
+
 // Describes the request to the engine choice.
 policy::prompt_work
-WorkOf(const forwarded_request& aForwarded)
+WorkOf(const forwarded_request& aForwarded,
+       const policy::kind_separation& aSeparation)
 {
   const auto& info = aForwarded.mInfo;
   policy::prompt_work work;
   work.mPromptTokens = info.mPromptTokens;
   work.mMaximumOutputTokens = info.mMaximumOutputTokens;
-  work.mInteractive = aForwarded.mRoute->mTargetGap <= kInteractiveGap;
+  work.mInteractive = aSeparation.mInteractive;
+  work.mGapBudgetMs = aSeparation.mGapBudgetMs;
   work.mUrgent = aForwarded.mRoute->mPriority == 0;
-  if (info.mPrompt.size() > 1) {
-    const auto shared = std::span(info.mPrompt).first(info.mPrompt.size() - 1);
+  work.mTargetMs =
+    static_cast<double>(aForwarded.mRoute->mTargetLatency.count());
+  const auto shared = SharedSegments(info);
+  if (!shared.empty()) {
     work.mSharedKey = shared.back().mId;
     work.mSharedTokens = std::accumulate(
       shared.begin(), shared.end(), 0.0, [](double aSum, const auto& aPart) {
@@ -138,20 +160,29 @@
               std::span<const upstream_ptr> aMembers)
 {
   const auto now = std::chrono::steady_clock::now();
-  const auto work = WorkOf(aForwarded);
+  const auto& model = aServices.mModels.Of(aForwarded.mPool);
+  const auto separation = Separate(aServices, aForwarded, model.Figures());
+  const auto work = WorkOf(aForwarded, separation);
+  const auto shared = SharedSegments(aForwarded.mInfo);
   std::vector<policy::engine_candidate> candidates;
   std::ranges::transform(
     aMembers, std::back_inserter(candidates), [&](const upstream_ptr& aMember) {
-      return ToCandidate(*aMember, *aForwarded.mEngine, work.mSharedKey, now);
+      return ToCandidate(*aMember, *aForwarded.mEngine, shared, now);
     });
-  const auto choice = policy::ChooseEngine(
-    work, candidates, aServices.mSplit.Share(), aServices.mDraw());
+  const auto choice =
+    policy::ChooseEngine(work,
+                         candidates,
+                         model.Figures(),
+                         separation.mSplit ? aServices.mSplit.Share() : 0,
+                         aServices.mDraw());
   attempt_target target;
   target.mUpstream = aMembers[choice->mIndex];
   target.mPredictedMs = choice->mFirstEventMs;
   target.mQueueingMs = choice->mQueueingMs;
   target.mSlotsTaken = choice->mSlotsTaken;
-  target.mSharedKey = work.mSharedKey;
+  target.mShared = shared;
+  target.mSharedTokens = work.mSharedTokens;
+  target.mCachedTokens = candidates[choice->mIndex].mCachedTokens;
   target.mPrefillTokens = choice->mPrefillTokens;
   target.mInteractive = work.mInteractive;
   target.mReservation = std::make_unique<load_reservation>(
--- a/src/sapphirespar/gateway/upstream_directory.cpp
+++ b/src/sapphirespar/gateway/upstream_directory.cpp
@@ -7,17 +7,18 @@
 #include <algorithm>
 #include <cmath>
 #include <iterator>
+#include <numeric>
 #include <set>
 #include <string>
 
 namespace sapphirespar::gateway {
 namespace {
 
-// How long an engine is assumed to cache a shared prefix that is not used.
-constexpr std::chrono::seconds kPrefixExpiry{ 30 };
+// How long an engine is assumed to cache a shared segment that is not used.
+constexpr std::chrono::seconds kSegmentExpiry{ 30 };
 
-// Bounds the memory for the prefixes of one upstream.
-constexpr std::size_t kMaximumPrefixes = 1024;
+// Bounds the memory for the segments of one upstream.
+constexpr std::size_t kMaximumSegments = 1024;
 
 // Number of changes kept, from which deltas for other gateways are made. While
 // a service is being replaced there are several changes a second.
@@ -40,25 +41,36 @@
 } // namespace
 
 void
-prefix_cache_estimate::Add(std::uint64_t aKey, steady_time aNow)
+prefix_cache_estimate::Add(std::span<const prompt_segment> aSegments,
+                           steady_time aNow)
 {
-  if (mAddedAt.size() >= kMaximumPrefixes) {
+  if (mAddedAt.size() + aSegments.size() > kMaximumSegments) {
     std::erase_if(mAddedAt, [&](const auto& aItem) {
-      return aNow - aItem.second > kPrefixExpiry;
+      return aNow - aItem.second > kSegmentExpiry;
     });
   }
-  if (mAddedAt.size() >= kMaximumPrefixes) {
+  if (mAddedAt.size() + aSegments.size() > kMaximumSegments) {
     mAddedAt.clear();
   }
-  mAddedAt[aKey] = aNow;
+  for (const auto& segment : aSegments.first(
+         std::min(aSegments.size(), kMaximumSegments))) {
+    mAddedAt[segment.mId] = aNow;
+  }
 }
 
-bool
-prefix_cache_estimate::IsLikelyCached(std::uint64_t aKey,
-                                      steady_time aNow) const
+double
+prefix_cache_estimate::CachedTokens(std::span<const prompt_segment> aSegments,
+                                    steady_time aNow) const
 {
-  const auto found = mAddedAt.find(aKey);
-  return found != mAddedAt.end() && aNow - found->second <= kPrefixExpiry;
+  const auto isCached = [&](const prompt_segment& aSegment) {
+    const auto found = mAddedAt.find(aSegment.mId);
+    return found != mAddedAt.end() && aNow - found->second <= kSegmentExpiry;
+  };
+  const auto end = std::ranges::find_if_not(aSegments, isCached);
+  return std::accumulate(
+    aSegments.begin(), end, 0.0, [](double aSum, const auto& aSegment) {
+      return aSum + aSegment.mTokens;
+    });
 }
 
 load_reservation::load_reservation(upstream_ptr aUpstream,
--- a/src/sapphirespar/gateway/upstream_directory_test.cpp
+++ b/src/sapphirespar/gateway/upstream_directory_test.cpp
@@ -68,7 +68,8 @@
   directory.ApplyList(std::vector{ Entry("a", 1) },
                       list_completeness::Complete);
   const auto first = directory.Members("engines").front();
-  first->mPrefixCache.Add(7, steady_time{ 1s });
+  first->mPrefixCache.Add(std::vector{ prompt_segment{ 7, 100 } },
+                          steady_time{ 1s });
   policy::upstream_load load;
   load.mRunning = 1;
   const load_reservation reservation(first, load);
@@ -77,7 +78,9 @@
   const auto second = directory.Members("engines").front();
   EXPECT_NE(first->mKey, second->mKey);
   EXPECT_TRUE(first->mRemoved);
-  EXPECT_FALSE(second->mPrefixCache.IsLikelyCached(7, steady_time{ 1s }));
+  EXPECT_EQ(second->mPrefixCache.CachedTokens(
+              std::vector{ prompt_segment{ 7, 100 } }, steady_time{ 1s }),
+            0);
   EXPECT_TRUE(second->mOwnLoad.Empty());
 }
 
@@ -120,16 +123,35 @@
   EXPECT_NE(first.Digest(), second.Digest());
 }
 
-TEST(PrefixCacheEstimate, ExpiresUnusedPrefixes)
+TEST(PrefixCacheEstimate, ExpiresUnusedSegments)
 {
   prefix_cache_estimate cache;
-  cache.Add(7, steady_time{ 1s });
-  EXPECT_TRUE(cache.IsLikelyCached(7, steady_time{ 31s }));
-  EXPECT_FALSE(cache.IsLikelyCached(7, steady_time{ 32s }));
+  const std::vector segment{ prompt_segment{ 7, 100 } };
+  cache.Add(segment, steady_time{ 1s });
+  EXPECT_EQ(cache.CachedTokens(segment, steady_time{ 31s }), 100);
+  EXPECT_EQ(cache.CachedTokens(segment, steady_time{ 32s }), 0);
   for (std::uint64_t key = 0; key < 5000; ++key) {
-    cache.Add(key, steady_time{ 2s });
+    cache.Add(std::vector{ prompt_segment{ key, 10 } }, steady_time{ 2s });
   }
-  EXPECT_TRUE(cache.IsLikelyCached(4999, steady_time{ 2s }));
+  EXPECT_EQ(cache.CachedTokens(std::vector{ prompt_segment{ 4999, 10 } },
+                               steady_time{ 2s }),
+            10);
+}
+
+TEST(PrefixCacheEstimate, CountsLeadingSegmentsOnly)
+{
+  prefix_cache_estimate cache;
+  const prompt_segment root{ 1, 2500 };
+  const prompt_segment leaf{ 2, 3800 };
+  const prompt_segment otherLeaf{ 3, 3000 };
+  cache.Add(std::vector{ root, leaf }, steady_time{ 1s });
+  const auto cached = [&](std::vector<prompt_segment> aSegments) {
+    return cache.CachedTokens(aSegments, steady_time{ 2s });
+  };
+  EXPECT_EQ(cached({ root, leaf }), 6300);
+  EXPECT_EQ(cached({ root, otherLeaf }), 2500);
+  EXPECT_EQ(cached({ otherLeaf, leaf }), 0);
+  EXPECT_EQ(cached({}), 0);
 }
 
 } // namespace
--- a/src/sapphirespar/policy/engine_choice.cpp
+++ b/src/sapphirespar/policy/engine_choice.cpp
@@ -1,6 +1,8 @@
 // Predicts the time until the first event at each engine and chooses the best.
 #include "sapphirespar/policy/engine_choice.hpp"
 
+#include "sapphirespar/policy/engine_model.hpp"
+
 #include <algorithm>
 #include <bit>
 #include <cmath>
@@ -11,28 +13,18 @@
 namespace sapphirespar::policy {
 namespace {
 
-// The next three values are from the engines' data sheet.
-
-// Prompt tokens that an engine processes per millisecond.
-constexpr double kTokensPerMs = 81.9;
-
-// Milliseconds until the first event of an empty prompt on an idle engine.
-constexpr double kFirstEventMs = 41;
-
-// Engines split the prefill into chunks of this many tokens, between which a
-// more urgent prompt can go first.
-constexpr double kPrefillChunkTokens = 4096;
-
 // Each running request delays each event of the others by about this time.
 constexpr double kSlowdownMsPerRequest = 0.5;
 
 // Recomputing a shared prefix takes time from all requests at the engine, so a
-// request waits up to this long per prefix token for an engine that has the
-// prefix cached. The first value applies while many slots are free. The second
-// one applies while hardly any slot is free, because recomputed tokens then
-// keep other requests out.
-constexpr double kIdleRecomputeMsPerToken = 0.25;
-constexpr double kBusyRecomputeMsPerToken = 2;
+// request waits up to this many times the prefill of the prefix for an engine
+// that has it cached, but not longer than a multiple of its own target. The
+// idle values apply while many slots are free. The busy ones apply while hardly
+// any slot is free, because recomputed tokens then keep other requests out.
+constexpr double kIdleRecomputeFactor = 20.5;
+constexpr double kBusyRecomputeFactor = 250;
+constexpr double kIdleWaitInTargets = 4;
+constexpr double kBusyWaitInTargets = 25;
 
 // The cost rises from the first to the second value between these shares of
 // slots taken.
@@ -54,6 +46,12 @@
 constexpr double kBulkOverflowMs = 1500;
 constexpr double kOverflowMsPerStream = 100;
 
+// Such a prompt stalls no stream if all prefill there takes at most this share
+// of the time between two events. Then the cost is this multiple of its target,
+// which keeps the engine free while the others serve well.
+constexpr double kSafeGapShare = 0.6;
+constexpr double kSafeOverflowInTargets = 0.25;
+
 // Costs of a missing slot or of missing memory: about the time until running
 // requests end, or the cost of preempting one, whose prompt must then be
 // processed again.
@@ -82,7 +80,7 @@
 {
   const auto count = aCandidates.size();
   std::vector<bool> group(count, false);
-  if (count < 2) {
+  if (count < 2 || aShare <= 0) {
     return group;
   }
   std::vector<std::size_t> order(count);
@@ -124,7 +122,7 @@
     return Mix(aSharedKey ^ Mix(aCandidates[aIndex].mKey));
   };
   for (std::size_t index = 0; index < none; ++index) {
-    if (none >= 2 && aGroup[index] != aInteractive) {
+    if (aGroup[index] != aInteractive) {
       continue;
     }
     if (prefixEngines.mPrimary == none ||
@@ -147,7 +145,7 @@
   double taken = 0;
   double slots = 0;
   for (std::size_t index = 0; index < aCandidates.size(); ++index) {
-    if (aCandidates.size() < 2 || aGroup[index] == aInteractive) {
+    if (aGroup[index] == aInteractive) {
       const auto& engine = aCandidates[index];
       taken += std::min<double>(engine.mLoad.mRunning, engine.mSlots);
       slots += engine.mSlots;
@@ -156,35 +154,56 @@
   return slots > 0 ? taken / slots : 0;
 }
 
-// Interpolates the recompute cost by the share of slots taken.
+// Returns the cost of recomputing the whole shared prefix.
 double
-RecomputeMsPerToken(double aSlotsTaken)
+RecomputeMs(const prompt_work& aWork,
+            const engine_figures& aFigures,
+            double aSlotsTaken)
 {
   const double part = std::clamp((aSlotsTaken - kIdleSlotShare) /
                                    (kBusySlotShare - kIdleSlotShare),
                                  0.0,
                                  1.0);
-  return std::lerp(kIdleRecomputeMsPerToken, kBusyRecomputeMsPerToken, part);
+  const double factor =
+    std::lerp(kIdleRecomputeFactor, kBusyRecomputeFactor, part);
+  return std::min(factor * PrefillMs(aFigures, aWork.mSharedTokens),
+                  std::lerp(kIdleWaitInTargets, kBusyWaitInTargets, part) *
+                    aWork.mTargetMs);
 }
 
 // Returns the part of the recompute cost aCost that applies at this engine.
 double
-RecomputeMs(double aCost,
-            const engine_candidate& aEngine,
-            std::size_t aIndex,
-            const prefix_engines& aPrefixEngines)
+RecomputePart(double aCost,
+              const prompt_work& aWork,
+              const engine_candidate& aEngine,
+              std::size_t aIndex,
+              const prefix_engines& aPrefixEngines)
 {
-  if (aEngine.mHasSharedPrefix || aIndex == aPrefixEngines.mPrimary) {
+  if (aWork.mSharedTokens <= 0 || aIndex == aPrefixEngines.mPrimary) {
     return 0;
   }
-  return aIndex == aPrefixEngines.mSecondary ? kSecondaryCostShare * aCost
-                                             : aCost;
+  const double missing = 1 - aEngine.mCachedTokens / aWork.mSharedTokens;
+  const double part =
+    aIndex == aPrefixEngines.mSecondary ? kSecondaryCostShare : 1;
+  return part * std::max(missing, 0.0) * aCost;
+}
+
+// Returns the tokens of the prompt that the engine is expected to process. The
+// primary engine is expected to have the prefix from requests of other routers.
+double
+ExpectedPrefill(const prompt_work& aWork,
+                const engine_candidate& aEngine,
+                bool aIsPrimary)
+{
+  return aWork.mPromptTokens -
+         (aIsPrimary ? aWork.mSharedTokens : aEngine.mCachedTokens);
 }
 
 // Returns the cost of leaving the group of the request's kind.
 double
 OverflowMs(const prompt_work& aWork,
            const engine_candidate& aEngine,
+           double aPrefillMs,
            bool aInGroup)
 {
   if (aInGroup) {
@@ -193,19 +212,25 @@
   if (aWork.mInteractive) {
     return kInteractiveOverflowMs;
   }
-  return kBulkOverflowMs + kOverflowMsPerStream * aEngine.mLoad.mInteractive;
+  const double stall =
+    kBulkOverflowMs + kOverflowMsPerStream * aEngine.mLoad.mInteractive;
+  return aPrefillMs <= kSafeGapShare * aWork.mGapBudgetMs
+           ? kSafeOverflowInTargets * aWork.mTargetMs
+           : stall;
 }
 
 // Returns the time until the prefill ahead of the request is done.
 double
-WaitMs(const prompt_work& aWork, const engine_candidate& aEngine)
+WaitMs(const prompt_work& aWork,
+       const engine_candidate& aEngine,
+       const engine_figures& aFigures)
 {
   const auto& load = aEngine.mLoad;
   const double ahead =
     aWork.mUrgent
-      ? load.mUrgentTokens + std::min(load.mOtherTokens, kPrefillChunkTokens)
+      ? load.mUrgentTokens + std::min(load.mOtherTokens, aFigures.mChunkTokens)
       : load.mUrgentTokens + load.mOtherTokens;
-  return PrefillMs(std::max(ahead, 0.0));
+  return PrefillMs(aFigures, std::max(ahead, 0.0));
 }
 
 // Returns the cost of running requests, missing slots and missing memory.
@@ -232,45 +257,45 @@
 
 } // namespace
 
-double
-PrefillMs(double aTokens)
-{
-  return aTokens / kTokensPerMs;
-}
-
 std::optional<engine_choice>
 ChooseEngine(const prompt_work& aWork,
              std::span<const engine_candidate> aCandidates,
+             const engine_figures& aFigures,
              double aInteractiveShare,
              double aDraw)
 {
+  const bool split = aCandidates.size() >= 2 && aInteractiveShare > 0;
   const auto group = InteractiveGroup(aCandidates, aInteractiveShare);
+  // Without a split no engine is in the interactive group, and all requests
+  // belong to the other one.
+  const bool kind = split && aWork.mInteractive;
   const auto prefixEngines =
-    PrefixEngines(aWork.mSharedKey, aCandidates, group, aWork.mInteractive);
-  const double taken = SlotsTaken(aCandidates, group, aWork.mInteractive);
-  const double recompute = aWork.mSharedTokens * RecomputeMsPerToken(taken);
+    PrefixEngines(aWork.mSharedKey, aCandidates, group, kind);
+  const double taken = SlotsTaken(aCandidates, group, kind);
+  const double recompute = RecomputeMs(aWork, aFigures, taken);
   std::optional<engine_choice> best;
   double lowest = 0;
   for (std::size_t index = 0; index < aCandidates.size(); ++index) {
     const auto& engine = aCandidates[index];
-    const bool inGroup =
-      aCandidates.size() < 2 || group[index] == aWork.mInteractive;
-    const bool hasPrefix =
-      engine.mHasSharedPrefix || index == prefixEngines.mPrimary;
+    const bool inGroup = group[index] == kind;
     const double tokens =
-      aWork.mPromptTokens - (hasPrefix ? aWork.mSharedTokens : 0);
-    const double queueing =
-      WaitMs(aWork, engine) + ContentionMs(aWork, engine) + engine.mPenaltyMs;
-    const double firstEvent = kFirstEventMs + PrefillMs(tokens) + queueing;
+      ExpectedPrefill(aWork, engine, index == prefixEngines.mPrimary);
+    const double queueing = WaitMs(aWork, engine, aFigures) +
+                            ContentionMs(aWork, engine) + engine.mPenaltyMs;
+    const double firstEvent =
+      aFigures.mFirstEventMs + PrefillMs(aFigures, tokens) + queueing;
     // Small random cost that breaks near ties.
     const auto jitter =
       std::ldexp(static_cast<double>(
                    Mix(engine.mKey ^ std::bit_cast<std::uint64_t>(aDraw))),
                  -64) *
       kTieMs;
-    const double cost = firstEvent + OverflowMs(aWork, engine, inGroup) +
-                        RecomputeMs(recompute, engine, index, prefixEngines) +
-                        jitter;
+    const double pending =
+      std::max(engine.mLoad.mUrgentTokens + engine.mLoad.mOtherTokens, 0.0);
+    const double prefill = PrefillMs(aFigures, tokens + pending);
+    const double cost =
+      firstEvent + OverflowMs(aWork, engine, prefill, inGroup) +
+      RecomputePart(recompute, aWork, engine, index, prefixEngines) + jitter;
     if (!best || cost < lowest) {
       best = engine_choice{ index, firstEvent, queueing, tokens, taken };
       lowest = cost;
--- a/src/sapphirespar/policy/engine_choice_test.cpp
+++ b/src/sapphirespar/policy/engine_choice_test.cpp
@@ -2,12 +2,13 @@
 // simulated load on engines that process prompts in order.
 #include "sapphirespar/policy/engine_choice.hpp"
 
+#include "sapphirespar/policy/engine_model.hpp"
+
 #include <gtest/gtest.h>
 #include <rapidcheck.h>
 
 #include <algorithm>
 #include <cmath>
-#include <map>
 #include <random>
 #include <set>
 #include <vector>
@@ -16,6 +17,7 @@
 namespace {
 
 constexpr double kShare = 0.34;
+constexpr engine_figures kFigures{ 81.9, 41, 4096, 3.74, 0.081 };
 
 std::vector<engine_candidate>
 Engines(unsigned aCount)
@@ -36,6 +38,7 @@
   work.mPromptTokens = 12'000;
   work.mSharedTokens = 5400;
   work.mSharedKey = aSharedKey;
+  work.mTargetMs = 2000;
   work.mMaximumOutputTokens = 400;
   return work;
 }
@@ -47,6 +50,7 @@
   work.mPromptTokens = 820;
   work.mSharedTokens = 200;
   work.mSharedKey = aSharedKey;
+  work.mTargetMs = 300;
   work.mMaximumOutputTokens = 300;
   work.mInteractive = true;
   work.mUrgent = true;
@@ -58,12 +62,12 @@
           const std::vector<engine_candidate>& aEngines,
           double aDraw = 0.5)
 {
-  return ChooseEngine(aWork, aEngines, kShare, aDraw)->mIndex;
+  return ChooseEngine(aWork, aEngines, kFigures, kShare, aDraw)->mIndex;
 }
 
 TEST(ChooseEngine, ChoosesNothingWithoutEngines)
 {
-  EXPECT_FALSE(ChooseEngine(LongPrompt(7), {}, kShare, 0.5));
+  EXPECT_FALSE(ChooseEngine(LongPrompt(7), {}, kFigures, kShare, 0.5));
   EXPECT_EQ(ChosenFor(LongPrompt(7), Engines(1)), 0U);
   EXPECT_EQ(ChosenFor(ShortPrompt(7), Engines(1)), 0U);
 }
@@ -152,15 +156,90 @@
       engine.mLoad.mOtherTokens = *rc::gen::inRange(0, 100'000);
       engine.mLoad.mRunning = *rc::gen::inRange(0, 64);
     }
-    const auto before = ChooseEngine(work, engines, kShare, 0.5);
+    const auto before = ChooseEngine(work, engines, kFigures, kShare, 0.5);
     for (auto& engine : engines) {
       engine.mLoad.mOtherTokens += 8192;
     }
-    const auto after = ChooseEngine(work, engines, kShare, 0.5);
+    const auto after = ChooseEngine(work, engines, kFigures, kShare, 0.5);
     RC_ASSERT(after->mFirstEventMs >= before->mFirstEventMs);
   }));
 }
 
+TEST(ChooseEngine, WithoutASplitAllEnginesServeAllKinds)
+{
+  const auto engines = Engines(9);
+  std::set<std::size_t> longs;
+  std::set<std::size_t> shorts;
+  for (std::uint64_t key = 1; key < 300; ++key) {
+    longs.insert(
+      ChooseEngine(LongPrompt(key), engines, kFigures, 0, 0.5)->mIndex);
+    shorts.insert(
+      ChooseEngine(ShortPrompt(key), engines, kFigures, 0, 0.5)->mIndex);
+  }
+  EXPECT_EQ(longs.size(), 9U);
+  EXPECT_EQ(shorts.size(), 9U);
+}
+
+// Of two equal engines, the one that has the root of the prefix needs to
+// process less. One that has the whole prefix is better still.
+TEST(ChooseEngine, PrefersTheEngineWithMoreOfThePrefixCached)
+{
+  auto engines = Engines(9);
+  const auto primary = ChosenFor(LongPrompt(7), engines);
+  engines[primary].mLoad.mOtherTokens = 400'000;
+  const auto second = ChosenFor(LongPrompt(7), engines);
+  engines[second].mLoad.mOtherTokens = 400'000;
+  const auto third = ChosenFor(LongPrompt(7), engines);
+  std::size_t root = 0;
+  while (root == primary || root == second || root == third ||
+         ChosenFor(ShortPrompt(1), { engines[root] }) != 0) {
+    ++root;
+  }
+  engines[root].mCachedTokens = 2000;
+  const auto choice = ChooseEngine(LongPrompt(7), engines, kFigures, 0, 0.5);
+  EXPECT_EQ(choice->mIndex, root);
+  EXPECT_DOUBLE_EQ(choice->mPrefillTokens, 10'000);
+}
+
+// A prompt whose target is short does not wait long for a cached prefix, even
+// if the prefix is as long as one that a patient prompt waits for.
+TEST(ChooseEngine, TheWaitForACachedPrefixIsBoundedByTheTarget)
+{
+  auto engines = Engines(9);
+  auto impatient = LongPrompt(7);
+  impatient.mTargetMs = 100;
+  const auto primary =
+    ChooseEngine(impatient, engines, kFigures, 0, 0.5)->mIndex;
+  engines[primary].mLoad.mOtherTokens = 15'000;
+  EXPECT_NE(ChooseEngine(impatient, engines, kFigures, 0, 0.5)->mIndex,
+            primary);
+  EXPECT_EQ(ChooseEngine(LongPrompt(7), engines, kFigures, 0, 0.5)->mIndex,
+            primary);
+}
+
+// A bulk prompt may use an idle interactive engine if its prefill fits between
+// two events there, but not one that already has work.
+TEST(ChooseEngine, BulkPromptsUseInteractiveEnginesWhereTheyStallNobody)
+{
+  auto engines = Engines(9);
+  std::set<std::size_t> bulk;
+  for (std::uint64_t key = 1; key < 200; ++key) {
+    bulk.insert(ChosenFor(LongPrompt(key), engines));
+  }
+  for (const auto index : bulk) {
+    engines[index].mLoad.mOtherTokens = 200'000;
+  }
+  auto work = LongPrompt(7);
+  EXPECT_TRUE(bulk.contains(ChosenFor(work, engines)));
+  work.mGapBudgetMs = 300;
+  const auto chosen = ChosenFor(work, engines);
+  EXPECT_FALSE(bulk.contains(chosen));
+  for (auto& engine : engines) {
+    engine.mLoad.mOtherTokens = 200'000;
+  }
+  EXPECT_TRUE(bulk.contains(ChosenFor(work, engines)));
+}
+
 // Simulates engines that process one prompt after another in order of arrival.
 class simulated_load
 {
@@ -178,9 +257,9 @@
   {
     for (std::size_t index = 0; index < mEngines.size(); ++index) {
       const double waiting = std::max(mFreeAt[index] - aNowMs, 0.0);
-      mEngines[index].mLoad.mOtherTokens = waiting / PrefillMs(1);
-      mEngines[index].mHasSharedPrefix =
-        mCached[index].contains(aWork.mSharedKey);
+      mEngines[index].mLoad.mOtherTokens = waiting / PrefillMs(kFigures, 1);
+      mEngines[index].mCachedTokens =
+        mCached[index].contains(aWork.mSharedKey) ? aWork.mSharedTokens : 0;
     }
     const auto index = ChosenFor(aWork, mEngines, mDraw(mRandom));
     const bool cached = !mCached[index].insert(aWork.mSharedKey).second;
@@ -188,8 +267,7 @@
       aWork.mPromptTokens - (cached ? aWork.mSharedTokens : 0);
     mSharedTokensProcessed += cached ? 0 : aWork.mSharedTokens;
     const double begin = std::max(mFreeAt[index], aNowMs);
-    mFreeAt[index] = begin + PrefillMs(tokens);
-    mLongest[index] = std::max(mLongest[index], mFreeAt[index] - aNowMs);
+    mFreeAt[index] = begin + PrefillMs(kFigures, tokens);
     return mFreeAt[index] - aNowMs;
   }
 
@@ -199,7 +277,6 @@
   std::vector<engine_candidate> mEngines;
   std::vector<double> mFreeAt;
   std::vector<std::set<std::uint64_t>> mCached;
-  std::map<std::size_t, double> mLongest;
   double mSharedTokensProcessed = 0;
   std::mt19937_64 mRandom{ 20261203 };
   std::uniform_real_distribution<double> mDraw{ 0, 1 };
--- /dev/null
+++ b/src/sapphirespar/policy/engine_model.cpp
@@ -0,0 +1,118 @@
+// Tracks quantiles of the observed figures by small multiplicative steps.
+#include "sapphirespar/policy/engine_model.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace sapphirespar::policy {
+namespace {
+
+// Size of the steps of an estimate on a logarithmic scale: the n-th step is the
+// first value over n, and at least the second one. A few samples correct a
+// start that is far off, and later ones only follow slow changes.
+constexpr double kFirstStep = 0.7;
+constexpr double kSmallestStep = 0.06;
+
+constexpr double kMedian = 0.5;
+
+// Some gaps that look stalled are not, so the stalled gap is tracked above the
+// median. The unhindered gap is tracked near the shortest ones.
+constexpr double kStalledQuantile = 0.75;
+constexpr double kUnhinderedQuantile = 0.05;
+
+// While an engine processes one full chunk after another, the gaps of a stream
+// are equal, and longer than this multiple of an unhindered gap.
+constexpr double kEqualGaps = 0.04;
+constexpr double kStalledMultiple = 2.5;
+
+// Moves an estimate towards the aQuantile of its samples, of which aSample is
+// one, but not beyond the sample.
+void
+Track(quantile_estimate& aEstimate, double aSample, double aQuantile)
+{
+  if (std::isnan(aSample)) {
+    return;
+  }
+  const double step =
+    std::max(kFirstStep / ++aEstimate.mSamples, kSmallestStep);
+  const double smallest = aEstimate.mStart / engine_model::kMaximumFactor;
+  const double largest = aEstimate.mStart * engine_model::kMaximumFactor;
+  const double distance =
+    std::log(std::clamp(aSample, smallest, largest) / aEstimate.mValue);
+  const double up = 2 * aQuantile * step;
+  const double down = 2 * (1 - aQuantile) * step;
+  aEstimate.mValue *= std::exp(std::clamp(distance, -down, up));
+}
+
+double
+StepMs(const engine_figures& aFigures, unsigned aRunning)
+{
+  return aFigures.mStepMs + aFigures.mStepMsPerRequest * aRunning;
+}
+
+} // namespace
+
+double
+PrefillMs(const engine_figures& aFigures, double aTokens)
+{
+  return aTokens / aFigures.mPrefillTokensPerMs;
+}
+
+double
+StalledGapMs(const engine_figures& aFigures,
+             unsigned aTokensPerEvent,
+             unsigned aRunning)
+{
+  return aTokensPerEvent * (PrefillMs(aFigures, aFigures.mChunkTokens) +
+                            StepMs(aFigures, aRunning));
+}
+
+engine_model::engine_model(const engine_figures& aStart)
+  : mFigures(aStart)
+  , mTokenMs(1 / aStart.mPrefillTokensPerMs)
+  , mFirstEventMs(aStart.mFirstEventMs)
+  , mChunkTokens(aStart.mChunkTokens)
+  , mStepMs(aStart.mStepMs)
+{
+}
+
+void
+engine_model::AddFirstEvent(double aPrefillTokens, double aTookMs)
+{
+  const double prefill = PrefillMs(mFigures, aPrefillTokens);
+  // A sample corrects the part of the prediction that contributes most to it.
+  if (prefill > mFigures.mFirstEventMs) {
+    const double measured = std::max(aTookMs - mFigures.mFirstEventMs, 0.0);
+    Track(mTokenMs, measured / aPrefillTokens, kMedian);
+    mFigures.mPrefillTokensPerMs = 1 / mTokenMs.mValue;
+  } else {
+    Track(mFirstEventMs, aTookMs - prefill, kMedian);
+    mFigures.mFirstEventMs = mFirstEventMs.mValue;
+  }
+}
+
+void
+engine_model::AddGaps(std::span<const double, kGaps> aGaps,
+                      unsigned aTokensPerEvent,
+                      unsigned aRunning)
+{
+  if (aTokensPerEvent == 0) {
+    return;
+  }
+  const double perToken = aGaps.back() / aTokensPerEvent;
+  const double step = StepMs(mFigures, aRunning);
+  Track(mStepMs,
+        perToken - mFigures.mStepMsPerRequest * aRunning,
+        kUnhinderedQuantile);
+  mFigures.mStepMs = mStepMs.mValue;
+  const auto [shortest, longest] = std::ranges::minmax(aGaps);
+  if (longest - shortest <= kEqualGaps * longest &&
+      perToken > kStalledMultiple * step) {
+    Track(mChunkTokens,
+          (perToken - step) * mFigures.mPrefillTokensPerMs,
+          kStalledQuantile);
+    mFigures.mChunkTokens = mChunkTokens.mValue;
+  }
+}
+
+} // namespace sapphirespar::policy
--- a/src/sapphirespar/policy/route_table.cpp
+++ b/src/sapphirespar/policy/route_table.cpp
@@ -27,6 +27,7 @@
   for (const auto& item : mConfig.mRoutes) {
     mHosts[HostName(item.mHost)].push_back(&item);
     mRoutePriorities = std::max(mRoutePriorities, item.mPriority + 1);
+    AddGap(item);
   }
   for (auto& [host, routes] : mHosts) {
     std::ranges::stable_sort(routes, std::greater{}, [](const route* aRoute) {
@@ -69,6 +70,27 @@
   return found == mConfig.mPools.end() ? nullptr : &*found;
 }
 
+void
+route_table::AddGap(const route& aRoute)
+{
+  if (!aRoute.mStreams || aRoute.mTargetGap <= aRoute.mTargetGap.zero()) {
+    return;
+  }
+  for (const auto& pool : aRoute.mPools) {
+    const auto [place, added] =
+      mSmallestGaps.try_emplace(pool.mPool, aRoute.mTargetGap);
+    place->second = std::min(place->second, aRoute.mTargetGap);
+  }
+}
+
+std::chrono::milliseconds
+route_table::SmallestGap(const std::string& aPool) const
+{
+  const auto found = mSmallestGaps.find(aPool);
+  return found == mSmallestGaps.end() ? std::chrono::milliseconds::zero()
+                                      : found->second;
+}
+
 unsigned
 route_table::PriorityOf(const route& aRoute,
                         const routing_account* aAccount) const
