Make a fleet's start, outages and changes cheap for store and links

At the first start of a fleet only the seeds read now (setting node.first_start) and others copy; gateways copy the list of gateways from the first reader; one that is no reader backs off up to 4 s while its own reads fail, and still queries the readers every second. Calls are counted by method and kind in gateway_store_calls_total. - Copies between gateways carried 570 KB of routing after 1,904 new routes, which small links deliver in half a second each, longer than the time limit, so the copying failed and the store was read. Large parts are now packed; the packed routing is kept for the next fetch.

--- a/include/sapphirespar/config/gateway_settings.hpp
+++ b/include/sapphirespar/config/gateway_settings.hpp
@@ -19,6 +19,8 @@
 {
   vm_id mVm;
   data_centre_id mDataCentre;
+  // The whole fleet starts for the first time: there is no traffic yet.
+  bool mFirstStart = false;
 
   // Listen address for requests.
   address_port mCallers;
--- a/include/sapphirespar/gateway/forward.hpp
+++ b/include/sapphirespar/gateway/forward.hpp
@@ -36,6 +36,8 @@
   policy::prompt_kinds& mKinds;
   wire::http_client& mClient;
   metrics& mMetrics;
+  // Brings the loads of other gateways in mUpstreams up to date.
+  std::function<void()> mRefreshLoads;
   // Upper bound of the number of live gateways; zero if unknown.
   std::function<unsigned()> mGateways;
   // Returns a random number from 0 to 1.
--- a/include/sapphirespar/gateway/store_reader.hpp
+++ b/include/sapphirespar/gateway/store_reader.hpp
@@ -25,6 +25,9 @@
 {
   object_version mRoutingRevision = kNoObject;
   std::uint64_t mUpstreamsDigest = 0;
+  // Whether the answer shall contain the list of gateways. A gateway that has
+  // nothing gets it in any case.
+  bool mWantsGateways = false;
 };
 
 // A store snapshot: the contents of the store as one gateway has read them, or
@@ -55,12 +58,22 @@
   // Delay before the first round. It gives gossip time to find another gateway
   // that has read the store.
   std::chrono::milliseconds mStartDelay{ 0 };
+  // How long a gateway that has read nothing yet waits for another gateway's
+  // snapshot before it reads the store. When a whole fleet starts, few gateways
+  // read the store and the others copy from them.
+  std::chrono::milliseconds mFirstReadPatience{ 0 };
+  // Delay before a gateway that waits so looks for a snapshot again.
+  std::chrono::milliseconds mFirstReadRetry{ 250 };
   // Time between the starts of two rounds. A change reaches every gateway after
   // two rounds and a fetch, so it takes effect within three periods.
   std::chrono::milliseconds mPeriod{ 600 };
   // Delay after a failed round, for the first reader and for other gateways.
   std::chrono::milliseconds mReaderRetry{ 250 };
   std::chrono::milliseconds mOtherRetry{ 1000 };
+  // A gateway that is no reader queries the readers at that interval, but while
+  // its own reads fail it reads the store at intervals that double up to this
+  // one.
+  std::chrono::milliseconds mMaximumOtherRead{ 4000 };
   // Older answers are ignored, because the reader has missed a round.
   std::chrono::milliseconds mMaximumAnswerAge{ 1000 };
   // If no reader gives a recent answer, the store is read once the local data
--- a/include/sapphirespar/wire/platform_client.hpp
+++ b/include/sapphirespar/wire/platform_client.hpp
@@ -7,7 +7,9 @@
 #include <boost/asio/any_io_executor.hpp>
 
 #include <chrono>
+#include <functional>
 #include <memory>
+#include <string_view>
 
 namespace sapphirespar::wire {
 
@@ -18,6 +20,9 @@
   std::chrono::milliseconds mTimeout{ 2000 };
   // Null means plain TCP.
   tls_context_ptr mTls;
+  // Called for each call that is sent, with its method and the kind of objects;
+  // may be null.
+  std::function<void(std::string_view aMethod, std::string_view aKind)> mOnCall;
 };
 
 // Callbacks run on the given executor. The callback of a call that is in
--- a/src/sapphirespar/config/gateway_settings.cpp
+++ b/src/sapphirespar/config/gateway_settings.cpp
@@ -70,6 +70,7 @@
 {
   aSettings.mVm = { aTable.Text("vm") };
   aSettings.mDataCentre = { aTable.Text("data_centre") };
+  aSettings.mFirstStart = aTable.Flag("first_start", aSettings.mFirstStart);
 }
 
 void
--- a/src/sapphirespar/config/packing.cpp
+++ b/src/sapphirespar/config/packing.cpp
@@ -1,6 +1,6 @@
 // Packs with zlib and OpenSSL's base64. The packed text is the size of the
 // unpacked bytes in decimal, a colon, and the base64 of the compressed bytes.
-#include "packing.hpp"
+#include "sapphirespar/config/packing.hpp"
 
 #include <openssl/evp.h>
 #include <zlib.h>
--- a/src/sapphirespar/config/signed_bundle.cpp
+++ b/src/sapphirespar/config/signed_bundle.cpp
@@ -2,8 +2,9 @@
 // changes.
 #include "sapphirespar/config/signed_bundle.hpp"
 
+#include "sapphirespar/config/packing.hpp"
+
 #include "bundle_fields.hpp"
-#include "packing.hpp"
 #include "sapphirespar/config/bundle_codec.hpp"
 #include "sapphirespar/config/bundle_delta.hpp"
 #include "sapphirespar/config/signing.hpp"
--- a/src/sapphirespar/gateway/forward_fixture_test.cpp
+++ b/src/sapphirespar/gateway/forward_fixture_test.cpp
@@ -123,6 +123,7 @@
                                         mKinds,
                                         *mUpstreamClient,
                                         mMetrics,
+                                        [this] { mRefreshLoads(); },
                                         [] { return 1U; },
                                         [] { return 0.5; },
                                         [this] { return mTimeToStop; },
--- a/src/sapphirespar/gateway/forward_fixture_test.hpp
+++ b/src/sapphirespar/gateway/forward_fixture_test.hpp
@@ -70,6 +70,8 @@
   policy::engine_models mModels;
   policy::prompt_kinds mKinds;
   metrics mMetrics;
+  // Called before each choice of an upstream.
+  std::function<void()> mRefreshLoads = [] {};
   // Routes of the host "h" with the prefixes "/stream/", "/resume/" (resumable
   // stream), "/once/" (not idempotent) and "/safe/" (idempotent).
   std::vector<route> mRoutes;
--- a/src/sapphirespar/gateway/forward_test.cpp
+++ b/src/sapphirespar/gateway/forward_test.cpp
@@ -140,6 +140,27 @@
   EXPECT_EQ(Arrivals(), 2U);
 }
 
+// The loads of other gateways are added up only when a request needs them.
+TEST_F(forward_test, PlacesARequestByTheLatestLoadsOfOtherGateways)
+{
+  Publish();
+  AddUpstream("busy", Answers(200, "body"));
+  AddUpstream("idle", Answers(200, "body"));
+  mRefreshLoads = [this] {
+    policy::upstream_load load;
+    load.mRunning = 50;
+    for (const auto& member : mUpstreams.Members("pool")) {
+      if (member->mEntry.mId.mText == "busy") {
+        mUpstreams.SetPeerLoads({ { member->mKey, load } });
+      }
+    }
+  };
+  for (int request = 0; request < 6; ++request) {
+    EXPECT_EQ(SendRequest("/safe/x").mStatus, 200U);
+  }
+  EXPECT_EQ(mArrivals["idle"], 6U);
+}
+
 TEST_F(forward_test, RetriesIdempotentRequestsAtAnotherUpstream)
 {
   Publish();
--- a/src/sapphirespar/gateway/gateway_app.cpp
+++ b/src/sapphirespar/gateway/gateway_app.cpp
@@ -86,9 +86,11 @@
                                                 page aPage);
   std::unique_ptr<wire::http_server> ServeCallers();
 
+  wire::platform_client_settings StoreClientSettings();
   forward_services ForwardServices();
   store_reader_hooks ReaderHooks();
   gossip_hooks GossipHooks();
+  registry_hooks RegistryHooks();
 
   wire::http_response ServeEntry(const wire::http_target& aTarget);
   wire::http_response ServeReadiness(const wire::http_target& aTarget);
@@ -96,6 +98,12 @@
   gateway_status Status() const;
 
   gossip_state OwnState() const;
+  // Returns a random number from 0 to 1.
+  double Draw()
+  {
+    return std::uniform_real_distribution<double>(0, 1)(mRandom);
+  }
+
   bool IsReady() const;
   bool IsLeaving() const { return mLeaveBegun.has_value(); }
   std::optional<milliseconds> TimeToStop() const;
@@ -107,6 +115,7 @@
                      snapshot_callback aDone);
   void StopWhenIdle();
   double CountEngines() const;
+  void RefreshLoads();
   void UpdateSplit();
   void LogModels();
 
@@ -140,6 +149,9 @@
   std::unique_ptr<wire::http_server> mMetricsServer;
   // Unset unless the process is shutting down.
   std::optional<steady_time> mLeaveBegun;
+  routing_packer mPacker;
+  // A datagram has arrived since the loads of other gateways were added up.
+  bool mLoadsStale = false;
   // The figures of each pool's engines that were logged last.
   std::map<std::string, engine_figures> mLoggedModels;
   timer_subscription mSplitTimer;
@@ -154,7 +166,7 @@
   , mProtocol(std::move(aProtocol))
   , mSelf(MakeProcessId(mSettings.mVm))
   , mTimers(aContext.get_executor())
-  , mPlatform(aContext.get_executor(), StoreSettings(mSettings))
+  , mPlatform(aContext.get_executor(), StoreClientSettings())
   , mUpstreamClient(aContext.get_executor(), UpstreamClientSettings())
   , mPeerClient(aContext.get_executor(), PeerClientSettings())
   , mPeers({ mSettings.mVm,
@@ -167,12 +179,14 @@
             mProtocol,
             mRouting,
             mUpstreams,
-            ReaderSettings(mSettings),
+            ReaderSettings(mSettings, Draw()),
             ReaderHooks())
   , mRegistry(mPlatform,
               mTimers,
               mPeers,
-              { mSettings.mVm, mSettings.mGossip.mAddress })
+              { mSettings.mVm, mSettings.mGossip.mAddress },
+              RegistryHooks(),
+              Draw())
   , mGossip(aContext, mTimers, mPeers, GossipSettings(mSettings), GossipHooks())
   , mForward(ForwardServices())
 {
@@ -250,27 +264,37 @@
     });
 }
 
+wire::platform_client_settings
+gateway_app::state::StoreClientSettings()
+{
+  auto settings = StoreSettings(mSettings);
+  settings.mOnCall = [this](std::string_view aMethod, std::string_view aKind) {
+    mMetrics.Count("gateway_store_calls_total",
+                   { { "method", aMethod }, { "kind", aKind } });
+  };
+  return settings;
+}
+
 forward_services
 gateway_app::state::ForwardServices()
 {
-  return {
-    .mProtocol = mProtocol,
-    .mRouting = mRouting,
-    .mUpstreams = mUpstreams,
-    .mRetries = mRetries,
-    .mPrefill = mPrefill,
-    .mSplit = mSplit,
-    .mModels = mModels,
-    .mKinds = mKinds,
-    .mClient = mUpstreamClient,
-    .mMetrics = mMetrics,
-    .mGateways = [this] { return mPeers.MaximumGateways(mTimers.Now()); },
-    .mDraw =
-      [this] { return std::uniform_real_distribution<double>(0, 1)(mRandom); },
-    .mTimeToStop = [this] { return TimeToStop(); },
-    .mDataCentre = mSettings.mDataCentre,
-    .mKeyFreshness = mSettings.mKeyFreshness
-  };
+  return { .mProtocol = mProtocol,
+           .mRouting = mRouting,
+           .mUpstreams = mUpstreams,
+           .mRetries = mRetries,
+           .mPrefill = mPrefill,
+           .mSplit = mSplit,
+           .mModels = mModels,
+           .mKinds = mKinds,
+           .mClient = mUpstreamClient,
+           .mMetrics = mMetrics,
+           .mRefreshLoads = [this] { RefreshLoads(); },
+           .mGateways =
+             [this] { return mPeers.MaximumGateways(mTimers.Now()); },
+           .mDraw = [this] { return Draw(); },
+           .mTimeToStop = [this] { return TimeToStop(); },
+           .mDataCentre = mSettings.mDataCentre,
+           .mKeyFreshness = mSettings.mKeyFreshness };
 }
 
 store_reader_hooks
@@ -315,7 +339,7 @@
   gossip_hooks hooks;
   hooks.mSelf = [this] { return OwnState(); };
   hooks.mReceived = [this](const gossip_state& aState) {
-    mUpstreams.SetPeerLoads(mPeers.Loads(mTimers.Now()));
+    mLoadsStale = true;
     if (aState.mStore) {
       mReader.OnPeerSummary(*aState.mStore);
     }
@@ -323,6 +347,25 @@
   return hooks;
 }
 
+registry_hooks
+gateway_app::state::RegistryHooks()
+{
+  registry_hooks hooks;
+  hooks.mFetchContacts = [this](std::function<void(bool)> aDone) {
+    known_versions known;
+    if (const auto summary = mReader.Summary()) {
+      known = { summary->mRoutingRevision, summary->mUpstreamsDigest, true };
+    }
+    FetchSnapshot(mPeers.Readers(mTimers.Now()).front(),
+                  known,
+                  [done = std::move(aDone)](
+                    const std::optional<store_snapshot>& aSnapshot) {
+                    done(aSnapshot && !aSnapshot->mGateways.empty());
+                  });
+  };
+  return hooks;
+}
+
 gossip_state
 gateway_app::state::OwnState() const
 {
@@ -393,14 +436,16 @@
   if (aTarget.mPath == kStoreSnapshotPath) {
     const auto known = ParseKnownVersions(aTarget.mQuery);
     auto snapshot = mReader.Snapshot(known);
-    const bool isNew = known.mRoutingRevision == kNoObject;
-    if (snapshot && isNew && mPeers.HasGatewayList()) {
+    const bool wanted =
+      known.mWantsGateways || known.mRoutingRevision == kNoObject;
+    if (snapshot && wanted && mPeers.HasGatewayList()) {
       snapshot->mGateways = mPeers.Contacts();
       snapshot->mGateways.push_back(
         { mSettings.mVm, mSettings.mGossip.mAddress });
     }
-    return snapshot ? wire::JsonResponse(200, EncodeStoreSnapshot(*snapshot))
-                    : TextResponse(503, "nothing read yet\n");
+    return snapshot
+             ? wire::JsonResponse(200, EncodeStoreSnapshot(*snapshot, mPacker))
+             : TextResponse(503, "nothing read yet\n");
   }
   return TextResponse(404, kNoPage);
 }
@@ -492,10 +537,25 @@
   return count;
 }
 
+// Adds up the loads of the other gateways. In a large fleet far more datagrams
+// arrive than requests, so the sums are made when a request needs them instead
+// of for each datagram.
+void
+gateway_app::state::RefreshLoads()
+{
+  if (mLoadsStale) {
+    mLoadsStale = false;
+    mUpstreams.SetPeerLoads(mPeers.Loads(mTimers.Now()));
+  }
+}
+
 void
 gateway_app::state::UpdateSplit()
 {
   const auto now = mTimers.Now();
+  // Also drops the loads of gateways that are no longer live.
+  mLoadsStale = true;
+  RefreshLoads();
   auto demand = mUpstreams.SlotDemand();
   demand += mPeers.PrefillDemand(now);
   demand += mPrefill.Demand(now);
--- a/src/sapphirespar/gateway/gateway_registry.cpp
+++ b/src/sapphirespar/gateway/gateway_registry.cpp
@@ -16,9 +16,16 @@
 constexpr std::chrono::seconds kReadPeriod{ 10 };
 constexpr std::chrono::seconds kRetryDelay{ 1 };
 
-// Delay before the first read. If there is another gateway, it has sent its
-// list of gateways by then.
-constexpr std::chrono::milliseconds kFirstRead{ 100 };
+// Gateways that start together write their entries within this time, so that
+// the store is not asked by all at once.
+constexpr std::chrono::milliseconds kWriteSpread{ 1000 };
+
+// Delay before the first read, by when the entries have been written, and the
+// time over which these reads are spread. A gateway without peers reads at
+// once.
+constexpr std::chrono::milliseconds kFirstRead{ 2000 };
+constexpr std::chrono::milliseconds kReadSpread{ 2000 };
+constexpr std::chrono::milliseconds kFirstReadAlone{ 500 };
 
 } // namespace
 
@@ -27,11 +34,15 @@
   state(platform_api& aPlatform,
         timer_service& aTimers,
         peer_table& aPeers,
-        peer_contact aSelf)
+        peer_contact aSelf,
+        registry_hooks aHooks,
+        double aDraw)
     : mPlatform(aPlatform)
     , mTimers(aTimers)
     , mPeers(aPeers)
     , mSelf(std::move(aSelf))
+    , mHooks(std::move(aHooks))
+    , mDraw(aDraw)
   {
   }
 
@@ -84,13 +95,38 @@
                    });
   }
 
-  void ScheduleFirstRead()
+  void Start()
   {
-    mReadTimer = mTimers.After(kFirstRead, [this] {
-      if (mPeers.HasGatewayList()) {
-        mReadTimer = mTimers.After(kReadPeriod, [this] { Read(); });
-      } else {
+    const auto spread = [this](std::chrono::milliseconds aTime) {
+      return std::chrono::duration_cast<std::chrono::milliseconds>(aTime *
+                                                                   mDraw);
+    };
+    mWriteTimer =
+      mTimers.After(spread(kWriteSpread), [this] { Write(kNoObject); });
+    mReadTimer = mTimers.After(kFirstReadAlone, [this, spread] {
+      if (mPeers.LiveGateways(mTimers.Now()).empty()) {
         Read();
+        return;
+      }
+      mReadTimer = mTimers.After(kFirstRead + spread(kReadSpread),
+                                 [this] { ReadFirst(); });
+    });
+  }
+
+  // Reads the entries, or copies the list of a reader that has read them.
+  void ReadFirst()
+  {
+    if (mPeers.IsFirstReader(mTimers.Now())) {
+      Read();
+      return;
+    }
+    mHooks.mFetchContacts([weak = weak_from_this()](bool aReceived) {
+      const auto self = weak.lock();
+      if (self && aReceived) {
+        self->mReadTimer = self->mTimers.After(
+          kReadPeriod, [raw = self.get()] { raw->ReadAgain(); });
+      } else if (self) {
+        self->Read();
       }
     });
   }
@@ -114,8 +150,7 @@
       mReadTimer = mTimers.After(kReadPeriod, [this] { ReadAgain(); });
       return;
     }
-    mReadTimer =
-      mTimers.After(read ? kReadPeriod : kRetryDelay, [this] { Read(); });
+    mReadTimer = mTimers.After(kRetryDelay, [this] { Read(); });
   }
 
   void ApplyEntries(const list_answer& aAnswer)
@@ -145,6 +180,8 @@
   timer_service& mTimers;
   peer_table& mPeers;
   const peer_contact mSelf;
+  const registry_hooks mHooks;
+  const double mDraw;
   timer_subscription mReadTimer;
   timer_subscription mWriteTimer;
 };
@@ -152,9 +189,15 @@
 gateway_registry::gateway_registry(platform_api& aPlatform,
                                    timer_service& aTimers,
                                    peer_table& aPeers,
-                                   peer_contact aSelf)
-  : mState(
-      std::make_shared<state>(aPlatform, aTimers, aPeers, std::move(aSelf)))
+                                   peer_contact aSelf,
+                                   registry_hooks aHooks,
+                                   double aDraw)
+  : mState(std::make_shared<state>(aPlatform,
+                                   aTimers,
+                                   aPeers,
+                                   std::move(aSelf),
+                                   std::move(aHooks),
+                                   aDraw))
 {
 }
 
@@ -163,8 +206,7 @@
 void
 gateway_registry::Start()
 {
-  mState->Write(kNoObject);
-  mState->ScheduleFirstRead();
+  mState->Start();
 }
 
 } // namespace sapphirespar::gateway
--- a/src/sapphirespar/gateway/part_settings.cpp
+++ b/src/sapphirespar/gateway/part_settings.cpp
@@ -16,6 +16,12 @@
 // Several times the round trip between data centres.
 constexpr milliseconds kConnectTimeout{ 400 };
 
+// When a whole fleet starts for the first time, only the seeds read the store
+// at once. The others wait for a copy from them this long, and up to the second
+// time longer so that they do not all begin to read together.
+constexpr milliseconds kFirstReadPatience{ 3000 };
+constexpr milliseconds kFirstReadSpread{ 2000 };
+
 // Time for a datagram to a seed and the reply.
 constexpr milliseconds kStartDelay{ 30 };
 
@@ -52,9 +58,19 @@
 }
 
 store_reader_settings
-ReaderSettings(const gateway_settings& aSettings)
+ReaderSettings(const gateway_settings& aSettings, double aDraw)
 {
   store_reader_settings settings;
+  const bool isSeed =
+    std::ranges::find(aSettings.mSeeds,
+                      aSettings.mAdmin.mAddress,
+                      &address_port::mAddress) != aSettings.mSeeds.end();
+  // Later starts don't wait, because callers do.
+  if (aSettings.mFirstStart && !isSeed && !aSettings.mSeeds.empty()) {
+    settings.mFirstReadPatience =
+      kFirstReadPatience +
+      std::chrono::duration_cast<milliseconds>(kFirstReadSpread * aDraw);
+  }
   // A change takes up to three periods plus some delay.
   constexpr double kPeriodsInBound = 3.3;
   settings.mPeriod = std::chrono::duration_cast<milliseconds>(
--- a/src/sapphirespar/gateway/part_settings.hpp
+++ b/src/sapphirespar/gateway/part_settings.hpp
@@ -16,7 +16,10 @@
 
 policy::fleet_retry_limits RetryLimits(const gateway_settings& aSettings);
 wire::platform_client_settings StoreSettings(const gateway_settings& aSettings);
-store_reader_settings ReaderSettings(const gateway_settings& aSettings);
+// aDraw, a random number between 0 and 1, spreads the first reads of gateways
+// that start together.
+store_reader_settings ReaderSettings(const gateway_settings& aSettings,
+                                     double aDraw);
 gossip_settings GossipSettings(const gateway_settings& aSettings);
 wire::http_client_settings UpstreamClientSettings();
 wire::http_client_settings PeerClientSettings();
--- a/src/sapphirespar/gateway/placement.cpp
+++ b/src/sapphirespar/gateway/placement.cpp
@@ -217,6 +217,7 @@
              const forwarded_request& aForwarded,
              std::span<const upstream_ptr> aTried)
 {
+  aServices.mRefreshLoads();
   const auto members = Candidates(aServices, aForwarded, aTried);
   if (members.empty()) {
     return std::nullopt;
--- a/src/sapphirespar/gateway/store_reader.cpp
+++ b/src/sapphirespar/gateway/store_reader.cpp
@@ -74,7 +74,7 @@
 
   void EndRound(bool aSucceeded)
   {
-    mInRound = false;
+    RecordOwnRead(aSucceeded);
     steady_duration delay{};
     if (aSucceeded) {
       const auto passed = mHooks.mNow() - mRoundBegun;
@@ -84,7 +84,7 @@
       delay = mHooks.mReaders().empty() ? mSettings.mReaderRetry
                                         : mSettings.mOtherRetry;
     }
-    mRoundTimer = mTimers.After(delay, [this] { BeginRound(); });
+    EndRoundAfter(delay);
   }
 
   // Queries the next reader of this round. If none is left, schedules another
@@ -98,10 +98,10 @@
         mInRound = false;
         return;
       }
-      if (HasBoth() || mQueriedAny) {
-        ReadStore();
-      } else {
+      if (!HasBoth() && !mQueriedAny) {
         FetchFirst();
+      } else {
+        ReadStoreOrWait();
       }
       return;
     }
@@ -116,6 +116,39 @@
       }));
   }
 
+  // Reads the store, or ends the round without a read if other gateways are to
+  // read it.
+  void ReadStoreOrWait()
+  {
+    const auto now = mHooks.mNow();
+    if (!HasBoth() && now < mStartedAt + mSettings.mFirstReadPatience) {
+      EndRoundAfter(mSettings.mFirstReadRetry);
+    } else if (HasBoth() && !mHooks.mIsReader() && now < mNextOwnRead) {
+      EndRoundAfter(mSettings.mOtherRetry);
+    } else {
+      ReadStore();
+    }
+  }
+
+  void EndRoundAfter(steady_duration aDelay)
+  {
+    mInRound = false;
+    mRoundTimer = mTimers.After(aDelay, [this] { BeginRound(); });
+  }
+
+  // Spaces out the reads of a gateway that is no reader while they fail.
+  void RecordOwnRead(bool aSucceeded)
+  {
+    if (aSucceeded) {
+      mOwnReadDelay = mSettings.mOtherRetry;
+      mNextOwnRead = {};
+      return;
+    }
+    mNextOwnRead = mHooks.mNow() + mOwnReadDelay;
+    mOwnReadDelay =
+      std::min<steady_duration>(2 * mOwnReadDelay, mSettings.mMaximumOtherRead);
+  }
+
   void OnSummary(const std::optional<store_summary>& aSummary,
                  boot_time aSent,
                  const vm_id& aReader)
@@ -263,7 +296,7 @@
       KnownVersions(),
       IfAlive([this, requestedAt](std::optional<store_snapshot> aSnapshot) {
         if (!aSnapshot) {
-          ReadStore();
+          ReadStoreOrWait();
           return;
         }
         ApplySnapshot(std::move(*aSnapshot), requestedAt);
@@ -449,6 +482,12 @@
   // contain the full list.
   bool mNeedsFullList = false;
 
+  boot_time mStartedAt{};
+  // When a gateway that is no reader may read the store again, and the delay
+  // after the next failed read.
+  boot_time mNextOwnRead{};
+  steady_duration mOwnReadDelay = mSettings.mOtherRetry;
+
   bool mInRound = false;
   boot_time mRoundBegun{};
   // Readers not yet queried in this round; the next one is at the back.
@@ -489,6 +528,7 @@
 void
 store_reader::Start()
 {
+  mState->mStartedAt = mState->mHooks.mNow();
   mState->mRoundTimer =
     mState->mTimers.After(mState->mSettings.mStartDelay,
                           [state = mState.get()] { state->BeginRound(); });
--- a/src/sapphirespar/gateway/store_snapshot_codec.cpp
+++ b/src/sapphirespar/gateway/store_snapshot_codec.cpp
@@ -1,6 +1,7 @@
 // JSON fields of a store snapshot.
 #include "store_snapshot_codec.hpp"
 
+#include "sapphirespar/config/packing.hpp"
 #include "sapphirespar/wire/http_message.hpp"
 
 #include <boost/json.hpp>
@@ -13,10 +14,17 @@
 
 namespace json = boost::json;
 
+// Smaller texts gain too little from packing.
+constexpr std::size_t kPackedFromBytes = 2048;
+
 json::object
-ToJson(const platform_object& aObject)
+ToJson(const platform_object& aObject, routing_packer& aPacker)
 {
-  return { { "version", aObject.mVersion }, { "value", aObject.mValue } };
+  if (aObject.mValue.size() < kPackedFromBytes) {
+    return { { "version", aObject.mVersion }, { "value", aObject.mValue } };
+  }
+  return { { "version", aObject.mVersion },
+           { "packed", aPacker.Pack(aObject) } };
 }
 
 json::object
@@ -44,12 +52,28 @@
   return std::string(aValue.at(aKey).as_string());
 }
 
+// Throws if the text can't be unpacked.
+std::string
+Unpacked(const json::value& aText)
+{
+  const auto text = aText.as_string();
+  auto unpacked = Unpack(std::string_view(text.data(), text.size()));
+  if (!unpacked) {
+    throw std::invalid_argument("malformed packed text");
+  }
+  return *std::move(unpacked);
+}
+
 platform_object
 ReadObject(const json::value& aValue)
 {
   platform_object object;
   object.mVersion = aValue.at("version").to_number<object_version>();
-  object.mValue = TextAt(aValue, "value");
+  if (const auto* packed = aValue.as_object().if_contains("packed")) {
+    object.mValue = Unpacked(*packed);
+  } else {
+    object.mValue = TextAt(aValue, "value");
+  }
   return object;
 }
 
@@ -88,6 +112,18 @@
   return entries;
 }
 
+// An array or, if it is long, its packed text.
+json::value
+ToPackedJson(std::span<const upstream_entry> aEntries)
+{
+  auto entries = ToJson(aEntries);
+  auto text = json::serialize(entries);
+  if (text.size() < kPackedFromBytes) {
+    return entries;
+  }
+  return json::value(Pack(text));
+}
+
 json::value
 ToJson(const std::optional<upstream_delta>& aDelta)
 {
@@ -106,6 +142,9 @@
 std::vector<upstream_entry>
 ReadEntries(const json::value& aValue)
 {
+  if (aValue.is_string()) {
+    return ReadEntries(json::parse(Unpacked(aValue)));
+  }
   std::vector<upstream_entry> entries;
   for (const auto& item : aValue.as_array()) {
     entries.push_back(ReadEntry(item));
@@ -135,7 +174,8 @@
 {
   return std::string(kStoreSnapshotPath) +
          "?routing=" + std::to_string(aKnown.mRoutingRevision) +
-         "&upstreams=" + std::to_string(aKnown.mUpstreamsDigest);
+         "&upstreams=" + std::to_string(aKnown.mUpstreamsDigest) +
+         (aKnown.mWantsGateways ? "&gateways=1" : "");
 }
 
 known_versions
@@ -147,19 +187,29 @@
     std::from_chars(text.data(), text.data() + text.size(), value);
     return value;
   };
-  return { number("routing"), number("upstreams") };
+  return { number("routing"), number("upstreams"), number("gateways") != 0 };
+}
+
+const std::string&
+routing_packer::Pack(const platform_object& aRouting)
+{
+  if (mVersion != aRouting.mVersion || mText.empty()) {
+    mVersion = aRouting.mVersion;
+    mText = sapphirespar::Pack(aRouting.mValue);
+  }
+  return mText;
 }
 
 std::string
-EncodeStoreSnapshot(const store_snapshot& aSnapshot)
+EncodeStoreSnapshot(const store_snapshot& aSnapshot, routing_packer& aPacker)
 {
   json::array gateways;
   for (const auto& contact : aSnapshot.mGateways) {
     gateways.push_back(ToJson(contact));
   }
   json::object body;
-  body["routing"] = ToJson(aSnapshot.mRouting);
-  body["upstreams"] = ToJson(aSnapshot.mUpstreams);
+  body["routing"] = ToJson(aSnapshot.mRouting, aPacker);
+  body["upstreams"] = ToPackedJson(aSnapshot.mUpstreams);
   body["delta"] = ToJson(aSnapshot.mDelta);
   body["upstreams_digest"] = aSnapshot.mUpstreamsDigest;
   body["gateways"] = std::move(gateways);
--- a/src/sapphirespar/gateway/store_snapshot_codec.hpp
+++ b/src/sapphirespar/gateway/store_snapshot_codec.hpp
@@ -16,7 +16,22 @@
 std::string SnapshotTarget(const known_versions& aKnown);
 known_versions ParseKnownVersions(std::string_view aQuery);
 
-std::string EncodeStoreSnapshot(const store_snapshot& aSnapshot);
+// Keeps the packed form of the latest routing, which many gateways fetch soon
+// after each other.
+class routing_packer
+{
+public:
+  const std::string& Pack(const platform_object& aRouting);
+
+private:
+  object_version mVersion = kNoObject;
+  std::string mText;
+};
+
+// Large parts are packed: with thousands of routes the routing would otherwise
+// take seconds on the links of small machines.
+std::string EncodeStoreSnapshot(const store_snapshot& aSnapshot,
+                                routing_packer& aPacker);
 
 // Returns nothing if aText is not a valid snapshot.
 std::optional<store_snapshot> DecodeStoreSnapshot(std::string_view aText);
--- a/src/sapphirespar/wire/platform_client.cpp
+++ b/src/sapphirespar/wire/platform_client.cpp
@@ -63,6 +63,20 @@
   return KindTarget(aKey.mKind) + "/" + PercentEncode(aKey.mName);
 }
 
+// Returns the kind in a target that ObjectTarget or KindTarget has made, or the
+// whole path of any other target.
+std::string_view
+KindOfTarget(std::string_view aTarget)
+{
+  const auto prefix = KindTarget("").size();
+  const auto path = aTarget.substr(0, aTarget.find('?'));
+  if (!path.starts_with(KindTarget(""))) {
+    return path;
+  }
+  const auto kind = path.substr(prefix);
+  return kind.substr(0, kind.find('/'));
+}
+
 // A 503 response means that the server did nothing. After any other server
 // error the effect of a write is unknown.
 platform_status
@@ -149,6 +163,10 @@
 
   void Call(platform_call aCall, result_callback aDone)
   {
+    if (mSettings.mOnCall) {
+      mSettings.mOnCall(aCall.mRequest.mMethod,
+                        KindOfTarget(aCall.mRequest.mTarget));
+    }
     asio::co_spawn(mExecutor,
                    Run(shared_from_this(), std::move(aCall), std::move(aDone)),
                    asio::detached);
