Check numbers, pages and revisions that come from the store

A VM with a port over 65535 was read with another port; it is left out and logged. (ASuccessWithoutARevisionIsUnknown, AVmWithAnInvalidPortIsLeftOut) - Gossip sent numbers from 2^31 on as zero; they are limited. (LargeNumbersAreLimitedNotWrapped) - New seeds in changed settings had no effect on a gateway.

--- a/include/sapphirespar/gateway/gossip_link.hpp
+++ b/include/sapphirespar/gateway/gossip_link.hpp
@@ -53,6 +53,9 @@
 
   void Start();
 
+  // Replaces the seeds of the settings.
+  void SetSeeds(std::vector<std::string> aSeeds);
+
   // Sends this gateway's state to all gateways at once, outside the schedule.
   void SendNow();
 
--- a/src/sapphirespar/gateway/gateway_app.cpp
+++ b/src/sapphirespar/gateway/gateway_app.cpp
@@ -642,6 +642,7 @@
   settings.mRetrySlack = aSettings.mRetrySlack;
   settings.mRetryWindow = aSettings.mRetryWindow;
   settings.mSeeds = aSettings.mSeeds;
+  mState->mGossip.SetSeeds(GossipSettings(settings).mSeeds);
   mState->mForward.mKeyFreshness = settings.mKeyFreshness;
   mState->mRetries.SetLimits(RetryLimits(settings));
 }
--- a/src/sapphirespar/gateway/gossip_link.cpp
+++ b/src/sapphirespar/gateway/gossip_link.cpp
@@ -238,6 +238,12 @@
   mState->Query(aAddress, aTimeout, std::move(aDone));
 }
 
+void
+gossip_link::SetSeeds(std::vector<std::string> aSeeds)
+{
+  mState->mSettings.mSeeds = std::move(aSeeds);
+}
+
 void
 gossip_link::SendNow()
 {
--- a/src/sapphirespar/gateway/upstream_directory.cpp
+++ b/src/sapphirespar/gateway/upstream_directory.cpp
@@ -52,8 +52,8 @@
   if (mAddedAt.size() + aSegments.size() > kMaximumSegments) {
     mAddedAt.clear();
   }
-  for (const auto& segment : aSegments.first(
-         std::min(aSegments.size(), kMaximumSegments))) {
+  for (const auto& segment :
+       aSegments.first(std::min(aSegments.size(), kMaximumSegments))) {
     mAddedAt[segment.mId] = aNow;
   }
 }
@@ -225,10 +225,10 @@
   std::uint64_t digest = mUpstreams.size();
   for (const auto& [id, known] : mUpstreams) {
     const auto& entry = known->mEntry;
-    const std::string text = entry.mPool + ' ' + entry.mAddress + ' ' +
-                             std::to_string(entry.mPort) + ' ' +
-                             std::to_string(entry.mSlots) + ' ' +
-                             std::to_string(static_cast<int>(entry.mDraining));
+    const std::string text =
+      entry.mPool + ' ' + entry.mAddress + ' ' + std::to_string(entry.mPort) +
+      ' ' + entry.mDataCentre.mText + ' ' + std::to_string(entry.mSlots) + ' ' +
+      std::to_string(static_cast<int>(entry.mDraining));
     digest =
       XXH3_64bits_withSeed(text.data(), text.size(), digest ^ known->mKey);
   }
--- a/src/sapphirespar/gateway/upstream_directory_test.cpp
+++ b/src/sapphirespar/gateway/upstream_directory_test.cpp
@@ -118,6 +118,13 @@
   entries[0].mDraining = true;
   first.ApplyList(entries, list_completeness::Complete);
   EXPECT_NE(first.Digest(), second.Digest());
+  // The data centre matters for the choice of a plain upstream.
+  first.ApplyList(second.Entries(), list_completeness::Complete);
+  EXPECT_EQ(first.Digest(), second.Digest());
+  auto moved = second.Entries();
+  moved[0].mDataCentre = { "elsewhere" };
+  first.ApplyList(moved, list_completeness::Complete);
+  EXPECT_NE(first.Digest(), second.Digest());
   entries[0] = Entry("a", 2);
   second.ApplyList(entries, list_completeness::Complete);
   EXPECT_NE(first.Digest(), second.Digest());
--- a/src/sapphirespar/wire/gossip_codec.cpp
+++ b/src/sapphirespar/wire/gossip_codec.cpp
@@ -18,16 +18,24 @@
 using apache::thrift::protocol::TCompactProtocolT;
 using apache::thrift::transport::TMemoryBuffer;
 
+// The wire has signed numbers.
+std::int32_t
+ToWireNumber(std::uint32_t aNumber)
+{
+  constexpr std::uint32_t kMost = std::numeric_limits<std::int32_t>::max();
+  return static_cast<std::int32_t>(std::min(aNumber, kMost));
+}
+
 gen::gossip_load
 ToWireLoad(const gossip_load& aLoad)
 {
   gen::gossip_load load;
   load.upstream = static_cast<std::int64_t>(aLoad.mUpstream);
-  load.urgent_tokens = static_cast<std::int32_t>(aLoad.mUrgentTokens);
-  load.other_tokens = static_cast<std::int32_t>(aLoad.mOtherTokens);
-  load.memory_tokens = static_cast<std::int32_t>(aLoad.mMemoryTokens);
-  load.running = static_cast<std::int32_t>(aLoad.mRunning);
-  load.interactive = static_cast<std::int32_t>(aLoad.mInteractive);
+  load.urgent_tokens = ToWireNumber(aLoad.mUrgentTokens);
+  load.other_tokens = ToWireNumber(aLoad.mOtherTokens);
+  load.memory_tokens = ToWireNumber(aLoad.mMemoryTokens);
+  load.running = ToWireNumber(aLoad.mRunning);
+  load.interactive = ToWireNumber(aLoad.mInteractive);
   return load;
 }
 
@@ -105,10 +113,9 @@
     aState.mLoads, std::back_inserter(state.loads), ToWireLoad);
   state.asks = aState.mWantsReply;
   state.answers = static_cast<std::int64_t>(aState.mReplyTo);
-  state.interactive_reading =
-    static_cast<std::int32_t>(aState.mInteractivePrefill);
-  state.bulk_reading = static_cast<std::int32_t>(aState.mBulkPrefill);
-  state.processor = static_cast<std::int32_t>(aState.mProcessor);
+  state.interactive_reading = ToWireNumber(aState.mInteractivePrefill);
+  state.bulk_reading = ToWireNumber(aState.mBulkPrefill);
+  state.processor = ToWireNumber(aState.mProcessor);
   std::ranges::transform(aState.mDataCentreLoads,
                          std::back_inserter(state.zones),
                          ToWireDataCentreLoads);
--- a/src/sapphirespar/wire/gossip_codec_test.cpp
+++ b/src/sapphirespar/wire/gossip_codec_test.cpp
@@ -53,6 +53,24 @@
   EXPECT_EQ(DecodeGossip(EncodeGossip(state)), state);
 }
 
+// The wire has signed numbers of 32 bits. Larger ones are sent as the largest,
+// not as zero.
+TEST(GossipCodec, LargeNumbersAreLimitedNotWrapped)
+{
+  constexpr std::uint32_t kMost = 0x7fffffff;
+  auto state = Sample();
+  state.mLoads = { { 1, 0x80000000, 0xffffffff, 0x80000001, 4, 5 } };
+  state.mBulkPrefill = 0xffffffff;
+  state.mProcessor = 0x80000000;
+  const auto read = DecodeGossip(EncodeGossip(state));
+  ASSERT_TRUE(read);
+  EXPECT_EQ(read->mLoads[0].mUrgentTokens, kMost);
+  EXPECT_EQ(read->mLoads[0].mOtherTokens, kMost);
+  EXPECT_EQ(read->mLoads[0].mMemoryTokens, kMost);
+  EXPECT_EQ(read->mBulkPrefill, kMost);
+  EXPECT_EQ(read->mProcessor, kMost);
+}
+
 TEST(GossipCodec, DamagedGossipNeverDecodesWithoutASender)
 {
   EXPECT_FALSE(DecodeGossip(""));
--- a/src/sapphirespar/wire/platform_answer.cpp
+++ b/src/sapphirespar/wire/platform_answer.cpp
@@ -1,11 +1,13 @@
 // Parses and writes the platform's JSON.
 #include "platform_answer.hpp"
 
+#include "sapphirespar/base/log.hpp"
+
 #include <boost/json.hpp>
 
 #include <algorithm>
 #include <charconv>
-#include <iterator>
+#include <limits>
 #include <optional>
 #include <string>
 #include <utility>
@@ -122,17 +124,34 @@
   return answer;
 }
 
-vm_listing
+// Returns nothing if the number is no port.
+std::optional<std::uint16_t>
+PortAt(const json::object& aObject, std::string_view aKey)
+{
+  const auto number = NumberAt(aObject, aKey);
+  return number <= std::numeric_limits<std::uint16_t>::max()
+           ? std::optional(static_cast<std::uint16_t>(number))
+           : std::nullopt;
+}
+
+// Returns nothing if a port is out of range.
+std::optional<vm_listing>
 ToListing(const json::value& aItem)
 {
   vm_listing listing;
   if (const auto* item = aItem.if_object()) {
+    const auto port = PortAt(*item, "port");
+    const auto peerPort = PortAt(*item, "peer_port");
     listing.mVm = TextAt(*item, "vm");
+    if (!port || !peerPort) {
+      LogEvent(
+        log_level::Warning, "vm_port_invalid", { { "vm", listing.mVm } });
+      return std::nullopt;
+    }
     listing.mDataCentre = TextAt(*item, "data_centre");
     listing.mAddress = TextAt(*item, "address");
-    listing.mPort = static_cast<std::uint16_t>(NumberAt(*item, "port"));
-    listing.mPeerPort =
-      static_cast<std::uint16_t>(NumberAt(*item, "peer_port"));
+    listing.mPort = *port;
+    listing.mPeerPort = *peerPort;
     listing.mLeaving = FlagAt(*item, "leaving");
   }
   return listing;
@@ -189,7 +208,11 @@
     answer.mStatus = platform_status::Unavailable;
     return answer;
   }
-  std::ranges::transform(*vms, std::back_inserter(answer.mVms), ToListing);
+  for (const auto& item : *vms) {
+    if (auto listing = ToListing(item)) {
+      answer.mVms.push_back(*std::move(listing));
+    }
+  }
   return answer;
 }
 
@@ -200,7 +223,10 @@
   const auto document = ParseJson(aResult.mResponse.mBody);
   if (document && document->is_object()) {
     answer.mObject = ToObject(document->get_object(), aKey.mKind);
-  } else if (aResult.mStatus == platform_status::Ok) {
+  }
+  // Without a revision it is not known what was read or written.
+  if (aResult.mStatus == platform_status::Ok &&
+      answer.mObject.mVersion == kNoObject) {
     answer.mStatus = platform_status::Unknown;
   }
   answer.mObject.mKey = std::move(aKey);
--- a/src/sapphirespar/wire/platform_client.cpp
+++ b/src/sapphirespar/wire/platform_client.cpp
@@ -3,6 +3,7 @@
 #include "sapphirespar/wire/platform_client.hpp"
 
 #include "platform_answer.hpp"
+#include "sapphirespar/base/log.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -193,8 +194,11 @@
     }
     Read(std::move(target),
          milliseconds::zero(),
-         [this, kind = std::move(aKind), soFar = std::move(aSoFar), aDone](
-           call_result aResult) mutable {
+         [this,
+          kind = std::move(aKind),
+          after = std::move(aAfter),
+          soFar = std::move(aSoFar),
+          aDone](call_result aResult) mutable {
            auto page = ToListPage(std::move(aResult), kind);
            if (page.mAnswer.mStatus != platform_status::Ok) {
              aDone(std::move(page.mAnswer));
@@ -207,8 +211,16 @@
            soFar.mVersion = first ? page.mAnswer.mVersion : soFar.mVersion;
            std::ranges::move(page.mAnswer.mObjects,
                              std::back_inserter(soFar.mObjects));
-           if (page.mHasMore && !soFar.mObjects.empty()) {
-             auto last = soFar.mObjects.back().mKey.mName;
+           if (page.mHasMore) {
+             auto last =
+               soFar.mObjects.empty() ? "" : soFar.mObjects.back().mKey.mName;
+             if (last <= after) {
+               LogEvent(log_level::Warning,
+                        "store_page_repeats",
+                        { { "kind", kind }, { "after", after } });
+               aDone(list_answer{});
+               return;
+             }
              ListFrom(kind, std::move(last), std::move(soFar), aDone);
              return;
            }
--- a/src/sapphirespar/wire/platform_client_test.cpp
+++ b/src/sapphirespar/wire/platform_client_test.cpp
@@ -232,6 +232,45 @@
   EXPECT_EQ(mLastRequest.mTarget, "/objects/bundle?after=a");
 }
 
+// A store that returns one page again and again would otherwise be asked for it
+// without end.
+TEST_F(platform_calls, AListWhosePagesRepeatFails)
+{
+  mAnswer->mBody = R"({"at":5,"has_more":true,"entries":[
+    {"metadata":{"name":"a","revision":1},"spec":"one"}]})";
+  const auto listed =
+    Wait<list_answer>([&](auto aDone) { mClient->List("bundle", aDone); });
+  EXPECT_EQ(listed.mStatus, platform_status::Unavailable);
+  EXPECT_EQ(mLastRequest.mTarget, "/objects/bundle?after=a");
+  mAnswer->mBody = R"({"at":5,"has_more":true,"entries":[]})";
+  const auto empty =
+    Wait<list_answer>([&](auto aDone) { mClient->List("bundle", aDone); });
+  EXPECT_EQ(empty.mStatus, platform_status::Unavailable);
+}
+
+// Version zero means that an object does not exist, so an answer without a
+// revision must not look like a success.
+TEST_F(platform_calls, ASuccessWithoutARevisionIsUnknown)
+{
+  mAnswer->mBody = R"({"metadata":{"name":"a/b"},"spec":"text"})";
+  EXPECT_EQ(Get().mStatus, platform_status::Unknown);
+  EXPECT_EQ(Put().mStatus, platform_status::Unknown);
+  mAnswer->mBody = R"({"metadata":{"name":"a/b","revision":-4}})";
+  EXPECT_EQ(Get().mStatus, platform_status::Unknown);
+}
+
+TEST_F(platform_calls, AVmWithAnInvalidPortIsLeftOut)
+{
+  mAnswer->mBody = R"({"vms":[
+    {"vm":"vm-1","address":"127.0.0.1","port":65616,"peer_port":81},
+    {"vm":"vm-2","address":"127.0.0.1","port":80,"peer_port":65617},
+    {"vm":"vm-3","address":"127.0.0.1","port":80,"peer_port":81}]})";
+  const auto vms =
+    Wait<vm_list_answer>([&](auto aDone) { mClient->ListVms(aDone); });
+  ASSERT_EQ(vms.mVms.size(), 1U);
+  EXPECT_EQ(vms.mVms[0].mVm, "vm-3");
+}
+
 RC_GTEST_FIXTURE_PROP(platform_calls,
                       ADamagedAnswerIsReadOrReportedAsFailed,
                       ())
