Learn the chunk from saturated engines only, and kinds from ten prompts on

A gap of nine tokens is a sum of nine steps, so gaps are nearly equal by chance; the first sample moved an estimate by half; and first events that waited for unknown work passed for slow engines. And the first prompt of a kind decided for its group: with digests it was often a short one.

The equality asked for now falls with the tokens of an event, the first step is smaller, the rate and the time to the first event follow the quicker quarter of the answers, and a kind is judged by each prompt's own length until ten are known.

--- a/include/sapphirespar/policy/prompt_kinds.hpp
+++ b/include/sapphirespar/policy/prompt_kinds.hpp
@@ -1,6 +1,6 @@
 // Tells which kinds of prompts must be kept apart at engines: long prompts
-// stall the streams that run beside them. Answers the load of long prompts among
-// short questions, whatever the engines' speed.
+// stall the streams that run beside them. Answers the load of long prompts
+// among short questions, whatever the engines' speed.
 #pragma once
 
 #include "sapphirespar/base/timer_service.hpp"
@@ -51,14 +51,22 @@
   // Records the length of one prompt.
   void Add(const prompt_kind& aKind, double aTokens);
 
-  // Returns the group of a request. aUrgent: it has the most urgent priority.
+  // Returns the group of a request with a prompt of aTokens tokens. aUrgent: it
+  // has the most urgent priority.
   kind_separation Separate(const prompt_kind& aKind,
+                           double aTokens,
                            bool aUrgent,
                            const stream_pool& aPool) const;
 
 private:
-  // Moving averages of the prompt lengths in tokens.
-  std::map<prompt_kind, double> mTokens;
+  // Moving average of the prompt lengths in tokens, and their number.
+  struct prompt_lengths
+  {
+    double mMean = 0;
+    unsigned mCount = 0;
+  };
+
+  std::map<prompt_kind, prompt_lengths> mLengths;
 };
 
 } // namespace sapphirespar::policy
--- a/src/sapphirespar/gateway/placement.cpp
+++ b/src/sapphirespar/gateway/placement.cpp
@@ -92,7 +92,8 @@
                                   aForwarded.mEngine->mTokensPerEvent,
                                   aForwarded.mRouting->SmallestGap(
                                     aForwarded.mPool) };
-  return aServices.mKinds.Separate(kind, route.mPriority == 0, pool);
+  return aServices.mKinds.Separate(
+    kind, aForwarded.mInfo.mPromptTokens, route.mPriority == 0, pool);
 }
 
 // Describes the request to the engine choice.
--- a/src/sapphirespar/policy/engine_model.cpp
+++ b/src/sapphirespar/policy/engine_model.cpp
@@ -10,19 +10,23 @@
 // Size of the steps of an estimate on a logarithmic scale: the n-th step is the
 // first value over n, and at least the second one. A few samples correct a
 // start that is far off, and later ones only follow slow changes.
-constexpr double kFirstStep = 0.7;
+constexpr double kFirstStep = 0.3;
 constexpr double kSmallestStep = 0.06;
 
-constexpr double kMedian = 0.5;
+// Work of other gateways that is not known yet delays some first events, so the
+// quicker ones tell the engines' speed.
+constexpr double kFirstEventQuantile = 0.25;
 
 // Some gaps that look stalled are not, so the stalled gap is tracked above the
 // median. The unhindered gap is tracked near the shortest ones.
-constexpr double kStalledQuantile = 0.75;
+constexpr double kStalledQuantile = 0.85;
 constexpr double kUnhinderedQuantile = 0.05;
 
 // While an engine processes one full chunk after another, the gaps of a stream
-// are equal, and longer than this multiple of an unhindered gap.
-constexpr double kEqualGaps = 0.04;
+// are equal, and longer than this multiple of an unhindered gap. Gaps of many
+// tokens are nearly equal also by chance, since each is a sum of many steps, so
+// their relative difference may be at most this over the tokens.
+constexpr double kEqualGaps = 0.2;
 constexpr double kStalledMultiple = 2.5;
 
 // Moves an estimate towards the aQuantile of its samples, of which aSample is
@@ -83,10 +87,10 @@
   // A sample corrects the part of the prediction that contributes most to it.
   if (prefill > mFigures.mFirstEventMs) {
     const double measured = std::max(aTookMs - mFigures.mFirstEventMs, 0.0);
-    Track(mTokenMs, measured / aPrefillTokens, kMedian);
+    Track(mTokenMs, measured / aPrefillTokens, kFirstEventQuantile);
     mFigures.mPrefillTokensPerMs = 1 / mTokenMs.mValue;
   } else {
-    Track(mFirstEventMs, aTookMs - prefill, kMedian);
+    Track(mFirstEventMs, aTookMs - prefill, kFirstEventQuantile);
     mFigures.mFirstEventMs = mFirstEventMs.mValue;
   }
 }
@@ -106,7 +110,7 @@
         kUnhinderedQuantile);
   mFigures.mStepMs = mStepMs.mValue;
   const auto [shortest, longest] = std::ranges::minmax(aGaps);
-  if (longest - shortest <= kEqualGaps * longest &&
+  if (longest - shortest <= kEqualGaps / aTokensPerEvent * longest &&
       perToken > kStalledMultiple * step) {
     Track(mChunkTokens,
           (perToken - step) * mFigures.mPrefillTokensPerMs,
--- a/src/sapphirespar/policy/engine_model_test.cpp
+++ b/src/sapphirespar/policy/engine_model_test.cpp
@@ -108,6 +108,21 @@
             1.35);
 }
 
+// A gap of many tokens is a sum of many steps, so even on an engine that is
+// only half busy its gaps are often nearly equal.
+RC_GTEST_PROP(EngineModel, NearlyEqualGapsOfManyTokensDoNotMoveTheChunk, ())
+{
+  std::mt19937_64 random(*rc::gen::inRange(1, 1000));
+  std::normal_distribution<double> gap(300, 25);
+  engine_model model(kStart);
+  for (int sample = 0; sample < 1000; ++sample) {
+    const std::array gaps{ gap(random), gap(random), gap(random), gap(random) };
+    model.AddGaps(gaps, 9, 10);
+  }
+  RC_ASSERT(ErrorFactor(model.Figures().mChunkTokens, kStart.mChunkTokens) <
+            1.4);
+}
+
 // Gaps of engines that are never saturated say nothing about the chunk.
 TEST(EngineModel, KeepsTheChunkWhileNoEngineIsSaturated)
 {
--- a/src/sapphirespar/policy/prompt_kinds.cpp
+++ b/src/sapphirespar/policy/prompt_kinds.cpp
@@ -8,8 +8,12 @@
 namespace sapphirespar::policy {
 namespace {
 
-// Weight of the newest prompt in the average length of its kind.
-constexpr double kNewestWeight = 0.05;
+// Smallest weight of the newest prompt in the average length of its kind.
+constexpr double kSmallestWeight = 0.05;
+
+// Lengths vary widely, so before this many prompts of a kind each prompt is
+// judged by its own length. A short one does no harm, whatever its kind.
+constexpr unsigned kKnownAfter = 10;
 
 // A prompt is light if its prefill takes at most this share of the smallest
 // target gap, so that several of them fit between two events.
@@ -20,14 +24,15 @@
 void
 prompt_kinds::Add(const prompt_kind& aKind, double aTokens)
 {
-  const auto [place, added] = mTokens.try_emplace(aKind, aTokens);
-  if (!added) {
-    place->second += kNewestWeight * (aTokens - place->second);
-  }
+  auto& lengths = mLengths[aKind];
+  ++lengths.mCount;
+  const double weight = std::max(1.0 / lengths.mCount, kSmallestWeight);
+  lengths.mMean += weight * (aTokens - lengths.mMean);
 }
 
 kind_separation
 prompt_kinds::Separate(const prompt_kind& aKind,
+                       double aTokens,
                        bool aUrgent,
                        const stream_pool& aPool) const
 {
@@ -38,10 +43,13 @@
     return { false, aUrgent, 0 };
   }
   const double generating =
-    stalledGap -
-    aPool.mTokensPerEvent * PrefillMs(aPool.mFigures, aPool.mFigures.mChunkTokens);
-  const auto known = mTokens.find(aKind);
-  const double tokens = known == mTokens.end() ? 0 : known->second;
+    stalledGap - aPool.mTokensPerEvent *
+                   PrefillMs(aPool.mFigures, aPool.mFigures.mChunkTokens);
+  const auto known = mLengths.find(aKind);
+  const double tokens =
+    known == mLengths.end() || known->second.mCount < kKnownAfter
+      ? aTokens
+      : known->second.mMean;
   const bool light =
     PrefillMs(aPool.mFigures, tokens) <= kLightShare * smallestGap;
   return { true, light, std::max(smallestGap - generating, 0.0) };
