--- a/src/sapphirespar/config/gateway_settings_test.cpp
+++ b/src/sapphirespar/config/gateway_settings_test.cpp
@@ -63,6 +63,40 @@
   EXPECT_EQ(settings->mEntryTtl, 3s);
 }
 
+TEST(GatewaySettings, ReadsTheSpeedOfTheEngines)
+{
+  const auto settings = ParseGatewaySettings(kGood + R"([engines]
+prefill_tokens_per_ms = 12.5
+chunk_tokens = 2048
+step_ms_per_request = 0
+)",
+                                             "g.toml");
+  ASSERT_TRUE(settings);
+  EXPECT_EQ(settings->mEngines.mPrefillTokensPerMs, 12.5);
+  EXPECT_EQ(settings->mEngines.mChunkTokens, 2048);
+  EXPECT_EQ(settings->mEngines.mStepMsPerRequest, 0);
+  EXPECT_EQ(settings->mEngines.mFirstEventMs, engine_figures{}.mFirstEventMs);
+  EXPECT_FALSE(settings->mFirstStart);
+}
+
+// A figure that is zero, negative or absurd is a mistake, unlike one that is
+// only wrong, which is corrected by answers.
+TEST(GatewaySettings, RefusesImpossibleSpeedsOfEngines)
+{
+  for (const std::string line : { "prefill_tokens_per_ms = 0",
+                                  "prefill_tokens_per_ms = 1e9",
+                                  "first_event_ms = -1",
+                                  "chunk_tokens = 0",
+                                  "step_ms = 0",
+                                  "step_ms_per_request = -0.1" }) {
+    const auto failure = FailureOf(kGood + "[engines]\n" + line + "\n");
+    EXPECT_TRUE(failure.starts_with("g.toml:15: ")) << failure;
+    const auto key = line.substr(0, line.find(' '));
+    EXPECT_NE(failure.find(key), std::string::npos) << failure;
+    EXPECT_NE(failure.find("expected"), std::string::npos) << failure;
+  }
+}
+
 TEST(GatewaySettings, NamesFileLineAndKeyOfEachFailure)
 {
   EXPECT_EQ(FailureOf(kGood + "[peers]\nseeds = [\"10.0.0.2\"]\n"),
