Leave the engine of a prefix when it is late and others are idle

While the engines are idle in the mean, a request that would miss its target goes where it begins soonest.

RequestsLeaveAFailingEngineWhileOthersAreIdle failed first.

--- a/src/sapphirespar/policy/engine_choice.cpp
+++ b/src/sapphirespar/policy/engine_choice.cpp
@@ -31,6 +31,11 @@
 constexpr double kIdleSlotShare = 0.5;
 constexpr double kBusySlotShare = 0.9;
 
+// The engines of a group count as idle while the mean time until their prefill
+// is done is at most this share of the request's target. Recomputing a prefix
+// then delays nobody.
+constexpr double kIdleMeanWaitInTargets = 0.25;
+
 // Fraction of the recompute cost at the secondary engine of a prefix, which
 // often has the prefix cached.
 constexpr double kSecondaryCostShare = 0.25;
@@ -233,6 +238,25 @@
   return PrefillMs(aFigures, std::max(ahead, 0.0));
 }
 
+// Returns the mean time until the prefill at the engines of a group is done.
+double
+MeanWaitMs(const prompt_work& aWork,
+           std::span<const engine_candidate> aCandidates,
+           const std::vector<bool>& aGroup,
+           bool aInteractive,
+           const engine_figures& aFigures)
+{
+  double sum = 0;
+  double engines = 0;
+  for (std::size_t index = 0; index < aCandidates.size(); ++index) {
+    if (aGroup[index] == aInteractive) {
+      sum += WaitMs(aWork, aCandidates[index], aFigures);
+      ++engines;
+    }
+  }
+  return engines > 0 ? sum / engines : 0;
+}
+
 // Returns the cost of running requests, missing slots and missing memory.
 double
 ContentionMs(const prompt_work& aWork, const engine_candidate& aEngine)
@@ -274,7 +298,9 @@
   const double taken = SlotsTaken(aCandidates, group, kind);
   const double recompute = RecomputeMs(aWork, aFigures, taken);
   std::optional<engine_choice> best;
+  std::optional<engine_choice> soonest;
   double lowest = 0;
+  double earliest = 0;
   for (std::size_t index = 0; index < aCandidates.size(); ++index) {
     const auto& engine = aCandidates[index];
     const bool inGroup = group[index] == kind;
@@ -293,15 +319,28 @@
     const double pending =
       std::max(engine.mLoad.mUrgentTokens + engine.mLoad.mOtherTokens, 0.0);
     const double prefill = PrefillMs(aFigures, tokens + pending);
+    const double begin =
+      firstEvent + OverflowMs(aWork, engine, prefill, inGroup) + jitter;
     const double cost =
-      firstEvent + OverflowMs(aWork, engine, prefill, inGroup) +
-      RecomputePart(recompute, aWork, engine, index, prefixEngines) + jitter;
+      begin + RecomputePart(recompute, aWork, engine, index, prefixEngines);
+    const engine_choice choice{ index, firstEvent, queueing, tokens, taken };
     if (!best || cost < lowest) {
-      best = engine_choice{ index, firstEvent, queueing, tokens, taken };
+      best = choice;
       lowest = cost;
     }
+    if (!soonest || begin < earliest) {
+      soonest = choice;
+      earliest = begin;
+    }
   }
-  return best;
+  // A request must not be refused, or late, at the engine of its prefix while
+  // engines are idle that would serve it in time.
+  const bool isLate = best && best->mFirstEventMs > aWork.mTargetMs &&
+                      soonest->mFirstEventMs <= aWork.mTargetMs;
+  const bool isIdle = taken < kIdleSlotShare &&
+                      MeanWaitMs(aWork, aCandidates, group, kind, aFigures) <=
+                        kIdleMeanWaitInTargets * aWork.mTargetMs;
+  return isLate && isIdle ? soonest : best;
 }
 
 } // namespace sapphirespar::policy
--- a/src/sapphirespar/policy/engine_choice_test.cpp
+++ b/src/sapphirespar/policy/engine_choice_test.cpp
@@ -217,6 +217,29 @@
             primary);
 }
 
+// An engine that fails requests looks busy by its penalty. The requests of its
+// prefixes go elsewhere instead of being refused, but only while that delays
+// nobody.
+TEST(ChooseEngine, RequestsLeaveAFailingEngineWhileOthersAreIdle)
+{
+  auto engines = Engines(9);
+  auto work = LongPrompt(7);
+  work.mTargetMs = 400;
+  const auto primary = ChooseEngine(work, engines, kFigures, 0, 0.5)->mIndex;
+  engines[primary].mPenaltyMs = 5000;
+  const auto secondary = ChooseEngine(work, engines, kFigures, 0, 0.5)->mIndex;
+  engines[primary].mPenaltyMs = 500;
+  engines[secondary].mPenaltyMs = 500;
+  const auto moved = ChooseEngine(work, engines, kFigures, 0, 0.5);
+  EXPECT_NE(moved->mIndex, secondary);
+  EXPECT_NE(moved->mIndex, primary);
+  EXPECT_LE(moved->mFirstEventMs, work.mTargetMs);
+  for (auto& engine : engines) {
+    engine.mLoad.mOtherTokens = 15'000;
+  }
+  EXPECT_EQ(ChooseEngine(work, engines, kFigures, 0, 0.5)->mIndex, primary);
+}
+
 // A bulk prompt may use an idle interactive engine if its prefill fits between
 // two events there, but not one that already has work.
 TEST(ChooseEngine, BulkPromptsUseInteractiveEnginesWhereTheyStallNobody)
