--- a/src/sapphirespar/experiment/prompt_trial.cpp
+++ b/src/sapphirespar/experiment/prompt_trial.cpp
@@ -233,8 +233,8 @@
       candidate.mMemoryTokens = mLoad.mEngineSettings.mMemoryTokens;
       const auto& sent = aGateway.mSentPrefixes[index];
       const auto found = sent.find(aKey);
-      const bool cached = found != sent.end() && mQueue.NowMs() - found->second <=
-                                                   kAssumedCacheTimeMs;
+      const bool cached = found != sent.end() &&
+                          mQueue.NowMs() - found->second <= kAssumedCacheTimeMs;
       candidate.mCachedTokens = cached ? aSharedTokens : 0;
     }
     return candidates;
@@ -255,10 +255,10 @@
     auto& gateway = mGateways[aCaller->mGateway];
     const auto& kind = mLoad.mClasses[aCaller->mClass];
     const auto work = WorkOf(*aCaller);
-    const auto candidates = Candidates(gateway, work.mSharedKey, work.mSharedTokens);
-    const auto choice =
-      mPolicy.mChooseEngine(
-        work, candidates, mLoad.mFigures, mSplit.Share(), Uniform(mRandom));
+    const auto candidates =
+      Candidates(gateway, work.mSharedKey, work.mSharedTokens);
+    const auto choice = mPolicy.mChooseEngine(
+      work, candidates, mLoad.mFigures, mSplit.Share(), Uniform(mRandom));
     policy::expected_wait wait;
     wait.mFirstEvent = ToMilliseconds(choice->mFirstEventMs);
     wait.mQueueing = ToMilliseconds(choice->mQueueingMs);
@@ -314,9 +314,10 @@
     load.mInteractive = aWork.mInteractive ? 1 : 0;
     gateway.mOwn[aChoice.mIndex] += load;
     gateway.mSentPrefixes[aChoice.mIndex][aWork.mSharedKey] = mQueue.NowMs();
-    gateway.mPrefill.Add(aWork.mInteractive,
-                         policy::PrefillMs(mLoad.mFigures, aChoice.mPrefillTokens),
-                         ToSteady(mQueue.NowMs()));
+    gateway.mPrefill.Add(
+      aWork.mInteractive,
+      policy::PrefillMs(mLoad.mFigures, aChoice.mPrefillTokens),
+      ToSteady(mQueue.NowMs()));
     mResult.mSharedTokens += aWork.mSharedTokens;
     mCallers[aCaller->mJob.mId] = aCaller;
     mQueue.After(kEngineLatencyMs, [this, aCaller] {
