--- a/src/sapphirespar/gateway/forward_attempt.cpp
+++ b/src/sapphirespar/gateway/forward_attempt.cpp
@@ -260,7 +260,7 @@
     if (mLastEventAt) {
       const std::chrono::duration<double, std::milli> gap =
         aNow - *mLastEventAt;
-      std::ranges::rotate(mGaps, mGaps.begin() + 1);
+      std::shift_left(mGaps.begin(), mGaps.end(), 1);
       mGaps.back() = gap.count();
       if (mGaps.front() > 0) {
         auto load = mUpstream.mOwnLoad;
