--- a/src/sapphirespar/policy/engine_choice.cpp
+++ b/src/sapphirespar/policy/engine_choice.cpp
@@ -51,9 +51,9 @@
 constexpr double kBulkOverflowMs = 1500;
 constexpr double kOverflowMsPerStream = 100;
 
-// Such a prompt stalls no stream if all prefill there takes at most this share
-// of the time between two events. Then the cost is this multiple of its target,
-// which keeps the engine free while the others serve well.
+// A bulk prompt at an interactive engine stalls no stream if all prefill there
+// takes at most this share of what a gap leaves for prefill. It then costs only
+// this multiple of the target, so that bulk engines still come first.
 constexpr double kSafeGapShare = 0.6;
 constexpr double kSafeOverflowInTargets = 0.25;
 
