Log an answer's framing and a stream's unfinished bytes with each attempt

The attempt line of a truncated stream read end=relayed with an empty detail, like that of a complete one. It now names what marks the end of the answer and how many bytes followed the last complete event, so that a log tells an answer that ended with its connection from one that was chunked.

--- a/include/sapphirespar/wire/http_client.hpp
+++ b/include/sapphirespar/wire/http_client.hpp
@@ -63,6 +63,18 @@
   tls_context_ptr mTls;
 };
 
+// What marks the end of a response's body.
+enum class body_framing
+{
+  Length,
+  Chunked,
+  // The end of the connection.
+  Close,
+};
+
+// Returns the name of the framing for logs, such as "chunked".
+std::string_view ToText(body_framing aFraming);
+
 // A response whose body is read in pieces. Destroying it before the end of the
 // body closes the connection, which cancels the call at the server.
 class http_stream
@@ -73,6 +85,8 @@
   // Returns the status and headers; the body is empty.
   virtual const http_response& Head() const = 0;
 
+  virtual body_framing Framing() const = 0;
+
   // Returns whether the connection carried an earlier request.
   virtual bool Reused() const = 0;
 
--- a/src/sapphirespar/gateway/forward.cpp
+++ b/src/sapphirespar/gateway/forward.cpp
@@ -347,6 +347,9 @@
                { "took_ms", ToMs(steady_clock::now() - aBegun) },
                { "own_running", upstream.mOwnLoad.mRunning },
                { "others_running", upstream.mPeerLoad.mRunning },
+               { "framing",
+                 aResult.mFraming ? wire::ToText(*aResult.mFraming) : "none" },
+               { "unfinished_bytes", aResult.mUnfinishedBytes },
                { "detail", aResult.mDetail } });
     mServices.mMetrics.Count("gateway_attempts_total",
                              { { "end", ToText(aResult.mEnd) } });
--- a/src/sapphirespar/gateway/forward_attempt.cpp
+++ b/src/sapphirespar/gateway/forward_attempt.cpp
@@ -96,6 +96,8 @@
     if (mStream) {
       result.mStatus = mStream->Head().mStatus;
       result.mReusedConnection = mStream->Reused();
+      result.mFraming = mStream->Framing();
+      result.mUnfinishedBytes = mSplitter.Remainder().size();
     }
     const bool mayHaveRun = aEnd == attempt_end::Broken ||
                             aEnd == attempt_end::TimedOut ||
--- a/src/sapphirespar/gateway/forward_state.hpp
+++ b/src/sapphirespar/gateway/forward_state.hpp
@@ -82,6 +82,10 @@
   // The error answer of a Failed attempt, ready to be sent to the caller.
   std::optional<wire::http_response> mFailure;
   bool mReusedConnection = false;
+  // Unset if no answer arrived.
+  std::optional<wire::body_framing> mFraming;
+  // Bytes of a stream after its last complete event.
+  std::size_t mUnfinishedBytes = 0;
   std::string mDetail;
 };
 
--- a/src/sapphirespar/wire/http_client.cpp
+++ b/src/sapphirespar/wire/http_client.cpp
@@ -135,6 +135,13 @@
   }
 
   const http_response& Head() const override { return mHead; }
+  body_framing Framing() const override
+  {
+    if (mParser->chunked()) {
+      return body_framing::Chunked;
+    }
+    return mParser->need_eof() ? body_framing::Close : body_framing::Length;
+  }
   bool Reused() const override { return mReused; }
   bool Finished() const override
   {
@@ -281,6 +288,20 @@
   return "cancelled";
 }
 
+std::string_view
+ToText(body_framing aFraming)
+{
+  switch (aFraming) {
+    case body_framing::Length:
+      return "length";
+    case body_framing::Chunked:
+      return "chunked";
+    case body_framing::Close:
+      break;
+  }
+  return "close";
+}
+
 void
 call_abort::Abort()
 {
