--- a/src/sapphirespar/gateway/forward_fixture_test.cpp
+++ b/src/sapphirespar/gateway/forward_fixture_test.cpp
@@ -2,6 +2,12 @@
 #include "forward_fixture_test.hpp"
 
 #include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
 
 #include <array>
 #include <charconv>
@@ -71,6 +77,32 @@
   return headers;
 }
 
+// Answers one request on each connection of aAcceptor.
+asio::awaitable<void>
+ServeRaw(asio::ip::tcp::acceptor aAcceptor,
+         std::function<void()> aOnRequest,
+         std::function<std::string(const std::string&)> aScript,
+         connection_end aEnd)
+{
+  while (true) {
+    auto socket = co_await aAcceptor.async_accept(asio::use_awaitable);
+    std::string head;
+    co_await asio::async_read_until(
+      socket, asio::dynamic_buffer(head), "\r\n\r\n", asio::use_awaitable);
+    aOnRequest();
+    const auto bytes = aScript(head);
+    co_await asio::async_write(
+      socket, asio::buffer(bytes), asio::use_awaitable);
+    if (aEnd == connection_end::Reset) {
+      // Lets the bytes arrive, as a reset discards what has not been read.
+      asio::steady_timer pause(socket.get_executor(), 50ms);
+      co_await pause.async_wait(asio::use_awaitable);
+      socket.set_option(asio::socket_base::linger(true, 0));
+    }
+    socket.close();
+  }
+}
+
 route
 MakeRoute(std::string aPrefix)
 {
@@ -169,11 +201,32 @@
       ++mArrivals[aId];
       return handler(aRequest, aReply);
     }));
+  AddEntry(aId, mServers.back()->Port());
+}
+
+void
+forward_fixture::AddRawUpstream(
+  const std::string& aId,
+  std::function<std::string(const std::string&)> aScript,
+  connection_end aEnd)
+{
+  const auto loopback = asio::ip::make_address("127.0.0.1");
+  asio::ip::tcp::acceptor acceptor(mContext, { loopback, 0 });
+  AddEntry(aId, acceptor.local_endpoint().port());
+  const auto count = [this, aId] { ++mArrivals[aId]; };
+  asio::co_spawn(mContext,
+                 ServeRaw(std::move(acceptor), count, std::move(aScript), aEnd),
+                 asio::detached);
+}
+
+void
+forward_fixture::AddEntry(const std::string& aId, std::uint16_t aPort)
+{
   upstream_entry entry;
   entry.mId = { aId };
   entry.mPool = "pool";
   entry.mAddress = "127.0.0.1";
-  entry.mPort = mServers.back()->Port();
+  entry.mPort = aPort;
   entry.mSlots = 4;
   mEntries.push_back(std::move(entry));
   mUpstreams.ApplyList(mEntries, list_completeness::Complete);
--- a/src/sapphirespar/gateway/forward_fixture_test.hpp
+++ b/src/sapphirespar/gateway/forward_fixture_test.hpp
@@ -20,6 +20,13 @@
   std::function<asio::awaitable<void>(const wire::http_request&,
                                       wire::http_reply&)>;
 
+// How an upstream ends a connection.
+enum class connection_end
+{
+  Close,
+  Reset,
+};
+
 // Headers of the protocol used in the tests.
 inline constexpr std::string_view kTestId = "Id";
 inline constexpr std::string_view kTestKey = "Key";
@@ -44,6 +51,15 @@
   // Adds an upstream to the pool that answers by calling aHandler.
   void AddUpstream(const std::string& aId, upstream_handler aHandler);
 
+  // Adds an upstream that reads the head of a request, sends the bytes that
+  // aScript makes of it and ends the connection.
+  void AddRawUpstream(const std::string& aId,
+                      std::function<std::string(const std::string&)> aScript,
+                      connection_end aEnd);
+
+  // Adds the upstream to the pool at a port on loopback.
+  void AddEntry(const std::string& aId, std::uint16_t aPort);
+
   // Makes a signed answer to a request.
   static wire::http_response SignedAnswer(const wire::http_request& aRequest,
                                           unsigned aStatus,
