Break off a stream that ends inside an event

Cause: an answer may have neither a length nor chunks. The end of its connection then ends the body, and RelayStream took the end of the body for the end of the stream: it appended the splitter's unfinished bytes and wrote the last chunk. The class of fault is a framing signal from one layer taken as proof of completeness at another.

Now the splitter tells whether the stream ends inside an event. Such an answer is Broken however it was framed: its complete events are sent, and it is resumed at another upstream where the route allows it, or the caller's connection is closed without the last chunk. A stream without a length and without any event is broken too, as nothing shows that it is complete. Lines may end with a carriage return alone, as an event there would never have been found complete.

--- a/include/sapphirespar/wire/sse_splitter.hpp
+++ b/include/sapphirespar/wire/sse_splitter.hpp
@@ -26,6 +26,11 @@
   // Takes the next piece of the stream and returns the events it completes.
   sse_events Feed(std::string_view aPiece);
 
+  // Returns whether a stream that ends here was cut inside an event: its last
+  // line has no end, or an event has no blank line after it. Comments and blank
+  // lines are outside events.
+  bool InsideEvent() const;
+
   // Returns the bytes after the last event that Feed returned.
   const std::string& Remainder() const { return mPartial; }
 
--- a/src/sapphirespar/gateway/forward_attempt.cpp
+++ b/src/sapphirespar/gateway/forward_attempt.cpp
@@ -284,8 +284,10 @@
       if (!piece) {
         co_return AnswerLost(piece.error());
       }
-      const bool ends = mStream->Finished();
       auto events = mSplitter.Feed(piece.value());
+      const bool finished = mStream->Finished();
+      const bool cut = finished && IsCut(first && events.mBytes.empty());
+      const bool ends = finished && !cut;
       if (!events.mLastId.empty()) {
         mProgress.mLastEventId = events.mLastId;
       }
@@ -302,13 +304,21 @@
       if (!co_await SendEvents(events.mBytes, ends)) {
         co_return End(attempt_end::CallerDisconnected);
       }
-      if (ends) {
-        mUpstream.mHealth.AddResult(false, steady_clock::now());
-        co_return End(attempt_end::Relayed);
+      if (finished) {
+        mUpstream.mHealth.AddResult(cut, steady_clock::now());
+        co_return cut ? End(attempt_end::Broken, "cut inside an event")
+                      : End(attempt_end::Relayed);
       }
     }
   }
 
+  // Returns whether the stream, read to its end, was broken off.
+  bool IsCut(bool aWithoutEvents) const
+  {
+    const bool closed = mStream->Framing() == wire::body_framing::Close;
+    return mSplitter.InsideEvent() || (aWithoutEvents && closed);
+  }
+
   // Returns false if the caller has disconnected.
   asio::awaitable<bool> SendEvents(const std::string& aBytes, bool aLast)
   {
--- a/src/sapphirespar/wire/sse_splitter.cpp
+++ b/src/sapphirespar/wire/sse_splitter.cpp
@@ -7,18 +7,44 @@
 
 namespace {
 
-// Returns the offset after the blank line that ends the event, or npos.
+constexpr std::string_view kLineEnds = "\r\n";
+
+// Returns the first line of aText with its end, which is a line feed, a
+// carriage return or both. Without one, returns an empty view.
+std::string_view
+FirstLine(std::string_view aText)
+{
+  const auto end = aText.find_first_of(kLineEnds);
+  if (end == std::string_view::npos) {
+    return {};
+  }
+  return aText.substr(0, end + (aText.substr(end, 2) == kLineEnds ? 2 : 1));
+}
+
+bool
+IsBlank(std::string_view aLine)
+{
+  return kLineEnds.find(aLine.front()) != std::string_view::npos;
+}
+
+// Returns the offset after the blank line that ends the event, or npos. Blank
+// lines before the event belong to it.
 std::size_t
 FindEventEnd(std::string_view aText, std::size_t aStart)
 {
-  constexpr std::string_view kBoundary = "\n\n";
-  constexpr std::string_view kCrLfBoundary = "\r\n\r\n";
-  const auto plain = aText.find(kBoundary, aStart);
-  const auto crLf = aText.find(kCrLfBoundary, aStart);
-  if (plain < crLf) {
-    return plain + kBoundary.size();
+  bool inEvent = false;
+  auto position = aStart;
+  while (true) {
+    const auto line = FirstLine(aText.substr(position));
+    if (line.empty()) {
+      return std::string_view::npos;
+    }
+    position += line.size();
+    if (inEvent && IsBlank(line)) {
+      return position;
+    }
+    inEvent = inEvent || !IsBlank(line);
   }
-  return crLf == std::string_view::npos ? crLf : crLf + kCrLfBoundary.size();
 }
 
 // Returns the value of the event's "id" line, or an empty view.
@@ -27,15 +53,13 @@
 {
   constexpr std::string_view kField = "id:";
   while (!aEvent.empty()) {
-    const auto end = aEvent.find('\n');
-    auto line = aEvent.substr(0, end);
+    const auto line = FirstLine(aEvent);
     if (line.starts_with(kField)) {
-      line.remove_prefix(kField.size());
-      line.remove_prefix(std::min(line.find_first_not_of(' '), line.size()));
-      return line.substr(0, line.find('\r'));
+      auto value = line.substr(kField.size());
+      value.remove_prefix(std::min(value.find_first_not_of(' '), value.size()));
+      return value.substr(0, value.find_first_of(kLineEnds));
     }
-    aEvent.remove_prefix(end == std::string_view::npos ? aEvent.size()
-                                                       : end + 1);
+    aEvent.remove_prefix(line.empty() ? aEvent.size() : line.size());
   }
   return {};
 }
@@ -48,6 +72,7 @@
   constexpr std::string_view kDone = "data: [DONE]";
   constexpr std::string_view kData = "data:";
   constexpr std::string_view kDataLine = "\ndata:";
+  constexpr std::string_view kDataLineAfterCr = "\rdata:";
   mPartial += aPiece;
   sse_events result;
   std::size_t start = 0;
@@ -58,8 +83,9 @@
     }
     const auto event = std::string_view(mPartial).substr(start, end - start);
     result.mDone = event.substr(0, event.find_first_of("\r\n")) == kDone;
-    const bool hasData =
-      event.starts_with(kData) || event.find(kDataLine) != event.npos;
+    const bool hasData = event.starts_with(kData) ||
+                         event.find(kDataLine) != event.npos ||
+                         event.find(kDataLineAfterCr) != event.npos;
     result.mCount += hasData && !result.mDone ? 1 : 0;
     const auto id = EventId(event);
     if (!id.empty()) {
@@ -72,4 +98,20 @@
   return result;
 }
 
+bool
+sse_splitter::InsideEvent() const
+{
+  std::string_view rest = mPartial;
+  bool inside = false;
+  while (!rest.empty()) {
+    const auto line = FirstLine(rest);
+    if (line.empty()) {
+      return true;
+    }
+    inside = !IsBlank(line) && (inside || !line.starts_with(':'));
+    rest.remove_prefix(line.size());
+  }
+  return inside;
+}
+
 } // namespace sapphirespar::wire
--- a/src/sapphirespar/wire/sse_splitter_test.cpp
+++ b/src/sapphirespar/wire/sse_splitter_test.cpp
@@ -30,6 +30,43 @@
   EXPECT_EQ(splitter.Remainder(), "id: 9\ndata");
 }
 
+TEST(SseSplitter, TellsWhetherAStreamEndsInsideAnEvent)
+{
+  const auto inside = [](std::string_view aStream) {
+    sse_splitter splitter;
+    splitter.Feed(aStream);
+    return splitter.InsideEvent();
+  };
+  EXPECT_FALSE(inside(""));
+  EXPECT_FALSE(inside("data: a\n\n"));
+  EXPECT_FALSE(inside("data: a\r\n\r\n"));
+  EXPECT_FALSE(inside("data: a\r\r"));
+  EXPECT_FALSE(inside("data: a\n\n\n"));
+  EXPECT_FALSE(inside("data: a\n\n: comment\n"));
+  EXPECT_FALSE(inside("data: [DONE]\n\n"));
+  EXPECT_TRUE(inside("data: a\n"));
+  EXPECT_TRUE(inside("data: a\n\nda"));
+  EXPECT_TRUE(inside("data: a\n\n: comm"));
+  EXPECT_TRUE(inside("data: a\n\nid: 2\n: comment\n"));
+  EXPECT_TRUE(inside("data: a\r\n\r\nid: 2\r\n"));
+}
+
+RC_GTEST_PROP(SseSplitter, TheLineEndsOfAStreamMayDiffer, ())
+{
+  const auto end =
+    *rc::gen::elementOf(std::vector<std::string>{ "\n", "\r\n", "\r" });
+  const auto whole = "id: 1" + end + "data: a" + end + end + end + ": c" + end +
+                     "data: b" + end + "id: 2" + end + end;
+  const auto cut = *rc::gen::inRange<std::size_t>(0, whole.size());
+  sse_splitter splitter;
+  const auto first = splitter.Feed(std::string_view(whole).substr(0, cut));
+  const auto second = splitter.Feed(std::string_view(whole).substr(cut));
+  RC_ASSERT(first.mBytes + second.mBytes + splitter.Remainder() == whole);
+  RC_ASSERT(first.mCount + second.mCount == 2U);
+  RC_ASSERT(second.mLastId == "2" || first.mLastId == "2");
+  RC_ASSERT(!splitter.InsideEvent());
+}
+
 RC_GTEST_PROP(SseSplitter, SplittingTheStreamDoesNotChangeIt, ())
 {
   const std::string whole =
