--- a/src/sapphirespar/gateway/forward_attempt.cpp
+++ b/src/sapphirespar/gateway/forward_attempt.cpp
@@ -1,10 +1,10 @@
 // One attempt to have a request answered by one upstream.
+#include "attempt_learning.hpp"
 #include "forward_state.hpp"
 
 #include "sapphirespar/wire/sse_splitter.hpp"
 
 #include <algorithm>
-#include <array>
 
 namespace sapphirespar::gateway {
 namespace {
@@ -12,10 +12,6 @@
 using std::chrono::milliseconds;
 using std::chrono::steady_clock;
 
-// A first event tells the engine's speed if at most this share of its predicted
-// time is spent on other requests.
-constexpr double kUndisturbedShare = 0.15;
-
 bool
 IsEventStream(const wire::http_response& aHead)
 {
@@ -36,6 +32,7 @@
     , mUpstream(*aTarget.mUpstream)
     , mReply(aReply)
     , mProgress(aProgress)
+    , mLearning(aServices, aForwarded, aTarget)
   {
   }
 
@@ -230,50 +227,7 @@
       mTarget.mReservation->OnFirstEvent();
     }
     mUpstream.mPrefixCache.Add(mTarget.mShared, now);
-    if (mForwarded.mEngine) {
-      const std::chrono::duration<double, std::milli> took = now - mStarted;
-      mUpstream.mHealth.AddDelay(took.count() - mTarget.mPredictedMs, now);
-      LearnFirstEvent(took.count());
-    }
-  }
-
-  // Corrects the model of the engines by a request that hardly waited for
-  // others.
-  void LearnFirstEvent(double aTookMs)
-  {
-    if (mTarget.mQueueingMs > kUndisturbedShare * mTarget.mPredictedMs) {
-      return;
-    }
-    // Whether another gateway's request has brought the rest of the prefix into
-    // the cache is not known.
-    if (mTarget.mCachedTokens >= mTarget.mSharedTokens) {
-      mServices.mModels.Of(mForwarded.mPool)
-        .AddFirstEvent(mForwarded.mInfo.mPromptTokens - mTarget.mCachedTokens,
-                       aTookMs);
-    }
-  }
-
-  // Corrects the model of the engines by the gaps between events.
-  void LearnGap(steady_time aNow)
-  {
-    if (!mForwarded.mEngine) {
-      return;
-    }
-    if (mLastEventAt) {
-      const std::chrono::duration<double, std::milli> gap =
-        aNow - *mLastEventAt;
-      std::shift_left(mGaps.begin(), mGaps.end(), 1);
-      mGaps.back() = gap.count();
-      if (mGaps.front() > 0) {
-        auto load = mUpstream.mOwnLoad;
-        load += mUpstream.mPeerLoad;
-        mServices.mModels.Of(mForwarded.mPool)
-          .AddGaps(mGaps,
-                   mForwarded.mEngine->mTokensPerEvent,
-                   static_cast<unsigned>(std::max(load.mRunning, 1)));
-      }
-    }
-    mLastEventAt = aNow;
+    mLearning.OnFirstEvent(now);
   }
 
   asio::awaitable<attempt_result> RelayStream()
@@ -299,7 +253,7 @@
         RecordFirstEvent();
       }
       if (!events.mBytes.empty()) {
-        LearnGap(steady_clock::now());
+        mLearning.OnEvents(steady_clock::now());
       }
       if (!co_await SendEvents(events.mBytes, ends)) {
         co_return End(attempt_end::CallerDisconnected);
@@ -345,11 +299,7 @@
   upstream& mUpstream;
   wire::http_reply& mReply;
   relay_progress& mProgress;
-  const steady_time mStarted = steady_clock::now();
-  // When the latest events arrived; unset before the first. And the latest gaps
-  // between events in milliseconds, oldest first; zero for each missing one.
-  std::optional<steady_time> mLastEventAt;
-  std::array<double, policy::engine_model::kGaps> mGaps{};
+  attempt_learning mLearning;
   wire::sse_splitter mSplitter;
   // Null until the head of an answer has arrived.
   wire::http_stream_ptr mStream;
