Keep what is known of an upstream while its entry is missing

An entry may be missing from a list although its upstream runs on, for example after an outage of the store. Listed again, the incarnation got a new object: its health, the load of its running requests and what it had said of itself were lost. Removed incarnations are remembered, up to 1,024, and taken up again. Needed for upstreams that say that they leave or turn requests away.

--- a/include/sapphirespar/gateway/upstream_directory.hpp
+++ b/include/sapphirespar/gateway/upstream_directory.hpp
@@ -53,8 +53,13 @@
   policy::upstream_load mPeerLoad;
   policy::passive_health mHealth;
   prefix_cache_estimate mPrefixCache;
+  // The upstream has stated that it is shutting down; never reset.
+  bool mLeaving = false;
+  // The upstream wants no request from this gateway until then.
+  steady_time mTurnsAwayUntil{};
 
-  bool TakesWork() const { return !mRemoved && !mEntry.mDraining; }
+  bool TakesWork() const { return !mRemoved && !mEntry.mDraining && !mLeaving; }
+  bool TurnsAway(steady_time aNow) const { return aNow < mTurnsAwayUntil; }
 };
 
 using upstream_ptr = std::shared_ptr<upstream>;
@@ -111,7 +116,8 @@
 class upstream_directory
 {
 public:
-  // Replaces the known upstreams by a new list.
+  // Replaces the known upstreams by a new list. An incarnation that is listed
+  // again keeps what was known of it.
   directory_change ApplyList(std::span<const upstream_entry> aEntries,
                              list_completeness aCompleteness);
 
@@ -148,6 +154,9 @@
   std::size_t Size() const { return mUpstreams.size(); }
 
 private:
+  // Returns the former object of the incarnation, or a new one.
+  upstream_ptr MakeUpstream(const upstream_entry& aEntry, std::uint64_t aKey);
+  void KeepFormer(upstream_ptr aUpstream);
   void Remove(upstream_id aId, directory_change& aChange);
   std::uint64_t MakeDigest() const;
 
@@ -161,6 +170,8 @@
   };
 
   std::map<upstream_id, upstream_ptr> mUpstreams;
+  // Incarnations that were removed, the latest last; limited in number.
+  std::deque<upstream_ptr> mFormer;
   // The latest changes in order; the last one led to mDigest.
   std::deque<step> mSteps;
   // Digest of mUpstreams.
--- a/src/sapphirespar/gateway/upstream_directory.cpp
+++ b/src/sapphirespar/gateway/upstream_directory.cpp
@@ -24,6 +24,9 @@
 // a service is being replaced there are several changes a second.
 constexpr std::size_t kMaximumSteps = 64;
 
+// Number of removed incarnations that are remembered.
+constexpr std::size_t kMaximumFormer = 1024;
+
 std::uint64_t
 KeyOf(const upstream_entry& aEntry)
 {
@@ -119,12 +122,10 @@
     }
     newStep.mChangedIds.insert(entry.mId);
     if (known) {
-      known->mRemoved = true;
       change.mRemoved.push_back(entry.mId);
+      KeepFormer(std::move(known));
     }
-    known = std::make_shared<upstream>();
-    known->mEntry = entry;
-    known->mKey = key;
+    known = MakeUpstream(entry, key);
     change.mAdded.push_back(entry.mId);
   }
   std::vector<upstream_id> missing;
@@ -199,11 +200,39 @@
   return list;
 }
 
+upstream_ptr
+upstream_directory::MakeUpstream(const upstream_entry& aEntry,
+                                 std::uint64_t aKey)
+{
+  const auto former = std::ranges::find(
+    mFormer, aKey, [](const auto& aUpstream) { return aUpstream->mKey; });
+  auto result = std::make_shared<upstream>();
+  if (former != mFormer.end()) {
+    result = std::move(*former);
+    mFormer.erase(former);
+  }
+  result->mEntry = aEntry;
+  result->mKey = aKey;
+  result->mRemoved = false;
+  return result;
+}
+
+void
+upstream_directory::KeepFormer(upstream_ptr aUpstream)
+{
+  aUpstream->mRemoved = true;
+  aUpstream->mPrefixCache = {};
+  mFormer.push_back(std::move(aUpstream));
+  if (mFormer.size() > kMaximumFormer) {
+    mFormer.pop_front();
+  }
+}
+
 void
 upstream_directory::Remove(upstream_id aId, directory_change& aChange)
 {
   const auto found = mUpstreams.find(aId);
-  found->second->mRemoved = true;
+  KeepFormer(std::move(found->second));
   mUpstreams.erase(found);
   aChange.mRemoved.push_back(std::move(aId));
 }
--- a/src/sapphirespar/gateway/upstream_directory_test.cpp
+++ b/src/sapphirespar/gateway/upstream_directory_test.cpp
@@ -4,6 +4,9 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <memory>
+
 namespace sapphirespar::gateway {
 namespace {
 
@@ -62,6 +65,38 @@
   EXPECT_TRUE(Names(directory).empty());
 }
 
+TEST(UpstreamDirectory, AnIncarnationListedAgainKeepsItsState)
+{
+  upstream_directory directory;
+  const std::vector entries{ Entry("a"), Entry("b") };
+  directory.ApplyList(entries, list_completeness::Complete);
+  const auto first = directory.Members("engines").front();
+  policy::upstream_load load;
+  load.mRunning = 1;
+  const load_reservation reservation(first, load);
+  first->mTurnsAwayUntil = steady_time{ 9s };
+  directory.ApplyList(std::vector{ Entry("b") }, list_completeness::Complete);
+  EXPECT_TRUE(first->mRemoved);
+  directory.ApplyList(entries, list_completeness::Complete);
+  EXPECT_FALSE(first->mRemoved);
+  EXPECT_EQ(directory.Members("engines").front(), first);
+  EXPECT_EQ(directory.OwnLoads().size(), 1U);
+}
+
+TEST(UpstreamDirectory, RemembersALimitedNumberOfRemovedUpstreams)
+{
+  upstream_directory directory;
+  std::vector<std::weak_ptr<upstream>> seen;
+  for (int count = 0; count < 3000; ++count) {
+    directory.ApplyList(std::vector{ Entry("a", count + 1) },
+                        list_completeness::Complete);
+    seen.push_back(directory.Members("engines").front());
+  }
+  const auto kept = std::ranges::count_if(
+    seen, [](const auto& aUpstream) { return !aUpstream.expired(); });
+  EXPECT_EQ(kept, 1025);
+}
+
 TEST(UpstreamDirectory, ARestartedUpstreamStartsWithEmptyState)
 {
   upstream_directory directory;
