Send no request to an upstream that says it is leaving

Some upstreams never report that they drain; from now on they say in every answer that they leave. Nothing read that header, and requests kept going there until the entry was removed: the tests ALeavingUpstreamGetsNoLaterRequest, AnUpstreamLeavesAlsoByAStreamOrARefusal and LeavingIsRememberedWhileTheEntryIsMissing failed (10 of 10 requests reached the leaving upstream).

The incarnation takes no new request, whatever its entry says and however often it is listed again; a new incarnation at the address does. Requests in progress end as before. Other gateways learn it by gossip while the upstream is listed.

--- a/idl/gossip.thrift
+++ b/idl/gossip.thrift
@@ -55,4 +55,7 @@
   // Sent only by relays: the loads of their own data centre to relays of other
   // data centres, and the loads of other data centres to gateways of their own.
   21: list<gossip_zone> zones;
+  // Upstreams, identified as in the loads, that have stated that they are
+  // shutting down.
+  22: list<i64> leaving_upstreams;
 }
--- a/include/sapphirespar/gateway/protocol.hpp
+++ b/include/sapphirespar/gateway/protocol.hpp
@@ -70,6 +70,11 @@
   bool mSigned = false;
   // The upstream states that it has not run the request and never will.
   bool mNotRun = false;
+  // The upstream states that it is shutting down.
+  bool mLeaving = false;
+  // How long the upstream, which is overloaded, wants no request from this
+  // gateway; at most an hour.
+  std::optional<std::chrono::milliseconds> mRetryAfter = std::nullopt;
 };
 
 // An address where a gateway accepts connections.
--- a/include/sapphirespar/gateway/upstream_directory.hpp
+++ b/include/sapphirespar/gateway/upstream_directory.hpp
@@ -121,6 +121,15 @@
   directory_change ApplyList(std::span<const upstream_entry> aEntries,
                              list_completeness aCompleteness);
 
+  // Records that an incarnation has stated that it is shutting down, which it
+  // cannot take back. aSource says where from, for the log. Without effect for
+  // an unknown one.
+  void NoteLeaving(std::uint64_t aKey, std::string_view aSource);
+
+  // The latest incarnations that have said so and are still listed, for other
+  // gateways. Limited in number.
+  std::vector<std::uint64_t> Leaving() const;
+
   // Sets the load from other gateways. aLoads is by upstream key; an upstream
   // without an entry has no such load.
   void SetPeerLoads(
@@ -176,6 +185,8 @@
   std::deque<step> mSteps;
   // Digest of mUpstreams.
   std::uint64_t mDigest = 0;
+  // The latest incarnations with mLeaving, the last one at the back.
+  std::deque<std::uint64_t> mLeaving;
 };
 
 } // namespace sapphirespar::gateway
--- a/include/sapphirespar/model/gossip.hpp
+++ b/include/sapphirespar/model/gossip.hpp
@@ -78,6 +78,9 @@
   std::uint32_t mProcessor = 0;
   // Unset before the first read.
   std::optional<store_summary> mStore;
+  // Upstreams, identified as in mLoads, that have stated to the sender or to
+  // others that they are shutting down.
+  std::vector<std::uint64_t> mLeavingUpstreams;
   // Loads of data centres that a relay forwards; see gateway/gossip_plan.hpp.
   std::vector<data_centre_loads> mDataCentreLoads;
 
--- a/src/sapphirespar/gateway/forward_attempt.cpp
+++ b/src/sapphirespar/gateway/forward_attempt.cpp
@@ -138,6 +138,9 @@
       const auto& head = mStream->Head();
       const auto info =
         mServices.mProtocol.mReadAnswer(head.mStatus, head.mHeaders);
+      if (info.mLeaving) {
+        mServices.mUpstreams.NoteLeaving(mUpstream.mKey, "answer");
+      }
       const auto kind =
         ClassifyAnswer(head.mStatus, info, mForwarded.mInfo.mId);
       if (kind != answer_kind::Foreign) {
--- a/src/sapphirespar/gateway/forward_fixture_test.cpp
+++ b/src/sapphirespar/gateway/forward_fixture_test.cpp
@@ -63,6 +63,11 @@
   info.mRequestId = wire::FindHeader(aHeaders, kTestId);
   info.mSigned = !wire::FindHeader(aHeaders, kTestSigned).empty();
   info.mNotRun = !wire::FindHeader(aHeaders, kTestNotRun).empty();
+  info.mLeaving = !wire::FindHeader(aHeaders, kTestLeaving).empty();
+  const auto retryAfter = wire::FindHeader(aHeaders, kTestRetryAfter);
+  if (!retryAfter.empty()) {
+    info.mRetryAfter = std::chrono::milliseconds(ToUnsigned(retryAfter));
+  }
   return info;
 }
 
--- a/src/sapphirespar/gateway/forward_fixture_test.hpp
+++ b/src/sapphirespar/gateway/forward_fixture_test.hpp
@@ -36,6 +36,9 @@
 inline constexpr std::string_view kTestDeadline = "Deadline";
 inline constexpr std::string_view kTestExpected = "Expected";
 inline constexpr std::string_view kTestTokens = "Tokens";
+inline constexpr std::string_view kTestLeaving = "Leaving";
+// In milliseconds.
+inline constexpr std::string_view kTestRetryAfter = "Come-Back";
 
 protocol TestProtocol();
 
--- a/src/sapphirespar/gateway/gateway_app.cpp
+++ b/src/sapphirespar/gateway/gateway_app.cpp
@@ -340,6 +340,9 @@
   hooks.mSelf = [this] { return OwnState(); };
   hooks.mReceived = [this](const gossip_state& aState) {
     mLoadsStale = true;
+    for (const auto key : aState.mLeavingUpstreams) {
+      mUpstreams.NoteLeaving(key, "peer");
+    }
     if (aState.mStore) {
       mReader.OnPeerSummary(*aState.mStore);
     }
@@ -379,6 +382,7 @@
   own.mLeaving = IsLeaving();
   own.mStore = mReader.Summary();
   own.mLoads = mUpstreams.OwnLoads();
+  own.mLeavingUpstreams = mUpstreams.Leaving();
   const auto prefill = mPrefill.Demand(mTimers.Now());
   own.mInteractivePrefill = ToThousandths(prefill.mInteractive.mPrefill);
   own.mProcessor = ToThousandths(mSettings.mProcessor);
--- a/src/sapphirespar/gateway/upstream_directory.cpp
+++ b/src/sapphirespar/gateway/upstream_directory.cpp
@@ -2,6 +2,8 @@
 // load.
 #include "sapphirespar/gateway/upstream_directory.hpp"
 
+#include "sapphirespar/base/log.hpp"
+
 #include <xxhash.h>
 
 #include <algorithm>
@@ -24,6 +26,9 @@
 // a service is being replaced there are several changes a second.
 constexpr std::size_t kMaximumSteps = 64;
 
+// Number of leaving incarnations that other gateways are told of.
+constexpr std::size_t kSentLeaving = 64;
+
 // Number of removed incarnations that are remembered.
 constexpr std::size_t kMaximumFormer = 1024;
 
@@ -264,6 +269,44 @@
   return digest;
 }
 
+void
+upstream_directory::NoteLeaving(std::uint64_t aKey, std::string_view aSource)
+{
+  if (std::ranges::find(mLeaving, aKey) != mLeaving.end()) {
+    return;
+  }
+  const auto hasKey = [aKey](const auto& aItem) {
+    return aItem.second->mKey == aKey;
+  };
+  const auto found = std::ranges::find_if(mUpstreams, hasKey);
+  if (found == mUpstreams.end() || found->second->mLeaving) {
+    return;
+  }
+  found->second->mLeaving = true;
+  mLeaving.push_back(aKey);
+  if (mLeaving.size() > kSentLeaving) {
+    mLeaving.pop_front();
+  }
+  LogEvent(log_level::Info,
+           "upstream_leaving",
+           { { "upstream", found->first.mText }, { "source", aSource } });
+}
+
+std::vector<std::uint64_t>
+upstream_directory::Leaving() const
+{
+  std::vector<std::uint64_t> listed;
+  if (mLeaving.empty()) {
+    return listed;
+  }
+  for (const auto& [id, known] : mUpstreams) {
+    if (std::ranges::find(mLeaving, known->mKey) != mLeaving.end()) {
+      listed.push_back(known->mKey);
+    }
+  }
+  return listed;
+}
+
 void
 upstream_directory::SetPeerLoads(
   const std::unordered_map<std::uint64_t, policy::upstream_load>& aLoads)
--- a/src/sapphirespar/wire/gen/gossip_types.cpp
+++ b/src/sapphirespar/wire/gen/gossip_types.cpp
@@ -467,6 +467,10 @@
 void gossip_state::__set_zones(const std::vector<gossip_zone> & val) {
   this->zones = val;
 }
+
+void gossip_state::__set_leaving_upstreams(const std::vector<int64_t> & val) {
+  this->leaving_upstreams = val;
+}
 std::ostream& operator<<(std::ostream& out, const gossip_state& obj)
 {
   obj.printTo(out);
@@ -679,6 +683,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 22:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->leaving_upstreams.clear();
+            uint32_t _size24;
+            ::apache::thrift::protocol::TType _etype27;
+            xfer += iprot->readListBegin(_etype27, _size24);
+            this->leaving_upstreams.resize(_size24);
+            uint32_t _i28;
+            for (_i28 = 0; _i28 < _size24; ++_i28)
+            {
+              xfer += iprot->readI64(this->leaving_upstreams[_i28]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.leaving_upstreams = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -735,10 +759,10 @@
   xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 11);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
-    std::vector<gossip_load> ::const_iterator _iter24;
-    for (_iter24 = this->loads.begin(); _iter24 != this->loads.end(); ++_iter24)
+    std::vector<gossip_load> ::const_iterator _iter29;
+    for (_iter29 = this->loads.begin(); _iter29 != this->loads.end(); ++_iter29)
     {
-      xfer += (*_iter24).write(oprot);
+      xfer += (*_iter29).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -783,10 +807,22 @@
   xfer += oprot->writeFieldBegin("zones", ::apache::thrift::protocol::T_LIST, 21);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->zones.size()));
-    std::vector<gossip_zone> ::const_iterator _iter25;
-    for (_iter25 = this->zones.begin(); _iter25 != this->zones.end(); ++_iter25)
+    std::vector<gossip_zone> ::const_iterator _iter30;
+    for (_iter30 = this->zones.begin(); _iter30 != this->zones.end(); ++_iter30)
+    {
+      xfer += (*_iter30).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("leaving_upstreams", ::apache::thrift::protocol::T_LIST, 22);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->leaving_upstreams.size()));
+    std::vector<int64_t> ::const_iterator _iter31;
+    for (_iter31 = this->leaving_upstreams.begin(); _iter31 != this->leaving_upstreams.end(); ++_iter31)
     {
-      xfer += (*_iter25).write(oprot);
+      xfer += oprot->writeI64((*_iter31));
     }
     xfer += oprot->writeListEnd();
   }
@@ -819,101 +855,106 @@
   swap(a.bulk_reading, b.bulk_reading);
   swap(a.processor, b.processor);
   swap(a.zones, b.zones);
+  swap(a.leaving_upstreams, b.leaving_upstreams);
   swap(a.__isset, b.__isset);
 }
 
-gossip_state::gossip_state(const gossip_state& other26) {
-  vm = other26.vm;
-  incarnation = other26.incarnation;
-  sequence = other26.sequence;
-  data_centre = other26.data_centre;
-  address = other26.address;
-  caller_port = other26.caller_port;
-  admin_port = other26.admin_port;
-  ready = other26.ready;
-  leaving = other26.leaving;
-  loads = other26.loads;
-  asks = other26.asks;
-  answers = other26.answers;
-  routing_age_ms = other26.routing_age_ms;
-  routing_revision = other26.routing_revision;
-  upstreams_age_ms = other26.upstreams_age_ms;
-  upstreams_digest = other26.upstreams_digest;
-  interactive_reading = other26.interactive_reading;
-  bulk_reading = other26.bulk_reading;
-  processor = other26.processor;
-  zones = other26.zones;
-  __isset = other26.__isset;
-}
-gossip_state::gossip_state(gossip_state&& other27) noexcept {
-  vm = std::move(other27.vm);
-  incarnation = other27.incarnation;
-  sequence = other27.sequence;
-  data_centre = std::move(other27.data_centre);
-  address = std::move(other27.address);
-  caller_port = other27.caller_port;
-  admin_port = other27.admin_port;
-  ready = other27.ready;
-  leaving = other27.leaving;
-  loads = std::move(other27.loads);
-  asks = other27.asks;
-  answers = other27.answers;
-  routing_age_ms = other27.routing_age_ms;
-  routing_revision = other27.routing_revision;
-  upstreams_age_ms = other27.upstreams_age_ms;
-  upstreams_digest = other27.upstreams_digest;
-  interactive_reading = other27.interactive_reading;
-  bulk_reading = other27.bulk_reading;
-  processor = other27.processor;
-  zones = std::move(other27.zones);
-  __isset = other27.__isset;
-}
-gossip_state& gossip_state::operator=(const gossip_state& other28) {
-  vm = other28.vm;
-  incarnation = other28.incarnation;
-  sequence = other28.sequence;
-  data_centre = other28.data_centre;
-  address = other28.address;
-  caller_port = other28.caller_port;
-  admin_port = other28.admin_port;
-  ready = other28.ready;
-  leaving = other28.leaving;
-  loads = other28.loads;
-  asks = other28.asks;
-  answers = other28.answers;
-  routing_age_ms = other28.routing_age_ms;
-  routing_revision = other28.routing_revision;
-  upstreams_age_ms = other28.upstreams_age_ms;
-  upstreams_digest = other28.upstreams_digest;
-  interactive_reading = other28.interactive_reading;
-  bulk_reading = other28.bulk_reading;
-  processor = other28.processor;
-  zones = other28.zones;
-  __isset = other28.__isset;
+gossip_state::gossip_state(const gossip_state& other32) {
+  vm = other32.vm;
+  incarnation = other32.incarnation;
+  sequence = other32.sequence;
+  data_centre = other32.data_centre;
+  address = other32.address;
+  caller_port = other32.caller_port;
+  admin_port = other32.admin_port;
+  ready = other32.ready;
+  leaving = other32.leaving;
+  loads = other32.loads;
+  asks = other32.asks;
+  answers = other32.answers;
+  routing_age_ms = other32.routing_age_ms;
+  routing_revision = other32.routing_revision;
+  upstreams_age_ms = other32.upstreams_age_ms;
+  upstreams_digest = other32.upstreams_digest;
+  interactive_reading = other32.interactive_reading;
+  bulk_reading = other32.bulk_reading;
+  processor = other32.processor;
+  zones = other32.zones;
+  leaving_upstreams = other32.leaving_upstreams;
+  __isset = other32.__isset;
+}
+gossip_state::gossip_state(gossip_state&& other33) noexcept {
+  vm = std::move(other33.vm);
+  incarnation = other33.incarnation;
+  sequence = other33.sequence;
+  data_centre = std::move(other33.data_centre);
+  address = std::move(other33.address);
+  caller_port = other33.caller_port;
+  admin_port = other33.admin_port;
+  ready = other33.ready;
+  leaving = other33.leaving;
+  loads = std::move(other33.loads);
+  asks = other33.asks;
+  answers = other33.answers;
+  routing_age_ms = other33.routing_age_ms;
+  routing_revision = other33.routing_revision;
+  upstreams_age_ms = other33.upstreams_age_ms;
+  upstreams_digest = other33.upstreams_digest;
+  interactive_reading = other33.interactive_reading;
+  bulk_reading = other33.bulk_reading;
+  processor = other33.processor;
+  zones = std::move(other33.zones);
+  leaving_upstreams = std::move(other33.leaving_upstreams);
+  __isset = other33.__isset;
+}
+gossip_state& gossip_state::operator=(const gossip_state& other34) {
+  vm = other34.vm;
+  incarnation = other34.incarnation;
+  sequence = other34.sequence;
+  data_centre = other34.data_centre;
+  address = other34.address;
+  caller_port = other34.caller_port;
+  admin_port = other34.admin_port;
+  ready = other34.ready;
+  leaving = other34.leaving;
+  loads = other34.loads;
+  asks = other34.asks;
+  answers = other34.answers;
+  routing_age_ms = other34.routing_age_ms;
+  routing_revision = other34.routing_revision;
+  upstreams_age_ms = other34.upstreams_age_ms;
+  upstreams_digest = other34.upstreams_digest;
+  interactive_reading = other34.interactive_reading;
+  bulk_reading = other34.bulk_reading;
+  processor = other34.processor;
+  zones = other34.zones;
+  leaving_upstreams = other34.leaving_upstreams;
+  __isset = other34.__isset;
   return *this;
 }
-gossip_state& gossip_state::operator=(gossip_state&& other29) noexcept {
-  vm = std::move(other29.vm);
-  incarnation = other29.incarnation;
-  sequence = other29.sequence;
-  data_centre = std::move(other29.data_centre);
-  address = std::move(other29.address);
-  caller_port = other29.caller_port;
-  admin_port = other29.admin_port;
-  ready = other29.ready;
-  leaving = other29.leaving;
-  loads = std::move(other29.loads);
-  asks = other29.asks;
-  answers = other29.answers;
-  routing_age_ms = other29.routing_age_ms;
-  routing_revision = other29.routing_revision;
-  upstreams_age_ms = other29.upstreams_age_ms;
-  upstreams_digest = other29.upstreams_digest;
-  interactive_reading = other29.interactive_reading;
-  bulk_reading = other29.bulk_reading;
-  processor = other29.processor;
-  zones = std::move(other29.zones);
-  __isset = other29.__isset;
+gossip_state& gossip_state::operator=(gossip_state&& other35) noexcept {
+  vm = std::move(other35.vm);
+  incarnation = other35.incarnation;
+  sequence = other35.sequence;
+  data_centre = std::move(other35.data_centre);
+  address = std::move(other35.address);
+  caller_port = other35.caller_port;
+  admin_port = other35.admin_port;
+  ready = other35.ready;
+  leaving = other35.leaving;
+  loads = std::move(other35.loads);
+  asks = other35.asks;
+  answers = other35.answers;
+  routing_age_ms = other35.routing_age_ms;
+  routing_revision = other35.routing_revision;
+  upstreams_age_ms = other35.upstreams_age_ms;
+  upstreams_digest = other35.upstreams_digest;
+  interactive_reading = other35.interactive_reading;
+  bulk_reading = other35.bulk_reading;
+  processor = other35.processor;
+  zones = std::move(other35.zones);
+  leaving_upstreams = std::move(other35.leaving_upstreams);
+  __isset = other35.__isset;
   return *this;
 }
 void gossip_state::printTo(std::ostream& out) const {
@@ -939,6 +980,7 @@
   out << ", " << "bulk_reading=" << to_string(bulk_reading);
   out << ", " << "processor=" << to_string(processor);
   out << ", " << "zones=" << to_string(zones);
+  out << ", " << "leaving_upstreams=" << to_string(leaving_upstreams);
   out << ")";
 }
 
--- a/src/sapphirespar/wire/gen/gossip_types.h
+++ b/src/sapphirespar/wire/gen/gossip_types.h
@@ -160,7 +160,7 @@
 std::ostream& operator<<(std::ostream& out, const gossip_zone& obj);
 
 typedef struct _gossip_state__isset {
-  _gossip_state__isset() : vm(false), incarnation(false), sequence(false), data_centre(false), address(false), caller_port(false), admin_port(false), ready(false), leaving(false), loads(false), asks(false), answers(false), routing_age_ms(false), routing_revision(false), upstreams_age_ms(false), upstreams_digest(false), interactive_reading(false), bulk_reading(false), processor(false), zones(false) {}
+  _gossip_state__isset() : vm(false), incarnation(false), sequence(false), data_centre(false), address(false), caller_port(false), admin_port(false), ready(false), leaving(false), loads(false), asks(false), answers(false), routing_age_ms(false), routing_revision(false), upstreams_age_ms(false), upstreams_digest(false), interactive_reading(false), bulk_reading(false), processor(false), zones(false), leaving_upstreams(false) {}
   bool vm :1;
   bool incarnation :1;
   bool sequence :1;
@@ -181,6 +181,7 @@
   bool bulk_reading :1;
   bool processor :1;
   bool zones :1;
+  bool leaving_upstreams :1;
 } _gossip_state__isset;
 
 class gossip_state : public virtual ::apache::thrift::TBase {
@@ -232,6 +233,7 @@
   int32_t bulk_reading;
   int32_t processor;
   std::vector<gossip_zone>  zones;
+  std::vector<int64_t>  leaving_upstreams;
 
   _gossip_state__isset __isset;
 
@@ -275,6 +277,8 @@
 
   void __set_zones(const std::vector<gossip_zone> & val);
 
+  void __set_leaving_upstreams(const std::vector<int64_t> & val);
+
   bool operator == (const gossip_state & rhs) const
   {
     if (!(vm == rhs.vm))
@@ -317,6 +321,8 @@
       return false;
     if (!(zones == rhs.zones))
       return false;
+    if (!(leaving_upstreams == rhs.leaving_upstreams))
+      return false;
     return true;
   }
   bool operator != (const gossip_state &rhs) const {
--- a/src/sapphirespar/wire/gossip_codec.cpp
+++ b/src/sapphirespar/wire/gossip_codec.cpp
@@ -119,6 +119,10 @@
   std::ranges::transform(aState.mDataCentreLoads,
                          std::back_inserter(state.zones),
                          ToWireDataCentreLoads);
+  std::ranges::transform(
+    aState.mLeavingUpstreams,
+    std::back_inserter(state.leaving_upstreams),
+    [](std::uint64_t aKey) { return static_cast<std::int64_t>(aKey); });
   state.routing_age_ms = -1;
   if (aState.mStore) {
     const auto& store = *aState.mStore;
@@ -170,6 +174,10 @@
   std::ranges::transform(state.zones,
                          std::back_inserter(read.mDataCentreLoads),
                          FromWireDataCentreLoads);
+  std::ranges::transform(
+    state.leaving_upstreams,
+    std::back_inserter(read.mLeavingUpstreams),
+    [](std::int64_t aKey) { return static_cast<std::uint64_t>(aKey); });
   read.mWantsReply = state.asks;
   read.mInteractivePrefill = ClampNegativeToZero(state.interactive_reading);
   read.mBulkPrefill = ClampNegativeToZero(state.bulk_reading);
--- a/src/sapphirespar/wire/gossip_codec_test.cpp
+++ b/src/sapphirespar/wire/gossip_codec_test.cpp
@@ -29,6 +29,7 @@
   state.mInteractivePrefill = 250;
   state.mBulkPrefill = 1400;
   state.mProcessor = 250;
+  state.mLeavingUpstreams = { 4, 0xfffffffffffffff1ULL };
   state.mStore = store_summary{ std::chrono::milliseconds(20),
                                 9,
                                 std::chrono::milliseconds(30),
