Leave an upstream alone for the time that its 503 names

An upstream's 503 may carry Retry-After; it then wants nothing from this gateway for so long. Nothing read it: with another upstream at hand the refusing one was tried again by most requests, and when all refused, callers were told to return after 0.5 s or 1 s whatever the upstreams had said (AnUpstreamThatTurnsAwayIsLeftAloneForItsTime and CallersAreToldWhenTheFirstUpstreamReturns failed).

Such an upstream is no candidate until the time is over, for first attempts, retries and resumed streams alike; there are no other calls to upstreams. When all upstreams of a pool turn requests away, the request is refused at once, with the time until the first of them returns.

--- a/src/sapphirespar/gateway/forward.cpp
+++ b/src/sapphirespar/gateway/forward.cpp
@@ -328,6 +328,9 @@
     if (mProgress.mMayHaveRun) {
       return { 502, aReason };
     }
+    if (const auto left = TimeUntilTaken(mServices, mForwarded.mPool)) {
+      return { 503, "all_turn_away", *left };
+    }
     return { 503, aReason, aRetryAfter };
   }
 
--- a/src/sapphirespar/gateway/forward_attempt.cpp
+++ b/src/sapphirespar/gateway/forward_attempt.cpp
@@ -2,6 +2,7 @@
 #include "attempt_learning.hpp"
 #include "forward_state.hpp"
 
+#include "sapphirespar/base/log.hpp"
 #include "sapphirespar/wire/sse_splitter.hpp"
 
 #include <algorithm>
@@ -141,6 +142,9 @@
       if (info.mLeaving) {
         mServices.mUpstreams.NoteLeaving(mUpstream.mKey, "answer");
       }
+      if (info.mRetryAfter) {
+        TurnAwayFor(*info.mRetryAfter);
+      }
       const auto kind =
         ClassifyAnswer(head.mStatus, info, mForwarded.mInfo.mId);
       if (kind != answer_kind::Foreign) {
@@ -153,6 +157,18 @@
     }
   }
 
+  // Sends no further request to the upstream for this long.
+  void TurnAwayFor(milliseconds aTime)
+  {
+    const auto until = steady_clock::now() + aTime;
+    mUpstream.mTurnsAwayUntil = std::max(mUpstream.mTurnsAwayUntil, until);
+    LogEvent(log_level::Info,
+             "upstream_turns_away",
+             { { "request", mForwarded.mInfo.mId },
+               { "upstream", mUpstream.mEntry.mId.mText },
+               { "for_ms", aTime.count() } });
+  }
+
   asio::awaitable<attempt_result> HandleAnswer(answer_kind aKind)
   {
     const auto now = steady_clock::now();
--- a/src/sapphirespar/gateway/placement.cpp
+++ b/src/sapphirespar/gateway/placement.cpp
@@ -36,6 +36,9 @@
     return std::ranges::find(aTried, aMember) != aTried.end();
   });
   const auto now = std::chrono::steady_clock::now();
+  std::erase_if(members, [&](const upstream_ptr& aMember) {
+    return aMember->TurnsAway(now);
+  });
   const auto blocked = [&](const upstream_ptr& aMember) {
     return aMember->mHealth.IsInBackoff(now);
   };
@@ -232,6 +235,19 @@
   return target;
 }
 
+std::optional<milliseconds>
+TimeUntilTaken(const forward_services& aServices, std::string_view aPool)
+{
+  const auto now = std::chrono::steady_clock::now();
+  const auto members = aServices.mUpstreams.Members(aPool);
+  const auto first = std::ranges::min_element(
+    members, {}, [](const auto& aMember) { return aMember->mTurnsAwayUntil; });
+  if (first == members.end() || !(*first)->TurnsAway(now)) {
+    return std::nullopt;
+  }
+  return std::chrono::ceil<milliseconds>((*first)->mTurnsAwayUntil - now);
+}
+
 milliseconds
 CallerPatience(const route& aRoute)
 {
--- a/src/sapphirespar/gateway/placement.hpp
+++ b/src/sapphirespar/gateway/placement.hpp
@@ -3,7 +3,9 @@
 
 #include "forward_state.hpp"
 
+#include <optional>
 #include <span>
+#include <string_view>
 
 namespace sapphirespar::gateway {
 
@@ -14,6 +16,12 @@
   const forwarded_request& aForwarded,
   std::span<const upstream_ptr> aTried);
 
+// Returns the time until the first upstream of the pool takes requests again,
+// if all of them turn requests away.
+std::optional<std::chrono::milliseconds> TimeUntilTaken(
+  const forward_services& aServices,
+  std::string_view aPool);
+
 // Longest time that a caller is expected to wait for the first event of a
 // stream, or for the complete answer of a plain request.
 std::chrono::milliseconds CallerPatience(const route& aRoute);
