Follow a store that comes back from an older copy

The store may lose its last seconds and give revisions out again. The gateway compared revisions: a routing written again under a lower or a reissued revision never came into force, or the former one was confirmed as the newest, so that a revoked key stayed good; upstreams that had drained or left came back, and those that had just registered were dropped; a packed routing was sent under another one's revision.

The store's era is read from every answer. Routings are told apart by the operator's version alone, in reads, summaries and copies. After the era has risen, reads confirm nothing and missing upstreams are kept until their authors have had time to write again; what drained or left does not come back until its entry would have expired. Every gateway writes its own entry again, spread over a second.

--- a/idl/gossip.thrift
+++ b/idl/gossip.thrift
@@ -43,7 +43,6 @@
   // up, at most one day. routing_age_ms is negative if the sender has read
   // nothing.
   14: i32 routing_age_ms;
-  15: i64 routing_revision;
   16: i32 upstreams_age_ms;
   17: i64 upstreams_digest;
   // Prefill load of the sender's interactive and bulk prompts, in thousandths
@@ -58,4 +57,8 @@
   // Upstreams, identified as in the loads, that have stated that they are
   // shutting down.
   22: list<i64> leaving_upstreams;
+  // How often the store has come back from an older copy; zero if unknown.
+  23: i64 store_era;
+  // Version of the routing; zero if the sender has read none.
+  24: i64 routing_version;
 }
--- a/include/sapphirespar/gateway/gateway_registry.hpp
+++ b/include/sapphirespar/gateway/gateway_registry.hpp
@@ -43,6 +43,10 @@
   // the others copy the list of a reader.
   void Start();
 
+  // Writes the entry again, at a random time within a second, after the store
+  // may have lost it.
+  void WriteAgain();
+
 private:
   struct state;
   std::shared_ptr<state> mState;
--- a/include/sapphirespar/gateway/store_reader.hpp
+++ b/include/sapphirespar/gateway/store_reader.hpp
@@ -8,6 +8,7 @@
 #include "sapphirespar/gateway/peer_table.hpp"
 #include "sapphirespar/gateway/protocol.hpp"
 #include "sapphirespar/gateway/routing_state.hpp"
+#include "sapphirespar/gateway/store_restores.hpp"
 #include "sapphirespar/gateway/upstream_directory.hpp"
 #include "sapphirespar/model/gossip.hpp"
 #include "sapphirespar/model/platform.hpp"
@@ -16,6 +17,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <string>
 #include <vector>
 
 namespace sapphirespar::gateway {
@@ -23,7 +25,7 @@
 // The state of the store that a gateway already has; zero means none.
 struct known_versions
 {
-  object_version mRoutingRevision = kNoObject;
+  routing_version mRoutingVersion = 0;
   std::uint64_t mUpstreamsDigest = 0;
   // Whether the answer shall contain the list of gateways. A gateway that has
   // nothing gets it in any case.
@@ -34,14 +36,17 @@
 // the difference from what the requesting gateway has.
 struct store_snapshot
 {
-  // The value is empty if the requester has this version.
-  platform_object mRouting;
+  routing_version mRoutingVersion = 0;
+  // The stored routing; empty if the requester has this version.
+  std::string mRouting;
   // All upstreams; empty if mDelta is set.
   std::vector<upstream_entry> mUpstreams;
   // Changes since the requester's list.
   std::optional<upstream_delta> mDelta;
   // Digest of the complete, or changed, list of upstreams.
   std::uint64_t mUpstreamsDigest = 0;
+  // Latest era of the store that the sender knows.
+  store_era mEra = 0;
   // Time from the sending of each read to the making of this snapshot.
   std::chrono::milliseconds mRoutingAge{ 0 };
   std::chrono::milliseconds mUpstreamsAge{ 0 };
@@ -88,6 +93,7 @@
   // For this long after such an outage, an upstream that is not listed may have
   // an expired entry that it will write again.
   std::chrono::milliseconds mOutageGrace{ 2200 };
+  store_restore_settings mRestores;
 };
 
 struct store_reader_hooks
@@ -107,6 +113,9 @@
   std::function<
     void(const std::optional<vm_id>&, const known_versions&, snapshot_callback)>
     mFetch;
+  // Called when the store has come back from an older copy, which may lack what
+  // this gateway has written there.
+  std::function<void()> mRestored;
   // Called when the routing or the upstreams have changed, so that the other
   // gateways can be notified.
   std::function<void()> mChanged;
--- /dev/null
+++ b/include/sapphirespar/gateway/store_restores.hpp
@@ -0,0 +1,56 @@
+// Notices that the platform's store has come back from an older copy of itself.
+// The changes of its last seconds are then lost, and its revisions are given
+// out again.
+#pragma once
+
+#include "sapphirespar/base/boot_clock.hpp"
+#include "sapphirespar/model/platform.hpp"
+
+#include <chrono>
+#include <optional>
+#include <string_view>
+
+namespace sapphirespar::gateway {
+
+struct store_restore_settings
+{
+  // Within this time after a restore, everyone has written again what was lost
+  // of their own.
+  std::chrono::milliseconds mRewriteTime{ 2200 };
+  // After mRewriteTime, an entry that nobody writes lasts for this long.
+  std::chrono::milliseconds mEntryLife{ 3600 };
+};
+
+class store_restores
+{
+public:
+  explicit store_restores(store_restore_settings aSettings)
+    : mSettings(aSettings)
+  {
+  }
+
+  // Takes the era that an answer of the store, or another gateway, tells; zero
+  // tells nothing. Returns whether the store has been restored since the era
+  // known before. A falling era is ignored and logged once.
+  bool Note(store_era aEra, boot_time aNow, std::string_view aSource);
+
+  // The latest era; zero before the first. Never decreases.
+  store_era Era() const { return mEra; }
+
+  // Whether what was read proves nothing about changes that were acknowledged
+  // before the restore, as their authors may not have written them again.
+  bool MayLackChanges(boot_time aNow) const;
+
+  // Whether the list may hold upstreams that have left, and former states.
+  bool MayHoldFormerEntries(boot_time aNow) const;
+
+private:
+  store_restore_settings mSettings;
+  store_era mEra = 0;
+  // The last falling era that was logged.
+  store_era mLoggedFall = 0;
+  // Unset before the first restore that was noticed.
+  std::optional<boot_time> mRestoredAt;
+};
+
+} // namespace sapphirespar::gateway
--- a/include/sapphirespar/gateway/upstream_directory.hpp
+++ b/include/sapphirespar/gateway/upstream_directory.hpp
@@ -89,6 +89,12 @@
   // The store was unavailable. Entries of live upstreams may have expired and
   // will be written again, so missing upstreams are kept unless they drain.
   PossiblyPartial,
+  // The store was restored from an older copy. Missing upstreams are kept as in
+  // a partial list. Upstreams that were removed are not listed again, and
+  // draining ones keep draining, as the copy may be older than these changes.
+  Former,
+  // Like Former, but missing upstreams have had time to write their entries.
+  FormerComplete,
 };
 
 struct directory_change
@@ -163,6 +169,7 @@
   std::size_t Size() const { return mUpstreams.size(); }
 
 private:
+  std::deque<upstream_ptr>::iterator FindFormer(std::uint64_t aKey);
   // Returns the former object of the incarnation, or a new one.
   upstream_ptr MakeUpstream(const upstream_entry& aEntry, std::uint64_t aKey);
   void KeepFormer(upstream_ptr aUpstream);
--- a/include/sapphirespar/model/fake_platform.hpp
+++ b/include/sapphirespar/model/fake_platform.hpp
@@ -38,7 +38,25 @@
   // Discards the change history: watches that start before the current version
   // return Compacted.
   void Compact() { mCompacted = mVersion; }
-  bool IsCompacted(object_version aFrom) const { return aFrom < mCompacted; }
+  // Also true of a version that the store doesn't have.
+  bool IsCompacted(object_version aFrom) const
+  {
+    return aFrom < mCompacted || aFrom > mVersion;
+  }
+
+  // The objects and the version at one time.
+  struct copy
+  {
+    object_version mVersion = 0;
+    std::map<object_key, platform_object> mObjects;
+  };
+  copy Copy() const { return { mVersion, mObjects }; }
+
+  // Brings an older copy back and begins a new era.
+  void Restore(copy aCopy);
+
+  // Zero tells clients nothing.
+  store_era mEra = 0;
 
   std::vector<vm_listing> mVms;
 
--- a/include/sapphirespar/model/gossip.hpp
+++ b/include/sapphirespar/model/gossip.hpp
@@ -41,11 +41,14 @@
 struct store_summary
 {
   std::chrono::milliseconds mRoutingAge{ 0 };
-  // Revision of the object with the routing configuration.
-  std::uint64_t mRoutingRevision = 0;
+  // The operator's version of the routing. Unlike the revision of its object,
+  // it outlasts a restore of the store.
+  std::uint64_t mRoutingVersion = 0;
   std::chrono::milliseconds mUpstreamsAge{ 0 };
   // Equal at gateways that have the same list of upstreams.
   std::uint64_t mUpstreamsDigest = 0;
+  // The latest era of the store that the sender knows, see store_era.
+  std::uint64_t mEra = 0;
 
   bool operator==(const store_summary&) const = default;
 };
--- a/include/sapphirespar/model/platform.hpp
+++ b/include/sapphirespar/model/platform.hpp
@@ -15,6 +15,10 @@
 // The version rises with every write to any object of the store.
 using object_version = std::uint64_t;
 
+// How often the store has come back from an older copy of itself, as it counts;
+// zero if it doesn't tell. In a new era, versions are given out again.
+using store_era = std::uint64_t;
+
 // The expected version of an object that must not exist yet.
 inline constexpr object_version kNoObject = 0;
 
@@ -67,6 +71,8 @@
   // After Ok, the object; after Conflict, the current one if the store returns
   // it.
   platform_object mObject;
+  // Told by any answer of the store, also by refusals.
+  store_era mEra = 0;
 };
 
 struct list_answer
@@ -75,6 +81,8 @@
   std::vector<platform_object> mObjects;
   // A watch that starts from this version misses no change.
   object_version mVersion = kNoObject;
+  // Told by any answer of the store, also by refusals.
+  store_era mEra = 0;
 };
 
 // One entry of the platform's list of VMs, which may be out of date.
--- a/src/sapphirespar/gateway/gateway_app.cpp
+++ b/src/sapphirespar/gateway/gateway_app.cpp
@@ -329,6 +329,11 @@
                         snapshot_callback aDone) {
     FetchSnapshot(aVm, aKnown, std::move(aDone));
   };
+  hooks.mRestored = [this] {
+    mMetrics.Count("gateway_store_restores_total");
+    mRegistry.WriteAgain();
+    mGossip.SendNow();
+  };
   hooks.mChanged = [this] { mGossip.SendNow(); };
   return hooks;
 }
@@ -357,7 +362,7 @@
   hooks.mFetchContacts = [this](std::function<void(bool)> aDone) {
     known_versions known;
     if (const auto summary = mReader.Summary()) {
-      known = { summary->mRoutingRevision, summary->mUpstreamsDigest, true };
+      known = { summary->mRoutingVersion, summary->mUpstreamsDigest, true };
     }
     FetchSnapshot(mPeers.Readers(mTimers.Now()).front(),
                   known,
@@ -440,8 +445,7 @@
   if (aTarget.mPath == kStoreSnapshotPath) {
     const auto known = ParseKnownVersions(aTarget.mQuery);
     auto snapshot = mReader.Snapshot(known);
-    const bool wanted =
-      known.mWantsGateways || known.mRoutingRevision == kNoObject;
+    const bool wanted = known.mWantsGateways || known.mRoutingVersion == 0;
     if (snapshot && wanted && mPeers.HasGatewayList()) {
       snapshot->mGateways = mPeers.Contacts();
       snapshot->mGateways.push_back(
--- a/src/sapphirespar/gateway/gateway_registry.cpp
+++ b/src/sapphirespar/gateway/gateway_registry.cpp
@@ -95,20 +95,27 @@
                    });
   }
 
-  void Start()
+  // Spreads the gateways' calls over aTime.
+  std::chrono::milliseconds Spread(std::chrono::milliseconds aTime) const
+  {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(aTime * mDraw);
+  }
+
+  void WriteSpread()
   {
-    const auto spread = [this](std::chrono::milliseconds aTime) {
-      return std::chrono::duration_cast<std::chrono::milliseconds>(aTime *
-                                                                   mDraw);
-    };
     mWriteTimer =
-      mTimers.After(spread(kWriteSpread), [this] { Write(kNoObject); });
-    mReadTimer = mTimers.After(kFirstReadAlone, [this, spread] {
+      mTimers.After(Spread(kWriteSpread), [this] { Write(kNoObject); });
+  }
+
+  void Start()
+  {
+    WriteSpread();
+    mReadTimer = mTimers.After(kFirstReadAlone, [this] {
       if (mPeers.LiveGateways(mTimers.Now()).empty()) {
         Read();
         return;
       }
-      mReadTimer = mTimers.After(kFirstRead + spread(kReadSpread),
+      mReadTimer = mTimers.After(kFirstRead + Spread(kReadSpread),
                                  [this] { ReadFirst(); });
     });
   }
@@ -209,4 +216,10 @@
   mState->Start();
 }
 
+void
+gateway_registry::WriteAgain()
+{
+  mState->WriteSpread();
+}
+
 } // namespace sapphirespar::gateway
--- a/src/sapphirespar/gateway/store_reader.cpp
+++ b/src/sapphirespar/gateway/store_reader.cpp
@@ -18,6 +18,22 @@
   return std::chrono::duration_cast<milliseconds>(aTime).count();
 }
 
+std::string_view
+ToText(list_completeness aCompleteness)
+{
+  switch (aCompleteness) {
+    case list_completeness::Complete:
+      return "complete";
+    case list_completeness::PossiblyPartial:
+      return "partial";
+    case list_completeness::Former:
+      return "former";
+    case list_completeness::FormerComplete:
+      break;
+  }
+  return "former_complete";
+}
+
 std::string
 JoinNames(std::span<const upstream_id> aIds)
 {
@@ -47,6 +63,7 @@
     , mUpstreams(aUpstreams)
     , mSettings(aSettings)
     , mHooks(std::move(aHooks))
+    , mRestores(aSettings.mRestores)
   {
   }
 
@@ -192,15 +209,15 @@
 
   bool IsKnown(const store_summary& aSummary) const
   {
-    return mUpstreamsRead &&
-           mRoutingObject.mVersion == aSummary.mRoutingRevision &&
+    return mUpstreamsRead && mRouting.Version() == aSummary.mRoutingVersion &&
            mUpstreams.Digest() == aSummary.mUpstreamsDigest;
   }
 
   void OnPeerSummary(const store_summary& aSummary)
   {
+    NoteEra(aSummary.mEra, "peer");
     const bool isNew =
-      aSummary.mRoutingRevision > mRoutingObject.mVersion ||
+      aSummary.mRoutingVersion > mRouting.Version() ||
       (aSummary.mUpstreamsDigest != mUpstreams.Digest() &&
        (!mUpstreamsRead ||
         mHooks.mNow() - aSummary.mUpstreamsAge > *mUpstreamsRead));
@@ -219,8 +236,9 @@
     const auto sent = mHooks.mNow();
     mPlatform.Get({ mProtocol.mRoutingKind, mProtocol.mRoutingName },
                   IfAlive([this, sent](object_answer aAnswer) {
+                    NoteEra(aAnswer.mEra, "store");
                     if (aAnswer.mStatus == platform_status::Ok) {
-                      ApplyRouting(aAnswer.mObject, sent, "store");
+                      ApplyStoreRouting(aAnswer.mObject.mValue, sent);
                     }
                     OnRead(aAnswer.mStatus);
                   }));
@@ -234,6 +252,7 @@
     const auto sent = mHooks.mNow();
     mPlatform.List(mProtocol.mUpstreamKind,
                    IfAlive([this, sent](list_answer aAnswer) {
+                     NoteEra(aAnswer.mEra, "store");
                      if (aAnswer.mStatus == platform_status::Ok) {
                        ApplyStoreList(aAnswer.mObjects, sent);
                      }
@@ -322,7 +341,7 @@
 
   known_versions KnownVersions() const
   {
-    known_versions known{ mRoutingObject.mVersion, 0 };
+    known_versions known{ mRouting.Version(), 0 };
     if (mUpstreamsRead && !mNeedsFullList) {
       known.mUpstreamsDigest = mUpstreams.Digest();
     }
@@ -333,8 +352,14 @@
   // never makes the data look fresher than they are.
   void ApplySnapshot(store_snapshot aSnapshot, boot_time aRequestedAt)
   {
-    ApplyRouting(
-      aSnapshot.mRouting, aRequestedAt - aSnapshot.mRoutingAge, "peer");
+    NoteEra(aSnapshot.mEra, "peer");
+    const auto routingRead = aRequestedAt - aSnapshot.mRoutingAge;
+    if (aSnapshot.mRouting.empty() &&
+        aSnapshot.mRoutingVersion == mRouting.Version()) {
+      mRouting.Confirm(routingRead);
+    } else {
+      ApplyRouting(aSnapshot.mRouting, routingRead, "peer");
+    }
     const auto read = aRequestedAt - aSnapshot.mUpstreamsAge;
     if (mUpstreamsRead && read <= *mUpstreamsRead) {
       return;
@@ -359,32 +384,49 @@
     }
   }
 
-  void ApplyRouting(const platform_object& aObject,
+  void NoteEra(store_era aEra, std::string_view aSource)
+  {
+    const auto now = mHooks.mNow();
+    if (mRestores.Note(aEra, now, aSource)) {
+      mHooks.mRestored();
+    }
+  }
+
+  // Applies a routing that was read from the store. Soon after a restore a
+  // later one may have been lost that its author has yet to write again, so
+  // the read does not confirm it.
+  void ApplyStoreRouting(const std::string& aValue, boot_time aSent)
+  {
+    const bool proves = !mRestores.MayLackChanges(mHooks.mNow());
+    ApplyRouting(aValue, proves ? aSent : boot_time{}, "store");
+  }
+
+  // Applies a routing if it is newer than the active one, or confirms it as of
+  // aSent if it is the same.
+  void ApplyRouting(const std::string& aValue,
                     boot_time aSent,
                     std::string_view aSource)
   {
-    if (mRoutingObject.mVersion != kNoObject &&
-        aObject.mVersion == mRoutingObject.mVersion) {
+    if (mRouting.Table() && aValue == mRoutingValue) {
       mRouting.Confirm(aSent);
       return;
     }
-    if (aObject.mVersion < mRoutingObject.mVersion) {
-      return;
-    }
-    auto config = mProtocol.mReadRouting(aObject.mValue);
+    auto config = mProtocol.mReadRouting(aValue);
     if (!config) {
       LogEvent(log_level::Error,
                "routing_unreadable",
-               { { "source", aSource },
-                 { "revision", aObject.mVersion },
-                 { "bytes", aObject.mValue.size() } });
+               { { "source", aSource }, { "bytes", aValue.size() } });
+      return;
+    }
+    if (config->mVersion < mRouting.Version()) {
+      LogFormerRouting(config->mVersion, aSource);
       return;
     }
     const auto before = mRouting.Version();
     auto table = std::make_shared<policy::route_table>(std::move(*config));
     const auto routes = table->Config().mRoutes.size();
     const auto accounts = table->Config().mAccounts.size();
-    mRoutingObject = aObject;
+    mRoutingValue = aValue;
     if (!mRouting.Apply(std::move(table), aSent)) {
       return;
     }
@@ -399,6 +441,20 @@
     mHooks.mChanged();
   }
 
+  // Logs each older version once.
+  void LogFormerRouting(routing_version aVersion, std::string_view aSource)
+  {
+    if (aVersion == mLoggedFormer) {
+      return;
+    }
+    mLoggedFormer = aVersion;
+    LogEvent(log_level::Warning,
+             "routing_older",
+             { { "source", aSource },
+               { "version", mRouting.Version() },
+               { "told", aVersion } });
+  }
+
   void ApplyStoreList(std::span<const platform_object> aObjects,
                       boot_time aSent)
   {
@@ -413,16 +469,25 @@
       return;
     }
     mUpstreamsRead = aSent;
+    ApplyEntries(entries, CompletenessNow(), "store");
+  }
+
+  // How to take a list that the store returns now.
+  list_completeness CompletenessNow() const
+  {
     const auto now = mHooks.mNow();
-    const bool justRestored =
+    const bool justAvailable =
       mAvailableAgainAt && now - *mAvailableAgainAt < mSettings.mOutageGrace;
     const bool longUnavailable =
       mUnavailable && now - mUnavailableSince >= mSettings.mMinimumOutage;
-    ApplyEntries(entries,
-                 justRestored || longUnavailable
-                   ? list_completeness::PossiblyPartial
-                   : list_completeness::Complete,
-                 "store");
+    const bool partial =
+      justAvailable || longUnavailable || mRestores.MayLackChanges(now);
+    if (mRestores.MayHoldFormerEntries(now)) {
+      return partial ? list_completeness::Former
+                     : list_completeness::FormerComplete;
+    }
+    return partial ? list_completeness::PossiblyPartial
+                   : list_completeness::Complete;
   }
 
   void ApplyEntries(std::span<const upstream_entry> aEntries,
@@ -441,17 +506,14 @@
         { "draining", JoinNames(change.mDraining) },
         { "gone", JoinNames(change.mRemoved) },
         { "known", mUpstreams.Size() },
-        { "store_just_back",
-          static_cast<int>(aCompleteness ==
-                           list_completeness::PossiblyPartial) },
+        { "list", ToText(aCompleteness) },
         { "read_age_ms", Milliseconds(mHooks.mNow() - *mUpstreamsRead) } });
     mHooks.mChanged();
   }
 
   bool HasBoth() const
   {
-    return mRoutingObject.mVersion != kNoObject && mRouting.Table() &&
-           mUpstreamsRead.has_value();
+    return mRouting.Table() && mUpstreamsRead.has_value();
   }
 
   // Ages are rounded up, so that data never look fresher than they are.
@@ -473,8 +535,11 @@
   store_reader_settings mSettings;
   store_reader_hooks mHooks;
 
-  // The routing's object as last read; its version never decreases.
-  platform_object mRoutingObject;
+  // The active routing as it is stored.
+  std::string mRoutingValue;
+  // The last older version that was logged.
+  routing_version mLoggedFormer = 0;
+  store_restores mRestores;
   // When the read that returned the contents of mUpstreams was sent. Unset
   // before the first read; never decreases.
   std::optional<boot_time> mUpstreamsRead;
@@ -547,9 +612,10 @@
     return std::nullopt;
   }
   store_snapshot snapshot;
-  snapshot.mRouting = mState->mRoutingObject;
-  if (snapshot.mRouting.mVersion == aKnown.mRoutingRevision) {
-    snapshot.mRouting.mValue.clear();
+  snapshot.mEra = mState->mRestores.Era();
+  snapshot.mRoutingVersion = mState->mRouting.Version();
+  if (snapshot.mRoutingVersion != aKnown.mRoutingVersion) {
+    snapshot.mRouting = mState->mRoutingValue;
   }
   const auto& upstreams = mState->mUpstreams;
   snapshot.mUpstreamsDigest = upstreams.Digest();
@@ -572,7 +638,8 @@
   }
   store_summary summary;
   summary.mRoutingAge = mState->RoutingAge();
-  summary.mRoutingRevision = mState->mRoutingObject.mVersion;
+  summary.mRoutingVersion = mState->mRouting.Version();
+  summary.mEra = mState->mRestores.Era();
   summary.mUpstreamsAge = mState->UpstreamsAge();
   summary.mUpstreamsDigest = mState->mUpstreams.Digest();
   return summary;
--- a/src/sapphirespar/gateway/store_snapshot_codec.cpp
+++ b/src/sapphirespar/gateway/store_snapshot_codec.cpp
@@ -18,13 +18,14 @@
 constexpr std::size_t kPackedFromBytes = 2048;
 
 json::object
-ToJson(const platform_object& aObject, routing_packer& aPacker)
+RoutingToJson(const store_snapshot& aSnapshot, routing_packer& aPacker)
 {
-  if (aObject.mValue.size() < kPackedFromBytes) {
-    return { { "version", aObject.mVersion }, { "value", aObject.mValue } };
+  const auto version = aSnapshot.mRoutingVersion;
+  if (aSnapshot.mRouting.size() < kPackedFromBytes) {
+    return { { "version", version }, { "value", aSnapshot.mRouting } };
   }
-  return { { "version", aObject.mVersion },
-           { "packed", aPacker.Pack(aObject) } };
+  return { { "version", version },
+           { "packed", aPacker.Pack(aSnapshot.mRouting, version) } };
 }
 
 json::object
@@ -64,17 +65,11 @@
   return *std::move(unpacked);
 }
 
-platform_object
-ReadObject(const json::value& aValue)
+std::string
+ReadRouting(const json::value& aValue)
 {
-  platform_object object;
-  object.mVersion = aValue.at("version").to_number<object_version>();
-  if (const auto* packed = aValue.as_object().if_contains("packed")) {
-    object.mValue = Unpacked(*packed);
-  } else {
-    object.mValue = TextAt(aValue, "value");
-  }
-  return object;
+  const auto* packed = aValue.as_object().if_contains("packed");
+  return packed ? Unpacked(*packed) : TextAt(aValue, "value");
 }
 
 upstream_entry
@@ -173,7 +168,7 @@
 SnapshotTarget(const known_versions& aKnown)
 {
   return std::string(kStoreSnapshotPath) +
-         "?routing=" + std::to_string(aKnown.mRoutingRevision) +
+         "?version=" + std::to_string(aKnown.mRoutingVersion) +
          "&upstreams=" + std::to_string(aKnown.mUpstreamsDigest) +
          (aKnown.mWantsGateways ? "&gateways=1" : "");
 }
@@ -187,15 +182,15 @@
     std::from_chars(text.data(), text.data() + text.size(), value);
     return value;
   };
-  return { number("routing"), number("upstreams"), number("gateways") != 0 };
+  return { number("version"), number("upstreams"), number("gateways") != 0 };
 }
 
 const std::string&
-routing_packer::Pack(const platform_object& aRouting)
+routing_packer::Pack(const std::string& aRouting, routing_version aVersion)
 {
-  if (mVersion != aRouting.mVersion || mText.empty()) {
-    mVersion = aRouting.mVersion;
-    mText = sapphirespar::Pack(aRouting.mValue);
+  if (mVersion != aVersion || mText.empty()) {
+    mVersion = aVersion;
+    mText = sapphirespar::Pack(aRouting);
   }
   return mText;
 }
@@ -208,7 +203,8 @@
     gateways.push_back(ToJson(contact));
   }
   json::object body;
-  body["routing"] = ToJson(aSnapshot.mRouting, aPacker);
+  body["era"] = aSnapshot.mEra;
+  body["routing"] = RoutingToJson(aSnapshot, aPacker);
   body["upstreams"] = ToPackedJson(aSnapshot.mUpstreams);
   body["delta"] = ToJson(aSnapshot.mDelta);
   body["upstreams_digest"] = aSnapshot.mUpstreamsDigest;
@@ -225,7 +221,11 @@
     const auto body =
       json::parse(json::string_view(aText.data(), aText.size()));
     store_snapshot snapshot;
-    snapshot.mRouting = ReadObject(body.at("routing"));
+    snapshot.mEra = body.at("era").to_number<store_era>();
+    const auto& routing = body.at("routing");
+    snapshot.mRoutingVersion =
+      routing.at("version").to_number<routing_version>();
+    snapshot.mRouting = ReadRouting(routing);
     snapshot.mUpstreams = ReadEntries(body.at("upstreams"));
     snapshot.mDelta = ReadDelta(body.at("delta"));
     snapshot.mUpstreamsDigest =
--- a/src/sapphirespar/gateway/store_snapshot_codec.hpp
+++ b/src/sapphirespar/gateway/store_snapshot_codec.hpp
@@ -21,10 +21,11 @@
 class routing_packer
 {
 public:
-  const std::string& Pack(const platform_object& aRouting);
+  const std::string& Pack(const std::string& aRouting,
+                          routing_version aVersion);
 
 private:
-  object_version mVersion = kNoObject;
+  routing_version mVersion = 0;
   std::string mText;
 };
 
--- a/src/sapphirespar/gateway/store_snapshot_codec_test.cpp
+++ b/src/sapphirespar/gateway/store_snapshot_codec_test.cpp
@@ -27,8 +27,9 @@
 Sample()
 {
   store_snapshot snapshot;
-  snapshot.mRouting.mVersion = 5;
-  snapshot.mRouting.mValue = "7";
+  snapshot.mEra = 3;
+  snapshot.mRoutingVersion = 5;
+  snapshot.mRouting = "7";
   snapshot.mUpstreams = { Entry("a"), Entry("b") };
   snapshot.mUpstreamsDigest = 0xfffffffffffffff0ULL;
   snapshot.mRoutingAge = 20ms;
@@ -43,8 +44,9 @@
   const auto snapshot = Sample();
   const auto read = DecodeStoreSnapshot(EncodeStoreSnapshot(snapshot, packer));
   ASSERT_TRUE(read);
-  EXPECT_EQ(read->mRouting.mVersion, 5U);
-  EXPECT_EQ(read->mRouting.mValue, "7");
+  EXPECT_EQ(read->mEra, 3U);
+  EXPECT_EQ(read->mRoutingVersion, 5U);
+  EXPECT_EQ(read->mRouting, "7");
   EXPECT_EQ(read->mUpstreams, snapshot.mUpstreams);
   EXPECT_FALSE(read->mDelta);
   EXPECT_EQ(read->mUpstreamsDigest, snapshot.mUpstreamsDigest);
@@ -60,19 +62,18 @@
   routing_packer packer;
   auto snapshot = Sample();
   for (const std::string name : { "r-", "s-" }) {
-    snapshot.mRouting.mVersion += 1;
-    snapshot.mRouting.mValue.clear();
+    snapshot.mRoutingVersion += 1;
+    snapshot.mRouting.clear();
     for (int route = 0; route < 2000; ++route) {
-      snapshot.mRouting.mValue += R"({"name":")" + name +
-                                  std::to_string(route) +
-                                  R"(","path_prefix":"/p/","timeout_ms":900})";
+      snapshot.mRouting += R"({"name":")" + name + std::to_string(route) +
+                           R"(","path_prefix":"/p/","timeout_ms":900})";
     }
     snapshot.mUpstreams.assign(160, Entry("some-upstream"));
     const auto text = EncodeStoreSnapshot(snapshot, packer);
-    EXPECT_LT(text.size(), snapshot.mRouting.mValue.size() / 4);
+    EXPECT_LT(text.size(), snapshot.mRouting.size() / 4);
     const auto read = DecodeStoreSnapshot(text);
     ASSERT_TRUE(read);
-    EXPECT_EQ(read->mRouting.mValue, snapshot.mRouting.mValue);
+    EXPECT_EQ(read->mRouting, snapshot.mRouting);
     EXPECT_EQ(read->mUpstreams, snapshot.mUpstreams);
   }
 }
@@ -81,7 +82,7 @@
 {
   routing_packer packer;
   auto snapshot = Sample();
-  snapshot.mRouting.mValue.assign(5000, 'x');
+  snapshot.mRouting.assign(5000, 'x');
   const auto text = EncodeStoreSnapshot(snapshot, packer);
   ASSERT_TRUE(DecodeStoreSnapshot(text));
   auto broken = text;
@@ -118,9 +119,9 @@
   routing_packer packer;
   const auto target = SnapshotTarget({ 5, 0xfffffffffffffff0ULL });
   const auto known = ParseKnownVersions(target.substr(target.find('?') + 1));
-  EXPECT_EQ(known.mRoutingRevision, 5U);
+  EXPECT_EQ(known.mRoutingVersion, 5U);
   EXPECT_EQ(known.mUpstreamsDigest, 0xfffffffffffffff0ULL);
-  EXPECT_EQ(ParseKnownVersions("routing=x").mRoutingRevision, kNoObject);
+  EXPECT_EQ(ParseKnownVersions("version=x").mRoutingVersion, 0U);
   EXPECT_EQ(ParseKnownVersions("").mUpstreamsDigest, 0U);
 }
 
--- a/src/sapphirespar/gateway/upstream_directory.cpp
+++ b/src/sapphirespar/gateway/upstream_directory.cpp
@@ -111,10 +111,21 @@
   directory_change change;
   step newStep{ mDigest, {} };
   std::set<upstream_id> listed;
-  for (const auto& entry : aEntries) {
+  const bool former = aCompleteness == list_completeness::Former ||
+                      aCompleteness == list_completeness::FormerComplete;
+  const auto isRemoved = [&](std::uint64_t aKey) {
+    return FindFormer(aKey) != mFormer.end();
+  };
+  for (auto entry : aEntries) {
+    const auto key = KeyOf(entry);
     listed.insert(entry.mId);
+    if (former && isRemoved(key)) {
+      continue;
+    }
     auto& known = mUpstreams[entry.mId];
-    const auto key = KeyOf(entry);
+    if (former && known && known->mKey == key) {
+      entry.mDraining = entry.mDraining || known->mEntry.mDraining;
+    }
     if (known && known->mKey == key) {
       if (entry.mDraining && !known->mEntry.mDraining) {
         change.mDraining.push_back(entry.mId);
@@ -135,9 +146,9 @@
   }
   std::vector<upstream_id> missing;
   for (const auto& [id, known] : mUpstreams) {
-    const bool mayReturn =
-      aCompleteness == list_completeness::PossiblyPartial &&
-      !known->mEntry.mDraining;
+    const bool partial = aCompleteness == list_completeness::PossiblyPartial ||
+                         aCompleteness == list_completeness::Former;
+    const bool mayReturn = partial && !known->mEntry.mDraining;
     if (!listed.contains(id) && !mayReturn) {
       missing.push_back(id);
     }
@@ -205,12 +216,19 @@
   return list;
 }
 
+std::deque<upstream_ptr>::iterator
+upstream_directory::FindFormer(std::uint64_t aKey)
+{
+  return std::ranges::find_if(mFormer, [aKey](const upstream_ptr& aUpstream) {
+    return aUpstream->mKey == aKey;
+  });
+}
+
 upstream_ptr
 upstream_directory::MakeUpstream(const upstream_entry& aEntry,
                                  std::uint64_t aKey)
 {
-  const auto former = std::ranges::find(
-    mFormer, aKey, [](const auto& aUpstream) { return aUpstream->mKey; });
+  const auto former = FindFormer(aKey);
   auto result = std::make_shared<upstream>();
   if (former != mFormer.end()) {
     result = std::move(*former);
--- a/src/sapphirespar/model/fake_platform.cpp
+++ b/src/sapphirespar/model/fake_platform.cpp
@@ -50,6 +50,15 @@
   return { platform_status::Ok, std::move(written) };
 }
 
+void
+fake_store::Restore(copy aCopy)
+{
+  mVersion = aCopy.mVersion;
+  mCompacted = aCopy.mVersion;
+  mObjects = std::move(aCopy.mObjects);
+  ++mEra;
+}
+
 fake_platform::fake_platform(timer_service& aTimers,
                              std::shared_ptr<fake_store> aStore)
   : mTimers(aTimers)
@@ -96,6 +105,7 @@
   RunAtStore([this, key = std::move(aKey), done = std::move(aDone)](
                platform_status aStatus) {
     object_answer answer{ aStatus, {} };
+    answer.mEra = mFaults.mOutage ? 0 : mStore->mEra;
     if (aStatus == platform_status::Ok) {
       const auto* object = mStore->Find(key);
       const bool exists = object && !object->mDeleted;
@@ -117,7 +127,8 @@
 {
   return { platform_status::Ok,
            mStore->Changes(aKind, aFrom),
-           mStore->Version() };
+           mStore->Version(),
+           mStore->mEra };
 }
 
 void
--- a/src/sapphirespar/wire/gen/gossip_types.cpp
+++ b/src/sapphirespar/wire/gen/gossip_types.cpp
@@ -440,10 +440,6 @@
   this->routing_age_ms = val;
 }
 
-void gossip_state::__set_routing_revision(const int64_t val) {
-  this->routing_revision = val;
-}
-
 void gossip_state::__set_upstreams_age_ms(const int32_t val) {
   this->upstreams_age_ms = val;
 }
@@ -471,6 +467,14 @@
 void gossip_state::__set_leaving_upstreams(const std::vector<int64_t> & val) {
   this->leaving_upstreams = val;
 }
+
+void gossip_state::__set_store_era(const int64_t val) {
+  this->store_era = val;
+}
+
+void gossip_state::__set_routing_version(const int64_t val) {
+  this->routing_version = val;
+}
 std::ostream& operator<<(std::ostream& out, const gossip_state& obj)
 {
   obj.printTo(out);
@@ -615,14 +619,6 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 15:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->routing_revision);
-          this->__isset.routing_revision = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
       case 16:
         if (ftype == ::apache::thrift::protocol::T_I32) {
           xfer += iprot->readI32(this->upstreams_age_ms);
@@ -703,6 +699,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 23:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->store_era);
+          this->__isset.store_era = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 24:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->routing_version);
+          this->__isset.routing_version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -780,10 +792,6 @@
   xfer += oprot->writeI32(this->routing_age_ms);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("routing_revision", ::apache::thrift::protocol::T_I64, 15);
-  xfer += oprot->writeI64(this->routing_revision);
-  xfer += oprot->writeFieldEnd();
-
   xfer += oprot->writeFieldBegin("upstreams_age_ms", ::apache::thrift::protocol::T_I32, 16);
   xfer += oprot->writeI32(this->upstreams_age_ms);
   xfer += oprot->writeFieldEnd();
@@ -828,6 +836,14 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("store_era", ::apache::thrift::protocol::T_I64, 23);
+  xfer += oprot->writeI64(this->store_era);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("routing_version", ::apache::thrift::protocol::T_I64, 24);
+  xfer += oprot->writeI64(this->routing_version);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -848,7 +864,6 @@
   swap(a.asks, b.asks);
   swap(a.answers, b.answers);
   swap(a.routing_age_ms, b.routing_age_ms);
-  swap(a.routing_revision, b.routing_revision);
   swap(a.upstreams_age_ms, b.upstreams_age_ms);
   swap(a.upstreams_digest, b.upstreams_digest);
   swap(a.interactive_reading, b.interactive_reading);
@@ -856,6 +871,8 @@
   swap(a.processor, b.processor);
   swap(a.zones, b.zones);
   swap(a.leaving_upstreams, b.leaving_upstreams);
+  swap(a.store_era, b.store_era);
+  swap(a.routing_version, b.routing_version);
   swap(a.__isset, b.__isset);
 }
 
@@ -873,7 +890,6 @@
   asks = other32.asks;
   answers = other32.answers;
   routing_age_ms = other32.routing_age_ms;
-  routing_revision = other32.routing_revision;
   upstreams_age_ms = other32.upstreams_age_ms;
   upstreams_digest = other32.upstreams_digest;
   interactive_reading = other32.interactive_reading;
@@ -881,6 +897,8 @@
   processor = other32.processor;
   zones = other32.zones;
   leaving_upstreams = other32.leaving_upstreams;
+  store_era = other32.store_era;
+  routing_version = other32.routing_version;
   __isset = other32.__isset;
 }
 gossip_state::gossip_state(gossip_state&& other33) noexcept {
@@ -897,7 +915,6 @@
   asks = other33.asks;
   answers = other33.answers;
   routing_age_ms = other33.routing_age_ms;
-  routing_revision = other33.routing_revision;
   upstreams_age_ms = other33.upstreams_age_ms;
   upstreams_digest = other33.upstreams_digest;
   interactive_reading = other33.interactive_reading;
@@ -905,6 +922,8 @@
   processor = other33.processor;
   zones = std::move(other33.zones);
   leaving_upstreams = std::move(other33.leaving_upstreams);
+  store_era = other33.store_era;
+  routing_version = other33.routing_version;
   __isset = other33.__isset;
 }
 gossip_state& gossip_state::operator=(const gossip_state& other34) {
@@ -921,7 +940,6 @@
   asks = other34.asks;
   answers = other34.answers;
   routing_age_ms = other34.routing_age_ms;
-  routing_revision = other34.routing_revision;
   upstreams_age_ms = other34.upstreams_age_ms;
   upstreams_digest = other34.upstreams_digest;
   interactive_reading = other34.interactive_reading;
@@ -929,6 +947,8 @@
   processor = other34.processor;
   zones = other34.zones;
   leaving_upstreams = other34.leaving_upstreams;
+  store_era = other34.store_era;
+  routing_version = other34.routing_version;
   __isset = other34.__isset;
   return *this;
 }
@@ -946,7 +966,6 @@
   asks = other35.asks;
   answers = other35.answers;
   routing_age_ms = other35.routing_age_ms;
-  routing_revision = other35.routing_revision;
   upstreams_age_ms = other35.upstreams_age_ms;
   upstreams_digest = other35.upstreams_digest;
   interactive_reading = other35.interactive_reading;
@@ -954,6 +973,8 @@
   processor = other35.processor;
   zones = std::move(other35.zones);
   leaving_upstreams = std::move(other35.leaving_upstreams);
+  store_era = other35.store_era;
+  routing_version = other35.routing_version;
   __isset = other35.__isset;
   return *this;
 }
@@ -973,7 +994,6 @@
   out << ", " << "asks=" << to_string(asks);
   out << ", " << "answers=" << to_string(answers);
   out << ", " << "routing_age_ms=" << to_string(routing_age_ms);
-  out << ", " << "routing_revision=" << to_string(routing_revision);
   out << ", " << "upstreams_age_ms=" << to_string(upstreams_age_ms);
   out << ", " << "upstreams_digest=" << to_string(upstreams_digest);
   out << ", " << "interactive_reading=" << to_string(interactive_reading);
@@ -981,6 +1001,8 @@
   out << ", " << "processor=" << to_string(processor);
   out << ", " << "zones=" << to_string(zones);
   out << ", " << "leaving_upstreams=" << to_string(leaving_upstreams);
+  out << ", " << "store_era=" << to_string(store_era);
+  out << ", " << "routing_version=" << to_string(routing_version);
   out << ")";
 }
 
--- a/src/sapphirespar/wire/gen/gossip_types.h
+++ b/src/sapphirespar/wire/gen/gossip_types.h
@@ -160,7 +160,7 @@
 std::ostream& operator<<(std::ostream& out, const gossip_zone& obj);
 
 typedef struct _gossip_state__isset {
-  _gossip_state__isset() : vm(false), incarnation(false), sequence(false), data_centre(false), address(false), caller_port(false), admin_port(false), ready(false), leaving(false), loads(false), asks(false), answers(false), routing_age_ms(false), routing_revision(false), upstreams_age_ms(false), upstreams_digest(false), interactive_reading(false), bulk_reading(false), processor(false), zones(false), leaving_upstreams(false) {}
+  _gossip_state__isset() : vm(false), incarnation(false), sequence(false), data_centre(false), address(false), caller_port(false), admin_port(false), ready(false), leaving(false), loads(false), asks(false), answers(false), routing_age_ms(false), upstreams_age_ms(false), upstreams_digest(false), interactive_reading(false), bulk_reading(false), processor(false), zones(false), leaving_upstreams(false), store_era(false), routing_version(false) {}
   bool vm :1;
   bool incarnation :1;
   bool sequence :1;
@@ -174,7 +174,6 @@
   bool asks :1;
   bool answers :1;
   bool routing_age_ms :1;
-  bool routing_revision :1;
   bool upstreams_age_ms :1;
   bool upstreams_digest :1;
   bool interactive_reading :1;
@@ -182,6 +181,8 @@
   bool processor :1;
   bool zones :1;
   bool leaving_upstreams :1;
+  bool store_era :1;
+  bool routing_version :1;
 } _gossip_state__isset;
 
 class gossip_state : public virtual ::apache::thrift::TBase {
@@ -204,12 +205,13 @@
                  asks(0),
                  answers(0),
                  routing_age_ms(0),
-                 routing_revision(0),
                  upstreams_age_ms(0),
                  upstreams_digest(0),
                  interactive_reading(0),
                  bulk_reading(0),
-                 processor(0) {
+                 processor(0),
+                 store_era(0),
+                 routing_version(0) {
   }
 
   virtual ~gossip_state() noexcept;
@@ -226,7 +228,6 @@
   bool asks;
   int64_t answers;
   int32_t routing_age_ms;
-  int64_t routing_revision;
   int32_t upstreams_age_ms;
   int64_t upstreams_digest;
   int32_t interactive_reading;
@@ -234,6 +235,8 @@
   int32_t processor;
   std::vector<gossip_zone>  zones;
   std::vector<int64_t>  leaving_upstreams;
+  int64_t store_era;
+  int64_t routing_version;
 
   _gossip_state__isset __isset;
 
@@ -263,8 +266,6 @@
 
   void __set_routing_age_ms(const int32_t val);
 
-  void __set_routing_revision(const int64_t val);
-
   void __set_upstreams_age_ms(const int32_t val);
 
   void __set_upstreams_digest(const int64_t val);
@@ -279,6 +280,10 @@
 
   void __set_leaving_upstreams(const std::vector<int64_t> & val);
 
+  void __set_store_era(const int64_t val);
+
+  void __set_routing_version(const int64_t val);
+
   bool operator == (const gossip_state & rhs) const
   {
     if (!(vm == rhs.vm))
@@ -307,8 +312,6 @@
       return false;
     if (!(routing_age_ms == rhs.routing_age_ms))
       return false;
-    if (!(routing_revision == rhs.routing_revision))
-      return false;
     if (!(upstreams_age_ms == rhs.upstreams_age_ms))
       return false;
     if (!(upstreams_digest == rhs.upstreams_digest))
@@ -323,6 +326,10 @@
       return false;
     if (!(leaving_upstreams == rhs.leaving_upstreams))
       return false;
+    if (!(store_era == rhs.store_era))
+      return false;
+    if (!(routing_version == rhs.routing_version))
+      return false;
     return true;
   }
   bool operator != (const gossip_state &rhs) const {
--- a/src/sapphirespar/wire/gossip_codec.cpp
+++ b/src/sapphirespar/wire/gossip_codec.cpp
@@ -127,9 +127,10 @@
   if (aState.mStore) {
     const auto& store = *aState.mStore;
     state.routing_age_ms = ToAgeMs(store.mRoutingAge);
-    state.routing_revision = static_cast<std::int64_t>(store.mRoutingRevision);
+    state.routing_version = static_cast<std::int64_t>(store.mRoutingVersion);
     state.upstreams_age_ms = ToAgeMs(store.mUpstreamsAge);
     state.upstreams_digest = static_cast<std::int64_t>(store.mUpstreamsDigest);
+    state.store_era = static_cast<std::int64_t>(store.mEra);
   }
   const auto buffer = std::make_shared<TMemoryBuffer>();
   TCompactProtocolT<TMemoryBuffer> protocol(buffer);
@@ -183,12 +184,14 @@
   read.mBulkPrefill = ClampNegativeToZero(state.bulk_reading);
   read.mProcessor = ClampNegativeToZero(state.processor);
   read.mReplyTo = static_cast<std::uint64_t>(state.answers);
-  if (state.routing_age_ms >= 0 && state.upstreams_age_ms >= 0) {
+  if (state.routing_age_ms >= 0 && state.upstreams_age_ms >= 0 &&
+      state.routing_version != 0) {
     read.mStore =
       store_summary{ std::chrono::milliseconds(state.routing_age_ms),
-                     static_cast<std::uint64_t>(state.routing_revision),
+                     static_cast<std::uint64_t>(state.routing_version),
                      std::chrono::milliseconds(state.upstreams_age_ms),
-                     static_cast<std::uint64_t>(state.upstreams_digest) };
+                     static_cast<std::uint64_t>(state.upstreams_digest),
+                     static_cast<std::uint64_t>(state.store_era) };
   }
   return read;
 }
--- a/src/sapphirespar/wire/gossip_codec_test.cpp
+++ b/src/sapphirespar/wire/gossip_codec_test.cpp
@@ -33,7 +33,8 @@
   state.mStore = store_summary{ std::chrono::milliseconds(20),
                                 9,
                                 std::chrono::milliseconds(30),
-                                0xfffffffffffffff0ULL };
+                                0xfffffffffffffff0ULL,
+                                3 };
   state.mDataCentreLoads = { { { "matara" },
                                std::chrono::milliseconds(40),
                                { { 8, 10, 20, 30, 40, 50 } } } };
--- a/src/sapphirespar/wire/platform_answer.cpp
+++ b/src/sapphirespar/wire/platform_answer.cpp
@@ -164,6 +164,7 @@
 {
   list_page page;
   page.mAnswer.mStatus = aResult.mStatus;
+  page.mAnswer.mEra = aResult.mEra;
   if (aResult.mStatus != platform_status::Ok) {
     return page;
   }
@@ -172,6 +173,7 @@
     page.mAnswer = ReadItems(*document, "entries", [&](const auto& aItem) {
       return ToObject(aItem, aKind);
     });
+    page.mAnswer.mEra = aResult.mEra;
     page.mHasMore =
       document->is_object() && FlagAt(document->get_object(), "has_more");
   }
@@ -183,6 +185,7 @@
 {
   list_answer answer;
   answer.mStatus = aResult.mStatus;
+  answer.mEra = aResult.mEra;
   if (aResult.mStatus != platform_status::Ok) {
     return answer;
   }
@@ -191,6 +194,7 @@
     answer = ReadItems(*document, "events", [&](const auto& aItem) {
       return ToEventObject(aItem, aKind);
     });
+    answer.mEra = aResult.mEra;
   }
   return answer;
 }
@@ -219,7 +223,7 @@
 object_answer
 ToObjectAnswer(call_result aResult, object_key aKey)
 {
-  object_answer answer{ aResult.mStatus, {} };
+  object_answer answer{ aResult.mStatus, {}, aResult.mEra };
   const auto document = ParseJson(aResult.mResponse.mBody);
   if (document && document->is_object()) {
     answer.mObject = ToObject(document->get_object(), aKey.mKind);
--- a/src/sapphirespar/wire/platform_answer.hpp
+++ b/src/sapphirespar/wire/platform_answer.hpp
@@ -14,6 +14,8 @@
 {
   platform_status mStatus = platform_status::Unavailable;
   http_response mResponse;
+  // Zero if the answer tells none.
+  store_era mEra = 0;
 };
 
 // One page of a listing.
--- a/src/sapphirespar/wire/platform_client.cpp
+++ b/src/sapphirespar/wire/platform_client.cpp
@@ -9,8 +9,11 @@
 #include <boost/asio/detached.hpp>
 
 #include <algorithm>
+#include <charconv>
 #include <functional>
 #include <iterator>
+#include <optional>
+#include <string>
 #include <utility>
 
 namespace sapphirespar::wire {
@@ -140,6 +143,17 @@
   return request;
 }
 
+// Returns the era in the store's answer; nothing for a malformed one.
+std::optional<store_era>
+ParseEra(std::string_view aText)
+{
+  store_era era = 0;
+  const auto* end = aText.data() + aText.size();
+  const auto read = std::from_chars(aText.data(), end, era);
+  const bool valid = read.ec == std::errc{} && read.ptr == end;
+  return valid ? std::optional(era) : std::nullopt;
+}
+
 } // namespace
 
 struct platform_client::state : std::enable_shared_from_this<state>
@@ -205,6 +219,14 @@
              return;
            }
            const bool first = soFar.mStatus != platform_status::Ok;
+           if (!first && page.mAnswer.mEra != soFar.mEra) {
+             // Pages of two eras make no list.
+             list_answer mixed;
+             mixed.mEra = page.mAnswer.mEra;
+             aDone(std::move(mixed));
+             return;
+           }
+           soFar.mEra = page.mAnswer.mEra;
            soFar.mStatus = platform_status::Ok;
            // The version of the first page: a watch from there also reports
            // changes made while the later pages were read.
@@ -228,6 +250,24 @@
          });
   }
 
+  // Returns zero if the answer tells no era. Logs each change to a malformed or
+  // a missing one.
+  store_era ReadEra(const http_response& aResponse)
+  {
+    const std::string text(aResponse.Header("Store-Era"));
+    const auto era = ParseEra(text);
+    if (era) {
+      mToldEra = true;
+      mBadEra.reset();
+    } else if (mToldEra || !text.empty()) {
+      if (mBadEra != text) {
+        LogEvent(log_level::Warning, "store_era_invalid", { { "told", text } });
+      }
+      mBadEra = text;
+    }
+    return era.value_or(0);
+  }
+
   void Write(http_request aRequest, result_callback aDone)
   {
     platform_call call;
@@ -247,6 +287,7 @@
     if (fetched) {
       result.mResponse = fetched.value();
       result.mStatus = StatusOfHttp(result.mResponse.mStatus, aCall.mEffect);
+      result.mEra = aState->ReadEra(result.mResponse);
     } else {
       result.mStatus = StatusOfError(fetched.error(), aCall.mEffect);
       // The next call must not use an idle connection that has gone silent.
@@ -260,6 +301,10 @@
   asio::any_io_executor mExecutor;
   platform_client_settings mSettings;
   http_client mHttp;
+  // An answer has told an era.
+  bool mToldEra = false;
+  // The malformed or missing era that was logged last.
+  std::optional<std::string> mBadEra;
   // False once the client has been destroyed: callbacks are not called then.
   bool mAlive = true;
 };
--- a/src/sapphirespar/wire/platform_client_test.cpp
+++ b/src/sapphirespar/wire/platform_client_test.cpp
@@ -98,6 +98,44 @@
   std::unique_ptr<platform_client> mClient;
 };
 
+TEST_F(platform_calls, EachAnswerTellsTheErasOfTheStore)
+{
+  mAnswer->mHeaders = { { "Store-Era", "4" } };
+  for (const unsigned status : { 200U, 404U, 409U, 410U, 429U, 503U }) {
+    mAnswer->mStatus = status;
+    EXPECT_EQ(Get().mEra, 4U) << status;
+    EXPECT_EQ(Put().mEra, 4U) << status;
+    EXPECT_EQ(Watch().mEra, 4U) << status;
+  }
+}
+
+TEST_F(platform_calls, AMalformedEraIsIgnored)
+{
+  for (const auto* era :
+       { "", "-1", "4.5", "4 ", "x4", "0x4", "99999999999999999999", "\xff" }) {
+    mAnswer->mHeaders = { { "Store-Era", era } };
+    EXPECT_EQ(Get().mEra, 0U) << era;
+  }
+  mAnswer->mHeaders.clear();
+  EXPECT_EQ(Get().mEra, 0U);
+}
+
+TEST_F(platform_calls, PagesOfTwoErasMakeNoList)
+{
+  mAnswer->mHeaders = { { "Store-Era", "4" } };
+  mAnswer->mBody =
+    R"({"entries":[{"metadata":{"name":"a","revision":9}}],"has_more":true,"at":9})";
+  mNextAnswer = *mAnswer;
+  mNextAnswer->mHeaders = { { "Store-Era", "5" } };
+  mNextAnswer->mBody =
+    R"({"entries":[{"metadata":{"name":"b","revision":3}}],"has_more":false,"at":3})";
+  const auto answer =
+    Wait<list_answer>([&](auto aDone) { mClient->List("bundle", aDone); });
+  EXPECT_EQ(answer.mStatus, platform_status::Unavailable);
+  EXPECT_EQ(answer.mEra, 5U);
+  EXPECT_TRUE(answer.mObjects.empty());
+}
+
 TEST_F(platform_calls, AWriteNamesTheVersionItExpects)
 {
   mAnswer->mBody = R"({"metadata":{"name":"a/b","revision":9},"spec":"value"})";
