Soak a restored store, leaving upstreams and refusing ones

The stand-in store keeps a copy on request, brings it back under a new era and tells the era in every answer. The soak restores it after an outage and writes the operator's and the upstreams' objects again; upstreams say in their answers that they leave and are replaced later, or answer 503 with and without Retry-After. The checker follows the users' two rules on them by gateway and upstream; restarted or paused gateways and disturbed links are excused. A key counts as revoked only once the store has acknowledged it.

--- a/include/sapphirespar/soak/invariant_checker.hpp
+++ b/include/sapphirespar/soak/invariant_checker.hpp
@@ -25,8 +25,9 @@
 struct request_record
 {
   request_kind mKind = request_kind::Idempotent;
-  // API key that the caller sent.
+  // API key that the caller sent, and the gateway that it sent it to.
   std::string mKey;
+  unsigned mGateway = 0;
   std::chrono::steady_clock::time_point mSentAt{};
   // How often an upstream began to run the request.
   unsigned mRuns = 0;
@@ -54,7 +55,34 @@
   using time_point = std::chrono::steady_clock::time_point;
 
   // Must precede the other records of a request.
-  void RecordSent(const std::string& aId, request_kind aKind, std::string aKey);
+  void RecordSent(const std::string& aId,
+                  request_kind aKind,
+                  std::string aKey,
+                  unsigned aGateway);
+
+  // Records that a request reaches an upstream, whether it runs there or not.
+  void RecordArrival(const std::string& aId, unsigned aUpstream);
+
+  // Records that a gateway has passed on an answer by which the upstream is
+  // shutting down.
+  void RecordLeaving(unsigned aUpstream, unsigned aGateway);
+
+  // Records that the upstream answers a request with 503 and wants no other
+  // from its gateway for this long.
+  void RecordTurnedAway(const std::string& aId,
+                        unsigned aUpstream,
+                        std::chrono::milliseconds aFor);
+
+  // Drops what an upstream has said to the gateways, after it was replaced.
+  void ForgetUpstream(unsigned aUpstream);
+
+  // Excuses an upstream whose link is disturbed, or a gateway that is paused or
+  // restarted, from the rules on leaving and refusing upstreams. Each call of
+  // Begin needs one of End.
+  void BeginUpstreamExcuse(unsigned aUpstream);
+  void EndUpstreamExcuse(unsigned aUpstream);
+  void BeginGatewayExcuse(unsigned aGateway);
+  void EndGatewayExcuse(unsigned aGateway);
 
   // Records that an upstream begins to run a request; aAccount is the client
   // account in the forwarded request.
@@ -76,9 +104,28 @@
   soak_totals& Totals() { return mTotals; }
 
 private:
+  // An upstream and a gateway.
+  using pair = std::pair<unsigned, unsigned>;
+
+  // The time from shortly after a refusal to the end that it named.
+  struct turned_away
+  {
+    time_point mFrom;
+    time_point mUntil;
+    unsigned mArrivals = 0;
+  };
+
   void AddViolation(const std::string& aRule, const std::string& aId);
+  void ForgetGateway(unsigned aGateway);
+  bool IsExcused(const pair& aPair) const;
 
   std::map<std::string, request_record> mRequests;
+  // When the gateway first passed the upstream's leaving on.
+  std::map<pair, time_point> mLeaving;
+  std::map<pair, turned_away> mTurnedAway;
+  // Numbers of excuses in force.
+  std::map<unsigned, unsigned> mUpstreamExcuses;
+  std::map<unsigned, unsigned> mGatewayExcuses;
   // Removed keys with the time at which the removal was acknowledged.
   std::map<std::string, time_point> mRevoked;
   std::vector<std::string> mViolations;
--- a/include/sapphirespar/soak/soak_harness.hpp
+++ b/include/sapphirespar/soak/soak_harness.hpp
@@ -47,11 +47,28 @@
   bool mFaultActive = false;
 };
 
+// What an upstream says in its answers.
+enum class upstream_state
+{
+  Ready,
+  // Says in every answer that it is shutting down.
+  Leaving,
+  // Answers 503 with Retry-After.
+  TurnsAway,
+  // Answers 503 without it.
+  Refuses,
+};
+
 // An upstream's server and the proxy between the gateways and the server.
 struct soak_upstream
 {
   std::unique_ptr<wire::http_server> mServer;
   std::unique_ptr<fault_proxy> mPath;
+  upstream_state mState = upstream_state::Ready;
+  // Changes with each incarnation.
+  unsigned mBorn = 1;
+  // How long it wants no requests while it turns them away.
+  std::chrono::milliseconds mRetryAfter{ 0 };
 };
 
 class soak_harness
@@ -80,11 +97,27 @@
                                     std::string aId);
   asio::awaitable<void> InjectFault();
   asio::awaitable<void> HandleUpstreamRequest(
+    unsigned aNumber,
     const wire::http_request& aRequest,
     wire::http_reply& aReply);
-
-  asio::awaitable<void> WriteRouting(unsigned aVersion);
+  asio::awaitable<void> RunUpstreamRequest(wire::http_headers aHeaders,
+                                           const wire::http_request& aRequest,
+                                           wire::http_reply& aReply);
+
+  // Puts the routing with mKeys and mRoutingVersion into the store. Returns
+  // whether the store has acknowledged it.
+  asio::awaitable<bool> WriteRouting();
+  asio::awaitable<void> WriteUpstream(unsigned aNumber);
   asio::awaitable<void> WriteUpstreams();
+  // Returns the revision of an object; zero if it can't be read.
+  asio::awaitable<std::uint64_t> RevisionOf(std::string aTarget);
+  // Takes a copy of the store, brings it back later, and writes again what the
+  // operator and the upstreams had written.
+  asio::awaitable<void> RestoreStore();
+  asio::awaitable<void> DisturbStore();
+  // Makes an upstream say something in its answers for some time. One that
+  // leaves is replaced by a new incarnation afterwards.
+  asio::awaitable<void> ChangeUpstream(unsigned aNumber, upstream_state aState);
   asio::awaitable<wire::http_response> CallStore(std::string aMethod,
                                                  std::string aTarget,
                                                  std::string aBody);
@@ -110,8 +143,9 @@
   std::vector<std::unique_ptr<gateway_process>> mGateways;
   // Keys in the routing table; callers also go on using the removed ones.
   std::vector<std::string> mKeys;
-  // Revision of the store object with the routing table; zero before it exists.
-  std::uint64_t mRoutingRevision = 0;
+  unsigned mRoutingVersion = 1;
+  // The store is being restored, which no other fault of it may delay.
+  bool mRestoring = false;
   // Time at which callers stop and the last fault is injected.
   std::chrono::steady_clock::time_point mEnd{};
 };
--- a/include/sapphirespar/tools/standin_platform.hpp
+++ b/include/sapphirespar/tools/standin_platform.hpp
@@ -3,7 +3,10 @@
 //
 //   GET|PUT|DELETE /objects/{kind}/{name}   POST /objects/{kind}
 //   GET /objects/{kind}[?after=NAME|?watch=N&wait_ms=M]
-//   GET|PUT /vms   GET|PUT /faults   GET /stats
+//   GET|PUT /vms   GET|PUT /faults   GET /stats   PUT /copy   PUT /restore
+//
+// PUT /copy keeps a copy of the objects. PUT /restore brings it back and begins
+// a new era, which every answer of the API tells in Store-Era.
 #pragma once
 
 #include <boost/asio/io_context.hpp>
--- a/src/sapphirespar/soak/invariant_checker.cpp
+++ b/src/sapphirespar/soak/invariant_checker.cpp
@@ -8,6 +8,15 @@
 // Gateways may accept a key for this long after its removal from the store.
 constexpr std::chrono::milliseconds kKeyFreshness{ 5000 };
 
+// A request that a caller sent later than this after its gateway had passed an
+// upstream's leaving on must not reach the upstream.
+constexpr std::chrono::milliseconds kDrainTime{ 2000 };
+
+// From this time after an upstream has turned a request away until the end that
+// it named, no more than kArrivalsAllowed requests of the gateway may reach it.
+constexpr std::chrono::milliseconds kRefusalLag{ 500 };
+constexpr unsigned kArrivalsAllowed = 2;
+
 bool
 RunsAtMostOnce(request_kind aKind)
 {
@@ -39,12 +48,77 @@
 void
 invariant_checker::RecordSent(const std::string& aId,
                               request_kind aKind,
-                              std::string aKey)
+                              std::string aKey,
+                              unsigned aGateway)
 {
   ++mTotals.mRequests;
-  mRequests[aId] = request_record{
-    aKind, std::move(aKey), std::chrono::steady_clock::now(), 0, false
+  mRequests[aId] = request_record{ aKind,    std::move(aKey),
+                                   aGateway, std::chrono::steady_clock::now(),
+                                   0,        false };
+}
+
+void
+invariant_checker::RecordArrival(const std::string& aId, unsigned aUpstream)
+{
+  const auto found = mRequests.find(aId);
+  if (found == mRequests.end()) {
+    return;
+  }
+  const auto& request = found->second;
+  const pair key{ aUpstream, request.mGateway };
+  const auto leaving = mLeaving.find(key);
+  if (leaving != mLeaving.end() &&
+      request.mSentAt > leaving->second + kDrainTime) {
+    AddViolation("a request reaches an upstream that leaves", aId);
+  }
+  const auto turned = mTurnedAway.find(key);
+  const auto now = std::chrono::steady_clock::now();
+  if (turned != mTurnedAway.end() && now > turned->second.mFrom &&
+      now < turned->second.mUntil &&
+      ++turned->second.mArrivals > kArrivalsAllowed) {
+    AddViolation("a request reaches an upstream that turns away", aId);
+  }
+}
+
+void
+invariant_checker::RecordLeaving(unsigned aUpstream, unsigned aGateway)
+{
+  const pair key{ aUpstream, aGateway };
+  if (!IsExcused(key)) {
+    mLeaving.emplace(key, std::chrono::steady_clock::now());
+  }
+}
+
+void
+invariant_checker::RecordTurnedAway(const std::string& aId,
+                                    unsigned aUpstream,
+                                    std::chrono::milliseconds aFor)
+{
+  const auto now = std::chrono::steady_clock::now();
+  const pair key{ aUpstream, mRequests[aId].mGateway };
+  if (!IsExcused(key)) {
+    mTurnedAway[key] = { now + kRefusalLag, now + aFor };
+  }
+}
+
+void
+invariant_checker::ForgetUpstream(unsigned aUpstream)
+{
+  const auto isOf = [aUpstream](const auto& aItem) {
+    return aItem.first.first == aUpstream;
   };
+  std::erase_if(mLeaving, isOf);
+  std::erase_if(mTurnedAway, isOf);
+}
+
+void
+invariant_checker::ForgetGateway(unsigned aGateway)
+{
+  const auto isOf = [aGateway](const auto& aItem) {
+    return aItem.first.second == aGateway;
+  };
+  std::erase_if(mLeaving, isOf);
+  std::erase_if(mTurnedAway, isOf);
 }
 
 void
@@ -101,6 +175,43 @@
   mRevoked[aKey] = std::chrono::steady_clock::now();
 }
 
+void
+invariant_checker::BeginUpstreamExcuse(unsigned aUpstream)
+{
+  ++mUpstreamExcuses[aUpstream];
+  ForgetUpstream(aUpstream);
+}
+
+void
+invariant_checker::EndUpstreamExcuse(unsigned aUpstream)
+{
+  --mUpstreamExcuses[aUpstream];
+}
+
+void
+invariant_checker::BeginGatewayExcuse(unsigned aGateway)
+{
+  ++mGatewayExcuses[aGateway];
+  ForgetGateway(aGateway);
+}
+
+void
+invariant_checker::EndGatewayExcuse(unsigned aGateway)
+{
+  --mGatewayExcuses[aGateway];
+}
+
+bool
+invariant_checker::IsExcused(const pair& aPair) const
+{
+  const auto counts = [](const auto& aExcuses, unsigned aNumber) {
+    const auto found = aExcuses.find(aNumber);
+    return found != aExcuses.end() && found->second > 0;
+  };
+  return counts(mUpstreamExcuses, aPair.first) ||
+         counts(mGatewayExcuses, aPair.second);
+}
+
 void
 invariant_checker::AddViolation(const std::string& aRule,
                                 const std::string& aId)
--- a/src/sapphirespar/soak/invariant_checker_test.cpp
+++ b/src/sapphirespar/soak/invariant_checker_test.cpp
@@ -3,15 +3,19 @@
 
 #include <gtest/gtest.h>
 
+#include <thread>
+
 namespace sapphirespar::soak {
 namespace {
 
+using namespace std::chrono_literals;
+
 const std::string kAccount = "account-k0";
 
 class invariant_checker_test : public testing::Test
 {
 protected:
-  void Send(request_kind aKind) { mChecker.RecordSent("r", aKind, "k0"); }
+  void Send(request_kind aKind) { mChecker.RecordSent("r", aKind, "k0", 0); }
   std::size_t Violations() const { return mChecker.Violations().size(); }
 
   invariant_checker mChecker;
@@ -48,7 +52,7 @@
   mChecker.RecordRun("r", kAccount);
   mChecker.RecordResponse("r", 503, "");
   EXPECT_EQ(Violations(), 1U);
-  mChecker.RecordSent("late", request_kind::AtMostOnce, "k0");
+  mChecker.RecordSent("late", request_kind::AtMostOnce, "k0", 0);
   mChecker.RecordResponse("late", 503, "");
   mChecker.RecordRun("late", kAccount);
   EXPECT_EQ(Violations(), 2U);
@@ -71,5 +75,47 @@
   EXPECT_EQ(Violations(), 2U);
 }
 
+TEST_F(invariant_checker_test, ReportsLateRequestsAtALeavingUpstream)
+{
+  constexpr unsigned kUpstream = 3;
+  mChecker.RecordLeaving(kUpstream, 0);
+  mChecker.RecordLeaving(kUpstream, 1);
+  mChecker.BeginGatewayExcuse(1);
+  mChecker.EndGatewayExcuse(1);
+  mChecker.RecordSent("early", request_kind::Idempotent, "k0", 0);
+  std::this_thread::sleep_for(2100ms);
+  mChecker.RecordSent("late", request_kind::Idempotent, "k0", 0);
+  mChecker.RecordSent("restarted", request_kind::Idempotent, "k0", 1);
+  mChecker.RecordArrival("early", kUpstream);
+  mChecker.RecordArrival("late", kUpstream + 1);
+  mChecker.RecordArrival("restarted", kUpstream);
+  EXPECT_EQ(Violations(), 0U);
+  mChecker.RecordArrival("late", kUpstream);
+  EXPECT_EQ(Violations(), 1U);
+  mChecker.ForgetUpstream(kUpstream);
+  mChecker.RecordArrival("late", kUpstream);
+  EXPECT_EQ(Violations(), 1U);
+}
+
+TEST_F(invariant_checker_test, ReportsAThirdRequestThatIsTurnedAway)
+{
+  constexpr unsigned kUpstream = 3;
+  Send(request_kind::Idempotent);
+  mChecker.RecordTurnedAway("r", kUpstream, 10s);
+  for (int count = 0; count < 5; ++count) {
+    mChecker.RecordArrival("r", kUpstream);
+  }
+  std::this_thread::sleep_for(550ms);
+  mChecker.RecordArrival("r", kUpstream);
+  mChecker.RecordArrival("r", kUpstream);
+  EXPECT_EQ(Violations(), 0U);
+  mChecker.RecordArrival("r", kUpstream);
+  EXPECT_EQ(Violations(), 1U);
+  mChecker.BeginUpstreamExcuse(kUpstream);
+  mChecker.RecordTurnedAway("r", kUpstream, 10s);
+  mChecker.RecordArrival("r", kUpstream);
+  EXPECT_EQ(Violations(), 1U);
+}
+
 } // namespace
 } // namespace sapphirespar::soak
--- a/src/sapphirespar/soak/soak_harness.cpp
+++ b/src/sapphirespar/soak/soak_harness.cpp
@@ -1,12 +1,10 @@
-// Gateway processes, the contents of the store, and the upstreams of a soak.
+// Gateway processes and the run of a soak.
 #include "sapphirespar/soak/soak_harness.hpp"
 
-#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/json.hpp>
 
 #include <fcntl.h>
 #include <spawn.h>
@@ -21,7 +19,6 @@
 namespace sapphirespar::soak {
 namespace {
 
-namespace json = boost::json;
 using asio::ip::tcp;
 
 // All gateways use the same ports, each on a loopback address of its own.
@@ -57,21 +54,6 @@
          "\"\n[bounds]\nretry_slack = 100\n";
 }
 
-json::object
-MakeRoute(std::string_view aPath, std::string_view aKind, bool aResumable)
-{
-  return { { "name", aPath },
-           { "host", "soak" },
-           { "path_prefix", aPath },
-           { "route_type", aKind },
-           { "stream_resume", aResumable },
-           { "service", "pool" },
-           { "timeout_ms", 4000 },
-           { "target_latency_ms", 300 },
-           { "target_gap_ms", 300 },
-           { "max_attempts", 3 } };
-}
-
 } // namespace
 
 soak_harness::soak_harness(soak_options aOptions)
@@ -94,8 +76,9 @@
       mContext,
       workers,
       wire::http_server_settings{},
-      [this](const wire::http_request& aRequest, wire::http_reply& aReply) {
-        return HandleUpstreamRequest(aRequest, aReply);
+      [this, number](const wire::http_request& aRequest,
+                     wire::http_reply& aReply) {
+        return HandleUpstreamRequest(number, aRequest, aReply);
       });
     upstream.mPath = std::make_unique<fault_proxy>(
       mContext, Loopback(upstream.mServer->Port()));
@@ -211,94 +194,6 @@
   co_return response ? response.value() : noResponse;
 }
 
-asio::awaitable<void>
-soak_harness::WriteRouting(unsigned aVersion)
-{
-  json::array accounts;
-  for (const auto& key : mKeys) {
-    accounts.push_back(json::object{ { "name", "account-" + key },
-                                     { "api_keys", json::array{ key } } });
-  }
-  json::object routing;
-  routing["version"] = aVersion;
-  routing["routes"] = json::array{ MakeRoute("/once/", "non_idempotent", false),
-                                   MakeRoute("/safe/", "idempotent", false),
-                                   MakeRoute("/stream/", "streaming", false),
-                                   MakeRoute("/resume/", "streaming", true) };
-  routing["services"] = json::array{ json::object{ { "name", "pool" } } };
-  routing["tenants"] = std::move(accounts);
-  json::object body;
-  body["metadata"] =
-    json::object{ { "name", "main" }, { "revision", mRoutingRevision } };
-  body["spec"] = std::move(routing);
-  const bool isNew = mRoutingRevision == 0;
-  std::string method = isNew ? "POST" : "PUT";
-  std::string target = isNew ? "/objects/config" : "/objects/config/main";
-  const auto response = co_await CallStore(
-    std::move(method), std::move(target), json::serialize(body));
-  if (response.mStatus == 200) {
-    mRoutingRevision = json::parse(response.mBody)
-                         .at_pointer("/metadata/revision")
-                         .to_number<std::uint64_t>();
-  }
-}
-
-asio::awaitable<void>
-soak_harness::WriteUpstreams()
-{
-  for (std::size_t number = 0; number < mUpstreams.size(); ++number) {
-    json::object entry;
-    entry["service"] = "pool";
-    entry["address"] =
-      "127.0.0.1:" + std::to_string(mUpstreams[number].mPath->Port());
-    entry["zone"] = "here";
-    entry["slots"] = 16;
-    entry["state"] = "ready";
-    json::object body;
-    body["metadata"] =
-      json::object{ { "name", "upstream-" + std::to_string(number) } };
-    body["spec"] = std::move(entry);
-    std::string method = "POST";
-    std::string target = "/objects/servers";
-    co_await CallStore(
-      std::move(method), std::move(target), json::serialize(body));
-  }
-}
-
-asio::awaitable<void>
-soak_harness::HandleUpstreamRequest(const wire::http_request& aRequest,
-                                    wire::http_reply& aReply)
-{
-  constexpr milliseconds kEventInterval{ 25 };
-  const std::string id(aRequest.Header("X-Request-Id"));
-  const bool stream = aRequest.mTarget.starts_with("/stream/") ||
-                      aRequest.mTarget.starts_with("/resume/");
-  mChecker.RecordRun(id, std::string(aRequest.Header("X-Tenant")));
-  wire::http_headers headers{ { "X-Request-Id", id },
-                              { "X-Upstream-Signature", "made-" + id } };
-  if (!stream) {
-    wire::http_response response{ 200, std::move(headers), {} };
-    response.mBody =
-      invariant_checker::ExpectedBody(id, request_kind::AtMostOnce);
-    co_await aReply.Send(std::move(response));
-    co_return;
-  }
-  headers.push_back({ "Content-Type", "text/event-stream" });
-  const std::string last(aRequest.Header("Last-Event-Id"));
-  const int from = last.empty() ? 1 : std::stoi(last) + 1;
-  bool connected = co_await aReply.Begin(200, std::move(headers));
-  asio::steady_timer timer(mContext);
-  for (int number = from; connected && number <= kStreamEvents; ++number) {
-    const auto event = ExpectedEvent(id, number);
-    connected = co_await aReply.Write(event);
-    timer.expires_after(kEventInterval);
-    co_await timer.async_wait(asio::use_awaitable);
-  }
-  if (connected) {
-    co_await aReply.Finish();
-  }
-}
-
 void
 soak_harness::Run()
 {
@@ -318,7 +213,7 @@
 {
   constexpr milliseconds kStartupTime{ 1500 };
   constexpr milliseconds kSettleTime{ 5500 };
-  co_await WriteRouting(1);
+  co_await WriteRouting();
   co_await WriteUpstreams();
   for (const auto& gateway : mGateways) {
     StartGateway(*gateway);
--- a/src/sapphirespar/soak/soak_workload.cpp
+++ b/src/sapphirespar/soak/soak_workload.cpp
@@ -62,7 +62,8 @@
   const auto& route = kRoutes[Draw(kRoutes.size())];
   const auto key = "k" + std::to_string(Draw(kCallerKeys));
   wire::endpoint endpoint;
-  endpoint.mAddress = mGateways[Draw(mOptions.mGateways)]->mAddress;
+  const auto gateway = Draw(mOptions.mGateways);
+  endpoint.mAddress = mGateways[gateway]->mAddress;
   endpoint.mPort = kCallerPort;
   wire::http_request request;
   request.mMethod = "POST";
@@ -72,10 +73,15 @@
                        { "X-Request-Id", aId },
                        { "X-Deadline-Ms", "4000" },
                        { "Authorization", "Bearer " + key } };
-  mChecker.RecordSent(aId, route.mKind, key);
+  mChecker.RecordSent(aId, route.mKind, key, gateway);
   auto response =
     co_await aClient.Fetch(endpoint, std::move(request), kCallerTimeout);
   const bool received = response.has_value();
+  if (received && response.value().Header("Server-Leaving") == "1") {
+    const std::string upstream(response.value().Header("Upstream"));
+    mChecker.RecordLeaving(static_cast<unsigned>(std::stoul(upstream)),
+                           gateway);
+  }
   mChecker.RecordResponse(aId,
                           received ? response.value().mStatus : 0,
                           received ? response.value().mBody : std::string{});
@@ -132,24 +138,29 @@
     link_fault::Delay,         link_fault::Reset, link_fault::DropRequests,
     link_fault::DropResponses, link_fault::Stall,
   };
-  constexpr std::array<std::string_view, 4> kStoreFaults{
-    R"({"outage":true})",
-    R"({"throttle":true})",
-    R"({"delay_ms":400})",
-    R"({"lose_answers":3})",
-  };
-  auto& gateway = *mGateways[Draw(mOptions.mGateways)];
+  constexpr std::array<upstream_state, 3> kStates{ upstream_state::Leaving,
+                                                   upstream_state::TurnsAway,
+                                                   upstream_state::Refuses };
+  const auto gatewayNumber = Draw(mOptions.mGateways);
+  const auto upstreamNumber = Draw(mOptions.mUpstreams);
+  auto& gateway = *mGateways[gatewayNumber];
   const auto fault = kLinkFaults[Draw(kLinkFaults.size())];
   const milliseconds duration(200 + Draw(2500));
-  switch (Draw(8)) {
+  switch (Draw(11)) {
     case 0:
+      mChecker.BeginGatewayExcuse(gatewayNumber);
       co_await StopAndRestart(gateway, SIGKILL);
+      mChecker.EndGatewayExcuse(gatewayNumber);
       break;
     case 1:
+      mChecker.BeginGatewayExcuse(gatewayNumber);
       co_await StopAndRestart(gateway, SIGTERM);
+      mChecker.EndGatewayExcuse(gatewayNumber);
       break;
     case 2:
+      mChecker.BeginGatewayExcuse(gatewayNumber);
       co_await Pause(gateway);
+      mChecker.EndGatewayExcuse(gatewayNumber);
       break;
     case 3:
       Signal(gateway, SIGHUP);
@@ -161,28 +172,23 @@
       break;
     case 5:
     case 6: {
-      auto& upstream = mUpstreams[Draw(mOptions.mUpstreams)];
+      auto& upstream = mUpstreams[upstreamNumber];
+      mChecker.BeginUpstreamExcuse(upstreamNumber);
       upstream.mPath->SetFault(fault);
       co_await Sleep(duration);
       upstream.mPath->SetFault(link_fault::None);
+      mChecker.EndUpstreamExcuse(upstreamNumber);
       break;
     }
-    default: {
-      std::string method = "PUT";
-      std::string target = "/faults";
-      std::string startBody(kStoreFaults[Draw(kStoreFaults.size())]);
-      co_await CallStore(method, target, startBody);
-      co_await Sleep(duration);
-      std::string clearBody =
-        R"({"outage":false,"throttle":false,"delay_ms":0,"lose_answers":0})";
-      co_await CallStore(method, target, clearBody);
-      if (mKeys.size() > 1 && mChecker.Totals().mFaults % 3 == 0) {
-        const auto key = mKeys.back();
-        mKeys.pop_back();
-        co_await WriteRouting(2 + mChecker.Totals().mFaults);
-        mChecker.RecordKeyRevoked(key);
-      }
-    }
+    case 7:
+    case 8:
+      co_await ChangeUpstream(upstreamNumber, kStates[Draw(kStates.size())]);
+      break;
+    case 9:
+      co_await RestoreStore();
+      break;
+    default:
+      co_await DisturbStore();
   }
 }
 
--- a/src/sapphirespar/tools/object_store.hpp
+++ b/src/sapphirespar/tools/object_store.hpp
@@ -48,9 +48,10 @@
   std::vector<platform_object> List(const std::string& aKind) const;
 
   // Whether the log still has all changes after version aFrom.
+  // and has that version at all.
   bool HasChangesAfter(object_version aFrom) const
   {
-    return aFrom >= mDroppedUpTo;
+    return aFrom >= mDroppedUpTo && aFrom <= mVersion;
   }
 
   // Returns the objects of a kind that changed after version aFrom, each once,
--- a/src/sapphirespar/tools/standin_platform.cpp
+++ b/src/sapphirespar/tools/standin_platform.cpp
@@ -86,6 +86,9 @@
 
   platform_settings mSettings;
   object_store mStore;
+  // Brought back by a restore.
+  object_store mCopy{ mStore };
+  store_era mEra = 1;
   token_bucket mReadLimiter;
   token_bucket mWriteLimiter;
   platform_faults mFaults;
@@ -368,6 +371,24 @@
   return JsonResponse(200, body);
 }
 
+// Keeps a copy of the store.
+wire::http_response
+TakeCopy(platform_state& aState)
+{
+  aState.mCopy = aState.mStore;
+  return JsonResponse(200, json::object{ { "at", aState.mCopy.Version() } });
+}
+
+// Brings the last copy back, which loses what was written since.
+wire::http_response
+Restore(platform_state& aState)
+{
+  aState.mStore = aState.mCopy;
+  ++aState.mEra;
+  WakeWatches(aState);
+  return JsonResponse(200, json::object{ { "era", aState.mEra } });
+}
+
 // Serves the pages that control the stand-in, which no fault affects. Returns
 // nothing for the pages of the platform's API.
 std::optional<wire::http_response>
@@ -382,6 +403,12 @@
   if (path == "/stats") {
     return StatsResponse(aState.mCounts);
   }
+  if (path == "/copy" && aRequest.mMethod == "PUT") {
+    return TakeCopy(aState);
+  }
+  if (path == "/restore" && aRequest.mMethod == "PUT") {
+    return Restore(aState);
+  }
   if (path == "/vms" && aRequest.mMethod == "PUT") {
     return ReplaceVms(aState, aRequest);
   }
@@ -450,13 +477,18 @@
     co_return;
   }
   co_await Sleep(aState.mFaults.mDelay);
+  const auto send =
+    [&](wire::http_response aResponse) -> asio::awaitable<void> {
+    aResponse.mHeaders.push_back({ "Store-Era", std::to_string(aState.mEra) });
+    co_await aReply.Send(std::move(aResponse));
+  };
   if (aState.mFaults.mOutage) {
-    co_await aReply.Send(ErrorResponse(503, "the platform is away"));
+    co_await send(ErrorResponse(503, "the platform is away"));
     co_return;
   }
   const bool write = aRequest.mMethod != "GET";
   if (!Admit(aState, write)) {
-    co_await aReply.Send(ErrorResponse(429, "too many calls"));
+    co_await send(ErrorResponse(429, "too many calls"));
     co_return;
   }
   auto response = co_await ServeApi(aState, aRequest, aReply);
@@ -464,7 +496,7 @@
     --aState.mFaults.mResponsesToDrop;
     co_return;
   }
-  co_await aReply.Send(std::move(response));
+  co_await send(std::move(response));
 }
 
 } // namespace
