Derive the times of entries from the configured heartbeat

How long an outage must last for entries of live upstreams to expire, and how long missing or former ones are kept in or out after it, assumed a heartbeat of 1.2 s. Where upstreams write every 5 s, an upstream that had left during an outage of 2 s was kept as if its entry had expired. The platform tells the heartbeat; the setting bounds.upstream_heartbeat_ms takes it from there. At 1.2 s all times stay as they were.

--- a/include/sapphirespar/config/gateway_settings.hpp
+++ b/include/sapphirespar/config/gateway_settings.hpp
@@ -51,6 +51,9 @@
   std::chrono::milliseconds mKeyFreshness{ 5000 };
   // Longest time until changes of the routing and of upstreams take effect.
   std::chrono::milliseconds mMaxPropagationDelay{ 2000 };
+  // How often a live upstream writes its entry in the store. The entry expires
+  // after three times this.
+  std::chrono::milliseconds mUpstreamHeartbeat{ 1200 };
   // Time from the request to stop until the process is killed.
   std::chrono::milliseconds mDrainTime{ 8000 };
   // Retry budget of all gateways together: in any window, retries may number at
--- a/include/sapphirespar/gateway/store_reader.hpp
+++ b/include/sapphirespar/gateway/store_reader.hpp
@@ -86,9 +86,7 @@
   // mQueryRetry.
   std::chrono::milliseconds mMaximumAge{ 1100 };
   std::chrono::milliseconds mQueryRetry{ 150 };
-  // Entries of live upstreams expire only in outages at least this long. An
-  // entry lasts for three heartbeats of 1.2 s, and the first may be nearly over
-  // when the outage begins.
+  // Entries of live upstreams expire only in outages at least this long.
   std::chrono::milliseconds mMinimumOutage{ 2000 };
   // For this long after such an outage, an upstream that is not listed may have
   // an expired entry that it will write again.
--- a/src/sapphirespar/config/gateway_settings.cpp
+++ b/src/sapphirespar/config/gateway_settings.cpp
@@ -12,6 +12,7 @@
 
 constexpr integer_bounds kFileBounds{ 64, 1'000'000 };
 constexpr integer_bounds kFreshnessBounds{ 500, 600'000 };
+constexpr integer_bounds kHeartbeatBounds{ 10, 600'000 };
 constexpr integer_bounds kWindowBounds{ 1, 3600 };
 constexpr real_bounds kSecondsBounds{ 0.1, 3600 };
 constexpr real_bounds kProcessorBounds{ 0.001, 1024 };
@@ -113,6 +114,10 @@
   };
   aSettings.mMaxPropagationDelay =
     std::min(change("routing_change_ms"), change("upstream_change_ms"));
+  aSettings.mUpstreamHeartbeat =
+    aTable.Milliseconds("upstream_heartbeat_ms",
+                        kHeartbeatBounds,
+                        aSettings.mUpstreamHeartbeat.count());
   aSettings.mDrainTime = ReadSeconds(aTable, "drain_s", aSettings.mDrainTime);
   aSettings.mRetryRatio =
     aTable.Real("retry_ratio", kRatioBounds, aSettings.mRetryRatio);
--- a/src/sapphirespar/config/gateway_settings_test.cpp
+++ b/src/sapphirespar/config/gateway_settings_test.cpp
@@ -50,6 +50,7 @@
 key_freshness_ms = 4000
 routing_change_ms = 3000
 upstream_change_ms = 1500
+upstream_heartbeat_ms = 700
 drain_s = 2.5
 retry_ratio = 0.1
 entry_ttl_s = 3
@@ -59,6 +60,7 @@
   EXPECT_EQ(settings->mSeeds.at(0).mPort, 8083);
   EXPECT_EQ(settings->mKeyFreshness, 4s);
   EXPECT_EQ(settings->mMaxPropagationDelay, 1500ms);
+  EXPECT_EQ(settings->mUpstreamHeartbeat, 700ms);
   EXPECT_EQ(settings->mDrainTime, 2500ms);
   EXPECT_EQ(settings->mEntryTtl, 3s);
 }
--- a/src/sapphirespar/gateway/part_settings.cpp
+++ b/src/sapphirespar/gateway/part_settings.cpp
@@ -22,6 +22,12 @@
 constexpr milliseconds kFirstReadPatience{ 3000 };
 constexpr milliseconds kFirstReadSpread{ 2000 };
 
+// An entry expires after this many heartbeats.
+constexpr int kEntryHeartbeats = 3;
+
+// A write after an outage or a restore may be this much later than a heartbeat.
+constexpr milliseconds kWriteDelay{ 1000 };
+
 // Time for a datagram to a seed and the reply.
 constexpr milliseconds kStartDelay{ 30 };
 
@@ -75,6 +81,11 @@
   constexpr double kPeriodsInBound = 3.3;
   settings.mPeriod = std::chrono::duration_cast<milliseconds>(
     aSettings.mMaxPropagationDelay / kPeriodsInBound);
+  const auto heartbeat = aSettings.mUpstreamHeartbeat;
+  // Less than the two heartbeats that an entry lasts for at least.
+  settings.mMinimumOutage = heartbeat * 5 / 3;
+  settings.mOutageGrace = heartbeat + kWriteDelay;
+  settings.mRestores = { settings.mOutageGrace, kEntryHeartbeats * heartbeat };
   settings.mStartDelay = kStartDelay;
   settings.mMaximumAnswerAge = settings.mPeriod * 5 / 3;
   settings.mMaximumAge = settings.mPeriod * 11 / 6;
