Serve copies of the store's contents at a new path

Copies now tell the operator's version where they told the revision of the routing. A gateway of the former version would have taken the version for a revision, kept its own routing and not confirmed it, and refused keys after 5 s while the fleet is rolled out. At the new path it gets a 404 and reads the store itself, and so do new gateways that ask former ones; a summary without a version counts as none.

--- a/src/sapphirespar/gateway/store_snapshot_codec_test.cpp
+++ b/src/sapphirespar/gateway/store_snapshot_codec_test.cpp
@@ -114,6 +114,17 @@
   EXPECT_FALSE(DecodeStoreSnapshot(text.substr(0, text.size() / 2)));
 }
 
+// Gateways of the former version tell the revision of the routing. They serve
+// their copies at another path, and their texts are no copies here.
+TEST(StoreSnapshotCodec, RejectsACopyInTheFormerFormat)
+{
+  EXPECT_FALSE(DecodeStoreSnapshot(
+    R"({"routing":{"version":5,"value":"7"},"upstreams":[],"delta":null,)"
+    R"("upstreams_digest":1,"gateways":[],"routing_age_ms":1,)"
+    R"("upstreams_age_ms":1})"));
+  EXPECT_EQ(SnapshotTarget({}).rfind("/v1/", 0), std::string::npos);
+}
+
 TEST(StoreSnapshotCodec, KeepsKnownVersionsAndIgnoresMalformedOnes)
 {
   routing_packer packer;
--- a/src/sapphirespar/wire/gossip_codec_test.cpp
+++ b/src/sapphirespar/wire/gossip_codec_test.cpp
@@ -48,6 +48,16 @@
   EXPECT_EQ(*read, Sample());
 }
 
+// Senders of the former version tell a revision, which does not compare.
+TEST(GossipCodec, ASummaryWithoutARoutingVersionIsIgnored)
+{
+  auto state = Sample();
+  state.mStore->mRoutingVersion = 0;
+  const auto read = DecodeGossip(EncodeGossip(state));
+  ASSERT_TRUE(read);
+  EXPECT_FALSE(read->mStore);
+}
+
 TEST(GossipCodec, KeepsAnAbsentStoreSummary)
 {
   auto state = Sample();
