--- a/src/sapphirespar/gateway/store_restore_test.cpp
+++ b/src/sapphirespar/gateway/store_restore_test.cpp
@@ -6,6 +6,9 @@
 
 #include <rapidcheck/gtest.h>
 
+#include <memory>
+#include <vector>
+
 namespace sapphirespar::gateway {
 namespace {
 
@@ -210,8 +213,9 @@
   };
   const auto steps = *rc::gen::inRange(5, 30);
   for (int step = 0; step < steps; ++step) {
-    auto& gateway = *gateways[*rc::gen::inRange(0, count)];
-    switch (*rc::gen::inRange(0, 7)) {
+    const auto index = static_cast<std::size_t>(*rc::gen::inRange(0, count));
+    auto& gateway = *gateways[index];
+    switch (*rc::gen::inRange(0, 8)) {
       case 0:
         publish(true);
         break;
@@ -240,6 +244,15 @@
       case 5:
         world.Write({ "servers", "a" }, "80");
         break;
+      case 6:
+        if (index > 0) {
+          gateways[index] =
+            std::make_unique<test_gateway>(world.mTimers, world.mStore);
+          gateways[index]->mPeer = gateways.front().get();
+          gateways[index]->mReader.Start();
+          highest[index] = 0;
+        }
+        break;
       default:
         break;
     }
