Judge a read after a restore by when it was sent

A read proves the state at its sending, so one that was sent before the authors had had time to write again confirms nothing, whenever it is answered. The two ways of taking a restored list are named after the restore.

--- a/include/sapphirespar/gateway/store_restores.hpp
+++ b/include/sapphirespar/gateway/store_restores.hpp
@@ -37,9 +37,10 @@
   // The latest era; zero before the first. Never decreases.
   store_era Era() const { return mEra; }
 
-  // Whether what was read proves nothing about changes that were acknowledged
-  // before the restore, as their authors may not have written them again.
-  bool MayLackChanges(boot_time aNow) const;
+  // Whether a read that was sent at aSent proves nothing about changes that
+  // were acknowledged before the restore, as their authors may not have written
+  // them again by then.
+  bool MayLackChanges(boot_time aSent) const;
 
   // Whether the list may hold upstreams that have left, and former states.
   bool MayHoldFormerEntries(boot_time aNow) const;
--- a/include/sapphirespar/gateway/upstream_directory.hpp
+++ b/include/sapphirespar/gateway/upstream_directory.hpp
@@ -92,9 +92,9 @@
   // The store was restored from an older copy. Missing upstreams are kept as in
   // a partial list. Upstreams that were removed are not listed again, and
   // draining ones keep draining, as the copy may be older than these changes.
-  Former,
-  // Like Former, but missing upstreams have had time to write their entries.
-  FormerComplete,
+  Restored,
+  // Like Restored, but missing upstreams have had time to write their entries.
+  RestoredComplete,
 };
 
 struct directory_change
--- a/src/sapphirespar/gateway/store_reader.cpp
+++ b/src/sapphirespar/gateway/store_reader.cpp
@@ -26,12 +26,12 @@
       return "complete";
     case list_completeness::PossiblyPartial:
       return "partial";
-    case list_completeness::Former:
-      return "former";
-    case list_completeness::FormerComplete:
+    case list_completeness::Restored:
+      return "restored";
+    case list_completeness::RestoredComplete:
       break;
   }
-  return "former_complete";
+  return "restored_complete";
 }
 
 std::string
@@ -397,7 +397,7 @@
   // the read does not confirm it.
   void ApplyStoreRouting(const std::string& aValue, boot_time aSent)
   {
-    const bool proves = !mRestores.MayLackChanges(mHooks.mNow());
+    const bool proves = !mRestores.MayLackChanges(aSent);
     ApplyRouting(aValue, proves ? aSent : boot_time{}, "store");
   }
 
@@ -483,8 +483,8 @@
     const bool partial =
       justAvailable || longUnavailable || mRestores.MayLackChanges(now);
     if (mRestores.MayHoldFormerEntries(now)) {
-      return partial ? list_completeness::Former
-                     : list_completeness::FormerComplete;
+      return partial ? list_completeness::Restored
+                     : list_completeness::RestoredComplete;
     }
     return partial ? list_completeness::PossiblyPartial
                    : list_completeness::Complete;
--- a/src/sapphirespar/gateway/store_restores.cpp
+++ b/src/sapphirespar/gateway/store_restores.cpp
@@ -35,9 +35,9 @@
 }
 
 bool
-store_restores::MayLackChanges(boot_time aNow) const
+store_restores::MayLackChanges(boot_time aSent) const
 {
-  return mRestoredAt && aNow - *mRestoredAt < mSettings.mRewriteTime;
+  return mRestoredAt && aSent - *mRestoredAt < mSettings.mRewriteTime;
 }
 
 bool
--- a/src/sapphirespar/gateway/upstream_directory.cpp
+++ b/src/sapphirespar/gateway/upstream_directory.cpp
@@ -111,19 +111,19 @@
   directory_change change;
   step newStep{ mDigest, {} };
   std::set<upstream_id> listed;
-  const bool former = aCompleteness == list_completeness::Former ||
-                      aCompleteness == list_completeness::FormerComplete;
+  const bool restored = aCompleteness == list_completeness::Restored ||
+                        aCompleteness == list_completeness::RestoredComplete;
   const auto isRemoved = [&](std::uint64_t aKey) {
     return FindFormer(aKey) != mFormer.end();
   };
   for (auto entry : aEntries) {
     const auto key = KeyOf(entry);
     listed.insert(entry.mId);
-    if (former && isRemoved(key)) {
+    if (restored && isRemoved(key)) {
       continue;
     }
     auto& known = mUpstreams[entry.mId];
-    if (former && known && known->mKey == key) {
+    if (restored && known && known->mKey == key) {
       entry.mDraining = entry.mDraining || known->mEntry.mDraining;
     }
     if (known && known->mKey == key) {
@@ -147,7 +147,7 @@
   std::vector<upstream_id> missing;
   for (const auto& [id, known] : mUpstreams) {
     const bool partial = aCompleteness == list_completeness::PossiblyPartial ||
-                         aCompleteness == list_completeness::Former;
+                         aCompleteness == list_completeness::Restored;
     const bool mayReturn = partial && !known->mEntry.mDraining;
     if (!listed.contains(id) && !mayReturn) {
       missing.push_back(id);
