--- a/src/sapphirespar/wire/platform_client_test.cpp
+++ b/src/sapphirespar/wire/platform_client_test.cpp
@@ -111,8 +111,14 @@
 
 TEST_F(platform_calls, AMalformedEraIsIgnored)
 {
-  for (const auto* era :
-       { "", "-1", "4.5", "4 ", "x4", "0x4", "99999999999999999999", "\xff" }) {
+  for (const auto* era : { "",
+                           "-1",
+                           "4.5",
+                           "4 5",
+                           "x4",
+                           "0x4",
+                           "99999999999999999999",
+                           "\xff" }) {
     mAnswer->mHeaders = { { "Store-Era", era } };
     EXPECT_EQ(Get().mEra, 0U) << era;
   }
