--- a/include/sapphirespar/gateway/upstream_directory.hpp
+++ b/include/sapphirespar/gateway/upstream_directory.hpp
@@ -169,6 +169,7 @@
   std::size_t Size() const { return mUpstreams.size(); }
 
 private:
+  // Returns the incarnation's position in mFormer, or the end.
   std::deque<upstream_ptr>::iterator FindFormer(std::uint64_t aKey);
   // Returns the former object of the incarnation, or a new one.
   upstream_ptr MakeUpstream(const upstream_entry& aEntry, std::uint64_t aKey);
--- a/include/sapphirespar/soak/invariant_checker.hpp
+++ b/include/sapphirespar/soak/invariant_checker.hpp
@@ -104,8 +104,8 @@
   soak_totals& Totals() { return mTotals; }
 
 private:
-  // An upstream and a gateway.
-  using pair = std::pair<unsigned, unsigned>;
+  // Numbers of an upstream and of a gateway.
+  using upstream_gateway = std::pair<unsigned, unsigned>;
 
   // The time from shortly after a refusal to the end that it named.
   struct turned_away
@@ -117,12 +117,12 @@
 
   void AddViolation(const std::string& aRule, const std::string& aId);
   void ForgetGateway(unsigned aGateway);
-  bool IsExcused(const pair& aPair) const;
+  bool IsExcused(const upstream_gateway& aLink) const;
 
   std::map<std::string, request_record> mRequests;
   // When the gateway first passed the upstream's leaving on.
-  std::map<pair, time_point> mLeaving;
-  std::map<pair, turned_away> mTurnedAway;
+  std::map<upstream_gateway, time_point> mLeaving;
+  std::map<upstream_gateway, turned_away> mTurnedAway;
   // Numbers of excuses in force.
   std::map<unsigned, unsigned> mUpstreamExcuses;
   std::map<unsigned, unsigned> mGatewayExcuses;
--- a/include/sapphirespar/wire/http_client.hpp
+++ b/include/sapphirespar/wire/http_client.hpp
@@ -85,6 +85,7 @@
   // Returns the status and headers; the body is empty.
   virtual const http_response& Head() const = 0;
 
+  // Returns what marks the end of the body.
   virtual body_framing Framing() const = 0;
 
   // Returns whether the connection carried an earlier request.
--- a/src/sapphirespar/soak/invariant_checker.cpp
+++ b/src/sapphirespar/soak/invariant_checker.cpp
@@ -65,7 +65,7 @@
     return;
   }
   const auto& request = found->second;
-  const pair key{ aUpstream, request.mGateway };
+  const upstream_gateway key{ aUpstream, request.mGateway };
   const auto leaving = mLeaving.find(key);
   if (leaving != mLeaving.end() &&
       request.mSentAt > leaving->second + kDrainTime) {
@@ -83,7 +83,7 @@
 void
 invariant_checker::RecordLeaving(unsigned aUpstream, unsigned aGateway)
 {
-  const pair key{ aUpstream, aGateway };
+  const upstream_gateway key{ aUpstream, aGateway };
   if (!IsExcused(key)) {
     mLeaving.emplace(key, std::chrono::steady_clock::now());
   }
@@ -95,7 +95,7 @@
                                     std::chrono::milliseconds aFor)
 {
   const auto now = std::chrono::steady_clock::now();
-  const pair key{ aUpstream, mRequests[aId].mGateway };
+  const upstream_gateway key{ aUpstream, mRequests[aId].mGateway };
   if (!IsExcused(key)) {
     mTurnedAway[key] = { now + kRefusalLag, now + aFor };
   }
@@ -202,14 +202,14 @@
 }
 
 bool
-invariant_checker::IsExcused(const pair& aPair) const
+invariant_checker::IsExcused(const upstream_gateway& aLink) const
 {
   const auto counts = [](const auto& aExcuses, unsigned aNumber) {
     const auto found = aExcuses.find(aNumber);
     return found != aExcuses.end() && found->second > 0;
   };
-  return counts(mUpstreamExcuses, aPair.first) ||
-         counts(mGatewayExcuses, aPair.second);
+  return counts(mUpstreamExcuses, aLink.first) ||
+         counts(mGatewayExcuses, aLink.second);
 }
 
 void
