Test that a refusal counts where health doesn't tell upstreams apart

The new case makes both upstreams' health alike. Without the change 20 of 20 requests reach the refusing upstream, with it 1 (trial on a scratch copy of this code with the reaction removed).

--- a/src/sapphirespar/gateway/forward_turned_away_test.cpp
+++ b/src/sapphirespar/gateway/forward_turned_away_test.cpp
@@ -130,6 +130,23 @@
   EXPECT_EQ(mArrivals["a"], 2U);
 }
 
+// The other upstream's failures make the health of both alike, so that only
+// the refusal keeps requests away.
+TEST_F(forward_turned_away_test, ARefusalCountsBesideAFailingUpstream)
+{
+  Publish();
+  AddUpstream("a", TurnsAway("20000"));
+  AddUpstream("b",
+              [](const wire::http_request& aRequest,
+                 wire::http_reply& aReply) -> asio::awaitable<void> {
+                co_await aReply.Send(SignedAnswer(aRequest, 500, "broken"));
+              });
+  for (int count = 0; count < 20; ++count) {
+    SendRequest("/safe/x");
+  }
+  EXPECT_EQ(mArrivals["a"], 1U);
+}
+
 TEST_F(forward_turned_away_test, CallersAreToldWhenTheFirstUpstreamReturns)
 {
   Publish();
