--- a/src/sapphirespar/gateway/forward_fixture_test.cpp
+++ b/src/sapphirespar/gateway/forward_fixture_test.cpp
@@ -11,6 +11,7 @@
 
 #include <array>
 #include <charconv>
+#include <ranges>
 
 namespace sapphirespar::gateway {
 namespace {
@@ -25,6 +26,16 @@
   return number;
 }
 
+std::vector<prompt_segment>
+ToSegments(std::string_view aText)
+{
+  std::vector<prompt_segment> segments;
+  for (const auto part : std::views::split(aText, ',')) {
+    segments.push_back({ ToUnsigned({ part.begin(), part.end() }), 1 });
+  }
+  return segments;
+}
+
 request_info
 ReadRequestInfo(const wire::http_headers& aHeaders)
 {
@@ -35,6 +46,7 @@
   if (!deadline.empty()) {
     info.mDeadline = std::chrono::milliseconds(ToUnsigned(deadline));
   }
+  info.mPrompt = ToSegments(wire::FindHeader(aHeaders, kTestParts));
   info.mPromptTokens = ToUnsigned(wire::FindHeader(aHeaders, kTestTokens));
   return info;
 }
@@ -294,6 +306,18 @@
   return answer;
 }
 
+void
+forward_fixture::Pause(std::chrono::milliseconds aTime)
+{
+  const auto wait =
+    [](asio::io_context& aContext,
+       std::chrono::milliseconds aDelay) -> asio::awaitable<void> {
+    asio::steady_timer timer(aContext, aDelay);
+    co_await timer.async_wait(asio::use_awaitable);
+  };
+  Run(wait(mContext, aTime));
+}
+
 void
 forward_fixture::Run(asio::awaitable<void> aWork)
 {
--- a/src/sapphirespar/gateway/forward_fixture_test.hpp
+++ b/src/sapphirespar/gateway/forward_fixture_test.hpp
@@ -36,6 +36,8 @@
 inline constexpr std::string_view kTestDeadline = "Deadline";
 inline constexpr std::string_view kTestExpected = "Expected";
 inline constexpr std::string_view kTestTokens = "Tokens";
+// Identifiers of the prompt's parts, in decimal, with commas.
+inline constexpr std::string_view kTestParts = "Parts";
 inline constexpr std::string_view kTestLeaving = "Leaving";
 // In milliseconds.
 inline constexpr std::string_view kTestRetryAfter = "Come-Back";
@@ -74,6 +76,9 @@
                                   wire::http_headers aMore = {},
                                   std::string aMethod = "POST");
 
+  // Lets everything run for a while.
+  void Pause(std::chrono::milliseconds aTime);
+
   // Runs until aWork is done.
   void Run(asio::awaitable<void> aWork);
 
