Find the prompt parts that crash upstreams

A part is suspected while upstreams end, one after the other, at the begin of answers to requests with it, the pool answers others in between and no upstream survives such a request. Three such crashes quarantine it, unless another part explains as many; upstreams that end together count once, and not at all if no part explains them; one that sends on has not crashed.

Nothing uses it yet.

--- /dev/null
+++ b/include/sapphirespar/policy/crash_suspects.hpp
@@ -0,0 +1,174 @@
+// Finds the prompt parts that crash upstreams. A part is suspected while
+// upstreams end, one after the other, under requests with it and none survives
+// one; the part that explains the most of these crashes is quarantined. The
+// gateways of a fleet exchange what they see, as one of them alone sees few of
+// the crashes.
+#pragma once
+
+#include "sapphirespar/base/timer_service.hpp"
+#include "sapphirespar/model/crash_report.hpp"
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace sapphirespar::policy {
+
+// The parts of one prompt that other prompts may share, in one pool.
+struct shared_parts
+{
+  std::string_view mPool;
+  std::span<const std::uint64_t> mIds;
+};
+
+// The quarantine of a part has begun or ended.
+struct belief_change
+{
+  prompt_part mPart;
+  bool mQuarantined = false;
+  // Number of crashes that count against the part; zero if a peer reported the
+  // quarantine.
+  unsigned mCrashes = 0;
+  bool mFromPeer = false;
+};
+
+class crash_suspects
+{
+public:
+  // Returns whether this gateway makes the trials of a part. At most one
+  // gateway of a fleet should.
+  using trial_hook = std::function<bool(const prompt_part&)>;
+
+  explicit crash_suspects(trial_hook aMakesTrials);
+
+  // Records that an upstream broke the connection of a request. aAtBegin: after
+  // the head and before any event of the answer. Returns whether peers should
+  // be told at once.
+  bool OnUpstreamLost(const shared_parts& aParts,
+                      std::uint64_t aUpstream,
+                      bool aAtBegin,
+                      steady_time aNow);
+
+  // Records that an answer went on after its begin, or is complete.
+  void OnSurvival(const shared_parts& aParts, steady_time aNow);
+
+  // Records that bytes came from an upstream.
+  void OnSign(std::uint64_t aUpstream, steady_time aNow);
+
+  // Returns how long to refuse a request; nothing if it may be sent. Counts the
+  // request as a trial if it is let through with a quarantined part.
+  std::optional<std::chrono::milliseconds> Refuse(const shared_parts& aParts,
+                                                  steady_time aNow);
+
+  // Returns whether a request that lost its upstream may be sent to another
+  // one.
+  bool MayRepeat(const shared_parts& aParts, steady_time aNow) const;
+
+  // Adds what another gateway reported. Repetition changes nothing.
+  void Merge(const crash_report& aReport, steady_time aNow);
+
+  // What to report to other gateways.
+  crash_report Report(steady_time aNow) const;
+
+  // Draws conclusions from what is known. Returns the changes since the last
+  // call. Call it several times a second.
+  std::vector<belief_change> Update(steady_time aNow);
+
+  std::size_t Quarantined() const { return mQuarantines.size(); }
+
+private:
+  struct crash
+  {
+    std::uint64_t mUpstream = 0;
+    steady_time mEnded{};
+    // Seen by this gateway itself.
+    bool mOwn = false;
+  };
+  struct loss
+  {
+    std::string mPool;
+    steady_time mEnded{};
+    // When this gateway learned of it.
+    steady_time mLearned{};
+    // The latest sign of the upstream soon after the end.
+    std::optional<steady_time> mSign;
+    bool mOwn = false;
+  };
+  // Only own survivals are reported: times would drift if they were passed on.
+  struct survival
+  {
+    steady_time mLast{};
+    std::optional<steady_time> mLastOwn;
+  };
+  struct pool_survivals
+  {
+    std::set<steady_time> mTimes;
+    std::optional<steady_time> mLastOwn;
+  };
+  struct quarantine
+  {
+    steady_time mSince{};
+    steady_time mSeen{};
+    unsigned mTrials = 0;
+    steady_time mLastTrial{};
+  };
+  struct ended_upstream
+  {
+    std::uint64_t mKey = 0;
+    // Number of parts of the requests at whose begin it ended.
+    unsigned mParts = 0;
+  };
+  // Upstreams of a pool that ended together.
+  using cluster = std::vector<ended_upstream>;
+  // The crashes that count against a part.
+  struct chain
+  {
+    std::set<std::uint64_t> mUpstreams;
+    unsigned mCrashes = 0;
+    // Sum over the crashes: the fewer parts were there, the more each.
+    double mEvidence = 0;
+  };
+
+  void AddCrash(const prompt_part& aPart,
+                const crash& aCrash,
+                steady_time aNow);
+  void AddLoss(std::string_view aPool, const crash& aCrash, steady_time aNow);
+  void AddSurvival(const prompt_part& aPart, steady_time aAt, bool aOwn);
+  void AddPoolSurvival(std::string_view aPool, steady_time aAt, bool aOwn);
+  bool AnySurvival(std::string_view aPool,
+                   steady_time aAfter,
+                   steady_time aUntil) const;
+  void AdoptQuarantine(const part_quarantine& aReported, steady_time aNow);
+  // The upstreams that quarantined parts have ended.
+  std::set<std::uint64_t> Explained() const;
+  // The unexplained ends of a pool's upstreams that were known at aLatest, in
+  // order.
+  std::vector<cluster> Clusters(std::string_view aPool,
+                                steady_time aLatest) const;
+  chain ChainOf(const prompt_part& aPart,
+                std::span<const cluster> aClusters) const;
+  std::optional<belief_change> NextQuarantine(steady_time aNow) const;
+  void Forget(steady_time aNow);
+  static steady_time NextTrial(const quarantine& aQuarantine);
+
+  const trial_hook mMakesTrials;
+  // In order of their ends, one per upstream. No list is empty.
+  std::map<prompt_part, std::vector<crash>> mCrashes;
+  std::map<std::uint64_t, loss> mLosses;
+  // The latest survival of each part with crashes or a quarantine.
+  std::map<prompt_part, survival> mSurvivals;
+  // Survivals of any part since the first loss, by pool.
+  std::map<std::string, pool_survivals, std::less<>> mPoolSurvivals;
+  std::map<prompt_part, quarantine> mQuarantines;
+  // Changes that Update has not returned yet.
+  std::vector<belief_change> mChanges;
+};
+
+} // namespace sapphirespar::policy
--- /dev/null
+++ b/src/sapphirespar/policy/crash_suspects_conclusions.cpp
@@ -0,0 +1,196 @@
+// Conclusions from the evidence: which parts explain the crashes.
+#include "sapphirespar/policy/crash_suspects.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace sapphirespar::policy {
+namespace {
+
+using std::chrono::milliseconds;
+
+// A part is quarantined after this many crashes, if no other part explains as
+// many, and after one more in any case.
+constexpr unsigned kCrashes = 3;
+
+// Sum of the evidence needed. A crash is worth one with this many parts at
+// hand, and less with more of them: then other requests may have caused it.
+constexpr double kEvidence = 1.5;
+constexpr double kPartsOfOne = 2;
+
+// Requests with a part are not repeated after this many crashes.
+constexpr unsigned kCrashesWithoutRepeat = 2;
+
+// A part explains the crashes of which its requests are at hand at this share.
+constexpr double kExplainedShare = 0.4;
+
+// Upstreams that end within this time of each other end together. So many of
+// them, unless one part explains it, have another cause.
+constexpr milliseconds kTogether{ 100 };
+constexpr std::size_t kCommonCause = 3;
+
+// A crash counts after this time without a sign of the upstream, which includes
+// the time that the signs take from other gateways.
+constexpr milliseconds kConfirmAfter{ 300 };
+
+constexpr std::size_t kMaximumQuarantines = 32;
+
+bool
+Intersect(const std::set<std::uint64_t>& aOne,
+          const std::set<std::uint64_t>& aTwo)
+{
+  return std::ranges::any_of(
+    aOne, [&](std::uint64_t aKey) { return aTwo.contains(aKey); });
+}
+
+} // namespace
+
+std::set<std::uint64_t>
+crash_suspects::Explained() const
+{
+  std::set<std::uint64_t> upstreams;
+  for (const auto& [part, held] : mQuarantines) {
+    const auto found = mCrashes.find(part);
+    if (found != mCrashes.end()) {
+      for (const auto& crash : found->second) {
+        upstreams.insert(crash.mUpstream);
+      }
+    }
+  }
+  return upstreams;
+}
+
+std::vector<crash_suspects::cluster>
+crash_suspects::Clusters(std::string_view aPool, steady_time aLatest) const
+{
+  const auto explained = Explained();
+  std::map<std::uint64_t, unsigned> parts;
+  for (const auto& [part, crashes] : mCrashes) {
+    for (const auto& crash : crashes) {
+      parts[crash.mUpstream] += part.mPool == aPool ? 1 : 0;
+    }
+  }
+  std::vector<std::pair<steady_time, std::uint64_t>> ends;
+  for (const auto& [upstream, lost] : mLosses) {
+
+    if (lost.mPool == aPool && lost.mLearned <= aLatest && !lost.mSign &&
+        !explained.contains(upstream)) {
+      ends.emplace_back(lost.mEnded, upstream);
+    }
+  }
+  std::ranges::sort(ends);
+  std::vector<cluster> clusters;
+  std::optional<steady_time> last;
+  for (const auto& [ended, upstream] : ends) {
+    if (!last || ended > *last + kTogether) {
+      clusters.emplace_back();
+    }
+    clusters.back().push_back({ upstream, parts[upstream] });
+    last = ended;
+  }
+  return clusters;
+}
+
+crash_suspects::chain
+crash_suspects::ChainOf(const prompt_part& aPart,
+                        std::span<const cluster> aClusters) const
+{
+  chain result;
+  const auto found = mCrashes.find(aPart);
+  if (found == mCrashes.end()) {
+    return result;
+  }
+  const auto survived = mSurvivals.find(aPart);
+  auto last =
+    survived == mSurvivals.end() ? steady_time{} : survived->second.mLast;
+  double explained = 0;
+  double unexplained = 0;
+  for (const auto& together : aClusters) {
+    const auto isHere = [&](const crash& aCrash) {
+      return std::ranges::find(together,
+                               aCrash.mUpstream,
+                               &ended_upstream::mKey) != together.end();
+    };
+    const auto first = std::ranges::find_if(found->second, isHere);
+    const auto here = std::ranges::count_if(found->second, isHere);
+    const bool explains =
+      static_cast<double>(here) >=
+      kExplainedShare * static_cast<double>(together.size());
+    if (!explains) {
+      const bool counts =
+        together.size() < kCommonCause && !result.mUpstreams.empty();
+      unexplained += counts ? 1 : 0;
+      continue;
+    }
+    // Every survival after the part's own last one is of requests without it.
+    // Upstreams that end while the pool gives no answers count once.
+    const auto isNext = [&](const crash& aCrash) {
+      return isHere(aCrash) &&
+             (result.mUpstreams.empty()
+                ? aCrash.mEnded > last
+                : AnySurvival(aPart.mPool, last, aCrash.mEnded));
+    };
+    const auto next = std::ranges::find_if(found->second, isNext);
+    if (next != found->second.end()) {
+      last = next->mEnded;
+      result.mUpstreams.insert(next->mUpstream);
+      ++result.mCrashes;
+      const auto ended =
+        std::ranges::find(together, next->mUpstream, &ended_upstream::mKey);
+      result.mEvidence += std::min(1.0, kPartsOfOne / ended->mParts);
+    }
+    explained += first->mEnded > last || !result.mUpstreams.empty() ? 1 : 0;
+  }
+  if (explained < kExplainedShare * (explained + unexplained)) {
+    return {};
+  }
+  return result;
+}
+
+std::optional<belief_change>
+crash_suspects::NextQuarantine(steady_time aNow) const
+{
+  if (mQuarantines.size() >= kMaximumQuarantines) {
+    return std::nullopt;
+  }
+  std::map<std::string_view, std::vector<cluster>> clusters;
+  std::map<prompt_part, chain> chains;
+  for (const auto& [part, crashes] : mCrashes) {
+    if (crashes.size() >= kCrashes && !mQuarantines.contains(part)) {
+      auto& ends = clusters[part.mPool];
+      if (ends.empty()) {
+        ends = Clusters(part.mPool, aNow - kConfirmAfter);
+      }
+      chains.emplace(part, ChainOf(part, ends));
+    }
+  }
+  const auto best = std::ranges::max_element(chains, {}, [](const auto& aItem) {
+    return std::pair(aItem.second.mEvidence, aItem.second.mCrashes);
+  });
+  if (best == chains.end() || best->second.mCrashes < kCrashes ||
+      best->second.mEvidence < kEvidence) {
+    return std::nullopt;
+  }
+  const auto& [part, against] = *best;
+  const bool tied = std::ranges::any_of(chains, [&](const auto& aItem) {
+    return aItem.first != part && aItem.second.mCrashes == against.mCrashes &&
+           Intersect(aItem.second.mUpstreams, against.mUpstreams);
+  });
+  if (tied && against.mCrashes == kCrashes) {
+    return std::nullopt;
+  }
+  return belief_change{ part, true, against.mCrashes, false };
+}
+
+bool
+crash_suspects::MayRepeat(const shared_parts& aParts, steady_time aNow) const
+{
+  const auto clusters = Clusters(aParts.mPool, aNow);
+  return std::ranges::none_of(aParts.mIds, [&](std::uint64_t aId) {
+    const prompt_part part{ std::string(aParts.mPool), aId };
+    return mQuarantines.contains(part) ||
+           ChainOf(part, clusters).mCrashes >= kCrashesWithoutRepeat;
+  });
+}
+
+} // namespace sapphirespar::policy
