Log how much of an answer a caller has, and an upstream's silence

The lines of an attempt and of a request could not tell the hypotheses on LOST apart: silent meant a limit on silence as well as the deadline, and a request whose caller got nothing looked like one that was answered.

The attempt line gains silent_ms and left_ms, the request line answered.

--- a/src/sapphirespar/gateway/forward.cpp
+++ b/src/sapphirespar/gateway/forward.cpp
@@ -53,6 +53,28 @@
   milliseconds mRetryAfter{ 0 };
 };
 
+// How much of an answer the caller has been sent, whoever made it.
+enum class answered_part
+{
+  Nothing,
+  Part,
+  Whole,
+};
+
+std::string_view
+ToText(answered_part aPart)
+{
+  switch (aPart) {
+    case answered_part::Nothing:
+      return "nothing";
+    case answered_part::Part:
+      return "part";
+    case answered_part::Whole:
+      break;
+  }
+  return "whole";
+}
+
 std::string
 ToSeconds(milliseconds aTime)
 {
@@ -114,12 +136,22 @@
       mStatus = refusal->mStatus;
       mOutcome = refusal->mReason;
       mRetryAfter = refusal->mRetryAfter;
-      co_await mReply.Send(ToResponse(*refusal));
+      auto response = ToResponse(*refusal);
+      co_await SendWhole(std::move(response));
     }
     RecordRequest();
   }
 
 private:
+  // Sends an answer that this gateway has complete.
+  asio::awaitable<void> SendWhole(wire::http_response aResponse)
+  {
+    const bool sent = co_await mReply.Send(std::move(aResponse));
+    if (sent) {
+      mAnswered = answered_part::Whole;
+    }
+  }
+
   void OnCallerDisconnect()
   {
     mProgress.mCallerGone = true;
@@ -228,6 +260,11 @@
       if (finished || mProgress.mCallerGone) {
         mStatus = result.mStatus;
         mOutcome = ToText(result.mEnd);
+        if (result.mEnd == attempt_end::Relayed) {
+          mAnswered = answered_part::Whole;
+        } else if (mProgress.mBegun) {
+          mAnswered = answered_part::Part;
+        }
         co_return std::nullopt;
       }
       if (!MayTryAgain(result)) {
@@ -307,10 +344,12 @@
     if (mProgress.mBegun) {
       // The caller has part of the answer. Closing the connection shows that it
       // is incomplete.
+      mAnswered = answered_part::Part;
       co_return std::nullopt;
     }
     if (aResult.mFailure) {
-      co_await mReply.Send(std::move(*aResult.mFailure));
+      auto response = std::move(*aResult.mFailure);
+      co_await SendWhole(std::move(response));
       co_return std::nullopt;
     }
     const bool late = LeftUntil(mForwarded.mDeadline) <= kTimerTolerance;
@@ -353,6 +392,8 @@
                { "framing",
                  aResult.mFraming ? wire::ToText(*aResult.mFraming) : "none" },
                { "unfinished_bytes", aResult.mUnfinishedBytes },
+               { "silent_ms", aResult.mSilence.count() },
+               { "left_ms", LeftUntil(mForwarded.mDeadline).count() },
                { "detail", aResult.mDetail } });
     mServices.mMetrics.Count("gateway_attempts_total",
                              { { "end", ToText(aResult.mEnd) } });
@@ -375,6 +416,7 @@
         { "tokens", mForwarded.mInfo.mPromptTokens },
         { "outcome", mOutcome },
         { "status", mStatus },
+        { "answered", ToText(mAnswered) },
         { "sends", mProgress.mSends },
         { "retry_after_ms", mRetryAfter.count() },
         { "first_ms", ToMs(first - mForwarded.mArrived) },
@@ -400,6 +442,7 @@
   std::vector<upstream_ptr> mTried;
 
   // Outcome, for the log and the metrics.
+  answered_part mAnswered = answered_part::Nothing;
   unsigned mStatus = 0;
   std::string_view mOutcome;
   milliseconds mRetryAfter{ 0 };
--- a/src/sapphirespar/gateway/forward_attempt.cpp
+++ b/src/sapphirespar/gateway/forward_attempt.cpp
@@ -53,6 +53,7 @@
       co_return OpenFailed(opened.error());
     }
     mStream = std::move(opened).value();
+    mLastBytes = steady_clock::now();
     mUpstream.mHealth.AddResponse();
     ++mProgress.mSends;
     co_return co_await ReceiveAnswer();
@@ -91,6 +92,8 @@
     attempt_result result;
     result.mEnd = aEnd;
     result.mDetail = std::move(aDetail);
+    result.mSilence = std::chrono::duration_cast<milliseconds>(
+      steady_clock::now() - mLastBytes);
     if (mStream) {
       result.mStatus = mStream->Head().mStatus;
       result.mReusedConnection = mStream->Reused();
@@ -214,6 +217,7 @@
       if (piece.value().empty()) {
         break;
       }
+      mLastBytes = steady_clock::now();
       response.mBody += piece.value();
     }
     const bool failed = aKind == answer_kind::Failed;
@@ -257,6 +261,7 @@
       if (!piece) {
         co_return AnswerLost(piece.error());
       }
+      mLastBytes = steady_clock::now();
       auto events = mSplitter.Feed(piece.value());
       const bool finished = mStream->Finished();
       const bool cut = finished && IsCut(first && events.mBytes.empty());
@@ -320,6 +325,8 @@
   relay_progress& mProgress;
   attempt_learning mLearning;
   wire::sse_splitter mSplitter;
+  // When the upstream last sent bytes of the answer, or the start.
+  steady_time mLastBytes = steady_clock::now();
   // Null until the head of an answer has arrived.
   wire::http_stream_ptr mStream;
 };
--- a/src/sapphirespar/gateway/forward_state.hpp
+++ b/src/sapphirespar/gateway/forward_state.hpp
@@ -86,6 +86,8 @@
   std::optional<wire::body_framing> mFraming;
   // Bytes of a stream after its last complete event.
   std::size_t mUnfinishedBytes = 0;
+  // Time since the upstream last sent bytes of the answer, or since the start.
+  std::chrono::milliseconds mSilence{ 0 };
   std::string mDetail;
 };
 
