Wait for a silent upstream while another is tried beside it

Callers beside a change of the configuration got neither an answer nor a refusal: a sound upstream had fallen silent for a second and gone on.

Cause: a limit on the upstream's silence closed its connection first, and only then was it asked whether the request could be tried again. Where the retry budget was spent, no upstream or attempt was left, the stream could not be resumed, or the next upstream refused, broke or was slow, an answer that was still coming was thrown away; with part of a stream sent, the caller's connection was closed.

Ruled out: the reader of callers' requests takes its limits once for each request, so a change of them ends none.

An attempt now reads until the route's timeout. attempt_race notices the silence and starts a second attempt where one is allowed; the first of the two with more of the answer claims the reply, and the other is aborted. Silence alone no longer ends anything, so what the second attempt meets can't cost the caller the first one's answer.

--- a/src/sapphirespar/gateway/forward.cpp
+++ b/src/sapphirespar/gateway/forward.cpp
@@ -1,15 +1,17 @@
 // Admission, attempts, retries and final answers of forwarded requests.
 #include "sapphirespar/gateway/forward.hpp"
 
+#include "attempt_race.hpp"
+#include "forward_record.hpp"
 #include "forward_state.hpp"
 #include "placement.hpp"
+#include "refusal_answer.hpp"
 
 #include "sapphirespar/base/log.hpp"
 #include "sapphirespar/policy/retry.hpp"
 #include "sapphirespar/policy/wait_limit.hpp"
 
 #include <algorithm>
-#include <cstdio>
 
 namespace sapphirespar::gateway {
 namespace {
@@ -44,80 +46,26 @@
 // another gateway.
 constexpr milliseconds kRetryElsewhere{ 20 };
 
-// An answer that the gateway makes itself instead of relaying an upstream's.
-struct refusal_answer
-{
-  unsigned mStatus = 503;
-  std::string_view mReason;
-  // Zero if a retry would not help.
-  milliseconds mRetryAfter{ 0 };
-};
-
-// How much of an answer the caller has been sent, whoever made it.
-enum class answered_part
-{
-  Nothing,
-  Part,
-  Whole,
-};
-
-std::string_view
-ToText(answered_part aPart)
-{
-  switch (aPart) {
-    case answered_part::Nothing:
-      return "nothing";
-    case answered_part::Part:
-      return "part";
-    case answered_part::Whole:
-      break;
-  }
-  return "whole";
-}
-
-std::string
-ToSeconds(milliseconds aTime)
-{
-  std::array<char, 32> text{};
-  constexpr double kMsPerSecond = 1000;
-  const int size =
-    std::snprintf(text.data(),
-                  text.size(),
-                  "%.3f",
-                  static_cast<double>(aTime.count()) / kMsPerSecond);
-  return { text.data(), static_cast<std::size_t>(std::max(size, 0)) };
-}
-
-wire::http_response
-ToResponse(const refusal_answer& aRefusal)
-{
-  wire::http_response response;
-  response.mStatus = aRefusal.mStatus;
-  response.mHeaders = { { "Content-Type", "text/plain" } };
-  if (aRefusal.mRetryAfter > milliseconds::zero()) {
-    response.mHeaders.push_back(
-      { "Retry-After", ToSeconds(aRefusal.mRetryAfter) });
-  }
-  response.mBody = std::string(aRefusal.mReason) + "\n";
-  return response;
-}
-
-template<class Duration>
-std::int64_t
-ToMs(Duration aTime)
-{
-  return std::chrono::duration_cast<milliseconds>(aTime).count();
-}
-
-class request_forwarder
+// Attempts that were aborted may outlive the request; they keep the forwarder
+// alive, but use neither the request nor the reply any more.
+class request_forwarder : public std::enable_shared_from_this<request_forwarder>
 {
 public:
-  request_forwarder(const forward_services& aServices,
+  request_forwarder(asio::any_io_executor aExecutor,
+                    const forward_services& aServices,
                     const wire::http_request& aRequest,
                     wire::http_reply& aReply)
     : mServices(aServices)
     , mReply(aReply)
     , mForwarded(aRequest)
+    , mRace(std::move(aExecutor),
+            aServices,
+            mForwarded,
+            aReply,
+            mProgress,
+            [this](const auto& aAttempt, const auto& aResult) {
+              RecordAttempt(mServices, mForwarded, aAttempt, aResult);
+            })
   {
   }
 
@@ -133,13 +81,13 @@
       mReply.OnCallerDisconnect(nullptr);
     }
     if (refusal && !mProgress.mCallerGone) {
-      mStatus = refusal->mStatus;
-      mOutcome = refusal->mReason;
-      mRetryAfter = refusal->mRetryAfter;
+      mOutcome.mStatus = refusal->mStatus;
+      mOutcome.mName = refusal->mReason;
+      mOutcome.mRetryAfter = refusal->mRetryAfter;
       auto response = ToResponse(*refusal);
       co_await SendWhole(std::move(response));
     }
-    RecordRequest();
+    RecordRequest(mServices, mForwarded, mProgress, mOutcome, mRoutingAge);
   }
 
 private:
@@ -148,16 +96,14 @@
   {
     const bool sent = co_await mReply.Send(std::move(aResponse));
     if (sent) {
-      mAnswered = answered_part::Whole;
+      mOutcome.mAnswered = answered_part::Whole;
     }
   }
 
   void OnCallerDisconnect()
   {
     mProgress.mCallerGone = true;
-    if (mProgress.mAbort) {
-      mProgress.mAbort->Abort();
-    }
+    mRace.AbortAll();
   }
 
   // Sets the request's route, account, priority, deadlines and pool. Returns a
@@ -236,43 +182,83 @@
   asio::awaitable<std::optional<refusal_answer>> RunAttempts()
   {
     while (true) {
-      auto target = PlaceRequest(mServices, mForwarded, mTried);
-      if (!target) {
-        co_return MakeRefusal("no_upstream", kRetryLater);
+      if (mRace.Running() == 0) {
+        auto target = PlaceRequest(mServices, mForwarded, mTried);
+        if (!target) {
+          co_return MakeRefusal("no_upstream", kRetryLater);
+        }
+        if (const auto refusal = CheckWait(*target)) {
+          co_return refusal;
+        }
+        Start(std::move(*target));
       }
-      if (const auto refusal = CheckWait(*target)) {
-        co_return refusal;
+      co_await mRace.Wait();
+      if (mProgress.mCallerGone) {
+        EndWith(attempt_end::CallerDisconnected, 0);
+        co_return std::nullopt;
       }
-      mTried.push_back(target->mUpstream);
-      if (mForwarded.mEngine) {
-        const auto& figures = mServices.mModels.Of(mForwarded.mPool).Figures();
-        mServices.mPrefill.Add(
-          target->mInteractive,
-          policy::PrefillMs(figures, target->mPrefillTokens),
-          steady_clock::now());
+      auto result = mRace.TakeEnded();
+      if (!result) {
+        TryBesideSilentAttempt();
+        continue;
       }
-      const auto begun = steady_clock::now();
-      auto result =
-        co_await RunAttempt(mServices, mForwarded, *target, mReply, mProgress);
-      RecordAttempt(*target, result, begun);
-      const bool finished = result.mEnd == attempt_end::Relayed ||
-                            result.mEnd == attempt_end::CallerDisconnected;
-      if (finished || mProgress.mCallerGone) {
-        mStatus = result.mStatus;
-        mOutcome = ToText(result.mEnd);
-        if (result.mEnd == attempt_end::Relayed) {
-          mAnswered = answered_part::Whole;
-        } else if (mProgress.mBegun) {
-          mAnswered = answered_part::Part;
-        }
+      if (result->mEnd == attempt_end::Relayed ||
+          result->mEnd == attempt_end::CallerDisconnected) {
+        EndWith(result->mEnd, result->mStatus);
         co_return std::nullopt;
       }
-      if (!MayTryAgain(result)) {
-        co_return co_await FinishUnanswered(std::move(result));
+      if (result->mFailure) {
+        mFailure = std::move(result->mFailure);
+      }
+      if (mRace.Running() == 0 && !MayTryAgain(result->mEnd)) {
+        co_return co_await FinishUnanswered(std::move(*result));
       }
     }
   }
 
+  void EndWith(attempt_end aEnd, unsigned aStatus)
+  {
+    mOutcome.mStatus = aStatus;
+    mOutcome.mName = ToText(aEnd);
+    if (aEnd == attempt_end::Relayed) {
+      mOutcome.mAnswered = answered_part::Whole;
+    } else if (mProgress.mBegun) {
+      mOutcome.mAnswered = answered_part::Part;
+    }
+  }
+
+  void Start(attempt_target aTarget)
+  {
+    mTried.push_back(aTarget.mUpstream);
+    if (mForwarded.mEngine) {
+      const auto& figures = mServices.mModels.Of(mForwarded.mPool).Figures();
+      mServices.mPrefill.Add(aTarget.mInteractive,
+                             policy::PrefillMs(figures, aTarget.mPrefillTokens),
+                             steady_clock::now());
+    }
+    mRace.Start(std::move(aTarget), shared_from_this());
+  }
+
+  // Starts an attempt beside one whose upstream is silent, if one is allowed
+  // and another upstream is left. The silent one may still answer first.
+  void TryBesideSilentAttempt()
+  {
+    auto* silent = mRace.Silent();
+    if (silent == nullptr) {
+      return;
+    }
+    const auto now = steady_clock::now();
+    silent->mSilenceHandledAt = now;
+    if (mProgress.mSends >= mForwarded.mRoute->mMaximumAttempts) {
+      return;
+    }
+    auto target = PlaceRequest(mServices, mForwarded, mTried);
+    if (target && MayTryAgain(attempt_end::TimedOut)) {
+      silent->mTarget.mUpstream->mHealth.AddResult(true, now);
+      Start(std::move(*target));
+    }
+  }
+
   // Refuses a request for an engine if the predicted wait is too long. Only a
   // request that has not been sent to any upstream is refused.
   std::optional<refusal_answer> CheckWait(const attempt_target& aTarget)
@@ -308,7 +294,9 @@
     return refusal_answer{ 503, "too_long_a_wait", *retryAfter };
   }
 
-  bool MayTryAgain(const attempt_result& aResult)
+  // Whether another attempt is allowed after one that has ended like this.
+  // Spends a retry if so.
+  bool MayTryAgain(attempt_end aEnd)
   {
     const auto now = steady_clock::now();
     if (mTried.size() >= kMaximumTargets) {
@@ -317,8 +305,8 @@
     const auto& route = *mForwarded.mRoute;
     policy::failed_attempt failed;
     failed.mIdempotent = route.mIdempotent;
-    failed.mBytesWritten = aResult.mEnd != attempt_end::NotSent;
-    failed.mRejectedByUpstream = aResult.mEnd == attempt_end::NotRun;
+    failed.mBytesWritten = aEnd != attempt_end::NotSent;
+    failed.mRejectedByUpstream = aEnd == attempt_end::NotRun;
     failed.mSentToCaller = mProgress.mBegun;
     failed.mResumeOffered =
       mProgress.mBegun && route.mResumable && !mProgress.mLastEventId.empty();
@@ -339,16 +327,14 @@
   asio::awaitable<std::optional<refusal_answer>> FinishUnanswered(
     attempt_result aResult)
   {
-    mStatus = aResult.mStatus;
-    mOutcome = ToText(aResult.mEnd);
+    EndWith(aResult.mEnd, aResult.mStatus);
     if (mProgress.mBegun) {
       // The caller has part of the answer. Closing the connection shows that it
       // is incomplete.
-      mAnswered = answered_part::Part;
       co_return std::nullopt;
     }
-    if (aResult.mFailure) {
-      auto response = std::move(*aResult.mFailure);
+    if (mFailure) {
+      auto response = std::move(*mFailure);
       co_await SendWhole(std::move(response));
       co_return std::nullopt;
     }
@@ -373,79 +359,17 @@
     return { 503, aReason, aRetryAfter };
   }
 
-  void RecordAttempt(const attempt_target& aTarget,
-                     const attempt_result& aResult,
-                     steady_time aBegun) const
-  {
-    const auto& upstream = *aTarget.mUpstream;
-    LogEvent(log_level::Info,
-             "attempt",
-             { { "request", mForwarded.mInfo.mId },
-               { "upstream", upstream.mEntry.mId.mText },
-               { "end", ToText(aResult.mEnd) },
-               { "status", aResult.mStatus },
-               { "reused", static_cast<int>(aResult.mReusedConnection) },
-               { "predicted_ms", static_cast<int>(aTarget.mPredictedMs) },
-               { "took_ms", ToMs(steady_clock::now() - aBegun) },
-               { "own_running", upstream.mOwnLoad.mRunning },
-               { "others_running", upstream.mPeerLoad.mRunning },
-               { "framing",
-                 aResult.mFraming ? wire::ToText(*aResult.mFraming) : "none" },
-               { "unfinished_bytes", aResult.mUnfinishedBytes },
-               { "silent_ms", aResult.mSilence.count() },
-               { "left_ms", LeftUntil(mForwarded.mDeadline).count() },
-               { "detail", aResult.mDetail } });
-    mServices.mMetrics.Count("gateway_attempts_total",
-                             { { "end", ToText(aResult.mEnd) } });
-  }
-
-  void RecordRequest() const
-  {
-    const auto now = steady_clock::now();
-    const auto& route = mForwarded.mRoute;
-    const std::string_view name = route ? std::string_view(route->mName) : "";
-    const auto first = mProgress.mFirstSent.value_or(now);
-    LogEvent(
-      log_level::Info,
-      "request",
-      { { "request", mForwarded.mInfo.mId },
-        { "route", name },
-        { "account", mForwarded.mAccount ? mForwarded.mAccount->mText : "" },
-        { "pool", mForwarded.mPool },
-        { "priority", mForwarded.mPriority },
-        { "tokens", mForwarded.mInfo.mPromptTokens },
-        { "outcome", mOutcome },
-        { "status", mStatus },
-        { "answered", ToText(mAnswered) },
-        { "sends", mProgress.mSends },
-        { "retry_after_ms", mRetryAfter.count() },
-        { "first_ms", ToMs(first - mForwarded.mArrived) },
-        { "total_ms", ToMs(now - mForwarded.mArrived) },
-        { "routing_version",
-          mForwarded.mRouting ? mForwarded.mRouting->Version() : 0 },
-        { "routing_age_ms", mRoutingAge ? ToMs(*mRoutingAge) : -1 } });
-    mServices.mMetrics.Count("gateway_requests_total",
-                             { { "route", name }, { "outcome", mOutcome } });
-    mServices.mMetrics.Observe("gateway_first_event_ms",
-                               { { "route", name } },
-                               first - mForwarded.mArrived);
-    mServices.mMetrics.Observe(
-      "gateway_request_ms", { { "route", name } }, now - mForwarded.mArrived);
-  }
-
   const forward_services& mServices;
   wire::http_reply& mReply;
   forwarded_request mForwarded;
   const boot_time mArrivalBootTime = BootNow();
   std::optional<boot_clock::duration> mRoutingAge;
   relay_progress mProgress;
+  attempt_race mRace;
   std::vector<upstream_ptr> mTried;
-
-  // Outcome, for the log and the metrics.
-  answered_part mAnswered = answered_part::Nothing;
-  unsigned mStatus = 0;
-  std::string_view mOutcome;
-  milliseconds mRetryAfter{ 0 };
+  // The latest error answer of an upstream, for the caller if none is better.
+  std::optional<wire::http_response> mFailure;
+  request_outcome mOutcome;
 };
 
 } // namespace
@@ -455,8 +379,10 @@
              const wire::http_request& aRequest,
              wire::http_reply& aReply)
 {
-  request_forwarder forwarder(aServices, aRequest, aReply);
-  co_await forwarder.Run();
+  const auto executor = co_await asio::this_coro::executor;
+  const auto forwarder =
+    std::make_shared<request_forwarder>(executor, aServices, aRequest, aReply);
+  co_await forwarder->Run();
 }
 
 } // namespace sapphirespar::gateway
--- a/src/sapphirespar/gateway/forward_attempt.cpp
+++ b/src/sapphirespar/gateway/forward_attempt.cpp
@@ -24,38 +24,39 @@
 public:
   attempt(const forward_services& aServices,
           const forwarded_request& aForwarded,
-          const attempt_target& aTarget,
+          running_attempt& aAttempt,
           wire::http_reply& aReply,
-          relay_progress& aProgress)
+          relay_progress& aProgress,
+          const claim_hook& aClaim)
     : mServices(aServices)
     , mForwarded(aForwarded)
-    , mTarget(aTarget)
-    , mUpstream(*aTarget.mUpstream)
+    , mAttempt(aAttempt)
+    , mTarget(aAttempt.mTarget)
+    , mUpstream(*mTarget.mUpstream)
     , mReply(aReply)
     , mProgress(aProgress)
-    , mLearning(aServices, aForwarded, aTarget)
+    , mClaim(aClaim)
+    , mLearning(aServices, aForwarded, mTarget)
   {
   }
 
   asio::awaitable<attempt_result> Run()
   {
-    mProgress.mAbort = std::make_shared<wire::call_abort>();
     wire::endpoint endpoint;
     endpoint.mAddress = mUpstream.mEntry.mAddress;
     endpoint.mPort = mUpstream.mEntry.mPort;
     auto opened =
       co_await mServices.mClient.Open(std::move(endpoint),
                                       MakeRequest(),
-                                      ReadTimeout(true),
+                                      LeftUntil(mForwarded.mDeadline),
                                       wire::connection_choice::Pooled,
-                                      mProgress.mAbort);
+                                      mAttempt.mAbort);
     if (!opened) {
       co_return OpenFailed(opened.error());
     }
     mStream = std::move(opened).value();
     mLastBytes = steady_clock::now();
     mUpstream.mHealth.AddResponse();
-    ++mProgress.mSends;
     co_return co_await ReceiveAnswer();
   }
 
@@ -79,12 +80,16 @@
     return forward;
   }
 
-  // How long to wait for the next bytes. aFirst: no event has arrived yet.
-  milliseconds ReadTimeout(bool aFirst) const
+  // Reads the next piece of the answer.
+  asio::awaitable<wire::wire_result<std::string>> ReadPiece()
   {
-    const auto left = LeftUntil(mForwarded.mDeadline);
-    return std::min(left,
-                    aFirst ? mTarget.mFirstEventTimeout : mTarget.mGapTimeout);
+    mAttempt.mWaitingSince = steady_clock::now();
+    auto piece = co_await mStream->Read(LeftUntil(mForwarded.mDeadline));
+    mAttempt.mWaitingSince.reset();
+    if (piece) {
+      mLastBytes = steady_clock::now();
+    }
+    co_return piece;
   }
 
   attempt_result End(attempt_end aEnd, std::string aDetail = {})
@@ -100,31 +105,42 @@
       result.mFraming = mStream->Framing();
       result.mUnfinishedBytes = mSplitter.Remainder().size();
     }
-    const bool mayHaveRun = aEnd == attempt_end::Broken ||
-                            aEnd == attempt_end::TimedOut ||
-                            aEnd == attempt_end::Failed;
+    const bool mayHaveRun =
+      aEnd == attempt_end::Broken || aEnd == attempt_end::TimedOut ||
+      aEnd == attempt_end::Superseded || aEnd == attempt_end::Failed;
     mProgress.mMayHaveRun = mProgress.mMayHaveRun || mayHaveRun;
     return result;
   }
 
-  attempt_result OpenFailed(const wire::wire_error& aError)
+  // Returns the end of an attempt that this gateway has aborted.
+  std::optional<attempt_result> Stopped()
   {
     if (mProgress.mCallerGone) {
       return End(attempt_end::CallerDisconnected);
     }
+    if (mAttempt.mSuperseded) {
+      return End(attempt_end::Superseded);
+    }
+    return std::nullopt;
+  }
+
+  attempt_result OpenFailed(const wire::wire_error& aError)
+  {
+    if (const auto stopped = Stopped()) {
+      return *stopped;
+    }
     if (!aError.mBytesWritten) {
       mUpstream.mHealth.AddConnectFailure(steady_clock::now());
       return End(attempt_end::NotSent, aError.mDetail);
     }
-    ++mProgress.mSends;
     return AnswerLost(aError);
   }
 
   // Ends the attempt after the answer, or the rest of it, failed to arrive.
   attempt_result AnswerLost(const wire::wire_error& aError)
   {
-    if (mProgress.mCallerGone) {
-      return End(attempt_end::CallerDisconnected);
+    if (const auto stopped = Stopped()) {
+      return *stopped;
     }
     const bool timedOut = aError.mKind == wire::wire_error_kind::Timeout;
     // A timeout at the request's own deadline does not count as a failure of
@@ -153,7 +169,8 @@
       if (kind != answer_kind::Foreign) {
         co_return co_await HandleAnswer(kind);
       }
-      const auto next = co_await mStream->SkipResponse(ReadTimeout(true));
+      const auto next =
+        co_await mStream->SkipResponse(LeftUntil(mForwarded.mDeadline));
       if (!next) {
         co_return AnswerLost(next.error());
       }
@@ -210,14 +227,13 @@
     response.mHeaders =
       mServices.mProtocol.mAnswerHeaders(mStream->Head().mHeaders);
     while (true) {
-      auto piece = co_await mStream->Read(ReadTimeout(true));
+      auto piece = co_await ReadPiece();
       if (!piece) {
         co_return AnswerLost(piece.error());
       }
       if (piece.value().empty()) {
         break;
       }
-      mLastBytes = steady_clock::now();
       response.mBody += piece.value();
     }
     const bool failed = aKind == answer_kind::Failed;
@@ -227,6 +243,9 @@
       result.mFailure = std::move(response);
       co_return result;
     }
+    if (!mClaim()) {
+      co_return End(attempt_end::Superseded);
+    }
     co_return co_await Send(std::move(response));
   }
 
@@ -255,25 +274,27 @@
 
   asio::awaitable<attempt_result> RelayStream()
   {
-    bool first = true;
     while (true) {
-      auto piece = co_await mStream->Read(ReadTimeout(first));
+      auto piece = co_await ReadPiece();
       if (!piece) {
         co_return AnswerLost(piece.error());
       }
-      mLastBytes = steady_clock::now();
       auto events = mSplitter.Feed(piece.value());
       const bool finished = mStream->Finished();
-      const bool cut = finished && IsCut(first && events.mBytes.empty());
+      const bool cut =
+        finished && IsCut(!mAttempt.mHasEvents && events.mBytes.empty());
       const bool ends = finished && !cut;
-      if (!events.mLastId.empty()) {
-        mProgress.mLastEventId = events.mLastId;
-      }
       if (ends) {
         events.mBytes += mSplitter.Remainder();
       }
-      if (first && !events.mBytes.empty()) {
-        first = false;
+      if ((ends || !events.mBytes.empty()) && !mClaim()) {
+        co_return End(attempt_end::Superseded);
+      }
+      if (!events.mLastId.empty()) {
+        mProgress.mLastEventId = events.mLastId;
+      }
+      if (!mAttempt.mHasEvents && !events.mBytes.empty()) {
+        mAttempt.mHasEvents = true;
         RecordFirstEvent();
       }
       if (!events.mBytes.empty()) {
@@ -319,10 +340,12 @@
 
   const forward_services& mServices;
   const forwarded_request& mForwarded;
+  running_attempt& mAttempt;
   const attempt_target& mTarget;
   upstream& mUpstream;
   wire::http_reply& mReply;
   relay_progress& mProgress;
+  const claim_hook& mClaim;
   attempt_learning mLearning;
   wire::sse_splitter mSplitter;
   // When the upstream last sent bytes of the answer, or the start.
@@ -333,44 +356,15 @@
 
 } // namespace
 
-std::string_view
-ToText(attempt_end aEnd)
-{
-  switch (aEnd) {
-    case attempt_end::Relayed:
-      return "relayed";
-    case attempt_end::CallerDisconnected:
-      return "caller_gone";
-    case attempt_end::NotSent:
-      return "not_sent";
-    case attempt_end::NotRun:
-      return "not_run";
-    case attempt_end::Failed:
-      return "failed";
-    case attempt_end::Broken:
-      return "broken";
-    case attempt_end::TimedOut:
-      break;
-  }
-  return "silent";
-}
-
-milliseconds
-LeftUntil(steady_time aTime)
-{
-  const auto left =
-    std::chrono::duration_cast<milliseconds>(aTime - steady_clock::now());
-  return std::max(left, milliseconds::zero());
-}
-
 asio::awaitable<attempt_result>
 RunAttempt(const forward_services& aServices,
            const forwarded_request& aForwarded,
-           const attempt_target& aTarget,
+           running_attempt& aAttempt,
            wire::http_reply& aReply,
-           relay_progress& aProgress)
+           relay_progress& aProgress,
+           const claim_hook& aClaim)
 {
-  attempt run(aServices, aForwarded, aTarget, aReply, aProgress);
+  attempt run(aServices, aForwarded, aAttempt, aReply, aProgress, aClaim);
   co_return co_await run.Run();
 }
 
--- a/src/sapphirespar/gateway/forward_state.hpp
+++ b/src/sapphirespar/gateway/forward_state.hpp
@@ -4,6 +4,7 @@
 #include "sapphirespar/gateway/answer_classifier.hpp"
 #include "sapphirespar/gateway/forward.hpp"
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <span>
@@ -41,10 +42,9 @@
 // Progress of a request across its attempts.
 struct relay_progress
 {
-  // Aborts the call in progress when the caller disconnects.
-  wire::call_abort_ptr mAbort;
   bool mCallerGone = false;
-  // Number of attempts that sent any byte of the request to an upstream.
+  // Number of attempts that have sent any byte of the request to an upstream,
+  // or may still do so.
   unsigned mSends = 0;
   // Whether any upstream may have run the request. Never reset to false.
   bool mMayHaveRun = false;
@@ -60,6 +60,8 @@
   // The complete answer was sent to the caller.
   Relayed,
   CallerDisconnected,
+  // Another attempt has answered instead, and this one was aborted.
+  Superseded,
   // No byte of the request was sent to the upstream.
   NotSent,
   // The upstream stated that it did not run the request.
@@ -68,7 +70,7 @@
   Failed,
   // The answer is lost. The upstream may have run the request.
   Broken,
-  // Like Broken, but because a read timed out.
+  // Like Broken, but because the route's timeout expired.
   TimedOut,
 };
 
@@ -91,7 +93,14 @@
   std::string mDetail;
 };
 
-// The upstream chosen for an attempt, the predictions for it, and its timeouts.
+// How long an upstream may send nothing until another one is tried beside it.
+struct silence_limits
+{
+  std::chrono::milliseconds mFirstEvent{ 0 };
+  std::chrono::milliseconds mBetweenEvents{ 0 };
+};
+
+// The upstream chosen for an attempt, and the predictions for it.
 struct attempt_target
 {
   upstream_ptr mUpstream;
@@ -114,18 +123,38 @@
   double mCachedTokens = 0;
   // Counts the request's load on the upstream while the attempt lasts.
   std::unique_ptr<load_reservation> mReservation;
-  // Maximum wait for the first event and between events.
-  std::chrono::milliseconds mFirstEventTimeout{ 0 };
-  std::chrono::milliseconds mGapTimeout{ 0 };
+  // Unset if the request may not be sent to a second upstream.
+  std::optional<silence_limits> mSilence;
 };
 
+// An attempt in progress.
+struct running_attempt
+{
+  attempt_target mTarget;
+  const wire::call_abort_ptr mAbort = std::make_shared<wire::call_abort>();
+  const steady_time mStarted = std::chrono::steady_clock::now();
+  // Since when the attempt has been waiting for its upstream; unset while it
+  // writes to the caller and once it has ended.
+  std::optional<steady_time> mWaitingSince = mStarted;
+  // When it was last decided whether to try another upstream beside this one.
+  steady_time mSilenceHandledAt{};
+  bool mHasEvents = false;
+  // Another attempt answers. Nothing of this one may be relayed.
+  bool mSuperseded = false;
+};
+
+// Called before an attempt relays anything. Returns false if another attempt
+// answers the request.
+using claim_hook = std::function<bool()>;
+
 // Sends the request to one upstream and relays its answer, or as much of it as
-// arrives.
+// arrives. A silent upstream is waited for until the route's timeout.
 asio::awaitable<attempt_result> RunAttempt(const forward_services& aServices,
                                            const forwarded_request& aForwarded,
-                                           const attempt_target& aTarget,
+                                           running_attempt& aAttempt,
                                            wire::http_reply& aReply,
-                                           relay_progress& aProgress);
+                                           relay_progress& aProgress,
+                                           const claim_hook& aClaim);
 
 // Returns the time left until aTime; zero if it has passed.
 std::chrono::milliseconds LeftUntil(steady_time aTime);
--- a/src/sapphirespar/gateway/placement.cpp
+++ b/src/sapphirespar/gateway/placement.cpp
@@ -1,5 +1,5 @@
 // Candidates for the choice of an upstream, the load that a request adds, and
-// the timeouts of an attempt.
+// the limits on an upstream's silence.
 #include "placement.hpp"
 
 #include "sapphirespar/policy/engine_choice.hpp"
@@ -13,12 +13,12 @@
 
 using std::chrono::milliseconds;
 
-// Timeouts as multiples of the route's target latency or target gap, with a
-// minimum. After a timeout the request is tried at another upstream.
-constexpr int kTimeoutInTargets = 3;
-constexpr milliseconds kMinimumPlainTimeout{ 300 };
-constexpr milliseconds kMinimumStreamTimeout{ 1000 };
-constexpr int kTimeoutInGaps = 4;
+// Limits on an upstream's silence as multiples of the route's target latency or
+// target gap, with a minimum.
+constexpr int kSilenceInTargets = 3;
+constexpr milliseconds kMinimumPlainSilence{ 300 };
+constexpr milliseconds kMinimumStreamSilence{ 1000 };
+constexpr int kSilenceInGaps = 4;
 
 // Penalty for a plain upstream in another data centre, in running requests.
 constexpr double kRemoteCost = 0.3;
@@ -135,27 +135,21 @@
   return load;
 }
 
-// Sets the timeouts of an attempt. They are shorter than the request's deadline
-// only if the request may be retried at another upstream; otherwise waiting for
-// an upstream that may still answer is better.
+// Sets how long the upstream may be silent. Another upstream is tried only if
+// the request may run twice.
 void
-SetTimeouts(const forwarded_request& aForwarded,
-            bool aLastAttempt,
-            attempt_target& aTarget)
+SetSilenceLimits(const route& aRoute, attempt_target& aTarget)
 {
-  const auto& route = *aForwarded.mRoute;
-  aTarget.mFirstEventTimeout = LeftUntil(aForwarded.mDeadline);
-  aTarget.mGapTimeout = aTarget.mFirstEventTimeout;
-  if (aLastAttempt || !route.mIdempotent) {
+  if (!aRoute.mIdempotent) {
     return;
   }
   const milliseconds predicted(static_cast<int>(aTarget.mPredictedMs));
   const auto shortest =
-    route.mStreams ? kMinimumStreamTimeout : kMinimumPlainTimeout;
-  aTarget.mFirstEventTimeout =
-    predicted + std::max(kTimeoutInTargets * route.mTargetLatency, shortest);
-  aTarget.mGapTimeout =
-    std::max(kTimeoutInGaps * route.mTargetGap, kMinimumStreamTimeout);
+    aRoute.mStreams ? kMinimumStreamSilence : kMinimumPlainSilence;
+  aTarget.mSilence = silence_limits{
+    predicted + std::max(kSilenceInTargets * aRoute.mTargetLatency, shortest),
+    std::max(kSilenceInGaps * aRoute.mTargetGap, kMinimumStreamSilence)
+  };
 }
 
 attempt_target
@@ -229,9 +223,7 @@
   auto target = aForwarded.mEngine
                   ? PlaceAtEngine(aServices, aForwarded, members)
                   : PlaceAtService(aServices, members);
-  const bool last = aTried.size() + 1 >= aForwarded.mRoute->mMaximumAttempts ||
-                    members.size() < 2;
-  SetTimeouts(aForwarded, last, target);
+  SetSilenceLimits(*aForwarded.mRoute, target);
   return target;
 }
 
