End a request whose upstreams have run out as any other

Callers of a resumable stream that broke off got a whole 502 written between the chunks of their answer, on a connection that then looked reusable, if no other upstream was left to resume it: neither an answer nor a refusal. Callers of an idempotent request got a 502 of the gateway in place of the error answer that its only upstream had made.

Cause: RunAttempts returned a refusal as soon as no upstream was left, past the code that knows whether a stream has begun and keeps an upstream's answer. FinishUnanswered now ends both cases.

NoRefusalIsWrittenIntoABegunStream and RelaysAFailureIfNoOtherUpstreamIsLeft (with an idempotent route) failed before and pass now.

--- a/src/sapphirespar/gateway/forward.cpp
+++ b/src/sapphirespar/gateway/forward.cpp
@@ -185,7 +185,7 @@
       if (mRace.Running() == 0) {
         auto target = PlaceRequest(mServices, mForwarded, mTried);
         if (!target) {
-          co_return MakeRefusal("no_upstream", kRetryLater);
+          co_return co_await FinishUnanswered("no_upstream", kRetryLater);
         }
         if (const auto refusal = CheckWait(*target)) {
           co_return refusal;
@@ -210,8 +210,9 @@
       if (result->mFailure) {
         mFailure = std::move(result->mFailure);
       }
+      EndWith(result->mEnd, result->mStatus);
       if (mRace.Running() == 0 && !MayTryAgain(result->mEnd)) {
-        co_return co_await FinishUnanswered(std::move(*result));
+        co_return co_await FinishUnanswered(ToText(result->mEnd), kRetrySoon);
       }
     }
   }
@@ -322,12 +323,12 @@
            policy::retry_action::GiveUp;
   }
 
-  // Ends a request whose last attempt failed. Returns a refusal if the caller
-  // still needs an answer.
+  // Ends a request that no further attempt is made for. Returns a refusal if
+  // the caller still needs an answer.
   asio::awaitable<std::optional<refusal_answer>> FinishUnanswered(
-    attempt_result aResult)
+    std::string_view aReason,
+    milliseconds aRetryAfter)
   {
-    EndWith(aResult.mEnd, aResult.mStatus);
     if (mProgress.mBegun) {
       // The caller has part of the answer. Closing the connection shows that it
       // is incomplete.
@@ -342,7 +343,7 @@
     if (late && mProgress.mMayHaveRun) {
       co_return refusal_answer{ 504, "timeout" };
     }
-    co_return MakeRefusal(ToText(aResult.mEnd), kRetrySoon);
+    co_return MakeRefusal(aReason, aRetryAfter);
   }
 
   // A 503 promises the caller that the request did not run and may be retried,
--- a/src/sapphirespar/gateway/forward_broken_stream_test.cpp
+++ b/src/sapphirespar/gateway/forward_broken_stream_test.cpp
@@ -123,6 +123,34 @@
   EXPECT_EQ(answer.mBody, kEvents);
 }
 
+TEST_F(forward_broken_stream_test, NoRefusalIsWrittenIntoABegunStream)
+{
+  Publish();
+  AddUpstreamThatSends(WithoutLength(kEvents.substr(0, kEventBytes + 3)));
+  std::string body;
+  auto end = wire::wire_error_kind::Connect;
+  Run([](auto* aSelf, auto& aBody, auto& aEnd) -> asio::awaitable<void> {
+    wire::http_request request{ "POST", "/resume/x", {}, {} };
+    request.mHeaders = { { "Host", "h" },
+                         { std::string(kTestKey), "k1" },
+                         { std::string(kTestId), "r1" } };
+    const auto opened = co_await aSelf->mCaller->Open(
+      aSelf->Gateway(), std::move(request), std::chrono::seconds(5));
+    EXPECT_TRUE(opened);
+    while (true) {
+      const auto piece = co_await opened.value()->Read(std::chrono::seconds(5));
+      if (!piece) {
+        aEnd = piece.error().mKind;
+        co_return;
+      }
+      aBody += piece.value();
+    }
+  }(this, body, end));
+  EXPECT_EQ(body, kEvents.substr(0, kEventBytes));
+  // The connection ends inside the body, which holds nothing but chunks.
+  EXPECT_EQ(end, wire::wire_error_kind::Read);
+}
+
 TEST_F(forward_broken_stream_test, BytesOutsideEventsDoNotBreakAStream)
 {
   Publish();
--- a/src/sapphirespar/gateway/forward_test.cpp
+++ b/src/sapphirespar/gateway/forward_test.cpp
@@ -241,9 +241,11 @@
 {
   Publish();
   AddUpstream("a", Answers(500, "broken"));
-  const auto answer = SendRequest("/once/x");
-  EXPECT_EQ(answer.mStatus, 500U);
-  EXPECT_EQ(answer.mBody, "broken");
+  for (const auto* path : { "/once/x", "/safe/x" }) {
+    const auto answer = SendRequest(path);
+    EXPECT_EQ(answer.mStatus, 500U) << path;
+    EXPECT_EQ(answer.mBody, "broken") << path;
+  }
 }
 
 TEST_F(forward_test, Answers504WhenTheRoutesTimeoutExpires)
