Answer a request whose handler throws

The server now logs it as before and sends 500 if no response has begun.

ARequestWhoseHandlerThrowsIsAnswered failed before and passes now.

--- a/include/sapphirespar/wire/http_server.hpp
+++ b/include/sapphirespar/wire/http_server.hpp
@@ -53,7 +53,8 @@
 
 // Handles one request. The request outlives the coroutine. If a handler returns
 // before its response is complete, the server closes the connection, so that
-// the caller does not take a partial response for a complete one.
+// the caller does not take a partial response for a complete one. If it throws
+// before it has begun a response, the caller gets a 500.
 using http_handler =
   std::function<asio::awaitable<void>(const http_request&, http_reply&)>;
 
@@ -79,7 +80,8 @@
   // Null means plain TCP.
   tls_context_ptr mTls;
   // Makes the response to a request that could not be parsed, is too large or
-  // timed out. If empty, the response has the reason as its body.
+  // timed out, or whose handler failed. If empty, the response has the reason
+  // as its body.
   std::function<http_response(unsigned aStatus, std::string_view aReason)>
     mMakeErrorResponse;
 };
--- a/src/sapphirespar/wire/http_server.cpp
+++ b/src/sapphirespar/wire/http_server.cpp
@@ -215,6 +215,48 @@
   }
 }
 
+void
+LogHandlerFailure(std::exception_ptr aProblem)
+{
+  if (!aProblem) {
+    return;
+  }
+  try {
+    std::rethrow_exception(aProblem);
+  } catch (const std::exception& problem) {
+    LogEvent(
+      log_level::Error, "handler_failed", { { "error", problem.what() } });
+  }
+}
+
+// Runs the handler. If it throws before it has begun to answer, the caller gets
+// an error response instead.
+asio::awaitable<void>
+HandleRequest(connection_services& aServices,
+              const http_request& aRequest,
+              stream_reply& aReply)
+{
+  constexpr unsigned kInternalError = 500;
+  constexpr std::string_view kReason = "internal error";
+  std::exception_ptr problem;
+  try {
+    co_await aServices.mHandler(aRequest, aReply);
+  } catch (...) {
+    problem = std::current_exception();
+  }
+  if (!problem) {
+    co_return;
+  }
+  LogHandlerFailure(problem);
+  if (!aReply.Started()) {
+    auto response =
+      aServices.mSettings.mMakeErrorResponse
+        ? aServices.mSettings.mMakeErrorResponse(kInternalError, kReason)
+        : http_response{ kInternalError, {}, std::string(kReason) };
+    co_await aReply.Send(std::move(response));
+  }
+}
+
 // Serves requests until the connection must close.
 asio::awaitable<void>
 ServeRequests(services_ptr aServices, byte_stream& aStream)
@@ -239,7 +281,7 @@
     const bool keepAlive = parser.get().keep_alive();
     const auto request = ToRequest(parser.release());
     stream_reply reply(aStream, *aServices, keepAlive);
-    co_await aServices->mHandler(request, reply);
+    co_await HandleRequest(*aServices, request, reply);
     open = reply.Reusable();
   }
 }
@@ -261,20 +303,6 @@
   stream->Close();
 }
 
-void
-LogHandlerFailure(std::exception_ptr aProblem)
-{
-  if (!aProblem) {
-    return;
-  }
-  try {
-    std::rethrow_exception(aProblem);
-  } catch (const std::exception& problem) {
-    LogEvent(
-      log_level::Error, "handler_failed", { { "error", problem.what() } });
-  }
-}
-
 // Pauses after a failed accept, for example when file descriptors have run out,
 // so that the accept loop does not spin.
 asio::awaitable<void>
--- a/src/sapphirespar/wire/http_test.cpp
+++ b/src/sapphirespar/wire/http_test.cpp
@@ -15,6 +15,7 @@
 #include <rapidcheck/gtest.h>
 
 #include <array>
+#include <stdexcept>
 
 namespace sapphirespar::wire {
 namespace {
@@ -44,6 +45,9 @@
     }
     co_return;
   }
+  if (aRequest.mTarget == "/throw") {
+    throw std::runtime_error("no answer");
+  }
   http_response response;
   response.mHeaders.push_back({ "X-Method", aRequest.mMethod });
   response.mBody = aRequest.mBody;
@@ -153,6 +157,19 @@
   }());
 }
 
+TEST_F(http_exchange, ARequestWhoseHandlerThrowsIsAnswered)
+{
+  Run([](auto* aSelf) -> asio::awaitable<void> {
+    http_request request{ "GET", "/throw", {}, {} };
+    const auto answer = co_await aSelf->mClient->Fetch(
+      aSelf->Server(), std::move(request), kTimeout);
+    EXPECT_TRUE(answer);
+    if (answer) {
+      EXPECT_EQ(answer.value().mStatus, 500U);
+    }
+  }(this));
+}
+
 TEST_F(http_exchange, ARefusedConnectionProvesThatNothingWasSent)
 {
   Run([this]() -> asio::awaitable<void> {
