Let a router wait for a silent upstream if the request may run only once

Such an attempt now waits until the answer's deadline.

AStreamThatMayRunOnlyOnceWaitsForASilentUpstream failed before and passes now.

--- a/src/sapphirespar/router/attempt.cpp
+++ b/src/sapphirespar/router/attempt.cpp
@@ -42,7 +42,8 @@
 policy::progress_limits
 LimitsOf(const call& aCall)
 {
-  if (!aCall.mStream) {
+  // Silence ends an attempt early only if another one may follow.
+  if (!aCall.mStream || !aCall.mClass->mIdempotent) {
     return { TimeUntil(aCall.mQueued.mAnswerBy), kProgressLimit };
   }
   const steady_duration target = aCall.mClass->mFirstTokenTarget;
--- a/src/sapphirespar/router/attempt_test.cpp
+++ b/src/sapphirespar/router/attempt_test.cpp
@@ -89,7 +89,8 @@
   }
 
   // The path selects the behaviour: /refuse answers 503, /silent never answers,
-  // and /break closes the stream after two events. All other paths send the
+  // /late sends the rest of a stream after the limit on its first event, and
+  // /break closes the stream after two events. All other paths send the
   // rest of that stream.
   asio::awaitable<void> Answer(const wire::http_request& aRequest,
                                wire::http_reply& aReply)
@@ -106,6 +107,10 @@
       co_await forever.async_wait(asio::use_awaitable);
       co_return;
     }
+    if (aRequest.mTarget == "/late") {
+      asio::steady_timer silence(co_await asio::this_coro::executor, 1500ms);
+      co_await silence.async_wait(asio::use_awaitable);
+    }
     co_await aReply.Begin(200, EventHeaders());
     if (aRequest.mTarget == "/break") {
       co_await aReply.Write("data: one\n\ndata: two\n\ndata: thr");
@@ -180,6 +185,20 @@
   EXPECT_FALSE(mReply.mStarted);
 }
 
+TEST_F(attempt_fixture, AStreamThatMayRunOnlyOnceWaitsForASilentUpstream)
+{
+  mClass.mIdempotent = false;
+  EXPECT_EQ(Run("/late", attempt_kind::Start).mEnd, attempt_end::Complete);
+  EXPECT_EQ(mReply.mText, "data: three\n\ndata: [DONE]\n\n");
+}
+
+TEST_F(attempt_fixture, AStreamThatMayRunOnlyOnceEndsAtItsDeadline)
+{
+  mClass.mIdempotent = false;
+  mCall.mQueued.mAnswerBy = std::chrono::steady_clock::now() + 200ms;
+  EXPECT_EQ(Run("/silent", attempt_kind::Start).mEnd, attempt_end::TimedOut);
+}
+
 TEST_F(attempt_fixture, ARequestToAnUnreachableUpstreamIsNotSent)
 {
   mServer->Drain();
