--- a/include/sapphirespar/wire/http_client.hpp
+++ b/include/sapphirespar/wire/http_client.hpp
@@ -117,6 +117,8 @@
   // Closes the call's connection, or makes the call fail once it has one.
   void Abort();
   bool Aborted() const { return mAborted; }
+  // Whether the call has a connection, on which it may have sent bytes.
+  bool Connected() const { return !mStream.expired(); }
 
   // Sets the connection that a later Abort closes; null for none.
   void Attach(std::shared_ptr<byte_stream> aStream);
--- a/src/sapphirespar/gateway/attempt_race.cpp
+++ b/src/sapphirespar/gateway/attempt_race.cpp
@@ -15,6 +15,13 @@
 using std::chrono::milliseconds;
 using std::chrono::steady_clock;
 
+// Longest time for which two engines work on one request. The first one is
+// aborted then.
+constexpr milliseconds kMaximumOverlap{ 300 };
+
+// Interval between checks whether an attempt has connected.
+constexpr milliseconds kConnectCheck{ 20 };
+
 std::string
 ToText(const std::exception_ptr& aProblem)
 {
@@ -42,16 +49,17 @@
   return aAttempt.mHasEvents ? limits->mBetweenEvents : limits->mFirstEvent;
 }
 
-// When the attempt becomes silent unless its upstream sends something; unset
-// while it does not wait for the upstream.
-std::optional<steady_time>
-SilentAt(const running_attempt& aAttempt)
+// When the attempt becomes silent unless its upstream sends something. Later
+// than aNow while the attempt does not wait for the upstream.
+steady_time
+SilentAt(const running_attempt& aAttempt, steady_time aNow)
 {
   const auto limit = SilenceLimit(aAttempt);
-  if (!limit || !aAttempt.mWaitingSince) {
-    return std::nullopt;
+  if (!limit) {
+    return steady_time::max();
   }
-  return std::max(*aAttempt.mWaitingSince, aAttempt.mSilenceHandledAt) + *limit;
+  const auto since = aAttempt.mWaitingSince.value_or(aNow);
+  return std::max(since, aAttempt.mSilenceNotedAt) + *limit;
 }
 
 } // namespace
@@ -124,26 +132,39 @@
   if (aAttempt.mSuperseded) {
     return false;
   }
-  std::erase_if(mRunning, [&](const attempt_ptr& aOther) {
+  const auto others = std::erase_if(mRunning, [&](const attempt_ptr& aOther) {
     const bool other = aOther.get() != &aAttempt;
     if (other) {
       Supersede(*aOther);
     }
     return other;
   });
+  if (others > 0) {
+    mWake.cancel();
+  }
   return true;
 }
 
 asio::awaitable<void>
 attempt_race::Wait()
 {
-  if (!mEnded.empty() || Silent() != nullptr) {
+  LimitOverlap();
+  if (!mEnded.empty() || mRunning.empty() || IsSilent()) {
     co_return;
   }
-  mWake.expires_at(NextSilence());
+  mWake.expires_at(NextCheck());
   co_await mWake.async_wait(asio::as_tuple(asio::use_awaitable));
 }
 
+asio::awaitable<void>
+attempt_race::WaitForReply()
+{
+  while (mProgress.mReplyUses > 0) {
+    mWake.expires_at(steady_time::max());
+    co_await mWake.async_wait(asio::as_tuple(asio::use_awaitable));
+  }
+}
+
 std::optional<attempt_result>
 attempt_race::TakeEnded()
 {
@@ -155,29 +176,64 @@
   return result;
 }
 
-running_attempt*
-attempt_race::Silent() const
+bool
+attempt_race::IsSilent() const
+{
+  const auto now = steady_clock::now();
+  return !mRunning.empty() &&
+         std::ranges::all_of(mRunning, [now](const attempt_ptr& aAttempt) {
+           return SilentAt(*aAttempt, now) <= now;
+         });
+}
+
+void
+attempt_race::NoteSilence(const std::function<void(upstream&)>& aOnFirst)
 {
-  if (mRunning.size() != 1) {
-    return nullptr;
+  const auto now = steady_clock::now();
+  for (const auto& attempt : mRunning) {
+    if (attempt->mSilenceNotedAt == steady_time{}) {
+      aOnFirst(*attempt->mTarget.mUpstream);
+    }
+    attempt->mSilenceNotedAt = now;
   }
-  const auto at = SilentAt(*mRunning.front());
-  return at && *at <= steady_clock::now() ? mRunning.front().get() : nullptr;
 }
 
-steady_time
-attempt_race::NextSilence() const
+std::optional<steady_time>
+attempt_race::OverlapEnd() const
 {
-  if (mRunning.size() != 1) {
-    return steady_time::max();
+  const bool limited = mForwarded.mEngine || mProgress.mBegun;
+  if (!limited || mRunning.size() < 2) {
+    return std::nullopt;
   }
-  const auto& attempt = *mRunning.front();
-  const auto limit = SilenceLimit(attempt);
-  if (!limit) {
-    return steady_time::max();
+  const auto& latest = *mRunning.back();
+  const auto end = latest.mStarted + kMaximumOverlap;
+  return latest.mAbort->Connected()
+           ? end
+           : std::max(end, steady_clock::now() + kConnectCheck);
+}
+
+void
+attempt_race::LimitOverlap()
+{
+  const auto end = OverlapEnd();
+  if (end && *end <= steady_clock::now()) {
+    Claim(*mRunning.back());
+  }
+}
+
+steady_time
+attempt_race::NextCheck() const
+{
+  const auto now = steady_clock::now();
+  auto next = OverlapEnd().value_or(steady_time::max());
+  if (!mRunning.empty()) {
+    const auto silent =
+      std::ranges::max(mRunning, {}, [now](const auto& aAttempt) {
+        return SilentAt(*aAttempt, now);
+      });
+    next = std::min(next, SilentAt(*silent, now));
   }
-  // While the attempt writes to the caller, it is looked at again later.
-  return SilentAt(attempt).value_or(steady_clock::now() + *limit);
+  return next;
 }
 
 void
--- a/src/sapphirespar/gateway/attempt_race.hpp
+++ b/src/sapphirespar/gateway/attempt_race.hpp
@@ -29,10 +29,11 @@
                ended_hook aOnEnded);
 
   // Starts an attempt. It keeps aOwner, which owns this object, alive until it
-  // has ended. The reply is not used after AbortAll.
+  // has ended, which may be after the request has ended.
   void Start(attempt_target aTarget, std::shared_ptr<void> aOwner);
 
-  // Waits until an attempt has ended, one has become silent, or AbortAll.
+  // Waits until an attempt has ended, all running ones are silent, or AbortAll.
+  // May also return early.
   asio::awaitable<void> Wait();
 
   // Returns the result of an attempt that has ended without being superseded,
@@ -42,13 +43,22 @@
   // The number of attempts that may still answer.
   std::size_t Running() const { return mRunning.size(); }
 
-  // Returns the only running attempt if its upstream has been silent for longer
-  // than its limit, otherwise null.
-  running_attempt* Silent() const;
+  // Returns whether there are running attempts and the upstreams of all of them
+  // have been silent for longer than their limits.
+  bool IsSilent() const;
 
-  // Aborts all attempts. None of them uses the reply any more.
+  // Lets the silent upstreams be silent for their limits once more. Calls
+  // aOnFirst for each whose silence is noted for the first time.
+  void NoteSilence(const std::function<void(upstream&)>& aOnFirst);
+
+  // Aborts all attempts. Those that wait for an upstream don't use the reply
+  // any more.
   void AbortAll();
 
+  // Waits until no attempt is writing to the reply. To be called after
+  // AbortAll, before the reply is destroyed.
+  asio::awaitable<void> WaitForReply();
+
 private:
   using attempt_ptr = std::shared_ptr<running_attempt>;
 
@@ -57,15 +67,19 @@
   // Makes aAttempt the one that answers and aborts the others. Returns false if
   // another one has become that before.
   bool Claim(const running_attempt& aAttempt);
-  // When the next attempt may have become silent.
-  steady_time NextSilence() const;
+  // Ends the overlap of attempts at engines once it has lasted too long.
+  void LimitOverlap();
+  // When the running attempts overlap for too long; unset if they may do so.
+  std::optional<steady_time> OverlapEnd() const;
+  // When the next thing happens that Wait waits for, unless an attempt ends.
+  steady_time NextCheck() const;
 
   const forward_services& mServices;
   const forwarded_request& mForwarded;
   wire::http_reply& mReply;
   relay_progress& mProgress;
   ended_hook mOnEnded;
-  // Those that may still answer.
+  // Those that may still answer, the latest last.
   std::vector<attempt_ptr> mRunning;
   std::vector<attempt_result> mEnded;
   // Wakes Wait; cancelled when something has changed.
--- a/src/sapphirespar/gateway/forward.cpp
+++ b/src/sapphirespar/gateway/forward.cpp
@@ -33,9 +33,6 @@
 constexpr milliseconds kRetrySoon{ 500 };
 constexpr milliseconds kRetryLater{ 1000 };
 
-// Timers may fire this much early.
-constexpr milliseconds kTimerTolerance{ 5 };
-
 // During shutdown a request is accepted only if it can finish before the
 // process ends: these are the times that the longest streams and plain answers
 // take.
@@ -77,8 +74,7 @@
     auto refusal = Admit();
     if (!refusal) {
       mReply.OnCallerDisconnect([this] { OnCallerDisconnect(); });
-      refusal = co_await RunAttempts();
-      mReply.OnCallerDisconnect(nullptr);
+      refusal = co_await RunAttemptsToTheEnd();
     }
     if (refusal && !mProgress.mCallerGone) {
       mOutcome.mStatus = refusal->mStatus;
@@ -177,6 +173,26 @@
     mServices.mRetries.CountRequest(mForwarded.mPool, mForwarded.mArrived);
   }
 
+  // Runs the attempts. No attempt uses the reply once this has returned or
+  // thrown.
+  asio::awaitable<std::optional<refusal_answer>> RunAttemptsToTheEnd()
+  {
+    std::exception_ptr problem;
+    std::optional<refusal_answer> refusal;
+    try {
+      refusal = co_await RunAttempts();
+    } catch (...) {
+      problem = std::current_exception();
+    }
+    mReply.OnCallerDisconnect(nullptr);
+    mRace.AbortAll();
+    co_await mRace.WaitForReply();
+    if (problem) {
+      std::rethrow_exception(problem);
+    }
+    co_return refusal;
+  }
+
   // Tries upstreams until the request is answered or no retry is allowed.
   // Returns a refusal if the caller still needs an answer.
   asio::awaitable<std::optional<refusal_answer>> RunAttempts()
@@ -199,7 +215,7 @@
       }
       auto result = mRace.TakeEnded();
       if (!result) {
-        TryBesideSilentAttempt();
+        TryBesideSilentAttempts();
         continue;
       }
       if (result->mEnd == attempt_end::Relayed ||
@@ -211,7 +227,13 @@
         mFailure = std::move(result->mFailure);
       }
       EndWith(result->mEnd, result->mStatus);
-      if (mRace.Running() == 0 && !MayTryAgain(result->mEnd)) {
+      if (mRace.Running() > 0) {
+        if (result->mEnd == attempt_end::NotSent) {
+          TryBeside(result->mEnd);
+        }
+        continue;
+      }
+      if (!MayTryAgain(result->mEnd)) {
         co_return co_await FinishUnanswered(ToText(result->mEnd), kRetrySoon);
       }
     }
@@ -240,22 +262,27 @@
     mRace.Start(std::move(aTarget), shared_from_this());
   }
 
-  // Starts an attempt beside one whose upstream is silent, if one is allowed
-  // and another upstream is left. The silent one may still answer first.
-  void TryBesideSilentAttempt()
+  // Starts an attempt beside those whose upstreams are silent. A silent one may
+  // still answer first.
+  void TryBesideSilentAttempts()
   {
-    auto* silent = mRace.Silent();
-    if (silent == nullptr) {
+    if (!mRace.IsSilent()) {
       return;
     }
     const auto now = steady_clock::now();
-    silent->mSilenceHandledAt = now;
-    if (mProgress.mSends >= mForwarded.mRoute->mMaximumAttempts) {
-      return;
+    mRace.NoteSilence(
+      [now](upstream& aUpstream) { aUpstream.mHealth.AddResult(true, now); });
+    if (mProgress.mSends < mForwarded.mRoute->mMaximumAttempts) {
+      TryBeside(attempt_end::TimedOut);
     }
+  }
+
+  // Starts an attempt beside the running ones if one is allowed after an
+  // attempt with such an end, and another upstream is left.
+  void TryBeside(attempt_end aEnd)
+  {
     auto target = PlaceRequest(mServices, mForwarded, mTried);
-    if (target && MayTryAgain(attempt_end::TimedOut)) {
-      silent->mTarget.mUpstream->mHealth.AddResult(true, now);
+    if (target && MayTryAgain(aEnd)) {
       Start(std::move(*target));
     }
   }
@@ -314,7 +341,8 @@
     failed.mAttempts = mProgress.mSends;
     failed.mMaximumAttempts = route.mMaximumAttempts;
     failed.mAnswerBy =
-      std::min(mForwarded.mDeadline, mForwarded.mCallerDeadline);
+      std::min(mForwarded.mDeadline, mForwarded.mCallerDeadline) -
+      kTimerTolerance;
     const auto take = [&] {
       return mServices.mRetries.TryTake(
         mForwarded.mPool, mServices.mGateways(), now);
--- a/src/sapphirespar/gateway/forward_attempt.cpp
+++ b/src/sapphirespar/gateway/forward_attempt.cpp
@@ -19,6 +19,23 @@
   return aHead.Header("Content-Type").starts_with("text/event-stream");
 }
 
+// Marks the reply as in use for the lifetime of this object.
+class reply_use
+{
+public:
+  explicit reply_use(relay_progress& aProgress)
+    : mProgress(aProgress)
+  {
+    ++mProgress.mReplyUses;
+  }
+  ~reply_use() { --mProgress.mReplyUses; }
+  reply_use(const reply_use&) = delete;
+  reply_use& operator=(const reply_use&) = delete;
+
+private:
+  relay_progress& mProgress;
+};
+
 class attempt
 {
 public:
@@ -145,7 +162,7 @@
     const bool timedOut = aError.mKind == wire::wire_error_kind::Timeout;
     // A timeout at the request's own deadline does not count as a failure of
     // the upstream.
-    if (!timedOut || steady_clock::now() < mForwarded.mDeadline) {
+    if (!timedOut || LeftUntil(mForwarded.mDeadline) > kTimerTolerance) {
       mUpstream.mHealth.AddResult(true, steady_clock::now());
     }
     return End(timedOut ? attempt_end::TimedOut : attempt_end::Broken,
@@ -202,6 +219,9 @@
       co_return End(attempt_end::Broken, "unusable answer");
     }
     if (aKind == answer_kind::Relay && IsEventStream(mStream->Head())) {
+      if (!mClaim()) {
+        co_return End(attempt_end::Superseded);
+      }
       co_return co_await RelayStream();
     }
     co_return co_await RelayPlainAnswer(aKind);
@@ -252,6 +272,7 @@
   asio::awaitable<attempt_result> Send(wire::http_response aResponse)
   {
     RecordFirstEvent();
+    const reply_use use(mProgress);
     const bool sent = co_await mReply.Send(std::move(aResponse));
     co_return End(sent ? attempt_end::Relayed
                        : attempt_end::CallerDisconnected);
@@ -279,6 +300,9 @@
       if (!piece) {
         co_return AnswerLost(piece.error());
       }
+      if (mAttempt.mSuperseded) {
+        co_return End(attempt_end::Superseded);
+      }
       auto events = mSplitter.Feed(piece.value());
       const bool finished = mStream->Finished();
       const bool cut =
@@ -321,6 +345,7 @@
   // Returns false if the caller has disconnected.
   asio::awaitable<bool> SendEvents(const std::string& aBytes, bool aLast)
   {
+    const reply_use use(mProgress);
     if (!mProgress.mBegun && (aLast || !aBytes.empty())) {
       mProgress.mBegun = true;
       const auto& head = mStream->Head();
--- a/src/sapphirespar/gateway/forward_state.hpp
+++ b/src/sapphirespar/gateway/forward_state.hpp
@@ -13,6 +13,9 @@
 
 namespace sapphirespar::gateway {
 
+// Timers may fire this much early.
+inline constexpr std::chrono::milliseconds kTimerTolerance{ 5 };
+
 // A decoded request that has been admitted.
 struct forwarded_request
 {
@@ -43,6 +46,8 @@
 struct relay_progress
 {
   bool mCallerGone = false;
+  // Attempts that are writing to the reply.
+  unsigned mReplyUses = 0;
   // Number of attempts that have sent any byte of the request to an upstream,
   // or may still do so.
   unsigned mSends = 0;
@@ -136,8 +141,8 @@
   // Since when the attempt has been waiting for its upstream; unset while it
   // writes to the caller and once it has ended.
   std::optional<steady_time> mWaitingSince = mStarted;
-  // When it was last decided whether to try another upstream beside this one.
-  steady_time mSilenceHandledAt{};
+  // When its upstream was last found silent; the epoch if never.
+  steady_time mSilenceNotedAt{};
   bool mHasEvents = false;
   // Another attempt answers. Nothing of this one may be relayed.
   bool mSuperseded = false;
