--- a/idl/gossip.thrift
+++ b/idl/gossip.thrift
@@ -23,6 +23,56 @@
   3: list<gossip_load> loads;
 }
 
+// What a gateway knows about prompt parts that may crash upstreams; see
+// include/sapphirespar/model/crash_report.hpp. Ages are in milliseconds, at
+// most one day.
+struct gossip_part_crash {
+  1: string pool;
+  2: i64 part;
+  3: i64 upstream;
+  4: i32 age_ms;
+}
+
+struct gossip_upstream_loss {
+  1: string pool;
+  2: i64 upstream;
+  3: i32 age_ms;
+}
+
+struct gossip_part_survival {
+  1: string pool;
+  2: i64 part;
+  3: i32 age_ms;
+}
+
+struct gossip_pool_survival {
+  1: string pool;
+  2: i32 age_ms;
+}
+
+struct gossip_upstream_sign {
+  1: i64 upstream;
+  2: i32 age_ms;
+}
+
+struct gossip_quarantine {
+  1: string pool;
+  2: i64 part;
+  3: i32 age_ms;
+  4: i32 seen_age_ms;
+  5: i32 trials;
+  6: i32 trial_age_ms;
+}
+
+struct gossip_crash_report {
+  1: list<gossip_part_crash> crashes;
+  2: list<gossip_upstream_loss> losses;
+  3: list<gossip_part_survival> survivals;
+  4: list<gossip_pool_survival> pool_survivals;
+  5: list<gossip_upstream_sign> signs;
+  6: list<gossip_quarantine> quarantines;
+}
+
 struct gossip_state {
   1: string vm;
   2: i64 incarnation;
@@ -61,4 +111,6 @@
   23: i64 store_era;
   // Version of the routing; zero if the sender has read none.
   24: i64 routing_version;
+  // Absent while there is nothing to report.
+  25: optional gossip_crash_report crash_report;
 }
--- a/include/sapphirespar/model/gossip.hpp
+++ b/include/sapphirespar/model/gossip.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "sapphirespar/base/ids.hpp"
+#include "sapphirespar/model/crash_report.hpp"
 
 #include <chrono>
 #include <cstdint>
@@ -86,6 +87,7 @@
   std::vector<std::uint64_t> mLeavingUpstreams;
   // Loads of data centres that a relay forwards; see gateway/gossip_plan.hpp.
   std::vector<data_centre_loads> mDataCentreLoads;
+  crash_report mCrashReport;
 
   bool operator==(const gossip_state&) const = default;
 };
--- a/src/sapphirespar/wire/gen/gossip_types.cpp
+++ b/src/sapphirespar/wire/gen/gossip_types.cpp
@@ -384,6 +384,1251 @@
 }
 
 
+gossip_part_crash::~gossip_part_crash() noexcept {
+}
+
+
+void gossip_part_crash::__set_pool(const std::string& val) {
+  this->pool = val;
+}
+
+void gossip_part_crash::__set_part(const int64_t val) {
+  this->part = val;
+}
+
+void gossip_part_crash::__set_upstream(const int64_t val) {
+  this->upstream = val;
+}
+
+void gossip_part_crash::__set_age_ms(const int32_t val) {
+  this->age_ms = val;
+}
+std::ostream& operator<<(std::ostream& out, const gossip_part_crash& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t gossip_part_crash::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->pool);
+          this->__isset.pool = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->part);
+          this->__isset.part = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->upstream);
+          this->__isset.upstream = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->age_ms);
+          this->__isset.age_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t gossip_part_crash::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("gossip_part_crash");
+
+  xfer += oprot->writeFieldBegin("pool", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->pool);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("part", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->part);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("upstream", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->upstream);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("age_ms", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->age_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(gossip_part_crash &a, gossip_part_crash &b) {
+  using ::std::swap;
+  swap(a.pool, b.pool);
+  swap(a.part, b.part);
+  swap(a.upstream, b.upstream);
+  swap(a.age_ms, b.age_ms);
+  swap(a.__isset, b.__isset);
+}
+
+gossip_part_crash::gossip_part_crash(const gossip_part_crash& other14) {
+  pool = other14.pool;
+  part = other14.part;
+  upstream = other14.upstream;
+  age_ms = other14.age_ms;
+  __isset = other14.__isset;
+}
+gossip_part_crash::gossip_part_crash(gossip_part_crash&& other15) noexcept {
+  pool = std::move(other15.pool);
+  part = other15.part;
+  upstream = other15.upstream;
+  age_ms = other15.age_ms;
+  __isset = other15.__isset;
+}
+gossip_part_crash& gossip_part_crash::operator=(const gossip_part_crash& other16) {
+  pool = other16.pool;
+  part = other16.part;
+  upstream = other16.upstream;
+  age_ms = other16.age_ms;
+  __isset = other16.__isset;
+  return *this;
+}
+gossip_part_crash& gossip_part_crash::operator=(gossip_part_crash&& other17) noexcept {
+  pool = std::move(other17.pool);
+  part = other17.part;
+  upstream = other17.upstream;
+  age_ms = other17.age_ms;
+  __isset = other17.__isset;
+  return *this;
+}
+void gossip_part_crash::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "gossip_part_crash(";
+  out << "pool=" << to_string(pool);
+  out << ", " << "part=" << to_string(part);
+  out << ", " << "upstream=" << to_string(upstream);
+  out << ", " << "age_ms=" << to_string(age_ms);
+  out << ")";
+}
+
+
+gossip_upstream_loss::~gossip_upstream_loss() noexcept {
+}
+
+
+void gossip_upstream_loss::__set_pool(const std::string& val) {
+  this->pool = val;
+}
+
+void gossip_upstream_loss::__set_upstream(const int64_t val) {
+  this->upstream = val;
+}
+
+void gossip_upstream_loss::__set_age_ms(const int32_t val) {
+  this->age_ms = val;
+}
+std::ostream& operator<<(std::ostream& out, const gossip_upstream_loss& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t gossip_upstream_loss::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->pool);
+          this->__isset.pool = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->upstream);
+          this->__isset.upstream = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->age_ms);
+          this->__isset.age_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t gossip_upstream_loss::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("gossip_upstream_loss");
+
+  xfer += oprot->writeFieldBegin("pool", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->pool);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("upstream", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->upstream);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("age_ms", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->age_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(gossip_upstream_loss &a, gossip_upstream_loss &b) {
+  using ::std::swap;
+  swap(a.pool, b.pool);
+  swap(a.upstream, b.upstream);
+  swap(a.age_ms, b.age_ms);
+  swap(a.__isset, b.__isset);
+}
+
+gossip_upstream_loss::gossip_upstream_loss(const gossip_upstream_loss& other18) {
+  pool = other18.pool;
+  upstream = other18.upstream;
+  age_ms = other18.age_ms;
+  __isset = other18.__isset;
+}
+gossip_upstream_loss::gossip_upstream_loss(gossip_upstream_loss&& other19) noexcept {
+  pool = std::move(other19.pool);
+  upstream = other19.upstream;
+  age_ms = other19.age_ms;
+  __isset = other19.__isset;
+}
+gossip_upstream_loss& gossip_upstream_loss::operator=(const gossip_upstream_loss& other20) {
+  pool = other20.pool;
+  upstream = other20.upstream;
+  age_ms = other20.age_ms;
+  __isset = other20.__isset;
+  return *this;
+}
+gossip_upstream_loss& gossip_upstream_loss::operator=(gossip_upstream_loss&& other21) noexcept {
+  pool = std::move(other21.pool);
+  upstream = other21.upstream;
+  age_ms = other21.age_ms;
+  __isset = other21.__isset;
+  return *this;
+}
+void gossip_upstream_loss::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "gossip_upstream_loss(";
+  out << "pool=" << to_string(pool);
+  out << ", " << "upstream=" << to_string(upstream);
+  out << ", " << "age_ms=" << to_string(age_ms);
+  out << ")";
+}
+
+
+gossip_part_survival::~gossip_part_survival() noexcept {
+}
+
+
+void gossip_part_survival::__set_pool(const std::string& val) {
+  this->pool = val;
+}
+
+void gossip_part_survival::__set_part(const int64_t val) {
+  this->part = val;
+}
+
+void gossip_part_survival::__set_age_ms(const int32_t val) {
+  this->age_ms = val;
+}
+std::ostream& operator<<(std::ostream& out, const gossip_part_survival& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t gossip_part_survival::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->pool);
+          this->__isset.pool = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->part);
+          this->__isset.part = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->age_ms);
+          this->__isset.age_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t gossip_part_survival::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("gossip_part_survival");
+
+  xfer += oprot->writeFieldBegin("pool", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->pool);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("part", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->part);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("age_ms", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->age_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(gossip_part_survival &a, gossip_part_survival &b) {
+  using ::std::swap;
+  swap(a.pool, b.pool);
+  swap(a.part, b.part);
+  swap(a.age_ms, b.age_ms);
+  swap(a.__isset, b.__isset);
+}
+
+gossip_part_survival::gossip_part_survival(const gossip_part_survival& other22) {
+  pool = other22.pool;
+  part = other22.part;
+  age_ms = other22.age_ms;
+  __isset = other22.__isset;
+}
+gossip_part_survival::gossip_part_survival(gossip_part_survival&& other23) noexcept {
+  pool = std::move(other23.pool);
+  part = other23.part;
+  age_ms = other23.age_ms;
+  __isset = other23.__isset;
+}
+gossip_part_survival& gossip_part_survival::operator=(const gossip_part_survival& other24) {
+  pool = other24.pool;
+  part = other24.part;
+  age_ms = other24.age_ms;
+  __isset = other24.__isset;
+  return *this;
+}
+gossip_part_survival& gossip_part_survival::operator=(gossip_part_survival&& other25) noexcept {
+  pool = std::move(other25.pool);
+  part = other25.part;
+  age_ms = other25.age_ms;
+  __isset = other25.__isset;
+  return *this;
+}
+void gossip_part_survival::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "gossip_part_survival(";
+  out << "pool=" << to_string(pool);
+  out << ", " << "part=" << to_string(part);
+  out << ", " << "age_ms=" << to_string(age_ms);
+  out << ")";
+}
+
+
+gossip_pool_survival::~gossip_pool_survival() noexcept {
+}
+
+
+void gossip_pool_survival::__set_pool(const std::string& val) {
+  this->pool = val;
+}
+
+void gossip_pool_survival::__set_age_ms(const int32_t val) {
+  this->age_ms = val;
+}
+std::ostream& operator<<(std::ostream& out, const gossip_pool_survival& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t gossip_pool_survival::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->pool);
+          this->__isset.pool = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->age_ms);
+          this->__isset.age_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t gossip_pool_survival::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("gossip_pool_survival");
+
+  xfer += oprot->writeFieldBegin("pool", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->pool);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("age_ms", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->age_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(gossip_pool_survival &a, gossip_pool_survival &b) {
+  using ::std::swap;
+  swap(a.pool, b.pool);
+  swap(a.age_ms, b.age_ms);
+  swap(a.__isset, b.__isset);
+}
+
+gossip_pool_survival::gossip_pool_survival(const gossip_pool_survival& other26) {
+  pool = other26.pool;
+  age_ms = other26.age_ms;
+  __isset = other26.__isset;
+}
+gossip_pool_survival::gossip_pool_survival(gossip_pool_survival&& other27) noexcept {
+  pool = std::move(other27.pool);
+  age_ms = other27.age_ms;
+  __isset = other27.__isset;
+}
+gossip_pool_survival& gossip_pool_survival::operator=(const gossip_pool_survival& other28) {
+  pool = other28.pool;
+  age_ms = other28.age_ms;
+  __isset = other28.__isset;
+  return *this;
+}
+gossip_pool_survival& gossip_pool_survival::operator=(gossip_pool_survival&& other29) noexcept {
+  pool = std::move(other29.pool);
+  age_ms = other29.age_ms;
+  __isset = other29.__isset;
+  return *this;
+}
+void gossip_pool_survival::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "gossip_pool_survival(";
+  out << "pool=" << to_string(pool);
+  out << ", " << "age_ms=" << to_string(age_ms);
+  out << ")";
+}
+
+
+gossip_upstream_sign::~gossip_upstream_sign() noexcept {
+}
+
+
+void gossip_upstream_sign::__set_upstream(const int64_t val) {
+  this->upstream = val;
+}
+
+void gossip_upstream_sign::__set_age_ms(const int32_t val) {
+  this->age_ms = val;
+}
+std::ostream& operator<<(std::ostream& out, const gossip_upstream_sign& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t gossip_upstream_sign::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->upstream);
+          this->__isset.upstream = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->age_ms);
+          this->__isset.age_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t gossip_upstream_sign::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("gossip_upstream_sign");
+
+  xfer += oprot->writeFieldBegin("upstream", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->upstream);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("age_ms", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->age_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(gossip_upstream_sign &a, gossip_upstream_sign &b) {
+  using ::std::swap;
+  swap(a.upstream, b.upstream);
+  swap(a.age_ms, b.age_ms);
+  swap(a.__isset, b.__isset);
+}
+
+gossip_upstream_sign::gossip_upstream_sign(const gossip_upstream_sign& other30) noexcept {
+  upstream = other30.upstream;
+  age_ms = other30.age_ms;
+  __isset = other30.__isset;
+}
+gossip_upstream_sign::gossip_upstream_sign(gossip_upstream_sign&& other31) noexcept {
+  upstream = other31.upstream;
+  age_ms = other31.age_ms;
+  __isset = other31.__isset;
+}
+gossip_upstream_sign& gossip_upstream_sign::operator=(const gossip_upstream_sign& other32) noexcept {
+  upstream = other32.upstream;
+  age_ms = other32.age_ms;
+  __isset = other32.__isset;
+  return *this;
+}
+gossip_upstream_sign& gossip_upstream_sign::operator=(gossip_upstream_sign&& other33) noexcept {
+  upstream = other33.upstream;
+  age_ms = other33.age_ms;
+  __isset = other33.__isset;
+  return *this;
+}
+void gossip_upstream_sign::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "gossip_upstream_sign(";
+  out << "upstream=" << to_string(upstream);
+  out << ", " << "age_ms=" << to_string(age_ms);
+  out << ")";
+}
+
+
+gossip_quarantine::~gossip_quarantine() noexcept {
+}
+
+
+void gossip_quarantine::__set_pool(const std::string& val) {
+  this->pool = val;
+}
+
+void gossip_quarantine::__set_part(const int64_t val) {
+  this->part = val;
+}
+
+void gossip_quarantine::__set_age_ms(const int32_t val) {
+  this->age_ms = val;
+}
+
+void gossip_quarantine::__set_seen_age_ms(const int32_t val) {
+  this->seen_age_ms = val;
+}
+
+void gossip_quarantine::__set_trials(const int32_t val) {
+  this->trials = val;
+}
+
+void gossip_quarantine::__set_trial_age_ms(const int32_t val) {
+  this->trial_age_ms = val;
+}
+std::ostream& operator<<(std::ostream& out, const gossip_quarantine& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t gossip_quarantine::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->pool);
+          this->__isset.pool = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->part);
+          this->__isset.part = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->age_ms);
+          this->__isset.age_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->seen_age_ms);
+          this->__isset.seen_age_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->trials);
+          this->__isset.trials = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->trial_age_ms);
+          this->__isset.trial_age_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t gossip_quarantine::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("gossip_quarantine");
+
+  xfer += oprot->writeFieldBegin("pool", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->pool);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("part", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->part);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("age_ms", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->age_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("seen_age_ms", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->seen_age_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("trials", ::apache::thrift::protocol::T_I32, 5);
+  xfer += oprot->writeI32(this->trials);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("trial_age_ms", ::apache::thrift::protocol::T_I32, 6);
+  xfer += oprot->writeI32(this->trial_age_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(gossip_quarantine &a, gossip_quarantine &b) {
+  using ::std::swap;
+  swap(a.pool, b.pool);
+  swap(a.part, b.part);
+  swap(a.age_ms, b.age_ms);
+  swap(a.seen_age_ms, b.seen_age_ms);
+  swap(a.trials, b.trials);
+  swap(a.trial_age_ms, b.trial_age_ms);
+  swap(a.__isset, b.__isset);
+}
+
+gossip_quarantine::gossip_quarantine(const gossip_quarantine& other34) {
+  pool = other34.pool;
+  part = other34.part;
+  age_ms = other34.age_ms;
+  seen_age_ms = other34.seen_age_ms;
+  trials = other34.trials;
+  trial_age_ms = other34.trial_age_ms;
+  __isset = other34.__isset;
+}
+gossip_quarantine::gossip_quarantine(gossip_quarantine&& other35) noexcept {
+  pool = std::move(other35.pool);
+  part = other35.part;
+  age_ms = other35.age_ms;
+  seen_age_ms = other35.seen_age_ms;
+  trials = other35.trials;
+  trial_age_ms = other35.trial_age_ms;
+  __isset = other35.__isset;
+}
+gossip_quarantine& gossip_quarantine::operator=(const gossip_quarantine& other36) {
+  pool = other36.pool;
+  part = other36.part;
+  age_ms = other36.age_ms;
+  seen_age_ms = other36.seen_age_ms;
+  trials = other36.trials;
+  trial_age_ms = other36.trial_age_ms;
+  __isset = other36.__isset;
+  return *this;
+}
+gossip_quarantine& gossip_quarantine::operator=(gossip_quarantine&& other37) noexcept {
+  pool = std::move(other37.pool);
+  part = other37.part;
+  age_ms = other37.age_ms;
+  seen_age_ms = other37.seen_age_ms;
+  trials = other37.trials;
+  trial_age_ms = other37.trial_age_ms;
+  __isset = other37.__isset;
+  return *this;
+}
+void gossip_quarantine::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "gossip_quarantine(";
+  out << "pool=" << to_string(pool);
+  out << ", " << "part=" << to_string(part);
+  out << ", " << "age_ms=" << to_string(age_ms);
+  out << ", " << "seen_age_ms=" << to_string(seen_age_ms);
+  out << ", " << "trials=" << to_string(trials);
+  out << ", " << "trial_age_ms=" << to_string(trial_age_ms);
+  out << ")";
+}
+
+
+gossip_crash_report::~gossip_crash_report() noexcept {
+}
+
+
+void gossip_crash_report::__set_crashes(const std::vector<gossip_part_crash> & val) {
+  this->crashes = val;
+}
+
+void gossip_crash_report::__set_losses(const std::vector<gossip_upstream_loss> & val) {
+  this->losses = val;
+}
+
+void gossip_crash_report::__set_survivals(const std::vector<gossip_part_survival> & val) {
+  this->survivals = val;
+}
+
+void gossip_crash_report::__set_pool_survivals(const std::vector<gossip_pool_survival> & val) {
+  this->pool_survivals = val;
+}
+
+void gossip_crash_report::__set_signs(const std::vector<gossip_upstream_sign> & val) {
+  this->signs = val;
+}
+
+void gossip_crash_report::__set_quarantines(const std::vector<gossip_quarantine> & val) {
+  this->quarantines = val;
+}
+std::ostream& operator<<(std::ostream& out, const gossip_crash_report& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t gossip_crash_report::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->crashes.clear();
+            uint32_t _size38;
+            ::apache::thrift::protocol::TType _etype41;
+            xfer += iprot->readListBegin(_etype41, _size38);
+            this->crashes.resize(_size38);
+            uint32_t _i42;
+            for (_i42 = 0; _i42 < _size38; ++_i42)
+            {
+              xfer += this->crashes[_i42].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.crashes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->losses.clear();
+            uint32_t _size43;
+            ::apache::thrift::protocol::TType _etype46;
+            xfer += iprot->readListBegin(_etype46, _size43);
+            this->losses.resize(_size43);
+            uint32_t _i47;
+            for (_i47 = 0; _i47 < _size43; ++_i47)
+            {
+              xfer += this->losses[_i47].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.losses = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->survivals.clear();
+            uint32_t _size48;
+            ::apache::thrift::protocol::TType _etype51;
+            xfer += iprot->readListBegin(_etype51, _size48);
+            this->survivals.resize(_size48);
+            uint32_t _i52;
+            for (_i52 = 0; _i52 < _size48; ++_i52)
+            {
+              xfer += this->survivals[_i52].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.survivals = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->pool_survivals.clear();
+            uint32_t _size53;
+            ::apache::thrift::protocol::TType _etype56;
+            xfer += iprot->readListBegin(_etype56, _size53);
+            this->pool_survivals.resize(_size53);
+            uint32_t _i57;
+            for (_i57 = 0; _i57 < _size53; ++_i57)
+            {
+              xfer += this->pool_survivals[_i57].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.pool_survivals = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->signs.clear();
+            uint32_t _size58;
+            ::apache::thrift::protocol::TType _etype61;
+            xfer += iprot->readListBegin(_etype61, _size58);
+            this->signs.resize(_size58);
+            uint32_t _i62;
+            for (_i62 = 0; _i62 < _size58; ++_i62)
+            {
+              xfer += this->signs[_i62].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.signs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->quarantines.clear();
+            uint32_t _size63;
+            ::apache::thrift::protocol::TType _etype66;
+            xfer += iprot->readListBegin(_etype66, _size63);
+            this->quarantines.resize(_size63);
+            uint32_t _i67;
+            for (_i67 = 0; _i67 < _size63; ++_i67)
+            {
+              xfer += this->quarantines[_i67].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.quarantines = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t gossip_crash_report::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("gossip_crash_report");
+
+  xfer += oprot->writeFieldBegin("crashes", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->crashes.size()));
+    std::vector<gossip_part_crash> ::const_iterator _iter68;
+    for (_iter68 = this->crashes.begin(); _iter68 != this->crashes.end(); ++_iter68)
+    {
+      xfer += (*_iter68).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("losses", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->losses.size()));
+    std::vector<gossip_upstream_loss> ::const_iterator _iter69;
+    for (_iter69 = this->losses.begin(); _iter69 != this->losses.end(); ++_iter69)
+    {
+      xfer += (*_iter69).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("survivals", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->survivals.size()));
+    std::vector<gossip_part_survival> ::const_iterator _iter70;
+    for (_iter70 = this->survivals.begin(); _iter70 != this->survivals.end(); ++_iter70)
+    {
+      xfer += (*_iter70).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("pool_survivals", ::apache::thrift::protocol::T_LIST, 4);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->pool_survivals.size()));
+    std::vector<gossip_pool_survival> ::const_iterator _iter71;
+    for (_iter71 = this->pool_survivals.begin(); _iter71 != this->pool_survivals.end(); ++_iter71)
+    {
+      xfer += (*_iter71).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("signs", ::apache::thrift::protocol::T_LIST, 5);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->signs.size()));
+    std::vector<gossip_upstream_sign> ::const_iterator _iter72;
+    for (_iter72 = this->signs.begin(); _iter72 != this->signs.end(); ++_iter72)
+    {
+      xfer += (*_iter72).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("quarantines", ::apache::thrift::protocol::T_LIST, 6);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->quarantines.size()));
+    std::vector<gossip_quarantine> ::const_iterator _iter73;
+    for (_iter73 = this->quarantines.begin(); _iter73 != this->quarantines.end(); ++_iter73)
+    {
+      xfer += (*_iter73).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(gossip_crash_report &a, gossip_crash_report &b) {
+  using ::std::swap;
+  swap(a.crashes, b.crashes);
+  swap(a.losses, b.losses);
+  swap(a.survivals, b.survivals);
+  swap(a.pool_survivals, b.pool_survivals);
+  swap(a.signs, b.signs);
+  swap(a.quarantines, b.quarantines);
+  swap(a.__isset, b.__isset);
+}
+
+gossip_crash_report::gossip_crash_report(const gossip_crash_report& other74) {
+  crashes = other74.crashes;
+  losses = other74.losses;
+  survivals = other74.survivals;
+  pool_survivals = other74.pool_survivals;
+  signs = other74.signs;
+  quarantines = other74.quarantines;
+  __isset = other74.__isset;
+}
+gossip_crash_report::gossip_crash_report(gossip_crash_report&& other75) noexcept {
+  crashes = std::move(other75.crashes);
+  losses = std::move(other75.losses);
+  survivals = std::move(other75.survivals);
+  pool_survivals = std::move(other75.pool_survivals);
+  signs = std::move(other75.signs);
+  quarantines = std::move(other75.quarantines);
+  __isset = other75.__isset;
+}
+gossip_crash_report& gossip_crash_report::operator=(const gossip_crash_report& other76) {
+  crashes = other76.crashes;
+  losses = other76.losses;
+  survivals = other76.survivals;
+  pool_survivals = other76.pool_survivals;
+  signs = other76.signs;
+  quarantines = other76.quarantines;
+  __isset = other76.__isset;
+  return *this;
+}
+gossip_crash_report& gossip_crash_report::operator=(gossip_crash_report&& other77) noexcept {
+  crashes = std::move(other77.crashes);
+  losses = std::move(other77.losses);
+  survivals = std::move(other77.survivals);
+  pool_survivals = std::move(other77.pool_survivals);
+  signs = std::move(other77.signs);
+  quarantines = std::move(other77.quarantines);
+  __isset = other77.__isset;
+  return *this;
+}
+void gossip_crash_report::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "gossip_crash_report(";
+  out << "crashes=" << to_string(crashes);
+  out << ", " << "losses=" << to_string(losses);
+  out << ", " << "survivals=" << to_string(survivals);
+  out << ", " << "pool_survivals=" << to_string(pool_survivals);
+  out << ", " << "signs=" << to_string(signs);
+  out << ", " << "quarantines=" << to_string(quarantines);
+  out << ")";
+}
+
+
 gossip_state::~gossip_state() noexcept {
 }
 
@@ -475,6 +1720,11 @@
 void gossip_state::__set_routing_version(const int64_t val) {
   this->routing_version = val;
 }
+
+void gossip_state::__set_crash_report(const gossip_crash_report& val) {
+  this->crash_report = val;
+__isset.crash_report = true;
+}
 std::ostream& operator<<(std::ostream& out, const gossip_state& obj)
 {
   obj.printTo(out);
@@ -579,14 +1829,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->loads.clear();
-            uint32_t _size14;
-            ::apache::thrift::protocol::TType _etype17;
-            xfer += iprot->readListBegin(_etype17, _size14);
-            this->loads.resize(_size14);
-            uint32_t _i18;
-            for (_i18 = 0; _i18 < _size14; ++_i18)
+            uint32_t _size78;
+            ::apache::thrift::protocol::TType _etype81;
+            xfer += iprot->readListBegin(_etype81, _size78);
+            this->loads.resize(_size78);
+            uint32_t _i82;
+            for (_i82 = 0; _i82 < _size78; ++_i82)
             {
-              xfer += this->loads[_i18].read(iprot);
+              xfer += this->loads[_i82].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -663,14 +1913,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->zones.clear();
-            uint32_t _size19;
-            ::apache::thrift::protocol::TType _etype22;
-            xfer += iprot->readListBegin(_etype22, _size19);
-            this->zones.resize(_size19);
-            uint32_t _i23;
-            for (_i23 = 0; _i23 < _size19; ++_i23)
+            uint32_t _size83;
+            ::apache::thrift::protocol::TType _etype86;
+            xfer += iprot->readListBegin(_etype86, _size83);
+            this->zones.resize(_size83);
+            uint32_t _i87;
+            for (_i87 = 0; _i87 < _size83; ++_i87)
             {
-              xfer += this->zones[_i23].read(iprot);
+              xfer += this->zones[_i87].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -683,14 +1933,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->leaving_upstreams.clear();
-            uint32_t _size24;
-            ::apache::thrift::protocol::TType _etype27;
-            xfer += iprot->readListBegin(_etype27, _size24);
-            this->leaving_upstreams.resize(_size24);
-            uint32_t _i28;
-            for (_i28 = 0; _i28 < _size24; ++_i28)
+            uint32_t _size88;
+            ::apache::thrift::protocol::TType _etype91;
+            xfer += iprot->readListBegin(_etype91, _size88);
+            this->leaving_upstreams.resize(_size88);
+            uint32_t _i92;
+            for (_i92 = 0; _i92 < _size88; ++_i92)
             {
-              xfer += iprot->readI64(this->leaving_upstreams[_i28]);
+              xfer += iprot->readI64(this->leaving_upstreams[_i92]);
             }
             xfer += iprot->readListEnd();
           }
@@ -715,6 +1965,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 25:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->crash_report.read(iprot);
+          this->__isset.crash_report = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -771,10 +2029,10 @@
   xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 11);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
-    std::vector<gossip_load> ::const_iterator _iter29;
-    for (_iter29 = this->loads.begin(); _iter29 != this->loads.end(); ++_iter29)
+    std::vector<gossip_load> ::const_iterator _iter93;
+    for (_iter93 = this->loads.begin(); _iter93 != this->loads.end(); ++_iter93)
     {
-      xfer += (*_iter29).write(oprot);
+      xfer += (*_iter93).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -815,10 +2073,10 @@
   xfer += oprot->writeFieldBegin("zones", ::apache::thrift::protocol::T_LIST, 21);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->zones.size()));
-    std::vector<gossip_zone> ::const_iterator _iter30;
-    for (_iter30 = this->zones.begin(); _iter30 != this->zones.end(); ++_iter30)
+    std::vector<gossip_zone> ::const_iterator _iter94;
+    for (_iter94 = this->zones.begin(); _iter94 != this->zones.end(); ++_iter94)
     {
-      xfer += (*_iter30).write(oprot);
+      xfer += (*_iter94).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -827,10 +2085,10 @@
   xfer += oprot->writeFieldBegin("leaving_upstreams", ::apache::thrift::protocol::T_LIST, 22);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->leaving_upstreams.size()));
-    std::vector<int64_t> ::const_iterator _iter31;
-    for (_iter31 = this->leaving_upstreams.begin(); _iter31 != this->leaving_upstreams.end(); ++_iter31)
+    std::vector<int64_t> ::const_iterator _iter95;
+    for (_iter95 = this->leaving_upstreams.begin(); _iter95 != this->leaving_upstreams.end(); ++_iter95)
     {
-      xfer += oprot->writeI64((*_iter31));
+      xfer += oprot->writeI64((*_iter95));
     }
     xfer += oprot->writeListEnd();
   }
@@ -844,6 +2102,11 @@
   xfer += oprot->writeI64(this->routing_version);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.crash_report) {
+    xfer += oprot->writeFieldBegin("crash_report", ::apache::thrift::protocol::T_STRUCT, 25);
+    xfer += this->crash_report.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -873,109 +2136,114 @@
   swap(a.leaving_upstreams, b.leaving_upstreams);
   swap(a.store_era, b.store_era);
   swap(a.routing_version, b.routing_version);
+  swap(a.crash_report, b.crash_report);
   swap(a.__isset, b.__isset);
 }
 
-gossip_state::gossip_state(const gossip_state& other32) {
-  vm = other32.vm;
-  incarnation = other32.incarnation;
-  sequence = other32.sequence;
-  data_centre = other32.data_centre;
-  address = other32.address;
-  caller_port = other32.caller_port;
-  admin_port = other32.admin_port;
-  ready = other32.ready;
-  leaving = other32.leaving;
-  loads = other32.loads;
-  asks = other32.asks;
-  answers = other32.answers;
-  routing_age_ms = other32.routing_age_ms;
-  upstreams_age_ms = other32.upstreams_age_ms;
-  upstreams_digest = other32.upstreams_digest;
-  interactive_reading = other32.interactive_reading;
-  bulk_reading = other32.bulk_reading;
-  processor = other32.processor;
-  zones = other32.zones;
-  leaving_upstreams = other32.leaving_upstreams;
-  store_era = other32.store_era;
-  routing_version = other32.routing_version;
-  __isset = other32.__isset;
+gossip_state::gossip_state(const gossip_state& other96) {
+  vm = other96.vm;
+  incarnation = other96.incarnation;
+  sequence = other96.sequence;
+  data_centre = other96.data_centre;
+  address = other96.address;
+  caller_port = other96.caller_port;
+  admin_port = other96.admin_port;
+  ready = other96.ready;
+  leaving = other96.leaving;
+  loads = other96.loads;
+  asks = other96.asks;
+  answers = other96.answers;
+  routing_age_ms = other96.routing_age_ms;
+  upstreams_age_ms = other96.upstreams_age_ms;
+  upstreams_digest = other96.upstreams_digest;
+  interactive_reading = other96.interactive_reading;
+  bulk_reading = other96.bulk_reading;
+  processor = other96.processor;
+  zones = other96.zones;
+  leaving_upstreams = other96.leaving_upstreams;
+  store_era = other96.store_era;
+  routing_version = other96.routing_version;
+  crash_report = other96.crash_report;
+  __isset = other96.__isset;
 }
-gossip_state::gossip_state(gossip_state&& other33) noexcept {
-  vm = std::move(other33.vm);
-  incarnation = other33.incarnation;
-  sequence = other33.sequence;
-  data_centre = std::move(other33.data_centre);
-  address = std::move(other33.address);
-  caller_port = other33.caller_port;
-  admin_port = other33.admin_port;
-  ready = other33.ready;
-  leaving = other33.leaving;
-  loads = std::move(other33.loads);
-  asks = other33.asks;
-  answers = other33.answers;
-  routing_age_ms = other33.routing_age_ms;
-  upstreams_age_ms = other33.upstreams_age_ms;
-  upstreams_digest = other33.upstreams_digest;
-  interactive_reading = other33.interactive_reading;
-  bulk_reading = other33.bulk_reading;
-  processor = other33.processor;
-  zones = std::move(other33.zones);
-  leaving_upstreams = std::move(other33.leaving_upstreams);
-  store_era = other33.store_era;
-  routing_version = other33.routing_version;
-  __isset = other33.__isset;
+gossip_state::gossip_state(gossip_state&& other97) noexcept {
+  vm = std::move(other97.vm);
+  incarnation = other97.incarnation;
+  sequence = other97.sequence;
+  data_centre = std::move(other97.data_centre);
+  address = std::move(other97.address);
+  caller_port = other97.caller_port;
+  admin_port = other97.admin_port;
+  ready = other97.ready;
+  leaving = other97.leaving;
+  loads = std::move(other97.loads);
+  asks = other97.asks;
+  answers = other97.answers;
+  routing_age_ms = other97.routing_age_ms;
+  upstreams_age_ms = other97.upstreams_age_ms;
+  upstreams_digest = other97.upstreams_digest;
+  interactive_reading = other97.interactive_reading;
+  bulk_reading = other97.bulk_reading;
+  processor = other97.processor;
+  zones = std::move(other97.zones);
+  leaving_upstreams = std::move(other97.leaving_upstreams);
+  store_era = other97.store_era;
+  routing_version = other97.routing_version;
+  crash_report = std::move(other97.crash_report);
+  __isset = other97.__isset;
 }
-gossip_state& gossip_state::operator=(const gossip_state& other34) {
-  vm = other34.vm;
-  incarnation = other34.incarnation;
-  sequence = other34.sequence;
-  data_centre = other34.data_centre;
-  address = other34.address;
-  caller_port = other34.caller_port;
-  admin_port = other34.admin_port;
-  ready = other34.ready;
-  leaving = other34.leaving;
-  loads = other34.loads;
-  asks = other34.asks;
-  answers = other34.answers;
-  routing_age_ms = other34.routing_age_ms;
-  upstreams_age_ms = other34.upstreams_age_ms;
-  upstreams_digest = other34.upstreams_digest;
-  interactive_reading = other34.interactive_reading;
-  bulk_reading = other34.bulk_reading;
-  processor = other34.processor;
-  zones = other34.zones;
-  leaving_upstreams = other34.leaving_upstreams;
-  store_era = other34.store_era;
-  routing_version = other34.routing_version;
-  __isset = other34.__isset;
+gossip_state& gossip_state::operator=(const gossip_state& other98) {
+  vm = other98.vm;
+  incarnation = other98.incarnation;
+  sequence = other98.sequence;
+  data_centre = other98.data_centre;
+  address = other98.address;
+  caller_port = other98.caller_port;
+  admin_port = other98.admin_port;
+  ready = other98.ready;
+  leaving = other98.leaving;
+  loads = other98.loads;
+  asks = other98.asks;
+  answers = other98.answers;
+  routing_age_ms = other98.routing_age_ms;
+  upstreams_age_ms = other98.upstreams_age_ms;
+  upstreams_digest = other98.upstreams_digest;
+  interactive_reading = other98.interactive_reading;
+  bulk_reading = other98.bulk_reading;
+  processor = other98.processor;
+  zones = other98.zones;
+  leaving_upstreams = other98.leaving_upstreams;
+  store_era = other98.store_era;
+  routing_version = other98.routing_version;
+  crash_report = other98.crash_report;
+  __isset = other98.__isset;
   return *this;
 }
-gossip_state& gossip_state::operator=(gossip_state&& other35) noexcept {
-  vm = std::move(other35.vm);
-  incarnation = other35.incarnation;
-  sequence = other35.sequence;
-  data_centre = std::move(other35.data_centre);
-  address = std::move(other35.address);
-  caller_port = other35.caller_port;
-  admin_port = other35.admin_port;
-  ready = other35.ready;
-  leaving = other35.leaving;
-  loads = std::move(other35.loads);
-  asks = other35.asks;
-  answers = other35.answers;
-  routing_age_ms = other35.routing_age_ms;
-  upstreams_age_ms = other35.upstreams_age_ms;
-  upstreams_digest = other35.upstreams_digest;
-  interactive_reading = other35.interactive_reading;
-  bulk_reading = other35.bulk_reading;
-  processor = other35.processor;
-  zones = std::move(other35.zones);
-  leaving_upstreams = std::move(other35.leaving_upstreams);
-  store_era = other35.store_era;
-  routing_version = other35.routing_version;
-  __isset = other35.__isset;
+gossip_state& gossip_state::operator=(gossip_state&& other99) noexcept {
+  vm = std::move(other99.vm);
+  incarnation = other99.incarnation;
+  sequence = other99.sequence;
+  data_centre = std::move(other99.data_centre);
+  address = std::move(other99.address);
+  caller_port = other99.caller_port;
+  admin_port = other99.admin_port;
+  ready = other99.ready;
+  leaving = other99.leaving;
+  loads = std::move(other99.loads);
+  asks = other99.asks;
+  answers = other99.answers;
+  routing_age_ms = other99.routing_age_ms;
+  upstreams_age_ms = other99.upstreams_age_ms;
+  upstreams_digest = other99.upstreams_digest;
+  interactive_reading = other99.interactive_reading;
+  bulk_reading = other99.bulk_reading;
+  processor = other99.processor;
+  zones = std::move(other99.zones);
+  leaving_upstreams = std::move(other99.leaving_upstreams);
+  store_era = other99.store_era;
+  routing_version = other99.routing_version;
+  crash_report = std::move(other99.crash_report);
+  __isset = other99.__isset;
   return *this;
 }
 void gossip_state::printTo(std::ostream& out) const {
@@ -1003,6 +2271,7 @@
   out << ", " << "leaving_upstreams=" << to_string(leaving_upstreams);
   out << ", " << "store_era=" << to_string(store_era);
   out << ", " << "routing_version=" << to_string(routing_version);
+  out << ", " << "crash_report="; (__isset.crash_report ? (out << to_string(crash_report)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/sapphirespar/wire/gen/gossip_types.h
+++ b/src/sapphirespar/wire/gen/gossip_types.h
@@ -19,6 +19,20 @@
 
 class gossip_zone;
 
+class gossip_part_crash;
+
+class gossip_upstream_loss;
+
+class gossip_part_survival;
+
+class gossip_pool_survival;
+
+class gossip_upstream_sign;
+
+class gossip_quarantine;
+
+class gossip_crash_report;
+
 class gossip_state;
 
 typedef struct _gossip_load__isset {
@@ -159,8 +173,450 @@
 
 std::ostream& operator<<(std::ostream& out, const gossip_zone& obj);
 
+typedef struct _gossip_part_crash__isset {
+  _gossip_part_crash__isset() : pool(false), part(false), upstream(false), age_ms(false) {}
+  bool pool :1;
+  bool part :1;
+  bool upstream :1;
+  bool age_ms :1;
+} _gossip_part_crash__isset;
+
+class gossip_part_crash : public virtual ::apache::thrift::TBase {
+ public:
+
+  gossip_part_crash(const gossip_part_crash&);
+  gossip_part_crash(gossip_part_crash&&) noexcept;
+  gossip_part_crash& operator=(const gossip_part_crash&);
+  gossip_part_crash& operator=(gossip_part_crash&&) noexcept;
+  gossip_part_crash() noexcept
+                    : pool(),
+                      part(0),
+                      upstream(0),
+                      age_ms(0) {
+  }
+
+  virtual ~gossip_part_crash() noexcept;
+  std::string pool;
+  int64_t part;
+  int64_t upstream;
+  int32_t age_ms;
+
+  _gossip_part_crash__isset __isset;
+
+  void __set_pool(const std::string& val);
+
+  void __set_part(const int64_t val);
+
+  void __set_upstream(const int64_t val);
+
+  void __set_age_ms(const int32_t val);
+
+  bool operator == (const gossip_part_crash & rhs) const
+  {
+    if (!(pool == rhs.pool))
+      return false;
+    if (!(part == rhs.part))
+      return false;
+    if (!(upstream == rhs.upstream))
+      return false;
+    if (!(age_ms == rhs.age_ms))
+      return false;
+    return true;
+  }
+  bool operator != (const gossip_part_crash &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const gossip_part_crash & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(gossip_part_crash &a, gossip_part_crash &b);
+
+std::ostream& operator<<(std::ostream& out, const gossip_part_crash& obj);
+
+typedef struct _gossip_upstream_loss__isset {
+  _gossip_upstream_loss__isset() : pool(false), upstream(false), age_ms(false) {}
+  bool pool :1;
+  bool upstream :1;
+  bool age_ms :1;
+} _gossip_upstream_loss__isset;
+
+class gossip_upstream_loss : public virtual ::apache::thrift::TBase {
+ public:
+
+  gossip_upstream_loss(const gossip_upstream_loss&);
+  gossip_upstream_loss(gossip_upstream_loss&&) noexcept;
+  gossip_upstream_loss& operator=(const gossip_upstream_loss&);
+  gossip_upstream_loss& operator=(gossip_upstream_loss&&) noexcept;
+  gossip_upstream_loss() noexcept
+                       : pool(),
+                         upstream(0),
+                         age_ms(0) {
+  }
+
+  virtual ~gossip_upstream_loss() noexcept;
+  std::string pool;
+  int64_t upstream;
+  int32_t age_ms;
+
+  _gossip_upstream_loss__isset __isset;
+
+  void __set_pool(const std::string& val);
+
+  void __set_upstream(const int64_t val);
+
+  void __set_age_ms(const int32_t val);
+
+  bool operator == (const gossip_upstream_loss & rhs) const
+  {
+    if (!(pool == rhs.pool))
+      return false;
+    if (!(upstream == rhs.upstream))
+      return false;
+    if (!(age_ms == rhs.age_ms))
+      return false;
+    return true;
+  }
+  bool operator != (const gossip_upstream_loss &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const gossip_upstream_loss & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(gossip_upstream_loss &a, gossip_upstream_loss &b);
+
+std::ostream& operator<<(std::ostream& out, const gossip_upstream_loss& obj);
+
+typedef struct _gossip_part_survival__isset {
+  _gossip_part_survival__isset() : pool(false), part(false), age_ms(false) {}
+  bool pool :1;
+  bool part :1;
+  bool age_ms :1;
+} _gossip_part_survival__isset;
+
+class gossip_part_survival : public virtual ::apache::thrift::TBase {
+ public:
+
+  gossip_part_survival(const gossip_part_survival&);
+  gossip_part_survival(gossip_part_survival&&) noexcept;
+  gossip_part_survival& operator=(const gossip_part_survival&);
+  gossip_part_survival& operator=(gossip_part_survival&&) noexcept;
+  gossip_part_survival() noexcept
+                       : pool(),
+                         part(0),
+                         age_ms(0) {
+  }
+
+  virtual ~gossip_part_survival() noexcept;
+  std::string pool;
+  int64_t part;
+  int32_t age_ms;
+
+  _gossip_part_survival__isset __isset;
+
+  void __set_pool(const std::string& val);
+
+  void __set_part(const int64_t val);
+
+  void __set_age_ms(const int32_t val);
+
+  bool operator == (const gossip_part_survival & rhs) const
+  {
+    if (!(pool == rhs.pool))
+      return false;
+    if (!(part == rhs.part))
+      return false;
+    if (!(age_ms == rhs.age_ms))
+      return false;
+    return true;
+  }
+  bool operator != (const gossip_part_survival &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const gossip_part_survival & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(gossip_part_survival &a, gossip_part_survival &b);
+
+std::ostream& operator<<(std::ostream& out, const gossip_part_survival& obj);
+
+typedef struct _gossip_pool_survival__isset {
+  _gossip_pool_survival__isset() : pool(false), age_ms(false) {}
+  bool pool :1;
+  bool age_ms :1;
+} _gossip_pool_survival__isset;
+
+class gossip_pool_survival : public virtual ::apache::thrift::TBase {
+ public:
+
+  gossip_pool_survival(const gossip_pool_survival&);
+  gossip_pool_survival(gossip_pool_survival&&) noexcept;
+  gossip_pool_survival& operator=(const gossip_pool_survival&);
+  gossip_pool_survival& operator=(gossip_pool_survival&&) noexcept;
+  gossip_pool_survival() noexcept
+                       : pool(),
+                         age_ms(0) {
+  }
+
+  virtual ~gossip_pool_survival() noexcept;
+  std::string pool;
+  int32_t age_ms;
+
+  _gossip_pool_survival__isset __isset;
+
+  void __set_pool(const std::string& val);
+
+  void __set_age_ms(const int32_t val);
+
+  bool operator == (const gossip_pool_survival & rhs) const
+  {
+    if (!(pool == rhs.pool))
+      return false;
+    if (!(age_ms == rhs.age_ms))
+      return false;
+    return true;
+  }
+  bool operator != (const gossip_pool_survival &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const gossip_pool_survival & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(gossip_pool_survival &a, gossip_pool_survival &b);
+
+std::ostream& operator<<(std::ostream& out, const gossip_pool_survival& obj);
+
+typedef struct _gossip_upstream_sign__isset {
+  _gossip_upstream_sign__isset() : upstream(false), age_ms(false) {}
+  bool upstream :1;
+  bool age_ms :1;
+} _gossip_upstream_sign__isset;
+
+class gossip_upstream_sign : public virtual ::apache::thrift::TBase {
+ public:
+
+  gossip_upstream_sign(const gossip_upstream_sign&) noexcept;
+  gossip_upstream_sign(gossip_upstream_sign&&) noexcept;
+  gossip_upstream_sign& operator=(const gossip_upstream_sign&) noexcept;
+  gossip_upstream_sign& operator=(gossip_upstream_sign&&) noexcept;
+  gossip_upstream_sign() noexcept
+                       : upstream(0),
+                         age_ms(0) {
+  }
+
+  virtual ~gossip_upstream_sign() noexcept;
+  int64_t upstream;
+  int32_t age_ms;
+
+  _gossip_upstream_sign__isset __isset;
+
+  void __set_upstream(const int64_t val);
+
+  void __set_age_ms(const int32_t val);
+
+  bool operator == (const gossip_upstream_sign & rhs) const
+  {
+    if (!(upstream == rhs.upstream))
+      return false;
+    if (!(age_ms == rhs.age_ms))
+      return false;
+    return true;
+  }
+  bool operator != (const gossip_upstream_sign &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const gossip_upstream_sign & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(gossip_upstream_sign &a, gossip_upstream_sign &b);
+
+std::ostream& operator<<(std::ostream& out, const gossip_upstream_sign& obj);
+
+typedef struct _gossip_quarantine__isset {
+  _gossip_quarantine__isset() : pool(false), part(false), age_ms(false), seen_age_ms(false), trials(false), trial_age_ms(false) {}
+  bool pool :1;
+  bool part :1;
+  bool age_ms :1;
+  bool seen_age_ms :1;
+  bool trials :1;
+  bool trial_age_ms :1;
+} _gossip_quarantine__isset;
+
+class gossip_quarantine : public virtual ::apache::thrift::TBase {
+ public:
+
+  gossip_quarantine(const gossip_quarantine&);
+  gossip_quarantine(gossip_quarantine&&) noexcept;
+  gossip_quarantine& operator=(const gossip_quarantine&);
+  gossip_quarantine& operator=(gossip_quarantine&&) noexcept;
+  gossip_quarantine() noexcept
+                    : pool(),
+                      part(0),
+                      age_ms(0),
+                      seen_age_ms(0),
+                      trials(0),
+                      trial_age_ms(0) {
+  }
+
+  virtual ~gossip_quarantine() noexcept;
+  std::string pool;
+  int64_t part;
+  int32_t age_ms;
+  int32_t seen_age_ms;
+  int32_t trials;
+  int32_t trial_age_ms;
+
+  _gossip_quarantine__isset __isset;
+
+  void __set_pool(const std::string& val);
+
+  void __set_part(const int64_t val);
+
+  void __set_age_ms(const int32_t val);
+
+  void __set_seen_age_ms(const int32_t val);
+
+  void __set_trials(const int32_t val);
+
+  void __set_trial_age_ms(const int32_t val);
+
+  bool operator == (const gossip_quarantine & rhs) const
+  {
+    if (!(pool == rhs.pool))
+      return false;
+    if (!(part == rhs.part))
+      return false;
+    if (!(age_ms == rhs.age_ms))
+      return false;
+    if (!(seen_age_ms == rhs.seen_age_ms))
+      return false;
+    if (!(trials == rhs.trials))
+      return false;
+    if (!(trial_age_ms == rhs.trial_age_ms))
+      return false;
+    return true;
+  }
+  bool operator != (const gossip_quarantine &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const gossip_quarantine & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(gossip_quarantine &a, gossip_quarantine &b);
+
+std::ostream& operator<<(std::ostream& out, const gossip_quarantine& obj);
+
+typedef struct _gossip_crash_report__isset {
+  _gossip_crash_report__isset() : crashes(false), losses(false), survivals(false), pool_survivals(false), signs(false), quarantines(false) {}
+  bool crashes :1;
+  bool losses :1;
+  bool survivals :1;
+  bool pool_survivals :1;
+  bool signs :1;
+  bool quarantines :1;
+} _gossip_crash_report__isset;
+
+class gossip_crash_report : public virtual ::apache::thrift::TBase {
+ public:
+
+  gossip_crash_report(const gossip_crash_report&);
+  gossip_crash_report(gossip_crash_report&&) noexcept;
+  gossip_crash_report& operator=(const gossip_crash_report&);
+  gossip_crash_report& operator=(gossip_crash_report&&) noexcept;
+  gossip_crash_report() noexcept {
+  }
+
+  virtual ~gossip_crash_report() noexcept;
+  std::vector<gossip_part_crash>  crashes;
+  std::vector<gossip_upstream_loss>  losses;
+  std::vector<gossip_part_survival>  survivals;
+  std::vector<gossip_pool_survival>  pool_survivals;
+  std::vector<gossip_upstream_sign>  signs;
+  std::vector<gossip_quarantine>  quarantines;
+
+  _gossip_crash_report__isset __isset;
+
+  void __set_crashes(const std::vector<gossip_part_crash> & val);
+
+  void __set_losses(const std::vector<gossip_upstream_loss> & val);
+
+  void __set_survivals(const std::vector<gossip_part_survival> & val);
+
+  void __set_pool_survivals(const std::vector<gossip_pool_survival> & val);
+
+  void __set_signs(const std::vector<gossip_upstream_sign> & val);
+
+  void __set_quarantines(const std::vector<gossip_quarantine> & val);
+
+  bool operator == (const gossip_crash_report & rhs) const
+  {
+    if (!(crashes == rhs.crashes))
+      return false;
+    if (!(losses == rhs.losses))
+      return false;
+    if (!(survivals == rhs.survivals))
+      return false;
+    if (!(pool_survivals == rhs.pool_survivals))
+      return false;
+    if (!(signs == rhs.signs))
+      return false;
+    if (!(quarantines == rhs.quarantines))
+      return false;
+    return true;
+  }
+  bool operator != (const gossip_crash_report &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const gossip_crash_report & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(gossip_crash_report &a, gossip_crash_report &b);
+
+std::ostream& operator<<(std::ostream& out, const gossip_crash_report& obj);
+
 typedef struct _gossip_state__isset {
-  _gossip_state__isset() : vm(false), incarnation(false), sequence(false), data_centre(false), address(false), caller_port(false), admin_port(false), ready(false), leaving(false), loads(false), asks(false), answers(false), routing_age_ms(false), upstreams_age_ms(false), upstreams_digest(false), interactive_reading(false), bulk_reading(false), processor(false), zones(false), leaving_upstreams(false), store_era(false), routing_version(false) {}
+  _gossip_state__isset() : vm(false), incarnation(false), sequence(false), data_centre(false), address(false), caller_port(false), admin_port(false), ready(false), leaving(false), loads(false), asks(false), answers(false), routing_age_ms(false), upstreams_age_ms(false), upstreams_digest(false), interactive_reading(false), bulk_reading(false), processor(false), zones(false), leaving_upstreams(false), store_era(false), routing_version(false), crash_report(false) {}
   bool vm :1;
   bool incarnation :1;
   bool sequence :1;
@@ -183,6 +639,7 @@
   bool leaving_upstreams :1;
   bool store_era :1;
   bool routing_version :1;
+  bool crash_report :1;
 } _gossip_state__isset;
 
 class gossip_state : public virtual ::apache::thrift::TBase {
@@ -237,6 +694,7 @@
   std::vector<int64_t>  leaving_upstreams;
   int64_t store_era;
   int64_t routing_version;
+  gossip_crash_report crash_report;
 
   _gossip_state__isset __isset;
 
@@ -284,6 +742,8 @@
 
   void __set_routing_version(const int64_t val);
 
+  void __set_crash_report(const gossip_crash_report& val);
+
   bool operator == (const gossip_state & rhs) const
   {
     if (!(vm == rhs.vm))
@@ -330,6 +790,10 @@
       return false;
     if (!(routing_version == rhs.routing_version))
       return false;
+    if (__isset.crash_report != rhs.__isset.crash_report)
+      return false;
+    else if (__isset.crash_report && !(crash_report == rhs.crash_report))
+      return false;
     return true;
   }
   bool operator != (const gossip_state &rhs) const {
--- a/src/sapphirespar/wire/gossip_codec.cpp
+++ b/src/sapphirespar/wire/gossip_codec.cpp
@@ -1,7 +1,7 @@
 // Encodes and decodes gossip.
 #include "sapphirespar/wire/gossip_codec.hpp"
 
-#include "gen/gossip_types.h"
+#include "gossip_crash_report.hpp"
 
 #include <thrift/Thrift.h>
 #include <thrift/protocol/TCompactProtocol.h>
@@ -58,14 +58,6 @@
   return load;
 }
 
-// Ages over a day need no distinction and are sent as one day.
-std::int32_t
-ToAgeMs(std::chrono::milliseconds aAge)
-{
-  constexpr std::chrono::milliseconds kMaxAge = std::chrono::hours(24);
-  return static_cast<std::int32_t>(std::min(aAge, kMaxAge).count());
-}
-
 gen::gossip_zone
 ToWireDataCentreLoads(const data_centre_loads& aLoads)
 {
@@ -132,6 +124,9 @@
     state.upstreams_digest = static_cast<std::int64_t>(store.mUpstreamsDigest);
     state.store_era = static_cast<std::int64_t>(store.mEra);
   }
+  if (aState.mCrashReport != crash_report{}) {
+    state.__set_crash_report(ToWireReport(aState.mCrashReport));
+  }
   const auto buffer = std::make_shared<TMemoryBuffer>();
   TCompactProtocolT<TMemoryBuffer> protocol(buffer);
   state.write(&protocol);
@@ -193,6 +188,9 @@
                      static_cast<std::uint64_t>(state.upstreams_digest),
                      static_cast<std::uint64_t>(state.store_era) };
   }
+  if (state.__isset.crash_report) {
+    read.mCrashReport = FromWireReport(state.crash_report);
+  }
   return read;
 }
 
--- a/src/sapphirespar/wire/gossip_codec_test.cpp
+++ b/src/sapphirespar/wire/gossip_codec_test.cpp
@@ -11,6 +11,8 @@
 namespace sapphirespar::wire {
 namespace {
 
+using namespace std::chrono_literals;
+
 gossip_state
 Sample()
 {
@@ -38,6 +40,13 @@
   state.mDataCentreLoads = { { { "matara" },
                                std::chrono::milliseconds(40),
                                { { 8, 10, 20, 30, 40, 50 } } } };
+  const prompt_part part{ "pool", 0xfffffffffffffff7ULL };
+  state.mCrashReport = { { { part, 0xfffffffffffffff2ULL, 50ms } },
+                         { { "pool", 0xfffffffffffffff3ULL, 60ms } },
+                         { { part, 70ms } },
+                         { { "pool", 80ms } },
+                         { { 0xfffffffffffffff4ULL, 90ms } },
+                         { { part, 100ms, 110ms, 2, 120ms } } };
   return state;
 }
 
@@ -65,6 +74,13 @@
   EXPECT_EQ(DecodeGossip(EncodeGossip(state)), state);
 }
 
+TEST(GossipCodec, KeepsAnEmptyCrashReport)
+{
+  auto state = Sample();
+  state.mCrashReport = {};
+  EXPECT_EQ(DecodeGossip(EncodeGossip(state)), state);
+}
+
 // The wire has signed numbers of 32 bits. Larger ones are sent as the largest,
 // not as zero.
 TEST(GossipCodec, LargeNumbersAreLimitedNotWrapped)
@@ -74,6 +90,8 @@
   state.mLoads = { { 1, 0x80000000, 0xffffffff, 0x80000001, 4, 5 } };
   state.mBulkPrefill = 0xffffffff;
   state.mProcessor = 0x80000000;
+  state.mCrashReport.mQuarantines[0].mTrials = 0x80000000;
+  state.mCrashReport.mQuarantines[0].mAge = std::chrono::hours(10000);
   const auto read = DecodeGossip(EncodeGossip(state));
   ASSERT_TRUE(read);
   EXPECT_EQ(read->mLoads[0].mUrgentTokens, kMost);
@@ -81,6 +99,8 @@
   EXPECT_EQ(read->mLoads[0].mMemoryTokens, kMost);
   EXPECT_EQ(read->mBulkPrefill, kMost);
   EXPECT_EQ(read->mProcessor, kMost);
+  EXPECT_EQ(read->mCrashReport.mQuarantines[0].mTrials, kMost);
+  EXPECT_EQ(read->mCrashReport.mQuarantines[0].mAge, std::chrono::hours(24));
 }
 
 TEST(GossipCodec, DamagedGossipNeverDecodesWithoutASender)
