--- a/src/sapphirespar/gateway/forward.cpp
+++ b/src/sapphirespar/gateway/forward.cpp
@@ -2,10 +2,10 @@
 #include "sapphirespar/gateway/forward.hpp"
 
 #include "attempt_race.hpp"
+#include "forward_admission.hpp"
 #include "forward_record.hpp"
 #include "forward_state.hpp"
 #include "placement.hpp"
-#include "refusal_answer.hpp"
 
 #include "sapphirespar/base/log.hpp"
 #include "sapphirespar/policy/retry.hpp"
@@ -19,32 +19,12 @@
 using std::chrono::milliseconds;
 using std::chrono::steady_clock;
 
-// An unknown route or key is refused with a final status (404 or 401) only
-// while the routing is newer than this. The time covers a failed read and the
-// read after it.
-constexpr milliseconds kFreshRoutingAge{ 2500 };
-
 // Maximum number of upstreams tried for one request, including those that could
 // not be reached.
 constexpr std::size_t kMaximumTargets = 4;
 
-// Retry-After values, long enough for another read of the store. The longer one
-// is for keys that can't be verified and for pools without a usable upstream.
-constexpr milliseconds kRetrySoon{ 500 };
-constexpr milliseconds kRetryLater{ 1000 };
-
-// During shutdown a request is accepted only if it can finish before the
-// process ends: these are the times that the longest streams and plain answers
-// take.
-constexpr milliseconds kLongestStream{ 5000 };
-constexpr milliseconds kLongestPlainAnswer{ 500 };
-
-// Retry-After during shutdown. It is short, because the caller retries at
-// another gateway.
-constexpr milliseconds kRetryElsewhere{ 20 };
-
 // Attempts that were aborted may outlive the request; they keep the forwarder
-// alive, but use neither the request nor the reply any more.
+// alive, but use neither the request nor the reply once it has ended.
 class request_forwarder : public std::enable_shared_from_this<request_forwarder>
 {
 public:
@@ -71,7 +51,8 @@
     mForwarded.mInfo =
       mServices.mProtocol.mReadRequest(mForwarded.mRequest.mHeaders);
     mRoutingAge = mServices.mRouting.Age(mArrivalBootTime);
-    auto refusal = Admit();
+    auto refusal =
+      AdmitRequest(mServices, mForwarded, mArrivalBootTime, mRoutingAge);
     if (!refusal) {
       mReply.OnCallerDisconnect([this] { OnCallerDisconnect(); });
       refusal = co_await RunAttemptsToTheEnd();
@@ -102,77 +83,6 @@
     mRace.AbortAll();
   }
 
-  // Sets the request's route, account, priority, deadlines and pool. Returns a
-  // refusal if the request must not be forwarded.
-  std::optional<refusal_answer> Admit()
-  {
-    mForwarded.mRouting = mServices.mRouting.Table();
-    if (!mForwarded.mRouting) {
-      return refusal_answer{ 503, "no_routing_yet", kRetrySoon };
-    }
-    const bool fresh = mRoutingAge && *mRoutingAge < kFreshRoutingAge;
-    const auto path = wire::SplitTarget(mForwarded.mRequest.mTarget).mPath;
-    mForwarded.mRoute =
-      mForwarded.mRouting->Match(mForwarded.mRequest.Header("Host"), path);
-    if (mForwarded.mRoute == nullptr) {
-      return fresh ? refusal_answer{ 404, "no_such_route" }
-                   : refusal_answer{ 503, "routing_stale", kRetrySoon };
-    }
-    mForwarded.mPriority =
-      mForwarded.mRouting->PriorityOf(*mForwarded.mRoute, nullptr);
-    if (!mForwarded.mRoute->mPublic) {
-      if (const auto refusal = CheckKey(fresh)) {
-        return refusal;
-      }
-    }
-    if (MayBeCutOff()) {
-      return refusal_answer{ 503, "leaving", kRetryElsewhere };
-    }
-    const auto timeout = mForwarded.mRoute->mTimeout;
-    const auto deadline = mForwarded.mInfo.mDeadline.value_or(timeout);
-    mForwarded.mDeadline = mForwarded.mArrived + timeout;
-    mForwarded.mCallerDeadline = mForwarded.mArrived + deadline;
-    ChoosePool();
-    return std::nullopt;
-  }
-
-  // Whether this process may end before the answer is complete.
-  bool MayBeCutOff() const
-  {
-    const auto left = mServices.mTimeToStop();
-    const auto needed =
-      mForwarded.mRoute->mStreams ? kLongestStream : kLongestPlainAnswer;
-    return left && *left < needed;
-  }
-
-  std::optional<refusal_answer> CheckKey(bool aFresh)
-  {
-    const auto* account = mForwarded.mRouting->FindKey(mForwarded.mInfo.mKey);
-    if (account == nullptr) {
-      return aFresh ? refusal_answer{ 401, "unknown_key" }
-                    : refusal_answer{ 503, "routing_stale", kRetrySoon };
-    }
-    if (!mServices.mRouting.IsConfirmedWithin(mArrivalBootTime,
-                                              mServices.mKeyFreshness)) {
-      return refusal_answer{ 503, "key_not_proved", kRetryLater };
-    }
-    mForwarded.mAccount = account->mId;
-    mForwarded.mPriority =
-      mForwarded.mRouting->PriorityOf(*mForwarded.mRoute, account);
-    return std::nullopt;
-  }
-
-  void ChoosePool()
-  {
-    mForwarded.mPool =
-      policy::ChoosePool(*mForwarded.mRoute, mServices.mDraw());
-    const auto* pool = mForwarded.mRouting->FindPool(mForwarded.mPool);
-    if (pool != nullptr) {
-      mForwarded.mEngine = pool->mEngine;
-    }
-    mServices.mRetries.CountRequest(mForwarded.mPool, mForwarded.mArrived);
-  }
-
   // Runs the attempts. No attempt uses the reply once this has returned or
   // thrown.
   asio::awaitable<std::optional<refusal_answer>> RunAttemptsToTheEnd()
--- /dev/null
+++ b/src/sapphirespar/gateway/forward_admission.cpp
@@ -0,0 +1,102 @@
+// Route, key, deadlines and pool of a request.
+#include "forward_admission.hpp"
+
+namespace sapphirespar::gateway {
+namespace {
+
+using std::chrono::milliseconds;
+
+// An unknown route or key is refused with a final status (404 or 401) only
+// while the routing is newer than this. The time covers a failed read and the
+// read after it.
+constexpr milliseconds kFreshRoutingAge{ 2500 };
+
+// During shutdown a request is accepted only if it can finish before the
+// process ends: these are the times that the longest streams and plain answers
+// take.
+constexpr milliseconds kLongestStream{ 5000 };
+constexpr milliseconds kLongestPlainAnswer{ 500 };
+
+// Retry-After during shutdown. It is short, because the caller retries at
+// another gateway.
+constexpr milliseconds kRetryElsewhere{ 20 };
+
+std::optional<refusal_answer>
+CheckKey(const forward_services& aServices,
+         forwarded_request& aForwarded,
+         boot_time aArrival,
+         bool aFresh)
+{
+  const auto& routing = *aForwarded.mRouting;
+  const auto* account = routing.FindKey(aForwarded.mInfo.mKey);
+  if (account == nullptr) {
+    return aFresh ? refusal_answer{ 401, "unknown_key" }
+                  : refusal_answer{ 503, "routing_stale", kRetrySoon };
+  }
+  if (!aServices.mRouting.IsConfirmedWithin(aArrival,
+                                            aServices.mKeyFreshness)) {
+    return refusal_answer{ 503, "key_not_proved", kRetryLater };
+  }
+  aForwarded.mAccount = account->mId;
+  aForwarded.mPriority = routing.PriorityOf(*aForwarded.mRoute, account);
+  return std::nullopt;
+}
+
+// Whether this process may end before the answer is complete.
+bool
+MayBeCutOff(const forward_services& aServices, const route& aRoute)
+{
+  const auto left = aServices.mTimeToStop();
+  const auto needed = aRoute.mStreams ? kLongestStream : kLongestPlainAnswer;
+  return left && *left < needed;
+}
+
+void
+ChoosePool(const forward_services& aServices, forwarded_request& aForwarded)
+{
+  aForwarded.mPool = policy::ChoosePool(*aForwarded.mRoute, aServices.mDraw());
+  const auto* pool = aForwarded.mRouting->FindPool(aForwarded.mPool);
+  if (pool != nullptr) {
+    aForwarded.mEngine = pool->mEngine;
+  }
+  aServices.mRetries.CountRequest(aForwarded.mPool, aForwarded.mArrived);
+}
+
+} // namespace
+
+std::optional<refusal_answer>
+AdmitRequest(const forward_services& aServices,
+             forwarded_request& aForwarded,
+             boot_time aArrival,
+             std::optional<boot_clock::duration> aRoutingAge)
+{
+  aForwarded.mRouting = aServices.mRouting.Table();
+  if (!aForwarded.mRouting) {
+    return refusal_answer{ 503, "no_routing_yet", kRetrySoon };
+  }
+  const auto& routing = *aForwarded.mRouting;
+  const bool fresh = aRoutingAge && *aRoutingAge < kFreshRoutingAge;
+  const auto path = wire::SplitTarget(aForwarded.mRequest.mTarget).mPath;
+  aForwarded.mRoute = routing.Match(aForwarded.mRequest.Header("Host"), path);
+  if (aForwarded.mRoute == nullptr) {
+    return fresh ? refusal_answer{ 404, "no_such_route" }
+                 : refusal_answer{ 503, "routing_stale", kRetrySoon };
+  }
+  aForwarded.mPriority = routing.PriorityOf(*aForwarded.mRoute, nullptr);
+  if (!aForwarded.mRoute->mPublic) {
+    if (const auto refusal = CheckKey(aServices, aForwarded, aArrival, fresh)) {
+      return refusal;
+    }
+  }
+  if (MayBeCutOff(aServices, *aForwarded.mRoute)) {
+    return refusal_answer{ 503, "leaving", kRetryElsewhere };
+  }
+  const auto timeout = aForwarded.mRoute->mTimeout;
+  const auto deadline = aForwarded.mInfo.mDeadline.value_or(timeout);
+  aForwarded.mDeadline = aForwarded.mArrived + timeout;
+  aForwarded.mCallerDeadline = aForwarded.mArrived + deadline;
+  ChoosePool(aServices, aForwarded);
+  return std::nullopt;
+}
+
+} // namespace sapphirespar::gateway
