Answer a request of a leaving gateway before the process ends

Requests accepted then are due 50 ms before the end.

ARequestDuringShutdownIsAnsweredBeforeTheStop failed before and passes now.

--- a/src/sapphirespar/gateway/forward_admission.cpp
+++ b/src/sapphirespar/gateway/forward_admission.cpp
@@ -1,6 +1,8 @@
 // Route, key, deadlines and pool of a request.
 #include "forward_admission.hpp"
 
+#include <algorithm>
+
 namespace sapphirespar::gateway {
 namespace {
 
@@ -17,6 +19,9 @@
 constexpr milliseconds kLongestStream{ 5000 };
 constexpr milliseconds kLongestPlainAnswer{ 500 };
 
+// Time to send an answer before the process ends.
+constexpr milliseconds kStopMargin{ 50 };
+
 // Retry-After during shutdown. It is short, because the caller retries at
 // another gateway.
 constexpr milliseconds kRetryElsewhere{ 20 };
@@ -42,13 +47,12 @@
   return std::nullopt;
 }
 
-// Whether this process may end before the answer is complete.
+// Whether this process, which ends after aLeft, may end before the answer is
+// complete.
 bool
-MayBeCutOff(const forward_services& aServices, const route& aRoute)
+MayBeCutOff(milliseconds aLeft, const route& aRoute)
 {
-  const auto left = aServices.mTimeToStop();
-  const auto needed = aRoute.mStreams ? kLongestStream : kLongestPlainAnswer;
-  return left && *left < needed;
+  return aLeft < (aRoute.mStreams ? kLongestStream : kLongestPlainAnswer);
 }
 
 void
@@ -88,12 +92,17 @@
       return refusal;
     }
   }
-  if (MayBeCutOff(aServices, *aForwarded.mRoute)) {
+  const auto left = aServices.mTimeToStop();
+  if (left && MayBeCutOff(*left, *aForwarded.mRoute)) {
     return refusal_answer{ 503, "leaving", kRetryElsewhere };
   }
   const auto timeout = aForwarded.mRoute->mTimeout;
   const auto deadline = aForwarded.mInfo.mDeadline.value_or(timeout);
   aForwarded.mDeadline = aForwarded.mArrived + timeout;
+  if (left) {
+    aForwarded.mDeadline =
+      std::min(aForwarded.mDeadline, aForwarded.mArrived + *left - kStopMargin);
+  }
   aForwarded.mCallerDeadline = aForwarded.mArrived + deadline;
   ChoosePool(aServices, aForwarded);
   return std::nullopt;
--- a/src/sapphirespar/gateway/forward_test.cpp
+++ b/src/sapphirespar/gateway/forward_test.cpp
@@ -364,5 +364,19 @@
   EXPECT_EQ(SendRequest("/once/x").mStatus, 503U);
 }
 
+TEST_F(forward_test, ARequestDuringShutdownIsAnsweredBeforeTheStop)
+{
+  Publish();
+  AddUpstream(
+    "a",
+    [](const wire::http_request&, wire::http_reply&) -> asio::awaitable<void> {
+      co_await Sleep(2000ms);
+    });
+  mTimeToStop = 600ms;
+  const auto begun = std::chrono::steady_clock::now();
+  EXPECT_EQ(SendRequest("/once/x").mStatus, 504U);
+  EXPECT_LT(std::chrono::steady_clock::now() - begun, *mTimeToStop);
+}
+
 } // namespace
 } // namespace sapphirespar::gateway
