Split event streams at a cost linear in their bytes

Cause: for each piece the splitter searched the incomplete event again from its beginning, so that processor time grew with the square of an event's bytes, and nothing limited them. After the end marker it returned kept bytes when fed again.

Change: the splitter keeps what it has learned of the incomplete event and looks at each byte once. It counts the bytes after the last event with data, so that its user can end a stream of one endless event or of comments. After the end marker it keeps all bytes.

--- a/programs/experiment/event_cost.cpp
+++ b/programs/experiment/event_cost.cpp
@@ -1,9 +1,10 @@
 // Measures the CPU time of scheduling events.
 #include "event_cost.hpp"
 
+#include "processor_time.hpp"
+
 #include "sapphirespar/policy/scheduler.hpp"
 
-#include <ctime>
 #include <deque>
 #include <memory>
 #include <string>
@@ -22,17 +23,6 @@
 constexpr unsigned kRounds = 20000;
 constexpr unsigned kTicks = 1000;
 
-double
-ProcessorMicroseconds()
-{
-  timespec time{};
-  clock_gettime(CLOCK_THREAD_CPUTIME_ID, &time);
-  constexpr double kMicrosecondsPerSecond = 1e6;
-  constexpr double kMicrosecondsPerNanosecond = 1e-3;
-  return time.tv_sec * kMicrosecondsPerSecond +
-         time.tv_nsec * kMicrosecondsPerNanosecond;
-}
-
 bundle_ptr
 MakeBundle()
 {
--- a/programs/experiment/main.cpp
+++ b/programs/experiment/main.cpp
@@ -3,6 +3,7 @@
 #include "event_cost.hpp"
 #include "sapphirespar/experiment/prompt_trial.hpp"
 #include "sapphirespar/experiment/trial.hpp"
+#include "splitter_cost.hpp"
 
 #include <CLI/CLI.hpp>
 
@@ -61,6 +62,23 @@
   }
 }
 
+// Prints each cost as a ratio to that of one megabyte in many events.
+void
+PrintSplitterCosts()
+{
+  constexpr std::size_t kEventBytes = 128;
+  const auto unit = experiment::MeasureSplitterCost(1, kEventBytes);
+  for (const std::size_t eventBytes : { std::size_t{ 0 }, kEventBytes }) {
+    for (const std::size_t megabytes : { 1, 4, 16 }) {
+      const auto cost = experiment::MeasureSplitterCost(megabytes, eventBytes);
+      std::cout << cost.mStream << ' ' << cost.mMegabytes << " MB ratio "
+                << cost.mMicroseconds / unit.mMicroseconds
+                << " rescanning_ratio "
+                << cost.mRescanningMicroseconds / unit.mMicroseconds << '\n';
+    }
+  }
+}
+
 void
 RunPromptTrial(std::uint64_t aSeed)
 {
@@ -96,6 +114,10 @@
   bool costs = false;
   app.add_flag(
     "--event-costs", costs, "Only measure the CPU time of scheduling events");
+  bool splitterCosts = false;
+  app.add_flag("--splitter-costs",
+               splitterCosts,
+               "Only measure the CPU time of splitting event streams");
   bool prompts = false;
   app.add_flag("--prompts",
                prompts,
@@ -112,6 +134,10 @@
     PrintEventCosts();
     return 0;
   }
+  if (splitterCosts) {
+    PrintSplitterCosts();
+    return 0;
+  }
   if (prompts) {
     RunPromptTrial(selected.mSeed);
     return 0;
--- a/src/sapphirespar/wire/sse_splitter.cpp
+++ b/src/sapphirespar/wire/sse_splitter.cpp
@@ -2,6 +2,7 @@
 #include "sapphirespar/wire/sse_splitter.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace sapphirespar::wire {
 
@@ -27,74 +28,86 @@
   return kLineEnds.find(aLine.front()) != std::string_view::npos;
 }
 
-// Returns the offset after the blank line that ends the event, or npos. Blank
-// lines before the event belong to it.
-std::size_t
-FindEventEnd(std::string_view aText, std::size_t aStart)
+// Returns the value of an "id" line.
+std::string_view
+IdValue(std::string_view aLine, std::string_view aField)
 {
-  bool inEvent = false;
-  auto position = aStart;
-  while (true) {
-    const auto line = FirstLine(aText.substr(position));
-    if (line.empty()) {
-      return std::string_view::npos;
-    }
-    position += line.size();
-    if (inEvent && IsBlank(line)) {
-      return position;
-    }
-    inEvent = inEvent || !IsBlank(line);
-  }
+  auto value = aLine.substr(aField.size());
+  value.remove_prefix(std::min(value.find_first_not_of(' '), value.size()));
+  return value;
 }
 
-// Returns the value of the event's "id" line, or an empty view.
-std::string_view
-EventId(std::string_view aEvent)
+} // namespace
+
+std::optional<std::string_view>
+sse_splitter::NextLine()
 {
-  constexpr std::string_view kField = "id:";
-  while (!aEvent.empty()) {
-    const auto line = FirstLine(aEvent);
-    if (line.starts_with(kField)) {
-      auto value = line.substr(kField.size());
-      value.remove_prefix(std::min(value.find_first_not_of(' '), value.size()));
-      return value.substr(0, value.find_first_of(kLineEnds));
-    }
-    aEvent.remove_prefix(line.empty() ? aEvent.size() : line.size());
+  if (mAfterCarriageReturn && mLineStart < mPartial.size()) {
+    mAfterCarriageReturn = false;
+    mLineStart += mPartial[mLineStart] == '\n' ? 1 : 0;
+    mSearched = std::max(mSearched, mLineStart);
+  }
+  const auto end = mPartial.find_first_of(kLineEnds, mSearched);
+  if (end == std::string::npos) {
+    mSearched = mPartial.size();
+    return std::nullopt;
   }
-  return {};
+  const auto rest = std::string_view(mPartial).substr(mLineStart);
+  const auto line = rest.substr(0, end - mLineStart);
+  const bool both = mPartial.compare(end, kLineEnds.size(), kLineEnds) == 0;
+  mLineStart = end + (both ? kLineEnds.size() : 1);
+  mSearched = mLineStart;
+  mAfterCarriageReturn = !both && mPartial[end] == '\r';
+  return line;
 }
 
-} // namespace
+void
+sse_splitter::AddLine(std::string_view aLine)
+{
+  constexpr std::string_view kEndMarker = "data: [DONE]";
+  constexpr std::string_view kData = "data:";
+  constexpr std::string_view kId = "id:";
+  mEvent.mIsEndMarker = !mEvent.mBegun && aLine == kEndMarker;
+  mEvent.mHasData = mEvent.mHasData || aLine.starts_with(kData);
+  if (mEvent.mId.empty() && aLine.starts_with(kId)) {
+    mEvent.mId = IdValue(aLine, kId);
+  }
+  mEvent.mBegun = true;
+}
 
 sse_events
 sse_splitter::Feed(std::string_view aPiece)
 {
-  constexpr std::string_view kDone = "data: [DONE]";
-  constexpr std::string_view kData = "data:";
-  constexpr std::string_view kDataLine = "\ndata:";
-  constexpr std::string_view kDataLineAfterCr = "\rdata:";
   mPartial += aPiece;
+  mBytesSinceData += aPiece.size();
   sse_events result;
-  std::size_t start = 0;
-  while (!result.mDone) {
-    const auto end = FindEventEnd(mPartial, start);
-    if (end == std::string::npos) {
+  std::size_t returned = 0;
+  while (!mDone) {
+    const auto line = NextLine();
+    if (!line) {
       break;
     }
-    const auto event = std::string_view(mPartial).substr(start, end - start);
-    result.mDone = event.substr(0, event.find_first_of("\r\n")) == kDone;
-    const bool hasData = event.starts_with(kData) ||
-                         event.find(kDataLine) != event.npos ||
-                         event.find(kDataLineAfterCr) != event.npos;
-    result.mCount += hasData && !result.mDone ? 1 : 0;
-    const auto id = EventId(event);
-    if (!id.empty()) {
-      result.mLastId = id;
+    if (!line->empty()) {
+      AddLine(*line);
+    } else if (mEvent.mBegun) {
+      // The blank line that ends the event.
+      returned = mLineStart;
+      const auto event = std::exchange(mEvent, {});
+      mDone = event.mIsEndMarker;
+      result.mCount += event.mHasData && !mDone ? 1 : 0;
+      if (event.mHasData) {
+        mBytesSinceData = mPartial.size() - returned;
+      }
+      if (!event.mId.empty()) {
+        result.mLastId = event.mId;
+      }
     }
-    start = end;
   }
-  result.mBytes = mPartial.substr(0, start);
-  mPartial.erase(0, start);
+  result.mDone = mDone && returned > 0;
+  result.mBytes = mPartial.substr(0, returned);
+  mPartial.erase(0, returned);
+  mLineStart -= returned;
+  mSearched -= returned;
   return result;
 }
 
