Limit each answer and request as a whole, not each read

Cause: timeouts applied to single reads and writes, so that a head, interim heads, a stale answer or a frame whose bytes trickle outlived them; a timeout of zero let reads succeed while bytes were ready; the sum of interim heads, and the bytes of an unfinished chunk header or trailer, had no limit. An abort during the write of a request was reported as a failed write.

Change: reads take a deadline, and one that has passed ends the read. Open and Fetch have one deadline for connecting, writing and the head. Heads, dropped bodies and skipped answers have a limit of bytes on the connection, and the detail of an error tells the part, its bytes and its time. A call that fails on a kept connection before any byte of a response says so. Requests of callers have one deadline for their body, and input after an error is read for two seconds at most. A sent response is kept once, not twice, while it is written.

--- a/include/sapphirespar/wire/byte_stream.hpp
+++ b/include/sapphirespar/wire/byte_stream.hpp
@@ -26,6 +26,8 @@
 
 using tls_context_ptr = std::shared_ptr<asio::ssl::context>;
 
+using stream_time = std::chrono::steady_clock::time_point;
+
 struct endpoint
 {
   std::string mAddress;
@@ -46,10 +48,10 @@
 public:
   virtual ~byte_stream() = default;
 
-  // Reads at least one byte. A timeout is reported as beast::error::timeout.
-  virtual asio::awaitable<read_result> ReadSome(
-    asio::mutable_buffer aInto,
-    std::chrono::milliseconds aTimeout) = 0;
+  // Reads at least one byte. A deadline that has passed is reported as
+  // beast::error::timeout, even if bytes are ready.
+  virtual asio::awaitable<read_result> ReadSome(asio::mutable_buffer aInto,
+                                                stream_time aDeadline) = 0;
 
   // Writes all of aBytes, which must stay valid until the write completes.
   virtual asio::awaitable<boost::system::error_code> Write(
--- a/include/sapphirespar/wire/http_client.hpp
+++ b/include/sapphirespar/wire/http_client.hpp
@@ -34,7 +34,14 @@
   wire_error_kind mKind = wire_error_kind::Connect;
   // False guarantees that no byte of the request was sent.
   bool mBytesWritten = false;
+  // For people: the part of the response that was incomplete, why it ended, its
+  // bytes and its time.
   std::string mDetail;
+  // The call used an idle connection, which ended before any byte of a response
+  // arrived. The server may have closed it without seeing the request.
+  bool mStaleConnection = false;
+  // Bytes of the incomplete part of the response.
+  std::size_t mReceivedBytes = 0;
 };
 
 template<class T>
@@ -58,9 +65,15 @@
   // A shorter limit that the server announces in Keep-Alive applies instead.
   std::chrono::milliseconds mIdleLimit{ 10000 };
   std::size_t mMaxIdlePerEndpoint = 64;
+  // Limit of a head together with the interim heads before it, and of the
+  // bytes of chunk headers and trailers that are incomplete.
+  std::size_t mHeadLimitBytes = 16 * 1024;
   std::uint64_t mBodyLimitBytes = 16 * 1024 * 1024;
+  // Limit of the bytes that Discard and SkipResponse drop from one call's
+  // connection.
+  std::size_t mDiscardLimitBytes = 1024 * 1024;
   // Null means plain TCP.
-  tls_context_ptr mTls;
+  tls_context_ptr mTls{};
 };
 
 // What marks the end of a response's body.
@@ -94,14 +107,21 @@
   // Returns whether the whole body has been read.
   virtual bool Finished() const = 0;
 
+  // Reads the rest of the body and drops it, so that the connection can be
+  // reused. Closes the connection if the rest takes longer than aTimeout or
+  // exceeds the limit of the settings.
+  virtual asio::awaitable<wire_result<bool>> Discard(
+    std::chrono::milliseconds aTimeout) = 0;
+
   // Discards this response and reads the head of the next one on the same
-  // connection. Used when a response belongs to an earlier request. Must not be
-  // called after Read.
+  // connection. Used when a response belongs to an earlier request. aTimeout
+  // limits the whole. Must not be called after Read.
   virtual asio::awaitable<wire_result<bool>> SkipResponse(
     std::chrono::milliseconds aTimeout) = 0;
 
   // Returns the next piece of the body, or an empty string at its end. A
-  // truncated body is an error.
+  // truncated body is an error, and so is a timeout of zero unless the piece
+  // has arrived together with an earlier one.
   virtual asio::awaitable<wire_result<std::string>> Read(
     std::chrono::milliseconds aTimeout) = 0;
 };
@@ -109,8 +129,7 @@
 using http_stream_ptr = std::unique_ptr<http_stream>;
 
 // Cancels a call in progress from elsewhere on the same thread. The call then
-// fails with wire_error_kind::Cancelled, or with wire_error_kind::Write if it
-// was still writing the request.
+// fails with wire_error_kind::Cancelled.
 class call_abort
 {
 public:
@@ -137,9 +156,8 @@
   http_client(const http_client&) = delete;
   http_client& operator=(const http_client&) = delete;
 
-  // Sends a request and reads the whole response. Until the head has arrived,
-  // aTimeout limits each write and each read; from then on it limits the call
-  // as a whole. Connecting has the timeout of the settings.
+  // Sends a request and reads the whole response. aTimeout limits the call as a
+  // whole, and the timeout of the settings limits connecting.
   asio::awaitable<wire_result<http_response>> Fetch(
     endpoint aEndpoint,
     http_request aRequest,
@@ -147,8 +165,9 @@
     connection_choice aChoice = connection_choice::Pooled);
 
   // Sends a request and returns once the response's head has arrived.
-  // aHeadTimeout limits each write and each read. aAbort may be null; it can
-  // cancel the call until the end of the response.
+  // aHeadTimeout limits all until then, and the timeout of the settings limits
+  // connecting. aAbort may be null; it can cancel the call until the end of the
+  // response.
   asio::awaitable<wire_result<http_stream_ptr>> Open(
     endpoint aEndpoint,
     http_request aRequest,
--- a/src/sapphirespar/wire/byte_stream.cpp
+++ b/src/sapphirespar/wire/byte_stream.cpp
@@ -42,12 +42,17 @@
   Stream& Get() { return mStream; }
 
   asio::awaitable<read_result> ReadSome(asio::mutable_buffer aInto,
-                                        milliseconds aTimeout) override
+                                        stream_time aDeadline) override
   {
-    LowestLayer().expires_after(aTimeout);
+    read_result result;
+    // The stream's own deadline does not end reads of bytes that are ready.
+    if (std::chrono::steady_clock::now() >= aDeadline) {
+      result.mError = beast::error::timeout;
+      co_return result;
+    }
+    LowestLayer().expires_at(aDeadline);
     const auto [error, bytes] =
       co_await mStream.async_read_some(aInto, kAsTuple);
-    read_result result;
     result.mError = error;
     result.mBytes = bytes;
     co_return result;
--- a/src/sapphirespar/wire/http_client.cpp
+++ b/src/sapphirespar/wire/http_client.cpp
@@ -1,15 +1,12 @@
 // The HTTP client: pooled connections, complete and streamed responses.
 #include "sapphirespar/wire/http_client.hpp"
 
-#include "http_codec.hpp"
+#include "http_response_reader.hpp"
 
 #include <boost/beast/core/string.hpp>
 
 #include <algorithm>
-#include <charconv>
-#include <functional>
 #include <map>
-#include <optional>
 #include <utility>
 #include <vector>
 
@@ -20,36 +17,9 @@
 using std::chrono::milliseconds;
 using std::chrono::steady_clock;
 
-using response_parser = http::response_parser<http::string_body>;
-
-// A connected stream with its read buffer.
-struct pooled_connection
-{
-  std::shared_ptr<byte_stream> mStream;
-  beast::flat_buffer mBuffer;
-  steady_clock::time_point mIdleSince{};
-  // Longest idle time after which the connection may be reused.
-  milliseconds mIdleLimit{ 0 };
-  bool mReused = false;
-};
-
-using connection_ptr = std::unique_ptr<pooled_connection>;
-
 constexpr bool kNothingWritten = false;
 constexpr bool kBytesWritten = true;
 
-wire_error
-ToWireError(wire_error_kind aKind, bool aBytesWritten, const error_code& aError)
-{
-  auto kind = aKind;
-  if (IsTimeout(aError)) {
-    kind = wire_error_kind::Timeout;
-  } else if (IsParseError(aError)) {
-    kind = wire_error_kind::Protocol;
-  }
-  return { kind, aBytesWritten, aError.message() };
-}
-
 std::string
 ToBytes(const endpoint& aEndpoint, http_request aRequest)
 {
@@ -71,201 +41,14 @@
   return Serialize(message);
 }
 
-http_response
-ToHead(const http::response_header<>& aMessage)
-{
-  http_response head;
-  head.mStatus = aMessage.result_int();
-  std::ranges::transform(
-    aMessage, std::back_inserter(head.mHeaders), [](const auto& aField) {
-      return http_header{ std::string(aField.name_string()),
-                          std::string(aField.value()) };
-    });
-  return head;
-}
-
-// Returns how long an idle connection may be reused: at most aLongest, and less
-// than the timeout that the server announces in Keep-Alive. The margin keeps a
-// new request from crossing the server's close.
 milliseconds
-IdleLimitOf(const http_response& aHead, milliseconds aLongest)
+RemainingUntil(stream_time aEnd)
 {
-  constexpr std::string_view kName = "timeout=";
-  constexpr milliseconds kMargin{ 300 };
-  const auto value = aHead.Header("Keep-Alive");
-  const auto start = value.find(kName);
-  if (start == std::string_view::npos) {
-    return aLongest;
-  }
-  const auto digits = value.substr(start + kName.size());
-  unsigned seconds = 0;
-  std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
-  const milliseconds limit = std::chrono::seconds(seconds) - kMargin;
-  return std::clamp(limit, milliseconds::zero(), aLongest);
+  const auto left =
+    std::chrono::duration_cast<milliseconds>(aEnd - steady_clock::now());
+  return std::max(left, milliseconds::zero());
 }
 
-milliseconds
-RemainingUntil(steady_clock::time_point aEnd)
-{
-  const auto left = aEnd - steady_clock::now();
-  return std::chrono::duration_cast<milliseconds>(
-    std::max(left, steady_clock::duration::zero()));
-}
-
-// The response to one request. Owns the connection until the response ends.
-class response_reader : public http_stream
-{
-public:
-  using return_to_pool = std::function<void(connection_ptr)>;
-
-  response_reader(connection_ptr aConnection,
-                  return_to_pool aReturnToPool,
-                  call_abort_ptr aAbort,
-                  const http_client_settings& aSettings,
-                  bool aHasBody)
-    : mConnection(std::move(aConnection))
-    , mReturnToPool(std::move(aReturnToPool))
-    , mAbort(std::move(aAbort))
-    , mIdleLimit(aSettings.mIdleLimit)
-    , mBodyLimit(aSettings.mBodyLimitBytes)
-    , mHasBody(aHasBody)
-    , mReused(mConnection->mReused)
-  {
-    ResetParser();
-  }
-
-  const http_response& Head() const override { return mHead; }
-  body_framing Framing() const override
-  {
-    if (mParser->chunked()) {
-      return body_framing::Chunked;
-    }
-    return mParser->need_eof() ? body_framing::Close : body_framing::Length;
-  }
-  bool Reused() const override { return mReused; }
-  bool Finished() const override
-  {
-    return mParser->is_done() && mParser->get().body().empty();
-  }
-
-  asio::awaitable<error_code> ReadHead(milliseconds aTimeout)
-  {
-    error_code error;
-    bool interim = true;
-    while (!error && interim) {
-      error = Feed(mConnection->mBuffer, *mParser);
-      while (!error && !mParser->is_header_done()) {
-        error = co_await ReadMore(
-          *mConnection->mStream, mConnection->mBuffer, *mParser, aTimeout);
-      }
-      interim = !error && IsInterim(mParser->get().result_int());
-      if (interim) {
-        ResetParser();
-      }
-    }
-    if (!error) {
-      mHead = ToHead(mParser->get());
-    }
-    co_return error;
-  }
-
-  asio::awaitable<wire_result<std::string>> Read(milliseconds aTimeout) override
-  {
-    while (mParser->get().body().empty() && !mParser->is_done()) {
-      if (!mConnection) {
-        co_return wire_error{ wire_error_kind::Read, kBytesWritten, "closed" };
-      }
-      const auto error = co_await ReadMore(
-        *mConnection->mStream, mConnection->mBuffer, *mParser, aTimeout);
-      if (error) {
-        mConnection.reset();
-        co_return ReadError(error);
-      }
-    }
-    auto piece = std::exchange(mParser->get().body(), std::string{});
-    if (mParser->is_done()) {
-      ReleaseConnection();
-    }
-    co_return piece;
-  }
-
-  asio::awaitable<wire_result<bool>> SkipResponse(
-    milliseconds aTimeout) override
-  {
-    error_code error;
-    while (!error && !mParser->is_done()) {
-      mParser->get().body().clear();
-      error = co_await ReadMore(
-        *mConnection->mStream, mConnection->mBuffer, *mParser, aTimeout);
-    }
-    if (!error && !mParser->keep_alive()) {
-      error = asio::error::eof;
-    }
-    if (!error) {
-      ResetParser();
-      // A server that has sent a stale response may send another one.
-      mMayReuse = false;
-      error = co_await ReadHead(aTimeout);
-    }
-    if (error) {
-      mConnection.reset();
-      co_return ReadError(error);
-    }
-    co_return true;
-  }
-
-  wire_error ReadError(const error_code& aError) const
-  {
-    const auto kind = mAbort && mAbort->Aborted() ? wire_error_kind::Cancelled
-                                                  : wire_error_kind::Read;
-    return ToWireError(kind, kBytesWritten, aError);
-  }
-
-private:
-  static bool IsInterim(unsigned aStatus)
-  {
-    constexpr unsigned kSwitchingProtocols = 101;
-    return aStatus < 200 && aStatus != kSwitchingProtocols;
-  }
-
-  void ResetParser()
-  {
-    mParser.emplace();
-    mParser->body_limit(mBodyLimit);
-    mParser->eager(true);
-    mParser->skip(!mHasBody);
-  }
-
-  // Returns the connection to the pool if it can carry another request, and
-  // closes it otherwise.
-  void ReleaseConnection()
-  {
-    if (mAbort) {
-      mAbort->Attach(nullptr);
-    }
-    if (mConnection && mMayReuse && mParser->keep_alive() &&
-        mConnection->mBuffer.size() == 0) {
-      mConnection->mIdleLimit = IdleLimitOf(mHead, mIdleLimit);
-      mReturnToPool(std::move(mConnection));
-    }
-    mConnection.reset();
-  }
-
-  // Null once the response has been read completely or has failed.
-  connection_ptr mConnection;
-  return_to_pool mReturnToPool;
-  // Null for a call that cannot be aborted.
-  call_abort_ptr mAbort;
-  milliseconds mIdleLimit;
-  std::uint64_t mBodyLimit;
-  bool mHasBody;
-  bool mReused;
-  bool mMayReuse = true;
-  // Parses the current response; never empty.
-  std::optional<response_parser> mParser;
-  http_response mHead;
-};
-
 } // namespace
 
 std::string_view
@@ -317,7 +100,22 @@
   mStream = aStream;
 }
 
-struct http_client::state
+namespace {
+
+// How a request is sent.
+struct call_options
+{
+  endpoint mEndpoint;
+  // For connecting, writing the request and reading the head together.
+  stream_time mHeadDeadline;
+  connection_choice mChoice = connection_choice::Pooled;
+  // Null for a call that cannot be aborted.
+  call_abort_ptr mAbort;
+};
+
+} // namespace
+
+struct http_client::state : std::enable_shared_from_this<state>
 {
   state(asio::any_io_executor aExecutor, http_client_settings aSettings)
     : mExecutor(std::move(aExecutor))
@@ -332,6 +130,16 @@
   // endpoint has enough idle connections.
   void AddIdle(const endpoint& aEndpoint, connection_ptr aConnection);
 
+  asio::awaitable<wire_result<connection_ptr>> Connect(endpoint aEndpoint,
+                                                       stream_time aDeadline);
+
+  // Sends a request and reads the head of its response.
+  asio::awaitable<wire_result<http_stream_ptr>> Send(call_options aOptions,
+                                                     http_request aRequest);
+
+  // Returns aError after closing connections that it tells to be stale.
+  wire_error CallFailed(const call_options& aOptions, wire_error aError);
+
   asio::any_io_executor mExecutor;
   http_client_settings mSettings;
   // The most recently used connection is last.
@@ -370,60 +178,101 @@
   idle.push_back(std::move(aConnection));
 }
 
-http_client::http_client(asio::any_io_executor aExecutor,
-                         http_client_settings aSettings)
-  : mState(std::make_shared<state>(std::move(aExecutor), std::move(aSettings)))
+asio::awaitable<wire_result<connection_ptr>>
+http_client::state::Connect(endpoint aEndpoint, stream_time aDeadline)
 {
+  const auto timeout =
+    std::min(mSettings.mConnectTimeout, RemainingUntil(aDeadline));
+  auto connected =
+    co_await ConnectStream(mExecutor, aEndpoint, mSettings.mTls, timeout);
+  if (!connected) {
+    co_return ToWireError(
+      wire_error_kind::Connect, kNothingWritten, connected.error());
+  }
+  auto connection = std::make_unique<pooled_connection>();
+  connection->mStream = std::move(connected).value();
+  co_return wire_result<connection_ptr>(std::move(connection));
 }
 
-http_client::~http_client() = default;
+wire_error
+http_client::state::CallFailed(const call_options& aOptions, wire_error aError)
+{
+  if (aError.mStaleConnection) {
+    // The server has probably closed the other ones too.
+    mIdle.erase(aOptions.mEndpoint);
+  }
+  return aError;
+}
 
 asio::awaitable<wire_result<http_stream_ptr>>
-http_client::Open(endpoint aEndpoint,
-                  http_request aRequest,
-                  milliseconds aHeadTimeout,
-                  connection_choice aChoice,
-                  call_abort_ptr aAbort)
+http_client::state::Send(call_options aOptions, http_request aRequest)
 {
-  const auto state = mState;
-  const auto& settings = state->mSettings;
-  connection_ptr connection =
-    aChoice == connection_choice::Pooled ? state->TakeIdle(aEndpoint) : nullptr;
+  const auto self = shared_from_this();
+  auto connection = aOptions.mChoice == connection_choice::Pooled
+                      ? TakeIdle(aOptions.mEndpoint)
+                      : nullptr;
   if (!connection) {
-    auto connected = co_await ConnectStream(
-      state->mExecutor, aEndpoint, settings.mTls, settings.mConnectTimeout);
+    auto connected =
+      co_await Connect(aOptions.mEndpoint, aOptions.mHeadDeadline);
     if (!connected) {
-      co_return ToWireError(
-        wire_error_kind::Connect, kNothingWritten, connected.error());
+      co_return connected.error();
     }
-    connection = std::make_unique<pooled_connection>();
-    connection->mStream = std::move(connected).value();
+    connection = std::move(connected).value();
   }
-  if (aAbort) {
-    aAbort->Attach(connection->mStream);
-    if (aAbort->Aborted()) {
+  const auto& abort = aOptions.mAbort;
+  if (abort) {
+    abort->Attach(connection->mStream);
+    if (abort->Aborted()) {
       co_return wire_error{ wire_error_kind::Cancelled, kNothingWritten, {} };
     }
   }
+  const bool reused = connection->mReused;
   const bool hasBody = aRequest.mMethod != "HEAD";
-  const auto bytes = ToBytes(aEndpoint, std::move(aRequest));
-  const auto writeError =
-    co_await connection->mStream->Write(bytes, aHeadTimeout);
+  const auto bytes = ToBytes(aOptions.mEndpoint, std::move(aRequest));
+  const auto writeError = co_await connection->mStream->Write(
+    bytes, RemainingUntil(aOptions.mHeadDeadline));
   if (writeError) {
-    co_return ToWireError(wire_error_kind::Write, kBytesWritten, writeError);
+    const auto kind = abort && abort->Aborted() ? wire_error_kind::Cancelled
+                                                : wire_error_kind::Write;
+    auto error = ToWireError(kind, kBytesWritten, writeError);
+    error.mStaleConnection = reused && error.mKind == wire_error_kind::Write;
+    co_return CallFailed(aOptions, std::move(error));
   }
-  const auto returnToPool = [state, aEndpoint](connection_ptr aConnection) {
-    state->AddIdle(aEndpoint, std::move(aConnection));
-  };
+  const auto returnToPool =
+    [self, target = aOptions.mEndpoint](connection_ptr aConnection) {
+      self->AddIdle(target, std::move(aConnection));
+    };
   auto reader = std::make_unique<response_reader>(
-    std::move(connection), returnToPool, aAbort, settings, hasBody);
-  const auto headError = co_await reader->ReadHead(aHeadTimeout);
-  if (headError) {
-    co_return reader->ReadError(headError);
+    std::move(connection), returnToPool, abort, mSettings, hasBody);
+  const auto head = co_await reader->ReadHead(aOptions.mHeadDeadline);
+  if (!head) {
+    co_return CallFailed(aOptions, head.error());
   }
   co_return http_stream_ptr(std::move(reader));
 }
 
+http_client::http_client(asio::any_io_executor aExecutor,
+                         http_client_settings aSettings)
+  : mState(std::make_shared<state>(std::move(aExecutor), std::move(aSettings)))
+{
+}
+
+http_client::~http_client() = default;
+
+asio::awaitable<wire_result<http_stream_ptr>>
+http_client::Open(endpoint aEndpoint,
+                  http_request aRequest,
+                  milliseconds aHeadTimeout,
+                  connection_choice aChoice,
+                  call_abort_ptr aAbort)
+{
+  call_options options{ std::move(aEndpoint),
+                        steady_clock::now() + aHeadTimeout,
+                        aChoice,
+                        std::move(aAbort) };
+  return mState->Send(std::move(options), std::move(aRequest));
+}
+
 asio::awaitable<wire_result<http_response>>
 http_client::Fetch(endpoint aEndpoint,
                    http_request aRequest,
--- a/src/sapphirespar/wire/http_codec.hpp
+++ b/src/sapphirespar/wire/http_codec.hpp
@@ -52,25 +52,22 @@
 // Reads once from aStream into aParser. The end of the stream completes a
 // message without an explicit length and is an error for any other.
 template<class Parser>
-asio::awaitable<boost::system::error_code>
+asio::awaitable<read_result>
 ReadMore(byte_stream& aStream,
          beast::flat_buffer& aBuffer,
          Parser& aParser,
-         std::chrono::milliseconds aTimeout)
+         stream_time aDeadline)
 {
   constexpr std::size_t kReadBytes = 8 * 1024;
-  const auto read =
-    co_await aStream.ReadSome(aBuffer.prepare(kReadBytes), aTimeout);
+  auto read = co_await aStream.ReadSome(aBuffer.prepare(kReadBytes), aDeadline);
   aBuffer.commit(read.mBytes);
   if (read.mError == asio::error::eof && aParser.got_some()) {
-    boost::system::error_code error;
-    aParser.put_eof(error);
-    co_return error;
+    read.mError = {};
+    aParser.put_eof(read.mError);
+  } else if (!read.mError) {
+    read.mError = Feed(aBuffer, aParser);
   }
-  if (read.mError) {
-    co_return read.mError;
-  }
-  co_return Feed(aBuffer, aParser);
+  co_return read;
 }
 
 namespace detail {
--- a/src/sapphirespar/wire/http_request_read.cpp
+++ b/src/sapphirespar/wire/http_request_read.cpp
@@ -49,12 +49,12 @@
 asio::awaitable<void>
 DiscardUnreadInput(byte_stream& aStream)
 {
-  constexpr std::chrono::milliseconds kReadTimeout{ 1000 };
+  constexpr std::chrono::milliseconds kTimeout{ 2000 };
   constexpr unsigned kMaxReads = 256;
+  const auto deadline = std::chrono::steady_clock::now() + kTimeout;
   std::array<char, 16 * 1024> bytes{};
   for (unsigned reads = 0; reads < kMaxReads; ++reads) {
-    const auto read =
-      co_await aStream.ReadSome(asio::buffer(bytes), kReadTimeout);
+    const auto read = co_await aStream.ReadSome(asio::buffer(bytes), deadline);
     if (read.mError) {
       co_return;
     }
@@ -72,8 +72,8 @@
   aParser.eager(true);
   if (aBuffer.size() == 0) {
     constexpr std::size_t kReadBytes = 8 * 1024;
-    const auto first = co_await aStream.ReadSome(aBuffer.prepare(kReadBytes),
-                                                 aLimits.mIdleTimeout);
+    const auto first = co_await aStream.ReadSome(
+      aBuffer.prepare(kReadBytes), steady_clock::now() + aLimits.mIdleTimeout);
     aBuffer.commit(first.mBytes);
     if (first.mError) {
       read.mError = first.mError;
@@ -84,20 +84,24 @@
   const auto headerDeadline = steady_clock::now() + aLimits.mHeaderTimeout;
   read.mError = Feed(aBuffer, aParser);
   while (!read.mError && !aParser.is_header_done()) {
-    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
-      headerDeadline - steady_clock::now());
-    read.mError =
-      co_await ReadMore(aStream,
-                        aBuffer,
-                        aParser,
-                        std::max(left, std::chrono::milliseconds::zero()));
+    const auto more =
+      co_await ReadMore(aStream, aBuffer, aParser, headerDeadline);
+    read.mError = more.mError;
   }
   if (!read.mError && !aParser.is_done()) {
     read.mError = co_await ContinueIfExpected(aStream, aParser);
   }
+  const auto bodyDeadline = steady_clock::now() + aLimits.mBodyTimeout;
   while (!read.mError && !aParser.is_done()) {
-    read.mError =
-      co_await ReadMore(aStream, aBuffer, aParser, aLimits.mIdleTimeout);
+    const auto idleDeadline = steady_clock::now() + aLimits.mIdleTimeout;
+    const auto more = co_await ReadMore(
+      aStream, aBuffer, aParser, std::min(idleDeadline, bodyDeadline));
+    read.mError = more.mError;
+    // The parser leaves an incomplete line of a chunk or trailer in the buffer.
+    if (!read.mError && !aParser.is_done() &&
+        aBuffer.size() > aLimits.mHeaderBytes) {
+      read.mError = http::error::header_limit;
+    }
   }
   co_return read;
 }
--- a/src/sapphirespar/wire/http_server.cpp
+++ b/src/sapphirespar/wire/http_server.cpp
@@ -98,7 +98,10 @@
     SetHead(message, aResponse.mStatus, aResponse.mHeaders);
     message.body() = std::move(aResponse.mBody);
     message.prepare_payload();
-    mFinished = co_await WriteBytes(Serialize(message));
+    auto bytes = Serialize(message);
+    // The write may wait for the caller; one copy of the body is enough then.
+    message.body() = {};
+    mFinished = co_await WriteBytes(std::move(bytes));
     co_return mFinished;
   }
 
--- a/src/sapphirespar/wire/peer_frame.cpp
+++ b/src/sapphirespar/wire/peer_frame.cpp
@@ -67,8 +67,9 @@
 {
   constexpr std::size_t kReadBytes = 4096;
   std::array<char, kReadBytes> piece;
+  const auto deadline = std::chrono::steady_clock::now() + aTimeout;
   while (mBuffer.size() < aBytes) {
-    const auto read = co_await mStream.ReadSome(asio::buffer(piece), aTimeout);
+    const auto read = co_await mStream.ReadSome(asio::buffer(piece), deadline);
     if (read.mError) {
       co_return false;
     }
--- a/src/sapphirespar/wire/peer_frame.hpp
+++ b/src/sapphirespar/wire/peer_frame.hpp
@@ -43,15 +43,17 @@
   // aStream must outlive the reader. aLimitBytes limits the body of a frame.
   frame_reader(byte_stream& aStream, std::size_t aLimitBytes);
 
-  // Returns the next frame, or nothing if the stream has failed, a read has
-  // timed out or a frame is too long. The stream is then unusable.
+  // Returns the next frame, or nothing if the stream has failed, a frame is too
+  // long, or its header or its body takes longer than aTimeout. The stream is
+  // then unusable.
   asio::awaitable<std::optional<frame>> Next(
     std::chrono::milliseconds aTimeout);
 
 private:
   // Returns the length of the body from the frame header in mBuffer.
   std::size_t BodySize() const;
-  // Reads until mBuffer holds at least aBytes; false if the stream fails.
+  // Reads until mBuffer holds at least aBytes; false if the stream fails or
+  // aTimeout has passed.
   asio::awaitable<bool> Fill(std::size_t aBytes,
                              std::chrono::milliseconds aTimeout);
 
