Let the load tool's callers wait for tokens, not for bytes

Cause: each read of a stream had the caller's whole patience, so that a stream of comments, or a refusal whose body trickles, was read without end.

Change: the patience runs from token to token, and over the whole of another answer. tools_test passes (21 tests).

--- a/src/sapphirespar/tools/load_call.cpp
+++ b/src/sapphirespar/tools/load_call.cpp
@@ -188,13 +188,20 @@
   co_return CheckBody(aPlan, response.value(), aKey.mText);
 }
 
+milliseconds
+TimeUntil(steady::time_point aTime)
+{
+  return std::chrono::duration_cast<milliseconds>(
+    std::max(aTime - steady::now(), steady::duration::zero()));
+}
+
 // Reads a body to its proper end. Returns an empty string if it breaks off.
 asio::awaitable<std::string>
-ReadBody(wire::http_stream& aStream, milliseconds aTimeout)
+ReadBody(wire::http_stream& aStream, steady::time_point aDeadline)
 {
   std::string body;
   while (true) {
-    auto piece = co_await aStream.Read(aTimeout);
+    auto piece = co_await aStream.Read(TimeUntil(aDeadline));
     if (!piece) {
       co_return std::string();
     }
@@ -221,8 +228,10 @@
 {
   try_result result;
   sse_reader events;
+  // Of the next token; other bytes don't extend it.
+  auto deadline = steady::now() + aPlan.mCallerTimeout;
   while (true) {
-    auto piece = co_await aStream.Read(aPlan.mCallerTimeout);
+    auto piece = co_await aStream.Read(TimeUntil(deadline));
     if (!piece) {
       result.mReason = FailureReason(piece.error(), events);
       break;
@@ -236,6 +245,9 @@
     if (result.mTokens == 0 && events.Tokens() > 0) {
       result.mFirstToken = steady::now();
     }
+    if (events.Tokens() > result.mTokens) {
+      deadline = steady::now() + aPlan.mCallerTimeout;
+    }
     result.mTokens = events.Tokens();
   }
   result.mCheck = CheckAnswer(aPlan.mPrompt, events.Text());
@@ -252,6 +264,7 @@
            wire::endpoint aEntry,
            try_key aKey)
 {
+  const auto deadline = steady::now() + aPlan.mCallerTimeout;
   auto request = MakeRequest(aPlan, aKey);
   auto opened = co_await aContext.mClient.Open(
     aEntry, std::move(request), aPlan.mCallerTimeout);
@@ -263,7 +276,7 @@
     co_return co_await ReadStream(aPlan, stream);
   }
   auto response = stream.Head();
-  response.mBody = co_await ReadBody(stream, aPlan.mCallerTimeout);
+  response.mBody = co_await ReadBody(stream, deadline);
   co_return FromRefusal(response);
 }
 
