Bound the bytes of upstreams' answers, one by one and together

Cause: a refusal's body was read without end, as each read had its own timeout; an event that doesn't end, comments and plain answers were kept in memory without regard to other requests and to the machine.

The sizes are settings, refused when zero, negative or above the memory. An answer that was cut at the request's deadline inside an unfinished part counts for the upstream's health. The attempt's detail names the limit.

--- a/include/sapphirespar/config/gateway_settings.hpp
+++ b/include/sapphirespar/config/gateway_settings.hpp
@@ -9,12 +9,29 @@
 #include "sapphirespar/model/engine_figures.hpp"
 
 #include <chrono>
+#include <cstddef>
 #include <string>
 #include <string_view>
 #include <vector>
 
 namespace sapphirespar {
 
+// Limits of the bytes of upstreams' answers. An answer that exceeds one is
+// ended, and its connection closed.
+struct answer_limits
+{
+  // A head together with the interim heads before it.
+  std::size_t mHeadBytes = 16 * 1024;
+  // The body of a refusal or of a stale answer, which is dropped.
+  std::size_t mDroppedBytes = 1024 * 1024;
+  // The body of an answer.
+  std::size_t mBodyBytes = 16 * 1024 * 1024;
+  // What follows the last event with data: an unfinished event, or comments.
+  std::size_t mEventBytes = 1024 * 1024;
+  // All answers that wait to be sent to callers.
+  std::size_t mTotalBytes = 48 * 1024 * 1024;
+};
+
 struct gateway_settings
 {
   vm_id mVm;
@@ -45,6 +62,9 @@
   unsigned mOpenFiles = 1024;
   // CPU cores that the process may use; may be a fraction.
   double mProcessor = 1;
+  // Memory that the process may use, in bytes.
+  std::size_t mMemoryBytes = 0;
+  answer_limits mAnswers;
 
   // Requests with a key are refused if the routing has not been confirmed for
   // this long, because the key may have been revoked.
--- a/include/sapphirespar/gateway/forward.hpp
+++ b/include/sapphirespar/gateway/forward.hpp
@@ -2,6 +2,7 @@
 // upstream, retries where that is safe, and relays the answer.
 #pragma once
 
+#include "sapphirespar/gateway/answer_memory.hpp"
 #include "sapphirespar/gateway/protocol.hpp"
 #include "sapphirespar/gateway/routing_state.hpp"
 #include "sapphirespar/gateway/upstream_directory.hpp"
@@ -47,6 +48,11 @@
   data_centre_id mDataCentre;
   // Keys are rejected once the last confirmation of the routing is this old.
   std::chrono::milliseconds mKeyFreshness{ 5000 };
+  // A stream is ended if more bytes follow its last event with data.
+  std::size_t mEventLimitBytes = 1024 * 1024;
+  // Never null.
+  answer_memory_ptr mAnswerMemory =
+    std::make_shared<answer_memory>(48 * 1024 * 1024);
 };
 
 // Handles one request until it is answered or the caller disconnects. Writes
--- a/src/sapphirespar/config/gateway_settings.cpp
+++ b/src/sapphirespar/config/gateway_settings.cpp
@@ -4,6 +4,8 @@
 #include "sapphirespar/config/toml_reader.hpp"
 #include "setting_values.hpp"
 
+#include <unistd.h>
+
 #include <algorithm>
 #include <charconv>
 
@@ -14,6 +16,7 @@
 constexpr integer_bounds kFreshnessBounds{ 500, 600'000 };
 constexpr integer_bounds kHeartbeatBounds{ 10, 600'000 };
 constexpr integer_bounds kWindowBounds{ 1, 3600 };
+constexpr integer_bounds kMemoryBounds{ 16, 16'000'000 };
 constexpr real_bounds kSecondsBounds{ 0.1, 3600 };
 constexpr real_bounds kProcessorBounds{ 0.001, 1024 };
 constexpr real_bounds kRatioBounds{ 0, 10 };
@@ -143,6 +146,50 @@
   read("step_ms_per_request", kStepGrowthBounds, engines.mStepMsPerRequest);
 }
 
+constexpr std::size_t kMegabyte = 1024 * 1024;
+
+std::size_t
+MachineMemory()
+{
+  const auto pages = ::sysconf(_SC_PHYS_PAGES);
+  const auto pageBytes = ::sysconf(_SC_PAGESIZE);
+  return static_cast<std::size_t>(pages) * static_cast<std::size_t>(pageBytes);
+}
+
+void
+ReadLimits(toml_table& aTable, gateway_settings& aSettings)
+{
+  aSettings.mOpenFiles = static_cast<unsigned>(
+    aTable.Integer("open_files", kFileBounds, aSettings.mOpenFiles));
+  aSettings.mProcessor =
+    aTable.Real("processor", kProcessorBounds, aSettings.mProcessor);
+  const auto machine =
+    static_cast<std::int64_t>(aSettings.mMemoryBytes / kMegabyte);
+  aSettings.mMemoryBytes = kMegabyte * static_cast<std::size_t>(aTable.Integer(
+                                         "memory_mb", kMemoryBounds, machine));
+}
+
+void
+ReadAnswers(toml_table& aTable, gateway_settings& aSettings)
+{
+  const auto read =
+    [&](std::string_view aKey, std::size_t aLeast, std::size_t& aBytes) {
+      const integer_bounds bounds{ static_cast<std::int64_t>(aLeast),
+                                   static_cast<std::int64_t>(
+                                     aSettings.mMemoryBytes) };
+      aBytes = static_cast<std::size_t>(
+        aTable.Integer(aKey, bounds, static_cast<std::int64_t>(aBytes)));
+    };
+  constexpr std::size_t kLeastHead = 1024;
+  constexpr std::size_t kLeastTotal = 1024 * 1024;
+  auto& answers = aSettings.mAnswers;
+  read("head_bytes", kLeastHead, answers.mHeadBytes);
+  read("dropped_bytes", 1, answers.mDroppedBytes);
+  read("body_bytes", 1, answers.mBodyBytes);
+  read("event_bytes", 1, answers.mEventBytes);
+  read("total_bytes", kLeastTotal, answers.mTotalBytes);
+}
+
 void
 ReadAll(toml_table& aRoot, gateway_settings& aSettings)
 {
@@ -153,12 +200,14 @@
   ReadRequiredTable(aRoot, "listen", with(ReadListen));
   ReadRequiredTable(aRoot, "platform", with(ReadPlatform));
   aRoot.Table("peers", with(ReadPeers));
-  aRoot.Table("limits", [&](toml_table& aTable) {
-    aSettings.mOpenFiles = static_cast<unsigned>(
-      aTable.Integer("open_files", kFileBounds, aSettings.mOpenFiles));
-    aSettings.mProcessor =
-      aTable.Real("processor", kProcessorBounds, aSettings.mProcessor);
-  });
+  aSettings.mMemoryBytes = MachineMemory();
+  aRoot.Table("limits", with(ReadLimits));
+  // The rest is for the routing, the upstreams and what the kernel buffers.
+  constexpr std::size_t kAnswersPart = 5;
+  auto& answers = aSettings.mAnswers;
+  answers.mTotalBytes =
+    std::min(answers.mTotalBytes, aSettings.mMemoryBytes / kAnswersPart);
+  aRoot.Table("answers", with(ReadAnswers));
   aRoot.Table("bounds", with(ReadBounds));
   aRoot.Table("engines", with(ReadEngines));
   aRoot.Table("log", [&](toml_table& aTable) {
--- a/src/sapphirespar/config/gateway_settings_test.cpp
+++ b/src/sapphirespar/config/gateway_settings_test.cpp
@@ -99,6 +99,46 @@
   }
 }
 
+TEST(GatewaySettings, ReadsTheLimitsOfAnswers)
+{
+  constexpr std::size_t kMegabyte = 1024 * 1024;
+  const auto settings = ParseGatewaySettings(kGood + R"([limits]
+memory_mb = 100
+[answers]
+head_bytes = 2048
+event_bytes = 1000
+)",
+                                             "g.toml");
+  ASSERT_TRUE(settings);
+  EXPECT_EQ(settings->mMemoryBytes, 100 * kMegabyte);
+  EXPECT_EQ(settings->mAnswers.mHeadBytes, 2048U);
+  EXPECT_EQ(settings->mAnswers.mEventBytes, 1000U);
+  EXPECT_EQ(settings->mAnswers.mBodyBytes, answer_limits{}.mBodyBytes);
+  EXPECT_EQ(settings->mAnswers.mTotalBytes, 20 * kMegabyte);
+}
+
+TEST(GatewaySettings, RefusesImpossibleLimitsOfAnswers)
+{
+  const std::string memory = "[limits]\nmemory_mb = 100\n[answers]\n";
+  for (const std::string key : { "head_bytes",
+                                 "dropped_bytes",
+                                 "body_bytes",
+                                 "event_bytes",
+                                 "total_bytes" }) {
+    for (const std::string value : { "0", "-1", "104857601" }) {
+      const auto failure =
+        FailureOf(kGood + memory + key + " = " + value + "\n");
+      EXPECT_TRUE(
+        failure.starts_with("g.toml:17: answers." + key + ": expected "))
+        << failure;
+      EXPECT_TRUE(failure.ends_with(" to 104857600, found " + value))
+        << failure;
+    }
+  }
+  EXPECT_EQ(FailureOf(kGood + "[limits]\nmemory_mb = 0\n"),
+            "g.toml:15: limits.memory_mb: expected 16 to 16000000, found 0");
+}
+
 TEST(GatewaySettings, NamesFileLineAndKeyOfEachFailure)
 {
   EXPECT_EQ(FailureOf(kGood + "[peers]\nseeds = [\"10.0.0.2\"]\n"),
--- a/src/sapphirespar/gateway/forward_attempt.cpp
+++ b/src/sapphirespar/gateway/forward_attempt.cpp
@@ -34,6 +34,8 @@
     , mReply(aReply)
     , mProgress(aProgress)
     , mLearning(aServices, aForwarded, aTarget)
+    , mSplitter(aServices.mEventLimitBytes)
+    , mClaim(std::make_shared<answer_claim>(aServices.mAnswerMemory))
   {
   }
 
@@ -124,15 +126,23 @@
       return End(attempt_end::CallerDisconnected);
     }
     const bool timedOut = aError.mKind == wire::wire_error_kind::Timeout;
-    // A timeout at the request's own deadline does not count as a failure of
-    // the upstream.
-    if (!timedOut || steady_clock::now() < mForwarded.mDeadline) {
+    // Silence until the request's own deadline does not count as a failure of
+    // the upstream; a part of the answer that did not end does.
+    if (!timedOut || steady_clock::now() < mForwarded.mDeadline ||
+        HasUnfinishedPart(aError)) {
       mUpstream.mHealth.AddResult(true, steady_clock::now());
     }
     return End(timedOut ? attempt_end::TimedOut : attempt_end::Broken,
                aError.mDetail);
   }
 
+  // Whether bytes arrived that are no complete head, event or plain answer.
+  bool HasUnfinishedPart(const wire::wire_error& aError) const
+  {
+    const bool streams = mStream && IsEventStream(mStream->Head());
+    return streams ? mSplitter.InsideEvent() : aError.mReceivedBytes > 0;
+  }
+
   asio::awaitable<attempt_result> ReceiveAnswer()
   {
     while (true) {
@@ -174,8 +184,11 @@
     const auto now = steady_clock::now();
     if (aKind == answer_kind::NotRun) {
       mUpstream.mHealth.AddResult(true, now);
-      co_await DiscardBody();
-      co_return End(attempt_end::NotRun);
+      // Read to its end, so that the connection can be reused.
+      constexpr milliseconds kDiscardTimeout{ 50 };
+      const auto dropped = co_await mStream->Discard(kDiscardTimeout);
+      co_return End(attempt_end::NotRun,
+                    dropped ? std::string() : dropped.error().mDetail);
     }
     if (aKind == answer_kind::Unusable) {
       mUpstream.mHealth.AddResult(true, now);
@@ -187,17 +200,24 @@
     co_return co_await RelayPlainAnswer(aKind);
   }
 
-  // Reads a refusal to its end, so that the connection can be reused.
-  asio::awaitable<void> DiscardBody()
+  // Ends the attempt and closes the connection, as the answer is too long.
+  attempt_result EndAtLimit(std::string_view aLimit, std::size_t aBytes)
   {
-    constexpr milliseconds kReadTimeout{ 50 };
-    while (!mStream->Finished()) {
-      if (!co_await mStream->Read(kReadTimeout)) {
-        co_return;
-      }
-    }
-    // The read past the end returns the connection to the pool.
-    co_await mStream->Read(kReadTimeout);
+    const auto took = steady_clock::now() - mBegin;
+    auto result = End(
+      attempt_end::Broken,
+      std::string(aLimit) + ": too long after " + std::to_string(aBytes) +
+        " bytes and " +
+        std::to_string(std::chrono::duration_cast<milliseconds>(took).count()) +
+        " ms");
+    mStream.reset();
+    return result;
+  }
+
+  // Other answers take the memory too, so that the upstream isn't blamed.
+  attempt_result NoMemory(std::size_t aBytes)
+  {
+    return EndAtLimit("memory for answers", aBytes);
   }
 
   asio::awaitable<attempt_result> RelayPlainAnswer(answer_kind aKind)
@@ -215,12 +235,16 @@
         break;
       }
       response.mBody += piece.value();
+      if (!mClaim->Resize(response.mBody.size())) {
+        co_return NoMemory(response.mBody.size());
+      }
     }
     const bool failed = aKind == answer_kind::Failed;
     mUpstream.mHealth.AddResult(failed, steady_clock::now());
     if (failed || mProgress.mBegun) {
       auto result = End(attempt_end::Failed);
       result.mFailure = std::move(response);
+      result.mFailureClaim = mClaim;
       co_return result;
     }
     co_return co_await Send(std::move(response));
@@ -258,6 +282,14 @@
         co_return AnswerLost(piece.error());
       }
       auto events = mSplitter.Feed(piece.value());
+      if (mSplitter.Overlong()) {
+        mUpstream.mHealth.AddResult(true, steady_clock::now());
+        co_return EndAtLimit("event", mSplitter.BytesSinceData());
+      }
+      const auto waiting = events.mBytes.size() + mSplitter.Remainder().size();
+      if (!mClaim->Resize(waiting)) {
+        co_return NoMemory(waiting);
+      }
       const bool finished = mStream->Finished();
       const bool cut = finished && IsCut(first && events.mBytes.empty());
       const bool ends = finished && !cut;
@@ -319,7 +351,10 @@
   wire::http_reply& mReply;
   relay_progress& mProgress;
   attempt_learning mLearning;
+  const steady_time mBegin = steady_clock::now();
   wire::sse_splitter mSplitter;
+  // The bytes of the answer that wait to be sent to the caller.
+  std::shared_ptr<answer_claim> mClaim;
   // Null until the head of an answer has arrived.
   wire::http_stream_ptr mStream;
 };
--- a/src/sapphirespar/gateway/forward_state.hpp
+++ b/src/sapphirespar/gateway/forward_state.hpp
@@ -81,6 +81,8 @@
   unsigned mStatus = 0;
   // The error answer of a Failed attempt, ready to be sent to the caller.
   std::optional<wire::http_response> mFailure;
+  // Claims the memory of mFailure; null without it.
+  std::shared_ptr<answer_claim> mFailureClaim;
   bool mReusedConnection = false;
   // Unset if no answer arrived.
   std::optional<wire::body_framing> mFraming;
--- a/src/sapphirespar/gateway/gateway_app.cpp
+++ b/src/sapphirespar/gateway/gateway_app.cpp
@@ -167,7 +167,7 @@
   , mSelf(MakeProcessId(mSettings.mVm))
   , mTimers(aContext.get_executor())
   , mPlatform(aContext.get_executor(), StoreClientSettings())
-  , mUpstreamClient(aContext.get_executor(), UpstreamClientSettings())
+  , mUpstreamClient(aContext.get_executor(), UpstreamClientSettings(mSettings))
   , mPeerClient(aContext.get_executor(), PeerClientSettings())
   , mPeers({ mSettings.mVm,
              mSettings.mDataCentre,
@@ -294,7 +294,10 @@
            .mDraw = [this] { return Draw(); },
            .mTimeToStop = [this] { return TimeToStop(); },
            .mDataCentre = mSettings.mDataCentre,
-           .mKeyFreshness = mSettings.mKeyFreshness };
+           .mKeyFreshness = mSettings.mKeyFreshness,
+           .mEventLimitBytes = mSettings.mAnswers.mEventBytes,
+           .mAnswerMemory =
+             std::make_shared<answer_memory>(mSettings.mAnswers.mTotalBytes) };
 }
 
 store_reader_hooks
--- a/src/sapphirespar/gateway/part_settings.cpp
+++ b/src/sapphirespar/gateway/part_settings.cpp
@@ -104,9 +104,13 @@
 }
 
 wire::http_client_settings
-UpstreamClientSettings()
+UpstreamClientSettings(const gateway_settings& aSettings)
 {
+  const auto& limits = aSettings.mAnswers;
   wire::http_client_settings settings;
+  settings.mHeadLimitBytes = limits.mHeadBytes;
+  settings.mDiscardLimitBytes = limits.mDroppedBytes;
+  settings.mBodyLimitBytes = limits.mBodyBytes;
   settings.mConnectTimeout = kConnectTimeout;
   settings.mIdleLimit = kUpstreamIdle;
   return settings;
--- a/src/sapphirespar/gateway/part_settings.hpp
+++ b/src/sapphirespar/gateway/part_settings.hpp
@@ -21,7 +21,8 @@
 store_reader_settings ReaderSettings(const gateway_settings& aSettings,
                                      double aDraw);
 gossip_settings GossipSettings(const gateway_settings& aSettings);
-wire::http_client_settings UpstreamClientSettings();
+wire::http_client_settings UpstreamClientSettings(
+  const gateway_settings& aSettings);
 wire::http_client_settings PeerClientSettings();
 
 } // namespace sapphirespar::gateway
