Send a safe request again when its kept connection was stale

Cause: an upstream that closes a kept connection without having said so counted as tried, so that an idempotent request on it got 502 though nothing had been answered and a new connection would have served it.

Change: after a kept connection ends before any byte of an answer, a route that is idempotent may try the same upstream again, once, on a new connection; the attempt takes from the retry budget, as the request may have arrived. Requests that must not run twice stay as they were.

--- a/src/sapphirespar/gateway/forward.cpp
+++ b/src/sapphirespar/gateway/forward.cpp
@@ -233,6 +233,11 @@
       if (!MayTryAgain(result)) {
         co_return co_await FinishUnanswered(std::move(result));
       }
+      if (result.mStaleConnection) {
+        // The same upstream may be tried again, once.
+        mTried.pop_back();
+        mProgress.mFreshConnection = true;
+      }
     }
   }
 
--- a/src/sapphirespar/gateway/forward_attempt.cpp
+++ b/src/sapphirespar/gateway/forward_attempt.cpp
@@ -42,15 +42,17 @@
   asio::awaitable<attempt_result> Run()
   {
     mProgress.mAbort = std::make_shared<wire::call_abort>();
+    const auto connection = mProgress.mFreshConnection
+                              ? wire::connection_choice::Fresh
+                              : wire::connection_choice::Pooled;
     wire::endpoint endpoint;
     endpoint.mAddress = mUpstream.mEntry.mAddress;
     endpoint.mPort = mUpstream.mEntry.mPort;
-    auto opened =
-      co_await mServices.mClient.Open(std::move(endpoint),
-                                      MakeRequest(),
-                                      ReadTimeout(true),
-                                      wire::connection_choice::Pooled,
-                                      mProgress.mAbort);
+    auto opened = co_await mServices.mClient.Open(std::move(endpoint),
+                                                  MakeRequest(),
+                                                  ReadTimeout(true),
+                                                  connection,
+                                                  mProgress.mAbort);
     if (!opened) {
       co_return OpenFailed(opened.error());
     }
@@ -126,14 +128,21 @@
       return End(attempt_end::CallerDisconnected);
     }
     const bool timedOut = aError.mKind == wire::wire_error_kind::Timeout;
+    // A stale connection says nothing of the upstream; the request's next
+    // attempt there, on a new connection, does.
+    const bool stale =
+      aError.mStaleConnection && mForwarded.mRoute->mIdempotent;
     // Silence until the request's own deadline does not count as a failure of
     // the upstream; a part of the answer that did not end does.
-    if (!timedOut || steady_clock::now() < mForwarded.mDeadline ||
-        HasUnfinishedPart(aError)) {
+    const bool late = timedOut && steady_clock::now() >= mForwarded.mDeadline;
+    if (!stale && (!late || HasUnfinishedPart(aError))) {
       mUpstream.mHealth.AddResult(true, steady_clock::now());
     }
-    return End(timedOut ? attempt_end::TimedOut : attempt_end::Broken,
-               aError.mDetail);
+    auto result = End(timedOut ? attempt_end::TimedOut : attempt_end::Broken,
+                      aError.mDetail);
+    result.mReusedConnection |= aError.mStaleConnection;
+    result.mStaleConnection = stale;
+    return result;
   }
 
   // Whether bytes arrived that are no complete head, event or plain answer.
--- a/src/sapphirespar/gateway/forward_endless_answer_test.cpp
+++ b/src/sapphirespar/gateway/forward_endless_answer_test.cpp
@@ -20,6 +20,11 @@
 // When the upstream stops if the gateway goes on reading.
 constexpr milliseconds kUpstreamPatience{ 1500 };
 
+// Limits of the gateway, and what the sockets buffer at most.
+constexpr std::size_t kEventBytes = 64 * 1024;
+constexpr std::size_t kMemoryBytes = 4 * 1024 * 1024;
+constexpr std::size_t kSocketBytes = 12 * 1024 * 1024;
+
 // Stands before the number of a case in a path.
 constexpr std::string_view kMark = "case-";
 
@@ -144,6 +149,8 @@
     const auto script = [this](asio::ip::tcp::socket aSocket) {
       return Serve(this, std::move(aSocket));
     };
+    mServices->mEventLimitBytes = kEventBytes;
+    mServices->mAnswerMemory = std::make_shared<answer_memory>(kMemoryBytes);
     mPort = ServeConnections(mContext, script);
     AddUpstreams();
   }
@@ -178,6 +185,7 @@
     const auto patience = steady_clock::now() + kUpstreamPatience;
     constexpr std::size_t kFastBytes = 64 * 1024;
     auto bytes = answer.mHead;
+    std::size_t sent = 0;
     asio::steady_timer timer(aSelf->mContext);
     while (steady_clock::now() < patience) {
       do {
@@ -186,7 +194,8 @@
       if (!co_await WriteBytes(aSocket, bytes)) {
         co_return;
       }
-      aSelf->mSentBytes += bytes.size();
+      sent += bytes.size();
+      aSelf->mMostSent = std::max(aSelf->mMostSent, sent);
       bytes.clear();
       timer.expires_after(aSelf->mPause);
       co_await timer.async_wait(kAsTuple);
@@ -273,13 +282,17 @@
       EXPECT_GE(mReached, count);
       EXPECT_EQ(other.mAnswer.mStatus, 200U);
       EXPECT_LT(other.mTook, kTolerance);
+      EXPECT_EQ(mServices->mAnswerMemory->Taken(), 0U);
     }
+    EXPECT_LE(mServices->mAnswerMemory->Peak(), kMemoryBytes);
+    EXPECT_LT(mMostSent, kMemoryBytes + kSocketBytes);
   }
 
   const std::vector<endless_answer> mAnswers = EndlessAnswers();
   // Between the pieces of an answer.
   milliseconds mPause{ 0 };
-  std::size_t mSentBytes = 0;
+  // The most bytes of a case that the upstream could send.
+  std::size_t mMostSent = 0;
   std::uint16_t mPort = 0;
   unsigned mRound = 0;
   // Number of cases whose request has reached the upstream.
--- a/src/sapphirespar/gateway/forward_state.hpp
+++ b/src/sapphirespar/gateway/forward_state.hpp
@@ -44,6 +44,8 @@
   // Aborts the call in progress when the caller disconnects.
   wire::call_abort_ptr mAbort;
   bool mCallerGone = false;
+  // Further attempts use new connections, because a kept one was stale.
+  bool mFreshConnection = false;
   // Number of attempts that sent any byte of the request to an upstream.
   unsigned mSends = 0;
   // Whether any upstream may have run the request. Never reset to false.
@@ -84,6 +86,9 @@
   // Claims the memory of mFailure; null without it.
   std::shared_ptr<answer_claim> mFailureClaim;
   bool mReusedConnection = false;
+  // A kept connection ended before any byte of an answer arrived; see
+  // wire_error.
+  bool mStaleConnection = false;
   // Unset if no answer arrived.
   std::optional<wire::body_framing> mFraming;
   // Bytes of a stream after its last complete event.
