--- a/src/sapphirespar/gateway/forward.cpp
+++ b/src/sapphirespar/gateway/forward.cpp
@@ -135,6 +135,7 @@
       }
       if (result->mFailure) {
         mFailure = std::move(result->mFailure);
+        mFailureMemory = std::move(result->mFailureMemory);
       }
       EndWith(result->mEnd, result->mStatus);
       if (mRace.Running() > 0) {
@@ -146,6 +147,11 @@
       if (!MayTryAgain(result->mEnd)) {
         co_return co_await FinishUnanswered(ToText(result->mEnd), kRetrySoon);
       }
+      if (result->mStaleUpstream) {
+        // It may be tried again, once.
+        std::erase(mTried, result->mStaleUpstream);
+        mProgress.mFreshConnection = true;
+      }
     }
   }
 
@@ -308,6 +314,7 @@
   std::vector<upstream_ptr> mTried;
   // The latest error answer of an upstream, for the caller if none is better.
   std::optional<wire::http_response> mFailure;
+  std::shared_ptr<answer_claim> mFailureMemory;
   request_outcome mOutcome;
 };
 
--- a/src/sapphirespar/gateway/forward_attempt.cpp
+++ b/src/sapphirespar/gateway/forward_attempt.cpp
@@ -54,11 +54,16 @@
     , mProgress(aProgress)
     , mClaim(aClaim)
     , mLearning(aServices, aForwarded, mTarget)
+    , mSplitter(aServices.mEventLimitBytes)
+    , mMemory(std::make_shared<answer_claim>(aServices.mAnswerMemory))
   {
   }
 
   asio::awaitable<attempt_result> Run()
   {
+    const auto connection = mProgress.mFreshConnection
+                              ? wire::connection_choice::Fresh
+                              : wire::connection_choice::Pooled;
     wire::endpoint endpoint;
     endpoint.mAddress = mUpstream.mEntry.mAddress;
     endpoint.mPort = mUpstream.mEntry.mPort;
@@ -66,7 +71,7 @@
       co_await mServices.mClient.Open(std::move(endpoint),
                                       MakeRequest(),
                                       LeftUntil(mForwarded.mDeadline),
-                                      wire::connection_choice::Pooled,
+                                      connection,
                                       mAttempt.mAbort);
     if (!opened) {
       co_return OpenFailed(opened.error());
@@ -160,13 +165,29 @@
       return *stopped;
     }
     const bool timedOut = aError.mKind == wire::wire_error_kind::Timeout;
-    // A timeout at the request's own deadline does not count as a failure of
-    // the upstream.
-    if (!timedOut || LeftUntil(mForwarded.mDeadline) > kTimerTolerance) {
+    // A stale connection says nothing of the upstream; the request's next
+    // attempt there, on a new connection, does.
+    const bool stale =
+      aError.mStaleConnection && mForwarded.mRoute->mIdempotent;
+    // Silence until the request's own deadline does not count as a failure of
+    // the upstream; a part of the answer that did not end does.
+    const bool late =
+      timedOut && LeftUntil(mForwarded.mDeadline) <= kTimerTolerance;
+    if (!stale && (!late || HasUnfinishedPart(aError))) {
       mUpstream.mHealth.AddResult(true, steady_clock::now());
     }
-    return End(timedOut ? attempt_end::TimedOut : attempt_end::Broken,
-               aError.mDetail);
+    auto result = End(timedOut ? attempt_end::TimedOut : attempt_end::Broken,
+                      aError.mDetail);
+    result.mReusedConnection |= aError.mStaleConnection;
+    result.mStaleUpstream = stale ? mTarget.mUpstream : nullptr;
+    return result;
+  }
+
+  // Whether bytes arrived that are no complete head, event or plain answer.
+  bool HasUnfinishedPart(const wire::wire_error& aError) const
+  {
+    const bool streams = mStream && IsEventStream(mStream->Head());
+    return streams ? mSplitter.InsideEvent() : aError.mReceivedBytes > 0;
   }
 
   asio::awaitable<attempt_result> ReceiveAnswer()
@@ -211,8 +232,11 @@
     const auto now = steady_clock::now();
     if (aKind == answer_kind::NotRun) {
       mUpstream.mHealth.AddResult(true, now);
-      co_await DiscardBody();
-      co_return End(attempt_end::NotRun);
+      // Read to its end, so that the connection can be reused.
+      constexpr milliseconds kDiscardTimeout{ 50 };
+      const auto dropped = co_await mStream->Discard(kDiscardTimeout);
+      co_return End(attempt_end::NotRun,
+                    dropped ? std::string() : dropped.error().mDetail);
     }
     if (aKind == answer_kind::Unusable) {
       mUpstream.mHealth.AddResult(true, now);
@@ -227,17 +251,24 @@
     co_return co_await RelayPlainAnswer(aKind);
   }
 
-  // Reads a refusal to its end, so that the connection can be reused.
-  asio::awaitable<void> DiscardBody()
+  // Ends the attempt and closes the connection, as the answer is too long.
+  attempt_result EndAtLimit(std::string_view aLimit, std::size_t aBytes)
   {
-    constexpr milliseconds kReadTimeout{ 50 };
-    while (!mStream->Finished()) {
-      if (!co_await mStream->Read(kReadTimeout)) {
-        co_return;
-      }
-    }
-    // The read past the end returns the connection to the pool.
-    co_await mStream->Read(kReadTimeout);
+    const auto took = steady_clock::now() - mAttempt.mStarted;
+    auto result = End(
+      attempt_end::Broken,
+      std::string(aLimit) + ": too long after " + std::to_string(aBytes) +
+        " bytes and " +
+        std::to_string(std::chrono::duration_cast<milliseconds>(took).count()) +
+        " ms");
+    mStream.reset();
+    return result;
+  }
+
+  // Other answers take the memory too, so that the upstream isn't blamed.
+  attempt_result NoMemory(std::size_t aBytes)
+  {
+    return EndAtLimit("memory for answers", aBytes);
   }
 
   asio::awaitable<attempt_result> RelayPlainAnswer(answer_kind aKind)
@@ -255,12 +286,16 @@
         break;
       }
       response.mBody += piece.value();
+      if (!mMemory->Resize(response.mBody.size())) {
+        co_return NoMemory(response.mBody.size());
+      }
     }
     const bool failed = aKind == answer_kind::Failed;
     mUpstream.mHealth.AddResult(failed, steady_clock::now());
     if (failed || mProgress.mBegun) {
       auto result = End(attempt_end::Failed);
       result.mFailure = std::move(response);
+      result.mFailureMemory = mMemory;
       co_return result;
     }
     if (!mClaim()) {
@@ -304,6 +339,14 @@
         co_return End(attempt_end::Superseded);
       }
       auto events = mSplitter.Feed(piece.value());
+      if (mSplitter.Overlong()) {
+        mUpstream.mHealth.AddResult(true, steady_clock::now());
+        co_return EndAtLimit("event", mSplitter.BytesSinceData());
+      }
+      const auto waiting = events.mBytes.size() + mSplitter.Remainder().size();
+      if (!mMemory->Resize(waiting)) {
+        co_return NoMemory(waiting);
+      }
       const bool finished = mStream->Finished();
       const bool cut =
         finished && IsCut(!mAttempt.mHasEvents && events.mBytes.empty());
@@ -375,6 +418,8 @@
   wire::sse_splitter mSplitter;
   // When the upstream last sent bytes of the answer, or the start.
   steady_time mLastBytes = steady_clock::now();
+  // The bytes of the answer that wait to be sent to the caller.
+  std::shared_ptr<answer_claim> mMemory;
   // Null until the head of an answer has arrived.
   wire::http_stream_ptr mStream;
 };
--- a/src/sapphirespar/gateway/forward_state.hpp
+++ b/src/sapphirespar/gateway/forward_state.hpp
@@ -48,6 +48,8 @@
   bool mCallerGone = false;
   // Attempts that are writing to the reply.
   unsigned mReplyUses = 0;
+  // Further attempts use new connections, because a kept one was stale.
+  bool mFreshConnection = false;
   // Number of attempts that have sent any byte of the request to an upstream,
   // or may still do so.
   unsigned mSends = 0;
@@ -88,7 +90,12 @@
   unsigned mStatus = 0;
   // The error answer of a Failed attempt, ready to be sent to the caller.
   std::optional<wire::http_response> mFailure;
+  // Claims the memory of mFailure; null without it.
+  std::shared_ptr<answer_claim> mFailureMemory;
   bool mReusedConnection = false;
+  // The upstream of an idempotent request whose kept connection ended before
+  // any byte of an answer arrived; otherwise null. See wire_error.
+  upstream_ptr mStaleUpstream;
   // Unset if no answer arrived.
   std::optional<wire::body_framing> mFraming;
   // Bytes of a stream after its last complete event.
