Bound what counts as upstreams that end together

Crashes that follow each other within 100 ms formed one group of any length, so that under five crashing requests a second a whole series counted once. A group now spans 100 ms. Repeats of one request, which share all parts, are told apart up to the fifth crash, and a crash beside many other begun requests is weaker evidence.

--- a/include/sapphirespar/policy/crash_suspects.hpp
+++ b/include/sapphirespar/policy/crash_suspects.hpp
@@ -154,7 +154,8 @@
                                 steady_time aLatest) const;
   chain ChainOf(const prompt_part& aPart,
                 std::span<const cluster> aClusters) const;
-  std::optional<belief_change> NextQuarantine(steady_time aNow) const;
+  // The parts that explain the most crashes, if that is enough.
+  std::vector<belief_change> NextQuarantines(steady_time aNow) const;
   void Forget(steady_time aNow);
   static steady_time NextTrial(const quarantine& aQuarantine);
 
--- a/src/sapphirespar/policy/crash_suspects.cpp
+++ b/src/sapphirespar/policy/crash_suspects.cpp
@@ -32,6 +32,7 @@
 constexpr std::size_t kMaximumCrashes = 16;
 constexpr std::size_t kMaximumLosses = 512;
 constexpr std::size_t kMaximumPools = 16;
+constexpr std::size_t kMaximumQuarantines = 32;
 
 prompt_part
 PartOf(const shared_parts& aParts, std::uint64_t aId)
@@ -200,9 +201,13 @@
 crash_suspects::Update(steady_time aNow)
 {
   Forget(aNow);
-  while (const auto next = NextQuarantine(aNow)) {
-    mQuarantines[next->mPart] = { aNow, aNow, 0, {} };
-    mChanges.push_back(*next);
+  auto next = NextQuarantines(aNow);
+  while (!next.empty() && mQuarantines.size() < kMaximumQuarantines) {
+    for (auto& change : next) {
+      mQuarantines[change.mPart] = { aNow, aNow, 0, {} };
+      mChanges.push_back(std::move(change));
+    }
+    next = NextQuarantines(aNow);
   }
   return std::exchange(mChanges, {});
 }
--- a/src/sapphirespar/policy/crash_suspects_conclusions.cpp
+++ b/src/sapphirespar/policy/crash_suspects_conclusions.cpp
@@ -9,13 +9,15 @@
 
 using std::chrono::milliseconds;
 
-// A part is quarantined after this many crashes, if no other part explains as
-// many, and after one more in any case.
+// A part is quarantined after the first number of crashes if no other part
+// explains as many, and after the second in any case. Until then the repeats of
+// one request, which share all parts, can't be told apart.
 constexpr unsigned kCrashes = 3;
+constexpr unsigned kTiedCrashes = 5;
 
 // Sum of the evidence needed. A crash is worth one with this many parts at
 // hand, and less with more of them: then other requests may have caused it.
-constexpr double kEvidence = 1.5;
+constexpr double kEvidence = 2;
 constexpr double kPartsOfOne = 2;
 
 // Requests with a part are not repeated after this many crashes.
@@ -24,7 +26,7 @@
 // A part explains the crashes of which its requests are at hand at this share.
 constexpr double kExplainedShare = 0.4;
 
-// Upstreams that end within this time of each other end together. So many of
+// Upstreams that end within this time of the first end together. So many of
 // them, unless one part explains it, have another cause.
 constexpr milliseconds kTogether{ 100 };
 constexpr std::size_t kCommonCause = 3;
@@ -33,8 +35,6 @@
 // the time that the signs take from other gateways.
 constexpr milliseconds kConfirmAfter{ 300 };
 
-constexpr std::size_t kMaximumQuarantines = 32;
-
 bool
 Intersect(const std::set<std::uint64_t>& aOne,
           const std::set<std::uint64_t>& aTwo)
@@ -80,13 +80,13 @@
   }
   std::ranges::sort(ends);
   std::vector<cluster> clusters;
-  std::optional<steady_time> last;
+  std::optional<steady_time> first;
   for (const auto& [ended, upstream] : ends) {
-    if (!last || ended > *last + kTogether) {
+    if (!first || ended > *first + kTogether) {
       clusters.emplace_back();
+      first = ended;
     }
     clusters.back().push_back({ upstream, parts[upstream] });
-    last = ended;
   }
   return clusters;
 }
@@ -147,12 +147,9 @@
   return result;
 }
 
-std::optional<belief_change>
-crash_suspects::NextQuarantine(steady_time aNow) const
+std::vector<belief_change>
+crash_suspects::NextQuarantines(steady_time aNow) const
 {
-  if (mQuarantines.size() >= kMaximumQuarantines) {
-    return std::nullopt;
-  }
   std::map<std::string_view, std::vector<cluster>> clusters;
   std::map<prompt_part, chain> chains;
   for (const auto& [part, crashes] : mCrashes) {
@@ -169,17 +166,20 @@
   });
   if (best == chains.end() || best->second.mCrashes < kCrashes ||
       best->second.mEvidence < kEvidence) {
-    return std::nullopt;
+    return {};
   }
-  const auto& [part, against] = *best;
-  const bool tied = std::ranges::any_of(chains, [&](const auto& aItem) {
-    return aItem.first != part && aItem.second.mCrashes == against.mCrashes &&
-           Intersect(aItem.second.mUpstreams, against.mUpstreams);
-  });
-  if (tied && against.mCrashes == kCrashes) {
-    return std::nullopt;
+  const auto& against = best->second;
+  std::vector<belief_change> tied;
+  for (const auto& [part, other] : chains) {
+    if (other.mCrashes == against.mCrashes &&
+        Intersect(other.mUpstreams, against.mUpstreams)) {
+      tied.push_back({ part, true, other.mCrashes, false });
+    }
+  }
+  if (tied.size() > 1 && against.mCrashes < kTiedCrashes) {
+    return {};
   }
-  return belief_change{ part, true, against.mCrashes, false };
+  return tied;
 }
 
 bool
--- a/src/sapphirespar/policy/crash_suspects_simulation_test.cpp
+++ b/src/sapphirespar/policy/crash_suspects_simulation_test.cpp
@@ -13,8 +13,8 @@
 
 using namespace std::chrono_literals;
 
-constexpr std::uint64_t kPart = 1;
-constexpr std::uint64_t kOtherPart = 2;
+constexpr std::uint64_t kPart = 5000;
+constexpr std::uint64_t kOtherPart = 5001;
 constexpr unsigned kSeeds = 2;
 
 std::string
