Refuse requests with a part that crashes upstreams

Cause: nothing related the end of an upstream to the requests that were there. Each such request was new and was placed at a sound upstream, and a resumable one was repeated at a second.

A request under suspicion is not repeated.

--- a/include/sapphirespar/gateway/forward.hpp
+++ b/include/sapphirespar/gateway/forward.hpp
@@ -2,6 +2,7 @@
 // upstream, retries where that is safe, and relays the answer.
 #pragma once
 
+#include "sapphirespar/gateway/part_guard.hpp"
 #include "sapphirespar/gateway/protocol.hpp"
 #include "sapphirespar/gateway/routing_state.hpp"
 #include "sapphirespar/gateway/upstream_directory.hpp"
@@ -34,6 +35,7 @@
   const policy::engine_split& mSplit;
   policy::engine_models& mModels;
   policy::prompt_kinds& mKinds;
+  part_guard& mParts;
   wire::http_client& mClient;
   metrics& mMetrics;
   // Brings the loads of other gateways in mUpstreams up to date.
--- a/include/sapphirespar/gateway/peer_table.hpp
+++ b/include/sapphirespar/gateway/peer_table.hpp
@@ -85,6 +85,10 @@
   // The other live gateways.
   std::vector<vm_id> LiveGateways(steady_time aNow) const;
 
+  // Returns whether this gateway owns a key. Of the live gateways that accept
+  // requests, one owns each key.
+  bool IsOwnerOf(std::uint64_t aKey, steady_time aNow) const;
+
   // Whether relays forward the loads of other data centres. Large fleets need
   // relays, because each gateway could send to all others only rarely.
   bool UsesRelays() const;
--- a/src/sapphirespar/gateway/forward.cpp
+++ b/src/sapphirespar/gateway/forward.cpp
@@ -237,7 +237,8 @@
   bool MayTryAgain(attempt_end aEnd)
   {
     const auto now = steady_clock::now();
-    if (mTried.size() >= kMaximumTargets) {
+    if (mTried.size() >= kMaximumTargets ||
+        !mServices.mParts.MayRepeat(SharedParts(mForwarded))) {
       return false;
     }
     const auto& route = *mForwarded.mRoute;
--- a/src/sapphirespar/gateway/forward_admission.cpp
+++ b/src/sapphirespar/gateway/forward_admission.cpp
@@ -2,6 +2,7 @@
 #include "forward_admission.hpp"
 
 #include <algorithm>
+#include <iterator>
 
 namespace sapphirespar::gateway {
 namespace {
@@ -66,6 +67,17 @@
   aServices.mRetries.CountRequest(aForwarded.mPool, aForwarded.mArrived);
 }
 
+void
+SetSharedParts(forwarded_request& aForwarded)
+{
+  std::ranges::transform(aForwarded.mInfo.mPrompt,
+                         std::back_inserter(aForwarded.mSharedParts),
+                         &prompt_segment::mId);
+  if (!aForwarded.mSharedParts.empty()) {
+    aForwarded.mSharedParts.pop_back();
+  }
+}
+
 } // namespace
 
 std::optional<refusal_answer>
@@ -74,6 +86,7 @@
              boot_time aArrival,
              std::optional<boot_clock::duration> aRoutingAge)
 {
+  SetSharedParts(aForwarded);
   aForwarded.mRouting = aServices.mRouting.Table();
   if (!aForwarded.mRouting) {
     return refusal_answer{ 503, "no_routing_yet", kRetrySoon };
@@ -105,6 +118,9 @@
   }
   aForwarded.mCallerDeadline = aForwarded.mArrived + deadline;
   ChoosePool(aServices, aForwarded);
+  if (const auto wait = aServices.mParts.Refuse(SharedParts(aForwarded))) {
+    return refusal_answer{ 503, "part_crashes_upstreams", *wait };
+  }
   return std::nullopt;
 }
 
--- a/src/sapphirespar/gateway/forward_attempt.cpp
+++ b/src/sapphirespar/gateway/forward_attempt.cpp
@@ -72,7 +72,7 @@
       co_return OpenFailed(opened.error());
     }
     mStream = std::move(opened).value();
-    mLastBytes = steady_clock::now();
+    OnBytes();
     mUpstream.mHealth.AddResponse();
     co_return co_await ReceiveAnswer();
   }
@@ -104,11 +104,35 @@
     auto piece = co_await mStream->Read(LeftUntil(mForwarded.mDeadline));
     mAttempt.mWaitingSince.reset();
     if (piece) {
-      mLastBytes = steady_clock::now();
+      OnBytes();
     }
     co_return piece;
   }
 
+  void OnBytes()
+  {
+    mLastBytes = steady_clock::now();
+    mServices.mParts.OnSign(mUpstream.mKey);
+  }
+
+  // Records once that the upstream goes on after the begin of a stream.
+  void RecordSurvival()
+  {
+    if (!mSurvived) {
+      mSurvived = true;
+      mServices.mParts.OnSurvival(SharedParts(mForwarded));
+    }
+  }
+
+  // Records that the upstream broke the connection.
+  void RecordLoss()
+  {
+    constexpr unsigned kFirstError = 300;
+    const bool answers = mStream && mStream->Head().mStatus < kFirstError;
+    mServices.mParts.OnUpstreamLost(
+      SharedParts(mForwarded), mUpstream.mKey, answers && !mAttempt.mHasEvents);
+  }
+
   attempt_result End(attempt_end aEnd, std::string aDetail = {})
   {
     attempt_result result;
@@ -165,6 +189,9 @@
     if (!timedOut || LeftUntil(mForwarded.mDeadline) > kTimerTolerance) {
       mUpstream.mHealth.AddResult(true, steady_clock::now());
     }
+    if (!timedOut) {
+      RecordLoss();
+    }
     return End(timedOut ? attempt_end::TimedOut : attempt_end::Broken,
                aError.mDetail);
   }
@@ -257,6 +284,9 @@
       response.mBody += piece.value();
     }
     const bool failed = aKind == answer_kind::Failed;
+    if (!failed) {
+      RecordSurvival();
+    }
     mUpstream.mHealth.AddResult(failed, steady_clock::now());
     if (failed || mProgress.mBegun) {
       auto result = End(attempt_end::Failed);
@@ -317,6 +347,9 @@
       if (!events.mLastId.empty()) {
         mProgress.mLastEventId = events.mLastId;
       }
+      if (ends || (mAttempt.mHasEvents && !events.mBytes.empty())) {
+        RecordSurvival();
+      }
       if (!mAttempt.mHasEvents && !events.mBytes.empty()) {
         mAttempt.mHasEvents = true;
         RecordFirstEvent();
@@ -329,6 +362,9 @@
       }
       if (finished) {
         mUpstream.mHealth.AddResult(cut, steady_clock::now());
+        if (cut) {
+          RecordLoss();
+        }
         co_return cut ? End(attempt_end::Broken, "cut inside an event")
                       : End(attempt_end::Relayed);
       }
@@ -375,6 +411,8 @@
   wire::sse_splitter mSplitter;
   // When the upstream last sent bytes of the answer, or the start.
   steady_time mLastBytes = steady_clock::now();
+  // The upstream went on after the begin of the answer.
+  bool mSurvived = false;
   // Null until the head of an answer has arrived.
   wire::http_stream_ptr mStream;
 };
--- a/src/sapphirespar/gateway/forward_fixture_test.cpp
+++ b/src/sapphirespar/gateway/forward_fixture_test.cpp
@@ -170,6 +170,7 @@
                                         mSplit,
                                         mModels,
                                         mKinds,
+                                        mParts,
                                         *mUpstreamClient,
                                         mMetrics,
                                         [this] { mRefreshLoads(); },
--- a/src/sapphirespar/gateway/forward_fixture_test.hpp
+++ b/src/sapphirespar/gateway/forward_fixture_test.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "sapphirespar/gateway/forward.hpp"
+#include "sapphirespar/wire/asio_timer_service.hpp"
 
 #include <boost/asio/io_context.hpp>
 
@@ -94,6 +95,10 @@
   policy::engine_models mModels;
   policy::prompt_kinds mKinds;
   metrics mMetrics;
+  wire::asio_timer_service mTimers{ mContext.get_executor() };
+  part_guard mParts{ mTimers,
+                     mMetrics,
+                     { [](const prompt_part&) { return true; }, [] {} } };
   // Called before each choice of an upstream.
   std::function<void()> mRefreshLoads = [] {};
   // Routes of the host "h" with the prefixes "/stream/", "/resume/" (resumable
--- a/src/sapphirespar/gateway/forward_state.hpp
+++ b/src/sapphirespar/gateway/forward_state.hpp
@@ -26,6 +26,9 @@
 
   const wire::http_request& mRequest;
   request_info mInfo;
+  // Identifiers of the parts of the prompt that other prompts may share: all
+  // but the last.
+  std::vector<std::uint64_t> mSharedParts;
   // Owns the route that mRoute points at.
   routing_ptr mRouting;
   const route* mRoute = nullptr;
@@ -42,6 +45,12 @@
   steady_time mCallerDeadline{};
 };
 
+inline policy::shared_parts
+SharedParts(const forwarded_request& aForwarded)
+{
+  return { aForwarded.mPool, aForwarded.mSharedParts };
+}
+
 // Progress of a request across its attempts.
 struct relay_progress
 {
--- a/src/sapphirespar/gateway/gateway_app.cpp
+++ b/src/sapphirespar/gateway/gateway_app.cpp
@@ -9,6 +9,7 @@
 #include "sapphirespar/gateway/forward.hpp"
 #include "sapphirespar/gateway/gateway_registry.hpp"
 #include "sapphirespar/gateway/gossip_link.hpp"
+#include "sapphirespar/gateway/part_guard.hpp"
 #include "sapphirespar/gateway/peer_table.hpp"
 #include "sapphirespar/wire/asio_timer_service.hpp"
 #include "sapphirespar/wire/platform_client.hpp"
@@ -90,6 +91,7 @@
   forward_services ForwardServices();
   store_reader_hooks ReaderHooks();
   gossip_hooks GossipHooks();
+  part_guard_hooks PartHooks();
   registry_hooks RegistryHooks();
 
   wire::http_response ServeEntry(const wire::http_target& aTarget);
@@ -137,6 +139,7 @@
   policy::engine_split mSplit;
   policy::engine_models mModels;
   policy::prompt_kinds mKinds;
+  part_guard mParts;
   store_reader mReader;
   gateway_registry mRegistry;
   gossip_link mGossip;
@@ -174,6 +177,7 @@
              ToThousandths(mSettings.mProcessor) })
   , mRetries(RetryLimits(mSettings))
   , mModels(mSettings.mEngines)
+  , mParts(mTimers, mMetrics, PartHooks())
   , mReader(mPlatform,
             mTimers,
             mProtocol,
@@ -286,6 +290,7 @@
            .mSplit = mSplit,
            .mModels = mModels,
            .mKinds = mKinds,
+           .mParts = mParts,
            .mClient = mUpstreamClient,
            .mMetrics = mMetrics,
            .mRefreshLoads = [this] { RefreshLoads(); },
@@ -345,6 +350,7 @@
   hooks.mSelf = [this] { return OwnState(); };
   hooks.mReceived = [this](const gossip_state& aState) {
     mLoadsStale = true;
+    mParts.Merge(aState.mCrashReport);
     for (const auto key : aState.mLeavingUpstreams) {
       mUpstreams.NoteLeaving(key, "peer");
     }
@@ -355,6 +361,17 @@
   return hooks;
 }
 
+part_guard_hooks
+gateway_app::state::PartHooks()
+{
+  part_guard_hooks hooks;
+  hooks.mMakesTrials = [this](const prompt_part& aPart) {
+    return mPeers.IsOwnerOf(aPart.mId, mTimers.Now());
+  };
+  hooks.mTellPeers = [this] { mGossip.SendNow(); };
+  return hooks;
+}
+
 registry_hooks
 gateway_app::state::RegistryHooks()
 {
@@ -388,6 +405,7 @@
   own.mStore = mReader.Summary();
   own.mLoads = mUpstreams.OwnLoads();
   own.mLeavingUpstreams = mUpstreams.Leaving();
+  own.mCrashReport = mParts.Report();
   const auto prefill = mPrefill.Demand(mTimers.Now());
   own.mInteractivePrefill = ToThousandths(prefill.mInteractive.mPrefill);
   own.mProcessor = ToThousandths(mSettings.mProcessor);
--- a/src/sapphirespar/gateway/peer_table.cpp
+++ b/src/sapphirespar/gateway/peer_table.cpp
@@ -257,6 +257,20 @@
   return Readers(aNow).front() == mSelf.mVm;
 }
 
+bool
+peer_table::IsOwnerOf(std::uint64_t aKey, steady_time aNow) const
+{
+  const auto weight = [aKey](const vm_id& aVm) {
+    return XXH3_64bits_withSeed(aVm.mText.data(), aVm.mText.size(), aKey);
+  };
+  const auto own = weight(mSelf.mVm);
+  return std::ranges::none_of(mPeers, [&](const auto& aItem) {
+    const auto& state = aItem.second.mState;
+    return IsLive(aItem.second, aNow) && state.mReady && !state.mLeaving &&
+           weight(aItem.first) > own;
+  });
+}
+
 bool
 peer_table::UsesRelays() const
 {
