--- a/src/sapphirespar/gateway/forward_attempt.cpp
+++ b/src/sapphirespar/gateway/forward_attempt.cpp
@@ -77,7 +77,7 @@
       co_return OpenFailed(opened.error());
     }
     mStream = std::move(opened).value();
-    mLastBytes = steady_clock::now();
+    OnBytes();
     mUpstream.mHealth.AddResponse();
     co_return co_await ReceiveAnswer();
   }
@@ -109,11 +109,35 @@
     auto piece = co_await mStream->Read(LeftUntil(mForwarded.mDeadline));
     mAttempt.mWaitingSince.reset();
     if (piece) {
-      mLastBytes = steady_clock::now();
+      OnBytes();
     }
     co_return piece;
   }
 
+  void OnBytes()
+  {
+    mLastBytes = steady_clock::now();
+    mServices.mParts.OnSign(mUpstream.mKey);
+  }
+
+  // Records once that the upstream goes on after the begin of a stream.
+  void RecordSurvival()
+  {
+    if (!mSurvived) {
+      mSurvived = true;
+      mServices.mParts.OnSurvival(SharedParts(mForwarded));
+    }
+  }
+
+  // Records that the upstream broke the connection.
+  void RecordLoss()
+  {
+    constexpr unsigned kFirstError = 300;
+    const bool answers = mStream && mStream->Head().mStatus < kFirstError;
+    mServices.mParts.OnUpstreamLost(
+      SharedParts(mForwarded), mUpstream.mKey, answers && !mAttempt.mHasEvents);
+  }
+
   attempt_result End(attempt_end aEnd, std::string aDetail = {})
   {
     attempt_result result;
@@ -176,6 +200,9 @@
     if (!stale && (!late || HasUnfinishedPart(aError))) {
       mUpstream.mHealth.AddResult(true, steady_clock::now());
     }
+    if (!timedOut) {
+      RecordLoss();
+    }
     auto result = End(timedOut ? attempt_end::TimedOut : attempt_end::Broken,
                       aError.mDetail);
     result.mReusedConnection |= aError.mStaleConnection;
@@ -291,6 +318,9 @@
       }
     }
     const bool failed = aKind == answer_kind::Failed;
+    if (!failed) {
+      RecordSurvival();
+    }
     mUpstream.mHealth.AddResult(failed, steady_clock::now());
     if (failed || mProgress.mBegun) {
       auto result = End(attempt_end::Failed);
@@ -360,6 +390,9 @@
       if (!events.mLastId.empty()) {
         mProgress.mLastEventId = events.mLastId;
       }
+      if (ends || (mAttempt.mHasEvents && !events.mBytes.empty())) {
+        RecordSurvival();
+      }
       if (!mAttempt.mHasEvents && !events.mBytes.empty()) {
         mAttempt.mHasEvents = true;
         RecordFirstEvent();
@@ -372,6 +405,9 @@
       }
       if (finished) {
         mUpstream.mHealth.AddResult(cut, steady_clock::now());
+        if (cut) {
+          RecordLoss();
+        }
         co_return cut ? End(attempt_end::Broken, "cut inside an event")
                       : End(attempt_end::Relayed);
       }
@@ -420,6 +456,8 @@
   steady_time mLastBytes = steady_clock::now();
   // The bytes of the answer that wait to be sent to the caller.
   std::shared_ptr<answer_claim> mMemory;
+  // The upstream went on after the begin of the answer.
+  bool mSurvived = false;
   // Null until the head of an answer has arrived.
   wire::http_stream_ptr mStream;
 };
