Fence orders across restores of the store

The version of an order record is the fencing number. A store that comes back from an older copy gives versions out again, and loses the records of orders that may still be under way.

The number now carries the era above the version. Records name the era in which they were written; one of another era doesn't prove that its order was the latest, so an upstream that ignores numbers is given the longest order's time. A holder that confirms its record in a new era writes it again first. An update whose write took effect in another era than its read is decided again. The fake platform tells its era in the answers to writes and to refused watches.

--- a/include/sapphirespar/upstream/object_update.hpp
+++ b/include/sapphirespar/upstream/object_update.hpp
@@ -29,9 +29,10 @@
   std::string mValue;
 };
 
-// Returns the change to make, given the object's current value. The value is
-// empty if the object does not exist.
-using change_decision = std::function<object_change(std::string_view aValue)>;
+// Returns the change to make, given the object's current value and the store's
+// era in which it was read. The value is empty if the object does not exist.
+using change_decision =
+  std::function<object_change(std::string_view aValue, store_era aEra)>;
 
 enum class update_status
 {
@@ -47,14 +48,17 @@
   update_status mStatus = update_status::TimedOut;
   // After Ok, the version of the object with the change.
   object_version mVersion = kNoObject;
+  // After Ok and Stopped, the era of the answer that decided.
+  store_era mEra = 0;
 };
 
 using update_callback = std::function<void(update_result)>;
 
 // Reads the object, calls aDecide and writes the change with the read version
 // as its condition. After a conflict, a failure or a lost answer the object is
-// read again, until the update ends or aTimeout expires. Nothing is called once
-// aOwner has expired.
+// read again, until the update ends or aTimeout expires. The same is done if
+// the store was restored between the read and the write, because its versions
+// are given out again. Nothing is called once aOwner has expired.
 void UpdateObject(platform_api& aPlatform,
                   timer_service& aTimers,
                   object_key aKey,
--- a/src/sapphirespar/cli/drain_command.cpp
+++ b/src/sapphirespar/cli/drain_command.cpp
@@ -14,14 +14,14 @@
 // A drain is in force while its object exists at the platform. aValue is the
 // current value of the object, or empty if the object does not exist.
 object_change
-BeginDrain(std::string_view aValue)
+BeginDrain(std::string_view aValue, store_era)
 {
   return aValue.empty() ? object_change{ change_kind::Write, "{}" }
                         : object_change{ change_kind::Keep, {} };
 }
 
 object_change
-EndDrain(std::string_view aValue)
+EndDrain(std::string_view aValue, store_era)
 {
   return { aValue.empty() ? change_kind::Keep : change_kind::Remove, {} };
 }
--- a/src/sapphirespar/model/fake_platform.cpp
+++ b/src/sapphirespar/model/fake_platform.cpp
@@ -183,6 +183,9 @@
     if (aStatus == platform_status::Ok) {
       answer = Apply(key, value, aDeleted, aExpected);
     }
+    // A lost answer tells no era.
+    const bool told = answer.mStatus != platform_status::Unknown;
+    answer.mEra = told && !mFaults.mOutage ? mStore->mEra : 0;
     RunAfter(mFaults.mDelay / 2, [this, answer, done] {
       const bool reached = answer.mStatus != platform_status::Unavailable;
       done(mFaults.mOutage && reached
@@ -226,8 +229,9 @@
         aStatus = platform_status::Compacted;
       }
       if (aStatus != platform_status::Ok) {
-        RunAfter(mFaults.mDelay / 2, [aStatus, done] {
-          done(list_answer{ aStatus, {}, 0 });
+        const auto era = mFaults.mOutage ? 0 : mStore->mEra;
+        RunAfter(mFaults.mDelay / 2, [aStatus, era, done] {
+          done(list_answer{ aStatus, {}, 0, era });
         });
         return;
       }
--- a/src/sapphirespar/upstream/object_update.cpp
+++ b/src/sapphirespar/upstream/object_update.cpp
@@ -68,7 +68,9 @@
       return;
     }
     mRead = found ? aAnswer.mObject.mVersion : kNoObject;
-    auto change = mDecide(found ? aAnswer.mObject.mValue : std::string());
+    mReadEra = aAnswer.mEra;
+    auto change =
+      mDecide(found ? aAnswer.mObject.mValue : std::string(), mReadEra);
     if (change.mKind == change_kind::Write) {
       mPlatform.Put(mKey,
                     std::move(change.mValue),
@@ -84,7 +86,9 @@
 
   void OnWritten(const object_answer& aAnswer)
   {
-    if (aAnswer.mStatus == platform_status::Ok) {
+    // In another era, the version may belong to a value that was not read.
+    const bool inEra = aAnswer.mEra == 0 || aAnswer.mEra == mReadEra;
+    if (aAnswer.mStatus == platform_status::Ok && inEra) {
       mRead = aAnswer.mObject.mVersion;
       End(update_status::Ok);
     } else {
@@ -111,7 +115,7 @@
     // Clearing the timer may release the last reference to this loop.
     const auto self = shared_from_this();
     mTimer = {};
-    mDone({ aStatus, mRead });
+    mDone({ aStatus, mRead, mReadEra });
   }
 
   platform_api& mPlatform;
@@ -122,7 +126,9 @@
   const update_callback mDone;
   const steady_time mDeadline;
   std::chrono::milliseconds mBackoff = kInitialBackoff;
+  // The object's version as read or written, and the era of that answer.
   object_version mRead = kNoObject;
+  store_era mReadEra = 0;
   // Number of the latest call; answers to earlier calls are ignored.
   std::uint64_t mCall = 0;
   timer_subscription mTimer;
--- a/src/sapphirespar/upstream/order_controller.cpp
+++ b/src/sapphirespar/upstream/order_controller.cpp
@@ -28,6 +28,24 @@
   return loaded == (aOrder.mKind == order_kind::LoadModel);
 }
 
+// Returns a number that is higher than all numbers of earlier eras, in which
+// the same versions may have been given out.
+std::uint64_t
+FencingNumber(store_era aEra, object_version aVersion)
+{
+  constexpr unsigned kVersionBits = 40;
+  constexpr store_era kMaxEra = (store_era{ 1 } << 23) - 1;
+  return (std::min(aEra, kMaxEra) << kVersionBits) + aVersion;
+}
+
+// Returns whether a record proves that its order was the latest one. Later ones
+// may be missing in a record that is older than the store's last restore.
+bool
+IsLatest(const order_record& aRecord, store_era aEra)
+{
+  return aEra == 0 || aRecord.mEra == aEra;
+}
+
 } // namespace
 
 std::string_view
@@ -83,6 +101,8 @@
     // Identifies this order in the record and in the slots.
     std::string mName;
     std::uint64_t mFence = 0;
+    // The store's era in which the record was written.
+    store_era mEra = 0;
     // Whether the order that this one replaced in the record may still be in
     // progress.
     bool mEarlierOpen = false;
@@ -166,19 +186,21 @@
   return { std::string(kOrderKind), aRun.mSpec.mId.mText };
 }
 
-// Writes this order into the upstream's record. The version of that write is
-// the fencing number, which rises with every order of any process.
+// Writes this order into the upstream's record. The version of that write, with
+// the store's era, is the fencing number, which rises with every order of any
+// process.
 void
 order_controller::state::Fence(const run_ptr& aRun)
 {
-  const auto decide = [aRun](std::string_view aValue) {
+  const auto decide = [aRun](std::string_view aValue, store_era aEra) {
     const auto current = ReadOrderRecord(aValue);
-    if (current.mOrder == aRun->mName) {
+    const bool latest = IsLatest(current, aEra);
+    if (current.mOrder == aRun->mName && latest) {
       return object_change{ change_kind::Keep, {} };
     }
-    aRun->mEarlierOpen = current.mOpen;
+    aRun->mEarlierOpen = current.mOpen || !latest;
     return object_change{ change_kind::Write,
-                          WriteOrderRecord({ aRun->mName, true }) };
+                          WriteOrderRecord({ aRun->mName, true, aEra }) };
   };
   UpdateObject(mPlatform,
                mTimers,
@@ -200,7 +222,8 @@
     End(aRun, order_outcome::NotSent);
     return;
   }
-  aRun->mFence = aResult.mVersion;
+  aRun->mFence = FencingNumber(aResult.mEra, aResult.mVersion);
+  aRun->mEra = aResult.mEra;
   if (aRun->mSpec.mChecksFencing) {
     Send(aRun);
   } else if (aRun->mEarlierOpen) {
@@ -213,12 +236,14 @@
 
 // Checks, for an upstream that ignores fencing numbers, that the record still
 // contains this order. An answer that arrives after mSendWindow, for example
-// because the process was paused, may be stale, so the check is repeated.
+// because the process was paused, may be stale, so the check is repeated. After
+// a restore of the store, later orders may be missing in the record, so it is
+// written again.
 void
 order_controller::state::Confirm(const run_ptr& aRun)
 {
   const auto startedAt = mTimers.Now();
-  const auto decide = [aRun](std::string_view aValue) {
+  const auto decide = [aRun](std::string_view aValue, store_era) {
     const auto own = ReadOrderRecord(aValue).mOrder == aRun->mName;
     return object_change{ own ? change_kind::Keep : change_kind::Stop, {} };
   };
@@ -227,6 +252,8 @@
       End(aRun, order_outcome::Superseded);
     } else if (aResult.mStatus == update_status::TimedOut) {
       End(aRun, order_outcome::NotSent);
+    } else if (aResult.mEra != 0 && aResult.mEra != aRun->mEra) {
+      Fence(aRun);
     } else if (mTimers.Now() - startedAt > mSettings.mSendWindow) {
       Confirm(aRun);
     } else {
@@ -301,16 +328,17 @@
 void
 order_controller::state::Close(const run_ptr& aRun)
 {
-  const auto decide = [aRun](std::string_view aValue) {
+  const auto decide = [aRun](std::string_view aValue, store_era aEra) {
     const auto current = ReadOrderRecord(aValue);
-    if (current.mOrder != aRun->mName) {
+    const bool restored = aEra != 0 && aEra != aRun->mEra;
+    if (current.mOrder != aRun->mName && !restored) {
       return object_change{ change_kind::Stop, {} };
     }
-    if (!current.mOpen) {
+    if (!current.mOpen || restored) {
       return object_change{ change_kind::Keep, {} };
     }
     return object_change{ change_kind::Write,
-                          WriteOrderRecord({ aRun->mName, false }) };
+                          WriteOrderRecord({ aRun->mName, false, aEra }) };
   };
   UpdateObject(mPlatform,
                mTimers,
--- a/src/sapphirespar/upstream/order_controller_test.cpp
+++ b/src/sapphirespar/upstream/order_controller_test.cpp
@@ -324,6 +324,82 @@
   EXPECT_EQ(fixture.mFirst.mEnd, order_outcome::Done);
 }
 
+// Fences one order in a store that is then restored from a copy without it.
+struct restore_fixture : order_fixture
+{
+  restore_fixture() { mStore->mEra = 1; }
+
+  // Issues the order and lets it reach the engine, which takes aOrderTime.
+  void IssueInLostSpan(fake_engine& aEngine, steady_duration aOrderTime)
+  {
+    aEngine.mOrderTime = aOrderTime;
+    const auto copy = mStore->Copy();
+    mFirst.Issue(aEngine);
+    const auto sent = [&] { return aEngine.mOrdersAccepted > 0; };
+    while (!sent()) {
+      mTimers.Advance(1s);
+    }
+    mStore->Restore(copy);
+  }
+
+  // Leaves a closed record of the first order in the store.
+  void RunOrder(fake_engine& aEngine)
+  {
+    aEngine.mOrderTime = 5s;
+    mFirst.Issue(aEngine);
+    mTimers.Advance(10min);
+    ASSERT_EQ(mFirst.mEnd, order_outcome::Done);
+    aEngine.mModels.clear();
+    aEngine.mOrdersAccepted = 0;
+  }
+};
+
+TEST(Fault_StoreRestore, Order_Fence_NoFencingNumberIsHandedOutAgain)
+{
+  restore_fixture fixture;
+  fixture.IssueInLostSpan(fixture.mFencedEngine, 10s);
+  const auto lost = fixture.mFencedEngine.mFence;
+  fixture.mSecond.Issue(fixture.mFencedEngine);
+  fixture.mTimers.Advance(1min);
+  EXPECT_GT(fixture.mFencedEngine.mFence, lost);
+}
+
+TEST(Fault_StoreRestore, Order_Send_AnOrderOfTheLostSpanIsWaitedOut)
+{
+  restore_fixture fixture;
+  fixture.RunOrder(fixture.mUnfencedEngine);
+  fixture.IssueInLostSpan(fixture.mUnfencedEngine, 100s);
+  fixture.mSecond.Issue(fixture.mUnfencedEngine);
+  fixture.mTimers.Advance(10min);
+  EXPECT_EQ(fixture.mUnfencedEngine.mOrdersAccepted, 2U);
+  EXPECT_EQ(fixture.mUnfencedEngine.mOverlaps, 0U);
+}
+
+// The record of the second order is lost, and the first, which the second had
+// superseded, finds its own record again.
+TEST(Fault_StoreRestore, Order_Send_ASupersededHolderDoesNotReturn)
+{
+  restore_fixture fixture;
+  fixture.RunOrder(fixture.mUnfencedEngine);
+  fixture.mUnfencedEngine.mOrderTime = 100s;
+  const auto versionBefore = fixture.mStore->Version();
+  fixture.mFirst.Issue(fixture.mUnfencedEngine);
+  const object_key record{ std::string(kOrderKind), "ignoring" };
+  while (fixture.mStore->Find(record)->mVersion <= versionBefore) {
+    fixture.mTimers.Advance(1ms);
+  }
+  fixture.mFirst.mTimers.Pause();
+  const auto copy = fixture.mStore->Copy();
+  fixture.mSecond.Issue(fixture.mUnfencedEngine);
+  while (fixture.mUnfencedEngine.mOrdersAccepted == 0) {
+    fixture.mTimers.Advance(1s);
+  }
+  fixture.mStore->Restore(copy);
+  fixture.mFirst.mTimers.Resume();
+  fixture.mTimers.Advance(10min);
+  EXPECT_EQ(fixture.mUnfencedEngine.mOverlaps, 0U);
+}
+
 RC_GTEST_PROP(OrderRecord,
               AMalformedValueReadsAsOpen,
               (const std::string& aText))
--- a/src/sapphirespar/upstream/order_record.cpp
+++ b/src/sapphirespar/upstream/order_record.cpp
@@ -33,14 +33,22 @@
     return { "", true };
   }
   const auto& name = order->get_string();
-  return { std::string(name.data(), name.size()), open->get_bool() };
+  const auto* const era = object.if_contains("era");
+  json::error_code error;
+  const auto number = era ? era->to_number<store_era>(error) : 0;
+  return { std::string(name.data(), name.size()),
+           open->get_bool(),
+           error ? 0 : number };
 }
 
 std::string
 WriteOrderRecord(const order_record& aRecord)
 {
-  return json::serialize(
-    json::object{ { "order", aRecord.mOrder }, { "open", aRecord.mOpen } });
+  json::object object{ { "order", aRecord.mOrder }, { "open", aRecord.mOpen } };
+  if (aRecord.mEra != 0) {
+    object["era"] = aRecord.mEra;
+  }
+  return json::serialize(object);
 }
 
 std::vector<std::string>
--- a/src/sapphirespar/upstream/order_record.hpp
+++ b/src/sapphirespar/upstream/order_record.hpp
@@ -2,6 +2,8 @@
 // upstream, and the slots of the weight store.
 #pragma once
 
+#include "sapphirespar/model/platform.hpp"
+
 #include <string>
 #include <string_view>
 #include <vector>
@@ -15,6 +17,8 @@
   std::string mOrder;
   // Whether the order may still be in progress.
   bool mOpen = false;
+  // The store's era in which the record was written; zero if it told none.
+  store_era mEra = 0;
 };
 
 // Returns an empty record for an empty value. A value that is not a record is
--- a/src/sapphirespar/upstream/weight_store_slots.cpp
+++ b/src/sapphirespar/upstream/weight_store_slots.cpp
@@ -34,7 +34,7 @@
                             std::function<void(bool)> aDone)
 {
   mWaiting.erase(aOrder);
-  const auto decide = [this, aOrder](std::string_view aValue) {
+  const auto decide = [this, aOrder](std::string_view aValue, store_era) {
     auto orders = ReadSlots(aValue);
     if (std::ranges::find(orders, aOrder) != orders.end()) {
       return object_change{ change_kind::Keep, {} };
@@ -76,7 +76,7 @@
 void
 weight_store_slots::Release(const std::string& aOrder)
 {
-  const auto decide = [aOrder](std::string_view aValue) {
+  const auto decide = [aOrder](std::string_view aValue, store_era) {
     auto orders = ReadSlots(aValue);
     if (std::erase(orders, aOrder) == 0) {
       return object_change{ change_kind::Keep, {} };
