Keep the bundle in force across restores of the store

A watcher went on from a revision of the lost span, which the restored store gives out again, and so missed bundles. The store kept the older bundle: a router that started later put it into force, and the next version of an operator was refused.

A rise of the era in any answer makes the controller list again.

--- a/include/sapphirespar/config/bundle_acceptance.hpp
+++ b/include/sapphirespar/config/bundle_acceptance.hpp
@@ -62,6 +62,10 @@
   // Signers of the first bundle, used while the platform holds no bundle. If
   // empty, the signers that the bundle itself names.
   std::vector<signer> mTrusted;
+  // Accepts a bundle that has been in force although versions between it and
+  // the one at the platform are missing, because the store was restored from an
+  // older copy.
+  bool mWritesBack = false;
 };
 
 // Runs one acceptance. The destructor cancels it without calling the callback.
--- a/include/sapphirespar/config/bundle_controller.hpp
+++ b/include/sapphirespar/config/bundle_controller.hpp
@@ -49,7 +49,8 @@
   std::uint64_t mSeed = 1;
 };
 
-// A router never returns to an older version.
+// A router never returns to an older version. If the platform has an older one,
+// the router writes the bundle in force back.
 class bundle_controller
 {
 public:
@@ -74,6 +75,10 @@
   // may have been accepted.
   void Refresh();
 
+  // Reads the platform again soon, because its store has come back from an
+  // older copy.
+  void OnStoreRestored();
+
   // Handles bundle_request and bundle_push; returns false for other messages.
   bool OnPeerMessage(const process_id& aFrom, const peer_message& aMessage);
 
--- a/src/sapphirespar/config/bundle_acceptance.cpp
+++ b/src/sapphirespar/config/bundle_acceptance.cpp
@@ -75,6 +75,7 @@
   void OnFullBundle(signed_bundle aInForce,
                     object_version aVersion,
                     const object_answer& aAnswer);
+  bool MayReplace(const bundle_version& aInForce) const;
   void Decide(const signed_bundle& aInForce, object_version aVersion);
   void OnNoBundleInForce();
   void Write(object_version aExpected);
@@ -171,8 +172,7 @@
                         : acceptance_status::AlreadyAccepted,
                "read back from the platform");
   }
-  if (inForce.mBytes.empty() &&
-      Follows(mCandidate.mBundle.mVersion, inForce.mBundle.mVersion)) {
+  if (inForce.mBytes.empty() && MayReplace(inForce.mBundle.mVersion)) {
     return ReadFullBundle(std::move(inForce), aObject.mVersion);
   }
   Decide(inForce, aObject.mVersion);
@@ -210,12 +210,20 @@
   Decide(aInForce, aVersion);
 }
 
+bool
+bundle_acceptance::state::MayReplace(const bundle_version& aInForce) const
+{
+  const auto& version = mCandidate.mBundle.mVersion;
+  return mSettings.mWritesBack ? version > aInForce
+                               : Follows(version, aInForce);
+}
+
 void
 bundle_acceptance::state::Decide(const signed_bundle& aInForce,
                                  object_version aVersion)
 {
   const auto& base = aInForce.mBundle.mVersion;
-  if (!Follows(mCandidate.mBundle.mVersion, base)) {
+  if (!MayReplace(base)) {
     return End(acceptance_status::VersionConflict,
                "version " + VersionText(base) + ", signed by " +
                  aInForce.mSigner + ", is in force; version " +
--- a/src/sapphirespar/config/bundle_controller.cpp
+++ b/src/sapphirespar/config/bundle_controller.cpp
@@ -36,6 +36,15 @@
          aMember.mState == member_state::Leaving;
 }
 
+// Returns the object of the current bundle, or null.
+const platform_object*
+FindCurrent(const list_answer& aAnswer)
+{
+  const auto found = std::ranges::find(
+    aAnswer.mObjects, CurrentBundleKey(), &platform_object::mKey);
+  return found == aAnswer.mObjects.end() || found->mDeleted ? nullptr : &*found;
+}
+
 } // namespace
 
 object_key
@@ -161,11 +170,13 @@
   if (!FinishCall(aCall)) {
     return;
   }
+  NoteEra(aAnswer.mEra);
   if (aAnswer.mStatus != platform_status::Ok) {
     return Retry();
   }
   mWatchFrom = aAnswer.mVersion;
   OnObjects(aAnswer);
+  CheckWriteBack(FindCurrent(aAnswer));
   ScheduleNextCall();
 }
 
@@ -191,6 +202,10 @@
   if (!FinishCall(aCall)) {
     return;
   }
+  if (NoteEra(aAnswer.mEra)) {
+    mWatchFrom.reset();
+    return CallPlatform();
+  }
   if (aAnswer.mStatus == platform_status::Compacted) {
     mWatchFrom.reset();
   }
@@ -205,9 +220,7 @@
 void
 bundle_controller::state::OnObjects(const list_answer& aAnswer)
 {
-  const auto current = std::ranges::find(
-    aAnswer.mObjects, CurrentBundleKey(), &platform_object::mKey);
-  if (current != aAnswer.mObjects.end() && !current->mDeleted) {
+  if (const auto* const current = FindCurrent(aAnswer)) {
     ProcessText(current->mValue, bundle_source::Platform);
   }
 }
@@ -342,6 +355,12 @@
   mState->CallPlatform();
 }
 
+void
+bundle_controller::OnStoreRestored()
+{
+  mState->OnStoreRestored();
+}
+
 bool
 bundle_controller::OnPeerMessage(const process_id& aFrom,
                                  const peer_message& aMessage)
--- a/src/sapphirespar/config/bundle_controller_state.hpp
+++ b/src/sapphirespar/config/bundle_controller_state.hpp
@@ -1,11 +1,14 @@
 // State of a bundle controller. bundle_controller.cpp implements the calls to
 // the platform and the messages to peers, bundle_install.cpp the checks and the
-// installation of a bundle.
+// installation of a bundle, bundle_write_back.cpp what follows a restore of the
+// store.
 #pragma once
 
+#include "sapphirespar/config/bundle_acceptance.hpp"
 #include "sapphirespar/config/bundle_controller.hpp"
 #include "sapphirespar/config/signed_bundle.hpp"
 
+#include <memory>
 #include <optional>
 #include <utility>
 
@@ -58,6 +61,13 @@
   void CallAfter(std::chrono::milliseconds aDelay);
   void CallPlatform();
 
+  // Restores of the store.
+  bool NoteEra(store_era aEra);
+  void OnStoreRestored();
+  void CheckWriteBack(const platform_object* aCurrent);
+  void WriteBack();
+  void OnWrittenBack(const acceptance_result& aResult);
+
   // Messages to and from peers.
   void OnHeartbeat(const heartbeat& aHeartbeat);
   void OnRequest(const process_id& aFrom, const bundle_request& aRequest);
@@ -98,6 +108,9 @@
   // and ignored.
   std::uint64_t mCurrentCall = 0;
   std::uint64_t mLastCall = 0;
+  // The latest era of the store; zero if it has told none. mWatchFrom belongs
+  // to it.
+  store_era mEra = 0;
   bool mWasWatcher = false;
   // Delay after the next failure. Doubles with each failure in a row, up to
   // mRetryLimit.
@@ -127,6 +140,10 @@
   timer_subscription mCallTimer;
   timer_subscription mDeadlineTimer;
   timer_subscription mFetchDeadlineTimer;
+
+  // Writes the bundle in force back to the platform; null if none does.
+  std::unique_ptr<bundle_acceptance> mWriteBack;
+  timer_subscription mWriteBackTimer;
 };
 
 } // namespace sapphirespar
