Hold claims at most once across restores of the store

A restore of the store from an older copy takes claims away that were granted since, and gives the versions out again on which commits depend: keys of the lost span were granted once more, and an owner's cache could overwrite another owner's commits.

A shard's head names the era in which it was committed. A commit or an answer needs a read or commit of the head in the present era within the last 1.5 s. A head of an earlier era grants nothing for 6 s after the restore is known; meanwhile owners keep the rows they had read, and claimants report their claims that may have run and ask for each until it is in the store. Who held claims may be dead, paused or cut off: until all members have told that their claims are in the store, and for at most 600 s of the shard's clock, attempts that are not stated to be first get 'unknown' for keys without a claim of the new era. A store in its first era delays nothing.

--- a/include/sapphirespar/ledger/at_most_once_guard.hpp
+++ b/include/sapphirespar/ledger/at_most_once_guard.hpp
@@ -124,6 +124,11 @@
                 outcome aOutcome,
                 stored_answer_ptr aAnswer = nullptr);
 
+  // Reports an era of the platform's store, told by an answer or by a peer.
+  // When it rises, the store has lost its latest claims; this process then
+  // writes those it knows of again and reports its own to their owners.
+  void NoteStoreEra(store_era aEra);
+
   // Handles claim_request, claim_answer, claim_finished, outcome_query and
   // outcome_answer; returns false for any other message.
   bool OnPeerMessage(const process_id& aFrom, const peer_message& aMessage);
--- a/include/sapphirespar/ledger/claim_shard.hpp
+++ b/include/sapphirespar/ledger/claim_shard.hpp
@@ -1,7 +1,9 @@
 // The owner's side of claims: one shard of the idempotency keys, stored in
 // platform objects. A claim is granted only by a conditional update against the
 // head's current version, so a paused owner or a second owner of the same shard
-// cannot grant a key twice.
+// cannot grant a key twice. A store that comes back from an older copy gives
+// versions out again, so a commit also needs a read of the head in the same era
+// shortly before.
 #pragma once
 
 #include "sapphirespar/base/timer_service.hpp"
@@ -12,6 +14,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 
 namespace sapphirespar::ledger {
 
@@ -34,6 +37,16 @@
   std::chrono::milliseconds mDecisionTimeout{ 2500 };
 };
 
+struct claim_shard_hooks
+{
+  // Returns whether all claimants have reported their claims since the store's
+  // last restore. Unset means no.
+  std::function<bool()> mAllReported;
+  // Returns when this process learned of that restore; nothing if it knew no
+  // era before. Unset means nothing.
+  std::function<std::optional<steady_time>()> mRestoredAt;
+};
+
 using claim_callback = std::function<void(claim_answer)>;
 
 class claim_shard
@@ -42,7 +55,8 @@
   claim_shard(std::uint32_t aNumber,
               platform_api& aPlatform,
               timer_service& aTimers,
-              claim_shard_settings aSettings = {});
+              claim_shard_settings aSettings = {},
+              claim_shard_hooks aHooks = {});
   ~claim_shard();
   claim_shard(const claim_shard&) = delete;
   claim_shard& operator=(const claim_shard&) = delete;
@@ -56,7 +70,15 @@
   // it.
   void Finished(const claim_finished& aEnd);
 
-  // Returns when Claim was last called.
+  // Reports an era of the store. When it rises, claims that are missing in the
+  // store are committed again, and no new one is granted until claimants have
+  // had time to report theirs.
+  void NoteStoreEra(store_era aEra);
+
+  // Commits a claim that its holder reports after a restore of the store.
+  void Report(const process_id& aHolder, const claim_finished& aClaim);
+
+  // Returns when Claim or Report was last called.
   steady_time LastUsed() const;
 
 private:
--- a/include/sapphirespar/model/peer_message.hpp
+++ b/include/sapphirespar/model/peer_message.hpp
@@ -60,6 +60,8 @@
   std::vector<process_id> mLost;
   // The address is empty if the contact is left out to save bytes.
   router_contact mContact;
+  // The latest era of the platform's store that the sender knows; zero if none.
+  std::uint64_t mStoreEra = 0;
 };
 
 // Requests the newest bundle if the receiver has a newer one than mHave.
@@ -146,6 +148,8 @@
   // An earlier attempt that its holder has promised never to run; empty if
   // there is none.
   request_id mReleased;
+  // The caller states that it has not sent the key before.
+  bool mFirstAttempt = false;
 };
 
 enum class claim_verdict
@@ -171,6 +175,8 @@
 };
 
 // Reports the outcome of a claimed request to the owner of the key's shard.
+// After a restore of the store also reports a claim whose request is running;
+// an empty key then says that all claims of the sender have been reported.
 struct claim_finished
 {
   std::string mKey;
--- a/src/sapphirespar/ledger/at_most_once_claims.cpp
+++ b/src/sapphirespar/ledger/at_most_once_claims.cpp
@@ -46,7 +46,10 @@
   }
   BeginAttempt(*entry, aRequest.mContentHash);
   mClaimClient.Claim(
-    { WireKey(aRequest.mKey), entry->mAttempt, entry->mReleased },
+    { WireKey(aRequest.mKey),
+      entry->mAttempt,
+      entry->mReleased,
+      aRequest.mFirstAttempt },
     [this, aRequest, aDone, attempt = entry->mAttempt](claim_result aResult) {
       aDone(OnClaimResult(aRequest, attempt, aResult));
     });
@@ -62,6 +65,7 @@
                        entry->mState == entry_state::Claiming;
   if (current && aResult == claim_result::Granted) {
     entry->mState = entry_state::Running;
+    entry->mIsClaim = true;
     return AllowDispatch();
   }
   if (current) {
--- a/src/sapphirespar/ledger/at_most_once_guard.cpp
+++ b/src/sapphirespar/ledger/at_most_once_guard.cpp
@@ -59,7 +59,11 @@
   , mIssuer(aBoard.mSelf)
   , mTable(aSettings)
   , mOutcomeClient(aPeers, aTimers, aSettings)
-  , mClaimServer(aPlatform, aTimers)
+  , mClaimServer(
+      aPlatform,
+      aTimers,
+      { [this] { return HaveAllReported(); },
+        [this] { return mSawRestore ? std::optional(mEraAt) : std::nullopt; } })
   , mClaimClient(aBoard,
                  aPeers,
                  aTimers,
@@ -67,6 +71,7 @@
                  mOutcomeClient,
                  aSettings)
   , mSweep(aTimers.Every(kSweepInterval, [this] { Sweep(); }))
+  , mStartedAt(aTimers.Now())
 {
 }
 
@@ -195,9 +200,10 @@
   } else if (const auto* const claimAnswer =
                std::get_if<claim_answer>(&aMessage)) {
     mClaimClient.OnAnswer(*claimAnswer);
+    OnReportAnswer(*claimAnswer);
   } else if (const auto* const finished =
                std::get_if<claim_finished>(&aMessage)) {
-    mClaimServer.Finished(*finished);
+    OnClaimFinished(aFrom, *finished);
   } else {
     return false;
   }
@@ -256,6 +262,12 @@
   return mState->OnPeerMessage(aFrom, aMessage);
 }
 
+void
+at_most_once_guard::NoteStoreEra(store_era aEra)
+{
+  mState->NoteStoreEra(aEra);
+}
+
 at_most_once_counts
 at_most_once_guard::Counts() const
 {
--- a/src/sapphirespar/ledger/at_most_once_state.hpp
+++ b/src/sapphirespar/ledger/at_most_once_state.hpp
@@ -10,6 +10,7 @@
 #include "sapphirespar/ledger/token.hpp"
 
 #include <memory>
+#include <set>
 #include <string>
 
 namespace sapphirespar::ledger {
@@ -40,6 +41,7 @@
   bool OnPeerMessage(const process_id& aFrom, const peer_message& aMessage);
 
   std::string IssueToken(const account_id& aAccount) const;
+  void NoteStoreEra(store_era aEra);
   at_most_once_counts Counts() const { return mTable.Counts(); }
 
 private:
@@ -72,6 +74,14 @@
   void OnClaimFinished(const idempotency_key& aKey,
                        const idempotency_entry& aEntry);
 
+  // Restores of the store; see at_most_once_restores.cpp.
+  void OnClaimFinished(const process_id& aFrom, const claim_finished& aEnd);
+  void ReportClaims();
+  void OnReportAnswer(const claim_answer& aAnswer);
+  void SendComplete();
+  bool HaveAllReported() const;
+  bool MayGetReports() const;
+
   void Sweep();
 
   const blackboard& mBoard;
@@ -85,6 +95,23 @@
   claim_server mClaimServer;
   claim_client mClaimClient;
   timer_subscription mSweep;
+
+  const steady_time mStartedAt;
+  // The latest era of the store, when this process learned of it, and whether
+  // that was a rise that it has seen itself.
+  store_era mEra = 0;
+  steady_time mEraAt{};
+  bool mSawRestore = false;
+  // The processes that may have held claims when the store was restored, and
+  // those that have reported all of theirs since.
+  std::set<process_id> mClaimants;
+  std::set<process_id> mReported;
+  // Attempts of this process whose claims an owner has found in the store since
+  // the last restore.
+  std::set<request_id> mConfirmed;
+  // Whether the claims of this process are still to be reported.
+  bool mIsReporting = false;
+  timer_subscription mReportTimer;
 };
 
 } // namespace sapphirespar::ledger
--- a/src/sapphirespar/ledger/claim_cache.cpp
+++ b/src/sapphirespar/ledger/claim_cache.cpp
@@ -44,6 +44,16 @@
   return nullptr;
 }
 
+claim_rows
+claim_cache::AllRows() const
+{
+  auto rows = mHead.mRows;
+  for (auto item = mArchives.rbegin(); item != mArchives.rend(); ++item) {
+    rows.insert(item->second.mRows.begin(), item->second.mRows.end());
+  }
+  return rows;
+}
+
 void
 claim_cache::RecordOutcome(const claim_finished& aEnd)
 {
--- a/src/sapphirespar/ledger/claim_cache.hpp
+++ b/src/sapphirespar/ledger/claim_cache.hpp
@@ -22,6 +22,8 @@
   // version in the store.
   claim_head mHead;
   object_version mVersion = kNoObject;
+  // The store's era of that answer. mVersion belongs to it.
+  store_era mEra = 0;
   // Archives by number: those that the head references and have been read, and
   // the one that is being written.
   std::map<std::uint64_t, claim_archive> mArchives;
@@ -32,6 +34,9 @@
   // Records how a claimed request ended, if its claim is in this shard.
   void RecordOutcome(const claim_finished& aEnd);
 
+  // Returns all rows, the newest of each key.
+  claim_rows AllRows() const;
+
   // Replaces the head by one that was read, and removes archives that may have
   // changed since they were read.
   void Reset(claim_head aHead, object_version aVersion);
--- a/src/sapphirespar/ledger/claim_client.cpp
+++ b/src/sapphirespar/ledger/claim_client.cpp
@@ -71,9 +71,11 @@
 claim_client::Send(const request_id& aAttempt)
 {
   const auto& claim = mPendingClaims.at(aAttempt);
-  claim_request request{
-    claim.mAttempt.mKey, mSelf, aAttempt, claim.mReleasedAttempt
-  };
+  claim_request request{ claim.mAttempt.mKey,
+                         mSelf,
+                         aAttempt,
+                         claim.mReleasedAttempt,
+                         claim.mAttempt.mFirstAttempt };
   const auto owner = OwnerOf(request.mKey);
   if (owner != mSelf.mVm) {
     mPeers.Send(owner, std::move(request));
@@ -174,6 +176,20 @@
   ended.mapped().mDone(aResult);
 }
 
+void
+claim_client::Report(const claim_finished& aClaim, claim_callback aDone)
+{
+  const auto owner = OwnerOf(aClaim.mKey);
+  claim_request request{ aClaim.mKey, mSelf, aClaim.mRequest, {}, false };
+  if (owner == mSelf.mVm) {
+    mClaimServer.Report(mSelf, aClaim);
+    mClaimServer.Claim(std::move(request), std::move(aDone));
+  } else {
+    mPeers.Send(owner, aClaim);
+    mPeers.Send(owner, std::move(request));
+  }
+}
+
 void
 claim_client::Finished(claim_finished aEnd)
 {
--- a/src/sapphirespar/ledger/claim_client.hpp
+++ b/src/sapphirespar/ledger/claim_client.hpp
@@ -32,6 +32,8 @@
   request_id mAttempt;
   // Earlier attempts of this process that have not run and will never run.
   std::vector<request_id> mReleased;
+  // The caller states that it has not sent the key before.
+  bool mFirstAttempt = false;
 };
 
 using claim_result_callback = std::function<void(claim_result)>;
@@ -56,6 +58,11 @@
   // Reports the outcome of a claimed attempt to the owner of the key's shard.
   void Finished(claim_finished aEnd);
 
+  // Reports a claim of this process to the owner after a restore of the store,
+  // and asks whether it is in the store. The answer comes to aDone or, from
+  // another process, as a message.
+  void Report(const claim_finished& aClaim, claim_callback aDone);
+
 private:
   struct pending_claim
   {
--- a/src/sapphirespar/ledger/claim_queue.cpp
+++ b/src/sapphirespar/ledger/claim_queue.cpp
@@ -44,17 +44,36 @@
 std::vector<waiting_claim>
 claim_queue::TakeDecided(const claim_cache& aCache)
 {
-  std::vector<waiting_claim> decided;
-  std::deque<waiting_claim> undecided;
+  return TakeIf([&](const waiting_claim& aItem) {
+    return !IsFree(aItem.mRequest, aCache.Find(aItem.mHash));
+  });
+}
+
+std::vector<waiting_claim>
+claim_queue::TakeUncertain(const claim_cache& aCache,
+                           std::uint64_t aCertainAfter)
+{
+  return TakeIf([&](const waiting_claim& aItem) {
+    const auto* const row = aCache.Find(aItem.mHash);
+    return !aItem.mRequest.mFirstAttempt &&
+           (row == nullptr || row->mClaimedAt <= aCertainAfter);
+  });
+}
+
+std::vector<waiting_claim>
+claim_queue::TakeIf(const std::function<bool(const waiting_claim&)>& aIsTaken)
+{
+  std::vector<waiting_claim> taken;
+  std::deque<waiting_claim> remaining;
   for (auto& item : mWaiting) {
-    if (IsFree(item.mRequest, aCache.Find(item.mHash))) {
-      undecided.push_back(std::move(item));
+    if (aIsTaken(item)) {
+      taken.push_back(std::move(item));
     } else {
-      decided.push_back(std::move(item));
+      remaining.push_back(std::move(item));
     }
   }
-  mWaiting = std::move(undecided);
-  return decided;
+  mWaiting = std::move(remaining);
+  return taken;
 }
 
 // A claim may have been added since TakeDecided, so each key is looked up
--- a/src/sapphirespar/ledger/claim_queue.hpp
+++ b/src/sapphirespar/ledger/claim_queue.hpp
@@ -7,6 +7,7 @@
 #include "sapphirespar/ledger/claim_shard.hpp"
 
 #include <deque>
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -36,6 +37,12 @@
   // Removes and returns the waiting claims whose keys are already claimed.
   std::vector<waiting_claim> TakeDecided(const claim_cache& aCache);
 
+  // Removes and returns the waiting claims of keys that an earlier attempt may
+  // have claimed in a lost span: those without a row, or with one that was
+  // claimed no later than aCertainAfter, in seconds on the shard's clock.
+  std::vector<waiting_claim> TakeUncertain(const claim_cache& aCache,
+                                           std::uint64_t aCertainAfter);
+
   // Moves waiting claims with free keys to the batch, until it has aLimit
   // claims, and adds their rows to aNext.
   void FillBatch(const claim_cache& aCache,
@@ -49,6 +56,9 @@
   void PutBatchBack();
 
 private:
+  std::vector<waiting_claim> TakeIf(
+    const std::function<bool(const waiting_claim&)>& aIsTaken);
+
   // In order of deadlines.
   std::deque<waiting_claim> mWaiting;
   std::vector<waiting_claim> mBatch;
--- a/src/sapphirespar/ledger/claim_rows.cpp
+++ b/src/sapphirespar/ledger/claim_rows.cpp
@@ -1,6 +1,7 @@
 // JSON form of a head: {"clock":N,"archives":[[number,newest],...],
-// "rows":[[hash,vm,incarnation,request,outcome,claimed_at],...]}. An archive
-// has only "rows".
+// "rows":[[hash,vm,incarnation,request,outcome,claimed_at],...],"era":N,
+// "uncertain_until":N}; the last two are left out where the store tells no era.
+// An archive has only "rows".
 #include "claim_rows.hpp"
 
 #include <boost/json.hpp>
@@ -41,6 +42,14 @@
   return error ? std::nullopt : std::optional(number);
 }
 
+// Returns zero for a missing or malformed number.
+std::uint64_t
+ReadOptionalNumber(const json::object& aObject, std::string_view aName)
+{
+  const auto* const value = aObject.if_contains(aName);
+  return value == nullptr ? 0 : ReadNumber(*value).value_or(0);
+}
+
 std::optional<std::string>
 ReadText(const json::value& aValue)
 {
@@ -172,9 +181,14 @@
   for (const auto& archive : aHead.mArchives) {
     archives.push_back({ archive.mNumber, archive.mNewest });
   }
-  return json::serialize(json::object{ { "clock", aHead.mClock },
-                                       { "archives", std::move(archives) },
-                                       { "rows", ToJson(aHead.mRows) } });
+  json::object head{ { "clock", aHead.mClock },
+                     { "archives", std::move(archives) },
+                     { "rows", ToJson(aHead.mRows) } };
+  if (aHead.mEra != 0) {
+    head["era"] = aHead.mEra;
+    head["uncertain_until"] = aHead.mUncertainUntil;
+  }
+  return json::serialize(head);
 }
 
 std::string
@@ -198,6 +212,8 @@
     return std::nullopt;
   }
   claim_head head{ *seconds, {}, std::move(*rows) };
+  head.mEra = ReadOptionalNumber(*object, "era");
+  head.mUncertainUntil = ReadOptionalNumber(*object, "uncertain_until");
   for (const auto& item : archives->get_array()) {
     const auto archive = ReadArchiveRef(item);
     if (!archive) {
--- a/src/sapphirespar/ledger/claim_rows.hpp
+++ b/src/sapphirespar/ledger/claim_rows.hpp
@@ -49,6 +49,11 @@
   // Oldest first.
   std::vector<claim_archive_ref> mArchives;
   claim_rows mRows;
+  // The store's era in which the head was committed; zero if it told none.
+  store_era mEra = 0;
+  // Until then, in seconds on the shard's clock, claims that were lost in a
+  // restore of the store may be missing.
+  std::uint64_t mUncertainUntil = 0;
 
   bool operator==(const claim_head&) const = default;
 };
--- a/src/sapphirespar/ledger/claim_server.cpp
+++ b/src/sapphirespar/ledger/claim_server.cpp
@@ -12,18 +12,47 @@
 
 } // namespace
 
-claim_server::claim_server(platform_api& aPlatform, timer_service& aTimers)
+claim_server::claim_server(platform_api& aPlatform,
+                           timer_service& aTimers,
+                           claim_shard_hooks aHooks)
   : mPlatform(aPlatform)
   , mTimers(aTimers)
+  , mHooks(std::move(aHooks))
 {
 }
 
+claim_shard&
+claim_server::Shard(const std::string& aKey)
+{
+  const auto number = ShardOf(HashClaimKey(aKey));
+  const auto [item, added] = mShards.try_emplace(
+    number, number, mPlatform, mTimers, claim_shard_settings{}, mHooks);
+  if (added) {
+    item->second.NoteStoreEra(mEra);
+  }
+  return item->second;
+}
+
 void
 claim_server::Claim(claim_request aRequest, claim_callback aDone)
 {
-  const auto number = ShardOf(HashClaimKey(aRequest.mKey));
-  const auto shard = mShards.try_emplace(number, number, mPlatform, mTimers);
-  shard.first->second.Claim(std::move(aRequest), std::move(aDone));
+  auto& shard = Shard(aRequest.mKey);
+  shard.Claim(std::move(aRequest), std::move(aDone));
+}
+
+void
+claim_server::NoteStoreEra(store_era aEra)
+{
+  mEra = aEra;
+  for (auto& [number, shard] : mShards) {
+    shard.NoteStoreEra(aEra);
+  }
+}
+
+void
+claim_server::Report(const process_id& aHolder, const claim_finished& aClaim)
+{
+  Shard(aClaim.mKey).Report(aHolder, aClaim);
 }
 
 void
--- a/src/sapphirespar/ledger/claim_shard.cpp
+++ b/src/sapphirespar/ledger/claim_shard.cpp
@@ -1,7 +1,7 @@
 // Loads a shard, answers claims from memory, and commits new ones in groups.
 #include "sapphirespar/ledger/claim_shard.hpp"
 
-#include "claim_queue.hpp"
+#include "claim_shard_state.hpp"
 #include "sapphirespar/base/log.hpp"
 
 #include <algorithm>
@@ -9,77 +9,6 @@
 
 namespace sapphirespar::ledger {
 
-class claim_shard::state : public std::enable_shared_from_this<state>
-{
-public:
-  state(std::uint32_t aNumber,
-        platform_api& aPlatform,
-        timer_service& aTimers,
-        const claim_shard_settings& aSettings)
-    : mNumber(aNumber)
-    , mPlatform(aPlatform)
-    , mTimers(aTimers)
-    , mSettings(aSettings)
-  {
-  }
-
-  void Claim(claim_request aRequest, claim_callback aDone);
-  void Finished(const claim_finished& aEnd);
-
-  steady_time mLastUsed{};
-
-private:
-  using handler = void (state::*)(const object_answer&);
-
-  void RunNextStep();
-  void ScheduleNextStep(steady_time aUntil);
-  void RefuseExpired();
-  void AnswerDecided();
-  void Answer(const std::vector<waiting_claim>& aDecided);
-
-  void LoadHead();
-  void OnHead(const object_answer& aAnswer);
-  void LoadArchives();
-  void OnArchive(const object_answer& aAnswer);
-
-  void Commit();
-  void OnCommit(const object_answer& aAnswer);
-  std::uint64_t Clock() const;
-
-  void BeginArchive();
-  void OnNewArchive(const object_answer& aAnswer);
-  void WriteArchive();
-  void OnArchiveWritten(const object_answer& aAnswer);
-
-  object_callback Call(handler aHandler);
-  void Fail();
-
-  const std::uint32_t mNumber;
-  platform_api& mPlatform;
-  timer_service& mTimers;
-  const claim_shard_settings mSettings;
-
-  // The shard as last read or written; valid only if mLoaded is set.
-  bool mLoaded = false;
-  claim_cache mCache;
-  // When mCache.mHead was read or committed.
-  steady_time mClockReadAt{};
-
-  // At most one read or write is in flight. mCallNumber identifies it.
-  bool mCallPending = false;
-  std::uint64_t mCallNumber = 0;
-  timer_subscription mCallTimer;
-  steady_time mNextCommit{};
-  timer_subscription mWakeTimer;
-
-  claim_queue mQueue;
-  // The head that the current commit writes.
-  claim_head mNextHead;
-  // The archive that is being read or written, and its new rows.
-  std::uint64_t mTargetArchive = 0;
-  claim_rows mTargetRows;
-};
-
 void
 claim_shard::state::Claim(claim_request aRequest, claim_callback aDone)
 {
@@ -105,17 +34,25 @@
   if (mCallPending) {
     return;
   }
+  mLoaded = mLoaded && !IsStale();
   if (mLoaded) {
     AnswerDecided();
   }
   // A callback may have added a claim, which may have started a call.
-  if (mCallPending || mQueue.Empty()) {
+  if (mCallPending || (mQueue.Empty() && !MustRestore())) {
     return;
   }
-  if (mTimers.Now() < mNextCommit) {
+  const auto now = mTimers.Now();
+  if (now < mNextCommit) {
     ScheduleNextStep(mNextCommit);
   } else if (!mLoaded) {
     LoadHead();
+  } else if (now < mRestores.GrantsFrom()) {
+    // Claims may expire before.
+    ScheduleNextStep(
+      std::min(mRestores.GrantsFrom(), now + mSettings.mCommitInterval));
+  } else if (MustRestore()) {
+    CommitRestored();
   } else if (mCache.mHead.mRows.size() >= mSettings.mMaxHeadRows) {
     BeginArchive();
   } else {
@@ -147,6 +84,17 @@
 claim_shard::state::AnswerDecided()
 {
   Answer(mQueue.TakeDecided(mCache));
+  if (!mLoaded || !IsUncertain() || mTimers.Now() < mRestores.GrantsFrom()) {
+    return;
+  }
+  // The holder of a lost claim is unknown, so the answer names none.
+  for (const auto& item : mQueue.TakeUncertain(mCache, CertainAfter(mCache))) {
+    claim_answer answer;
+    answer.mKey = item.mRequest.mKey;
+    answer.mRequest = item.mRequest.mRequest;
+    answer.mVerdict = claim_verdict::Taken;
+    item.mDone(answer);
+  }
 }
 
 // All answers are computed before the first callback runs, because a callback
@@ -173,6 +121,13 @@
 void
 claim_shard::state::OnHead(const object_answer& aAnswer)
 {
+  const bool read = aAnswer.mStatus == platform_status::Ok ||
+                    aAnswer.mStatus == platform_status::NotFound;
+  if (read && IsCached(aAnswer.mObject.mVersion)) {
+    mLoaded = true;
+    RunNextStep();
+    return;
+  }
   if (aAnswer.mStatus == platform_status::NotFound) {
     mCache.Reset({}, kNoObject);
   } else if (aAnswer.mStatus == platform_status::Ok) {
@@ -188,46 +143,41 @@
     return;
   }
   mClockReadAt = mTimers.Now();
+  mCache.mEra = mEra;
+  if (IsFromEarlierEra(mCache) && !mRestores.HasBegun()) {
+    const auto since = mHooks.mRestoredAt ? mHooks.mRestoredAt() : std::nullopt;
+    mRestores.Begin(since.value_or(mTimers.Now()));
+  }
   LoadArchives();
 }
 
+// Adds as many waiting claims as fit to mNextHead and writes it.
 void
-claim_shard::state::LoadArchives()
+claim_shard::state::Commit()
 {
-  const auto missing = mCache.MissingArchive();
-  if (!missing) {
-    mLoaded = true;
-    RunNextStep();
-    return;
-  }
-  mTargetArchive = *missing;
-  mPlatform.Get(ArchiveKey(mNumber, mTargetArchive), Call(&state::OnArchive));
+  mNextCommit = mTimers.Now() + mSettings.mCommitInterval;
+  PrepareNextHead();
+  mQueue.FillBatch(mCache, mSettings.mMaxBatchClaims, mNextHead);
+  DropOldArchives(mNextHead,
+                  static_cast<std::uint64_t>(mSettings.mRetention.count()));
+  WriteHead();
 }
 
+// Sets the clock and what is known of restores in the next head.
 void
-claim_shard::state::OnArchive(const object_answer& aAnswer)
+claim_shard::state::PrepareNextHead()
 {
-  auto rows = aAnswer.mStatus == platform_status::Ok
-                ? DecodeArchive(aAnswer.mObject.mValue)
-                : std::nullopt;
-  if (!rows) {
-    Fail();
-    return;
+  mNextHead.mClock = Clock();
+  if (IsFromEarlierEra(mCache)) {
+    mNextHead.mUncertainUntil =
+      mNextHead.mClock + static_cast<std::uint64_t>(kUncertainTime.count());
   }
-  mCache.mArchives[mTargetArchive] = { aAnswer.mObject.mVersion,
-                                       std::move(*rows) };
-  LoadArchives();
+  mNextHead.mEra = mCache.mEra;
 }
 
-// Adds as many waiting claims as fit to mNextHead and writes it.
 void
-claim_shard::state::Commit()
+claim_shard::state::WriteHead()
 {
-  mNextCommit = mTimers.Now() + mSettings.mCommitInterval;
-  mNextHead.mClock = Clock();
-  mQueue.FillBatch(mCache, mSettings.mMaxBatchClaims, mNextHead);
-  DropOldArchives(mNextHead,
-                  static_cast<std::uint64_t>(mSettings.mRetention.count()));
   mPlatform.Put(HeadKey(mNumber),
                 EncodeHead(mNextHead),
                 mCache.mVersion,
@@ -251,6 +201,7 @@
     mPlatform.Delete(
       ArchiveKey(mNumber, number), archive.mVersion, [](const auto&) {});
   }
+  mRestores.Forget(mCache);
   Answer(mQueue.TakeBatch());
   RunNextStep();
 }
@@ -263,72 +214,20 @@
   return mCache.mHead.mClock + static_cast<std::uint64_t>(elapsed.count());
 }
 
-// Moves the head's rows to the last archive, or to a new one if they do not
-// fit. The archive is written first. Until the head is committed without the
-// rows, both objects hold them, which does not change any answer.
-void
-claim_shard::state::BeginArchive()
-{
-  mTargetArchive = mCache.ArchiveTarget(mSettings.mMaxArchiveBytes);
-  if (mCache.mArchives.contains(mTargetArchive)) {
-    WriteArchive();
-    return;
-  }
-  // An owner that crashed before its commit may have left this archive behind.
-  mPlatform.Get(ArchiveKey(mNumber, mTargetArchive),
-                Call(&state::OnNewArchive));
-}
-
-void
-claim_shard::state::OnNewArchive(const object_answer& aAnswer)
-{
-  const auto exists = aAnswer.mStatus == platform_status::Ok;
-  if (!exists && aAnswer.mStatus != platform_status::NotFound) {
-    Fail();
-    return;
-  }
-  mCache.mArchives[mTargetArchive] = { exists ? aAnswer.mObject.mVersion
-                                              : kNoObject,
-                                       {} };
-  WriteArchive();
-}
-
-void
-claim_shard::state::WriteArchive()
-{
-  mTargetRows = mCache.MergedRows(mTargetArchive);
-  mPlatform.Put(ArchiveKey(mNumber, mTargetArchive),
-                EncodeArchive(mTargetRows),
-                mCache.mArchives.at(mTargetArchive).mVersion,
-                Call(&state::OnArchiveWritten));
-}
-
-void
-claim_shard::state::OnArchiveWritten(const object_answer& aAnswer)
-{
-  if (aAnswer.mStatus != platform_status::Ok) {
-    Fail();
-    return;
-  }
-  mCache.mArchives[mTargetArchive] = { aAnswer.mObject.mVersion,
-                                       std::move(mTargetRows) };
-  mNextHead = mCache.ArchivedHead(mTargetArchive, Clock());
-  Commit();
-}
-
 // Marks a call as in flight until its answer or its timeout, and returns its
 // callback. Answers after the timeout are ignored.
 object_callback
 claim_shard::state::Call(handler aHandler)
 {
   mCallPending = true;
+  mCallSentAt = mTimers.Now();
   const auto finish = [weak = weak_from_this(), call = ++mCallNumber, aHandler](
                         const object_answer& aAnswer) {
     const auto self = weak.lock();
     if (self && self->mCallNumber == call) {
       ++self->mCallNumber;
       self->mCallPending = false;
-      ((*self).*aHandler)(aAnswer);
+      self->Finish(aHandler, aAnswer);
     }
   };
   mCallTimer = mTimers.After(mSettings.mCallTimeout, [finish] {
@@ -353,8 +252,13 @@
 claim_shard::claim_shard(std::uint32_t aNumber,
                          platform_api& aPlatform,
                          timer_service& aTimers,
-                         claim_shard_settings aSettings)
-  : mState(std::make_shared<state>(aNumber, aPlatform, aTimers, aSettings))
+                         claim_shard_settings aSettings,
+                         claim_shard_hooks aHooks)
+  : mState(std::make_shared<state>(aNumber,
+                                   aPlatform,
+                                   aTimers,
+                                   aSettings,
+                                   std::move(aHooks)))
 {
 }
 
@@ -372,6 +276,18 @@
   mState->Finished(aEnd);
 }
 
+void
+claim_shard::NoteStoreEra(store_era aEra)
+{
+  mState->NoteStoreEra(aEra);
+}
+
+void
+claim_shard::Report(const process_id& aHolder, const claim_finished& aClaim)
+{
+  mState->Report(aHolder, aClaim);
+}
+
 steady_time
 claim_shard::LastUsed() const
 {
--- a/src/sapphirespar/ledger/idempotency_table.hpp
+++ b/src/sapphirespar/ledger/idempotency_table.hpp
@@ -32,6 +32,8 @@
   request_id mAttempt;
   // Earlier attempts. None of them has run or will ever run.
   std::vector<request_id> mReleased;
+  // The claim of mAttempt has been granted.
+  bool mIsClaim = false;
   // An entry whose request has ended is removed after this time. It is never
   // earlier than the expiry of the entry's token.
   steady_time mKeepUntil{};
@@ -49,6 +51,11 @@
   // Returns null if the table is full. The key must not be known.
   idempotency_entry* Add(const idempotency_key& aKey, idempotency_entry aEntry);
 
+  const std::map<idempotency_key, idempotency_entry>& Entries() const
+  {
+    return mEntries;
+  }
+
   // Stores aAnswer in aEntry if it fits into the size limits.
   void StoreAnswer(idempotency_entry& aEntry, stored_answer_ptr aAnswer);
 
--- a/src/sapphirespar/ledger/test_cluster_test.cpp
+++ b/src/sapphirespar/ledger/test_cluster_test.cpp
@@ -1,6 +1,8 @@
 // Implementation of the test cluster.
 #include "test_cluster_test.hpp"
 
+#include <algorithm>
+
 namespace sapphirespar::ledger {
 namespace {
 
@@ -24,10 +26,37 @@
   mBoard.mSelf = aSelf;
   mLink = aNetwork.Attach(
     aSelf, mTimers, [this](const process_id& aFrom, const auto& aMessage) {
-      mGuard->OnPeerMessage(aFrom, aMessage);
+      if (const auto* const beat = std::get_if<heartbeat>(&aMessage)) {
+        NoteEra(beat->mStoreEra);
+      } else {
+        mGuard->OnPeerMessage(aFrom, aMessage);
+      }
     });
   mGuard =
     std::make_unique<at_most_once_guard>(mBoard, mPlatform, *mLink, mTimers);
+  mEraTimer = mTimers.Every(1s, [this] { SpreadEra(); });
+}
+
+void
+test_router::SpreadEra()
+{
+  mPlatform.Get({ "probe", "probe" },
+                [this](const auto& aAnswer) { NoteEra(aAnswer.mEra); });
+  heartbeat message;
+  message.mSender = mBoard.mSelf;
+  message.mStoreEra = mEra;
+  for (const auto& [vm, member] : mBoard.mMembers) {
+    if (vm != mBoard.mSelf.mVm) {
+      mLink->Send(vm, message);
+    }
+  }
+}
+
+void
+test_router::NoteEra(store_era aEra)
+{
+  mEra = std::max(mEra, aEra);
+  mGuard->NoteStoreEra(aEra);
 }
 
 test_cluster::test_cluster(unsigned aRouters)
@@ -59,6 +88,7 @@
 test_cluster::MarkDead(unsigned aRouter)
 {
   mMembers[aRouter].mState = member_state::Dead;
+  mMembers[aRouter].mLastHeard = mTimers.Now();
   ShareMembers();
 }
 
--- a/src/sapphirespar/ledger/test_cluster_test.hpp
+++ b/src/sapphirespar/ledger/test_cluster_test.hpp
@@ -29,6 +29,12 @@
   blackboard mBoard;
   std::unique_ptr<peer_network> mLink;
   std::unique_ptr<at_most_once_guard> mGuard;
+  // Reads the store's era and sends it to the members, as the control plane
+  // does with the answers that it gets anyway.
+  void SpreadEra();
+  void NoteEra(store_era aEra);
+  store_era mEra = 0;
+  timer_subscription mEraTimer;
 };
 
 class test_cluster
