Let a caller withdraw a request while it connects

A server may say that it leaves, or turn requests away for a time, while a call to it is still connecting; the call then wrote its request all the same. Open takes a check that runs between connecting and the first byte. Its refusal fails the call with no bytes written. Nothing uses it yet.

--- a/include/sapphirespar/wire/http_client.hpp
+++ b/include/sapphirespar/wire/http_client.hpp
@@ -11,6 +11,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -129,6 +130,12 @@
 
 using call_abort_ptr = std::shared_ptr<call_abort>;
 
+// Called once a call has a connection and before the first byte of its request
+// is written, however long connecting has taken. If it returns false, the
+// connection is closed, and the call fails with wire_error_kind::Cancelled and
+// no bytes written.
+using send_check = std::function<bool()>;
+
 class http_client
 {
 public:
@@ -148,13 +155,14 @@
 
   // Sends a request and returns once the response's head has arrived.
   // aHeadTimeout limits each write and each read. aAbort may be null; it can
-  // cancel the call until the end of the response.
+  // cancel the call until the end of the response. aMaySend may be null.
   asio::awaitable<wire_result<http_stream_ptr>> Open(
     endpoint aEndpoint,
     http_request aRequest,
     std::chrono::milliseconds aHeadTimeout,
     connection_choice aChoice = connection_choice::Pooled,
-    call_abort_ptr aAbort = nullptr);
+    call_abort_ptr aAbort = nullptr,
+    send_check aMaySend = nullptr);
 
   // Closes every idle connection to aEndpoint.
   void DropIdle(const endpoint& aEndpoint);
--- a/src/sapphirespar/wire/http_client.cpp
+++ b/src/sapphirespar/wire/http_client.cpp
@@ -383,7 +383,8 @@
                   http_request aRequest,
                   milliseconds aHeadTimeout,
                   connection_choice aChoice,
-                  call_abort_ptr aAbort)
+                  call_abort_ptr aAbort,
+                  send_check aMaySend)
 {
   const auto state = mState;
   const auto& settings = state->mSettings;
@@ -405,6 +406,9 @@
       co_return wire_error{ wire_error_kind::Cancelled, kNothingWritten, {} };
     }
   }
+  if (aMaySend && !aMaySend()) {
+    co_return wire_error{ wire_error_kind::Cancelled, kNothingWritten, {} };
+  }
   const bool hasBody = aRequest.mMethod != "HEAD";
   const auto bytes = ToBytes(aEndpoint, std::move(aRequest));
   const auto writeError =
--- a/src/sapphirespar/wire/http_test.cpp
+++ b/src/sapphirespar/wire/http_test.cpp
@@ -63,8 +63,14 @@
                           "{\"reason\":\"" + std::string(aReason) + "\"}");
     };
     const std::array workers{ &mContext };
-    mServer =
-      std::make_unique<http_server>(mContext, workers, settings, Answer);
+    mServer = std::make_unique<http_server>(
+      mContext,
+      workers,
+      settings,
+      [this](const http_request& aRequest, http_reply& aReply) {
+        ++mAnswered;
+        return Answer(aRequest, aReply);
+      });
     mClient = std::make_unique<http_client>(mContext.get_executor(),
                                             http_client_settings{});
   }
@@ -102,11 +108,70 @@
   }
 
   http_limits mLimits{ .mBodyBytes = 1000 };
+  // Requests that the server has read.
+  unsigned mAnswered = 0;
   asio::io_context mContext;
   std::unique_ptr<http_server> mServer;
   std::unique_ptr<http_client> mClient;
 };
 
+// The check runs after connecting: for a new connection as for an idle one.
+TEST_F(http_exchange, ARefusedCallSendsNothing)
+{
+  Run([this]() -> asio::awaitable<void> {
+    const std::array choices{ connection_choice::Fresh,
+                              connection_choice::Pooled };
+    for (const auto choice : choices) {
+      http_request first{ "POST", "/echo", {}, "hello" };
+      const auto response =
+        co_await mClient->Fetch(Server(), std::move(first), kTimeout);
+      EXPECT_TRUE(response.has_value());
+      const auto answered = mAnswered;
+      unsigned checks = 0;
+      const send_check refuse = [&checks] {
+        ++checks;
+        return false;
+      };
+      http_request request{ "POST", "/echo", {}, "hello" };
+      const auto refused = co_await mClient->Open(
+        Server(), std::move(request), kTimeout, choice, nullptr, refuse);
+      EXPECT_FALSE(refused.has_value());
+      if (refused.has_value()) {
+        co_return;
+      }
+      EXPECT_EQ(checks, 1U);
+      EXPECT_EQ(refused.error().mKind, wire_error_kind::Cancelled);
+      EXPECT_FALSE(refused.error().mBytesWritten);
+      // The next call is answered, so the server has read what came before.
+      http_request last{ "POST", "/echo", {}, "again" };
+      const auto next =
+        co_await mClient->Fetch(Server(), std::move(last), kTimeout);
+      EXPECT_EQ(next.value().mBody, "again");
+      EXPECT_EQ(mAnswered, answered + 1);
+    }
+  }());
+}
+
+// An answer that changes the decision may arrive while the call connects.
+TEST_F(http_exchange, ACallIsCheckedAfterConnecting)
+{
+  Run([this]() -> asio::awaitable<void> {
+    bool allowed = true;
+    const send_check check = [&allowed] { return allowed; };
+    // Runs once the call below has begun to connect.
+    asio::post(mContext, [&allowed] { allowed = false; });
+    http_request request{ "POST", "/echo", {}, "hello" };
+    const auto refused = co_await mClient->Open(Server(),
+                                                std::move(request),
+                                                kTimeout,
+                                                connection_choice::Fresh,
+                                                nullptr,
+                                                check);
+    EXPECT_FALSE(refused.has_value());
+    EXPECT_EQ(mAnswered, 0U);
+  }());
+}
+
 TEST_F(http_exchange, ReusesAConnectionForWholeResponses)
 {
   Run([this]() -> asio::awaitable<void> {
