Spread the store's era among routers

The ledger and the bundles learn of a restore from their own answers only, which may take a poll of 60 s. The resilient platform now reports each higher era that any answer tells, heartbeats carry it, and the control plane passes it on, logs store_era and store_restored and counts restores. Claim requests carry whether the caller stated a first attempt; new fields are optional, so that versions mix.

A write with a lost answer was sent again on its version although that version had been given out again since; it is now answered unknown.

--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -51,6 +51,7 @@
   8: optional list<process> heard;
   9: optional list<process> lost;
   10: optional bool heard_is_all;
+  11: optional i64 store_era;
 }
 
 struct bundle_request {
@@ -114,6 +115,7 @@
   2: process claimant;
   3: string request;
   4: optional string released;
+  5: optional bool first_attempt;
 }
 
 struct claim_answer {
--- a/include/sapphirespar/config/resilient_platform.hpp
+++ b/include/sapphirespar/config/resilient_platform.hpp
@@ -47,6 +47,9 @@
   // Called after the first answer, and whenever the platform becomes available
   // or unavailable.
   std::function<void(bool aUp)> mOnAvailabilityChange;
+  // Called whenever an answer tells a higher era than all answers before it,
+  // before that answer is passed on.
+  std::function<void(store_era)> mOnEra;
 };
 
 struct resilient_platform_counts
--- a/include/sapphirespar/model/blackboard.hpp
+++ b/include/sapphirespar/model/blackboard.hpp
@@ -89,6 +89,12 @@
   bool mPlatformUp = false;
   steady_time mPlatformChangedAt{};
 
+  // The latest era of the platform's store, told by its answers or by peers;
+  // zero if none is known. It only rises.
+  std::uint64_t mStoreEra = 0;
+  // How often it has risen since this process learned of one.
+  std::uint64_t mStoreRestores = 0;
+
   std::map<vm_id, member> mMembers;
   std::map<upstream_id, upstream_status> mUpstreams;
 };
--- a/src/sapphirespar/config/resilient_platform.cpp
+++ b/src/sapphirespar/config/resilient_platform.cpp
@@ -129,6 +129,9 @@
       if (aReportsHealth) {
         self->ObserveStatus(aAnswer.mStatus);
       }
+      if constexpr (requires { aAnswer.mEra; }) {
+        self->ObserveEra(aAnswer.mEra);
+      }
       aDone(std::move(aAnswer));
     });
   };
@@ -144,6 +147,7 @@
     return Refuse(aWrite->mDone, kNotThrottled);
   }
   rate_limited_call call;
+  aWrite->mEra = mEra;
   call.mSend = [this, aWrite] {
     aWrite->mDeadline = mTimers.Now() + mSettings.mReadBackTimeout;
     SendWrite(aWrite);
@@ -170,6 +174,18 @@
   }
 }
 
+void
+resilient_platform::state::ObserveEra(store_era aEra)
+{
+  if (aEra <= mEra) {
+    return;
+  }
+  mEra = aEra;
+  if (mHooks.mOnEra) {
+    mHooks.mOnEra(aEra);
+  }
+}
+
 void
 resilient_platform::state::ReportAvailability()
 {
@@ -266,7 +282,7 @@
                         object_callback aDone)
 {
   mState->Write(std::make_shared<pending_write>(pending_write{
-    std::move(aKey), std::move(aValue), aExpected, std::move(aDone), {} }));
+    std::move(aKey), std::move(aValue), aExpected, std::move(aDone), 0, {} }));
 }
 
 void
@@ -275,7 +291,7 @@
                            object_callback aDone)
 {
   mState->Write(std::make_shared<pending_write>(pending_write{
-    std::move(aKey), std::nullopt, aExpected, std::move(aDone), {} }));
+    std::move(aKey), std::nullopt, aExpected, std::move(aDone), 0, {} }));
 }
 
 void
--- a/src/sapphirespar/config/resilient_platform_state.hpp
+++ b/src/sapphirespar/config/resilient_platform_state.hpp
@@ -21,6 +21,8 @@
   std::optional<std::string> mValue;
   object_version mExpected = kNoObject;
   object_callback mDone;
+  // The latest era when the write was submitted.
+  store_era mEra = 0;
   // After this time a write with a lost answer is answered Unknown.
   steady_time mDeadline{};
 };
@@ -56,6 +58,7 @@
   void AnswerUnknown(const write_ptr& aWrite);
 
   void ObserveStatus(platform_status aStatus);
+  void ObserveEra(store_era aEra);
   void ReportAvailability();
   void OnUnavailable();
   void OnAvailable();
@@ -75,6 +78,9 @@
   call_rate_limiter mReads;
   call_rate_limiter mWrites;
 
+  // The highest era told so far; zero if none.
+  store_era mEra = 0;
+
   bool mUp = true;
   // Whether mOnAvailabilityChange has been called. Until then mUp is only an
   // assumption.
--- a/src/sapphirespar/config/resilient_platform_test.cpp
+++ b/src/sapphirespar/config/resilient_platform_test.cpp
@@ -29,12 +29,14 @@
                 aTimers,
                 aSettings,
                 { [aFleet] { return aFleet; },
-                  [this](bool aUp) { mAvailabilityChanges.push_back(aUp); } })
+                  [this](bool aUp) { mAvailabilityChanges.push_back(aUp); },
+                  [this](store_era aEra) { mEras.push_back(aEra); } })
   {
   }
 
   fake_platform mInner;
   std::vector<bool> mAvailabilityChanges;
+  std::vector<store_era> mEras;
   resilient_platform mPlatform;
 };
 
@@ -90,6 +92,40 @@
   EXPECT_EQ(mRouter.mPlatform.Counts().mUnresolved, 1U);
 }
 
+TEST_F(resilient_platform_fixture, EachHigherEraIsReportedOnce)
+{
+  mStore->mEra = 4;
+  GetStatus(1s);
+  Put("one", kNoObject);
+  const auto copy = mStore->Copy();
+  EXPECT_EQ(mRouter.mEras, (std::vector<store_era>{ 4 }));
+  mStore->Restore(copy);
+  Put("two", mStore->Find(kKey)->mVersion);
+  GetStatus(1s);
+  mStore->mEra = 3;
+  GetStatus(1s);
+  EXPECT_EQ(mRouter.mEras, (std::vector<store_era>{ 4, 5 }));
+}
+
+// The version that a lost write expects may be given out again.
+TEST_F(resilient_platform_fixture, ALostWriteIsNotRepeatedAfterARestore)
+{
+  mStore->mEra = 1;
+  const auto copy = mStore->Copy();
+  const auto first = Put("one", kNoObject);
+  mRouter.mInner.Faults().mLoseRequests = 1;
+  std::optional<object_answer> got;
+  mRouter.mPlatform.Put(
+    kKey, "mine", first.mObject.mVersion, [&](auto aAnswer) { got = aAnswer; });
+  mTimers.Advance(1ms);
+  mStore->Restore(copy);
+  const auto theirs = mStore->Write(kKey, "theirs", false, kNoObject);
+  ASSERT_EQ(theirs.mObject.mVersion, first.mObject.mVersion);
+  mTimers.Advance(10s);
+  EXPECT_EQ(got->mStatus, platform_status::Unknown);
+  EXPECT_EQ(mStore->Find(kKey)->mValue, "theirs");
+}
+
 TEST_F(resilient_platform_fixture,
        AnswersUnknownIfAnOutageOutlastsTheReadBackTimeout)
 {
--- a/src/sapphirespar/config/resilient_platform_writes.cpp
+++ b/src/sapphirespar/config/resilient_platform_writes.cpp
@@ -24,6 +24,7 @@
                                      object_answer aAnswer)
 {
   ObserveStatus(aAnswer.mStatus);
+  ObserveEra(aAnswer.mEra);
   if (aAnswer.mStatus == platform_status::Unknown) {
     ScheduleReadBack(aWrite);
   } else {
@@ -58,6 +59,7 @@
 resilient_platform::state::OnReadBack(const write_ptr& aWrite,
                                       const object_answer& aAnswer)
 {
+  ObserveEra(aAnswer.mEra);
   const bool exists = aAnswer.mStatus == platform_status::Ok;
   if (!exists && aAnswer.mStatus != platform_status::NotFound) {
     return ScheduleReadBack(aWrite);
@@ -71,6 +73,10 @@
     answer.mStatus = platform_status::Ok;
     return aWrite->mDone(std::move(answer));
   }
+  if (aWrite->mEra != 0 && aAnswer.mEra > aWrite->mEra) {
+    // In the new era, the expected version may belong to another value.
+    return AnswerUnknown(aWrite);
+  }
   if (version != aWrite->mExpected) {
     // Another process has written the object. This write may or may not have
     // taken effect before that.
--- a/src/sapphirespar/membership/membership_controller.cpp
+++ b/src/sapphirespar/membership/membership_controller.cpp
@@ -152,6 +152,7 @@
   message.mLeaving = mBoard.mLeaving;
   message.mBundle =
     mBoard.mBundle ? mBoard.mBundle->mVersion : bundle_version{};
+  message.mStoreEra = mBoard.mStoreEra;
   message.mContact = {
     self.mDataCentre, self.mAddress, self.mPort, self.mPeerPort
   };
--- a/src/sapphirespar/membership/membership_controller_test.cpp
+++ b/src/sapphirespar/membership/membership_controller_test.cpp
@@ -60,6 +60,8 @@
   std::unique_ptr<peer_network> mLink;
   std::unique_ptr<membership_controller> mController;
   std::vector<steady_duration> mPauses;
+  // The highest era of the store that a heartbeat has told.
+  std::uint64_t mHeardEra = 0;
 };
 
 // Routers that share one network and one VM list under virtual time.
@@ -90,7 +92,9 @@
       router.mBoard.mSelf,
       router.mTimers,
       [&router](const process_id&, const peer_message& aMessage) {
-        router.mController->OnHeartbeat(std::get<heartbeat>(aMessage));
+        const auto& beat = std::get<heartbeat>(aMessage);
+        router.mHeardEra = std::max(router.mHeardEra, beat.mStoreEra);
+        router.mController->OnHeartbeat(beat);
       });
     membership_settings settings;
     settings.mSelf.mProcess = router.mBoard.mSelf;
@@ -187,6 +191,14 @@
   EXPECT_EQ(system.CountLivePairs(), 6U);
 }
 
+TEST(Fault_StoreRestore, Member_Hear_HeartbeatsTellTheStoresEra)
+{
+  small_system system;
+  system.Router("a0").mBoard.mStoreEra = 5;
+  system.mTimers.Advance(2s);
+  EXPECT_EQ(system.Router("a1").mHeardEra, 5U);
+}
+
 TEST(Fault_StaleList, Member_List_AGoneVmIsNeverUsed)
 {
   test_system system;
--- a/src/sapphirespar/router/control_gauges.cpp
+++ b/src/sapphirespar/router/control_gauges.cpp
@@ -31,6 +31,9 @@
     "sapphirespar_peer_bytes_in", {}, static_cast<double>(aTraffic.mBytesIn));
   aMetrics.Set(
     "sapphirespar_peer_bytes_out", {}, static_cast<double>(aTraffic.mBytesOut));
+  aMetrics.Set("sapphirespar_store_restores",
+               {},
+               static_cast<double>(aBoard.mStoreRestores));
   aMetrics.Set("sapphirespar_members",
                {},
                static_cast<double>(std::ranges::count(
--- a/src/sapphirespar/router/control_plane.cpp
+++ b/src/sapphirespar/router/control_plane.cpp
@@ -89,6 +89,8 @@
 
   void OnPeerMessage(const process_id& aFrom, const peer_message& aMessage);
   std::optional<wire::endpoint> PeerEndpoint(const vm_id& aVm) const;
+  // aSource is "store" or "peer".
+  void NoteStoreEra(store_era aEra, std::string_view aSource);
 
   resilient_platform_hooks PlatformHooks();
   upstream_control_services UpstreamServices();
@@ -165,6 +167,7 @@
     mBoard.mPlatformUp = aUp;
     mBoard.mPlatformChangedAt = mTimers.Now();
   };
+  hooks.mOnEra = [this](store_era aEra) { NoteStoreEra(aEra, "store"); };
   return hooks;
 }
 
@@ -276,6 +279,7 @@
       mMembership->OnHeartbeat(*received);
       mServices.mAccounts.SetPeers(mBoard);
       mBundles->OnHeartbeat(*received);
+      NoteStoreEra(received->mStoreEra, "peer");
     }
     return;
   }
@@ -288,6 +292,28 @@
   mOnce.OnPeerMessage(aFrom, aMessage);
 }
 
+void
+control_plane::state::NoteStoreEra(store_era aEra, std::string_view aSource)
+{
+  if (aEra <= mBoard.mStoreEra) {
+    return;
+  }
+  const auto before = std::exchange(mBoard.mStoreEra, aEra);
+  mOnce.NoteStoreEra(aEra);
+  if (before == 0) {
+    LogEvent(
+      log_level::Info, "store_era", { { "era", aEra }, { "source", aSource } });
+    return;
+  }
+  ++mBoard.mStoreRestores;
+  LogEvent(log_level::Warning,
+           "store_restored",
+           { { "before", before }, { "era", aEra }, { "source", aSource } });
+  if (mBundles) {
+    mBundles->OnStoreRestored();
+  }
+}
+
 std::optional<wire::endpoint>
 control_plane::state::PeerEndpoint(const vm_id& aVm) const
 {
--- a/src/sapphirespar/wire/gen/peer_types.cpp
+++ b/src/sapphirespar/wire/gen/peer_types.cpp
@@ -861,6 +861,11 @@
   this->heard_is_all = val;
 __isset.heard_is_all = true;
 }
+
+void heartbeat::__set_store_era(const int64_t val) {
+  this->store_era = val;
+__isset.store_era = true;
+}
 std::ostream& operator<<(std::ostream& out, const heartbeat& obj)
 {
   obj.printTo(out);
@@ -1017,6 +1022,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->store_era);
+          this->__isset.store_era = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1112,6 +1125,11 @@
     xfer += oprot->writeBool(this->heard_is_all);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.store_era) {
+    xfer += oprot->writeFieldBegin("store_era", ::apache::thrift::protocol::T_I64, 11);
+    xfer += oprot->writeI64(this->store_era);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1129,6 +1147,7 @@
   swap(a.heard, b.heard);
   swap(a.lost, b.lost);
   swap(a.heard_is_all, b.heard_is_all);
+  swap(a.store_era, b.store_era);
   swap(a.__isset, b.__isset);
 }
 
@@ -1143,6 +1162,7 @@
   heard = other48.heard;
   lost = other48.lost;
   heard_is_all = other48.heard_is_all;
+  store_era = other48.store_era;
   __isset = other48.__isset;
 }
 heartbeat::heartbeat(heartbeat&& other49) noexcept {
@@ -1156,6 +1176,7 @@
   heard = std::move(other49.heard);
   lost = std::move(other49.lost);
   heard_is_all = other49.heard_is_all;
+  store_era = other49.store_era;
   __isset = other49.__isset;
 }
 heartbeat& heartbeat::operator=(const heartbeat& other50) {
@@ -1169,6 +1190,7 @@
   heard = other50.heard;
   lost = other50.lost;
   heard_is_all = other50.heard_is_all;
+  store_era = other50.store_era;
   __isset = other50.__isset;
   return *this;
 }
@@ -1183,6 +1205,7 @@
   heard = std::move(other51.heard);
   lost = std::move(other51.lost);
   heard_is_all = other51.heard_is_all;
+  store_era = other51.store_era;
   __isset = other51.__isset;
   return *this;
 }
@@ -1199,6 +1222,7 @@
   out << ", " << "heard="; (__isset.heard ? (out << to_string(heard)) : (out << "<null>"));
   out << ", " << "lost="; (__isset.lost ? (out << to_string(lost)) : (out << "<null>"));
   out << ", " << "heard_is_all="; (__isset.heard_is_all ? (out << to_string(heard_is_all)) : (out << "<null>"));
+  out << ", " << "store_era="; (__isset.store_era ? (out << to_string(store_era)) : (out << "<null>"));
   out << ")";
 }
 
@@ -2592,6 +2616,11 @@
   this->released = val;
 __isset.released = true;
 }
+
+void claim_request::__set_first_attempt(const bool val) {
+  this->first_attempt = val;
+__isset.first_attempt = true;
+}
 std::ostream& operator<<(std::ostream& out, const claim_request& obj)
 {
   obj.printTo(out);
@@ -2652,6 +2681,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->first_attempt);
+          this->__isset.first_attempt = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2686,6 +2723,11 @@
     xfer += oprot->writeString(this->released);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.first_attempt) {
+    xfer += oprot->writeFieldBegin("first_attempt", ::apache::thrift::protocol::T_BOOL, 5);
+    xfer += oprot->writeBool(this->first_attempt);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2697,6 +2739,7 @@
   swap(a.claimant, b.claimant);
   swap(a.request, b.request);
   swap(a.released, b.released);
+  swap(a.first_attempt, b.first_attempt);
   swap(a.__isset, b.__isset);
 }
 
@@ -2705,6 +2748,7 @@
   claimant = other94.claimant;
   request = other94.request;
   released = other94.released;
+  first_attempt = other94.first_attempt;
   __isset = other94.__isset;
 }
 claim_request::claim_request(claim_request&& other95) noexcept {
@@ -2712,6 +2756,7 @@
   claimant = std::move(other95.claimant);
   request = std::move(other95.request);
   released = std::move(other95.released);
+  first_attempt = other95.first_attempt;
   __isset = other95.__isset;
 }
 claim_request& claim_request::operator=(const claim_request& other96) {
@@ -2719,6 +2764,7 @@
   claimant = other96.claimant;
   request = other96.request;
   released = other96.released;
+  first_attempt = other96.first_attempt;
   __isset = other96.__isset;
   return *this;
 }
@@ -2727,6 +2773,7 @@
   claimant = std::move(other97.claimant);
   request = std::move(other97.request);
   released = std::move(other97.released);
+  first_attempt = other97.first_attempt;
   __isset = other97.__isset;
   return *this;
 }
@@ -2737,6 +2784,7 @@
   out << ", " << "claimant=" << to_string(claimant);
   out << ", " << "request=" << to_string(request);
   out << ", " << "released="; (__isset.released ? (out << to_string(released)) : (out << "<null>"));
+  out << ", " << "first_attempt="; (__isset.first_attempt ? (out << to_string(first_attempt)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/sapphirespar/wire/gen/peer_types.h
+++ b/src/sapphirespar/wire/gen/peer_types.h
@@ -392,7 +392,7 @@
 std::ostream& operator<<(std::ostream& out, const contact& obj);
 
 typedef struct _heartbeat__isset {
-  _heartbeat__isset() : sender(false), sequence(false), leaving(false), bundle(false), reach(false), pools(false), demands(false), heard(false), lost(false), heard_is_all(false) {}
+  _heartbeat__isset() : sender(false), sequence(false), leaving(false), bundle(false), reach(false), pools(false), demands(false), heard(false), lost(false), heard_is_all(false), store_era(false) {}
   bool sender :1;
   bool sequence :1;
   bool leaving :1;
@@ -403,6 +403,7 @@
   bool heard :1;
   bool lost :1;
   bool heard_is_all :1;
+  bool store_era :1;
 } _heartbeat__isset;
 
 class heartbeat : public virtual ::apache::thrift::TBase {
@@ -415,7 +416,8 @@
   heartbeat() noexcept
             : sequence(0),
               leaving(0),
-              heard_is_all(0) {
+              heard_is_all(0),
+              store_era(0) {
   }
 
   virtual ~heartbeat() noexcept;
@@ -429,6 +431,7 @@
   std::vector<process>  heard;
   std::vector<process>  lost;
   bool heard_is_all;
+  int64_t store_era;
 
   _heartbeat__isset __isset;
 
@@ -452,6 +455,8 @@
 
   void __set_heard_is_all(const bool val);
 
+  void __set_store_era(const int64_t val);
+
   bool operator == (const heartbeat & rhs) const
   {
     if (!(sender == rhs.sender))
@@ -486,6 +491,10 @@
       return false;
     else if (__isset.heard_is_all && !(heard_is_all == rhs.heard_is_all))
       return false;
+    if (__isset.store_era != rhs.__isset.store_era)
+      return false;
+    else if (__isset.store_era && !(store_era == rhs.store_era))
+      return false;
     return true;
   }
   bool operator != (const heartbeat &rhs) const {
@@ -1046,11 +1055,12 @@
 std::ostream& operator<<(std::ostream& out, const slot_pause& obj);
 
 typedef struct _claim_request__isset {
-  _claim_request__isset() : key(false), claimant(false), request(false), released(false) {}
+  _claim_request__isset() : key(false), claimant(false), request(false), released(false), first_attempt(false) {}
   bool key :1;
   bool claimant :1;
   bool request :1;
   bool released :1;
+  bool first_attempt :1;
 } _claim_request__isset;
 
 class claim_request : public virtual ::apache::thrift::TBase {
@@ -1063,7 +1073,8 @@
   claim_request() noexcept
                 : key(),
                   request(),
-                  released() {
+                  released(),
+                  first_attempt(0) {
   }
 
   virtual ~claim_request() noexcept;
@@ -1071,6 +1082,7 @@
   process claimant;
   std::string request;
   std::string released;
+  bool first_attempt;
 
   _claim_request__isset __isset;
 
@@ -1082,6 +1094,8 @@
 
   void __set_released(const std::string& val);
 
+  void __set_first_attempt(const bool val);
+
   bool operator == (const claim_request & rhs) const
   {
     if (!(key == rhs.key))
@@ -1094,6 +1108,10 @@
       return false;
     else if (__isset.released && !(released == rhs.released))
       return false;
+    if (__isset.first_attempt != rhs.__isset.first_attempt)
+      return false;
+    else if (__isset.first_attempt && !(first_attempt == rhs.first_attempt))
+      return false;
     return true;
   }
   bool operator != (const claim_request &rhs) const {
--- a/src/sapphirespar/wire/peer_codec_test.cpp
+++ b/src/sapphirespar/wire/peer_codec_test.cpp
@@ -23,6 +23,7 @@
   heartbeatMessage.mHeardIsComplete = true;
   heartbeatMessage.mLost = { { { "vm-3" }, 2 } };
   heartbeatMessage.mContact = { { "cesis" }, "10.0.0.1", 8080, 9090 };
+  heartbeatMessage.mStoreEra = 9;
   slot_request slot;
   slot.mRequest = { "r" };
   slot.mClass = { "confirmation" };
@@ -44,7 +45,7 @@
            slot_release{ { "r" }, { "u" }, true, 12, 34, 56 },
            slot_holding{ slot, { "u" } },
            slot_pause{ { "r" }, true },
-           claim_request{ "key", { { "vm-1" }, 7 }, { "r" }, { "s" } },
+           claim_request{ "key", { { "vm-1" }, 7 }, { "r" }, { "s" }, true },
            claim_answer{ "key",
                          { "r" },
                          claim_verdict::Taken,
@@ -83,6 +84,7 @@
   EXPECT_DOUBLE_EQ(heartbeatMessage.mDemands.at(0).mRequestsPerSecond, 1.5);
   EXPECT_EQ(heartbeatMessage.mLost.at(0).mVm.mText, "vm-3");
   EXPECT_EQ(heartbeatMessage.mContact.mPeerPort, 9090);
+  EXPECT_EQ(heartbeatMessage.mStoreEra, 9U);
   const auto slot = DecodePeerMessage(EncodePeerMessage(messages[3]));
   const auto& request = std::get<slot_request>(slot.value());
   EXPECT_EQ(request.mMaximumTokens, 4000000000U);
--- a/src/sapphirespar/wire/peer_convert.cpp
+++ b/src/sapphirespar/wire/peer_convert.cpp
@@ -1,6 +1,7 @@
 // Converts heartbeats and the messages about bundles.
 #include "peer_convert.hpp"
 
+#include <algorithm>
 #include <cmath>
 
 namespace sapphirespar::wire {
@@ -141,6 +142,9 @@
   if (aMessage.mHeardIsComplete) {
     wire.__set_heard_is_all(true);
   }
+  if (aMessage.mStoreEra != 0) {
+    wire.__set_store_era(static_cast<std::int64_t>(aMessage.mStoreEra));
+  }
   aEnvelope.__set_heartbeat_value(wire);
 }
 
@@ -157,6 +161,8 @@
   message.mHeard = ProcessesFromWire(aWire.heard);
   message.mLost = ProcessesFromWire(aWire.lost);
   message.mHeardIsComplete = aWire.heard_is_all;
+  message.mStoreEra =
+    static_cast<std::uint64_t>(std::max<std::int64_t>(0, aWire.store_era));
   if (aWire.__isset.reach) {
     message.mContact = ContactFromWire(aWire.reach);
   }
--- a/src/sapphirespar/wire/peer_convert_request.cpp
+++ b/src/sapphirespar/wire/peer_convert_request.cpp
@@ -173,15 +173,20 @@
   if (!aMessage.mReleased.Empty()) {
     wire.__set_released(aMessage.mReleased.mText);
   }
+  if (aMessage.mFirstAttempt) {
+    wire.__set_first_attempt(true);
+  }
   aEnvelope.__set_claim_request_value(wire);
 }
 
 claim_request
 FromWire(const gen::claim_request& aWire)
 {
-  return {
-    aWire.key, FromWire(aWire.claimant), { aWire.request }, { aWire.released }
-  };
+  return { aWire.key,
+           FromWire(aWire.claimant),
+           { aWire.request },
+           { aWire.released },
+           aWire.first_attempt };
 }
 
 void
