Follow drains across restores of the store

The watch went on from a revision that the restored store gives out again, so that drains begun there were missed and lost ones never ended. A rise of the era lists them anew; drains that the copy lacks stay in force for 5 s, in which the operator writes them again.

--- a/src/sapphirespar/upstream/drain_watcher.cpp
+++ b/src/sapphirespar/upstream/drain_watcher.cpp
@@ -19,6 +19,11 @@
 // Delay after a failed call; doubles with each failure in a row.
 constexpr std::chrono::milliseconds kInitialBackoff = 250ms;
 constexpr std::chrono::milliseconds kMaxBackoff = 4s;
+// For this long after a restore of the store, drains that the copy lacks stay
+// in force, so that operators can begin them again. The drains are listed at
+// the interval meanwhile.
+constexpr std::chrono::milliseconds kRewriteTime = 5s;
+constexpr std::chrono::milliseconds kRewriteInterval = 1s;
 
 } // namespace
 
@@ -40,6 +45,7 @@
   void Watch();
   void OnList(const list_answer& aAnswer);
   void OnWatch(const list_answer& aAnswer);
+  void NoteEra(store_era aEra);
   void ListAfter(steady_duration aDelay);
   list_callback BeginCall(void (state::*aHandler)(const list_answer&));
   void Retry();
@@ -49,6 +55,10 @@
   const drain_callback mOnChange;
   std::set<upstream_id> mDrained;
   object_version mFrom = kNoObject;
+  // The latest era of the store; zero if it has told none. mFrom belongs to it.
+  store_era mEra = 0;
+  // Until then, drains that are not listed stay in force.
+  steady_time mKeepUntil{};
   std::chrono::milliseconds mBackoff = kInitialBackoff;
   // Number of the latest call; answers to earlier calls are ignored.
   std::uint64_t mCall = 0;
@@ -76,9 +86,21 @@
   mPlatform.List(std::string(kDrainKind), std::move(done));
 }
 
+void
+drain_watcher::state::NoteEra(store_era aEra)
+{
+  if (aEra <= mEra) {
+    return;
+  }
+  if (std::exchange(mEra, aEra) != 0) {
+    mKeepUntil = mTimers.Now() + kRewriteTime;
+  }
+}
+
 void
 drain_watcher::state::OnList(const list_answer& aAnswer)
 {
+  NoteEra(aAnswer.mEra);
   if (aAnswer.mStatus != platform_status::Ok) {
     Retry();
     return;
@@ -89,11 +111,19 @@
     std::inserter(drained, drained.end()),
     [](const auto& aObject) { return upstream_id{ aObject.mKey.mName }; });
   mFrom = aAnswer.mVersion;
+  const bool keeps = mTimers.Now() < mKeepUntil;
+  if (keeps) {
+    drained.insert(mDrained.begin(), mDrained.end());
+  }
   if (drained != mDrained) {
     mDrained = std::move(drained);
     mOnChange(mDrained);
   }
-  Watch();
+  if (keeps) {
+    ListAfter(kRewriteInterval);
+  } else {
+    Watch();
+  }
 }
 
 void
@@ -108,6 +138,12 @@
 void
 drain_watcher::state::OnWatch(const list_answer& aAnswer)
 {
+  const auto era = mEra;
+  NoteEra(aAnswer.mEra);
+  if (era != 0 && era != mEra) {
+    List();
+    return;
+  }
   if (aAnswer.mStatus != platform_status::Ok) {
     Retry();
     return;
--- a/src/sapphirespar/upstream/drain_watcher_test.cpp
+++ b/src/sapphirespar/upstream/drain_watcher_test.cpp
@@ -5,6 +5,9 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <vector>
+
 namespace sapphirespar::upstream {
 namespace {
 
@@ -67,6 +70,60 @@
   EXPECT_EQ(watch.mSeen.size(), 2U);
 }
 
+TEST(Fault_StoreRestore, Drain_Notice_AnOldRevisionHidesNoChange)
+{
+  test_watch watch;
+  watch.mStore->mEra = 1;
+  const auto copy = watch.mStore->Copy();
+  const object_key other{ "claims", "shard-1" };
+  auto written = watch.mStore->Write(other, "", false, kNoObject);
+  for (int count = 0; count < 20; ++count) {
+    written = watch.mStore->Write(other, "", false, written.mObject.mVersion);
+  }
+  watch.mStore->Write({ std::string(kDrainKind), "e1" }, "", false, kNoObject);
+  watch.mTimers.Advance(kNoticeTarget);
+  watch.mStore->Restore(copy);
+  watch.mStore->Write(kEngine, "{}", false, kNoObject);
+  written = watch.mStore->Write(other, "", false, kNoObject);
+  for (int count = 0; count < 40; ++count) {
+    written = watch.mStore->Write(other, "", false, written.mObject.mVersion);
+  }
+  watch.mTimers.Advance(1min);
+  EXPECT_EQ(watch.mSeen, kDrained);
+}
+
+TEST(Fault_StoreRestore, Drain_Notice_ALostDrainLastsUntilItIsWrittenAgain)
+{
+  test_watch watch;
+  watch.mStore->mEra = 1;
+  const auto copy = watch.mStore->Copy();
+  watch.mStore->Write(kEngine, "{}", false, kNoObject);
+  watch.mTimers.Advance(kNoticeTarget);
+  std::vector<std::set<upstream_id>> seen;
+  watch.mStore->Restore(copy);
+  for (int second = 0; second < 40; ++second) {
+    watch.mTimers.Advance(1s);
+    seen.push_back(watch.mSeen);
+    if (second == 27) {
+      // The router learns of the restore at the end of its watch.
+      watch.mStore->Write(kEngine, "{}", false, kNoObject);
+    }
+  }
+  EXPECT_EQ(std::ranges::count(seen, kDrained), 40);
+}
+
+TEST(Fault_StoreRestore, Drain_Notice_ALostDrainThatNobodyWritesEnds)
+{
+  test_watch watch;
+  watch.mStore->mEra = 1;
+  const auto copy = watch.mStore->Copy();
+  watch.mStore->Write(kEngine, "{}", false, kNoObject);
+  watch.mTimers.Advance(kNoticeTarget);
+  watch.mStore->Restore(copy);
+  watch.mTimers.Advance(1min);
+  EXPECT_TRUE(watch.mSeen.empty());
+}
+
 TEST(Fault_SilentInbound, Drain_Notice_ASilentWatchIsReplaced)
 {
   test_watch watch;
