Let a gateway that starts after a restore doubt the store

A gateway that knew no era before took a restored store as it was: reads confirmed a routing whose successor had been lost, and upstreams that had drained or left were used again. As a reader it also passed them to gateways that knew better, which took its list as complete.

A first era above 1 now counts as a restore that has just happened. Full copies between gateways carry when the sender noticed the restore, if that still matters, and the last 64 incarnations that it saw leave; a starting gateway takes both over, at once or as soon as another gateway answers. Within the time after a restore, lists from other gateways are applied like the store's.

StoreRestores.IgnoresAnUnknownAndAFallingEra expected a first era of 7 to be trusted, which is what changes; it now starts from 1, checks one more time, and a case of its own covers a first era above 1.

--- a/include/sapphirespar/gateway/store_reader.hpp
+++ b/include/sapphirespar/gateway/store_reader.hpp
@@ -47,6 +47,12 @@
   std::uint64_t mUpstreamsDigest = 0;
   // Latest era of the store that the sender knows.
   store_era mEra = 0;
+  // How long ago the sender noticed the restore that began it; unset if that
+  // doesn't matter any more.
+  std::optional<std::chrono::milliseconds> mRestoreAge;
+  // The latest incarnations that the sender saw leave. Empty in answer to a
+  // gateway that has a list.
+  std::vector<std::uint64_t> mFormer;
   // Time from the sending of each read to the making of this snapshot.
   std::chrono::milliseconds mRoutingAge{ 0 };
   std::chrono::milliseconds mUpstreamsAge{ 0 };
--- a/include/sapphirespar/gateway/store_restores.hpp
+++ b/include/sapphirespar/gateway/store_restores.hpp
@@ -31,9 +31,27 @@
 
   // Takes the era that an answer of the store, or another gateway, tells; zero
   // tells nothing. Returns whether the store has been restored since the era
-  // known before. A falling era is ignored and logged once.
+  // known before. A falling era is ignored and logged once. The first era known
+  // may have just begun, unless it is the store's first; this is assumed until
+  // NotePeerRestore.
   bool Note(store_era aEra, boot_time aNow, std::string_view aSource);
 
+  // Takes what another gateway knows of the restore that began aEra: when it
+  // noticed it, or nothing if it was long ago.
+  void NotePeerRestore(store_era aEra, std::optional<boot_time> aRestoredAt);
+
+  // Whether the time of the last restore is only assumed, and still matters.
+  bool IsAssumed(boot_time aNow) const
+  {
+    return mIsAssumed && MayHoldFormerEntries(aNow);
+  }
+
+  // Returns when the store was last restored, if that still matters.
+  std::optional<boot_time> RecentRestore(boot_time aNow) const
+  {
+    return MayHoldFormerEntries(aNow) ? mRestoredAt : std::nullopt;
+  }
+
   // The latest era; zero before the first. Never decreases.
   store_era Era() const { return mEra; }
 
@@ -50,8 +68,10 @@
   store_era mEra = 0;
   // The last falling era that was logged.
   store_era mLoggedFall = 0;
-  // Unset before the first restore that was noticed.
+  // Unset before the first restore that was noticed or assumed.
   std::optional<boot_time> mRestoredAt;
+  // mRestoredAt is when the first era became known.
+  bool mIsAssumed = false;
 };
 
 } // namespace sapphirespar::gateway
--- a/include/sapphirespar/gateway/upstream_directory.hpp
+++ b/include/sapphirespar/gateway/upstream_directory.hpp
@@ -127,6 +127,17 @@
   directory_change ApplyList(std::span<const upstream_entry> aEntries,
                              list_completeness aCompleteness);
 
+  // Takes over what another gateway saw before a restore of the store: listed
+  // upstreams that it saw drain are draining, and the incarnations aFormer,
+  // which it saw leave, are removed and not listed again in the time after the
+  // restore.
+  directory_change ApplyFormer(std::span<const upstream_entry> aEntries,
+                               std::span<const std::uint64_t> aFormer);
+
+  // The latest incarnations that were removed, for other gateways. Limited in
+  // number.
+  std::vector<std::uint64_t> Former() const;
+
   // Records that an incarnation has stated that it is shutting down, which it
   // cannot take back. aSource says where from, for the log. Without effect for
   // an unknown one.
@@ -175,6 +186,8 @@
   upstream_ptr MakeUpstream(const upstream_entry& aEntry, std::uint64_t aKey);
   void KeepFormer(upstream_ptr aUpstream);
   void Remove(upstream_id aId, directory_change& aChange);
+  // Updates the digest and records the change that led to it.
+  void RecordStep(std::set<upstream_id> aChangedIds);
   std::uint64_t MakeDigest() const;
 
   // One change of the entries.
--- a/src/sapphirespar/gateway/store_reader.cpp
+++ b/src/sapphirespar/gateway/store_reader.cpp
@@ -279,9 +279,29 @@
       FetchFromAnyone();
       return;
     }
+    if (!mReadFailed && mRestores.IsAssumed(mHooks.mNow())) {
+      FetchFormer();
+      return;
+    }
     EndRound(!mReadFailed);
   }
 
+  // Fetches a full snapshot from any gateway, which may have known the store
+  // before its last restore.
+  void FetchFormer()
+  {
+    const auto requestedAt = mHooks.mNow();
+    mHooks.mFetch(
+      std::nullopt,
+      {},
+      IfAlive([this, requestedAt](std::optional<store_snapshot> aSnapshot) {
+        if (aSnapshot) {
+          ApplySnapshot(std::move(*aSnapshot), requestedAt);
+        }
+        EndRound(true);
+      }));
+  }
+
   // Tracks whether the store's contents reach this gateway, directly or through
   // a reader.
   void TrackAvailability(bool aReachable, std::string_view aDetail)
@@ -353,6 +373,7 @@
   void ApplySnapshot(store_snapshot aSnapshot, boot_time aRequestedAt)
   {
     NoteEra(aSnapshot.mEra, "peer");
+    LearnFormer(aSnapshot, aRequestedAt);
     const auto routingRead = aRequestedAt - aSnapshot.mRoutingAge;
     if (aSnapshot.mRouting.empty() &&
         aSnapshot.mRoutingVersion == mRouting.Version()) {
@@ -373,8 +394,14 @@
       aSnapshot.mUpstreams = *std::move(entries);
     }
     mUpstreamsRead = read;
-    ApplyEntries(aSnapshot.mUpstreams, list_completeness::Complete, "peer");
-    mNeedsFullList = mUpstreams.Digest() != aSnapshot.mUpstreamsDigest;
+    // After a restore, the sender may know less of what has left than this
+    // gateway, so the lists may differ.
+    const bool mayDiffer = mRestores.MayHoldFormerEntries(mHooks.mNow());
+    const auto completeness =
+      mayDiffer ? CompletenessNow() : list_completeness::Complete;
+    ApplyEntries(aSnapshot.mUpstreams, completeness, "peer");
+    mNeedsFullList =
+      !mayDiffer && mUpstreams.Digest() != aSnapshot.mUpstreamsDigest;
     if (mNeedsFullList) {
       LogEvent(log_level::Warning,
                "upstreams_differ",
@@ -384,6 +411,24 @@
     }
   }
 
+  // Takes over what the sender of a snapshot knows of a restore before this
+  // gateway's start.
+  void LearnFormer(const store_snapshot& aSnapshot, boot_time aRequestedAt)
+  {
+    const bool lacksFormer =
+      !mUpstreamsRead || mRestores.IsAssumed(mHooks.mNow());
+    const auto change =
+      lacksFormer
+        ? mUpstreams.ApplyFormer(aSnapshot.mUpstreams, aSnapshot.mFormer)
+        : directory_change{};
+    std::optional<boot_time> restoredAt;
+    if (aSnapshot.mRestoreAge) {
+      restoredAt = aRequestedAt - *aSnapshot.mRestoreAge;
+    }
+    mRestores.NotePeerRestore(aSnapshot.mEra, restoredAt);
+    LogUpstreams(change, list_completeness::Restored, "peer");
+  }
+
   void NoteEra(store_era aEra, std::string_view aSource)
   {
     const auto now = mHooks.mNow();
@@ -494,17 +539,24 @@
                     list_completeness aCompleteness,
                     std::string_view aSource)
   {
-    const auto change = mUpstreams.ApplyList(aEntries, aCompleteness);
-    if (change.Empty()) {
+    LogUpstreams(
+      mUpstreams.ApplyList(aEntries, aCompleteness), aCompleteness, aSource);
+  }
+
+  void LogUpstreams(const directory_change& aChange,
+                    list_completeness aCompleteness,
+                    std::string_view aSource)
+  {
+    if (aChange.Empty()) {
       return;
     }
     LogEvent(
       log_level::Info,
       "upstreams_changed",
       { { "source", aSource },
-        { "added", JoinNames(change.mAdded) },
-        { "draining", JoinNames(change.mDraining) },
-        { "gone", JoinNames(change.mRemoved) },
+        { "added", JoinNames(aChange.mAdded) },
+        { "draining", JoinNames(aChange.mDraining) },
+        { "gone", JoinNames(aChange.mRemoved) },
         { "known", mUpstreams.Size() },
         { "list", ToText(aCompleteness) },
         { "read_age_ms", Milliseconds(mHooks.mNow() - *mUpstreamsRead) } });
@@ -619,8 +671,14 @@
   }
   const auto& upstreams = mState->mUpstreams;
   snapshot.mUpstreamsDigest = upstreams.Digest();
+  const auto now = mState->mHooks.mNow();
+  if (const auto restoredAt = mState->mRestores.RecentRestore(now)) {
+    snapshot.mRestoreAge = std::chrono::floor<milliseconds>(now - *restoredAt);
+  }
   if (aKnown.mUpstreamsDigest != 0) {
     snapshot.mDelta = upstreams.ChangedSince(aKnown.mUpstreamsDigest);
+  } else {
+    snapshot.mFormer = upstreams.Former();
   }
   if (!snapshot.mDelta) {
     snapshot.mUpstreams = upstreams.Entries();
--- a/src/sapphirespar/gateway/store_restore_test.cpp
+++ b/src/sapphirespar/gateway/store_restore_test.cpp
@@ -150,12 +150,15 @@
   store_restores restores({});
   const boot_time now{ 100s };
   EXPECT_FALSE(restores.Note(0, now, "store"));
-  EXPECT_FALSE(restores.Note(7, now, "store"));
+  EXPECT_FALSE(restores.Note(1, now, "store"));
+  EXPECT_FALSE(restores.MayLackChanges(now));
+  EXPECT_TRUE(restores.Note(7, now - 10s, "store"));
   EXPECT_FALSE(restores.Note(7, now, "store"));
   EXPECT_FALSE(restores.Note(3, now, "store"));
   EXPECT_FALSE(restores.Note(0, now, "store"));
   EXPECT_EQ(restores.Era(), 7U);
   EXPECT_FALSE(restores.MayLackChanges(now));
+  EXPECT_FALSE(restores.MayHoldFormerEntries(now));
   EXPECT_TRUE(restores.Note(9, now, "peer"));
   EXPECT_TRUE(restores.MayLackChanges(now + 2s));
   EXPECT_FALSE(restores.MayLackChanges(now + 3s));
@@ -163,6 +166,28 @@
   EXPECT_FALSE(restores.MayHoldFormerEntries(now + 6s));
 }
 
+TEST(StoreRestores, AFirstEraAboveOneMayHaveJustBegun)
+{
+  store_restores restores({});
+  const boot_time now{ 100s };
+  EXPECT_FALSE(restores.Note(7, now, "store"));
+  EXPECT_TRUE(restores.IsAssumed(now));
+  EXPECT_TRUE(restores.MayLackChanges(now + 2s));
+  EXPECT_FALSE(restores.MayLackChanges(now + 3s));
+  EXPECT_TRUE(restores.MayHoldFormerEntries(now + 5s));
+  EXPECT_FALSE(restores.IsAssumed(now + 6s));
+  // A gateway that knows another era knows nothing of this one.
+  restores.NotePeerRestore(6, std::nullopt);
+  EXPECT_TRUE(restores.IsAssumed(now));
+  restores.NotePeerRestore(7, now - 1s);
+  EXPECT_FALSE(restores.IsAssumed(now));
+  EXPECT_TRUE(restores.MayLackChanges(now + 1s));
+  EXPECT_FALSE(restores.MayLackChanges(now + 2s));
+  // What was learned first stays.
+  restores.NotePeerRestore(7, std::nullopt);
+  EXPECT_TRUE(restores.MayLackChanges(now + 1s));
+}
+
 // What the operator has published, and when each version was acknowledged.
 struct operator_state
 {
--- a/src/sapphirespar/gateway/store_restores.cpp
+++ b/src/sapphirespar/gateway/store_restores.cpp
@@ -23,17 +23,33 @@
   const auto before = mEra;
   mEra = aEra;
   if (before == 0) {
+    constexpr store_era kFirstEra = 1;
+    mIsAssumed = aEra > kFirstEra;
+    if (mIsAssumed) {
+      mRestoredAt = aNow;
+    }
     LogEvent(
       log_level::Info, "store_era", { { "era", mEra }, { "source", aSource } });
     return false;
   }
   mRestoredAt = aNow;
+  mIsAssumed = false;
   LogEvent(log_level::Warning,
            "store_restored",
            { { "before", before }, { "era", mEra }, { "source", aSource } });
   return true;
 }
 
+void
+store_restores::NotePeerRestore(store_era aEra,
+                                std::optional<boot_time> aRestoredAt)
+{
+  if (mIsAssumed && aEra == mEra) {
+    mIsAssumed = false;
+    mRestoredAt = aRestoredAt;
+  }
+}
+
 bool
 store_restores::MayLackChanges(boot_time aSent) const
 {
--- a/src/sapphirespar/gateway/store_snapshot_codec.cpp
+++ b/src/sapphirespar/gateway/store_snapshot_codec.cpp
@@ -204,6 +204,13 @@
   }
   json::object body;
   body["era"] = aSnapshot.mEra;
+  if (aSnapshot.mRestoreAge) {
+    body["restore_age_ms"] = aSnapshot.mRestoreAge->count();
+  }
+  if (!aSnapshot.mFormer.empty()) {
+    body["former"] =
+      json::array(aSnapshot.mFormer.begin(), aSnapshot.mFormer.end());
+  }
   body["routing"] = RoutingToJson(aSnapshot, aPacker);
   body["upstreams"] = ToPackedJson(aSnapshot.mUpstreams);
   body["delta"] = ToJson(aSnapshot.mDelta);
@@ -222,6 +229,14 @@
       json::parse(json::string_view(aText.data(), aText.size()));
     store_snapshot snapshot;
     snapshot.mEra = body.at("era").to_number<store_era>();
+    if (body.as_object().contains("restore_age_ms")) {
+      snapshot.mRestoreAge = ReadAge(body, "restore_age_ms");
+    }
+    if (const auto* former = body.as_object().if_contains("former")) {
+      for (const auto& key : former->as_array()) {
+        snapshot.mFormer.push_back(key.to_number<std::uint64_t>());
+      }
+    }
     const auto& routing = body.at("routing");
     snapshot.mRoutingVersion =
       routing.at("version").to_number<routing_version>();
--- a/src/sapphirespar/gateway/store_snapshot_codec_test.cpp
+++ b/src/sapphirespar/gateway/store_snapshot_codec_test.cpp
@@ -28,6 +28,8 @@
 {
   store_snapshot snapshot;
   snapshot.mEra = 3;
+  snapshot.mRestoreAge = 40ms;
+  snapshot.mFormer = { 5, 0xfffffffffffffff1ULL };
   snapshot.mRoutingVersion = 5;
   snapshot.mRouting = "7";
   snapshot.mUpstreams = { Entry("a"), Entry("b") };
@@ -45,6 +47,8 @@
   const auto read = DecodeStoreSnapshot(EncodeStoreSnapshot(snapshot, packer));
   ASSERT_TRUE(read);
   EXPECT_EQ(read->mEra, 3U);
+  EXPECT_EQ(read->mRestoreAge, 40ms);
+  EXPECT_EQ(read->mFormer, snapshot.mFormer);
   EXPECT_EQ(read->mRoutingVersion, 5U);
   EXPECT_EQ(read->mRouting, "7");
   EXPECT_EQ(read->mUpstreams, snapshot.mUpstreams);
--- a/src/sapphirespar/gateway/upstream_directory.cpp
+++ b/src/sapphirespar/gateway/upstream_directory.cpp
@@ -12,6 +12,7 @@
 #include <numeric>
 #include <set>
 #include <string>
+#include <utility>
 
 namespace sapphirespar::gateway {
 namespace {
@@ -29,6 +30,9 @@
 // Number of leaving incarnations that other gateways are told of.
 constexpr std::size_t kSentLeaving = 64;
 
+// Number of removed incarnations that other gateways are told of.
+constexpr std::size_t kSentFormer = 64;
+
 // Number of removed incarnations that are remembered.
 constexpr std::size_t kMaximumFormer = 1024;
 
@@ -109,7 +113,7 @@
                               list_completeness aCompleteness)
 {
   directory_change change;
-  step newStep{ mDigest, {} };
+  std::set<upstream_id> changedIds;
   std::set<upstream_id> listed;
   const bool restored = aCompleteness == list_completeness::Restored ||
                         aCompleteness == list_completeness::RestoredComplete;
@@ -131,12 +135,12 @@
         change.mDraining.push_back(entry.mId);
       }
       if (known->mEntry != entry) {
-        newStep.mChangedIds.insert(entry.mId);
+        changedIds.insert(entry.mId);
         known->mEntry = entry;
       }
       continue;
     }
-    newStep.mChangedIds.insert(entry.mId);
+    changedIds.insert(entry.mId);
     if (known) {
       change.mRemoved.push_back(entry.mId);
       KeepFormer(std::move(known));
@@ -155,17 +159,68 @@
   }
   std::ranges::for_each(missing,
                         [&](const upstream_id& aId) { Remove(aId, change); });
-  newStep.mChangedIds.insert(missing.begin(), missing.end());
-  mDigest = MakeDigest();
-  if (mDigest != newStep.mFrom) {
-    mSteps.push_back(std::move(newStep));
-    if (mSteps.size() > kMaximumSteps) {
-      mSteps.pop_front();
+  changedIds.insert(missing.begin(), missing.end());
+  RecordStep(std::move(changedIds));
+  return change;
+}
+
+void
+upstream_directory::RecordStep(std::set<upstream_id> aChangedIds)
+{
+  const auto before = std::exchange(mDigest, MakeDigest());
+  if (mDigest == before) {
+    return;
+  }
+  mSteps.push_back({ before, std::move(aChangedIds) });
+  if (mSteps.size() > kMaximumSteps) {
+    mSteps.pop_front();
+  }
+}
+
+directory_change
+upstream_directory::ApplyFormer(std::span<const upstream_entry> aEntries,
+                                std::span<const std::uint64_t> aFormer)
+{
+  directory_change change;
+  std::set<upstream_id> changedIds;
+  for (const auto& entry : aEntries) {
+    const auto found = mUpstreams.find(entry.mId);
+    if (entry.mDraining && found != mUpstreams.end() &&
+        found->second->mKey == KeyOf(entry) &&
+        !found->second->mEntry.mDraining) {
+      found->second->mEntry.mDraining = true;
+      changedIds.insert(entry.mId);
+      change.mDraining.push_back(entry.mId);
     }
   }
+  for (const auto key : aFormer) {
+    const auto listed = std::ranges::find_if(
+      mUpstreams, [&](const auto& aItem) { return aItem.second->mKey == key; });
+    if (listed != mUpstreams.end()) {
+      changedIds.insert(listed->first);
+      Remove(listed->first, change);
+    } else if (FindFormer(key) == mFormer.end()) {
+      auto former = std::make_shared<upstream>();
+      former->mKey = key;
+      KeepFormer(std::move(former));
+    }
+  }
+  RecordStep(std::move(changedIds));
   return change;
 }
 
+std::vector<std::uint64_t>
+upstream_directory::Former() const
+{
+  const auto count = std::min(mFormer.size(), kSentFormer);
+  std::vector<std::uint64_t> keys;
+  std::transform(mFormer.end() - static_cast<std::ptrdiff_t>(count),
+                 mFormer.end(),
+                 std::back_inserter(keys),
+                 [](const upstream_ptr& aUpstream) { return aUpstream->mKey; });
+  return keys;
+}
+
 std::optional<upstream_delta>
 upstream_directory::ChangedSince(std::uint64_t aBase) const
 {
