Test claims across restores on 3 to 30 routers

The property now draws 3 to 30 routers, ends all faults, and then asks every router for each key that has run: none may run it again or tell that it has not run, and a new key must run at once. The time now counts from when the era became known.

--- a/include/sapphirespar/ledger/claim_shard.hpp
+++ b/include/sapphirespar/ledger/claim_shard.hpp
@@ -42,9 +42,9 @@
   // Returns whether all claimants have reported their claims since the store's
   // last restore. Unset means no.
   std::function<bool()> mAllReported;
-  // Returns when this process learned of that restore; nothing if it knew no
-  // era before. Unset means nothing.
-  std::function<std::optional<steady_time>()> mRestoredAt;
+  // Returns when this process learned of the store's present era; nothing if it
+  // knows none. Unset means nothing.
+  std::function<std::optional<steady_time>()> mEraKnownAt;
 };
 
 using claim_callback = std::function<void(claim_answer)>;
--- a/src/sapphirespar/ledger/at_most_once_guard.cpp
+++ b/src/sapphirespar/ledger/at_most_once_guard.cpp
@@ -63,7 +63,7 @@
       aPlatform,
       aTimers,
       { [this] { return HaveAllReported(); },
-        [this] { return mSawRestore ? std::optional(mEraAt) : std::nullopt; } })
+        [this] { return mEra != 0 ? std::optional(mEraAt) : std::nullopt; } })
   , mClaimClient(aBoard,
                  aPeers,
                  aTimers,
--- a/src/sapphirespar/ledger/claim_restore_test.cpp
+++ b/src/sapphirespar/ledger/claim_restore_test.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <ostream>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -25,8 +26,9 @@
 
 struct restore_cluster : test_cluster
 {
-  restore_cluster()
-    : test_cluster(kRouters)
+  explicit restore_cluster(unsigned aRouters = kRouters)
+    : test_cluster(aRouters)
+    , mCount(aRouters)
   {
     mStore->mEra = 1;
     // Long enough that every process knows what happened before a restore.
@@ -38,7 +40,7 @@
   {
     const auto copy = mStore->Copy();
     for (std::size_t i = 0; i < aKeys.size(); ++i) {
-      Send(static_cast<unsigned>(i % kRouters), { kClaim, aKeys[i], true });
+      Send(static_cast<unsigned>(i % mCount), { kClaim, aKeys[i], true });
     }
     mTimers.Advance(3s);
     for (const auto& key : aKeys) {
@@ -52,7 +54,7 @@
   {
     for (int attempt = 0; attempt < 10; ++attempt) {
       for (const auto& key : aKeys) {
-        for (unsigned router = 0; router < kRouters; ++router) {
+        for (unsigned router = 0; router < mCount; ++router) {
           if (IsUp(router)) {
             Send(router, { kClaim, key });
           }
@@ -63,6 +65,8 @@
     return static_cast<unsigned>(std::ranges::count_if(
       aKeys, [&](const auto& aKey) { return Runs(aKey) > 1; }));
   }
+
+  const unsigned mCount;
 };
 
 std::vector<std::string>
@@ -155,6 +159,11 @@
 // Applies random faults of routers, network and store to a cluster.
 struct restore_simulation
 {
+  explicit restore_simulation(unsigned aRouters)
+    : mCluster(aRouters)
+  {
+  }
+
   void ProcessStep(unsigned aRouter, unsigned aArgument)
   {
     auto& timers = mCluster.Router(aRouter).mTimers;
@@ -211,7 +220,7 @@
 
   void Apply(const step& aStep)
   {
-    const auto router = aStep.mRouter;
+    const auto router = aStep.mRouter % mCluster.mCount;
     const auto argument = aStep.mArgument;
     if (!mCluster.IsUp(router)) {
       mCluster.Restart(router);
@@ -225,10 +234,11 @@
         StoreStep(router, argument);
         break;
       case 2:
-        mCluster.mNetwork.Block(VmOf(router), VmOf(argument % kRouters));
+        mCluster.mNetwork.Block(VmOf(router), VmOf(argument % mCluster.mCount));
         break;
       case 3:
-        mCluster.mNetwork.Unblock(VmOf(router), VmOf(argument % kRouters));
+        mCluster.mNetwork.Unblock(VmOf(router),
+                                  VmOf(argument % mCluster.mCount));
         break;
       case 4:
         mCluster.Finish(router,
@@ -251,26 +261,80 @@
     }
   }
 
+  // Ends all faults without restarting the routers that are up.
+  void EndFaults()
+  {
+    for (unsigned router = 0; router < mCluster.mCount; ++router) {
+      if (!mCluster.IsUp(router)) {
+        mCluster.Restart(router);
+      }
+      mCluster.Router(router).mTimers.Resume();
+      mCluster.Router(router).mPlatform.Faults() = {};
+      mCluster.MarkLive(router);
+      for (unsigned peer = 0; peer < mCluster.mCount; ++peer) {
+        mCluster.mNetwork.Unblock(VmOf(router), VmOf(peer));
+      }
+    }
+    mCluster.mTimers.Advance(30s);
+  }
+
+  // Returns the outcomes that all routers tell for a key that has run.
+  std::set<outcome> Outcomes(const std::string& aKey)
+  {
+    std::set<outcome> outcomes;
+    for (unsigned router = 0; router < mCluster.mCount; ++router) {
+      const auto decision = mCluster.SendAndWait(router, kClaim, aKey);
+      outcomes.insert(decision.mRefusal.mOutcome);
+    }
+    return outcomes;
+  }
+
   restore_cluster mCluster;
   std::vector<std::pair<steady_time, fake_store::copy>> mCopies;
   std::vector<std::string> mSent;
 };
 
+std::string
+KeyOf(unsigned aNumber)
+{
+  return "lot-" + std::to_string(aNumber);
+}
+
 RC_GTEST_PROP(Claims, AtMostOnceAcrossRestores, ())
 {
+  // Small clusters more often, as they have more events at each router.
+  const auto routers = *rc::gen::weightedOneOf<unsigned>(
+    { { 4, rc::gen::just(kRouters) }, { 1, rc::gen::inRange(3U, 31U) } });
   const auto kind = rc::gen::inRange(0U, 14U);
-  const auto router = rc::gen::inRange(0U, kRouters);
+  const auto router = rc::gen::inRange(0U, routers);
   const auto argument = rc::gen::inRange(0U, 25U);
   const auto steps = *rc::gen::container<std::vector<step>>(
     120, rc::gen::construct<step>(kind, router, argument));
-  restore_simulation simulation;
+  restore_simulation simulation(routers);
+  auto& cluster = simulation.mCluster;
+  const auto check = [&] {
+    for (unsigned key = 0; key < 4; ++key) {
+      RC_ASSERT(cluster.Runs(KeyOf(key)) <= 1U);
+    }
+    RC_ASSERT(cluster.FalseNotRuns() == 0U);
+  };
   for (const auto& step : steps) {
     simulation.Apply(step);
-    for (unsigned key = 0; key < 4; ++key) {
-      RC_ASSERT(simulation.mCluster.Runs("lot-" + std::to_string(key)) <= 1U);
+    check();
+  }
+  simulation.EndFaults();
+  check();
+  // No router tells that a key has not run that has, or lets it run again.
+  for (unsigned key = 0; key < 4; ++key) {
+    if (cluster.Runs(KeyOf(key)) == 1) {
+      RC_ASSERT(!simulation.Outcomes(KeyOf(key)).contains(outcome::NotRun));
     }
-    RC_ASSERT(simulation.mCluster.FalseNotRuns() == 0U);
   }
+  check();
+  // New keys run again.
+  const auto fresh = cluster.Send(0, { kClaim, "fresh", true });
+  cluster.mTimers.Advance(10s);
+  RC_ASSERT(fresh->value().mMayDispatch);
 }
 
 } // namespace
--- a/src/sapphirespar/ledger/claim_shard.cpp
+++ b/src/sapphirespar/ledger/claim_shard.cpp
@@ -145,7 +145,7 @@
   mClockReadAt = mTimers.Now();
   mCache.mEra = mEra;
   if (IsFromEarlierEra(mCache) && !mRestores.HasBegun()) {
-    const auto since = mHooks.mRestoredAt ? mHooks.mRestoredAt() : std::nullopt;
+    const auto since = mHooks.mEraKnownAt ? mHooks.mEraKnownAt() : std::nullopt;
     mRestores.Begin(since.value_or(mTimers.Now()));
   }
   LoadArchives();
--- a/src/sapphirespar/ledger/test_cluster_test.cpp
+++ b/src/sapphirespar/ledger/test_cluster_test.cpp
@@ -92,6 +92,13 @@
   ShareMembers();
 }
 
+void
+test_cluster::MarkLive(unsigned aRouter)
+{
+  mMembers[aRouter].mState = member_state::Live;
+  ShareMembers();
+}
+
 void
 test_cluster::ShareMembers()
 {
--- a/src/sapphirespar/ledger/test_cluster_test.hpp
+++ b/src/sapphirespar/ledger/test_cluster_test.hpp
@@ -73,6 +73,7 @@
   unsigned FalseNotRuns() const { return mFalseNotRuns; }
   // Marks a router as dead in the member lists of all routers.
   void MarkDead(unsigned aRouter);
+  void MarkLive(unsigned aRouter);
 
   manual_timer_service mTimers;
   std::shared_ptr<fake_store> mStore = std::make_shared<fake_store>();
