Read a restored shard whose expired archive is gone

A commit that drops an expired archive removes its object afterwards. If the store is restored in between, the head refers to an object that doesn't exist, and the shard refused every claim from then on. An archive that may have expired before the restore now counts as empty.

--- a/src/sapphirespar/ledger/claim_shard_archives.cpp
+++ b/src/sapphirespar/ledger/claim_shard_archives.cpp
@@ -1,6 +1,7 @@
 // Reads the archives of a shard, and moves the rows of a full head to one.
 #include "claim_shard_state.hpp"
 
+#include <algorithm>
 #include <optional>
 #include <utility>
 
@@ -20,12 +21,34 @@
   mPlatform.Get(ArchiveKey(mNumber, mTargetArchive), Call(&state::OnArchive));
 }
 
+// Returns whether the shard's clock before a restore may have reached the time
+// at which an archive is removed.
+bool
+claim_shard::state::IsExpiring(std::uint64_t aArchive) const
+{
+  constexpr std::uint64_t kLongestLossSeconds = 60;
+  const auto retention =
+    static_cast<std::uint64_t>(mSettings.mRetention.count());
+  const auto latest = mCache.mHead.mClock + kLongestLossSeconds;
+  return std::ranges::any_of(
+    mCache.mHead.mArchives, [&](const claim_archive_ref& aRef) {
+      return aRef.mNumber == aArchive && aRef.mNewest + retention < latest;
+    });
+}
+
+// An archive that was about to expire may have been removed after the copy was
+// made from which the store was restored.
 void
 claim_shard::state::OnArchive(const object_answer& aAnswer)
 {
   auto rows = aAnswer.mStatus == platform_status::Ok
                 ? DecodeArchive(aAnswer.mObject.mValue)
                 : std::nullopt;
+  const bool isRemoved = aAnswer.mStatus == platform_status::NotFound &&
+                         mCache.mEra != 0 && IsExpiring(mTargetArchive);
+  if (isRemoved) {
+    rows.emplace();
+  }
   if (!rows) {
     Fail();
     return;
--- a/src/sapphirespar/ledger/claim_shard_state.hpp
+++ b/src/sapphirespar/ledger/claim_shard_state.hpp
@@ -49,6 +49,7 @@
   void OnHead(const object_answer& aAnswer);
   void LoadArchives();
   void OnArchive(const object_answer& aAnswer);
+  bool IsExpiring(std::uint64_t aArchive) const;
 
   void Commit();
   void OnCommit(const object_answer& aAnswer);
