--- a/src/sapphirespar/ledger/test_cluster_test.hpp
+++ b/src/sapphirespar/ledger/test_cluster_test.hpp
@@ -29,6 +29,12 @@
   blackboard mBoard;
   std::unique_ptr<peer_network> mLink;
   std::unique_ptr<at_most_once_guard> mGuard;
+  // Reads the store's era and sends it to the members, as the control plane
+  // does with the answers that it gets anyway.
+  void SpreadEra();
+  void NoteEra(store_era aEra);
+  store_era mEra = 0;
+  timer_subscription mEraTimer;
 };
 
 class test_cluster
@@ -67,6 +73,7 @@
   unsigned FalseNotRuns() const { return mFalseNotRuns; }
   // Marks a router as dead in the member lists of all routers.
   void MarkDead(unsigned aRouter);
+  void MarkLive(unsigned aRouter);
 
   manual_timer_service mTimers;
   std::shared_ptr<fake_store> mStore = std::make_shared<fake_store>();
--- a/src/sapphirespar/wire/http_client.cpp
+++ b/src/sapphirespar/wire/http_client.cpp
@@ -111,6 +111,8 @@
   connection_choice mChoice = connection_choice::Pooled;
   // Null for a call that cannot be aborted.
   call_abort_ptr mAbort;
+  // Null if nothing can withdraw the call while it connects.
+  send_check mMaySend;
 };
 
 } // namespace
@@ -226,6 +228,9 @@
       co_return wire_error{ wire_error_kind::Cancelled, kNothingWritten, {} };
     }
   }
+  if (aOptions.mMaySend && !aOptions.mMaySend()) {
+    co_return wire_error{ wire_error_kind::Cancelled, kNothingWritten, {} };
+  }
   const bool reused = connection->mReused;
   const bool hasBody = aRequest.mMethod != "HEAD";
   const auto bytes = ToBytes(aOptions.mEndpoint, std::move(aRequest));
@@ -264,12 +269,14 @@
                   http_request aRequest,
                   milliseconds aHeadTimeout,
                   connection_choice aChoice,
-                  call_abort_ptr aAbort)
+                  call_abort_ptr aAbort,
+                  send_check aMaySend)
 {
   call_options options{ std::move(aEndpoint),
                         steady_clock::now() + aHeadTimeout,
                         aChoice,
-                        std::move(aAbort) };
+                        std::move(aAbort),
+                        std::move(aMaySend) };
   return mState->Send(std::move(options), std::move(aRequest));
 }
 
