Withdraw a request from an upstream that leaves while it connects

An upstream could say that it leaves, or turn requests away, while a request to it was connecting; the request reached it all the same, up to 0.4 s later. It is now checked between connecting and the first byte, and placed elsewhere without blame for the upstream.

ARequestIsWithdrawnFromAnUpstreamWhileItConnects failed before and passes now; 152 tests of the gateway pass.

--- a/src/sapphirespar/gateway/forward_attempt.cpp
+++ b/src/sapphirespar/gateway/forward_attempt.cpp
@@ -64,6 +64,9 @@
     const auto connection = mProgress.mFreshConnection
                               ? wire::connection_choice::Fresh
                               : wire::connection_choice::Pooled;
+    wire::send_check maySend = [this] {
+      return mUpstream.TakesWork() && !mUpstream.TurnsAway(steady_clock::now());
+    };
     wire::endpoint endpoint;
     endpoint.mAddress = mUpstream.mEntry.mAddress;
     endpoint.mPort = mUpstream.mEntry.mPort;
@@ -72,7 +75,8 @@
                                       MakeRequest(),
                                       LeftUntil(mForwarded.mDeadline),
                                       connection,
-                                      mAttempt.mAbort);
+                                      mAttempt.mAbort,
+                                      std::move(maySend));
     if (!opened) {
       co_return OpenFailed(opened.error());
     }
@@ -176,7 +180,10 @@
       return *stopped;
     }
     if (!aError.mBytesWritten) {
-      mUpstream.mHealth.AddConnectFailure(steady_clock::now());
+      // A call that is withdrawn says nothing of the upstream.
+      if (aError.mKind != wire::wire_error_kind::Cancelled) {
+        mUpstream.mHealth.AddConnectFailure(steady_clock::now());
+      }
       return End(attempt_end::NotSent, aError.mDetail);
     }
     return AnswerLost(aError);
--- a/src/sapphirespar/gateway/forward_turned_away_test.cpp
+++ b/src/sapphirespar/gateway/forward_turned_away_test.cpp
@@ -3,6 +3,8 @@
 // lost that another upstream can take.
 #include "forward_fixture_test.hpp"
 
+#include <boost/asio/post.hpp>
+
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -168,5 +170,33 @@
   EXPECT_EQ(mArrivals["b"], 1U);
 }
 
+TEST_F(forward_turned_away_test,
+       ARequestIsWithdrawnFromAnUpstreamWhileItConnects)
+{
+  Publish();
+  for (const std::string id : { "a", "b" }) {
+    AddUpstream(id,
+                [](const wire::http_request& aRequest,
+                   wire::http_reply& aReply) -> asio::awaitable<void> {
+                  co_await aReply.Send(SignedAnswer(aRequest, 200, "body"));
+                });
+  }
+  unsigned placements = 0;
+  mRefreshLoads = [&] {
+    if (++placements == 1) {
+      // Runs once the request is connecting to the first upstream.
+      asio::post(mContext, [this] {
+        mUpstreams.NoteLeaving(mUpstreams.Members("pool").front()->mKey,
+                               "peer");
+      });
+    }
+  };
+  EXPECT_EQ(SendRequest("/once/x").mBody, "body");
+  EXPECT_EQ(placements, 2U);
+  EXPECT_EQ(mArrivals["a"] + mArrivals["b"], 1U);
+  EXPECT_EQ(mArrivals[mUpstreams.Members("pool").front()->mEntry.mId.mText],
+            1U);
+}
+
 } // namespace
 } // namespace sapphirespar::gateway
