Soak with endless, trickled, silent and closing upstreams

The soak's upstreams gain four states: an answer without end as fast as it is read, the same in small pieces, a second of silence inside an answer that then goes on, and closing the connection instead of answering.

--- a/include/sapphirespar/soak/soak_harness.hpp
+++ b/include/sapphirespar/soak/soak_harness.hpp
@@ -57,6 +57,14 @@
   TurnsAway,
   // Answers 503 without it.
   Refuses,
+  // Sends an answer that doesn't end, as fast as it is read.
+  EndlessBytes,
+  // The same in small pieces with pauses.
+  TrickledBytes,
+  // Says nothing for a second in the middle of an answer, and goes on.
+  Silent,
+  // Closes the connection instead of answering, and runs nothing.
+  Closes,
 };
 
 // An upstream's server and the proxy between the gateways and the server.
@@ -102,7 +110,8 @@
     wire::http_reply& aReply);
   asio::awaitable<void> RunUpstreamRequest(wire::http_headers aHeaders,
                                            const wire::http_request& aRequest,
-                                           wire::http_reply& aReply);
+                                           wire::http_reply& aReply,
+                                           upstream_state aState);
 
   // Puts the routing with mKeys and mRoutingVersion into the store. Returns
   // whether the store has acknowledged it.
--- a/src/sapphirespar/soak/soak_upstreams.cpp
+++ b/src/sapphirespar/soak/soak_upstreams.cpp
@@ -22,6 +22,38 @@
   return text.data();
 }
 
+bool
+IsStream(const wire::http_request& aRequest)
+{
+  return aRequest.mTarget.starts_with("/stream/") ||
+         aRequest.mTarget.starts_with("/resume/");
+}
+
+// Sends a body without end, as one event or one plain answer, until the gateway
+// closes the connection. Stops after longer than any route's timeout.
+asio::awaitable<void>
+SendWithoutEnd(asio::io_context& aContext,
+               wire::http_headers aHeaders,
+               wire::http_reply& aReply,
+               bool aFast)
+{
+  constexpr std::chrono::seconds kLongest{ 10 };
+  constexpr std::chrono::milliseconds kPause{ 50 };
+  constexpr std::size_t kFastBytes = 32 * 1024;
+  const auto end = std::chrono::steady_clock::now() + kLongest;
+  const std::string piece(aFast ? kFastBytes : 1, 'x');
+  bool connected =
+    co_await aReply.Begin(200, std::move(aHeaders), std::string_view("data: "));
+  asio::steady_timer timer(aContext);
+  while (connected && std::chrono::steady_clock::now() < end) {
+    connected = co_await aReply.Write(piece);
+    if (!aFast) {
+      timer.expires_after(kPause);
+      co_await timer.async_wait(asio::use_awaitable);
+    }
+  }
+}
+
 } // namespace
 
 asio::awaitable<void>
@@ -31,12 +63,16 @@
 {
   const std::string id(aRequest.Header("X-Request-Id"));
   const auto& upstream = mUpstreams[aNumber];
+  const auto state = upstream.mState;
   mChecker.RecordArrival(id, aNumber);
   wire::http_headers headers{ { "X-Request-Id", id },
                               { "X-Upstream-Signature", "made-" + id },
                               { "Upstream", std::to_string(aNumber) } };
-  const bool turnsAway = upstream.mState == upstream_state::TurnsAway;
-  if (turnsAway || upstream.mState == upstream_state::Refuses) {
+  if (state == upstream_state::Closes) {
+    co_return;
+  }
+  const bool turnsAway = state == upstream_state::TurnsAway;
+  if (turnsAway || state == upstream_state::Refuses) {
     headers.push_back({ "X-Not-Executed", "1" });
     if (turnsAway) {
       headers.push_back({ "Retry-After", ToSeconds(upstream.mRetryAfter) });
@@ -46,23 +82,38 @@
     co_await aReply.Send(std::move(refusal));
     co_return;
   }
-  if (upstream.mState == upstream_state::Leaving) {
+  if (state == upstream_state::Leaving) {
     headers.push_back({ "Server-Leaving", "1" });
   }
   mChecker.RecordRun(id, std::string(aRequest.Header("X-Tenant")));
-  co_await RunUpstreamRequest(std::move(headers), aRequest, aReply);
+  const bool fast = state == upstream_state::EndlessBytes;
+  if (fast || state == upstream_state::TrickledBytes) {
+    if (IsStream(aRequest)) {
+      headers.push_back({ "Content-Type", "text/event-stream" });
+    }
+    co_await SendWithoutEnd(mContext, std::move(headers), aReply, fast);
+    co_return;
+  }
+  co_await RunUpstreamRequest(std::move(headers), aRequest, aReply, state);
 }
 
 asio::awaitable<void>
 soak_harness::RunUpstreamRequest(wire::http_headers aHeaders,
                                  const wire::http_request& aRequest,
-                                 wire::http_reply& aReply)
+                                 wire::http_reply& aReply,
+                                 upstream_state aState)
 {
   constexpr milliseconds kEventInterval{ 25 };
+  constexpr milliseconds kSilence{ 1000 };
+  constexpr int kSilentAfter = 2;
+  const bool silent = aState == upstream_state::Silent;
   const std::string id(aRequest.Header("X-Request-Id"));
-  const bool stream = aRequest.mTarget.starts_with("/stream/") ||
-                      aRequest.mTarget.starts_with("/resume/");
-  if (!stream) {
+  asio::steady_timer timer(mContext);
+  if (!IsStream(aRequest)) {
+    if (silent) {
+      timer.expires_after(kSilence);
+      co_await timer.async_wait(asio::use_awaitable);
+    }
     wire::http_response response{ 200, std::move(aHeaders), {} };
     response.mBody =
       invariant_checker::ExpectedBody(id, request_kind::AtMostOnce);
@@ -73,11 +124,11 @@
   const std::string last(aRequest.Header("Last-Event-Id"));
   const int from = last.empty() ? 1 : std::stoi(last) + 1;
   bool connected = co_await aReply.Begin(200, std::move(aHeaders));
-  asio::steady_timer timer(mContext);
   for (int number = from; connected && number <= kStreamEvents; ++number) {
     const auto event = ExpectedEvent(id, number);
     connected = co_await aReply.Write(event);
-    timer.expires_after(kEventInterval);
+    timer.expires_after(silent && number == kSilentAfter ? kSilence
+                                                         : kEventInterval);
     co_await timer.async_wait(asio::use_awaitable);
   }
   if (connected) {
--- a/src/sapphirespar/soak/soak_workload.cpp
+++ b/src/sapphirespar/soak/soak_workload.cpp
@@ -138,9 +138,12 @@
     link_fault::Delay,         link_fault::Reset, link_fault::DropRequests,
     link_fault::DropResponses, link_fault::Stall,
   };
-  constexpr std::array<upstream_state, 3> kStates{ upstream_state::Leaving,
-                                                   upstream_state::TurnsAway,
-                                                   upstream_state::Refuses };
+  constexpr std::array kStates{
+    upstream_state::Leaving,       upstream_state::TurnsAway,
+    upstream_state::Refuses,       upstream_state::EndlessBytes,
+    upstream_state::TrickledBytes, upstream_state::Silent,
+    upstream_state::Closes,
+  };
   const auto gatewayNumber = Draw(mOptions.mGateways);
   const auto upstreamNumber = Draw(mOptions.mUpstreams);
   auto& gateway = *mGateways[gatewayNumber];
