--- a/src/sapphirespar/gateway/forward_endless_answer_test.cpp
+++ b/src/sapphirespar/gateway/forward_endless_answer_test.cpp
@@ -300,13 +300,15 @@
   unsigned mAsking = 0;
 };
 
-TEST_F(forward_endless_answer_test, TrickledBytesEndByTheRoutesTimeout)
+TEST_F(forward_endless_answer_test,
+       Fault_EndlessBytes_Request_Stream_TrickledBytesEndByTheRoutesTimeout)
 {
   mPause = 20ms;
   RunAll(mAnswers.size());
 }
 
-TEST_F(forward_endless_answer_test, FastBytesEndByTheRoutesTimeout)
+TEST_F(forward_endless_answer_test,
+       Fault_EndlessBytes_Request_Stream_FastBytesEndByTheRoutesTimeout)
 {
   constexpr std::size_t kAtOnce = 34;
   RunAll(kAtOnce);
--- a/src/sapphirespar/gateway/forward_stale_connection_test.cpp
+++ b/src/sapphirespar/gateway/forward_stale_connection_test.cpp
@@ -55,7 +55,8 @@
   }
 };
 
-TEST_F(forward_stale_connection_test, ASafeRequestIsSentAgain)
+TEST_F(forward_stale_connection_test,
+       Fault_StaleConnection_Request_Dispatch_ASafeRequestIsSentAgain)
 {
   Publish();
   for (const auto end : { connection_end::Close, connection_end::Reset }) {
@@ -70,7 +71,8 @@
   }
 }
 
-TEST_F(forward_stale_connection_test, AStreamThatHasNotBegunIsSentAgain)
+TEST_F(forward_stale_connection_test,
+       Fault_StaleConnection_Request_Dispatch_AStreamThatHasNotBegunIsSentAgain)
 {
   Publish();
   AddForgetfulUpstream(connection_end::Close, kStreamAnswer);
@@ -80,7 +82,9 @@
   EXPECT_EQ(answer.mBody, "data: a\n\n");
 }
 
-TEST_F(forward_stale_connection_test, ARequestThatMustNotRunTwiceIsSentOnce)
+TEST_F(
+  forward_stale_connection_test,
+  Fault_StaleConnection_Request_Dispatch_ARequestThatMustNotRunTwiceIsSentOnce)
 {
   Publish();
   AddForgetfulUpstream(connection_end::Close);
@@ -89,7 +93,9 @@
   EXPECT_EQ(mArrivals["a"], 2U);
 }
 
-TEST_F(forward_stale_connection_test, AnAnswerThatHasBegunIsNotAskedForAgain)
+TEST_F(
+  forward_stale_connection_test,
+  Fault_StaleConnection_Request_Dispatch_AnAnswerThatHasBegunIsNotAskedForAgain)
 {
   Publish();
   AddForgetfulUpstream(connection_end::Close, kAnswer, "HTTP/1.1 200 OK\r\n");
@@ -99,7 +105,9 @@
 }
 
 // The safety factor leaves one retry of two.
-TEST_F(forward_stale_connection_test, SendingAgainTakesFromTheRetryBudget)
+TEST_F(
+  forward_stale_connection_test,
+  Fault_StaleConnection_Request_Dispatch_SendingAgainTakesFromTheRetryBudget)
 {
   mRetries = policy::fleet_retry_budget{ { 0, 2, 10s } };
   Publish();
@@ -111,7 +119,8 @@
 }
 
 // An upstream that is gone is not asked more than once more.
-TEST_F(forward_stale_connection_test, ARequestIsSentAgainOnce)
+TEST_F(forward_stale_connection_test,
+       Fault_StaleConnection_Request_Dispatch_ARequestIsSentAgainOnce)
 {
   mRoutes[3].mMaximumAttempts = 4;
   Publish();
--- a/src/sapphirespar/wire/http_limits_test.cpp
+++ b/src/sapphirespar/wire/http_limits_test.cpp
@@ -124,7 +124,8 @@
                        { .mBodyLimitBytes = 1'000'000'000 } };
 };
 
-TEST_F(http_limits_test, AnAnswerWithoutEndEndsByTheTimeout)
+TEST_F(http_limits_test,
+       Fault_EndlessBytes_Request_Finish_AnAnswerEndsByTheTimeout)
 {
   for (const auto& answer : EndlessAnswers()) {
     for (const auto pause : { 0ms, 10ms }) {
@@ -141,7 +142,8 @@
   }
 }
 
-TEST_F(http_limits_test, AnAnswerThatIsSkippedEndsByTheTimeout)
+TEST_F(http_limits_test,
+       Fault_EndlessBytes_Request_Finish_ASkippedAnswerEndsByTheTimeout)
 {
   for (const auto& answer : EndlessAnswers()) {
     if (!answer.mHead.ends_with("\r\n\r\n")) {
