--- a/src/sapphirespar/gateway/upstream_directory.cpp
+++ b/src/sapphirespar/gateway/upstream_directory.cpp
@@ -1,5 +1,4 @@
-// Applies lists of upstreams, makes digests and deltas of them, and counts
-// load.
+// Applies lists of upstreams and counts load.
 #include "sapphirespar/gateway/upstream_directory.hpp"
 
 #include "sapphirespar/base/log.hpp"
@@ -23,16 +22,9 @@
 // Bounds the memory for the segments of one upstream.
 constexpr std::size_t kMaximumSegments = 1024;
 
-// Number of changes kept, from which deltas for other gateways are made. While
-// a service is being replaced there are several changes a second.
-constexpr std::size_t kMaximumSteps = 64;
-
 // Number of leaving incarnations that other gateways are told of.
 constexpr std::size_t kSentLeaving = 64;
 
-// Number of removed incarnations that other gateways are told of.
-constexpr std::size_t kSentFormer = 64;
-
 // Number of removed incarnations that are remembered.
 constexpr std::size_t kMaximumFormer = 1024;
 
@@ -164,19 +156,6 @@
   return change;
 }
 
-void
-upstream_directory::RecordStep(std::set<upstream_id> aChangedIds)
-{
-  const auto before = std::exchange(mDigest, MakeDigest());
-  if (mDigest == before) {
-    return;
-  }
-  mSteps.push_back({ before, std::move(aChangedIds) });
-  if (mSteps.size() > kMaximumSteps) {
-    mSteps.pop_front();
-  }
-}
-
 directory_change
 upstream_directory::ApplyFormer(std::span<const upstream_entry> aEntries,
                                 std::span<const std::uint64_t> aFormer)
@@ -209,68 +188,6 @@
   return change;
 }
 
-std::vector<std::uint64_t>
-upstream_directory::Former() const
-{
-  const auto count = std::min(mFormer.size(), kSentFormer);
-  std::vector<std::uint64_t> keys;
-  std::transform(mFormer.end() - static_cast<std::ptrdiff_t>(count),
-                 mFormer.end(),
-                 std::back_inserter(keys),
-                 [](const upstream_ptr& aUpstream) { return aUpstream->mKey; });
-  return keys;
-}
-
-std::optional<upstream_delta>
-upstream_directory::ChangedSince(std::uint64_t aBase) const
-{
-  upstream_delta delta{ aBase, {}, {} };
-  if (aBase == mDigest) {
-    return delta;
-  }
-  std::set<upstream_id> changedIds;
-  for (auto recorded = mSteps.rbegin(); recorded != mSteps.rend(); ++recorded) {
-    changedIds.insert(recorded->mChangedIds.begin(),
-                      recorded->mChangedIds.end());
-    if (recorded->mFrom != aBase) {
-      continue;
-    }
-    for (const auto& id : changedIds) {
-      const auto found = mUpstreams.find(id);
-      if (found == mUpstreams.end()) {
-        delta.mRemoved.push_back(id);
-      } else {
-        delta.mChanged.push_back(found->second->mEntry);
-      }
-    }
-    return delta;
-  }
-  return std::nullopt;
-}
-
-std::optional<std::vector<upstream_entry>>
-upstream_directory::WithDelta(const upstream_delta& aDelta) const
-{
-  if (aDelta.mBase != mDigest) {
-    return std::nullopt;
-  }
-  std::map<upstream_id, upstream_entry> entries;
-  for (const auto& [id, known] : mUpstreams) {
-    entries.emplace(id, known->mEntry);
-  }
-  for (const auto& id : aDelta.mRemoved) {
-    entries.erase(id);
-  }
-  for (const auto& entry : aDelta.mChanged) {
-    entries.insert_or_assign(entry.mId, entry);
-  }
-  std::vector<upstream_entry> list;
-  std::ranges::transform(entries,
-                         std::back_inserter(list),
-                         [](const auto& aItem) { return aItem.second; });
-  return list;
-}
-
 std::deque<upstream_ptr>::iterator
 upstream_directory::FindFormer(std::uint64_t aKey)
 {
@@ -315,33 +232,6 @@
   aChange.mRemoved.push_back(std::move(aId));
 }
 
-std::vector<upstream_entry>
-upstream_directory::Entries() const
-{
-  std::vector<upstream_entry> entries;
-  std::ranges::transform(
-    mUpstreams, std::back_inserter(entries), [](const auto& aItem) {
-      return aItem.second->mEntry;
-    });
-  return entries;
-}
-
-std::uint64_t
-upstream_directory::MakeDigest() const
-{
-  std::uint64_t digest = mUpstreams.size();
-  for (const auto& [id, known] : mUpstreams) {
-    const auto& entry = known->mEntry;
-    const std::string text =
-      entry.mPool + ' ' + entry.mAddress + ' ' + std::to_string(entry.mPort) +
-      ' ' + entry.mDataCentre.mText + ' ' + std::to_string(entry.mSlots) + ' ' +
-      std::to_string(static_cast<int>(entry.mDraining));
-    digest =
-      XXH3_64bits_withSeed(text.data(), text.size(), digest ^ known->mKey);
-  }
-  return digest;
-}
-
 void
 upstream_directory::NoteLeaving(std::uint64_t aKey, std::string_view aSource)
 {
--- a/src/sapphirespar/upstream/order_controller.cpp
+++ b/src/sapphirespar/upstream/order_controller.cpp
@@ -28,24 +28,6 @@
   return loaded == (aOrder.mKind == order_kind::LoadModel);
 }
 
-// Returns a number that is higher than all numbers of earlier eras, in which
-// the same versions may have been given out.
-std::uint64_t
-FencingNumber(store_era aEra, object_version aVersion)
-{
-  constexpr unsigned kVersionBits = 40;
-  constexpr store_era kMaxEra = (store_era{ 1 } << 23) - 1;
-  return (std::min(aEra, kMaxEra) << kVersionBits) + aVersion;
-}
-
-// Returns whether a record proves that its order was the latest one. Later ones
-// may be missing in a record that is older than the store's last restore.
-bool
-IsLatest(const order_record& aRecord, store_era aEra)
-{
-  return aEra == 0 || aRecord.mEra == aEra;
-}
-
 } // namespace
 
 std::string_view
--- a/src/sapphirespar/upstream/order_record.cpp
+++ b/src/sapphirespar/upstream/order_record.cpp
@@ -3,6 +3,8 @@
 
 #include <boost/json.hpp>
 
+#include <algorithm>
+
 namespace sapphirespar::upstream {
 namespace {
 
@@ -51,6 +53,20 @@
   return json::serialize(object);
 }
 
+std::uint64_t
+FencingNumber(store_era aEra, object_version aVersion)
+{
+  constexpr unsigned kVersionBits = 40;
+  constexpr store_era kMaxEra = (store_era{ 1 } << 23) - 1;
+  return (std::min(aEra, kMaxEra) << kVersionBits) + aVersion;
+}
+
+bool
+IsLatest(const order_record& aRecord, store_era aEra)
+{
+  return aEra == 0 || aRecord.mEra == aEra;
+}
+
 std::vector<std::string>
 ReadSlots(std::string_view aValue)
 {
