Test bookings across a restore through whole routers

One case with three routers and the stand-in platform: bookings run, the store comes back without their claims, their router restarts, and all are sent again at every router.

--- a/src/sapphirespar/ledger/claim_shard_restore_test.cpp
+++ b/src/sapphirespar/ledger/claim_shard_restore_test.cpp
@@ -50,7 +50,7 @@
 
 // The head of the copy refers to the archive, whose removal reaches the store
 // only after the restore.
-TEST(Fault_StoreRestore, Claim_Archive_ALateRemovalBlocksNoShard)
+TEST(Fault_StoreRestore, Claim_Commit_ALateRemovalBlocksNoShard)
 {
   tiny_shard world;
   world.mStore->mEra = 1;
--- a/src/sapphirespar/router/end_to_end_test.cpp
+++ b/src/sapphirespar/router/end_to_end_test.cpp
@@ -220,6 +220,34 @@
     EXPECT_EQ(Call(aPort, "PUT", "/faults", std::move(aFaults)).mStatus, 200U);
   }
 
+  // Books all keys at a router at once.
+  static void BookAll(const std::vector<std::string>& aKeys,
+                      std::uint16_t aPort)
+  {
+    asio::io_context context;
+    wire::http_client client(context.get_executor(), {});
+    std::map<std::string, unsigned> answered;
+    const wire::endpoint target{ kLoopback, aPort };
+    for (const auto& key : aKeys) {
+      asio::co_spawn(
+        context, Book(client, target, key, answered), asio::detached);
+    }
+    context.run();
+  }
+
+  // Returns how often each key has run.
+  std::vector<std::int64_t> RunsOf(const std::vector<std::string>& aKeys)
+  {
+    const auto audit = Call(mService.Port(), "GET", "/audit");
+    const auto runs = boost::json::parse(audit.mBody).at("runs").as_object();
+    std::vector<std::int64_t> counts;
+    for (const auto& key : aKeys) {
+      const auto* count = runs.if_contains(key);
+      counts.push_back(count ? count->as_int64() : 0);
+    }
+    return counts;
+  }
+
   workload MakeWorkload(std::vector<class_load> aClasses) const
   {
     workload work;
@@ -489,6 +517,34 @@
     << ToTable(report);
 }
 
+// The router that ran the bookings restarts after the store has lost their
+// claims, so nobody but the owners can know of them.
+TEST_F(whole_system,
+       Fault_StoreRestore_Claim_Run_NoBookingOfTheLostSpanRunsTwice)
+{
+  std::vector<std::string> keys;
+  for (int index = 0; index < 30; ++index) {
+    keys.push_back("booking-" + std::to_string(index));
+  }
+  EXPECT_EQ(Call(mPlatform.Port(), "PUT", "/copy").mStatus, 200U);
+  BookAll(keys, mRouters[0]->Port());
+  EXPECT_EQ(RunsOf(keys), std::vector<std::int64_t>(keys.size(), 1));
+  EXPECT_EQ(Call(mPlatform.Port(), "PUT", "/restore").mStatus, 200U);
+  mRouters[0].reset();
+  mRouters[0] = std::make_unique<router::router_app>(Settings("vm-0"));
+  Call(mPlatform.Port(), "PUT", "/vms", VmList());
+  AwaitReady();
+  for (int round = 0; round < 4; ++round) {
+    for (const auto& router : mRouters) {
+      BookAll(keys, router->Port());
+    }
+    std::this_thread::sleep_for(2s);
+  }
+  EXPECT_EQ(RunsOf(keys), std::vector<std::int64_t>(keys.size(), 1));
+  const auto page = Call(mRouters[1]->Port(), "GET", "/metrics").mBody;
+  EXPECT_NE(page.find("sapphirespar_store_restores 1"), std::string::npos);
+}
+
 TEST_F(whole_system, AGracefulShutdownInterruptsNoRequest)
 {
   auto work =
--- a/src/sapphirespar/upstream/object_update_test.cpp
+++ b/src/sapphirespar/upstream/object_update_test.cpp
@@ -18,7 +18,7 @@
 
 const object_key kKey{ "order", "engine" };
 
-TEST(Fault_StoreRestore, ObjectUpdate_AReissuedVersionIsDecidedAgain)
+TEST(Fault_StoreRestore, Order_Fence_AReissuedVersionIsDecidedAgain)
 {
   manual_timer_service timers;
   const auto store = std::make_shared<fake_store>();
