Split engines by the mix before long prompts queue

Only accepted work is measured, so a group that refused half of its requests never seemed short, and two thirds of the engines served nine tenths of the prefill while the others did 2 to 4 %. In the calm load prompts queue from about half of the prefill time on: 20 % of the summaries were late.

Change: prefill may use 0.4 of the time of an engine, a kind is short from 0.7 of its engines, and a rise of demand counts at once.

--- a/include/sapphirespar/experiment/prompt_engine.hpp
+++ b/include/sapphirespar/experiment/prompt_engine.hpp
@@ -20,6 +20,8 @@
   double mMemoryTokens = 430'000;
   // Tokens in one event of a stream.
   unsigned mTokensPerEvent = 9;
+  // Prompt tokens that one step processes at most.
+  double mChunkTokens = 4096;
 };
 
 // One request as an engine sees it.
--- a/include/sapphirespar/experiment/prompt_trial.hpp
+++ b/include/sapphirespar/experiment/prompt_trial.hpp
@@ -67,6 +67,11 @@
 // engines. With aWithBursts, digests and then questions arrive in a burst.
 prompt_load DigestsAndQuestions(bool aWithBursts);
 
+// A load of mostly long summaries with a short target, and of short urgent
+// questions, on the same number of engines. With aWithBursts, summaries and
+// then questions arrive in a burst.
+prompt_load SummariesAndQuestions(bool aWithBursts);
+
 struct prompt_class_result
 {
   std::string mName;
--- a/programs/experiment/main.cpp
+++ b/programs/experiment/main.cpp
@@ -65,10 +65,12 @@
 RunPromptTrial(std::uint64_t aSeed)
 {
   for (const bool bursts : { false, true }) {
-    const auto load = experiment::DigestsAndQuestions(bursts);
-    std::cout << load.mName << (bursts ? " with bursts" : " calm") << " seed "
-              << aSeed << '\n';
-    experiment::Print(std::cout, experiment::RunPromptTrial(load, aSeed));
+    for (const auto& load : { experiment::DigestsAndQuestions(bursts),
+                              experiment::SummariesAndQuestions(bursts) }) {
+      std::cout << load.mName << (bursts ? " with bursts" : " calm") << " seed "
+                << aSeed << '\n';
+      experiment::Print(std::cout, experiment::RunPromptTrial(load, aSeed));
+    }
   }
 }
 
--- a/src/sapphirespar/experiment/prompt_load.cpp
+++ b/src/sapphirespar/experiment/prompt_load.cpp
@@ -25,6 +25,26 @@
   return load;
 }
 
+prompt_load
+SummariesAndQuestions(bool aWithBursts)
+{
+  prompt_load load;
+  load.mName = "summaries and questions";
+  load.mEngines = 112;
+  load.mGateways = 60;
+  load.mEngineSettings = { 16, 455'000, 7, 2048 };
+  load.mFigures.mChunkTokens = 2048;
+  load.mClasses = {
+    { "summary", 1, false, 400, 300, 4000, 851, 2116, 3780, 2890, 52, 208 },
+    { "question", 0, true, 250, 200, 12'000, 168, 1004, 198, 628, 290, 954 },
+  };
+  if (aWithBursts) {
+    load.mBursts = { { 0, 2.76, 500, 9500 }, { 1, 2.8, 11'000, 16'000 } };
+  }
+  load.mDurationMs = 18'000;
+  return load;
+}
+
 double
 prompt_class_result::InTime() const
 {
--- a/src/sapphirespar/experiment/prompt_trial.cpp
+++ b/src/sapphirespar/experiment/prompt_trial.cpp
@@ -215,6 +215,7 @@
     work.mInteractive = kind.mInteractive;
     work.mUrgent = kind.mPriority == 0;
     work.mTargetMs = kind.mTargetMs;
+    work.mGapBudgetMs = mGapBudgetMs;
     return work;
   }
 
@@ -428,8 +429,24 @@
     mQueue.After(kSplitPeriodMs, [this] { UpdateSplit(); });
   }
 
+  // Prefill that fits between two events of the stream with the smallest target
+  // gap.
+  static double GapBudgetMs(const prompt_load& aLoad)
+  {
+    const double smallestGap =
+      std::ranges::min(aLoad.mClasses, {}, &prompt_class::mTargetGapMs)
+        .mTargetGapMs;
+    const auto& figures = aLoad.mFigures;
+    const auto slots = static_cast<double>(aLoad.mEngineSettings.mSlots);
+    const double generating =
+      aLoad.mEngineSettings.mTokensPerEvent *
+      (figures.mStepMs + figures.mStepMsPerRequest * slots);
+    return std::max(smallestGap - generating, 0.0);
+  }
+
   const prompt_load& mLoad;
   const prompt_policy& mPolicy;
+  const double mGapBudgetMs = GapBudgetMs(mLoad);
   random_engine mRandom;
   event_queue mQueue;
   std::vector<std::unique_ptr<prompt_engine>> mEngines;
--- a/src/sapphirespar/experiment/prompt_trial_test.cpp
+++ b/src/sapphirespar/experiment/prompt_trial_test.cpp
@@ -53,6 +53,40 @@
   EXPECT_GE(ResultOf(result, "note").InTime(), digests) << TableOf(result);
 }
 
+// Results of a load with the split of engines that the gateways arrive at, and
+// with a third of the engines for interactive work throughout.
+struct split_results
+{
+  prompt_result mFollowing;
+  prompt_result mFixed;
+};
+
+split_results
+CompareSplits(const prompt_load& aLoad)
+{
+  prompt_policy fixed;
+  fixed.mChooseEngine = [](const policy::prompt_work& aWork,
+                           std::span<const policy::engine_candidate> aEngines,
+                           const engine_figures& aFigures,
+                           double /*aShare*/,
+                           double aDraw) {
+    constexpr double kThird = 0.34;
+    return policy::ChooseEngine(aWork, aEngines, aFigures, kThird, aDraw);
+  };
+  return { RunPromptTrial(aLoad, kSeed), RunPromptTrial(aLoad, kSeed, fixed) };
+}
+
+// Nine tenths of the prefill are summaries. Their engines would be busy for
+// almost half of the time, and the others idle.
+TEST(PromptTrial, MoreSummariesAreInTimeOnEnginesThatQuestionsLeaveIdle)
+{
+  const auto results = CompareSplits(SummariesAndQuestions(false));
+  EXPECT_GT(ResultOf(results.mFollowing, "summary").InTime(),
+            ResultOf(results.mFixed, "summary").InTime());
+  EXPECT_GE(ResultOf(results.mFollowing, "question").InTime(), 0.95)
+    << TableOf(results.mFollowing);
+}
+
 // Requests that would wait too long are refused early enough for a retry, so
 // few callers abandon a request while it waits at an engine.
 TEST(PromptTrial, CallersAreRefusedRatherThanLeftWaitingInABurst)
--- a/src/sapphirespar/policy/engine_split.cpp
+++ b/src/sapphirespar/policy/engine_split.cpp
@@ -13,9 +13,16 @@
 constexpr double kSplitHalfLifeSeconds = 2;
 
 // Intended shares of an engine's slots and of its time spent on prefill. Above
-// these, streams slow down and first events are delayed.
+// these, streams slow down and first events are delayed. Prompts arrive
+// irregularly and vary in length, so they queue long before prefill takes all
+// of the time.
 constexpr double kTargetSlotUse = 0.8;
-constexpr double kTargetPrefillUse = 0.6;
+constexpr double kTargetPrefillUse = 0.4;
+
+// A kind of work is short of engines if it needs more than this part of its
+// engines. Below 1, because only accepted work is measured, and requests are
+// refused before all engines of a group are in full use.
+constexpr double kShortFrom = 0.7;
 
 // Bounds of the interactive share, and the smallest change that is applied.
 constexpr double kMinimumShare = 0.12;
@@ -73,14 +80,16 @@
 {
   const double decay = HalfLifeDecay(aNow - mUpdated, kSplitHalfLifeSeconds);
   mUpdated = std::max(mUpdated, aNow);
+  // Follows a rise at once and a fall slowly, as requests are late or refused
+  // until the split has followed a rise.
   const auto smoothed = [&](double aOld, const work_demand& aNew) {
     const double needed = EnginesNeeded(aNew);
-    return needed + decay * (aOld - needed);
+    return std::max(needed, needed + decay * (aOld - needed));
   };
   mInteractive = smoothed(mInteractive, aDemand.mInteractive);
   mBulk = smoothed(mBulk, aDemand.mBulk);
-  const bool isShort =
-    mInteractive > mShare * aEngines || mBulk > (1 - mShare) * aEngines;
+  const bool isShort = mInteractive > kShortFrom * mShare * aEngines ||
+                       mBulk > kShortFrom * (1 - mShare) * aEngines;
   if (!isShort) {
     return;
   }
