--- a/src/sapphirespar/policy/engine_split.cpp
+++ b/src/sapphirespar/policy/engine_split.cpp
@@ -24,6 +24,10 @@
 // refused before all engines of a group are in full use.
 constexpr double kShortFrom = 0.7;
 
+// Engines for interactive work beyond those that it needs, for the variation of
+// its demand and for the loss of an engine.
+constexpr double kSpareEngines = 1;
+
 // Bounds of the interactive share, and the smallest change that is applied.
 constexpr double kMinimumShare = 0.12;
 constexpr double kMaximumShare = 0.6;
@@ -80,8 +84,8 @@
 {
   const double decay = HalfLifeDecay(aNow - mUpdated, kSplitHalfLifeSeconds);
   mUpdated = std::max(mUpdated, aNow);
-  // Follows a rise at once and a fall slowly, as requests are late or refused
-  // until the split has followed a rise.
+  // Follows a rise at once and a fall slowly, because requests are late or
+  // refused until the split has followed a rise.
   const auto smoothed = [&](double aOld, const work_demand& aNew) {
     const double needed = EnginesNeeded(aNew);
     return std::max(needed, needed + decay * (aOld - needed));
@@ -93,8 +97,13 @@
   if (!isShort) {
     return;
   }
-  const double wanted = std::clamp(
-    mInteractive / (mInteractive + mBulk), kMinimumShare, kMaximumShare);
+  // With too few engines for all work, interactive work still gets what it
+  // needs and bulk work waits or is refused.
+  const double interactive = mInteractive + kSpareEngines;
+  const double wanted =
+    std::clamp(interactive / std::min(interactive + mBulk, aEngines),
+               kMinimumShare,
+               kMaximumShare);
   if (std::abs(wanted - mShare) >= kMinimumStep) {
     mShare = wanted;
   }
