Take the slowdown by running requests from the engine figures

Cause: the choice of an engine added 0.5 ms for each running request, a figure of one engine and one event size.

Change: between two chunks of a prompt an engine generates a token of every running request, so a prompt is delayed by a step's part for each of them, once a chunk. The constant part of a step is in the learned rate of the prefill already. PredictsTheSlowdownByRunningRequests failed first.

--- a/include/sapphirespar/policy/engine_model.hpp
+++ b/include/sapphirespar/policy/engine_model.hpp
@@ -15,6 +15,13 @@
 // tokens.
 double PrefillMs(const engine_figures& aFigures, double aTokens);
 
+// Returns by how many milliseconds aRunning requests lengthen the processing of
+// aTokens prompt tokens: the engine generates a token of each between two
+// chunks. The rate of the prefill covers the constant part of these steps.
+double SlowdownMs(const engine_figures& aFigures,
+                  double aTokens,
+                  unsigned aRunning);
+
 // Returns the milliseconds between two events of a stream of aTokensPerEvent
 // tokens per event while its engine generates tokens of aRunning requests and
 // processes one chunk of prompts after another.
--- a/src/sapphirespar/policy/engine_choice.cpp
+++ b/src/sapphirespar/policy/engine_choice.cpp
@@ -13,9 +13,6 @@
 namespace sapphirespar::policy {
 namespace {
 
-// Each running request delays each event of the others by about this time.
-constexpr double kSlowdownMsPerRequest = 0.5;
-
 // Recomputing a shared prefix takes time from all requests at the engine, so a
 // request waits up to this many times the prefill of the prefix for an engine
 // that has it cached, but not longer than a multiple of its own target. The
@@ -224,18 +221,27 @@
            : stall;
 }
 
-// Returns the time until the prefill ahead of the request is done.
+// Returns the prompt tokens that the engine processes before the request's own.
 double
-WaitMs(const prompt_work& aWork,
-       const engine_candidate& aEngine,
-       const engine_figures& aFigures)
+TokensAhead(const prompt_work& aWork,
+            const engine_candidate& aEngine,
+            const engine_figures& aFigures)
 {
   const auto& load = aEngine.mLoad;
   const double ahead =
     aWork.mUrgent
       ? load.mUrgentTokens + std::min(load.mOtherTokens, aFigures.mChunkTokens)
       : load.mUrgentTokens + load.mOtherTokens;
-  return PrefillMs(aFigures, std::max(ahead, 0.0));
+  return std::max(ahead, 0.0);
+}
+
+// Returns the time until the prefill ahead of the request is done.
+double
+WaitMs(const prompt_work& aWork,
+       const engine_candidate& aEngine,
+       const engine_figures& aFigures)
+{
+  return PrefillMs(aFigures, TokensAhead(aWork, aEngine, aFigures));
 }
 
 // Returns the mean time until the prefill at the engines of a group is done.
@@ -258,11 +264,18 @@
 }
 
 // Returns the cost of running requests, missing slots and missing memory.
+// aPrefillTokens are the tokens of the prompt that the engine must process.
 double
-ContentionMs(const prompt_work& aWork, const engine_candidate& aEngine)
+ContentionMs(const prompt_work& aWork,
+             const engine_candidate& aEngine,
+             const engine_figures& aFigures,
+             double aPrefillTokens)
 {
   const auto& load = aEngine.mLoad;
-  double cost = kSlowdownMsPerRequest * load.mRunning;
+  const double processed =
+    TokensAhead(aWork, aEngine, aFigures) + aPrefillTokens;
+  double cost = SlowdownMs(
+    aFigures, processed, static_cast<unsigned>(std::max(load.mRunning, 0)));
   const int slots = static_cast<int>(aEngine.mSlots);
   // Interactive work is more urgent and takes the slots of other work.
   const int ahead = aWork.mInteractive ? load.mInteractive : load.mRunning;
@@ -307,7 +320,8 @@
     const double tokens =
       ExpectedPrefill(aWork, engine, index == prefixEngines.mPrimary);
     const double queueing = WaitMs(aWork, engine, aFigures) +
-                            ContentionMs(aWork, engine) + engine.mPenaltyMs;
+                            ContentionMs(aWork, engine, aFigures, tokens) +
+                            engine.mPenaltyMs;
     const double firstEvent =
       aFigures.mFirstEventMs + PrefillMs(aFigures, tokens) + queueing;
     // Small random cost that breaks near ties.
--- a/src/sapphirespar/policy/engine_choice_test.cpp
+++ b/src/sapphirespar/policy/engine_choice_test.cpp
@@ -201,6 +201,31 @@
   EXPECT_DOUBLE_EQ(choice->mPrefillTokens, 10'000);
 }
 
+// Between two chunks of a prompt an engine generates a token of every running
+// request. The more requests run, the longer this takes.
+TEST(ChooseEngine, PredictsTheSlowdownByRunningRequests)
+{
+  auto engines = Engines(1);
+  engines[0].mLoad.mOtherTokens = 3 * kFigures.mChunkTokens;
+  auto work = LongPrompt(0);
+  work.mSharedTokens = 0;
+  work.mPromptTokens = 2 * kFigures.mChunkTokens;
+  const auto predicted = [&](int aRunning, const engine_figures& aFigures) {
+    engines[0].mLoad.mRunning = aRunning;
+    return ChooseEngine(work, engines, aFigures, 0, 0.5)->mFirstEventMs;
+  };
+  constexpr double kChunks = 5;
+  constexpr int kRunning = 40;
+  EXPECT_NEAR(predicted(kRunning, kFigures) - predicted(0, kFigures),
+              kChunks * kRunning * kFigures.mStepMsPerRequest,
+              1);
+  auto slower = kFigures;
+  slower.mStepMsPerRequest *= 3;
+  EXPECT_NEAR(predicted(kRunning, slower) - predicted(0, slower),
+              kChunks * kRunning * slower.mStepMsPerRequest,
+              1);
+}
+
 // A prompt whose target is short does not wait long for a cached prefix, even
 // if the prefix is as long as one that a patient prompt waits for.
 TEST(ChooseEngine, TheWaitForACachedPrefixIsBoundedByTheTarget)
--- a/src/sapphirespar/policy/engine_model.cpp
+++ b/src/sapphirespar/policy/engine_model.cpp
@@ -62,6 +62,13 @@
   return aTokens / aFigures.mPrefillTokensPerMs;
 }
 
+double
+SlowdownMs(const engine_figures& aFigures, double aTokens, unsigned aRunning)
+{
+  return std::ceil(aTokens / aFigures.mChunkTokens) *
+         aFigures.mStepMsPerRequest * aRunning;
+}
+
 double
 StalledGapMs(const engine_figures& aFigures,
              unsigned aTokensPerEvent,
