--- a/src/sapphirespar/experiment/prompt_trial_test.cpp
+++ b/src/sapphirespar/experiment/prompt_trial_test.cpp
@@ -27,6 +27,21 @@
     aResult.mClasses, aName, &prompt_class_result::mName);
 }
 
+// A policy that gives aShare of the engines to interactive work throughout.
+prompt_policy
+WithShare(double aShare)
+{
+  prompt_policy fixed;
+  fixed.mChooseEngine = [=](const policy::prompt_work& aWork,
+                            std::span<const policy::engine_candidate> aEngines,
+                            const engine_figures& aFigures,
+                            double /*aFollowed*/,
+                            double aDraw) {
+    return policy::ChooseEngine(aWork, aEngines, aFigures, aShare, aDraw);
+  };
+  return fixed;
+}
+
 TEST(PromptTrial, AlmostAllRequestsAreInTimeWithoutBursts)
 {
   const auto result = RunPromptTrial(DigestsAndQuestions(false), kSeed);
@@ -59,19 +74,11 @@
 // the split that the burst needs from the start.
 TEST(PromptTrial, TheSplitFollowsABurstOfSummaries)
 {
-  prompt_policy ideal;
-  ideal.mChooseEngine = [](const policy::prompt_work& aWork,
-                           std::span<const policy::engine_candidate> aEngines,
-                           const engine_figures& aFigures,
-                           double /*aShare*/,
-                           double aDraw) {
-    constexpr double kNeededShare = 0.2;
-    return policy::ChooseEngine(aWork, aEngines, aFigures, kNeededShare, aDraw);
-  };
   auto load = SummariesAndQuestions(true);
   load.mDurationMs = load.mBursts.front().mUntilMs;
   const auto following = RunPromptTrial(load, kSeed);
-  const auto best = RunPromptTrial(load, kSeed, ideal);
+  constexpr double kNeededShare = 0.2;
+  const auto best = RunPromptTrial(load, kSeed, WithShare(kNeededShare));
   EXPECT_GE(ResultOf(following, "summary").InTime(),
             0.9 * ResultOf(best, "summary").InTime())
     << TableOf(following) << TableOf(best);
@@ -83,18 +90,10 @@
 // Long prompts leave the streams of a burst of questions their slots.
 TEST(PromptTrial, UrgentStreamsGetMoreThanAThirdOfTheEnginesIfTheyNeedThem)
 {
-  prompt_policy third;
-  third.mChooseEngine = [](const policy::prompt_work& aWork,
-                           std::span<const policy::engine_candidate> aEngines,
-                           const engine_figures& aFigures,
-                           double /*aShare*/,
-                           double aDraw) {
-    constexpr double kThird = 0.34;
-    return policy::ChooseEngine(aWork, aEngines, aFigures, kThird, aDraw);
-  };
+  constexpr double kThird = 0.34;
   const auto load = SummariesAndQuestions(true);
   const auto following = RunPromptTrial(load, kSeed);
-  const auto fixed = RunPromptTrial(load, kSeed, third);
+  const auto fixed = RunPromptTrial(load, kSeed, WithShare(kThird));
   EXPECT_GT(ResultOf(following, "question").InTime(),
             ResultOf(fixed, "question").InTime())
     << TableOf(following) << TableOf(fixed);
