--- a/src/sapphirespar/experiment/prompt_trial_test.cpp
+++ b/src/sapphirespar/experiment/prompt_trial_test.cpp
@@ -27,6 +27,21 @@
     aResult.mClasses, aName, &prompt_class_result::mName);
 }
 
+// A policy that gives aShare of the engines to interactive work throughout.
+prompt_policy
+WithShare(double aShare)
+{
+  prompt_policy fixed;
+  fixed.mChooseEngine = [=](const policy::prompt_work& aWork,
+                            std::span<const policy::engine_candidate> aEngines,
+                            const engine_figures& aFigures,
+                            double /*aFollowed*/,
+                            double aDraw) {
+    return policy::ChooseEngine(aWork, aEngines, aFigures, aShare, aDraw);
+  };
+  return fixed;
+}
+
 TEST(PromptTrial, AlmostAllRequestsAreInTimeWithoutBursts)
 {
   const auto result = RunPromptTrial(DigestsAndQuestions(false), kSeed);
@@ -53,6 +68,37 @@
   EXPECT_GE(ResultOf(result, "note").InTime(), digests) << TableOf(result);
 }
 
+// A burst of summaries needs most engines. The split starts with a third of the
+// engines for interactive work, of which questions fill half, and has to follow
+// the burst soon: at least nine tenths as many summaries are in time as with
+// the split that the burst needs from the start.
+TEST(PromptTrial, TheSplitFollowsABurstOfSummaries)
+{
+  auto load = SummariesAndQuestions(true);
+  load.mDurationMs = load.mBursts.front().mUntilMs;
+  const auto following = RunPromptTrial(load, kSeed);
+  constexpr double kNeededShare = 0.2;
+  const auto best = RunPromptTrial(load, kSeed, WithShare(kNeededShare));
+  EXPECT_GE(ResultOf(following, "summary").InTime(),
+            0.9 * ResultOf(best, "summary").InTime())
+    << TableOf(following) << TableOf(best);
+  EXPECT_GE(ResultOf(following, "question").InTime(),
+            ResultOf(following, "summary").InTime())
+    << TableOf(following);
+}
+
+// Long prompts leave the streams of a burst of questions their slots.
+TEST(PromptTrial, UrgentStreamsGetMoreThanAThirdOfTheEnginesIfTheyNeedThem)
+{
+  constexpr double kThird = 0.34;
+  const auto load = SummariesAndQuestions(true);
+  const auto following = RunPromptTrial(load, kSeed);
+  const auto fixed = RunPromptTrial(load, kSeed, WithShare(kThird));
+  EXPECT_GT(ResultOf(following, "question").InTime(),
+            ResultOf(fixed, "question").InTime())
+    << TableOf(following) << TableOf(fixed);
+}
+
 // Requests that would wait too long are refused early enough for a retry, so
 // few callers abandon a request while it waits at an engine.
 TEST(PromptTrial, CallersAreRefusedRatherThanLeftWaitingInABurst)
