--- /dev/null
+++ b/src/sapphirespar/gateway/attempt_ending.cpp
@@ -0,0 +1,169 @@
+// Results of attempts, health of upstreams, evidence about crashing parts.
+#include "attempt_ending.hpp"
+
+namespace sapphirespar::gateway {
+
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+bool
+IsEventStream(const wire::http_response& aHead)
+{
+  return aHead.Header("Content-Type").starts_with("text/event-stream");
+}
+
+attempt_ending::attempt_ending(const forward_services& aServices,
+                               const forwarded_request& aForwarded,
+                               running_attempt& aAttempt,
+                               relay_progress& aProgress)
+  : mServices(aServices)
+  , mForwarded(aForwarded)
+  , mAttempt(aAttempt)
+  , mTarget(aAttempt.mTarget)
+  , mUpstream(*mTarget.mUpstream)
+  , mProgress(aProgress)
+  , mSplitter(aServices.mEventLimitBytes)
+{
+}
+
+asio::awaitable<wire::wire_result<std::string>>
+attempt_ending::ReadPiece()
+{
+  mAttempt.mWaitingSince = steady_clock::now();
+  auto piece = co_await mStream->Read(LeftUntil(mForwarded.mDeadline));
+  mAttempt.mWaitingSince.reset();
+  if (piece) {
+    OnBytes();
+  }
+  co_return piece;
+}
+
+void
+attempt_ending::OnBytes()
+{
+  mLastBytes = steady_clock::now();
+  mServices.mParts.OnSign(mUpstream.mKey);
+}
+
+void
+attempt_ending::RecordSurvival()
+{
+  if (!mSurvived) {
+    mSurvived = true;
+    mServices.mParts.OnSurvival(SharedParts(mForwarded));
+  }
+}
+
+void
+attempt_ending::RecordLoss()
+{
+  constexpr unsigned kFirstError = 300;
+  const bool answers = mStream && mStream->Head().mStatus < kFirstError;
+  mServices.mParts.OnUpstreamLost(
+    SharedParts(mForwarded), mUpstream.mKey, answers && !mAttempt.mHasEvents);
+}
+
+attempt_result
+attempt_ending::End(attempt_end aEnd, std::string aDetail)
+{
+  attempt_result result;
+  result.mEnd = aEnd;
+  result.mDetail = std::move(aDetail);
+  result.mSilence =
+    std::chrono::duration_cast<milliseconds>(steady_clock::now() - mLastBytes);
+  if (mStream) {
+    result.mStatus = mStream->Head().mStatus;
+    result.mReusedConnection = mStream->Reused();
+    result.mFraming = mStream->Framing();
+    result.mUnfinishedBytes = mSplitter.Remainder().size();
+  }
+  const bool mayHaveRun =
+    aEnd == attempt_end::Broken || aEnd == attempt_end::TimedOut ||
+    aEnd == attempt_end::Superseded || aEnd == attempt_end::Failed;
+  mProgress.mMayHaveRun = mProgress.mMayHaveRun || mayHaveRun;
+  return result;
+}
+
+std::optional<attempt_result>
+attempt_ending::Stopped()
+{
+  if (mProgress.mCallerGone) {
+    return End(attempt_end::CallerDisconnected);
+  }
+  if (mAttempt.mSuperseded) {
+    return End(attempt_end::Superseded);
+  }
+  return std::nullopt;
+}
+
+attempt_result
+attempt_ending::OpenFailed(const wire::wire_error& aError)
+{
+  if (const auto stopped = Stopped()) {
+    return *stopped;
+  }
+  if (!aError.mBytesWritten) {
+    // A call that is withdrawn says nothing of the upstream.
+    if (aError.mKind != wire::wire_error_kind::Cancelled) {
+      mUpstream.mHealth.AddConnectFailure(steady_clock::now());
+    }
+    return End(attempt_end::NotSent, aError.mDetail);
+  }
+  return AnswerLost(aError);
+}
+
+attempt_result
+attempt_ending::AnswerLost(const wire::wire_error& aError)
+{
+  if (const auto stopped = Stopped()) {
+    return *stopped;
+  }
+  const bool timedOut = aError.mKind == wire::wire_error_kind::Timeout;
+  // A stale connection says nothing of the upstream; the request's next
+  // attempt there, on a new connection, does.
+  const bool stale = aError.mStaleConnection && mForwarded.mRoute->mIdempotent;
+  // Silence until the request's own deadline does not count as a failure of
+  // the upstream; a part of the answer that did not end does.
+  const bool late =
+    timedOut && LeftUntil(mForwarded.mDeadline) <= kTimerTolerance;
+  if (!stale && (!late || HasUnfinishedPart(aError))) {
+    mUpstream.mHealth.AddResult(true, steady_clock::now());
+  }
+  if (!timedOut) {
+    RecordLoss();
+  }
+  auto result =
+    End(timedOut ? attempt_end::TimedOut : attempt_end::Broken, aError.mDetail);
+  result.mReusedConnection |= aError.mStaleConnection;
+  result.mStaleUpstream = stale ? mTarget.mUpstream : nullptr;
+  return result;
+}
+
+bool
+attempt_ending::HasUnfinishedPart(const wire::wire_error& aError) const
+{
+  const bool streams = mStream && IsEventStream(mStream->Head());
+  return streams ? mSplitter.InsideEvent() : aError.mReceivedBytes > 0;
+}
+
+attempt_result
+attempt_ending::EndAtLimit(std::string_view aLimit, std::size_t aBytes)
+{
+  const auto took = steady_clock::now() - mAttempt.mStarted;
+  auto result = End(
+    attempt_end::Broken,
+    std::string(aLimit) + ": too long after " + std::to_string(aBytes) +
+      " bytes and " +
+      std::to_string(std::chrono::duration_cast<milliseconds>(took).count()) +
+      " ms");
+  mStream.reset();
+  return result;
+}
+
+attempt_result
+attempt_ending::NoMemory(std::size_t aBytes)
+{
+  return EndAtLimit("memory for answers", aBytes);
+}
+
+} // namespace sapphirespar::gateway
--- a/src/sapphirespar/gateway/forward_attempt.cpp
+++ b/src/sapphirespar/gateway/forward_attempt.cpp
@@ -1,9 +1,9 @@
 // One attempt to have a request answered by one upstream.
+#include "attempt_ending.hpp"
 #include "attempt_learning.hpp"
 #include "forward_state.hpp"
 
 #include "sapphirespar/base/log.hpp"
-#include "sapphirespar/wire/sse_splitter.hpp"
 
 #include <algorithm>
 
@@ -13,12 +13,6 @@
 using std::chrono::milliseconds;
 using std::chrono::steady_clock;
 
-bool
-IsEventStream(const wire::http_response& aHead)
-{
-  return aHead.Header("Content-Type").starts_with("text/event-stream");
-}
-
 // Marks the reply as in use for the lifetime of this object.
 class reply_use
 {
@@ -36,7 +30,7 @@
   relay_progress& mProgress;
 };
 
-class attempt
+class attempt : private attempt_ending
 {
 public:
   attempt(const forward_services& aServices,
@@ -45,16 +39,10 @@
           wire::http_reply& aReply,
           relay_progress& aProgress,
           const claim_hook& aClaim)
-    : mServices(aServices)
-    , mForwarded(aForwarded)
-    , mAttempt(aAttempt)
-    , mTarget(aAttempt.mTarget)
-    , mUpstream(*mTarget.mUpstream)
+    : attempt_ending(aServices, aForwarded, aAttempt, aProgress)
     , mReply(aReply)
-    , mProgress(aProgress)
     , mClaim(aClaim)
     , mLearning(aServices, aForwarded, mTarget)
-    , mSplitter(aServices.mEventLimitBytes)
     , mMemory(std::make_shared<answer_claim>(aServices.mAnswerMemory))
   {
   }
@@ -106,124 +94,6 @@
     return forward;
   }
 
-  // Reads the next piece of the answer.
-  asio::awaitable<wire::wire_result<std::string>> ReadPiece()
-  {
-    mAttempt.mWaitingSince = steady_clock::now();
-    auto piece = co_await mStream->Read(LeftUntil(mForwarded.mDeadline));
-    mAttempt.mWaitingSince.reset();
-    if (piece) {
-      OnBytes();
-    }
-    co_return piece;
-  }
-
-  void OnBytes()
-  {
-    mLastBytes = steady_clock::now();
-    mServices.mParts.OnSign(mUpstream.mKey);
-  }
-
-  // Records once that the upstream goes on after the begin of a stream.
-  void RecordSurvival()
-  {
-    if (!mSurvived) {
-      mSurvived = true;
-      mServices.mParts.OnSurvival(SharedParts(mForwarded));
-    }
-  }
-
-  // Records that the upstream broke the connection.
-  void RecordLoss()
-  {
-    constexpr unsigned kFirstError = 300;
-    const bool answers = mStream && mStream->Head().mStatus < kFirstError;
-    mServices.mParts.OnUpstreamLost(
-      SharedParts(mForwarded), mUpstream.mKey, answers && !mAttempt.mHasEvents);
-  }
-
-  attempt_result End(attempt_end aEnd, std::string aDetail = {})
-  {
-    attempt_result result;
-    result.mEnd = aEnd;
-    result.mDetail = std::move(aDetail);
-    result.mSilence = std::chrono::duration_cast<milliseconds>(
-      steady_clock::now() - mLastBytes);
-    if (mStream) {
-      result.mStatus = mStream->Head().mStatus;
-      result.mReusedConnection = mStream->Reused();
-      result.mFraming = mStream->Framing();
-      result.mUnfinishedBytes = mSplitter.Remainder().size();
-    }
-    const bool mayHaveRun =
-      aEnd == attempt_end::Broken || aEnd == attempt_end::TimedOut ||
-      aEnd == attempt_end::Superseded || aEnd == attempt_end::Failed;
-    mProgress.mMayHaveRun = mProgress.mMayHaveRun || mayHaveRun;
-    return result;
-  }
-
-  // Returns the end of an attempt that this gateway has aborted.
-  std::optional<attempt_result> Stopped()
-  {
-    if (mProgress.mCallerGone) {
-      return End(attempt_end::CallerDisconnected);
-    }
-    if (mAttempt.mSuperseded) {
-      return End(attempt_end::Superseded);
-    }
-    return std::nullopt;
-  }
-
-  attempt_result OpenFailed(const wire::wire_error& aError)
-  {
-    if (const auto stopped = Stopped()) {
-      return *stopped;
-    }
-    if (!aError.mBytesWritten) {
-      // A call that is withdrawn says nothing of the upstream.
-      if (aError.mKind != wire::wire_error_kind::Cancelled) {
-        mUpstream.mHealth.AddConnectFailure(steady_clock::now());
-      }
-      return End(attempt_end::NotSent, aError.mDetail);
-    }
-    return AnswerLost(aError);
-  }
-
-  // Ends the attempt after the answer, or the rest of it, failed to arrive.
-  attempt_result AnswerLost(const wire::wire_error& aError)
-  {
-    if (const auto stopped = Stopped()) {
-      return *stopped;
-    }
-    const bool timedOut = aError.mKind == wire::wire_error_kind::Timeout;
-    // A stale connection says nothing of the upstream; the request's next
-    // attempt there, on a new connection, does.
-    const bool stale =
-      aError.mStaleConnection && mForwarded.mRoute->mIdempotent;
-    // Silence until the request's own deadline does not count as a failure of
-    // the upstream; a part of the answer that did not end does.
-    const bool late =
-      timedOut && LeftUntil(mForwarded.mDeadline) <= kTimerTolerance;
-    if (!stale && (!late || HasUnfinishedPart(aError))) {
-      mUpstream.mHealth.AddResult(true, steady_clock::now());
-    }
-    if (!timedOut) {
-      RecordLoss();
-    }
-    auto result = End(timedOut ? attempt_end::TimedOut : attempt_end::Broken,
-                      aError.mDetail);
-    result.mReusedConnection |= aError.mStaleConnection;
-    result.mStaleUpstream = stale ? mTarget.mUpstream : nullptr;
-    return result;
-  }
-
-  // Whether bytes arrived that are no complete head, event or plain answer.
-  bool HasUnfinishedPart(const wire::wire_error& aError) const
-  {
-    const bool streams = mStream && IsEventStream(mStream->Head());
-    return streams ? mSplitter.InsideEvent() : aError.mReceivedBytes > 0;
-  }
-
   asio::awaitable<attempt_result> ReceiveAnswer()
   {
     while (true) {
@@ -285,26 +155,6 @@
     co_return co_await RelayPlainAnswer(aKind);
   }
 
-  // Ends the attempt and closes the connection, as the answer is too long.
-  attempt_result EndAtLimit(std::string_view aLimit, std::size_t aBytes)
-  {
-    const auto took = steady_clock::now() - mAttempt.mStarted;
-    auto result = End(
-      attempt_end::Broken,
-      std::string(aLimit) + ": too long after " + std::to_string(aBytes) +
-        " bytes and " +
-        std::to_string(std::chrono::duration_cast<milliseconds>(took).count()) +
-        " ms");
-    mStream.reset();
-    return result;
-  }
-
-  // Other answers take the memory too, so that the upstream isn't blamed.
-  attempt_result NoMemory(std::size_t aBytes)
-  {
-    return EndAtLimit("memory for answers", aBytes);
-  }
-
   asio::awaitable<attempt_result> RelayPlainAnswer(answer_kind aKind)
   {
     wire::http_response response;
@@ -449,24 +299,11 @@
     co_return co_await mReply.Write(aBytes);
   }
 
-  const forward_services& mServices;
-  const forwarded_request& mForwarded;
-  running_attempt& mAttempt;
-  const attempt_target& mTarget;
-  upstream& mUpstream;
   wire::http_reply& mReply;
-  relay_progress& mProgress;
   const claim_hook& mClaim;
   attempt_learning mLearning;
-  wire::sse_splitter mSplitter;
-  // When the upstream last sent bytes of the answer, or the start.
-  steady_time mLastBytes = steady_clock::now();
   // The bytes of the answer that wait to be sent to the caller.
   std::shared_ptr<answer_claim> mMemory;
-  // The upstream went on after the begin of the answer.
-  bool mSurvived = false;
-  // Null until the head of an answer has arrived.
-  wire::http_stream_ptr mStream;
 };
 
 } // namespace
