Count a part's crashes by all upstreams that ended under it

A quarantine also needs eight answers that went on meanwhile, and a gateway that returns takes over no crashes older than 3 s, as it doesn't know what survived since.

--- a/include/sapphirespar/policy/crash_suspects.hpp
+++ b/include/sapphirespar/policy/crash_suspects.hpp
@@ -9,6 +9,7 @@
 #include "sapphirespar/model/crash_report.hpp"
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -127,13 +128,17 @@
   };
   // Upstreams of a pool that ended together.
   using cluster = std::vector<ended_upstream>;
-  // The crashes that count against a part.
+  // What counts against a part.
   struct chain
   {
+    // All upstreams that ended under it.
     std::set<std::uint64_t> mUpstreams;
+    // Those that ended one after the other.
     unsigned mCrashes = 0;
     // Sum over the crashes: the fewer parts were there, the more each.
     double mEvidence = 0;
+    // The first of them.
+    steady_time mSince{};
   };
 
   void AddCrash(const prompt_part& aPart,
@@ -145,6 +150,8 @@
   bool AnySurvival(std::string_view aPool,
                    steady_time aAfter,
                    steady_time aUntil) const;
+  std::ptrdiff_t CountSurvivals(std::string_view aPool,
+                                steady_time aAfter) const;
   void AdoptQuarantine(const part_quarantine& aReported, steady_time aNow);
   // The upstreams that quarantined parts have ended.
   std::set<std::uint64_t> Explained() const;
--- a/src/sapphirespar/policy/crash_suspects.cpp
+++ b/src/sapphirespar/policy/crash_suspects.cpp
@@ -165,6 +165,17 @@
   return next != times.end() && *next <= aUntil;
 }
 
+std::ptrdiff_t
+crash_suspects::CountSurvivals(std::string_view aPool, steady_time aAfter) const
+{
+  const auto pool = mPoolSurvivals.find(aPool);
+  if (pool == mPoolSurvivals.end()) {
+    return 0;
+  }
+  const auto& times = pool->second.mTimes;
+  return std::distance(times.upper_bound(aAfter), times.end());
+}
+
 void
 crash_suspects::AddSurvival(const prompt_part& aPart,
                             steady_time aAt,
--- a/src/sapphirespar/policy/crash_suspects_conclusions.cpp
+++ b/src/sapphirespar/policy/crash_suspects_conclusions.cpp
@@ -2,6 +2,7 @@
 #include "sapphirespar/policy/crash_suspects.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace sapphirespar::policy {
@@ -20,6 +21,9 @@
 constexpr double kEvidence = 2;
 constexpr double kPartsOfOne = 2;
 
+// Answers without the part that went on since the first of the crashes.
+constexpr std::ptrdiff_t kSurvivals = 8;
+
 // Requests with a part are not repeated after this many crashes.
 constexpr unsigned kCrashesWithoutRepeat = 2;
 
@@ -35,14 +39,6 @@
 // the time that the signs take from other gateways.
 constexpr milliseconds kConfirmAfter{ 300 };
 
-bool
-Intersect(const std::set<std::uint64_t>& aOne,
-          const std::set<std::uint64_t>& aTwo)
-{
-  return std::ranges::any_of(
-    aOne, [&](std::uint64_t aKey) { return aTwo.contains(aKey); });
-}
-
 } // namespace
 
 std::set<std::uint64_t>
@@ -101,45 +97,47 @@
     return result;
   }
   const auto survived = mSurvivals.find(aPart);
-  auto last =
+  const auto cleared =
     survived == mSurvivals.end() ? steady_time{} : survived->second.mLast;
+  auto last = cleared;
   double explained = 0;
   double unexplained = 0;
   for (const auto& together : aClusters) {
-    const auto isHere = [&](const crash& aCrash) {
-      return std::ranges::find(together,
-                               aCrash.mUpstream,
-                               &ended_upstream::mKey) != together.end();
-    };
-    const auto first = std::ranges::find_if(found->second, isHere);
-    const auto here = std::ranges::count_if(found->second, isHere);
-    const bool explains =
-      static_cast<double>(here) >=
-      kExplainedShare * static_cast<double>(together.size());
-    if (!explains) {
+    std::vector<crash> here;
+    double evidence = 0;
+    for (const auto& [upstream, parts] : together) {
+      const auto crash =
+        std::ranges::find(found->second, upstream, &crash::mUpstream);
+      if (crash != found->second.end() && crash->mEnded > cleared) {
+        here.push_back(*crash);
+        evidence = std::max(evidence, std::min(1.0, kPartsOfOne / parts));
+      }
+    }
+    if (here.empty() ||
+        static_cast<double>(here.size()) <
+          kExplainedShare * static_cast<double>(together.size())) {
       const bool counts =
         together.size() < kCommonCause && !result.mUpstreams.empty();
       unexplained += counts ? 1 : 0;
       continue;
     }
+    ++explained;
     // Every survival after the part's own last one is of requests without it.
     // Upstreams that end while the pool gives no answers count once.
-    const auto isNext = [&](const crash& aCrash) {
-      return isHere(aCrash) &&
-             (result.mUpstreams.empty()
-                ? aCrash.mEnded > last
-                : AnySurvival(aPart.mPool, last, aCrash.mEnded));
-    };
-    const auto next = std::ranges::find_if(found->second, isNext);
-    if (next != found->second.end()) {
+    const bool first = result.mUpstreams.empty();
+    const auto next = std::ranges::find_if(here, [&](const crash& aCrash) {
+      return first || AnySurvival(aPart.mPool, last, aCrash.mEnded);
+    });
+    if (next != here.end()) {
       last = next->mEnded;
-      result.mUpstreams.insert(next->mUpstream);
+      result.mSince = first ? last : result.mSince;
       ++result.mCrashes;
-      const auto ended =
-        std::ranges::find(together, next->mUpstream, &ended_upstream::mKey);
-      result.mEvidence += std::min(1.0, kPartsOfOne / ended->mParts);
+      result.mEvidence += evidence;
     }
-    explained += first->mEnded > last || !result.mUpstreams.empty() ? 1 : 0;
+    std::ranges::transform(
+      here,
+      std::inserter(result.mUpstreams, result.mUpstreams.end()),
+      &crash::mUpstream);
   }
   if (explained < kExplainedShare * (explained + unexplained)) {
     return {};
@@ -158,21 +156,23 @@
       if (ends.empty()) {
         ends = Clusters(part.mPool, aNow - kConfirmAfter);
       }
-      chains.emplace(part, ChainOf(part, ends));
+      auto against = ChainOf(part, ends);
+      if (against.mCrashes >= kCrashes && against.mEvidence >= kEvidence &&
+          CountSurvivals(part.mPool, against.mSince) >= kSurvivals) {
+        chains.emplace(part, std::move(against));
+      }
     }
   }
   const auto best = std::ranges::max_element(chains, {}, [](const auto& aItem) {
-    return std::pair(aItem.second.mEvidence, aItem.second.mCrashes);
+    return std::pair(aItem.second.mUpstreams.size(), aItem.second.mCrashes);
   });
-  if (best == chains.end() || best->second.mCrashes < kCrashes ||
-      best->second.mEvidence < kEvidence) {
+  if (best == chains.end()) {
     return {};
   }
   const auto& against = best->second;
   std::vector<belief_change> tied;
   for (const auto& [part, other] : chains) {
-    if (other.mCrashes == against.mCrashes &&
-        Intersect(other.mUpstreams, against.mUpstreams)) {
+    if (other.mUpstreams == against.mUpstreams) {
       tied.push_back({ part, true, other.mCrashes, false });
     }
   }
--- a/src/sapphirespar/policy/crash_suspects_exchange.cpp
+++ b/src/sapphirespar/policy/crash_suspects_exchange.cpp
@@ -9,9 +9,9 @@
 
 using std::chrono::milliseconds;
 
-// Own observations are reported for this long, which is several heartbeats of a
-// large fleet.
-constexpr std::chrono::seconds kReportFor{ 10 };
+// Crashes are reported for this long and not taken over later: a gateway that
+// returns doesn't know what survived in between.
+constexpr std::chrono::seconds kReportFor{ 3 };
 
 // Difference between the times of one event at different gateways.
 constexpr milliseconds kSkew{ 100 };
@@ -40,6 +40,9 @@
 crash_suspects::Merge(const crash_report& aReport, steady_time aNow)
 {
   for (const auto& reported : aReport.mCrashes) {
+    if (reported.mAge > kReportFor) {
+      continue;
+    }
     AddCrash(reported.mPart,
              { reported.mUpstream, aNow - reported.mAge, false },
              aNow);
--- a/src/sapphirespar/policy/crash_suspects_test.cpp
+++ b/src/sapphirespar/policy/crash_suspects_test.cpp
@@ -30,13 +30,20 @@
 
   void Pass(std::chrono::milliseconds aTime) { mNow += aTime; }
 
+  // Answers without the part go on meanwhile.
+  void PassWithSound(std::chrono::milliseconds aTime)
+  {
+    for (const auto end = mNow + aTime; mNow < end; Pass(50ms)) {
+      mSuspects.OnSurvival(kSound, mNow);
+    }
+  }
+
   // Crashes with sound answers in between, which no other part explains.
   void CrashInTurn(const shared_parts& aParts, unsigned aCount)
   {
     for (unsigned count = 0; count < aCount; ++count) {
       Crash(aParts);
-      Pass(500ms);
-      mSuspects.OnSurvival(kSound, mNow);
+      PassWithSound(500ms);
       mSuspects.Update(mNow);
       Pass(500ms);
     }
@@ -70,9 +77,7 @@
 {
   for (int count = 0; count < 3; ++count) {
     Crash(kPrompt);
-    Pass(200ms);
-    mSuspects.OnSurvival(kSound, mNow);
-    Pass(200ms);
+    PassWithSound(400ms);
   }
   const auto changes = mSuspects.Update(mNow);
   ASSERT_EQ(changes.size(), 1U);
@@ -97,9 +102,7 @@
     Crash(kPrompt);
     Pass(100ms);
     mSuspects.OnSign(mUpstream, mNow);
-    Pass(500ms);
-    mSuspects.OnSurvival(kSound, mNow);
-    Pass(400ms);
+    PassWithSound(900ms);
     mSuspects.Update(mNow);
   }
   EXPECT_FALSE(Refuses(kPrompt));
@@ -115,12 +118,23 @@
   EXPECT_FALSE(Refuses(kPrompt));
 }
 
+TEST_F(crash_suspects_test, CrashesAmongFewAnswersAreNoProof)
+{
+  for (int count = 0; count < 5; ++count) {
+    Crash(kPrompt);
+    Pass(200ms);
+    mSuspects.OnSurvival(kSound, mNow);
+    Pass(200ms);
+    mSuspects.Update(mNow);
+  }
+  EXPECT_FALSE(Refuses(kPrompt));
+}
+
 TEST_F(crash_suspects_test, APartThatExplainsFewOfTheCrashesIsNotBlamed)
 {
   for (int count = 0; count < 4; ++count) {
     Crash(kPrompt);
-    Pass(500ms);
-    mSuspects.OnSurvival(kSound, mNow);
+    PassWithSound(500ms);
     // Crashes without the part.
     for (int more = 0; more < 3; ++more) {
       Pass(500ms);
@@ -147,9 +161,7 @@
   EXPECT_TRUE(mSuspects.MayRepeat(kPrompt, mNow));
   Crash(kPrompt);
   EXPECT_TRUE(mSuspects.MayRepeat(kPrompt, mNow));
-  Pass(500ms);
-  mSuspects.OnSurvival(kSound, mNow);
-  Pass(500ms);
+  PassWithSound(1s);
   Crash(kPrompt);
   EXPECT_FALSE(mSuspects.MayRepeat(kPrompt, mNow));
   EXPECT_TRUE(mSuspects.MayRepeat(kSound, mNow));
@@ -218,6 +230,19 @@
   EXPECT_EQ(peer.Quarantined(), 0U);
 }
 
+TEST_F(crash_suspects_test, OldReportsAreNotTakenOver)
+{
+  crash_suspects peer([](const prompt_part&) { return false; });
+  Crash(kPrompt);
+  auto report = mSuspects.Report(mNow);
+  ASSERT_EQ(report.mCrashes.size(), 1U);
+  report.mCrashes[0].mAge = 4s;
+  peer.Merge(report, mNow);
+  Crash(kPrompt);
+  peer.Merge(mSuspects.Report(mNow), mNow);
+  EXPECT_TRUE(peer.MayRepeat(kPrompt, mNow));
+}
+
 TEST_F(crash_suspects_test, AQuarantineWhosePartDoesNotComeIsForgotten)
 {
   CrashInTurn(kPrompt, 3);
