Test the guard of parts and the owner of a key

Each key has one owner among the gateways that accept requests, so that a quarantined part is tried by one. A peer's crash report is not kept with its state.

--- a/include/sapphirespar/gateway/part_guard.hpp
+++ b/include/sapphirespar/gateway/part_guard.hpp
@@ -54,6 +54,7 @@
 
 private:
   void Update();
+  void ShowQuarantines();
   void TellPeers();
 
   timer_service& mTimers;
--- a/src/sapphirespar/gateway/part_guard.cpp
+++ b/src/sapphirespar/gateway/part_guard.cpp
@@ -30,6 +30,7 @@
   , mHooks(std::move(aHooks))
   , mSuspects(mHooks.mMakesTrials)
 {
+  ShowQuarantines();
   mUpdate = mTimers.Every(kUpdatePeriod, [this] { Update(); });
 }
 
@@ -95,14 +96,20 @@
   if (changes.empty()) {
     return;
   }
-  mMetrics.Set("gateway_quarantined_parts",
-               {},
-               static_cast<double>(mSuspects.Quarantined()));
+  ShowQuarantines();
   if (!std::ranges::all_of(changes, &policy::belief_change::mFromPeer)) {
     TellPeers();
   }
 }
 
+void
+part_guard::ShowQuarantines()
+{
+  mMetrics.Set("gateway_quarantined_parts",
+               {},
+               static_cast<double>(mSuspects.Quarantined()));
+}
+
 void
 part_guard::TellPeers()
 {
--- /dev/null
+++ b/src/sapphirespar/gateway/part_guard_test.cpp
@@ -0,0 +1,83 @@
+// Tests of when the guard of prompt parts tells its peers.
+#include "sapphirespar/gateway/part_guard.hpp"
+
+#include <gtest/gtest.h>
+
+#include <array>
+#include <vector>
+
+namespace sapphirespar::gateway {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::array<std::uint64_t, 1> kIds{ 0xab };
+constexpr std::array<std::uint64_t, 1> kSoundIds{ 0xcd };
+const policy::shared_parts kParts{ "pool", kIds };
+const policy::shared_parts kSound{ "pool", kSoundIds };
+
+class part_guard_test : public testing::Test
+{
+protected:
+  manual_timer_service mTimers;
+  metrics mMetrics;
+  unsigned mTold = 0;
+  part_guard mGuard{ mTimers,
+                     mMetrics,
+                     { [](const prompt_part&) { return false; },
+                       [this] { ++mTold; } } };
+};
+
+TEST_F(part_guard_test, TellsPeersOfACrashAtOnceAndOnceMore)
+{
+  mTimers.Advance(1s);
+  mGuard.OnUpstreamLost(kParts, 1, true);
+  EXPECT_EQ(mTold, 1U);
+  mTimers.Advance(2s);
+  EXPECT_EQ(mTold, 2U);
+}
+
+TEST_F(part_guard_test, TellsPeersOfManyCrashesTogether)
+{
+  mTimers.Advance(1s);
+  for (std::uint64_t upstream = 1; upstream <= 20; ++upstream) {
+    mGuard.OnUpstreamLost(kParts, upstream, true);
+  }
+  EXPECT_EQ(mTold, 1U);
+  mTimers.Advance(100ms);
+  EXPECT_EQ(mTold, 2U);
+}
+
+TEST_F(part_guard_test, ALossThatIsNoCrashIsNotUrgent)
+{
+  mTimers.Advance(1s);
+  mGuard.OnUpstreamLost(kParts, 1, false);
+  EXPECT_EQ(mTold, 0U);
+  EXPECT_EQ(mGuard.Report().mLosses.size(), 1U);
+}
+
+TEST_F(part_guard_test, RefusesWhatAPeerHasQuarantined)
+{
+  mTimers.Advance(1s);
+  crash_report report;
+  report.mQuarantines = { { { "pool", 0xab }, 1s, 1s, 0, 0ms } };
+  mGuard.Merge(report);
+  EXPECT_TRUE(mGuard.Refuse(kParts));
+  EXPECT_FALSE(mGuard.Refuse(kSound));
+  mTimers.Advance(200ms);
+  EXPECT_NE(mMetrics.Render().find("gateway_quarantined_parts 1"),
+            std::string::npos);
+  // It was the peer's to tell.
+  EXPECT_EQ(mTold, 0U);
+}
+
+TEST(PartsText, NamesAtMostEightPartsInHexadecimal)
+{
+  EXPECT_EQ(PartsText({}), "");
+  EXPECT_EQ(PartsText(std::array<std::uint64_t, 2>{ 0xab, 16 }), "ab,10");
+  const std::vector<std::uint64_t> many(20, 1);
+  EXPECT_EQ(PartsText(many), "1,1,1,1,1,1,1,1");
+}
+
+} // namespace
+} // namespace sapphirespar::gateway
--- a/src/sapphirespar/gateway/peer_table.cpp
+++ b/src/sapphirespar/gateway/peer_table.cpp
@@ -162,6 +162,7 @@
   }
   mPeers[sender.mVm] = peer{ aState, aNow, true };
   mPeers[sender.mVm].mState.mDataCentreLoads.clear();
+  mPeers[sender.mVm].mState.mCrashReport = {};
   return sameProcess ? gossip_effect::Updated : gossip_effect::NewProcess;
 }
 
--- a/src/sapphirespar/gateway/peer_table_test.cpp
+++ b/src/sapphirespar/gateway/peer_table_test.cpp
@@ -4,6 +4,8 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <string>
+#include <vector>
 
 namespace sapphirespar::gateway {
 namespace {
@@ -42,6 +44,40 @@
   EXPECT_EQ(points[0].mPort, 80);
 }
 
+TEST(PeerTable, EachKeyHasOneOwnerThatAcceptsRequests)
+{
+  const std::vector<std::string> names{ "1", "2", "3", "4" };
+  std::vector<unsigned> owned(names.size());
+  for (std::uint64_t key = 0; key < 400; ++key) {
+    unsigned owners = 0;
+    for (std::size_t self = 0; self < names.size() - 1; ++self) {
+      peer_table table({ { names[self] }, {}, 0 });
+      for (const auto& name : names) {
+        auto state = From(name);
+        state.mLeaving = name == names.back();
+        table.Receive(state, kNow);
+      }
+      const bool owns = table.IsOwnerOf(key, kNow);
+      owners += owns ? 1 : 0;
+      owned[self] += owns ? 1 : 0;
+    }
+    EXPECT_EQ(owners, 1U);
+  }
+  EXPECT_TRUE(
+    std::ranges::all_of(owned.begin(), owned.end() - 1, [](unsigned aCount) {
+      return aCount > 100;
+    }));
+}
+
+TEST(PeerTable, AnotherGatewayTakesOverTheKeysOfALostOne)
+{
+  peer_table table({ { "1" }, {}, 0 });
+  table.Receive(From("2"), kNow);
+  for (std::uint64_t key = 0; key < 50; ++key) {
+    EXPECT_TRUE(table.IsOwnerOf(key, kNow + 10s));
+  }
+}
+
 TEST(PeerTable, RemovesASilentGatewayAndAddsItAgain)
 {
   peer_table table({ { "1" }, {}, 0 });
