--- a/src/sapphirespar/gateway/forward_fixture_test.cpp
+++ b/src/sapphirespar/gateway/forward_fixture_test.cpp
@@ -9,9 +9,9 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 
+#include <algorithm>
 #include <array>
 #include <charconv>
-#include <ranges>
 
 namespace sapphirespar::gateway {
 namespace {
@@ -30,8 +30,10 @@
 ToSegments(std::string_view aText)
 {
   std::vector<prompt_segment> segments;
-  for (const auto part : std::views::split(aText, ',')) {
-    segments.push_back({ ToUnsigned({ part.begin(), part.end() }), 1 });
+  while (!aText.empty()) {
+    const auto end = std::min(aText.find(','), aText.size());
+    segments.push_back({ ToUnsigned(aText.substr(0, end)), 1 });
+    aText.remove_prefix(std::min(end + 1, aText.size()));
   }
   return segments;
 }
