Don't take delayed bytes of a crashed upstream for a sign of life

A gateway that is slow reads bytes from before a crash after others have reported it, and then loses the connection itself. Its sign would have cleared the crash at all gateways. BytesThatCameLateAreNoSignOfLife fails without the change. With nothing suspected, requests and answers cost no look-up.

--- a/src/sapphirespar/policy/crash_suspects.cpp
+++ b/src/sapphirespar/policy/crash_suspects.cpp
@@ -88,6 +88,10 @@
     };
     return;
   }
+  // Bytes that came just before were delayed here; the upstream had ended.
+  if (aCrash.mOwn && known.mSign && aCrash.mEnded < *known.mSign + kSignsFrom) {
+    known.mSign.reset();
+  }
   known.mEnded = std::min(known.mEnded, aCrash.mEnded);
   known.mOwn = known.mOwn || aCrash.mOwn;
 }
@@ -122,6 +126,9 @@
 void
 crash_suspects::OnSurvival(const shared_parts& aParts, steady_time aNow)
 {
+  if (mLosses.empty() && mQuarantines.empty()) {
+    return;
+  }
   for (const auto id : aParts.mIds) {
     AddSurvival(PartOf(aParts, id), aNow, true);
   }
@@ -268,6 +275,9 @@
 std::optional<milliseconds>
 crash_suspects::Refuse(const shared_parts& aParts, steady_time aNow)
 {
+  if (mQuarantines.empty()) {
+    return std::nullopt;
+  }
   std::vector<std::pair<prompt_part, quarantine*>> held;
   for (const auto id : aParts.mIds) {
     const auto part = PartOf(aParts, id);
--- a/src/sapphirespar/policy/crash_suspects_conclusions.cpp
+++ b/src/sapphirespar/policy/crash_suspects_conclusions.cpp
@@ -185,6 +185,9 @@
 bool
 crash_suspects::MayRepeat(const shared_parts& aParts, steady_time aNow) const
 {
+  if (mCrashes.empty() && mQuarantines.empty()) {
+    return true;
+  }
   const auto clusters = Clusters(aParts.mPool, aNow);
   return std::ranges::none_of(aParts.mIds, [&](std::uint64_t aId) {
     const prompt_part part{ std::string(aParts.mPool), aId };
--- a/src/sapphirespar/policy/crash_suspects_test.cpp
+++ b/src/sapphirespar/policy/crash_suspects_test.cpp
@@ -108,6 +108,19 @@
   EXPECT_FALSE(Refuses(kPrompt));
 }
 
+TEST_F(crash_suspects_test, BytesThatCameLateAreNoSignOfLife)
+{
+  for (int count = 0; count < 3; ++count) {
+    Crash(kPrompt);
+    PassWithSound(400ms);
+    mSuspects.OnSign(mUpstream, mNow);
+    mSuspects.OnUpstreamLost(kSound, mUpstream, false, mNow);
+    PassWithSound(400ms);
+    mSuspects.Update(mNow);
+  }
+  EXPECT_TRUE(Refuses(kPrompt));
+}
+
 TEST_F(crash_suspects_test, CrashesWhileNoAnswersAreGivenCountOnce)
 {
   for (int count = 0; count < 5; ++count) {
