--- a/src/sapphirespar/policy/crash_suspects_simulation_test.cpp
+++ b/src/sapphirespar/policy/crash_suspects_simulation_test.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cstdlib>
 #include <string>
 
 namespace sapphirespar::policy {
@@ -15,7 +16,17 @@
 
 constexpr std::uint64_t kPart = 5000;
 constexpr std::uint64_t kOtherPart = 5001;
-constexpr unsigned kSeeds = 2;
+
+// Number of seeds; more are drawn by hand with SAPPHIRESPAR_FLEET_SEEDS.
+unsigned
+Seeds()
+{
+  constexpr unsigned kSeeds = 2;
+  const char* text = std::getenv("SAPPHIRESPAR_FLEET_SEEDS");
+  return text == nullptr
+           ? kSeeds
+           : static_cast<unsigned>(std::strtoul(text, nullptr, 10));
+}
 
 std::string
 Describe(const fleet_plan& aPlan)
@@ -69,7 +80,7 @@
 
 TEST_P(crash_rate_test, FindsTheCrashingPartInTimeAndNoOther)
 {
-  ForEachDraw(Plan(), kSeeds, [](const fleet_result& aResult) {
+  ForEachDraw(Plan(), Seeds(), [](const fleet_result& aResult) {
     ExpectFoundInTime(aResult, kPart);
   });
 }
@@ -78,7 +89,7 @@
 {
   auto plan = Plan();
   plan.mGossipLoss = 0.3;
-  ForEachDraw(plan, kSeeds, [](const fleet_result& aResult) {
+  ForEachDraw(plan, Seeds(), [](const fleet_result& aResult) {
     ExpectFoundInTime(aResult, kPart);
   });
 }
@@ -98,7 +109,7 @@
   plan.mCrashing = { { kPart, true, 2, 3s, 30s },
                      { kOtherPart, false, 2, 15s, 30s } };
   plan.mEnd = 30s;
-  ForEachDraw(plan, kSeeds, [](const fleet_result& aResult) {
+  ForEachDraw(plan, Seeds(), [](const fleet_result& aResult) {
     EXPECT_EQ(aResult.mQuarantined, (std::set{ kPart, kOtherPart }));
     EXPECT_TRUE(aResult.mEverywhere.contains(kPart));
     EXPECT_TRUE(aResult.mEverywhere.contains(kOtherPart));
@@ -111,7 +122,7 @@
   plan.mCrashing = { { kPart, true, 1, 3s, 30s },
                      { kOtherPart, false, 1, 3s, 30s } };
   plan.mEnd = 30s;
-  ForEachDraw(plan, kSeeds, [](const fleet_result& aResult) {
+  ForEachDraw(plan, Seeds(), [](const fleet_result& aResult) {
     EXPECT_EQ(aResult.mQuarantined, (std::set{ kPart, kOtherPart }));
     EXPECT_TRUE(aResult.mEverywhere.contains(kPart));
     EXPECT_TRUE(aResult.mEverywhere.contains(kOtherPart));
@@ -124,7 +135,7 @@
   plan.mCrashing = { { kPart, true, 2, 3s, 400s } };
   plan.mEnd = 400s;
   plan.mSoundPerSecond = 20;
-  for (unsigned seed = 1; seed <= kSeeds; ++seed) {
+  for (unsigned seed = 1; seed <= Seeds(); ++seed) {
     plan.mSeed = seed;
     SCOPED_TRACE(Describe(plan));
     const auto result = crash_fleet(plan).Run();
@@ -139,7 +150,7 @@
 protected:
   static void ExpectNoQuarantine(const fleet_plan& aPlan)
   {
-    ForEachDraw(aPlan, kSeeds, [](const fleet_result& aResult) {
+    ForEachDraw(aPlan, Seeds(), [](const fleet_result& aResult) {
       EXPECT_EQ(aResult.mQuarantined, std::set<std::uint64_t>{});
       EXPECT_GT(aResult.mSoundAnswered, 0U);
     });
@@ -203,7 +214,7 @@
   plan.mCutFrom = 2s;
   plan.mCutUntil = 16s;
   plan.mGossipLoss = 0.3;
-  ForEachDraw(plan, kSeeds, [](const fleet_result& aResult) {
+  ForEachDraw(plan, Seeds(), [](const fleet_result& aResult) {
     EXPECT_EQ(aResult.mQuarantined, std::set{ kPart });
     ASSERT_TRUE(aResult.mEverywhere.contains(kPart));
     EXPECT_LE(aResult.mEverywhere.at(kPart), 18s);
