--- a/src/sapphirespar/wire/http_request_limits_test.cpp
+++ b/src/sapphirespar/wire/http_request_limits_test.cpp
@@ -106,6 +106,8 @@
       timer.expires_after(aPause);
       co_await timer.async_wait(kAsTuple);
     }
+    boost::system::error_code ignored;
+    aSocket->close(ignored);
   }
 
   // Returns the first line of the server's answer.
