--- a/include/sapphirespar/gateway/answer_memory.hpp
+++ b/include/sapphirespar/gateway/answer_memory.hpp
@@ -41,8 +41,8 @@
   answer_claim(const answer_claim&) = delete;
   answer_claim& operator=(const answer_claim&) = delete;
 
-  // Changes the claim to aBytes. Returns false, and changes nothing, if they are
-  // not available: a quarter of the memory is for short answers only, and a
+  // Changes the claim to aBytes. Returns false, and changes nothing, if they
+  // are not available: a quarter of the memory is for short answers only, and a
   // longer one may take half of what is left of the rest.
   bool Resize(std::size_t aBytes);
 
