--- a/include/sapphirespar/wire/http_server.hpp
+++ b/include/sapphirespar/wire/http_server.hpp
@@ -65,10 +65,10 @@
   std::uint64_t mBodyBytes = 4 * 1024 * 1024;
   // From the first byte of a request to the end of its headers.
   std::chrono::milliseconds mHeaderTimeout{ 60000 };
-  // From the end of the headers to the end of the body.
-  std::chrono::milliseconds mBodyTimeout{ 60000 };
   // Longest wait for the next request, or for the next bytes of a body.
   std::chrono::milliseconds mIdleTimeout{ 60000 };
+  // From the end of the headers to the end of the body.
+  std::chrono::milliseconds mBodyTimeout{ 60000 };
 };
 
 struct http_server_settings
