--- a/include/sapphirespar/gateway/forward.hpp
+++ b/include/sapphirespar/gateway/forward.hpp
@@ -2,6 +2,8 @@
 // upstream, retries where that is safe, and relays the answer.
 #pragma once
 
+#include "sapphirespar/gateway/answer_memory.hpp"
+#include "sapphirespar/gateway/part_guard.hpp"
 #include "sapphirespar/gateway/protocol.hpp"
 #include "sapphirespar/gateway/routing_state.hpp"
 #include "sapphirespar/gateway/upstream_directory.hpp"
@@ -34,6 +36,7 @@
   const policy::engine_split& mSplit;
   policy::engine_models& mModels;
   policy::prompt_kinds& mKinds;
+  part_guard& mParts;
   wire::http_client& mClient;
   metrics& mMetrics;
   // Brings the loads of other gateways in mUpstreams up to date.
@@ -47,6 +50,11 @@
   data_centre_id mDataCentre;
   // Keys are rejected once the last confirmation of the routing is this old.
   std::chrono::milliseconds mKeyFreshness{ 5000 };
+  // A stream is ended if more bytes follow its last event with data.
+  std::size_t mEventLimitBytes = 1024 * 1024;
+  // Never null.
+  answer_memory_ptr mAnswerMemory =
+    std::make_shared<answer_memory>(48 * 1024 * 1024);
 };
 
 // Handles one request until it is answered or the caller disconnects. Writes
--- a/include/sapphirespar/wire/http_client.hpp
+++ b/include/sapphirespar/wire/http_client.hpp
@@ -11,6 +11,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -34,7 +35,14 @@
   wire_error_kind mKind = wire_error_kind::Connect;
   // False guarantees that no byte of the request was sent.
   bool mBytesWritten = false;
+  // For people: the part of the response that was incomplete, why it ended, its
+  // bytes and its time.
   std::string mDetail;
+  // The call used an idle connection, which ended before any byte of a response
+  // arrived. The server may have closed it without seeing the request.
+  bool mStaleConnection = false;
+  // Bytes of the incomplete part of the response.
+  std::size_t mReceivedBytes = 0;
 };
 
 template<class T>
@@ -58,9 +66,15 @@
   // A shorter limit that the server announces in Keep-Alive applies instead.
   std::chrono::milliseconds mIdleLimit{ 10000 };
   std::size_t mMaxIdlePerEndpoint = 64;
+  // Limit of a head together with the interim heads before it, and of the
+  // bytes of chunk headers and trailers that are incomplete.
+  std::size_t mHeadLimitBytes = 16 * 1024;
   std::uint64_t mBodyLimitBytes = 16 * 1024 * 1024;
+  // Limit of the bytes that Discard and SkipResponse drop from one call's
+  // connection.
+  std::size_t mDiscardLimitBytes = 1024 * 1024;
   // Null means plain TCP.
-  tls_context_ptr mTls;
+  tls_context_ptr mTls{};
 };
 
 // What marks the end of a response's body.
@@ -94,14 +108,21 @@
   // Returns whether the whole body has been read.
   virtual bool Finished() const = 0;
 
+  // Reads the rest of the body and drops it, so that the connection can be
+  // reused. Closes the connection if the rest takes longer than aTimeout or
+  // exceeds the limit of the settings.
+  virtual asio::awaitable<wire_result<bool>> Discard(
+    std::chrono::milliseconds aTimeout) = 0;
+
   // Discards this response and reads the head of the next one on the same
-  // connection. Used when a response belongs to an earlier request. Must not be
-  // called after Read.
+  // connection. Used when a response belongs to an earlier request. aTimeout
+  // limits the whole. Must not be called after Read.
   virtual asio::awaitable<wire_result<bool>> SkipResponse(
     std::chrono::milliseconds aTimeout) = 0;
 
   // Returns the next piece of the body, or an empty string at its end. A
-  // truncated body is an error.
+  // truncated body is an error, and so is a timeout of zero unless the piece
+  // has arrived together with an earlier one.
   virtual asio::awaitable<wire_result<std::string>> Read(
     std::chrono::milliseconds aTimeout) = 0;
 };
@@ -109,14 +130,15 @@
 using http_stream_ptr = std::unique_ptr<http_stream>;
 
 // Cancels a call in progress from elsewhere on the same thread. The call then
-// fails with wire_error_kind::Cancelled, or with wire_error_kind::Write if it
-// was still writing the request.
+// fails with wire_error_kind::Cancelled.
 class call_abort
 {
 public:
   // Closes the call's connection, or makes the call fail once it has one.
   void Abort();
   bool Aborted() const { return mAborted; }
+  // Whether the call has a connection, on which it may have sent bytes.
+  bool Connected() const { return !mStream.expired(); }
 
   // Sets the connection that a later Abort closes; null for none.
   void Attach(std::shared_ptr<byte_stream> aStream);
@@ -129,6 +151,12 @@
 
 using call_abort_ptr = std::shared_ptr<call_abort>;
 
+// Called once a call has a connection and before the first byte of its request
+// is written, however long connecting has taken. If it returns false, the
+// connection is closed, and the call fails with wire_error_kind::Cancelled and
+// no bytes written.
+using send_check = std::function<bool()>;
+
 class http_client
 {
 public:
@@ -137,9 +165,8 @@
   http_client(const http_client&) = delete;
   http_client& operator=(const http_client&) = delete;
 
-  // Sends a request and reads the whole response. Until the head has arrived,
-  // aTimeout limits each write and each read; from then on it limits the call
-  // as a whole. Connecting has the timeout of the settings.
+  // Sends a request and reads the whole response. aTimeout limits the call as a
+  // whole, and the timeout of the settings limits connecting.
   asio::awaitable<wire_result<http_response>> Fetch(
     endpoint aEndpoint,
     http_request aRequest,
@@ -147,14 +174,16 @@
     connection_choice aChoice = connection_choice::Pooled);
 
   // Sends a request and returns once the response's head has arrived.
-  // aHeadTimeout limits each write and each read. aAbort may be null; it can
-  // cancel the call until the end of the response.
+  // aHeadTimeout limits all until then, and the timeout of the settings limits
+  // connecting. aAbort may be null; it can cancel the call until the end of the
+  // response. aMaySend may be null.
   asio::awaitable<wire_result<http_stream_ptr>> Open(
     endpoint aEndpoint,
     http_request aRequest,
     std::chrono::milliseconds aHeadTimeout,
     connection_choice aChoice = connection_choice::Pooled,
-    call_abort_ptr aAbort = nullptr);
+    call_abort_ptr aAbort = nullptr,
+    send_check aMaySend = nullptr);
 
   // Closes every idle connection to aEndpoint.
   void DropIdle(const endpoint& aEndpoint);
--- a/src/sapphirespar/gateway/forward.cpp
+++ b/src/sapphirespar/gateway/forward.cpp
@@ -2,10 +2,10 @@
 #include "sapphirespar/gateway/forward.hpp"
 
 #include "attempt_race.hpp"
+#include "forward_admission.hpp"
 #include "forward_record.hpp"
 #include "forward_state.hpp"
 #include "placement.hpp"
-#include "refusal_answer.hpp"
 
 #include "sapphirespar/base/log.hpp"
 #include "sapphirespar/policy/retry.hpp"
@@ -19,35 +19,12 @@
 using std::chrono::milliseconds;
 using std::chrono::steady_clock;
 
-// An unknown route or key is refused with a final status (404 or 401) only
-// while the routing is newer than this. The time covers a failed read and the
-// read after it.
-constexpr milliseconds kFreshRoutingAge{ 2500 };
-
 // Maximum number of upstreams tried for one request, including those that could
 // not be reached.
 constexpr std::size_t kMaximumTargets = 4;
 
-// Retry-After values, long enough for another read of the store. The longer one
-// is for keys that can't be verified and for pools without a usable upstream.
-constexpr milliseconds kRetrySoon{ 500 };
-constexpr milliseconds kRetryLater{ 1000 };
-
-// Timers may fire this much early.
-constexpr milliseconds kTimerTolerance{ 5 };
-
-// During shutdown a request is accepted only if it can finish before the
-// process ends: these are the times that the longest streams and plain answers
-// take.
-constexpr milliseconds kLongestStream{ 5000 };
-constexpr milliseconds kLongestPlainAnswer{ 500 };
-
-// Retry-After during shutdown. It is short, because the caller retries at
-// another gateway.
-constexpr milliseconds kRetryElsewhere{ 20 };
-
 // Attempts that were aborted may outlive the request; they keep the forwarder
-// alive, but use neither the request nor the reply any more.
+// alive, but use neither the request nor the reply once it has ended.
 class request_forwarder : public std::enable_shared_from_this<request_forwarder>
 {
 public:
@@ -74,11 +51,11 @@
     mForwarded.mInfo =
       mServices.mProtocol.mReadRequest(mForwarded.mRequest.mHeaders);
     mRoutingAge = mServices.mRouting.Age(mArrivalBootTime);
-    auto refusal = Admit();
+    auto refusal =
+      AdmitRequest(mServices, mForwarded, mArrivalBootTime, mRoutingAge);
     if (!refusal) {
       mReply.OnCallerDisconnect([this] { OnCallerDisconnect(); });
-      refusal = co_await RunAttempts();
-      mReply.OnCallerDisconnect(nullptr);
+      refusal = co_await RunAttemptsToTheEnd();
     }
     if (refusal && !mProgress.mCallerGone) {
       mOutcome.mStatus = refusal->mStatus;
@@ -106,75 +83,24 @@
     mRace.AbortAll();
   }
 
-  // Sets the request's route, account, priority, deadlines and pool. Returns a
-  // refusal if the request must not be forwarded.
-  std::optional<refusal_answer> Admit()
-  {
-    mForwarded.mRouting = mServices.mRouting.Table();
-    if (!mForwarded.mRouting) {
-      return refusal_answer{ 503, "no_routing_yet", kRetrySoon };
-    }
-    const bool fresh = mRoutingAge && *mRoutingAge < kFreshRoutingAge;
-    const auto path = wire::SplitTarget(mForwarded.mRequest.mTarget).mPath;
-    mForwarded.mRoute =
-      mForwarded.mRouting->Match(mForwarded.mRequest.Header("Host"), path);
-    if (mForwarded.mRoute == nullptr) {
-      return fresh ? refusal_answer{ 404, "no_such_route" }
-                   : refusal_answer{ 503, "routing_stale", kRetrySoon };
-    }
-    mForwarded.mPriority =
-      mForwarded.mRouting->PriorityOf(*mForwarded.mRoute, nullptr);
-    if (!mForwarded.mRoute->mPublic) {
-      if (const auto refusal = CheckKey(fresh)) {
-        return refusal;
-      }
-    }
-    if (MayBeCutOff()) {
-      return refusal_answer{ 503, "leaving", kRetryElsewhere };
-    }
-    const auto timeout = mForwarded.mRoute->mTimeout;
-    const auto deadline = mForwarded.mInfo.mDeadline.value_or(timeout);
-    mForwarded.mDeadline = mForwarded.mArrived + timeout;
-    mForwarded.mCallerDeadline = mForwarded.mArrived + deadline;
-    ChoosePool();
-    return std::nullopt;
-  }
-
-  // Whether this process may end before the answer is complete.
-  bool MayBeCutOff() const
+  // Runs the attempts. No attempt uses the reply once this has returned or
+  // thrown.
+  asio::awaitable<std::optional<refusal_answer>> RunAttemptsToTheEnd()
   {
-    const auto left = mServices.mTimeToStop();
-    const auto needed =
-      mForwarded.mRoute->mStreams ? kLongestStream : kLongestPlainAnswer;
-    return left && *left < needed;
-  }
-
-  std::optional<refusal_answer> CheckKey(bool aFresh)
-  {
-    const auto* account = mForwarded.mRouting->FindKey(mForwarded.mInfo.mKey);
-    if (account == nullptr) {
-      return aFresh ? refusal_answer{ 401, "unknown_key" }
-                    : refusal_answer{ 503, "routing_stale", kRetrySoon };
-    }
-    if (!mServices.mRouting.IsConfirmedWithin(mArrivalBootTime,
-                                              mServices.mKeyFreshness)) {
-      return refusal_answer{ 503, "key_not_proved", kRetryLater };
+    std::exception_ptr problem;
+    std::optional<refusal_answer> refusal;
+    try {
+      refusal = co_await RunAttempts();
+    } catch (...) {
+      problem = std::current_exception();
     }
-    mForwarded.mAccount = account->mId;
-    mForwarded.mPriority =
-      mForwarded.mRouting->PriorityOf(*mForwarded.mRoute, account);
-    return std::nullopt;
-  }
-
-  void ChoosePool()
-  {
-    mForwarded.mPool =
-      policy::ChoosePool(*mForwarded.mRoute, mServices.mDraw());
-    const auto* pool = mForwarded.mRouting->FindPool(mForwarded.mPool);
-    if (pool != nullptr) {
-      mForwarded.mEngine = pool->mEngine;
+    mReply.OnCallerDisconnect(nullptr);
+    mRace.AbortAll();
+    co_await mRace.WaitForReply();
+    if (problem) {
+      std::rethrow_exception(problem);
     }
-    mServices.mRetries.CountRequest(mForwarded.mPool, mForwarded.mArrived);
+    co_return refusal;
   }
 
   // Tries upstreams until the request is answered or no retry is allowed.
@@ -199,7 +125,7 @@
       }
       auto result = mRace.TakeEnded();
       if (!result) {
-        TryBesideSilentAttempt();
+        TryBesideSilentAttempts();
         continue;
       }
       if (result->mEnd == attempt_end::Relayed ||
@@ -209,11 +135,23 @@
       }
       if (result->mFailure) {
         mFailure = std::move(result->mFailure);
+        mFailureMemory = std::move(result->mFailureMemory);
       }
       EndWith(result->mEnd, result->mStatus);
-      if (mRace.Running() == 0 && !MayTryAgain(result->mEnd)) {
+      if (mRace.Running() > 0) {
+        if (result->mEnd == attempt_end::NotSent) {
+          TryBeside(result->mEnd);
+        }
+        continue;
+      }
+      if (!MayTryAgain(result->mEnd)) {
         co_return co_await FinishUnanswered(ToText(result->mEnd), kRetrySoon);
       }
+      if (result->mStaleUpstream) {
+        // It may be tried again, once.
+        std::erase(mTried, result->mStaleUpstream);
+        mProgress.mFreshConnection = true;
+      }
     }
   }
 
@@ -240,22 +178,27 @@
     mRace.Start(std::move(aTarget), shared_from_this());
   }
 
-  // Starts an attempt beside one whose upstream is silent, if one is allowed
-  // and another upstream is left. The silent one may still answer first.
-  void TryBesideSilentAttempt()
+  // Starts an attempt beside those whose upstreams are silent. A silent one may
+  // still answer first.
+  void TryBesideSilentAttempts()
   {
-    auto* silent = mRace.Silent();
-    if (silent == nullptr) {
+    if (!mRace.IsSilent()) {
       return;
     }
     const auto now = steady_clock::now();
-    silent->mSilenceHandledAt = now;
-    if (mProgress.mSends >= mForwarded.mRoute->mMaximumAttempts) {
-      return;
+    mRace.NoteSilence(
+      [now](upstream& aUpstream) { aUpstream.mHealth.AddResult(true, now); });
+    if (mProgress.mSends < mForwarded.mRoute->mMaximumAttempts) {
+      TryBeside(attempt_end::TimedOut);
     }
+  }
+
+  // Starts an attempt beside the running ones if one is allowed after an
+  // attempt with such an end, and another upstream is left.
+  void TryBeside(attempt_end aEnd)
+  {
     auto target = PlaceRequest(mServices, mForwarded, mTried);
-    if (target && MayTryAgain(attempt_end::TimedOut)) {
-      silent->mTarget.mUpstream->mHealth.AddResult(true, now);
+    if (target && MayTryAgain(aEnd)) {
       Start(std::move(*target));
     }
   }
@@ -300,7 +243,8 @@
   bool MayTryAgain(attempt_end aEnd)
   {
     const auto now = steady_clock::now();
-    if (mTried.size() >= kMaximumTargets) {
+    if (mTried.size() >= kMaximumTargets ||
+        !mServices.mParts.MayRepeat(SharedParts(mForwarded))) {
       return false;
     }
     const auto& route = *mForwarded.mRoute;
@@ -314,7 +258,8 @@
     failed.mAttempts = mProgress.mSends;
     failed.mMaximumAttempts = route.mMaximumAttempts;
     failed.mAnswerBy =
-      std::min(mForwarded.mDeadline, mForwarded.mCallerDeadline);
+      std::min(mForwarded.mDeadline, mForwarded.mCallerDeadline) -
+      kTimerTolerance;
     const auto take = [&] {
       return mServices.mRetries.TryTake(
         mForwarded.mPool, mServices.mGateways(), now);
@@ -370,6 +315,7 @@
   std::vector<upstream_ptr> mTried;
   // The latest error answer of an upstream, for the caller if none is better.
   std::optional<wire::http_response> mFailure;
+  std::shared_ptr<answer_claim> mFailureMemory;
   request_outcome mOutcome;
 };
 
--- a/src/sapphirespar/gateway/forward_attempt.cpp
+++ b/src/sapphirespar/gateway/forward_attempt.cpp
@@ -1,9 +1,9 @@
 // One attempt to have a request answered by one upstream.
+#include "attempt_ending.hpp"
 #include "attempt_learning.hpp"
 #include "forward_state.hpp"
 
 #include "sapphirespar/base/log.hpp"
-#include "sapphirespar/wire/sse_splitter.hpp"
 
 #include <algorithm>
 
@@ -13,13 +13,24 @@
 using std::chrono::milliseconds;
 using std::chrono::steady_clock;
 
-bool
-IsEventStream(const wire::http_response& aHead)
+// Marks the reply as in use for the lifetime of this object.
+class reply_use
 {
-  return aHead.Header("Content-Type").starts_with("text/event-stream");
-}
+public:
+  explicit reply_use(relay_progress& aProgress)
+    : mProgress(aProgress)
+  {
+    ++mProgress.mReplyUses;
+  }
+  ~reply_use() { --mProgress.mReplyUses; }
+  reply_use(const reply_use&) = delete;
+  reply_use& operator=(const reply_use&) = delete;
+
+private:
+  relay_progress& mProgress;
+};
 
-class attempt
+class attempt : private attempt_ending
 {
 public:
   attempt(const forward_services& aServices,
@@ -28,20 +39,22 @@
           wire::http_reply& aReply,
           relay_progress& aProgress,
           const claim_hook& aClaim)
-    : mServices(aServices)
-    , mForwarded(aForwarded)
-    , mAttempt(aAttempt)
-    , mTarget(aAttempt.mTarget)
-    , mUpstream(*mTarget.mUpstream)
+    : attempt_ending(aServices, aForwarded, aAttempt, aProgress)
     , mReply(aReply)
-    , mProgress(aProgress)
     , mClaim(aClaim)
     , mLearning(aServices, aForwarded, mTarget)
+    , mMemory(std::make_shared<answer_claim>(aServices.mAnswerMemory))
   {
   }
 
   asio::awaitable<attempt_result> Run()
   {
+    const auto connection = mProgress.mFreshConnection
+                              ? wire::connection_choice::Fresh
+                              : wire::connection_choice::Pooled;
+    wire::send_check maySend = [this] {
+      return mUpstream.TakesWork() && !mUpstream.TurnsAway(steady_clock::now());
+    };
     wire::endpoint endpoint;
     endpoint.mAddress = mUpstream.mEntry.mAddress;
     endpoint.mPort = mUpstream.mEntry.mPort;
@@ -49,13 +62,14 @@
       co_await mServices.mClient.Open(std::move(endpoint),
                                       MakeRequest(),
                                       LeftUntil(mForwarded.mDeadline),
-                                      wire::connection_choice::Pooled,
-                                      mAttempt.mAbort);
+                                      connection,
+                                      mAttempt.mAbort,
+                                      std::move(maySend));
     if (!opened) {
       co_return OpenFailed(opened.error());
     }
     mStream = std::move(opened).value();
-    mLastBytes = steady_clock::now();
+    OnBytes();
     mUpstream.mHealth.AddResponse();
     co_return co_await ReceiveAnswer();
   }
@@ -80,78 +94,6 @@
     return forward;
   }
 
-  // Reads the next piece of the answer.
-  asio::awaitable<wire::wire_result<std::string>> ReadPiece()
-  {
-    mAttempt.mWaitingSince = steady_clock::now();
-    auto piece = co_await mStream->Read(LeftUntil(mForwarded.mDeadline));
-    mAttempt.mWaitingSince.reset();
-    if (piece) {
-      mLastBytes = steady_clock::now();
-    }
-    co_return piece;
-  }
-
-  attempt_result End(attempt_end aEnd, std::string aDetail = {})
-  {
-    attempt_result result;
-    result.mEnd = aEnd;
-    result.mDetail = std::move(aDetail);
-    result.mSilence = std::chrono::duration_cast<milliseconds>(
-      steady_clock::now() - mLastBytes);
-    if (mStream) {
-      result.mStatus = mStream->Head().mStatus;
-      result.mReusedConnection = mStream->Reused();
-      result.mFraming = mStream->Framing();
-      result.mUnfinishedBytes = mSplitter.Remainder().size();
-    }
-    const bool mayHaveRun =
-      aEnd == attempt_end::Broken || aEnd == attempt_end::TimedOut ||
-      aEnd == attempt_end::Superseded || aEnd == attempt_end::Failed;
-    mProgress.mMayHaveRun = mProgress.mMayHaveRun || mayHaveRun;
-    return result;
-  }
-
-  // Returns the end of an attempt that this gateway has aborted.
-  std::optional<attempt_result> Stopped()
-  {
-    if (mProgress.mCallerGone) {
-      return End(attempt_end::CallerDisconnected);
-    }
-    if (mAttempt.mSuperseded) {
-      return End(attempt_end::Superseded);
-    }
-    return std::nullopt;
-  }
-
-  attempt_result OpenFailed(const wire::wire_error& aError)
-  {
-    if (const auto stopped = Stopped()) {
-      return *stopped;
-    }
-    if (!aError.mBytesWritten) {
-      mUpstream.mHealth.AddConnectFailure(steady_clock::now());
-      return End(attempt_end::NotSent, aError.mDetail);
-    }
-    return AnswerLost(aError);
-  }
-
-  // Ends the attempt after the answer, or the rest of it, failed to arrive.
-  attempt_result AnswerLost(const wire::wire_error& aError)
-  {
-    if (const auto stopped = Stopped()) {
-      return *stopped;
-    }
-    const bool timedOut = aError.mKind == wire::wire_error_kind::Timeout;
-    // A timeout at the request's own deadline does not count as a failure of
-    // the upstream.
-    if (!timedOut || steady_clock::now() < mForwarded.mDeadline) {
-      mUpstream.mHealth.AddResult(true, steady_clock::now());
-    }
-    return End(timedOut ? attempt_end::TimedOut : attempt_end::Broken,
-               aError.mDetail);
-  }
-
   asio::awaitable<attempt_result> ReceiveAnswer()
   {
     while (true) {
@@ -194,32 +136,25 @@
     const auto now = steady_clock::now();
     if (aKind == answer_kind::NotRun) {
       mUpstream.mHealth.AddResult(true, now);
-      co_await DiscardBody();
-      co_return End(attempt_end::NotRun);
+      // Read to its end, so that the connection can be reused.
+      constexpr milliseconds kDiscardTimeout{ 50 };
+      const auto dropped = co_await mStream->Discard(kDiscardTimeout);
+      co_return End(attempt_end::NotRun,
+                    dropped ? std::string() : dropped.error().mDetail);
     }
     if (aKind == answer_kind::Unusable) {
       mUpstream.mHealth.AddResult(true, now);
       co_return End(attempt_end::Broken, "unusable answer");
     }
     if (aKind == answer_kind::Relay && IsEventStream(mStream->Head())) {
+      if (!mClaim()) {
+        co_return End(attempt_end::Superseded);
+      }
       co_return co_await RelayStream();
     }
     co_return co_await RelayPlainAnswer(aKind);
   }
 
-  // Reads a refusal to its end, so that the connection can be reused.
-  asio::awaitable<void> DiscardBody()
-  {
-    constexpr milliseconds kReadTimeout{ 50 };
-    while (!mStream->Finished()) {
-      if (!co_await mStream->Read(kReadTimeout)) {
-        co_return;
-      }
-    }
-    // The read past the end returns the connection to the pool.
-    co_await mStream->Read(kReadTimeout);
-  }
-
   asio::awaitable<attempt_result> RelayPlainAnswer(answer_kind aKind)
   {
     wire::http_response response;
@@ -235,12 +170,19 @@
         break;
       }
       response.mBody += piece.value();
+      if (!mMemory->Resize(response.mBody.size())) {
+        co_return NoMemory(response.mBody.size());
+      }
     }
     const bool failed = aKind == answer_kind::Failed;
+    if (!failed) {
+      RecordSurvival();
+    }
     mUpstream.mHealth.AddResult(failed, steady_clock::now());
     if (failed || mProgress.mBegun) {
       auto result = End(attempt_end::Failed);
       result.mFailure = std::move(response);
+      result.mFailureMemory = mMemory;
       co_return result;
     }
     if (!mClaim()) {
@@ -252,6 +194,7 @@
   asio::awaitable<attempt_result> Send(wire::http_response aResponse)
   {
     RecordFirstEvent();
+    const reply_use use(mProgress);
     const bool sent = co_await mReply.Send(std::move(aResponse));
     co_return End(sent ? attempt_end::Relayed
                        : attempt_end::CallerDisconnected);
@@ -279,7 +222,18 @@
       if (!piece) {
         co_return AnswerLost(piece.error());
       }
+      if (mAttempt.mSuperseded) {
+        co_return End(attempt_end::Superseded);
+      }
       auto events = mSplitter.Feed(piece.value());
+      if (mSplitter.Overlong()) {
+        mUpstream.mHealth.AddResult(true, steady_clock::now());
+        co_return EndAtLimit("event", mSplitter.BytesSinceData());
+      }
+      const auto waiting = events.mBytes.size() + mSplitter.Remainder().size();
+      if (!mMemory->Resize(waiting)) {
+        co_return NoMemory(waiting);
+      }
       const bool finished = mStream->Finished();
       const bool cut =
         finished && IsCut(!mAttempt.mHasEvents && events.mBytes.empty());
@@ -293,6 +247,9 @@
       if (!events.mLastId.empty()) {
         mProgress.mLastEventId = events.mLastId;
       }
+      if (ends || (mAttempt.mHasEvents && !events.mBytes.empty())) {
+        RecordSurvival();
+      }
       if (!mAttempt.mHasEvents && !events.mBytes.empty()) {
         mAttempt.mHasEvents = true;
         RecordFirstEvent();
@@ -305,6 +262,9 @@
       }
       if (finished) {
         mUpstream.mHealth.AddResult(cut, steady_clock::now());
+        if (cut) {
+          RecordLoss();
+        }
         co_return cut ? End(attempt_end::Broken, "cut inside an event")
                       : End(attempt_end::Relayed);
       }
@@ -321,6 +281,7 @@
   // Returns false if the caller has disconnected.
   asio::awaitable<bool> SendEvents(const std::string& aBytes, bool aLast)
   {
+    const reply_use use(mProgress);
     if (!mProgress.mBegun && (aLast || !aBytes.empty())) {
       mProgress.mBegun = true;
       const auto& head = mStream->Head();
@@ -338,20 +299,11 @@
     co_return co_await mReply.Write(aBytes);
   }
 
-  const forward_services& mServices;
-  const forwarded_request& mForwarded;
-  running_attempt& mAttempt;
-  const attempt_target& mTarget;
-  upstream& mUpstream;
   wire::http_reply& mReply;
-  relay_progress& mProgress;
   const claim_hook& mClaim;
   attempt_learning mLearning;
-  wire::sse_splitter mSplitter;
-  // When the upstream last sent bytes of the answer, or the start.
-  steady_time mLastBytes = steady_clock::now();
-  // Null until the head of an answer has arrived.
-  wire::http_stream_ptr mStream;
+  // The bytes of the answer that wait to be sent to the caller.
+  std::shared_ptr<answer_claim> mMemory;
 };
 
 } // namespace
--- a/src/sapphirespar/gateway/forward_fixture_test.cpp
+++ b/src/sapphirespar/gateway/forward_fixture_test.cpp
@@ -9,6 +9,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 
@@ -25,6 +26,18 @@
   return number;
 }
 
+std::vector<prompt_segment>
+ToSegments(std::string_view aText)
+{
+  std::vector<prompt_segment> segments;
+  while (!aText.empty()) {
+    const auto end = std::min(aText.find(','), aText.size());
+    segments.push_back({ ToUnsigned(aText.substr(0, end)), 1 });
+    aText.remove_prefix(std::min(end + 1, aText.size()));
+  }
+  return segments;
+}
+
 request_info
 ReadRequestInfo(const wire::http_headers& aHeaders)
 {
@@ -35,6 +48,7 @@
   if (!deadline.empty()) {
     info.mDeadline = std::chrono::milliseconds(ToUnsigned(deadline));
   }
+  info.mPrompt = ToSegments(wire::FindHeader(aHeaders, kTestParts));
   info.mPromptTokens = ToUnsigned(wire::FindHeader(aHeaders, kTestTokens));
   return info;
 }
@@ -158,6 +172,7 @@
                                         mSplit,
                                         mModels,
                                         mKinds,
+                                        mParts,
                                         *mUpstreamClient,
                                         mMetrics,
                                         [this] { mRefreshLoads(); },
@@ -294,6 +309,18 @@
   return answer;
 }
 
+void
+forward_fixture::Pause(std::chrono::milliseconds aTime)
+{
+  const auto wait =
+    [](asio::io_context& aContext,
+       std::chrono::milliseconds aDelay) -> asio::awaitable<void> {
+    asio::steady_timer timer(aContext, aDelay);
+    co_await timer.async_wait(asio::use_awaitable);
+  };
+  Run(wait(mContext, aTime));
+}
+
 void
 forward_fixture::Run(asio::awaitable<void> aWork)
 {
--- a/src/sapphirespar/gateway/forward_fixture_test.hpp
+++ b/src/sapphirespar/gateway/forward_fixture_test.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "sapphirespar/gateway/forward.hpp"
+#include "sapphirespar/wire/asio_timer_service.hpp"
 
 #include <boost/asio/io_context.hpp>
 
@@ -36,6 +37,8 @@
 inline constexpr std::string_view kTestDeadline = "Deadline";
 inline constexpr std::string_view kTestExpected = "Expected";
 inline constexpr std::string_view kTestTokens = "Tokens";
+// Identifiers of the prompt's parts, in decimal, with commas.
+inline constexpr std::string_view kTestParts = "Parts";
 inline constexpr std::string_view kTestLeaving = "Leaving";
 // In milliseconds.
 inline constexpr std::string_view kTestRetryAfter = "Come-Back";
@@ -74,6 +77,9 @@
                                   wire::http_headers aMore = {},
                                   std::string aMethod = "POST");
 
+  // Lets everything run for a while.
+  void Pause(std::chrono::milliseconds aTime);
+
   // Runs until aWork is done.
   void Run(asio::awaitable<void> aWork);
 
@@ -89,6 +95,10 @@
   policy::engine_models mModels;
   policy::prompt_kinds mKinds;
   metrics mMetrics;
+  wire::asio_timer_service mTimers{ mContext.get_executor() };
+  part_guard mParts{ mTimers,
+                     mMetrics,
+                     { [](const prompt_part&) { return true; }, [] {} } };
   // Called before each choice of an upstream.
   std::function<void()> mRefreshLoads = [] {};
   // Routes of the host "h" with the prefixes "/stream/", "/resume/" (resumable
--- a/src/sapphirespar/gateway/forward_state.hpp
+++ b/src/sapphirespar/gateway/forward_state.hpp
@@ -13,6 +13,9 @@
 
 namespace sapphirespar::gateway {
 
+// Timers may fire this much early.
+inline constexpr std::chrono::milliseconds kTimerTolerance{ 5 };
+
 // A decoded request that has been admitted.
 struct forwarded_request
 {
@@ -23,6 +26,9 @@
 
   const wire::http_request& mRequest;
   request_info mInfo;
+  // Identifiers of the parts of the prompt that other prompts may share: all
+  // but the last.
+  std::vector<std::uint64_t> mSharedParts;
   // Owns the route that mRoute points at.
   routing_ptr mRouting;
   const route* mRoute = nullptr;
@@ -39,10 +45,20 @@
   steady_time mCallerDeadline{};
 };
 
+inline policy::shared_parts
+SharedParts(const forwarded_request& aForwarded)
+{
+  return { aForwarded.mPool, aForwarded.mSharedParts };
+}
+
 // Progress of a request across its attempts.
 struct relay_progress
 {
   bool mCallerGone = false;
+  // Attempts that are writing to the reply.
+  unsigned mReplyUses = 0;
+  // Further attempts use new connections, because a kept one was stale.
+  bool mFreshConnection = false;
   // Number of attempts that have sent any byte of the request to an upstream,
   // or may still do so.
   unsigned mSends = 0;
@@ -83,7 +99,12 @@
   unsigned mStatus = 0;
   // The error answer of a Failed attempt, ready to be sent to the caller.
   std::optional<wire::http_response> mFailure;
+  // Claims the memory of mFailure; null without it.
+  std::shared_ptr<answer_claim> mFailureMemory;
   bool mReusedConnection = false;
+  // The upstream of an idempotent request whose kept connection ended before
+  // any byte of an answer arrived; otherwise null. See wire_error.
+  upstream_ptr mStaleUpstream;
   // Unset if no answer arrived.
   std::optional<wire::body_framing> mFraming;
   // Bytes of a stream after its last complete event.
@@ -136,8 +157,8 @@
   // Since when the attempt has been waiting for its upstream; unset while it
   // writes to the caller and once it has ended.
   std::optional<steady_time> mWaitingSince = mStarted;
-  // When it was last decided whether to try another upstream beside this one.
-  steady_time mSilenceHandledAt{};
+  // When its upstream was last found silent; the epoch if never.
+  steady_time mSilenceNotedAt{};
   bool mHasEvents = false;
   // Another attempt answers. Nothing of this one may be relayed.
   bool mSuperseded = false;
--- a/src/sapphirespar/gateway/upstream_directory.cpp
+++ b/src/sapphirespar/gateway/upstream_directory.cpp
@@ -1,5 +1,4 @@
-// Applies lists of upstreams, makes digests and deltas of them, and counts
-// load.
+// Applies lists of upstreams and counts load.
 #include "sapphirespar/gateway/upstream_directory.hpp"
 
 #include "sapphirespar/base/log.hpp"
@@ -12,6 +11,7 @@
 #include <numeric>
 #include <set>
 #include <string>
+#include <utility>
 
 namespace sapphirespar::gateway {
 namespace {
@@ -22,10 +22,6 @@
 // Bounds the memory for the segments of one upstream.
 constexpr std::size_t kMaximumSegments = 1024;
 
-// Number of changes kept, from which deltas for other gateways are made. While
-// a service is being replaced there are several changes a second.
-constexpr std::size_t kMaximumSteps = 64;
-
 // Number of leaving incarnations that other gateways are told of.
 constexpr std::size_t kSentLeaving = 64;
 
@@ -109,7 +105,7 @@
                               list_completeness aCompleteness)
 {
   directory_change change;
-  step newStep{ mDigest, {} };
+  std::set<upstream_id> changedIds;
   std::set<upstream_id> listed;
   const bool restored = aCompleteness == list_completeness::Restored ||
                         aCompleteness == list_completeness::RestoredComplete;
@@ -131,12 +127,12 @@
         change.mDraining.push_back(entry.mId);
       }
       if (known->mEntry != entry) {
-        newStep.mChangedIds.insert(entry.mId);
+        changedIds.insert(entry.mId);
         known->mEntry = entry;
       }
       continue;
     }
-    newStep.mChangedIds.insert(entry.mId);
+    changedIds.insert(entry.mId);
     if (known) {
       change.mRemoved.push_back(entry.mId);
       KeepFormer(std::move(known));
@@ -155,65 +151,41 @@
   }
   std::ranges::for_each(missing,
                         [&](const upstream_id& aId) { Remove(aId, change); });
-  newStep.mChangedIds.insert(missing.begin(), missing.end());
-  mDigest = MakeDigest();
-  if (mDigest != newStep.mFrom) {
-    mSteps.push_back(std::move(newStep));
-    if (mSteps.size() > kMaximumSteps) {
-      mSteps.pop_front();
-    }
-  }
+  changedIds.insert(missing.begin(), missing.end());
+  RecordStep(std::move(changedIds));
   return change;
 }
 
-std::optional<upstream_delta>
-upstream_directory::ChangedSince(std::uint64_t aBase) const
+directory_change
+upstream_directory::ApplyFormer(std::span<const upstream_entry> aEntries,
+                                std::span<const std::uint64_t> aFormer)
 {
-  upstream_delta delta{ aBase, {}, {} };
-  if (aBase == mDigest) {
-    return delta;
-  }
+  directory_change change;
   std::set<upstream_id> changedIds;
-  for (auto recorded = mSteps.rbegin(); recorded != mSteps.rend(); ++recorded) {
-    changedIds.insert(recorded->mChangedIds.begin(),
-                      recorded->mChangedIds.end());
-    if (recorded->mFrom != aBase) {
-      continue;
+  for (const auto& entry : aEntries) {
+    const auto found = mUpstreams.find(entry.mId);
+    if (entry.mDraining && found != mUpstreams.end() &&
+        found->second->mKey == KeyOf(entry) &&
+        !found->second->mEntry.mDraining) {
+      found->second->mEntry.mDraining = true;
+      changedIds.insert(entry.mId);
+      change.mDraining.push_back(entry.mId);
     }
-    for (const auto& id : changedIds) {
-      const auto found = mUpstreams.find(id);
-      if (found == mUpstreams.end()) {
-        delta.mRemoved.push_back(id);
-      } else {
-        delta.mChanged.push_back(found->second->mEntry);
-      }
-    }
-    return delta;
   }
-  return std::nullopt;
-}
-
-std::optional<std::vector<upstream_entry>>
-upstream_directory::WithDelta(const upstream_delta& aDelta) const
-{
-  if (aDelta.mBase != mDigest) {
-    return std::nullopt;
-  }
-  std::map<upstream_id, upstream_entry> entries;
-  for (const auto& [id, known] : mUpstreams) {
-    entries.emplace(id, known->mEntry);
-  }
-  for (const auto& id : aDelta.mRemoved) {
-    entries.erase(id);
-  }
-  for (const auto& entry : aDelta.mChanged) {
-    entries.insert_or_assign(entry.mId, entry);
+  for (const auto key : aFormer) {
+    const auto listed = std::ranges::find_if(
+      mUpstreams, [&](const auto& aItem) { return aItem.second->mKey == key; });
+    if (listed != mUpstreams.end()) {
+      changedIds.insert(listed->first);
+      Remove(listed->first, change);
+    } else if (FindFormer(key) == mFormer.end()) {
+      auto former = std::make_shared<upstream>();
+      former->mKey = key;
+      KeepFormer(std::move(former));
+    }
   }
-  std::vector<upstream_entry> list;
-  std::ranges::transform(entries,
-                         std::back_inserter(list),
-                         [](const auto& aItem) { return aItem.second; });
-  return list;
+  RecordStep(std::move(changedIds));
+  return change;
 }
 
 std::deque<upstream_ptr>::iterator
@@ -260,33 +232,6 @@
   aChange.mRemoved.push_back(std::move(aId));
 }
 
-std::vector<upstream_entry>
-upstream_directory::Entries() const
-{
-  std::vector<upstream_entry> entries;
-  std::ranges::transform(
-    mUpstreams, std::back_inserter(entries), [](const auto& aItem) {
-      return aItem.second->mEntry;
-    });
-  return entries;
-}
-
-std::uint64_t
-upstream_directory::MakeDigest() const
-{
-  std::uint64_t digest = mUpstreams.size();
-  for (const auto& [id, known] : mUpstreams) {
-    const auto& entry = known->mEntry;
-    const std::string text =
-      entry.mPool + ' ' + entry.mAddress + ' ' + std::to_string(entry.mPort) +
-      ' ' + entry.mDataCentre.mText + ' ' + std::to_string(entry.mSlots) + ' ' +
-      std::to_string(static_cast<int>(entry.mDraining));
-    digest =
-      XXH3_64bits_withSeed(text.data(), text.size(), digest ^ known->mKey);
-  }
-  return digest;
-}
-
 void
 upstream_directory::NoteLeaving(std::uint64_t aKey, std::string_view aSource)
 {
