--- a/src/sapphirespar/gateway/part_guard.cpp
+++ b/src/sapphirespar/gateway/part_guard.cpp
@@ -15,8 +15,8 @@
 
 constexpr milliseconds kUpdatePeriod{ 100 };
 
-// Peers are told at most once per the first time, and once more after the
-// second, as datagrams may be lost.
+// Minimum interval between reports to peers, and the delay until a report is
+// repeated, as datagrams may be lost.
 constexpr milliseconds kTellPeriod{ 50 };
 constexpr milliseconds kTellAgainAfter{ 300 };
 
--- a/src/sapphirespar/policy/crash_suspects.cpp
+++ b/src/sapphirespar/policy/crash_suspects.cpp
@@ -21,8 +21,9 @@
 // Resolution of the survivals of a pool.
 constexpr milliseconds kStep{ 20 };
 
-// The first trial, and the time after which a part that does not come, or has
-// used its trials, is treated as new.
+// Time from the quarantine to the first trial, and the number of trials. A part
+// is forgotten after the last of these times without a request, and tried anew
+// after it once its trials are used.
 constexpr std::chrono::seconds kFirstTrial{ 60 };
 constexpr unsigned kTrials = 2;
 constexpr std::chrono::hours kForgetAfter{ 1 };
