--- a/include/sapphirespar/gateway/protocol.hpp
+++ b/include/sapphirespar/gateway/protocol.hpp
@@ -5,6 +5,7 @@
 
 #include "sapphirespar/base/ids.hpp"
 #include "sapphirespar/model/routing.hpp"
+#include "sapphirespar/model/upstream_rate.hpp"
 #include "sapphirespar/wire/http_message.hpp"
 
 #include <chrono>
@@ -75,6 +76,9 @@
   // How long the upstream, which is overloaded, wants no request from this
   // gateway; at most an hour.
   std::optional<std::chrono::milliseconds> mRetryAfter = std::nullopt;
+  // The request rate that the upstream accepts; unset if the answer does not
+  // tell it. See upstream_rate.
+  std::optional<double> mAcceptedRate = std::nullopt;
 };
 
 // An address where a gateway accepts connections.
--- a/src/sapphirespar/gateway/attempt_ending.cpp
+++ b/src/sapphirespar/gateway/attempt_ending.cpp
@@ -71,6 +71,7 @@
   result.mDetail = std::move(aDetail);
   result.mSilence =
     std::chrono::duration_cast<milliseconds>(steady_clock::now() - mLastBytes);
+  result.mAcceptedRate = mAcceptedRate;
   if (mStream) {
     result.mStatus = mStream->Head().mStatus;
     result.mReusedConnection = mStream->Reused();
--- a/src/sapphirespar/gateway/attempt_ending.hpp
+++ b/src/sapphirespar/gateway/attempt_ending.hpp
@@ -59,6 +59,7 @@
   wire::sse_splitter mSplitter;
   // Null until the head of an answer has arrived.
   wire::http_stream_ptr mStream;
+  std::optional<double> mAcceptedRate;
 
 private:
   // Returns the end of an attempt that this gateway has aborted.
--- a/src/sapphirespar/gateway/forward_attempt.cpp
+++ b/src/sapphirespar/gateway/forward_attempt.cpp
@@ -106,6 +106,7 @@
       if (info.mRetryAfter) {
         TurnAwayFor(*info.mRetryAfter);
       }
+      mAcceptedRate = info.mAcceptedRate;
       const auto kind =
         ClassifyAnswer(head.mStatus, info, mForwarded.mInfo.mId);
       if (kind != answer_kind::Foreign) {
--- a/src/sapphirespar/gateway/forward_record.cpp
+++ b/src/sapphirespar/gateway/forward_record.cpp
@@ -3,6 +3,8 @@
 
 #include "sapphirespar/base/log.hpp"
 
+#include <cmath>
+
 namespace sapphirespar::gateway {
 namespace {
 
@@ -30,6 +32,13 @@
   return "whole";
 }
 
+// Returns -1 without a limit.
+double
+RateForLog(std::optional<double> aRate)
+{
+  return aRate && std::isfinite(*aRate) ? *aRate : -1;
+}
+
 } // namespace
 
 void
@@ -57,6 +66,7 @@
              { "unfinished_bytes", aResult.mUnfinishedBytes },
              { "silent_ms", aResult.mSilence.count() },
              { "left_ms", LeftUntil(aForwarded.mDeadline).count() },
+             { "accepted_rate", RateForLog(aResult.mAcceptedRate) },
              { "detail", aResult.mDetail } });
   aServices.mMetrics.Count("gateway_attempts_total",
                            { { "end", ToText(aResult.mEnd) } });
--- a/src/sapphirespar/gateway/forward_state.hpp
+++ b/src/sapphirespar/gateway/forward_state.hpp
@@ -111,6 +111,8 @@
   std::size_t mUnfinishedBytes = 0;
   // Time since the upstream last sent bytes of the answer, or since the start.
   std::chrono::milliseconds mSilence{ 0 };
+  // The rate named in the last answer read; see answer_info.
+  std::optional<double> mAcceptedRate;
   std::string mDetail;
 };
 
