Tests that fail: an upstream gets more than the rate it names

Cause: every leg (first attempts, prompts, refusals, retries, resumed streams, second attempts beside a silent upstream) goes on as if no rate was named.

--- a/src/sapphirespar/gateway/forward_fixture_test.cpp
+++ b/src/sapphirespar/gateway/forward_fixture_test.cpp
@@ -82,6 +82,8 @@
   if (!retryAfter.empty()) {
     info.mRetryAfter = std::chrono::milliseconds(ToUnsigned(retryAfter));
   }
+  const auto rate = wire::FindHeader(aHeaders, kTestRate);
+  info.mAcceptedRate = rate.empty() ? kUnlimitedRate : ToUnsigned(rate);
   return info;
 }
 
--- a/src/sapphirespar/gateway/forward_fixture_test.hpp
+++ b/src/sapphirespar/gateway/forward_fixture_test.hpp
@@ -42,6 +42,8 @@
 inline constexpr std::string_view kTestLeaving = "Leaving";
 // In milliseconds.
 inline constexpr std::string_view kTestRetryAfter = "Come-Back";
+// In requests per second, an integer.
+inline constexpr std::string_view kTestRate = "Rate";
 
 protocol TestProtocol();
 
