Move the alerts of peers out of the guard of prompt parts

What tells peers of a change at once, and again in case the datagram is lost, is needed for other beliefs too. No change of behaviour; part_guard_test holds it to its intervals.

--- a/include/sapphirespar/gateway/part_guard.hpp
+++ b/include/sapphirespar/gateway/part_guard.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "sapphirespar/base/timer_service.hpp"
+#include "sapphirespar/gateway/peer_alert.hpp"
 #include "sapphirespar/policy/crash_suspects.hpp"
 #include "sapphirespar/telemetry/metrics.hpp"
 
@@ -55,15 +56,13 @@
 private:
   void Update();
   void ShowQuarantines();
-  void TellPeers();
 
   timer_service& mTimers;
   metrics& mMetrics;
   const part_guard_hooks mHooks;
   policy::crash_suspects mSuspects;
-  steady_time mLastTold{};
+  peer_alert mAlert;
   timer_subscription mUpdate;
-  timer_subscription mTellAgain;
 };
 
 // Returns the identifiers in hexadecimal, separated by commas; those beyond the
--- a/src/sapphirespar/gateway/part_guard.cpp
+++ b/src/sapphirespar/gateway/part_guard.cpp
@@ -15,11 +15,6 @@
 
 constexpr milliseconds kUpdatePeriod{ 100 };
 
-// Minimum interval between reports to peers, and the delay until a report is
-// repeated, as datagrams may be lost.
-constexpr milliseconds kTellPeriod{ 50 };
-constexpr milliseconds kTellAgainAfter{ 300 };
-
 } // namespace
 
 part_guard::part_guard(timer_service& aTimers,
@@ -29,6 +24,7 @@
   , mMetrics(aMetrics)
   , mHooks(std::move(aHooks))
   , mSuspects(mHooks.mMakesTrials)
+  , mAlert(mTimers, mHooks.mTellPeers)
 {
   ShowQuarantines();
   mUpdate = mTimers.Every(kUpdatePeriod, [this] { Update(); });
@@ -40,7 +36,7 @@
                            bool aAtBegin)
 {
   if (mSuspects.OnUpstreamLost(aParts, aUpstream, aAtBegin, mTimers.Now())) {
-    TellPeers();
+    mAlert.Raise();
   }
 }
 
@@ -98,7 +94,7 @@
   }
   ShowQuarantines();
   if (!std::ranges::all_of(changes, &policy::belief_change::mFromPeer)) {
-    TellPeers();
+    mAlert.Raise();
   }
 }
 
@@ -110,19 +106,6 @@
                static_cast<double>(mSuspects.Quarantined()));
 }
 
-void
-part_guard::TellPeers()
-{
-  const auto now = mTimers.Now();
-  const bool soon = now - mLastTold < kTellPeriod;
-  if (!soon) {
-    mLastTold = now;
-    mHooks.mTellPeers();
-  }
-  mTellAgain = mTimers.After(soon ? kTellPeriod : kTellAgainAfter,
-                             [this] { mHooks.mTellPeers(); });
-}
-
 std::string
 PartsText(std::span<const std::uint64_t> aIds)
 {
