Keep requests within the rate that an upstream names

Cause: a promise that is a sum over all gateways was announced in answers and read by none; each went on placing by load and cache. A permit is taken when an upstream is chosen and asked for again when the request is written, where all legs pass.

--- a/idl/gossip.thrift
+++ b/idl/gossip.thrift
@@ -73,6 +73,14 @@
   6: list<gossip_quarantine> quarantines;
 }
 
+// include/sapphirespar/model/upstream_rate.hpp. The rate is in requests per
+// 1000 seconds, negative without a limit.
+struct gossip_upstream_rate {
+  1: i64 upstream;
+  2: i64 rate;
+  3: i32 age_ms;
+}
+
 struct gossip_state {
   1: string vm;
   2: i64 incarnation;
@@ -113,4 +121,5 @@
   24: i64 routing_version;
   // Absent while there is nothing to report.
   25: optional gossip_crash_report crash_report;
+  26: list<gossip_upstream_rate> upstream_rates;
 }
--- a/include/sapphirespar/gateway/forward.hpp
+++ b/include/sapphirespar/gateway/forward.hpp
@@ -5,6 +5,7 @@
 #include "sapphirespar/gateway/answer_memory.hpp"
 #include "sapphirespar/gateway/part_guard.hpp"
 #include "sapphirespar/gateway/protocol.hpp"
+#include "sapphirespar/gateway/rate_guard.hpp"
 #include "sapphirespar/gateway/routing_state.hpp"
 #include "sapphirespar/gateway/upstream_directory.hpp"
 #include "sapphirespar/policy/engine_model.hpp"
@@ -37,6 +38,7 @@
   policy::engine_models& mModels;
   policy::prompt_kinds& mKinds;
   part_guard& mParts;
+  rate_guard& mRates;
   wire::http_client& mClient;
   metrics& mMetrics;
   // Brings the loads of other gateways in mUpstreams up to date.
--- a/include/sapphirespar/gateway/peer_table.hpp
+++ b/include/sapphirespar/gateway/peer_table.hpp
@@ -121,9 +121,12 @@
   // The engine time, in engines, that all other live gateways need for prefill.
   policy::engine_demand PrefillDemand(steady_time aNow) const;
 
-  // Upper bound of the number of live gateways: those heard recently or
-  // registered, including this one. Zero until another gateway has been heard
-  // or a list of gateways has been received.
+  // The gateways that may be live, sorted: those heard recently or registered,
+  // including this one. Empty until another gateway has been heard or a list of
+  // gateways has been received.
+  std::vector<vm_id> PossibleGateways(steady_time aNow) const;
+
+  // The number of PossibleGateways.
   unsigned MaximumGateways(steady_time aNow) const;
 
   // Registered gateways that have sent nothing for so long that their processes
--- a/include/sapphirespar/gateway/upstream_directory.hpp
+++ b/include/sapphirespar/gateway/upstream_directory.hpp
@@ -147,6 +147,9 @@
   // gateways. Limited in number.
   std::vector<std::uint64_t> Leaving() const;
 
+  // Returns the id of a listed incarnation; nothing if it is not listed.
+  std::optional<upstream_id> NameOf(std::uint64_t aKey) const;
+
   // Sets the load from other gateways. aLoads is by upstream key; an upstream
   // without an entry has no such load.
   void SetPeerLoads(
--- a/include/sapphirespar/model/gossip.hpp
+++ b/include/sapphirespar/model/gossip.hpp
@@ -3,6 +3,7 @@
 
 #include "sapphirespar/base/ids.hpp"
 #include "sapphirespar/model/crash_report.hpp"
+#include "sapphirespar/model/upstream_rate.hpp"
 
 #include <chrono>
 #include <cstdint>
@@ -88,6 +89,8 @@
   // Loads of data centres that a relay forwards; see gateway/gossip_plan.hpp.
   std::vector<data_centre_loads> mDataCentreLoads;
   crash_report mCrashReport;
+  // What upstreams have told the sender of the rates they accept.
+  std::vector<upstream_rate> mUpstreamRates;
 
   bool operator==(const gossip_state&) const = default;
 };
--- a/src/sapphirespar/gateway/attempt_race.cpp
+++ b/src/sapphirespar/gateway/attempt_race.cpp
@@ -118,6 +118,9 @@
   aAttempt->mWaitingSince.reset();
   if (aResult.mEnd == attempt_end::NotSent) {
     --mProgress.mSends;
+    if (aAttempt->mTarget.mPermit == send_permit::Granted) {
+      mServices.mRates.ReturnPermit(aAttempt->mTarget.mUpstream->mKey);
+    }
   }
   mOnEnded(*aAttempt, aResult);
   if (std::erase(mRunning, aAttempt) > 0) {
--- a/src/sapphirespar/gateway/forward.cpp
+++ b/src/sapphirespar/gateway/forward.cpp
@@ -169,6 +169,7 @@
   void Start(attempt_target aTarget)
   {
     mTried.push_back(aTarget.mUpstream);
+    aTarget.mPermit = mServices.mRates.TakePermit(aTarget.mUpstream->mKey);
     if (mForwarded.mEngine) {
       const auto& figures = mServices.mModels.Of(mForwarded.mPool).Figures();
       mServices.mPrefill.Add(aTarget.mInteractive,
@@ -299,8 +300,8 @@
     if (mProgress.mMayHaveRun) {
       return { 502, aReason };
     }
-    if (const auto left = TimeUntilTaken(mServices, mForwarded.mPool)) {
-      return { 503, "all_turn_away", *left };
+    if (const auto pause = PauseOf(mServices, mForwarded.mPool)) {
+      return { 503, pause->mReason, pause->mLeft };
     }
     return { 503, aReason, aRetryAfter };
   }
--- a/src/sapphirespar/gateway/forward_attempt.cpp
+++ b/src/sapphirespar/gateway/forward_attempt.cpp
@@ -52,9 +52,7 @@
     const auto connection = mProgress.mFreshConnection
                               ? wire::connection_choice::Fresh
                               : wire::connection_choice::Pooled;
-    wire::send_check maySend = [this] {
-      return mUpstream.TakesWork() && !mUpstream.TurnsAway(steady_clock::now());
-    };
+    wire::send_check maySend = [this] { return MaySend(); };
     wire::endpoint endpoint;
     endpoint.mAddress = mUpstream.mEntry.mAddress;
     endpoint.mPort = mUpstream.mEntry.mPort;
@@ -75,6 +73,20 @@
   }
 
 private:
+  // Whether the request may still be sent to its upstream, which may have
+  // changed what it wants since it was chosen.
+  bool MaySend()
+  {
+    if (!mUpstream.TakesWork() || mUpstream.TurnsAway(steady_clock::now())) {
+      return false;
+    }
+    auto& permit = mAttempt.mTarget.mPermit;
+    if (permit != send_permit::Granted) {
+      permit = mServices.mRates.TakePermit(mUpstream.mKey);
+    }
+    return permit != send_permit::Refused;
+  }
+
   wire::http_request MakeRequest() const
   {
     forward_info info;
@@ -109,6 +121,7 @@
       mAcceptedRate = info.mAcceptedRate;
       const auto kind =
         ClassifyAnswer(head.mStatus, info, mForwarded.mInfo.mId);
+      NoteAcceptedRate(info, kind);
       if (kind != answer_kind::Foreign) {
         co_return co_await HandleAnswer(kind);
       }
@@ -132,6 +145,19 @@
                { "for_ms", aTime.count() } });
   }
 
+  void NoteAcceptedRate(const answer_info& aInfo, answer_kind aKind)
+  {
+    if (!aInfo.mAcceptedRate) {
+      return;
+    }
+    // Answers to other requests and spoilt ones can't end a limit.
+    const bool sound =
+      aKind != answer_kind::Foreign && aKind != answer_kind::Unusable;
+    mServices.mRates.OnAnswer(mUpstream.mKey,
+                              *aInfo.mAcceptedRate,
+                              sound ? mAttempt.mStarted : steady_time{});
+  }
+
   asio::awaitable<attempt_result> HandleAnswer(answer_kind aKind)
   {
     const auto now = steady_clock::now();
--- a/src/sapphirespar/gateway/forward_fixture_test.cpp
+++ b/src/sapphirespar/gateway/forward_fixture_test.cpp
@@ -175,6 +175,7 @@
                                         mModels,
                                         mKinds,
                                         mParts,
+                                        mRates,
                                         *mUpstreamClient,
                                         mMetrics,
                                         [this] { mRefreshLoads(); },
--- a/src/sapphirespar/gateway/forward_fixture_test.hpp
+++ b/src/sapphirespar/gateway/forward_fixture_test.hpp
@@ -101,6 +101,14 @@
   part_guard mParts{ mTimers,
                      mMetrics,
                      { [](const prompt_part&) { return true; }, [] {} } };
+  rate_guard mRates{ mTimers,
+                     mMetrics,
+                     { "self" },
+                     { [] { return std::vector<vm_id>{ { "self" } }; },
+                       [this](std::uint64_t aKey) {
+                         return mUpstreams.NameOf(aKey);
+                       },
+                       [] {} } };
   // Called before each choice of an upstream.
   std::function<void()> mRefreshLoads = [] {};
   // Routes of the host "h" with the prefixes "/stream/", "/resume/" (resumable
--- a/src/sapphirespar/gateway/forward_state.hpp
+++ b/src/sapphirespar/gateway/forward_state.hpp
@@ -148,6 +148,8 @@
   std::unique_ptr<load_reservation> mReservation;
   // Unset if the request may not be sent to a second upstream.
   std::optional<silence_limits> mSilence;
+  // Whether the attempt may be sent although its upstream limits its rate.
+  send_permit mPermit = send_permit::NotNeeded;
 };
 
 // An attempt in progress.
--- a/src/sapphirespar/gateway/gateway_app.cpp
+++ b/src/sapphirespar/gateway/gateway_app.cpp
@@ -11,6 +11,7 @@
 #include "sapphirespar/gateway/gossip_link.hpp"
 #include "sapphirespar/gateway/part_guard.hpp"
 #include "sapphirespar/gateway/peer_table.hpp"
+#include "sapphirespar/gateway/rate_guard.hpp"
 #include "sapphirespar/wire/asio_timer_service.hpp"
 #include "sapphirespar/wire/platform_client.hpp"
 
@@ -92,6 +93,7 @@
   store_reader_hooks ReaderHooks();
   gossip_hooks GossipHooks();
   part_guard_hooks PartHooks();
+  rate_guard_hooks RateHooks();
   registry_hooks RegistryHooks();
 
   wire::http_response ServeEntry(const wire::http_target& aTarget);
@@ -140,6 +142,7 @@
   policy::engine_models mModels;
   policy::prompt_kinds mKinds;
   part_guard mParts;
+  rate_guard mRates;
   store_reader mReader;
   gateway_registry mRegistry;
   gossip_link mGossip;
@@ -178,6 +181,7 @@
   , mRetries(RetryLimits(mSettings))
   , mModels(mSettings.mEngines)
   , mParts(mTimers, mMetrics, PartHooks())
+  , mRates(mTimers, mMetrics, mSettings.mVm, RateHooks())
   , mReader(mPlatform,
             mTimers,
             mProtocol,
@@ -291,6 +295,7 @@
            .mModels = mModels,
            .mKinds = mKinds,
            .mParts = mParts,
+           .mRates = mRates,
            .mClient = mUpstreamClient,
            .mMetrics = mMetrics,
            .mRefreshLoads = [this] { RefreshLoads(); },
@@ -354,6 +359,7 @@
   hooks.mReceived = [this](const gossip_state& aState) {
     mLoadsStale = true;
     mParts.Merge(aState.mCrashReport);
+    mRates.Merge(aState.mUpstreamRates);
     for (const auto key : aState.mLeavingUpstreams) {
       mUpstreams.NoteLeaving(key, "peer");
     }
@@ -375,6 +381,18 @@
   return hooks;
 }
 
+rate_guard_hooks
+gateway_app::state::RateHooks()
+{
+  rate_guard_hooks hooks;
+  hooks.mGateways = [this] { return mPeers.PossibleGateways(mTimers.Now()); };
+  hooks.mNameOf = [this](std::uint64_t aKey) {
+    return mUpstreams.NameOf(aKey);
+  };
+  hooks.mTellPeers = [this] { mGossip.SendNow(); };
+  return hooks;
+}
+
 registry_hooks
 gateway_app::state::RegistryHooks()
 {
@@ -409,6 +427,7 @@
   own.mLoads = mUpstreams.OwnLoads();
   own.mLeavingUpstreams = mUpstreams.Leaving();
   own.mCrashReport = mParts.Report();
+  own.mUpstreamRates = mRates.Report();
   const auto prefill = mPrefill.Demand(mTimers.Now());
   own.mInteractivePrefill = ToThousandths(prefill.mInteractive.mPrefill);
   own.mProcessor = ToThousandths(mSettings.mProcessor);
--- a/src/sapphirespar/gateway/peer_table.cpp
+++ b/src/sapphirespar/gateway/peer_table.cpp
@@ -163,6 +163,7 @@
   mPeers[sender.mVm] = peer{ aState, aNow, true };
   mPeers[sender.mVm].mState.mDataCentreLoads.clear();
   mPeers[sender.mVm].mState.mCrashReport = {};
+  mPeers[sender.mVm].mState.mUpstreamRates.clear();
   return sameProcess ? gossip_effect::Updated : gossip_effect::NewProcess;
 }
 
@@ -464,8 +465,8 @@
   return sum;
 }
 
-unsigned
-peer_table::MaximumGateways(steady_time aNow) const
+std::vector<vm_id>
+peer_table::PossibleGateways(steady_time aNow) const
 {
   std::set<vm_id> names{ mSelf.mVm };
   for (const auto& [vm, known] : mPeers) {
@@ -476,8 +477,16 @@
   for (const auto& [contact, since] : mRegistered) {
     names.insert(contact.mVm);
   }
-  const bool known = mHasGatewayList || names.size() > 1;
-  return known ? static_cast<unsigned>(names.size()) : 0;
+  if (!mHasGatewayList && names.size() == 1) {
+    return {};
+  }
+  return { names.begin(), names.end() };
+}
+
+unsigned
+peer_table::MaximumGateways(steady_time aNow) const
+{
+  return static_cast<unsigned>(PossibleGateways(aNow).size());
 }
 
 std::vector<vm_id>
--- a/src/sapphirespar/gateway/placement.cpp
+++ b/src/sapphirespar/gateway/placement.cpp
@@ -37,7 +37,8 @@
   });
   const auto now = std::chrono::steady_clock::now();
   std::erase_if(members, [&](const upstream_ptr& aMember) {
-    return aMember->TurnsAway(now);
+    return aMember->TurnsAway(now) || aServices.mRates.TimeUntilPermit(
+                                        aMember->mKey) > milliseconds::zero();
   });
   const auto blocked = [&](const upstream_ptr& aMember) {
     return aMember->mHealth.IsInBackoff(now);
@@ -227,17 +228,26 @@
   return target;
 }
 
-std::optional<milliseconds>
-TimeUntilTaken(const forward_services& aServices, std::string_view aPool)
+std::optional<pool_pause>
+PauseOf(const forward_services& aServices, std::string_view aPool)
 {
   const auto now = std::chrono::steady_clock::now();
-  const auto members = aServices.mUpstreams.Members(aPool);
-  const auto first = std::ranges::min_element(
-    members, {}, [](const auto& aMember) { return aMember->mTurnsAwayUntil; });
-  if (first == members.end() || !(*first)->TurnsAway(now)) {
+  std::optional<pool_pause> pause;
+  bool limited = false;
+  for (const auto& member : aServices.mUpstreams.Members(aPool)) {
+    const auto permitIn = aServices.mRates.TimeUntilPermit(member->mKey);
+    const auto left = std::max(
+      std::chrono::ceil<milliseconds>(member->mTurnsAwayUntil - now), permitIn);
+    limited = limited || permitIn > milliseconds::zero();
+    if (!pause || left < pause->mLeft) {
+      pause = pool_pause{ left, {} };
+    }
+  }
+  if (!pause || pause->mLeft <= milliseconds::zero()) {
     return std::nullopt;
   }
-  return std::chrono::ceil<milliseconds>((*first)->mTurnsAwayUntil - now);
+  pause->mReason = limited ? "rates_used_up" : "all_turn_away";
+  return pause;
 }
 
 milliseconds
--- a/src/sapphirespar/gateway/placement.hpp
+++ b/src/sapphirespar/gateway/placement.hpp
@@ -16,11 +16,18 @@
   const forwarded_request& aForwarded,
   std::span<const upstream_ptr> aTried);
 
-// Returns the time until the first upstream of the pool takes requests again,
-// if all of them turn requests away.
-std::optional<std::chrono::milliseconds> TimeUntilTaken(
-  const forward_services& aServices,
-  std::string_view aPool);
+// Time in which no upstream of a pool takes requests from this gateway.
+struct pool_pause
+{
+  std::chrono::milliseconds mLeft{ 0 };
+  // "all_turn_away", or "rates_used_up" if some of them limit their rates.
+  std::string_view mReason;
+};
+
+// Returns nothing if some upstream of the pool takes requests, or there is
+// none.
+std::optional<pool_pause> PauseOf(const forward_services& aServices,
+                                  std::string_view aPool);
 
 // Longest time that a caller is expected to wait for the first event of a
 // stream, or for the complete answer of a plain request.
--- a/src/sapphirespar/gateway/upstream_directory.cpp
+++ b/src/sapphirespar/gateway/upstream_directory.cpp
@@ -270,6 +270,16 @@
   return listed;
 }
 
+std::optional<upstream_id>
+upstream_directory::NameOf(std::uint64_t aKey) const
+{
+  const auto found =
+    std::ranges::find_if(mUpstreams, [aKey](const auto& aItem) {
+      return aItem.second->mKey == aKey;
+    });
+  return found == mUpstreams.end() ? std::nullopt : std::optional(found->first);
+}
+
 void
 upstream_directory::SetPeerLoads(
   const std::unordered_map<std::uint64_t, policy::upstream_load>& aLoads)
--- a/src/sapphirespar/wire/gen/gossip_types.cpp
+++ b/src/sapphirespar/wire/gen/gossip_types.cpp
@@ -1629,6 +1629,151 @@
 }
 
 
+gossip_upstream_rate::~gossip_upstream_rate() noexcept {
+}
+
+
+void gossip_upstream_rate::__set_upstream(const int64_t val) {
+  this->upstream = val;
+}
+
+void gossip_upstream_rate::__set_rate(const int64_t val) {
+  this->rate = val;
+}
+
+void gossip_upstream_rate::__set_age_ms(const int32_t val) {
+  this->age_ms = val;
+}
+std::ostream& operator<<(std::ostream& out, const gossip_upstream_rate& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t gossip_upstream_rate::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->upstream);
+          this->__isset.upstream = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->rate);
+          this->__isset.rate = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->age_ms);
+          this->__isset.age_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t gossip_upstream_rate::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("gossip_upstream_rate");
+
+  xfer += oprot->writeFieldBegin("upstream", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->upstream);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("rate", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->rate);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("age_ms", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->age_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(gossip_upstream_rate &a, gossip_upstream_rate &b) {
+  using ::std::swap;
+  swap(a.upstream, b.upstream);
+  swap(a.rate, b.rate);
+  swap(a.age_ms, b.age_ms);
+  swap(a.__isset, b.__isset);
+}
+
+gossip_upstream_rate::gossip_upstream_rate(const gossip_upstream_rate& other78) noexcept {
+  upstream = other78.upstream;
+  rate = other78.rate;
+  age_ms = other78.age_ms;
+  __isset = other78.__isset;
+}
+gossip_upstream_rate::gossip_upstream_rate(gossip_upstream_rate&& other79) noexcept {
+  upstream = other79.upstream;
+  rate = other79.rate;
+  age_ms = other79.age_ms;
+  __isset = other79.__isset;
+}
+gossip_upstream_rate& gossip_upstream_rate::operator=(const gossip_upstream_rate& other80) noexcept {
+  upstream = other80.upstream;
+  rate = other80.rate;
+  age_ms = other80.age_ms;
+  __isset = other80.__isset;
+  return *this;
+}
+gossip_upstream_rate& gossip_upstream_rate::operator=(gossip_upstream_rate&& other81) noexcept {
+  upstream = other81.upstream;
+  rate = other81.rate;
+  age_ms = other81.age_ms;
+  __isset = other81.__isset;
+  return *this;
+}
+void gossip_upstream_rate::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "gossip_upstream_rate(";
+  out << "upstream=" << to_string(upstream);
+  out << ", " << "rate=" << to_string(rate);
+  out << ", " << "age_ms=" << to_string(age_ms);
+  out << ")";
+}
+
+
 gossip_state::~gossip_state() noexcept {
 }
 
@@ -1725,6 +1870,10 @@
   this->crash_report = val;
 __isset.crash_report = true;
 }
+
+void gossip_state::__set_upstream_rates(const std::vector<gossip_upstream_rate> & val) {
+  this->upstream_rates = val;
+}
 std::ostream& operator<<(std::ostream& out, const gossip_state& obj)
 {
   obj.printTo(out);
@@ -1829,14 +1978,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->loads.clear();
-            uint32_t _size78;
-            ::apache::thrift::protocol::TType _etype81;
-            xfer += iprot->readListBegin(_etype81, _size78);
-            this->loads.resize(_size78);
-            uint32_t _i82;
-            for (_i82 = 0; _i82 < _size78; ++_i82)
+            uint32_t _size82;
+            ::apache::thrift::protocol::TType _etype85;
+            xfer += iprot->readListBegin(_etype85, _size82);
+            this->loads.resize(_size82);
+            uint32_t _i86;
+            for (_i86 = 0; _i86 < _size82; ++_i86)
             {
-              xfer += this->loads[_i82].read(iprot);
+              xfer += this->loads[_i86].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1913,14 +2062,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->zones.clear();
-            uint32_t _size83;
-            ::apache::thrift::protocol::TType _etype86;
-            xfer += iprot->readListBegin(_etype86, _size83);
-            this->zones.resize(_size83);
-            uint32_t _i87;
-            for (_i87 = 0; _i87 < _size83; ++_i87)
+            uint32_t _size87;
+            ::apache::thrift::protocol::TType _etype90;
+            xfer += iprot->readListBegin(_etype90, _size87);
+            this->zones.resize(_size87);
+            uint32_t _i91;
+            for (_i91 = 0; _i91 < _size87; ++_i91)
             {
-              xfer += this->zones[_i87].read(iprot);
+              xfer += this->zones[_i91].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1933,14 +2082,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->leaving_upstreams.clear();
-            uint32_t _size88;
-            ::apache::thrift::protocol::TType _etype91;
-            xfer += iprot->readListBegin(_etype91, _size88);
-            this->leaving_upstreams.resize(_size88);
-            uint32_t _i92;
-            for (_i92 = 0; _i92 < _size88; ++_i92)
+            uint32_t _size92;
+            ::apache::thrift::protocol::TType _etype95;
+            xfer += iprot->readListBegin(_etype95, _size92);
+            this->leaving_upstreams.resize(_size92);
+            uint32_t _i96;
+            for (_i96 = 0; _i96 < _size92; ++_i96)
             {
-              xfer += iprot->readI64(this->leaving_upstreams[_i92]);
+              xfer += iprot->readI64(this->leaving_upstreams[_i96]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1973,6 +2122,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 26:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->upstream_rates.clear();
+            uint32_t _size97;
+            ::apache::thrift::protocol::TType _etype100;
+            xfer += iprot->readListBegin(_etype100, _size97);
+            this->upstream_rates.resize(_size97);
+            uint32_t _i101;
+            for (_i101 = 0; _i101 < _size97; ++_i101)
+            {
+              xfer += this->upstream_rates[_i101].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.upstream_rates = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2029,10 +2198,10 @@
   xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 11);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
-    std::vector<gossip_load> ::const_iterator _iter93;
-    for (_iter93 = this->loads.begin(); _iter93 != this->loads.end(); ++_iter93)
+    std::vector<gossip_load> ::const_iterator _iter102;
+    for (_iter102 = this->loads.begin(); _iter102 != this->loads.end(); ++_iter102)
     {
-      xfer += (*_iter93).write(oprot);
+      xfer += (*_iter102).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2073,10 +2242,10 @@
   xfer += oprot->writeFieldBegin("zones", ::apache::thrift::protocol::T_LIST, 21);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->zones.size()));
-    std::vector<gossip_zone> ::const_iterator _iter94;
-    for (_iter94 = this->zones.begin(); _iter94 != this->zones.end(); ++_iter94)
+    std::vector<gossip_zone> ::const_iterator _iter103;
+    for (_iter103 = this->zones.begin(); _iter103 != this->zones.end(); ++_iter103)
     {
-      xfer += (*_iter94).write(oprot);
+      xfer += (*_iter103).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2085,10 +2254,10 @@
   xfer += oprot->writeFieldBegin("leaving_upstreams", ::apache::thrift::protocol::T_LIST, 22);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->leaving_upstreams.size()));
-    std::vector<int64_t> ::const_iterator _iter95;
-    for (_iter95 = this->leaving_upstreams.begin(); _iter95 != this->leaving_upstreams.end(); ++_iter95)
+    std::vector<int64_t> ::const_iterator _iter104;
+    for (_iter104 = this->leaving_upstreams.begin(); _iter104 != this->leaving_upstreams.end(); ++_iter104)
     {
-      xfer += oprot->writeI64((*_iter95));
+      xfer += oprot->writeI64((*_iter104));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2107,6 +2276,18 @@
     xfer += this->crash_report.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  xfer += oprot->writeFieldBegin("upstream_rates", ::apache::thrift::protocol::T_LIST, 26);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->upstream_rates.size()));
+    std::vector<gossip_upstream_rate> ::const_iterator _iter105;
+    for (_iter105 = this->upstream_rates.begin(); _iter105 != this->upstream_rates.end(); ++_iter105)
+    {
+      xfer += (*_iter105).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2137,113 +2318,118 @@
   swap(a.store_era, b.store_era);
   swap(a.routing_version, b.routing_version);
   swap(a.crash_report, b.crash_report);
+  swap(a.upstream_rates, b.upstream_rates);
   swap(a.__isset, b.__isset);
 }
 
-gossip_state::gossip_state(const gossip_state& other96) {
-  vm = other96.vm;
-  incarnation = other96.incarnation;
-  sequence = other96.sequence;
-  data_centre = other96.data_centre;
-  address = other96.address;
-  caller_port = other96.caller_port;
-  admin_port = other96.admin_port;
-  ready = other96.ready;
-  leaving = other96.leaving;
-  loads = other96.loads;
-  asks = other96.asks;
-  answers = other96.answers;
-  routing_age_ms = other96.routing_age_ms;
-  upstreams_age_ms = other96.upstreams_age_ms;
-  upstreams_digest = other96.upstreams_digest;
-  interactive_reading = other96.interactive_reading;
-  bulk_reading = other96.bulk_reading;
-  processor = other96.processor;
-  zones = other96.zones;
-  leaving_upstreams = other96.leaving_upstreams;
-  store_era = other96.store_era;
-  routing_version = other96.routing_version;
-  crash_report = other96.crash_report;
-  __isset = other96.__isset;
-}
-gossip_state::gossip_state(gossip_state&& other97) noexcept {
-  vm = std::move(other97.vm);
-  incarnation = other97.incarnation;
-  sequence = other97.sequence;
-  data_centre = std::move(other97.data_centre);
-  address = std::move(other97.address);
-  caller_port = other97.caller_port;
-  admin_port = other97.admin_port;
-  ready = other97.ready;
-  leaving = other97.leaving;
-  loads = std::move(other97.loads);
-  asks = other97.asks;
-  answers = other97.answers;
-  routing_age_ms = other97.routing_age_ms;
-  upstreams_age_ms = other97.upstreams_age_ms;
-  upstreams_digest = other97.upstreams_digest;
-  interactive_reading = other97.interactive_reading;
-  bulk_reading = other97.bulk_reading;
-  processor = other97.processor;
-  zones = std::move(other97.zones);
-  leaving_upstreams = std::move(other97.leaving_upstreams);
-  store_era = other97.store_era;
-  routing_version = other97.routing_version;
-  crash_report = std::move(other97.crash_report);
-  __isset = other97.__isset;
-}
-gossip_state& gossip_state::operator=(const gossip_state& other98) {
-  vm = other98.vm;
-  incarnation = other98.incarnation;
-  sequence = other98.sequence;
-  data_centre = other98.data_centre;
-  address = other98.address;
-  caller_port = other98.caller_port;
-  admin_port = other98.admin_port;
-  ready = other98.ready;
-  leaving = other98.leaving;
-  loads = other98.loads;
-  asks = other98.asks;
-  answers = other98.answers;
-  routing_age_ms = other98.routing_age_ms;
-  upstreams_age_ms = other98.upstreams_age_ms;
-  upstreams_digest = other98.upstreams_digest;
-  interactive_reading = other98.interactive_reading;
-  bulk_reading = other98.bulk_reading;
-  processor = other98.processor;
-  zones = other98.zones;
-  leaving_upstreams = other98.leaving_upstreams;
-  store_era = other98.store_era;
-  routing_version = other98.routing_version;
-  crash_report = other98.crash_report;
-  __isset = other98.__isset;
+gossip_state::gossip_state(const gossip_state& other106) {
+  vm = other106.vm;
+  incarnation = other106.incarnation;
+  sequence = other106.sequence;
+  data_centre = other106.data_centre;
+  address = other106.address;
+  caller_port = other106.caller_port;
+  admin_port = other106.admin_port;
+  ready = other106.ready;
+  leaving = other106.leaving;
+  loads = other106.loads;
+  asks = other106.asks;
+  answers = other106.answers;
+  routing_age_ms = other106.routing_age_ms;
+  upstreams_age_ms = other106.upstreams_age_ms;
+  upstreams_digest = other106.upstreams_digest;
+  interactive_reading = other106.interactive_reading;
+  bulk_reading = other106.bulk_reading;
+  processor = other106.processor;
+  zones = other106.zones;
+  leaving_upstreams = other106.leaving_upstreams;
+  store_era = other106.store_era;
+  routing_version = other106.routing_version;
+  crash_report = other106.crash_report;
+  upstream_rates = other106.upstream_rates;
+  __isset = other106.__isset;
+}
+gossip_state::gossip_state(gossip_state&& other107) noexcept {
+  vm = std::move(other107.vm);
+  incarnation = other107.incarnation;
+  sequence = other107.sequence;
+  data_centre = std::move(other107.data_centre);
+  address = std::move(other107.address);
+  caller_port = other107.caller_port;
+  admin_port = other107.admin_port;
+  ready = other107.ready;
+  leaving = other107.leaving;
+  loads = std::move(other107.loads);
+  asks = other107.asks;
+  answers = other107.answers;
+  routing_age_ms = other107.routing_age_ms;
+  upstreams_age_ms = other107.upstreams_age_ms;
+  upstreams_digest = other107.upstreams_digest;
+  interactive_reading = other107.interactive_reading;
+  bulk_reading = other107.bulk_reading;
+  processor = other107.processor;
+  zones = std::move(other107.zones);
+  leaving_upstreams = std::move(other107.leaving_upstreams);
+  store_era = other107.store_era;
+  routing_version = other107.routing_version;
+  crash_report = std::move(other107.crash_report);
+  upstream_rates = std::move(other107.upstream_rates);
+  __isset = other107.__isset;
+}
+gossip_state& gossip_state::operator=(const gossip_state& other108) {
+  vm = other108.vm;
+  incarnation = other108.incarnation;
+  sequence = other108.sequence;
+  data_centre = other108.data_centre;
+  address = other108.address;
+  caller_port = other108.caller_port;
+  admin_port = other108.admin_port;
+  ready = other108.ready;
+  leaving = other108.leaving;
+  loads = other108.loads;
+  asks = other108.asks;
+  answers = other108.answers;
+  routing_age_ms = other108.routing_age_ms;
+  upstreams_age_ms = other108.upstreams_age_ms;
+  upstreams_digest = other108.upstreams_digest;
+  interactive_reading = other108.interactive_reading;
+  bulk_reading = other108.bulk_reading;
+  processor = other108.processor;
+  zones = other108.zones;
+  leaving_upstreams = other108.leaving_upstreams;
+  store_era = other108.store_era;
+  routing_version = other108.routing_version;
+  crash_report = other108.crash_report;
+  upstream_rates = other108.upstream_rates;
+  __isset = other108.__isset;
   return *this;
 }
-gossip_state& gossip_state::operator=(gossip_state&& other99) noexcept {
-  vm = std::move(other99.vm);
-  incarnation = other99.incarnation;
-  sequence = other99.sequence;
-  data_centre = std::move(other99.data_centre);
-  address = std::move(other99.address);
-  caller_port = other99.caller_port;
-  admin_port = other99.admin_port;
-  ready = other99.ready;
-  leaving = other99.leaving;
-  loads = std::move(other99.loads);
-  asks = other99.asks;
-  answers = other99.answers;
-  routing_age_ms = other99.routing_age_ms;
-  upstreams_age_ms = other99.upstreams_age_ms;
-  upstreams_digest = other99.upstreams_digest;
-  interactive_reading = other99.interactive_reading;
-  bulk_reading = other99.bulk_reading;
-  processor = other99.processor;
-  zones = std::move(other99.zones);
-  leaving_upstreams = std::move(other99.leaving_upstreams);
-  store_era = other99.store_era;
-  routing_version = other99.routing_version;
-  crash_report = std::move(other99.crash_report);
-  __isset = other99.__isset;
+gossip_state& gossip_state::operator=(gossip_state&& other109) noexcept {
+  vm = std::move(other109.vm);
+  incarnation = other109.incarnation;
+  sequence = other109.sequence;
+  data_centre = std::move(other109.data_centre);
+  address = std::move(other109.address);
+  caller_port = other109.caller_port;
+  admin_port = other109.admin_port;
+  ready = other109.ready;
+  leaving = other109.leaving;
+  loads = std::move(other109.loads);
+  asks = other109.asks;
+  answers = other109.answers;
+  routing_age_ms = other109.routing_age_ms;
+  upstreams_age_ms = other109.upstreams_age_ms;
+  upstreams_digest = other109.upstreams_digest;
+  interactive_reading = other109.interactive_reading;
+  bulk_reading = other109.bulk_reading;
+  processor = other109.processor;
+  zones = std::move(other109.zones);
+  leaving_upstreams = std::move(other109.leaving_upstreams);
+  store_era = other109.store_era;
+  routing_version = other109.routing_version;
+  crash_report = std::move(other109.crash_report);
+  upstream_rates = std::move(other109.upstream_rates);
+  __isset = other109.__isset;
   return *this;
 }
 void gossip_state::printTo(std::ostream& out) const {
@@ -2272,6 +2458,7 @@
   out << ", " << "store_era=" << to_string(store_era);
   out << ", " << "routing_version=" << to_string(routing_version);
   out << ", " << "crash_report="; (__isset.crash_report ? (out << to_string(crash_report)) : (out << "<null>"));
+  out << ", " << "upstream_rates=" << to_string(upstream_rates);
   out << ")";
 }
 
--- a/src/sapphirespar/wire/gen/gossip_types.h
+++ b/src/sapphirespar/wire/gen/gossip_types.h
@@ -33,6 +33,8 @@
 
 class gossip_crash_report;
 
+class gossip_upstream_rate;
+
 class gossip_state;
 
 typedef struct _gossip_load__isset {
@@ -615,8 +617,67 @@
 
 std::ostream& operator<<(std::ostream& out, const gossip_crash_report& obj);
 
+typedef struct _gossip_upstream_rate__isset {
+  _gossip_upstream_rate__isset() : upstream(false), rate(false), age_ms(false) {}
+  bool upstream :1;
+  bool rate :1;
+  bool age_ms :1;
+} _gossip_upstream_rate__isset;
+
+class gossip_upstream_rate : public virtual ::apache::thrift::TBase {
+ public:
+
+  gossip_upstream_rate(const gossip_upstream_rate&) noexcept;
+  gossip_upstream_rate(gossip_upstream_rate&&) noexcept;
+  gossip_upstream_rate& operator=(const gossip_upstream_rate&) noexcept;
+  gossip_upstream_rate& operator=(gossip_upstream_rate&&) noexcept;
+  gossip_upstream_rate() noexcept
+                       : upstream(0),
+                         rate(0),
+                         age_ms(0) {
+  }
+
+  virtual ~gossip_upstream_rate() noexcept;
+  int64_t upstream;
+  int64_t rate;
+  int32_t age_ms;
+
+  _gossip_upstream_rate__isset __isset;
+
+  void __set_upstream(const int64_t val);
+
+  void __set_rate(const int64_t val);
+
+  void __set_age_ms(const int32_t val);
+
+  bool operator == (const gossip_upstream_rate & rhs) const
+  {
+    if (!(upstream == rhs.upstream))
+      return false;
+    if (!(rate == rhs.rate))
+      return false;
+    if (!(age_ms == rhs.age_ms))
+      return false;
+    return true;
+  }
+  bool operator != (const gossip_upstream_rate &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const gossip_upstream_rate & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(gossip_upstream_rate &a, gossip_upstream_rate &b);
+
+std::ostream& operator<<(std::ostream& out, const gossip_upstream_rate& obj);
+
 typedef struct _gossip_state__isset {
-  _gossip_state__isset() : vm(false), incarnation(false), sequence(false), data_centre(false), address(false), caller_port(false), admin_port(false), ready(false), leaving(false), loads(false), asks(false), answers(false), routing_age_ms(false), upstreams_age_ms(false), upstreams_digest(false), interactive_reading(false), bulk_reading(false), processor(false), zones(false), leaving_upstreams(false), store_era(false), routing_version(false), crash_report(false) {}
+  _gossip_state__isset() : vm(false), incarnation(false), sequence(false), data_centre(false), address(false), caller_port(false), admin_port(false), ready(false), leaving(false), loads(false), asks(false), answers(false), routing_age_ms(false), upstreams_age_ms(false), upstreams_digest(false), interactive_reading(false), bulk_reading(false), processor(false), zones(false), leaving_upstreams(false), store_era(false), routing_version(false), crash_report(false), upstream_rates(false) {}
   bool vm :1;
   bool incarnation :1;
   bool sequence :1;
@@ -640,6 +701,7 @@
   bool store_era :1;
   bool routing_version :1;
   bool crash_report :1;
+  bool upstream_rates :1;
 } _gossip_state__isset;
 
 class gossip_state : public virtual ::apache::thrift::TBase {
@@ -695,6 +757,7 @@
   int64_t store_era;
   int64_t routing_version;
   gossip_crash_report crash_report;
+  std::vector<gossip_upstream_rate>  upstream_rates;
 
   _gossip_state__isset __isset;
 
@@ -744,6 +807,8 @@
 
   void __set_crash_report(const gossip_crash_report& val);
 
+  void __set_upstream_rates(const std::vector<gossip_upstream_rate> & val);
+
   bool operator == (const gossip_state & rhs) const
   {
     if (!(vm == rhs.vm))
@@ -794,6 +859,8 @@
       return false;
     else if (__isset.crash_report && !(crash_report == rhs.crash_report))
       return false;
+    if (!(upstream_rates == rhs.upstream_rates))
+      return false;
     return true;
   }
   bool operator != (const gossip_state &rhs) const {
--- a/src/sapphirespar/wire/gossip_codec.cpp
+++ b/src/sapphirespar/wire/gossip_codec.cpp
@@ -8,6 +8,7 @@
 #include <thrift/transport/TBufferTransports.h>
 
 #include <algorithm>
+#include <cmath>
 #include <iterator>
 #include <limits>
 #include <memory>
@@ -80,6 +81,30 @@
   return loads;
 }
 
+constexpr double kRateScale = 1000;
+
+gen::gossip_upstream_rate
+ToWireRate(const upstream_rate& aRate)
+{
+  constexpr double kMost = 1e15;
+  gen::gossip_upstream_rate wire;
+  wire.upstream = static_cast<std::int64_t>(aRate.mUpstream);
+  wire.rate = std::isfinite(aRate.mRate)
+                ? std::llround(std::min(kRateScale * aRate.mRate, kMost))
+                : -1;
+  wire.age_ms = ToAgeMs(aRate.mAge);
+  return wire;
+}
+
+upstream_rate
+FromWireRate(const gen::gossip_upstream_rate& aWire)
+{
+  return { static_cast<std::uint64_t>(aWire.upstream),
+           aWire.rate < 0 ? kUnlimitedRate
+                          : static_cast<double>(aWire.rate) / kRateScale,
+           std::chrono::milliseconds(ClampNegativeToZero(aWire.age_ms)) };
+}
+
 bool
 IsPort(std::int32_t aNumber)
 {
@@ -115,6 +140,9 @@
     aState.mLeavingUpstreams,
     std::back_inserter(state.leaving_upstreams),
     [](std::uint64_t aKey) { return static_cast<std::int64_t>(aKey); });
+  std::ranges::transform(aState.mUpstreamRates,
+                         std::back_inserter(state.upstream_rates),
+                         ToWireRate);
   state.routing_age_ms = -1;
   if (aState.mStore) {
     const auto& store = *aState.mStore;
@@ -174,6 +202,9 @@
     state.leaving_upstreams,
     std::back_inserter(read.mLeavingUpstreams),
     [](std::int64_t aKey) { return static_cast<std::uint64_t>(aKey); });
+  std::ranges::transform(state.upstream_rates,
+                         std::back_inserter(read.mUpstreamRates),
+                         FromWireRate);
   read.mWantsReply = state.asks;
   read.mInteractivePrefill = ClampNegativeToZero(state.interactive_reading);
   read.mBulkPrefill = ClampNegativeToZero(state.bulk_reading);
--- a/src/sapphirespar/wire/gossip_codec_test.cpp
+++ b/src/sapphirespar/wire/gossip_codec_test.cpp
@@ -47,6 +47,9 @@
                          { { "pool", 80ms } },
                          { { 0xfffffffffffffff4ULL, 90ms } },
                          { { part, 100ms, 110ms, 2, 120ms } } };
+  state.mUpstreamRates = { { 0xfffffffffffffff5ULL, 2.8, 130ms },
+                           { 6, kUnlimitedRate, 140ms },
+                           { 7, 0, 0ms } };
   return state;
 }
 
