--- a/src/sapphirespar/gateway/forward_admission.cpp
+++ b/src/sapphirespar/gateway/forward_admission.cpp
@@ -1,6 +1,8 @@
 // Route, key, deadlines and pool of a request.
 #include "forward_admission.hpp"
 
+#include "sapphirespar/gateway/request_fingerprint.hpp"
+
 #include <algorithm>
 #include <iterator>
 
@@ -118,6 +120,8 @@
   }
   aForwarded.mCallerDeadline = aForwarded.mArrived + deadline;
   ChoosePool(aServices, aForwarded);
+  aForwarded.mFingerprint =
+    FingerprintOf(aForwarded.mRequest, aForwarded.mAccount);
   if (const auto wait = aServices.mParts.Refuse(SharedParts(aForwarded))) {
     return refusal_answer{ 503, "part_crashes_upstreams", *wait };
   }
--- a/src/sapphirespar/gateway/forward_state.hpp
+++ b/src/sapphirespar/gateway/forward_state.hpp
@@ -29,6 +29,8 @@
   // Identifiers of the parts of the prompt that other prompts may share: all
   // but the last.
   std::vector<std::uint64_t> mSharedParts;
+  // The same for requests that ask for the same; see request_fingerprint.hpp.
+  std::uint64_t mFingerprint = 0;
   // Owns the route that mRoute points at.
   routing_ptr mRouting;
   const route* mRoute = nullptr;
