Refuse a request that crashes one upstream after the other

Cause: what a request does to upstreams was learned for parts of prompts alone, and only between the head and the first event of an answer. A request without a prompt, or that ends its upstream before the head, left nothing to blame. Change: a fingerprint of method, host, path, body and account takes the place of a part in a second crash_suspects, with rules for single requests; gateways exchange what they see of it as they do for parts. Why it works: the same request is blamed at whatever gateway and under whatever id it comes, and three ends in turn refuse it 0.3 s later everywhere.

--- a/idl/gossip.thrift
+++ b/idl/gossip.thrift
@@ -31,6 +31,7 @@
   2: i64 part;
   3: i64 upstream;
   4: i32 age_ms;
+  5: optional i32 sent_age_ms;
 }
 
 struct gossip_upstream_loss {
@@ -122,4 +123,6 @@
   // Absent while there is nothing to report.
   25: optional gossip_crash_report crash_report;
   26: list<gossip_upstream_rate> upstream_rates;
+  // With fingerprints of requests in the place of parts.
+  27: optional gossip_crash_report request_crash_report;
 }
--- a/include/sapphirespar/gateway/part_guard.hpp
+++ b/include/sapphirespar/gateway/part_guard.hpp
@@ -1,5 +1,6 @@
-// Keeps prompt parts that crash upstreams away from them: gives what happens to
-// requests to policy/crash_suspects.hpp, logs its conclusions and tells peers.
+// Keeps requests that crash upstreams away from them, by the parts of their
+// prompts and by their fingerprints: gives what happens to requests to
+// policy/crash_suspects.hpp, logs its conclusions and tells peers.
 #pragma once
 
 #include "sapphirespar/base/timer_service.hpp"
@@ -11,13 +12,40 @@
 #include <cstdint>
 #include <functional>
 #include <optional>
+#include <span>
 #include <string>
+#include <string_view>
 
 namespace sapphirespar::gateway {
 
+// What requests are known by.
+struct request_marks
+{
+  std::string_view mPool;
+  // The parts of the prompt that other prompts may share.
+  std::span<const std::uint64_t> mSharedParts;
+  // See request_fingerprint.hpp.
+  std::uint64_t mFingerprint = 0;
+};
+
+// What a gateway reports of crashes, by parts and by fingerprints.
+struct crash_reports
+{
+  crash_report mParts;
+  crash_report mRequests;
+};
+
+// Why and how long a request is refused.
+struct crash_refusal
+{
+  std::string_view mReason;
+  std::chrono::milliseconds mRetryAfter{ 0 };
+};
+
 struct part_guard_hooks
 {
-  // Returns whether this gateway makes the trials of a quarantined part.
+  // Returns whether this gateway makes the trials of a quarantined part or
+  // fingerprint.
   policy::crash_suspects::trial_hook mMakesTrials;
   // Sends this gateway's state to all peers.
   std::function<void()> mTellPeers;
@@ -31,27 +59,36 @@
              metrics& aMetrics,
              part_guard_hooks aHooks);
 
-  // Records that an upstream broke the connection of a request. aAtBegin: after
-  // the head and before any event of the answer.
-  void OnUpstreamLost(const policy::shared_parts& aParts,
+  // How far an answer had come when its connection broke.
+  enum class answer_progress
+  {
+    Nothing,
+    // The head, and no event.
+    Begun,
+    Events,
+  };
+
+  // Records that an upstream broke the connection of a request that was sent to
+  // it at aSent at the earliest.
+  void OnUpstreamLost(const request_marks& aMarks,
                       std::uint64_t aUpstream,
-                      bool aAtBegin);
+                      answer_progress aProgress,
+                      steady_time aSent);
 
   // Records that an answer went on after its begin, or is complete.
-  void OnSurvival(const policy::shared_parts& aParts);
+  void OnSurvival(const request_marks& aMarks);
 
   // Records that bytes came from an upstream.
   void OnSign(std::uint64_t aUpstream);
 
-  // Returns the Retry-After of a request that must not be sent.
-  std::optional<std::chrono::milliseconds> Refuse(
-    const policy::shared_parts& aParts);
+  // Returns the refusal of a request that must not be sent.
+  std::optional<crash_refusal> Refuse(const request_marks& aMarks);
 
   // Returns whether a request that lost its upstream may be sent to another.
-  bool MayRepeat(const policy::shared_parts& aParts) const;
+  bool MayRepeat(const request_marks& aMarks) const;
 
-  void Merge(const crash_report& aReport);
-  crash_report Report() const;
+  void Merge(const crash_reports& aReports);
+  crash_reports Reports() const;
 
 private:
   void Update();
@@ -60,7 +97,9 @@
   timer_service& mTimers;
   metrics& mMetrics;
   const part_guard_hooks mHooks;
-  policy::crash_suspects mSuspects;
+  policy::crash_suspects mParts;
+  // Their parts are fingerprints.
+  policy::crash_suspects mRequests;
   peer_alert mAlert;
   timer_subscription mUpdate;
 };
--- a/include/sapphirespar/model/crash_report.hpp
+++ b/include/sapphirespar/model/crash_report.hpp
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <compare>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -26,6 +27,8 @@
   // The incarnation of the upstream, as in gossip_load.
   std::uint64_t mUpstream = 0;
   std::chrono::milliseconds mAge{ 0 };
+  // Since the request was sent; unset if not known.
+  std::optional<std::chrono::milliseconds> mSentAge = std::nullopt;
 
   bool operator==(const part_crash&) const = default;
 };
--- a/include/sapphirespar/model/gossip.hpp
+++ b/include/sapphirespar/model/gossip.hpp
@@ -89,6 +89,8 @@
   // Loads of data centres that a relay forwards; see gateway/gossip_plan.hpp.
   std::vector<data_centre_loads> mDataCentreLoads;
   crash_report mCrashReport;
+  // The same of single requests, whose fingerprints take the place of parts.
+  crash_report mRequestCrashReport;
   // What upstreams have told the sender of the rates they accept.
   std::vector<upstream_rate> mUpstreamRates;
 
--- a/include/sapphirespar/policy/crash_suspects.hpp
+++ b/include/sapphirespar/policy/crash_suspects.hpp
@@ -2,7 +2,8 @@
 // upstreams end, one after the other, under requests with it and none survives
 // one; the part that explains the most of these crashes is quarantined. The
 // gateways of a fleet exchange what they see, as one of them alone sees few of
-// the crashes.
+// the crashes. Single requests that come again and again are found in the same
+// way: their fingerprint takes the place of a part.
 #pragma once
 
 #include "sapphirespar/base/timer_service.hpp"
@@ -29,6 +30,34 @@
   std::span<const std::uint64_t> mIds;
 };
 
+// What it takes to quarantine a part.
+struct suspect_rules
+{
+  // Sum of the evidence needed. A crash is worth one with few parts at hand,
+  // and less with more of them: then other requests may have caused it.
+  double mEvidence = 2;
+  // Answers of the pool that went on since the first of the crashes.
+  std::ptrdiff_t mSurvivals = 8;
+  // A part explains the crashes of which its requests are at hand at this
+  // share.
+  double mExplainedShare = 0.4;
+  // Two upstreams that end together count twice, more of them if each but the
+  // first got the request after another one's end. Other answers need not have
+  // gone on between crashes.
+  bool mCountsEach = false;
+  // Time from the quarantine to the first trial.
+  std::chrono::seconds mFirstTrial{ 60 };
+};
+
+// Rules for fingerprints, which name one request, whoever sends it: it is
+// rarely at hand at a crash by chance, and may be one of several that crash
+// upstreams.
+inline constexpr suspect_rules kFingerprintRules{ 0,
+                                                  1,
+                                                  0,
+                                                  true,
+                                                  std::chrono::minutes(10) };
+
 // The quarantine of a part has begun or ended.
 struct belief_change
 {
@@ -47,15 +76,16 @@
   // gateway of a fleet should.
   using trial_hook = std::function<bool(const prompt_part&)>;
 
-  explicit crash_suspects(trial_hook aMakesTrials);
+  explicit crash_suspects(trial_hook aMakesTrials, suspect_rules aRules = {});
 
   // Records that an upstream broke the connection of a request. aAtBegin: after
-  // the head and before any event of the answer. Returns whether peers should
-  // be told at once.
+  // the head and before any event of the answer. aSent: when the request was
+  // sent, if known. Returns whether peers should be told at once.
   bool OnUpstreamLost(const shared_parts& aParts,
                       std::uint64_t aUpstream,
                       bool aAtBegin,
-                      steady_time aNow);
+                      steady_time aNow,
+                      std::optional<steady_time> aSent = std::nullopt);
 
   // Records that an answer went on after its begin, or is complete.
   void OnSurvival(const shared_parts& aParts, steady_time aNow);
@@ -91,6 +121,8 @@
     steady_time mEnded{};
     // Seen by this gateway itself.
     bool mOwn = false;
+    // When the request was sent; unset if not known.
+    std::optional<steady_time> mSent = std::nullopt;
   };
   struct loss
   {
@@ -161,12 +193,18 @@
                                 steady_time aLatest) const;
   chain ChainOf(const prompt_part& aPart,
                 std::span<const cluster> aClusters) const;
+  static void AddUpstreams(std::span<const crash> aCrashes, chain& aChain);
+  // The number of crashes of which each but the first is of a request that was
+  // sent after the one before. aCrashes are in order of their ends.
+  static unsigned CountInTurn(std::span<const crash> aCrashes);
   // The parts that explain the most crashes, if that is enough.
   std::vector<belief_change> NextQuarantines(steady_time aNow) const;
+  bool Suffices(std::string_view aPool, const chain& aAgainst) const;
   void Forget(steady_time aNow);
-  static steady_time NextTrial(const quarantine& aQuarantine);
+  steady_time NextTrial(const quarantine& aQuarantine) const;
 
   const trial_hook mMakesTrials;
+  const suspect_rules mRules;
   // In order of their ends, one per upstream. No list is empty.
   std::map<prompt_part, std::vector<crash>> mCrashes;
   std::map<std::uint64_t, loss> mLosses;
--- a/src/sapphirespar/gateway/attempt_ending.cpp
+++ b/src/sapphirespar/gateway/attempt_ending.cpp
@@ -50,7 +50,7 @@
 {
   if (!mSurvived) {
     mSurvived = true;
-    mServices.mParts.OnSurvival(SharedParts(mForwarded));
+    mServices.mParts.OnSurvival(MarksOf(mForwarded));
   }
 }
 
@@ -59,8 +59,12 @@
 {
   constexpr unsigned kFirstError = 300;
   const bool answers = mStream && mStream->Head().mStatus < kFirstError;
-  mServices.mParts.OnUpstreamLost(
-    SharedParts(mForwarded), mUpstream.mKey, answers && !mAttempt.mHasEvents);
+  using enum part_guard::answer_progress;
+  const auto begun = answers ? Begun : Nothing;
+  mServices.mParts.OnUpstreamLost(MarksOf(mForwarded),
+                                  mUpstream.mKey,
+                                  mAttempt.mHasEvents ? Events : begun,
+                                  mAttempt.mStarted);
 }
 
 attempt_result
--- a/src/sapphirespar/gateway/forward.cpp
+++ b/src/sapphirespar/gateway/forward.cpp
@@ -245,7 +245,7 @@
   {
     const auto now = steady_clock::now();
     if (mTried.size() >= kMaximumTargets ||
-        !mServices.mParts.MayRepeat(SharedParts(mForwarded))) {
+        !mServices.mParts.MayRepeat(MarksOf(mForwarded))) {
       return false;
     }
     const auto& route = *mForwarded.mRoute;
--- a/src/sapphirespar/gateway/forward_admission.cpp
+++ b/src/sapphirespar/gateway/forward_admission.cpp
@@ -122,8 +122,8 @@
   ChoosePool(aServices, aForwarded);
   aForwarded.mFingerprint =
     FingerprintOf(aForwarded.mRequest, aForwarded.mAccount);
-  if (const auto wait = aServices.mParts.Refuse(SharedParts(aForwarded))) {
-    return refusal_answer{ 503, "part_crashes_upstreams", *wait };
+  if (const auto refused = aServices.mParts.Refuse(MarksOf(aForwarded))) {
+    return refusal_answer{ 503, refused->mReason, refused->mRetryAfter };
   }
   return std::nullopt;
 }
--- a/src/sapphirespar/gateway/forward_state.hpp
+++ b/src/sapphirespar/gateway/forward_state.hpp
@@ -47,10 +47,10 @@
   steady_time mCallerDeadline{};
 };
 
-inline policy::shared_parts
-SharedParts(const forwarded_request& aForwarded)
+inline request_marks
+MarksOf(const forwarded_request& aForwarded)
 {
-  return { aForwarded.mPool, aForwarded.mSharedParts };
+  return { aForwarded.mPool, aForwarded.mSharedParts, aForwarded.mFingerprint };
 }
 
 // Progress of a request across its attempts.
--- a/src/sapphirespar/gateway/gateway_app.cpp
+++ b/src/sapphirespar/gateway/gateway_app.cpp
@@ -358,7 +358,7 @@
   hooks.mSelf = [this] { return OwnState(); };
   hooks.mReceived = [this](const gossip_state& aState) {
     mLoadsStale = true;
-    mParts.Merge(aState.mCrashReport);
+    mParts.Merge({ aState.mCrashReport, aState.mRequestCrashReport });
     mRates.Merge(aState.mUpstreamRates);
     for (const auto key : aState.mLeavingUpstreams) {
       mUpstreams.NoteLeaving(key, "peer");
@@ -426,7 +426,9 @@
   own.mStore = mReader.Summary();
   own.mLoads = mUpstreams.OwnLoads();
   own.mLeavingUpstreams = mUpstreams.Leaving();
-  own.mCrashReport = mParts.Report();
+  auto crashes = mParts.Reports();
+  own.mCrashReport = std::move(crashes.mParts);
+  own.mRequestCrashReport = std::move(crashes.mRequests);
   own.mUpstreamRates = mRates.Report();
   const auto prefill = mPrefill.Demand(mTimers.Now());
   own.mInteractivePrefill = ToThousandths(prefill.mInteractive.mPrefill);
--- a/src/sapphirespar/gateway/part_guard.cpp
+++ b/src/sapphirespar/gateway/part_guard.cpp
@@ -15,6 +15,48 @@
 
 constexpr milliseconds kUpdatePeriod{ 100 };
 
+policy::shared_parts
+PartsOf(const request_marks& aMarks)
+{
+  return { aMarks.mPool, aMarks.mSharedParts };
+}
+
+policy::shared_parts
+RequestOf(const request_marks& aMarks)
+{
+  return { aMarks.mPool, { &aMarks.mFingerprint, 1 } };
+}
+
+void
+LogChange(const policy::belief_change& aChange,
+          std::string_view aEvent,
+          std::string_view aSubject)
+{
+  LogEvent(log_level::Warning,
+           aEvent,
+           { { aSubject, PartsText({ &aChange.mPart.mId, 1 }) },
+             { "pool", aChange.mPart.mPool },
+             { "crashes", aChange.mCrashes },
+             { "source", aChange.mFromPeer ? "peer" : "own" } });
+}
+
+void
+LogPart(const policy::belief_change& aChange)
+{
+  LogChange(aChange,
+            aChange.mQuarantined ? "prompt_part_quarantined"
+                                 : "prompt_part_released",
+            "part");
+}
+
+void
+LogRequest(const policy::belief_change& aChange)
+{
+  LogChange(aChange,
+            aChange.mQuarantined ? "request_quarantined" : "request_released",
+            "fingerprint");
+}
+
 } // namespace
 
 part_guard::part_guard(timer_service& aTimers,
@@ -23,7 +65,8 @@
   : mTimers(aTimers)
   , mMetrics(aMetrics)
   , mHooks(std::move(aHooks))
-  , mSuspects(mHooks.mMakesTrials)
+  , mParts(mHooks.mMakesTrials)
+  , mRequests(mHooks.mMakesTrials, policy::kFingerprintRules)
   , mAlert(mTimers, mHooks.mTellPeers)
 {
   ShowQuarantines();
@@ -31,64 +74,86 @@
 }
 
 void
-part_guard::OnUpstreamLost(const policy::shared_parts& aParts,
+part_guard::OnUpstreamLost(const request_marks& aMarks,
                            std::uint64_t aUpstream,
-                           bool aAtBegin)
+                           answer_progress aProgress,
+                           steady_time aSent)
 {
-  if (mSuspects.OnUpstreamLost(aParts, aUpstream, aAtBegin, mTimers.Now())) {
+  const auto now = mTimers.Now();
+  const bool urgentParts = mParts.OnUpstreamLost(
+    PartsOf(aMarks), aUpstream, aProgress == answer_progress::Begun, now);
+  const bool urgentRequest =
+    mRequests.OnUpstreamLost(RequestOf(aMarks),
+                             aUpstream,
+                             aProgress != answer_progress::Events,
+                             now,
+                             aSent);
+  if (urgentParts || urgentRequest) {
     mAlert.Raise();
   }
 }
 
 void
-part_guard::OnSurvival(const policy::shared_parts& aParts)
+part_guard::OnSurvival(const request_marks& aMarks)
 {
-  mSuspects.OnSurvival(aParts, mTimers.Now());
+  const auto now = mTimers.Now();
+  mParts.OnSurvival(PartsOf(aMarks), now);
+  mRequests.OnSurvival(RequestOf(aMarks), now);
 }
 
 void
 part_guard::OnSign(std::uint64_t aUpstream)
 {
-  mSuspects.OnSign(aUpstream, mTimers.Now());
+  const auto now = mTimers.Now();
+  mParts.OnSign(aUpstream, now);
+  mRequests.OnSign(aUpstream, now);
 }
 
-std::optional<milliseconds>
-part_guard::Refuse(const policy::shared_parts& aParts)
+std::optional<crash_refusal>
+part_guard::Refuse(const request_marks& aMarks)
 {
-  return mSuspects.Refuse(aParts, mTimers.Now());
+  const auto now = mTimers.Now();
+  if (const auto wait = mRequests.Refuse(RequestOf(aMarks), now)) {
+    return crash_refusal{ "request_crashes_upstreams", *wait };
+  }
+  if (const auto wait = mParts.Refuse(PartsOf(aMarks), now)) {
+    return crash_refusal{ "part_crashes_upstreams", *wait };
+  }
+  return std::nullopt;
 }
 
 bool
-part_guard::MayRepeat(const policy::shared_parts& aParts) const
+part_guard::MayRepeat(const request_marks& aMarks) const
 {
-  return mSuspects.MayRepeat(aParts, mTimers.Now());
+  const auto now = mTimers.Now();
+  return mParts.MayRepeat(PartsOf(aMarks), now) &&
+         mRequests.MayRepeat(RequestOf(aMarks), now);
 }
 
 void
-part_guard::Merge(const crash_report& aReport)
+part_guard::Merge(const crash_reports& aReports)
 {
-  mSuspects.Merge(aReport, mTimers.Now());
+  const auto now = mTimers.Now();
+  mParts.Merge(aReports.mParts, now);
+  mRequests.Merge(aReports.mRequests, now);
 }
 
-crash_report
-part_guard::Report() const
+crash_reports
+part_guard::Reports() const
 {
-  return mSuspects.Report(mTimers.Now());
+  const auto now = mTimers.Now();
+  return { mParts.Report(now), mRequests.Report(now) };
 }
 
 void
 part_guard::Update()
 {
-  const auto changes = mSuspects.Update(mTimers.Now());
-  for (const auto& change : changes) {
-    LogEvent(log_level::Warning,
-             change.mQuarantined ? "prompt_part_quarantined"
-                                 : "prompt_part_released",
-             { { "part", PartsText({ &change.mPart.mId, 1 }) },
-               { "pool", change.mPart.mPool },
-               { "crashes", change.mCrashes },
-               { "source", change.mFromPeer ? "peer" : "own" } });
-  }
+  const auto now = mTimers.Now();
+  auto changes = mParts.Update(now);
+  std::ranges::for_each(changes, LogPart);
+  const auto requests = mRequests.Update(now);
+  std::ranges::for_each(requests, LogRequest);
+  changes.insert(changes.end(), requests.begin(), requests.end());
   if (changes.empty()) {
     return;
   }
@@ -101,9 +166,11 @@
 void
 part_guard::ShowQuarantines()
 {
-  mMetrics.Set("gateway_quarantined_parts",
+  mMetrics.Set(
+    "gateway_quarantined_parts", {}, static_cast<double>(mParts.Quarantined()));
+  mMetrics.Set("gateway_quarantined_requests",
                {},
-               static_cast<double>(mSuspects.Quarantined()));
+               static_cast<double>(mRequests.Quarantined()));
 }
 
 std::string
--- a/src/sapphirespar/gateway/part_guard_test.cpp
+++ b/src/sapphirespar/gateway/part_guard_test.cpp
@@ -13,8 +13,11 @@
 
 constexpr std::array<std::uint64_t, 1> kIds{ 0xab };
 constexpr std::array<std::uint64_t, 1> kSoundIds{ 0xcd };
-const policy::shared_parts kParts{ "pool", kIds };
-const policy::shared_parts kSound{ "pool", kSoundIds };
+const request_marks kParts{ "pool", kIds, 1 };
+const request_marks kSound{ "pool", kSoundIds, 2 };
+constexpr auto kBegun = part_guard::answer_progress::Begun;
+constexpr auto kEvents = part_guard::answer_progress::Events;
+constexpr auto kNothing = part_guard::answer_progress::Nothing;
 
 class part_guard_test : public testing::Test
 {
@@ -31,7 +34,7 @@
 TEST_F(part_guard_test, TellsPeersOfACrashAtOnceAndOnceMore)
 {
   mTimers.Advance(1s);
-  mGuard.OnUpstreamLost(kParts, 1, true);
+  mGuard.OnUpstreamLost(kParts, 1, kBegun, {});
   EXPECT_EQ(mTold, 1U);
   mTimers.Advance(2s);
   EXPECT_EQ(mTold, 2U);
@@ -41,7 +44,7 @@
 {
   mTimers.Advance(1s);
   for (std::uint64_t upstream = 1; upstream <= 20; ++upstream) {
-    mGuard.OnUpstreamLost(kParts, upstream, true);
+    mGuard.OnUpstreamLost(kParts, upstream, kBegun, {});
   }
   EXPECT_EQ(mTold, 1U);
   mTimers.Advance(100ms);
@@ -51,9 +54,9 @@
 TEST_F(part_guard_test, ALossThatIsNoCrashIsNotUrgent)
 {
   mTimers.Advance(1s);
-  mGuard.OnUpstreamLost(kParts, 1, false);
+  mGuard.OnUpstreamLost(kParts, 1, kEvents, {});
   EXPECT_EQ(mTold, 0U);
-  EXPECT_EQ(mGuard.Report().mLosses.size(), 1U);
+  EXPECT_EQ(mGuard.Reports().mParts.mLosses.size(), 1U);
 }
 
 TEST_F(part_guard_test, RefusesWhatAPeerHasQuarantined)
@@ -61,7 +64,7 @@
   mTimers.Advance(1s);
   crash_report report;
   report.mQuarantines = { { { "pool", 0xab }, 1s, 1s, 0, 0ms } };
-  mGuard.Merge(report);
+  mGuard.Merge({ report, {} });
   EXPECT_TRUE(mGuard.Refuse(kParts));
   EXPECT_FALSE(mGuard.Refuse(kSound));
   mTimers.Advance(200ms);
@@ -71,6 +74,31 @@
   EXPECT_EQ(mTold, 0U);
 }
 
+TEST_F(part_guard_test, ARequestWithoutPartsIsRefusedAfterThreeCrashes)
+{
+  const request_marks plain{ "pool", {}, 3 };
+  const request_marks other{ "pool", {}, 4 };
+  mTimers.Advance(1s);
+  for (std::uint64_t upstream = 1; upstream <= 3; ++upstream) {
+    EXPECT_FALSE(mGuard.Refuse(plain));
+    mGuard.OnUpstreamLost(plain, upstream, kNothing, {});
+    mTimers.Advance(200ms);
+    mGuard.OnSurvival(other);
+  }
+  EXPECT_FALSE(mGuard.MayRepeat(plain));
+  mTimers.Advance(400ms);
+  const auto refused = mGuard.Refuse(plain);
+  ASSERT_TRUE(refused);
+  EXPECT_EQ(refused->mReason, "request_crashes_upstreams");
+  EXPECT_FALSE(mGuard.Refuse(other));
+  // Another gateway takes it over.
+  part_guard second{ mTimers,
+                     mMetrics,
+                     { [](const prompt_part&) { return false; }, [] {} } };
+  second.Merge(mGuard.Reports());
+  EXPECT_TRUE(second.Refuse(plain));
+}
+
 TEST(PartsText, NamesAtMostEightPartsInHexadecimal)
 {
   EXPECT_EQ(PartsText({}), "");
--- a/src/sapphirespar/gateway/peer_table.cpp
+++ b/src/sapphirespar/gateway/peer_table.cpp
@@ -163,6 +163,7 @@
   mPeers[sender.mVm] = peer{ aState, aNow, true };
   mPeers[sender.mVm].mState.mDataCentreLoads.clear();
   mPeers[sender.mVm].mState.mCrashReport = {};
+  mPeers[sender.mVm].mState.mRequestCrashReport = {};
   mPeers[sender.mVm].mState.mUpstreamRates.clear();
   return sameProcess ? gossip_effect::Updated : gossip_effect::NewProcess;
 }
--- a/src/sapphirespar/policy/crash_suspects.cpp
+++ b/src/sapphirespar/policy/crash_suspects.cpp
@@ -21,13 +21,14 @@
 // Resolution of the survivals of a pool.
 constexpr milliseconds kStep{ 20 };
 
-// Time from the quarantine to the first trial, and the number of trials. A part
-// is forgotten after the last of these times without a request, and tried anew
-// after it once its trials are used.
-constexpr std::chrono::seconds kFirstTrial{ 60 };
+// Number of trials. A part is forgotten after the last of these times without a
+// request, and tried anew after it once its trials are used.
 constexpr unsigned kTrials = 2;
 constexpr std::chrono::hours kForgetAfter{ 1 };
 
+// Longest time that a caller is told to stay away.
+constexpr std::chrono::seconds kMaximumRetryAfter{ 60 };
+
 // Bounds of the tables; of the crashes, for each part.
 constexpr std::size_t kMaximumParts = 512;
 constexpr std::size_t kMaximumCrashes = 16;
@@ -51,8 +52,9 @@
 
 } // namespace
 
-crash_suspects::crash_suspects(trial_hook aMakesTrials)
+crash_suspects::crash_suspects(trial_hook aMakesTrials, suspect_rules aRules)
   : mMakesTrials(std::move(aMakesTrials))
+  , mRules(aRules)
 {
 }
 
@@ -60,9 +62,10 @@
 crash_suspects::OnUpstreamLost(const shared_parts& aParts,
                                std::uint64_t aUpstream,
                                bool aAtBegin,
-                               steady_time aNow)
+                               steady_time aNow,
+                               std::optional<steady_time> aSent)
 {
-  const crash seen{ aUpstream, aNow, true };
+  const crash seen{ aUpstream, aNow, true, aSent };
   AddLoss(aParts.mPool, seen, aNow);
   if (!aAtBegin) {
     return false;
@@ -262,15 +265,16 @@
 }
 
 steady_time
-crash_suspects::NextTrial(const quarantine& aQuarantine)
+crash_suspects::NextTrial(const quarantine& aQuarantine) const
 {
   if (aQuarantine.mTrials == 0) {
-    return aQuarantine.mSince + kFirstTrial;
+    return aQuarantine.mSince + mRules.mFirstTrial;
   }
   if (aQuarantine.mTrials >= kTrials) {
     return aQuarantine.mLastTrial + kForgetAfter;
   }
-  return aQuarantine.mLastTrial + kFirstTrial * (1U << aQuarantine.mTrials);
+  return aQuarantine.mLastTrial +
+         mRules.mFirstTrial * (1U << aQuarantine.mTrials);
 }
 
 std::optional<milliseconds>
@@ -302,10 +306,11 @@
     return std::nullopt;
   }
   const auto last = std::ranges::max(
-    held, {}, [](const auto& aItem) { return NextTrial(*aItem.second); });
+    held, {}, [this](const auto& aItem) { return NextTrial(*aItem.second); });
   const auto left =
     std::chrono::duration_cast<milliseconds>(NextTrial(*last.second) - aNow);
-  return std::clamp<milliseconds>(left, std::chrono::seconds(1), kFirstTrial);
+  return std::clamp<milliseconds>(
+    left, std::chrono::seconds(1), kMaximumRetryAfter);
 }
 
 } // namespace sapphirespar::policy
--- a/src/sapphirespar/policy/crash_suspects_conclusions.cpp
+++ b/src/sapphirespar/policy/crash_suspects_conclusions.cpp
@@ -16,20 +16,12 @@
 constexpr unsigned kCrashes = 3;
 constexpr unsigned kTiedCrashes = 5;
 
-// Sum of the evidence needed. A crash is worth one with this many parts at
-// hand, and less with more of them: then other requests may have caused it.
-constexpr double kEvidence = 2;
+// A crash is worth one with this many parts at hand, and less with more.
 constexpr double kPartsOfOne = 2;
 
-// Answers without the part that went on since the first of the crashes.
-constexpr std::ptrdiff_t kSurvivals = 8;
-
 // Requests with a part are not repeated after this many crashes.
 constexpr unsigned kCrashesWithoutRepeat = 2;
 
-// A part explains the crashes of which its requests are at hand at this share.
-constexpr double kExplainedShare = 0.4;
-
 // Upstreams that end within this time of the first end together. So many of
 // them, unless one part explains it, have another cause.
 constexpr milliseconds kTogether{ 100 };
@@ -87,6 +79,29 @@
   return clusters;
 }
 
+unsigned
+crash_suspects::CountInTurn(std::span<const crash> aCrashes)
+{
+  unsigned count = 0;
+  steady_time last{};
+  for (const auto& crash : aCrashes) {
+    if (count == 0 || (crash.mSent && *crash.mSent >= last)) {
+      ++count;
+      last = crash.mEnded;
+    }
+  }
+  return count;
+}
+
+void
+crash_suspects::AddUpstreams(std::span<const crash> aCrashes, chain& aChain)
+{
+  std::ranges::transform(
+    aCrashes,
+    std::inserter(aChain.mUpstreams, aChain.mUpstreams.end()),
+    &crash::mUpstream);
+}
+
 crash_suspects::chain
 crash_suspects::ChainOf(const prompt_part& aPart,
                         std::span<const cluster> aClusters) const
@@ -115,13 +130,22 @@
     }
     if (here.empty() ||
         static_cast<double>(here.size()) <
-          kExplainedShare * static_cast<double>(together.size())) {
+          mRules.mExplainedShare * static_cast<double>(together.size())) {
       const bool counts =
         together.size() < kCommonCause && !result.mUpstreams.empty();
       unexplained += counts ? 1 : 0;
       continue;
     }
     ++explained;
+    if (mRules.mCountsEach) {
+      const bool common = together.size() >= kCommonCause;
+      result.mSince =
+        result.mUpstreams.empty() ? here.front().mEnded : result.mSince;
+      result.mCrashes +=
+        common ? CountInTurn(here) : static_cast<unsigned>(here.size());
+      AddUpstreams(here, result);
+      continue;
+    }
     // Every survival after the part's own last one is of requests without it.
     // Upstreams that end while the pool gives no answers count once.
     const bool first = result.mUpstreams.empty();
@@ -134,17 +158,26 @@
       ++result.mCrashes;
       result.mEvidence += evidence;
     }
-    std::ranges::transform(
-      here,
-      std::inserter(result.mUpstreams, result.mUpstreams.end()),
-      &crash::mUpstream);
+    AddUpstreams(here, result);
   }
-  if (explained < kExplainedShare * (explained + unexplained)) {
+  if (explained < mRules.mExplainedShare * (explained + unexplained)) {
     return {};
   }
   return result;
 }
 
+bool
+crash_suspects::Suffices(std::string_view aPool, const chain& aAgainst) const
+{
+  if (aAgainst.mCrashes < kCrashes || aAgainst.mEvidence < mRules.mEvidence) {
+    return false;
+  }
+  const bool beyondDoubt =
+    mRules.mCountsEach && aAgainst.mCrashes >= kTiedCrashes;
+  return beyondDoubt ||
+         CountSurvivals(aPool, aAgainst.mSince) >= mRules.mSurvivals;
+}
+
 std::vector<belief_change>
 crash_suspects::NextQuarantines(steady_time aNow) const
 {
@@ -157,8 +190,7 @@
         ends = Clusters(part.mPool, aNow - kConfirmAfter);
       }
       auto against = ChainOf(part, ends);
-      if (against.mCrashes >= kCrashes && against.mEvidence >= kEvidence &&
-          CountSurvivals(part.mPool, against.mSince) >= kSurvivals) {
+      if (Suffices(part.mPool, against)) {
         chains.emplace(part, std::move(against));
       }
     }
--- a/src/sapphirespar/policy/crash_suspects_exchange.cpp
+++ b/src/sapphirespar/policy/crash_suspects_exchange.cpp
@@ -43,8 +43,12 @@
     if (reported.mAge > kReportFor) {
       continue;
     }
+    std::optional<steady_time> sent;
+    if (reported.mSentAge) {
+      sent = aNow - *reported.mSentAge;
+    }
     AddCrash(reported.mPart,
-             { reported.mUpstream, aNow - reported.mAge, false },
+             { reported.mUpstream, aNow - reported.mAge, false, sent },
              aNow);
   }
   for (const auto& reported : aReport.mLosses) {
@@ -109,8 +113,12 @@
   for (const auto& [part, crashes] : mCrashes) {
     for (const auto& crash : crashes) {
       if (crash.mOwn && isFresh(crash.mEnded)) {
+        std::optional<milliseconds> sentAge;
+        if (crash.mSent) {
+          sentAge = AgeOf(*crash.mSent, aNow);
+        }
         report.mCrashes.push_back(
-          { part, crash.mUpstream, AgeOf(crash.mEnded, aNow) });
+          { part, crash.mUpstream, AgeOf(crash.mEnded, aNow), sentAge });
       }
     }
   }
--- a/src/sapphirespar/policy/crash_suspects_test.cpp
+++ b/src/sapphirespar/policy/crash_suspects_test.cpp
@@ -264,5 +264,104 @@
   EXPECT_EQ(mSuspects.Quarantined(), 0U);
 }
 
+class fingerprint_suspects_test : public testing::Test
+{
+protected:
+  // Another upstream ends under the request, which was sent this long before.
+  void Crash(const shared_parts& aRequest, std::chrono::milliseconds aSentAge)
+  {
+    mSuspects.OnUpstreamLost(
+      aRequest, ++mUpstream, true, mNow, mNow - aSentAge);
+  }
+
+  // Whether a request is refused once all that was seen is confirmed.
+  bool RefusesSoon(const shared_parts& aRequest)
+  {
+    mNow += 400ms;
+    mSuspects.Update(mNow);
+    return mSuspects.Refuse(aRequest, mNow).has_value();
+  }
+
+  crash_suspects mSuspects{ [](const prompt_part&) { return true; },
+                            kFingerprintRules };
+  std::uint64_t mUpstream = 0;
+  steady_time mNow{ 100s };
+};
+
+TEST_F(fingerprint_suspects_test, ThreeUpstreamsInTurnSuffice)
+{
+  for (int count = 0; count < 3; ++count) {
+    Crash(kPrompt, 20ms);
+    mSuspects.OnSurvival(kSound, mNow);
+    mNow += 30ms;
+  }
+  EXPECT_TRUE(RefusesSoon(kPrompt));
+  EXPECT_FALSE(mSuspects.Refuse(kSound, mNow));
+}
+
+TEST_F(fingerprint_suspects_test, UpstreamsThatEndTogetherCountOnce)
+{
+  for (int count = 0; count < 6; ++count) {
+    Crash(kPrompt, 500ms);
+    mNow += 5ms;
+  }
+  mSuspects.OnSurvival(kSound, mNow);
+  EXPECT_FALSE(RefusesSoon(kPrompt));
+}
+
+TEST_F(fingerprint_suspects_test, ACompleteAnswerClearsARequest)
+{
+  for (int count = 0; count < 6; ++count) {
+    Crash(kPrompt, 20ms);
+    mSuspects.OnSurvival(kSound, mNow);
+    mNow += 200ms;
+    if (count % 2 == 1) {
+      mSuspects.OnSurvival(kPrompt, mNow);
+    }
+  }
+  EXPECT_FALSE(RefusesSoon(kPrompt));
+}
+
+TEST_F(fingerprint_suspects_test, AnUpstreamThatSendsOnHasNotCrashed)
+{
+  for (int count = 0; count < 6; ++count) {
+    Crash(kPrompt, 20ms);
+    mNow += 200ms;
+    mSuspects.OnSign(mUpstream, mNow);
+    mSuspects.OnSurvival(kSound, mNow);
+  }
+  EXPECT_FALSE(RefusesSoon(kPrompt));
+}
+
+TEST_F(fingerprint_suspects_test, EachOfManyRequestsIsFound)
+{
+  constexpr std::array<std::uint64_t, 4> kIds{ 11, 12, 13, 14 };
+  for (int round = 0; round < 3; ++round) {
+    for (const auto& id : kIds) {
+      Crash({ "pool", { &id, 1 } }, 20ms);
+      mSuspects.OnSurvival(kSound, mNow);
+      mNow += 150ms;
+    }
+  }
+  mNow += 400ms;
+  mSuspects.Update(mNow);
+  for (const auto& id : kIds) {
+    EXPECT_TRUE(mSuspects.Refuse({ "pool", { &id, 1 } }, mNow)) << id;
+  }
+}
+
+TEST_F(fingerprint_suspects_test, APoolWithoutAnswersBlamesNothingAtFirst)
+{
+  for (int count = 0; count < 3; ++count) {
+    Crash(kPrompt, 20ms);
+    mNow += 200ms;
+  }
+  EXPECT_FALSE(RefusesSoon(kPrompt));
+  Crash(kPrompt, 20ms);
+  mNow += 200ms;
+  Crash(kPrompt, 20ms);
+  EXPECT_TRUE(RefusesSoon(kPrompt));
+}
+
 } // namespace
 } // namespace sapphirespar::policy
--- a/src/sapphirespar/wire/gen/gossip_types.cpp
+++ b/src/sapphirespar/wire/gen/gossip_types.cpp
@@ -403,6 +403,11 @@
 void gossip_part_crash::__set_age_ms(const int32_t val) {
   this->age_ms = val;
 }
+
+void gossip_part_crash::__set_sent_age_ms(const int32_t val) {
+  this->sent_age_ms = val;
+__isset.sent_age_ms = true;
+}
 std::ostream& operator<<(std::ostream& out, const gossip_part_crash& obj)
 {
   obj.printTo(out);
@@ -463,6 +468,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->sent_age_ms);
+          this->__isset.sent_age_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -496,6 +509,11 @@
   xfer += oprot->writeI32(this->age_ms);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.sent_age_ms) {
+    xfer += oprot->writeFieldBegin("sent_age_ms", ::apache::thrift::protocol::T_I32, 5);
+    xfer += oprot->writeI32(this->sent_age_ms);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -507,6 +525,7 @@
   swap(a.part, b.part);
   swap(a.upstream, b.upstream);
   swap(a.age_ms, b.age_ms);
+  swap(a.sent_age_ms, b.sent_age_ms);
   swap(a.__isset, b.__isset);
 }
 
@@ -515,6 +534,7 @@
   part = other14.part;
   upstream = other14.upstream;
   age_ms = other14.age_ms;
+  sent_age_ms = other14.sent_age_ms;
   __isset = other14.__isset;
 }
 gossip_part_crash::gossip_part_crash(gossip_part_crash&& other15) noexcept {
@@ -522,6 +542,7 @@
   part = other15.part;
   upstream = other15.upstream;
   age_ms = other15.age_ms;
+  sent_age_ms = other15.sent_age_ms;
   __isset = other15.__isset;
 }
 gossip_part_crash& gossip_part_crash::operator=(const gossip_part_crash& other16) {
@@ -529,6 +550,7 @@
   part = other16.part;
   upstream = other16.upstream;
   age_ms = other16.age_ms;
+  sent_age_ms = other16.sent_age_ms;
   __isset = other16.__isset;
   return *this;
 }
@@ -537,6 +559,7 @@
   part = other17.part;
   upstream = other17.upstream;
   age_ms = other17.age_ms;
+  sent_age_ms = other17.sent_age_ms;
   __isset = other17.__isset;
   return *this;
 }
@@ -547,6 +570,7 @@
   out << ", " << "part=" << to_string(part);
   out << ", " << "upstream=" << to_string(upstream);
   out << ", " << "age_ms=" << to_string(age_ms);
+  out << ", " << "sent_age_ms="; (__isset.sent_age_ms ? (out << to_string(sent_age_ms)) : (out << "<null>"));
   out << ")";
 }
 
@@ -1874,6 +1898,11 @@
 void gossip_state::__set_upstream_rates(const std::vector<gossip_upstream_rate> & val) {
   this->upstream_rates = val;
 }
+
+void gossip_state::__set_request_crash_report(const gossip_crash_report& val) {
+  this->request_crash_report = val;
+__isset.request_crash_report = true;
+}
 std::ostream& operator<<(std::ostream& out, const gossip_state& obj)
 {
   obj.printTo(out);
@@ -2142,6 +2171,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 27:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->request_crash_report.read(iprot);
+          this->__isset.request_crash_report = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2288,6 +2325,11 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.request_crash_report) {
+    xfer += oprot->writeFieldBegin("request_crash_report", ::apache::thrift::protocol::T_STRUCT, 27);
+    xfer += this->request_crash_report.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2319,6 +2361,7 @@
   swap(a.routing_version, b.routing_version);
   swap(a.crash_report, b.crash_report);
   swap(a.upstream_rates, b.upstream_rates);
+  swap(a.request_crash_report, b.request_crash_report);
   swap(a.__isset, b.__isset);
 }
 
@@ -2347,6 +2390,7 @@
   routing_version = other106.routing_version;
   crash_report = other106.crash_report;
   upstream_rates = other106.upstream_rates;
+  request_crash_report = other106.request_crash_report;
   __isset = other106.__isset;
 }
 gossip_state::gossip_state(gossip_state&& other107) noexcept {
@@ -2374,6 +2418,7 @@
   routing_version = other107.routing_version;
   crash_report = std::move(other107.crash_report);
   upstream_rates = std::move(other107.upstream_rates);
+  request_crash_report = std::move(other107.request_crash_report);
   __isset = other107.__isset;
 }
 gossip_state& gossip_state::operator=(const gossip_state& other108) {
@@ -2401,6 +2446,7 @@
   routing_version = other108.routing_version;
   crash_report = other108.crash_report;
   upstream_rates = other108.upstream_rates;
+  request_crash_report = other108.request_crash_report;
   __isset = other108.__isset;
   return *this;
 }
@@ -2429,6 +2475,7 @@
   routing_version = other109.routing_version;
   crash_report = std::move(other109.crash_report);
   upstream_rates = std::move(other109.upstream_rates);
+  request_crash_report = std::move(other109.request_crash_report);
   __isset = other109.__isset;
   return *this;
 }
@@ -2459,6 +2506,7 @@
   out << ", " << "routing_version=" << to_string(routing_version);
   out << ", " << "crash_report="; (__isset.crash_report ? (out << to_string(crash_report)) : (out << "<null>"));
   out << ", " << "upstream_rates=" << to_string(upstream_rates);
+  out << ", " << "request_crash_report="; (__isset.request_crash_report ? (out << to_string(request_crash_report)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/sapphirespar/wire/gen/gossip_types.h
+++ b/src/sapphirespar/wire/gen/gossip_types.h
@@ -176,11 +176,12 @@
 std::ostream& operator<<(std::ostream& out, const gossip_zone& obj);
 
 typedef struct _gossip_part_crash__isset {
-  _gossip_part_crash__isset() : pool(false), part(false), upstream(false), age_ms(false) {}
+  _gossip_part_crash__isset() : pool(false), part(false), upstream(false), age_ms(false), sent_age_ms(false) {}
   bool pool :1;
   bool part :1;
   bool upstream :1;
   bool age_ms :1;
+  bool sent_age_ms :1;
 } _gossip_part_crash__isset;
 
 class gossip_part_crash : public virtual ::apache::thrift::TBase {
@@ -194,7 +195,8 @@
                     : pool(),
                       part(0),
                       upstream(0),
-                      age_ms(0) {
+                      age_ms(0),
+                      sent_age_ms(0) {
   }
 
   virtual ~gossip_part_crash() noexcept;
@@ -202,6 +204,7 @@
   int64_t part;
   int64_t upstream;
   int32_t age_ms;
+  int32_t sent_age_ms;
 
   _gossip_part_crash__isset __isset;
 
@@ -213,6 +216,8 @@
 
   void __set_age_ms(const int32_t val);
 
+  void __set_sent_age_ms(const int32_t val);
+
   bool operator == (const gossip_part_crash & rhs) const
   {
     if (!(pool == rhs.pool))
@@ -223,6 +228,10 @@
       return false;
     if (!(age_ms == rhs.age_ms))
       return false;
+    if (__isset.sent_age_ms != rhs.__isset.sent_age_ms)
+      return false;
+    else if (__isset.sent_age_ms && !(sent_age_ms == rhs.sent_age_ms))
+      return false;
     return true;
   }
   bool operator != (const gossip_part_crash &rhs) const {
@@ -677,7 +686,7 @@
 std::ostream& operator<<(std::ostream& out, const gossip_upstream_rate& obj);
 
 typedef struct _gossip_state__isset {
-  _gossip_state__isset() : vm(false), incarnation(false), sequence(false), data_centre(false), address(false), caller_port(false), admin_port(false), ready(false), leaving(false), loads(false), asks(false), answers(false), routing_age_ms(false), upstreams_age_ms(false), upstreams_digest(false), interactive_reading(false), bulk_reading(false), processor(false), zones(false), leaving_upstreams(false), store_era(false), routing_version(false), crash_report(false), upstream_rates(false) {}
+  _gossip_state__isset() : vm(false), incarnation(false), sequence(false), data_centre(false), address(false), caller_port(false), admin_port(false), ready(false), leaving(false), loads(false), asks(false), answers(false), routing_age_ms(false), upstreams_age_ms(false), upstreams_digest(false), interactive_reading(false), bulk_reading(false), processor(false), zones(false), leaving_upstreams(false), store_era(false), routing_version(false), crash_report(false), upstream_rates(false), request_crash_report(false) {}
   bool vm :1;
   bool incarnation :1;
   bool sequence :1;
@@ -702,6 +711,7 @@
   bool routing_version :1;
   bool crash_report :1;
   bool upstream_rates :1;
+  bool request_crash_report :1;
 } _gossip_state__isset;
 
 class gossip_state : public virtual ::apache::thrift::TBase {
@@ -758,6 +768,7 @@
   int64_t routing_version;
   gossip_crash_report crash_report;
   std::vector<gossip_upstream_rate>  upstream_rates;
+  gossip_crash_report request_crash_report;
 
   _gossip_state__isset __isset;
 
@@ -809,6 +820,8 @@
 
   void __set_upstream_rates(const std::vector<gossip_upstream_rate> & val);
 
+  void __set_request_crash_report(const gossip_crash_report& val);
+
   bool operator == (const gossip_state & rhs) const
   {
     if (!(vm == rhs.vm))
@@ -861,6 +874,10 @@
       return false;
     if (!(upstream_rates == rhs.upstream_rates))
       return false;
+    if (__isset.request_crash_report != rhs.__isset.request_crash_report)
+      return false;
+    else if (__isset.request_crash_report && !(request_crash_report == rhs.request_crash_report))
+      return false;
     return true;
   }
   bool operator != (const gossip_state &rhs) const {
--- a/src/sapphirespar/wire/gossip_codec.cpp
+++ b/src/sapphirespar/wire/gossip_codec.cpp
@@ -155,6 +155,9 @@
   if (aState.mCrashReport != crash_report{}) {
     state.__set_crash_report(ToWireReport(aState.mCrashReport));
   }
+  if (aState.mRequestCrashReport != crash_report{}) {
+    state.__set_request_crash_report(ToWireReport(aState.mRequestCrashReport));
+  }
   const auto buffer = std::make_shared<TMemoryBuffer>();
   TCompactProtocolT<TMemoryBuffer> protocol(buffer);
   state.write(&protocol);
@@ -222,6 +225,9 @@
   if (state.__isset.crash_report) {
     read.mCrashReport = FromWireReport(state.crash_report);
   }
+  if (state.__isset.request_crash_report) {
+    read.mRequestCrashReport = FromWireReport(state.request_crash_report);
+  }
   return read;
 }
 
--- a/src/sapphirespar/wire/gossip_codec_test.cpp
+++ b/src/sapphirespar/wire/gossip_codec_test.cpp
@@ -47,6 +47,8 @@
                          { { "pool", 80ms } },
                          { { 0xfffffffffffffff4ULL, 90ms } },
                          { { part, 100ms, 110ms, 2, 120ms } } };
+  state.mRequestCrashReport = state.mCrashReport;
+  state.mRequestCrashReport.mCrashes[0].mSentAge = 55ms;
   state.mUpstreamRates = { { 0xfffffffffffffff5ULL, 2.8, 130ms },
                            { 6, kUnlimitedRate, 140ms },
                            { 7, 0, 0ms } };
--- a/src/sapphirespar/wire/gossip_crash_report.cpp
+++ b/src/sapphirespar/wire/gossip_crash_report.cpp
@@ -46,6 +46,9 @@
   wire.part = ToWireKey(aCrash.mPart.mId);
   wire.upstream = ToWireKey(aCrash.mUpstream);
   wire.age_ms = ToAgeMs(aCrash.mAge);
+  if (aCrash.mSentAge) {
+    wire.__set_sent_age_ms(ToAgeMs(*aCrash.mSentAge));
+  }
   return wire;
 }
 
@@ -104,9 +107,13 @@
 part_crash
 FromWire(const gen::gossip_part_crash& aWire)
 {
-  return { { aWire.pool, FromWireKey(aWire.part) },
-           FromWireKey(aWire.upstream),
-           FromAgeMs(aWire.age_ms) };
+  part_crash crash{ { aWire.pool, FromWireKey(aWire.part) },
+                    FromWireKey(aWire.upstream),
+                    FromAgeMs(aWire.age_ms) };
+  if (aWire.__isset.sent_age_ms) {
+    crash.mSentAge = FromAgeMs(aWire.sent_age_ms);
+  }
+  return crash;
 }
 
 upstream_loss
