Blame a part only if requests that differ end upstreams with it

Cause: the crashes of one request, sent again and again, counted against each of its parts as if different requests had met there. Change: crashes name the request; a part needs those of two, where all crashes of a quarantined fingerprint count as one request's. The fingerprint covers the shared parts, since requests with other prompts are others.

--- a/idl/gossip.thrift
+++ b/idl/gossip.thrift
@@ -32,6 +32,7 @@
   3: i64 upstream;
   4: i32 age_ms;
   5: optional i32 sent_age_ms;
+  6: i64 fingerprint;
 }
 
 struct gossip_upstream_loss {
--- a/include/sapphirespar/gateway/request_fingerprint.hpp
+++ b/include/sapphirespar/gateway/request_fingerprint.hpp
@@ -6,12 +6,15 @@
 
 #include <cstdint>
 #include <optional>
+#include <span>
 
 namespace sapphirespar::gateway {
 
-// Returns a hash of method, host, target, body and account; other headers, such
-// as the request's id, make no difference. The same at all gateways.
+// Returns a hash of method, host, target, body, account and the shared parts of
+// the prompt; other headers, such as the request's id, make no difference. The
+// same at all gateways.
 std::uint64_t FingerprintOf(const wire::http_request& aRequest,
-                            const std::optional<account_id>& aAccount);
+                            const std::optional<account_id>& aAccount,
+                            std::span<const std::uint64_t> aSharedParts);
 
 } // namespace sapphirespar::gateway
--- a/include/sapphirespar/model/crash_report.hpp
+++ b/include/sapphirespar/model/crash_report.hpp
@@ -29,6 +29,8 @@
   std::chrono::milliseconds mAge{ 0 };
   // Since the request was sent; unset if not known.
   std::optional<std::chrono::milliseconds> mSentAge = std::nullopt;
+  // The same for requests that ask for the same; zero if not known.
+  std::uint64_t mFingerprint = 0;
 
   bool operator==(const part_crash&) const = default;
 };
--- a/include/sapphirespar/policy/crash_suspects.hpp
+++ b/include/sapphirespar/policy/crash_suspects.hpp
@@ -28,6 +28,8 @@
 {
   std::string_view mPool;
   std::span<const std::uint64_t> mIds;
+  // The same for requests that ask for the same; zero if not known.
+  std::uint64_t mFingerprint = 0;
 };
 
 // What it takes to quarantine a part.
@@ -41,6 +43,9 @@
   // A part explains the crashes of which its requests are at hand at this
   // share.
   double mExplainedShare = 0.4;
+  // Number of different requests that the crashes must be of, as a request that
+  // is repeated says nothing of its parts.
+  std::size_t mRequests = 2;
   // Two upstreams that end together count twice, more of them if each but the
   // first got the request after another one's end. Other answers need not have
   // gone on between crashes.
@@ -52,11 +57,9 @@
 // Rules for fingerprints, which name one request, whoever sends it: it is
 // rarely at hand at a crash by chance, and may be one of several that crash
 // upstreams.
-inline constexpr suspect_rules kFingerprintRules{ 0,
-                                                  1,
-                                                  0,
-                                                  true,
-                                                  std::chrono::minutes(10) };
+inline constexpr suspect_rules kFingerprintRules{
+  0, 1, 0, 1, true, std::chrono::minutes(10)
+};
 
 // The quarantine of a part has begun or ended.
 struct belief_change
@@ -108,9 +111,17 @@
   // What to report to other gateways.
   crash_report Report(steady_time aNow) const;
 
-  // Draws conclusions from what is known. Returns the changes since the last
-  // call. Call it several times a second.
-  std::vector<belief_change> Update(steady_time aNow);
+  // The parts that ended upstreams, by upstream.
+  using cause_map = std::map<std::uint64_t, std::uint64_t>;
+
+  // Draws conclusions from what is known. aRequests: the fingerprints of the
+  // requests that are known to have ended upstreams; their crashes count as
+  // theirs, whatever else was at hand. Returns the changes since the last call.
+  // Call it several times a second.
+  std::vector<belief_change> Update(steady_time aNow, cause_map aRequests = {});
+
+  // What the quarantined parts have ended.
+  cause_map Causes() const;
 
   std::size_t Quarantined() const { return mQuarantines.size(); }
 
@@ -123,6 +134,8 @@
     bool mOwn = false;
     // When the request was sent; unset if not known.
     std::optional<steady_time> mSent = std::nullopt;
+    // See shared_parts.
+    std::uint64_t mFingerprint = 0;
   };
   struct loss
   {
@@ -167,6 +180,8 @@
     std::set<std::uint64_t> mUpstreams;
     // Those that ended one after the other.
     unsigned mCrashes = 0;
+    // The requests that they were of. One that is not known counts as its own.
+    std::set<std::uint64_t> mRequests;
     // Sum over the crashes: the fewer parts were there, the more each.
     double mEvidence = 0;
     // The first of them.
@@ -185,15 +200,13 @@
   std::ptrdiff_t CountSurvivals(std::string_view aPool,
                                 steady_time aAfter) const;
   void AdoptQuarantine(const part_quarantine& aReported, steady_time aNow);
-  // The upstreams that quarantined parts have ended.
-  std::set<std::uint64_t> Explained() const;
   // The unexplained ends of a pool's upstreams that were known at aLatest, in
   // order.
   std::vector<cluster> Clusters(std::string_view aPool,
                                 steady_time aLatest) const;
   chain ChainOf(const prompt_part& aPart,
                 std::span<const cluster> aClusters) const;
-  static void AddUpstreams(std::span<const crash> aCrashes, chain& aChain);
+  void AddCrashes(std::span<const crash> aCrashes, chain& aChain) const;
   // The number of crashes of which each but the first is of a request that was
   // sent after the one before. aCrashes are in order of their ends.
   static unsigned CountInTurn(std::span<const crash> aCrashes);
@@ -213,6 +226,8 @@
   // Survivals of any part since the first loss, by pool.
   std::map<std::string, pool_survivals, std::less<>> mPoolSurvivals;
   std::map<prompt_part, quarantine> mQuarantines;
+  // As of the last Update.
+  cause_map mKnownRequests;
   // Changes that Update has not returned yet.
   std::vector<belief_change> mChanges;
 };
--- a/src/sapphirespar/gateway/forward_admission.cpp
+++ b/src/sapphirespar/gateway/forward_admission.cpp
@@ -120,8 +120,8 @@
   }
   aForwarded.mCallerDeadline = aForwarded.mArrived + deadline;
   ChoosePool(aServices, aForwarded);
-  aForwarded.mFingerprint =
-    FingerprintOf(aForwarded.mRequest, aForwarded.mAccount);
+  aForwarded.mFingerprint = FingerprintOf(
+    aForwarded.mRequest, aForwarded.mAccount, aForwarded.mSharedParts);
   if (const auto refused = aServices.mParts.Refuse(MarksOf(aForwarded))) {
     return refusal_answer{ 503, refused->mReason, refused->mRetryAfter };
   }
--- a/src/sapphirespar/gateway/part_guard.cpp
+++ b/src/sapphirespar/gateway/part_guard.cpp
@@ -18,13 +18,13 @@
 policy::shared_parts
 PartsOf(const request_marks& aMarks)
 {
-  return { aMarks.mPool, aMarks.mSharedParts };
+  return { aMarks.mPool, aMarks.mSharedParts, aMarks.mFingerprint };
 }
 
 policy::shared_parts
 RequestOf(const request_marks& aMarks)
 {
-  return { aMarks.mPool, { &aMarks.mFingerprint, 1 } };
+  return { aMarks.mPool, { &aMarks.mFingerprint, 1 }, aMarks.mFingerprint };
 }
 
 void
@@ -149,10 +149,10 @@
 part_guard::Update()
 {
   const auto now = mTimers.Now();
-  auto changes = mParts.Update(now);
-  std::ranges::for_each(changes, LogPart);
   const auto requests = mRequests.Update(now);
   std::ranges::for_each(requests, LogRequest);
+  auto changes = mParts.Update(now, mRequests.Causes());
+  std::ranges::for_each(changes, LogPart);
   changes.insert(changes.end(), requests.begin(), requests.end());
   if (changes.empty()) {
     return;
--- a/src/sapphirespar/gateway/part_guard_test.cpp
+++ b/src/sapphirespar/gateway/part_guard_test.cpp
@@ -99,6 +99,33 @@
   EXPECT_TRUE(second.Refuse(plain));
 }
 
+// Crashes under one request, repeated, and under requests that differ.
+TEST_F(part_guard_test, ARepeatedRequestDoesNotBlameItsParts)
+{
+  constexpr std::array<std::uint64_t, 1> kRare{ 0xef };
+  const request_marks crashing{ "pool", kRare, 3 };
+  const request_marks sibling{ "pool", kRare, 4 };
+  mTimers.Advance(1s);
+  const auto crash = [this](auto aRequests, std::uint64_t aKey) {
+    for (const auto& marks : aRequests) {
+      mGuard.OnUpstreamLost(marks, aKey, kBegun, {});
+    }
+    for (int count = 0; count < 8; ++count) {
+      mTimers.Advance(100ms);
+      mGuard.OnSurvival(kSound);
+    }
+  };
+  // The sibling is at hand once by chance.
+  crash(std::array{ sibling, crashing }, 1);
+  for (std::uint64_t upstream = 2; upstream <= 6; ++upstream) {
+    crash(std::array{ crashing }, upstream);
+  }
+  EXPECT_EQ(mGuard.Refuse(crashing)->mReason, "request_crashes_upstreams");
+  EXPECT_FALSE(mGuard.Refuse(sibling));
+  crash(std::array{ sibling }, 7);
+  EXPECT_EQ(mGuard.Refuse(sibling)->mReason, "part_crashes_upstreams");
+}
+
 TEST(PartsText, NamesAtMostEightPartsInHexadecimal)
 {
   EXPECT_EQ(PartsText({}), "");
--- a/src/sapphirespar/gateway/request_fingerprint.cpp
+++ b/src/sapphirespar/gateway/request_fingerprint.cpp
@@ -10,7 +10,8 @@
 
 std::uint64_t
 FingerprintOf(const wire::http_request& aRequest,
-              const std::optional<account_id>& aAccount)
+              const std::optional<account_id>& aAccount,
+              std::span<const std::uint64_t> aSharedParts)
 {
   const std::array<std::string_view, 5> fields{
     aRequest.mMethod,
@@ -24,7 +25,8 @@
   for (const auto field : fields) {
     hash = XXH3_64bits_withSeed(field.data(), field.size(), hash);
   }
-  return hash;
+  return XXH3_64bits_withSeed(
+    aSharedParts.data(), aSharedParts.size_bytes(), hash);
 }
 
 } // namespace sapphirespar::gateway
--- a/src/sapphirespar/gateway/request_fingerprint_test.cpp
+++ b/src/sapphirespar/gateway/request_fingerprint_test.cpp
@@ -20,8 +20,8 @@
 {
   auto other = Sample();
   other.mHeaders[1].mValue = "2";
-  EXPECT_EQ(FingerprintOf(Sample(), account_id{ "x" }),
-            FingerprintOf(other, account_id{ "x" }));
+  EXPECT_EQ(FingerprintOf(Sample(), account_id{ "x" }, {}),
+            FingerprintOf(other, account_id{ "x" }, {}));
 }
 
 TEST(RequestFingerprint, EverythingElseDoes)
@@ -38,15 +38,18 @@
     },
     [](auto& aRequest) { aRequest.mBody.clear(); },
   };
-  std::set<std::uint64_t> seen{ FingerprintOf(Sample(), std::nullopt),
-                                FingerprintOf(Sample(), account_id{ "" }),
-                                FingerprintOf(Sample(), account_id{ "y" }) };
+  std::set<std::uint64_t> seen{ FingerprintOf(Sample(), std::nullopt, {}),
+                                FingerprintOf(Sample(), account_id{ "" }, {}),
+                                FingerprintOf(
+                                  Sample(), account_id{ "y" }, {}) };
   for (const auto& change : changes) {
     auto request = Sample();
     change(request);
-    seen.insert(FingerprintOf(request, account_id{ "x" }));
+    seen.insert(FingerprintOf(request, account_id{ "x" }, {}));
   }
-  EXPECT_EQ(seen.size(), changes.size() + 3);
+  const std::vector<std::uint64_t> parts{ 7, 8 };
+  seen.insert(FingerprintOf(Sample(), account_id{ "x" }, parts));
+  EXPECT_EQ(seen.size(), changes.size() + 4);
 }
 
 } // namespace
--- a/src/sapphirespar/policy/crash_suspects.cpp
+++ b/src/sapphirespar/policy/crash_suspects.cpp
@@ -65,7 +65,7 @@
                                steady_time aNow,
                                std::optional<steady_time> aSent)
 {
-  const crash seen{ aUpstream, aNow, true, aSent };
+  const crash seen{ aUpstream, aNow, true, aSent, aParts.mFingerprint };
   AddLoss(aParts.mPool, seen, aNow);
   if (!aAtBegin) {
     return false;
@@ -220,8 +220,9 @@
 }
 
 std::vector<belief_change>
-crash_suspects::Update(steady_time aNow)
+crash_suspects::Update(steady_time aNow, cause_map aRequests)
 {
+  mKnownRequests = std::move(aRequests);
   Forget(aNow);
   auto next = NextQuarantines(aNow);
   while (!next.empty() && mQuarantines.size() < kMaximumQuarantines) {
--- a/src/sapphirespar/policy/crash_suspects_conclusions.cpp
+++ b/src/sapphirespar/policy/crash_suspects_conclusions.cpp
@@ -33,25 +33,25 @@
 
 } // namespace
 
-std::set<std::uint64_t>
-crash_suspects::Explained() const
+crash_suspects::cause_map
+crash_suspects::Causes() const
 {
-  std::set<std::uint64_t> upstreams;
+  cause_map causes;
   for (const auto& [part, held] : mQuarantines) {
     const auto found = mCrashes.find(part);
     if (found != mCrashes.end()) {
       for (const auto& crash : found->second) {
-        upstreams.insert(crash.mUpstream);
+        causes.emplace(crash.mUpstream, part.mId);
       }
     }
   }
-  return upstreams;
+  return causes;
 }
 
 std::vector<crash_suspects::cluster>
 crash_suspects::Clusters(std::string_view aPool, steady_time aLatest) const
 {
-  const auto explained = Explained();
+  const auto explained = Causes();
   std::map<std::uint64_t, unsigned> parts;
   for (const auto& [part, crashes] : mCrashes) {
     for (const auto& crash : crashes) {
@@ -94,12 +94,15 @@
 }
 
 void
-crash_suspects::AddUpstreams(std::span<const crash> aCrashes, chain& aChain)
+crash_suspects::AddCrashes(std::span<const crash> aCrashes, chain& aChain) const
 {
-  std::ranges::transform(
-    aCrashes,
-    std::inserter(aChain.mUpstreams, aChain.mUpstreams.end()),
-    &crash::mUpstream);
+  for (const auto& crash : aCrashes) {
+    aChain.mUpstreams.insert(crash.mUpstream);
+    const auto known = mKnownRequests.find(crash.mUpstream);
+    const auto request =
+      known == mKnownRequests.end() ? crash.mFingerprint : known->second;
+    aChain.mRequests.insert(request == 0 ? crash.mUpstream : request);
+  }
 }
 
 crash_suspects::chain
@@ -143,7 +146,7 @@
         result.mUpstreams.empty() ? here.front().mEnded : result.mSince;
       result.mCrashes +=
         common ? CountInTurn(here) : static_cast<unsigned>(here.size());
-      AddUpstreams(here, result);
+      AddCrashes(here, result);
       continue;
     }
     // Every survival after the part's own last one is of requests without it.
@@ -158,7 +161,7 @@
       ++result.mCrashes;
       result.mEvidence += evidence;
     }
-    AddUpstreams(here, result);
+    AddCrashes(here, result);
   }
   if (explained < mRules.mExplainedShare * (explained + unexplained)) {
     return {};
@@ -169,7 +172,8 @@
 bool
 crash_suspects::Suffices(std::string_view aPool, const chain& aAgainst) const
 {
-  if (aAgainst.mCrashes < kCrashes || aAgainst.mEvidence < mRules.mEvidence) {
+  if (aAgainst.mCrashes < kCrashes || aAgainst.mEvidence < mRules.mEvidence ||
+      aAgainst.mRequests.size() < mRules.mRequests) {
     return false;
   }
   const bool beyondDoubt =
--- a/src/sapphirespar/policy/crash_suspects_exchange.cpp
+++ b/src/sapphirespar/policy/crash_suspects_exchange.cpp
@@ -48,7 +48,11 @@
       sent = aNow - *reported.mSentAge;
     }
     AddCrash(reported.mPart,
-             { reported.mUpstream, aNow - reported.mAge, false, sent },
+             { reported.mUpstream,
+               aNow - reported.mAge,
+               false,
+               sent,
+               reported.mFingerprint },
              aNow);
   }
   for (const auto& reported : aReport.mLosses) {
@@ -117,8 +121,11 @@
         if (crash.mSent) {
           sentAge = AgeOf(*crash.mSent, aNow);
         }
-        report.mCrashes.push_back(
-          { part, crash.mUpstream, AgeOf(crash.mEnded, aNow), sentAge });
+        report.mCrashes.push_back({ part,
+                                    crash.mUpstream,
+                                    AgeOf(crash.mEnded, aNow),
+                                    sentAge,
+                                    crash.mFingerprint });
       }
     }
   }
--- a/src/sapphirespar/wire/gen/gossip_types.cpp
+++ b/src/sapphirespar/wire/gen/gossip_types.cpp
@@ -408,6 +408,10 @@
   this->sent_age_ms = val;
 __isset.sent_age_ms = true;
 }
+
+void gossip_part_crash::__set_fingerprint(const int64_t val) {
+  this->fingerprint = val;
+}
 std::ostream& operator<<(std::ostream& out, const gossip_part_crash& obj)
 {
   obj.printTo(out);
@@ -476,6 +480,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->fingerprint);
+          this->__isset.fingerprint = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -514,6 +526,10 @@
     xfer += oprot->writeI32(this->sent_age_ms);
     xfer += oprot->writeFieldEnd();
   }
+  xfer += oprot->writeFieldBegin("fingerprint", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->fingerprint);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -526,6 +542,7 @@
   swap(a.upstream, b.upstream);
   swap(a.age_ms, b.age_ms);
   swap(a.sent_age_ms, b.sent_age_ms);
+  swap(a.fingerprint, b.fingerprint);
   swap(a.__isset, b.__isset);
 }
 
@@ -535,6 +552,7 @@
   upstream = other14.upstream;
   age_ms = other14.age_ms;
   sent_age_ms = other14.sent_age_ms;
+  fingerprint = other14.fingerprint;
   __isset = other14.__isset;
 }
 gossip_part_crash::gossip_part_crash(gossip_part_crash&& other15) noexcept {
@@ -543,6 +561,7 @@
   upstream = other15.upstream;
   age_ms = other15.age_ms;
   sent_age_ms = other15.sent_age_ms;
+  fingerprint = other15.fingerprint;
   __isset = other15.__isset;
 }
 gossip_part_crash& gossip_part_crash::operator=(const gossip_part_crash& other16) {
@@ -551,6 +570,7 @@
   upstream = other16.upstream;
   age_ms = other16.age_ms;
   sent_age_ms = other16.sent_age_ms;
+  fingerprint = other16.fingerprint;
   __isset = other16.__isset;
   return *this;
 }
@@ -560,6 +580,7 @@
   upstream = other17.upstream;
   age_ms = other17.age_ms;
   sent_age_ms = other17.sent_age_ms;
+  fingerprint = other17.fingerprint;
   __isset = other17.__isset;
   return *this;
 }
@@ -571,6 +592,7 @@
   out << ", " << "upstream=" << to_string(upstream);
   out << ", " << "age_ms=" << to_string(age_ms);
   out << ", " << "sent_age_ms="; (__isset.sent_age_ms ? (out << to_string(sent_age_ms)) : (out << "<null>"));
+  out << ", " << "fingerprint=" << to_string(fingerprint);
   out << ")";
 }
 
--- a/src/sapphirespar/wire/gen/gossip_types.h
+++ b/src/sapphirespar/wire/gen/gossip_types.h
@@ -176,12 +176,13 @@
 std::ostream& operator<<(std::ostream& out, const gossip_zone& obj);
 
 typedef struct _gossip_part_crash__isset {
-  _gossip_part_crash__isset() : pool(false), part(false), upstream(false), age_ms(false), sent_age_ms(false) {}
+  _gossip_part_crash__isset() : pool(false), part(false), upstream(false), age_ms(false), sent_age_ms(false), fingerprint(false) {}
   bool pool :1;
   bool part :1;
   bool upstream :1;
   bool age_ms :1;
   bool sent_age_ms :1;
+  bool fingerprint :1;
 } _gossip_part_crash__isset;
 
 class gossip_part_crash : public virtual ::apache::thrift::TBase {
@@ -196,7 +197,8 @@
                       part(0),
                       upstream(0),
                       age_ms(0),
-                      sent_age_ms(0) {
+                      sent_age_ms(0),
+                      fingerprint(0) {
   }
 
   virtual ~gossip_part_crash() noexcept;
@@ -205,6 +207,7 @@
   int64_t upstream;
   int32_t age_ms;
   int32_t sent_age_ms;
+  int64_t fingerprint;
 
   _gossip_part_crash__isset __isset;
 
@@ -218,6 +221,8 @@
 
   void __set_sent_age_ms(const int32_t val);
 
+  void __set_fingerprint(const int64_t val);
+
   bool operator == (const gossip_part_crash & rhs) const
   {
     if (!(pool == rhs.pool))
@@ -232,6 +237,8 @@
       return false;
     else if (__isset.sent_age_ms && !(sent_age_ms == rhs.sent_age_ms))
       return false;
+    if (!(fingerprint == rhs.fingerprint))
+      return false;
     return true;
   }
   bool operator != (const gossip_part_crash &rhs) const {
--- a/src/sapphirespar/wire/gossip_codec_test.cpp
+++ b/src/sapphirespar/wire/gossip_codec_test.cpp
@@ -49,6 +49,7 @@
                          { { part, 100ms, 110ms, 2, 120ms } } };
   state.mRequestCrashReport = state.mCrashReport;
   state.mRequestCrashReport.mCrashes[0].mSentAge = 55ms;
+  state.mRequestCrashReport.mCrashes[0].mFingerprint = 0xfffffffffffffff6ULL;
   state.mUpstreamRates = { { 0xfffffffffffffff5ULL, 2.8, 130ms },
                            { 6, kUnlimitedRate, 140ms },
                            { 7, 0, 0ms } };
--- a/src/sapphirespar/wire/gossip_crash_report.cpp
+++ b/src/sapphirespar/wire/gossip_crash_report.cpp
@@ -46,6 +46,7 @@
   wire.part = ToWireKey(aCrash.mPart.mId);
   wire.upstream = ToWireKey(aCrash.mUpstream);
   wire.age_ms = ToAgeMs(aCrash.mAge);
+  wire.fingerprint = ToWireKey(aCrash.mFingerprint);
   if (aCrash.mSentAge) {
     wire.__set_sent_age_ms(ToAgeMs(*aCrash.mSentAge));
   }
@@ -110,6 +111,7 @@
   part_crash crash{ { aWire.pool, FromWireKey(aWire.part) },
                     FromWireKey(aWire.upstream),
                     FromAgeMs(aWire.age_ms) };
+  crash.mFingerprint = FromWireKey(aWire.fingerprint);
   if (aWire.__isset.sent_age_ms) {
     crash.mSentAge = FromAgeMs(aWire.sent_age_ms);
   }
