Let upstreams of the soak name the rate that they accept

Change: an upstream names up to three requests a second for some time, also while gateways restart, pause and lose links; the checker counts what it gets from gateways that it has told, in each 4 s.

--- a/include/sapphirespar/soak/invariant_checker.hpp
+++ b/include/sapphirespar/soak/invariant_checker.hpp
@@ -73,6 +73,15 @@
                         unsigned aUpstream,
                         std::chrono::milliseconds aFor);
 
+  // Records that the upstream answers a request with the rate that it accepts
+  // from all gateways together, in requests per second.
+  void RecordNamedRate(const std::string& aId,
+                       unsigned aUpstream,
+                       double aRate);
+
+  // Records that an upstream names no rate any more.
+  void EndNamedRate(unsigned aUpstream);
+
   // Drops what an upstream has said to the gateways, after it was replaced.
   void ForgetUpstream(unsigned aUpstream);
 
@@ -115,6 +124,17 @@
     unsigned mArrivals = 0;
   };
 
+  // What an upstream that names a rate has got.
+  struct named_rate
+  {
+    double mRate = 0;
+    // When each gateway was first told.
+    std::map<unsigned, time_point> mTold;
+    // Requests from gateways that had been told, with their gateways.
+    std::vector<std::pair<time_point, unsigned>> mArrivals;
+  };
+
+  void CheckNamedRate(const std::string& aId, const upstream_gateway& aLink);
   void AddViolation(const std::string& aRule, const std::string& aId);
   void ForgetGateway(unsigned aGateway);
   bool IsExcused(const upstream_gateway& aLink) const;
@@ -123,6 +143,8 @@
   // When the gateway first passed the upstream's leaving on.
   std::map<upstream_gateway, time_point> mLeaving;
   std::map<upstream_gateway, turned_away> mTurnedAway;
+  // By upstream.
+  std::map<unsigned, named_rate> mNamedRates;
   // Numbers of excuses in force.
   std::map<unsigned, unsigned> mUpstreamExcuses;
   std::map<unsigned, unsigned> mGatewayExcuses;
--- a/include/sapphirespar/soak/soak_harness.hpp
+++ b/include/sapphirespar/soak/soak_harness.hpp
@@ -65,6 +65,8 @@
   Silent,
   // Closes the connection instead of answering, and runs nothing.
   Closes,
+  // Names in every answer the rate that it accepts.
+  NamesRate,
 };
 
 // An upstream's server and the proxy between the gateways and the server.
@@ -77,6 +79,8 @@
   unsigned mBorn = 1;
   // How long it wants no requests while it turns them away.
   std::chrono::milliseconds mRetryAfter{ 0 };
+  // What it accepts while it names a rate, in requests per second.
+  unsigned mRate = 0;
 };
 
 class soak_harness
--- a/src/sapphirespar/soak/invariant_checker.cpp
+++ b/src/sapphirespar/soak/invariant_checker.cpp
@@ -17,6 +17,14 @@
 constexpr std::chrono::milliseconds kRefusalLag{ 500 };
 constexpr unsigned kArrivalsAllowed = 2;
 
+// From this time after it was told, a gateway's requests count against the rate
+// that an upstream has named; in each window they may be so many times the rate
+// and so many more.
+constexpr std::chrono::milliseconds kRateLag{ 500 };
+constexpr std::chrono::seconds kRateWindow{ 4 };
+constexpr double kRateFactor = 1.5;
+constexpr double kRateSlack = 5;
+
 bool
 RunsAtMostOnce(request_kind aKind)
 {
@@ -71,6 +79,7 @@
       request.mSentAt > leaving->second + kDrainTime) {
     AddViolation("a request reaches an upstream that leaves", aId);
   }
+  CheckNamedRate(aId, key);
   const auto turned = mTurnedAway.find(key);
   const auto now = std::chrono::steady_clock::now();
   if (turned != mTurnedAway.end() && now > turned->second.mFrom &&
@@ -80,6 +89,51 @@
   }
 }
 
+void
+invariant_checker::CheckNamedRate(const std::string& aId,
+                                  const upstream_gateway& aLink)
+{
+  const auto found = mNamedRates.find(aLink.first);
+  if (found == mNamedRates.end()) {
+    return;
+  }
+  auto& named = found->second;
+  const auto now = std::chrono::steady_clock::now();
+  const auto told = named.mTold.find(aLink.second);
+  if (told == named.mTold.end() || now < told->second + kRateLag) {
+    return;
+  }
+  std::erase_if(named.mArrivals, [now](const auto& aItem) {
+    return aItem.first + kRateWindow < now;
+  });
+  named.mArrivals.emplace_back(now, aLink.second);
+  const auto allowed =
+    kRateFactor * named.mRate * static_cast<double>(kRateWindow.count()) +
+    kRateSlack;
+  if (static_cast<double>(named.mArrivals.size()) > allowed) {
+    AddViolation("an upstream gets more than the rate that it named", aId);
+  }
+}
+
+void
+invariant_checker::RecordNamedRate(const std::string& aId,
+                                   unsigned aUpstream,
+                                   double aRate)
+{
+  const upstream_gateway key{ aUpstream, mRequests[aId].mGateway };
+  if (!IsExcused(key)) {
+    auto& named = mNamedRates[aUpstream];
+    named.mRate = aRate;
+    named.mTold.emplace(key.second, std::chrono::steady_clock::now());
+  }
+}
+
+void
+invariant_checker::EndNamedRate(unsigned aUpstream)
+{
+  mNamedRates.erase(aUpstream);
+}
+
 void
 invariant_checker::RecordLeaving(unsigned aUpstream, unsigned aGateway)
 {
@@ -109,6 +163,7 @@
   };
   std::erase_if(mLeaving, isOf);
   std::erase_if(mTurnedAway, isOf);
+  EndNamedRate(aUpstream);
 }
 
 void
@@ -119,6 +174,12 @@
   };
   std::erase_if(mLeaving, isOf);
   std::erase_if(mTurnedAway, isOf);
+  for (auto& [upstream, named] : mNamedRates) {
+    named.mTold.erase(aGateway);
+    std::erase_if(named.mArrivals, [aGateway](const auto& aItem) {
+      return aItem.second == aGateway;
+    });
+  }
 }
 
 void
--- a/src/sapphirespar/soak/invariant_checker_test.cpp
+++ b/src/sapphirespar/soak/invariant_checker_test.cpp
@@ -117,5 +117,27 @@
   EXPECT_EQ(Violations(), 1U);
 }
 
+TEST_F(invariant_checker_test, ReportsMoreThanTheRateThatAnUpstreamNamed)
+{
+  Send(request_kind::Idempotent);
+  for (int count = 0; count < 100; ++count) {
+    mChecker.RecordArrival("r", 1);
+    mChecker.RecordNamedRate("r", 1, 1);
+  }
+  EXPECT_EQ(Violations(), 0U);
+  std::this_thread::sleep_for(510ms);
+  for (int count = 0; count < 11; ++count) {
+    mChecker.RecordArrival("r", 1);
+    mChecker.RecordArrival("r", 2);
+  }
+  EXPECT_EQ(Violations(), 0U);
+  mChecker.RecordArrival("r", 1);
+  EXPECT_EQ(Violations(), 1U);
+  // A gateway that restarts is excused.
+  mChecker.BeginGatewayExcuse(0);
+  mChecker.RecordArrival("r", 1);
+  EXPECT_EQ(Violations(), 1U);
+}
+
 } // namespace
 } // namespace sapphirespar::soak
--- a/src/sapphirespar/soak/soak_upstreams.cpp
+++ b/src/sapphirespar/soak/soak_upstreams.cpp
@@ -85,6 +85,10 @@
   if (state == upstream_state::Leaving) {
     headers.push_back({ "Server-Leaving", "1" });
   }
+  if (state == upstream_state::NamesRate) {
+    headers.push_back({ "Server-Limit", std::to_string(upstream.mRate) });
+    mChecker.RecordNamedRate(id, aNumber, upstream.mRate);
+  }
   mChecker.RecordRun(id, std::string(aRequest.Header("X-Tenant")));
   const bool fast = state == upstream_state::EndlessBytes;
   if (fast || state == upstream_state::TrickledBytes) {
@@ -144,6 +148,7 @@
     co_return;
   }
   upstream.mRetryAfter = milliseconds(300 + Draw(3000));
+  upstream.mRate = Draw(4);
   upstream.mState = aState;
   asio::steady_timer timer(mContext, milliseconds(500 + Draw(4000)));
   co_await timer.async_wait(asio::use_awaitable);
@@ -153,6 +158,7 @@
     co_await WriteUpstream(aNumber);
   }
   upstream.mState = upstream_state::Ready;
+  mChecker.EndNamedRate(aNumber);
 }
 
 } // namespace sapphirespar::soak
--- a/src/sapphirespar/soak/soak_workload.cpp
+++ b/src/sapphirespar/soak/soak_workload.cpp
@@ -142,7 +142,7 @@
     upstream_state::Leaving,       upstream_state::TurnsAway,
     upstream_state::Refuses,       upstream_state::EndlessBytes,
     upstream_state::TrickledBytes, upstream_state::Silent,
-    upstream_state::Closes,
+    upstream_state::Closes,        upstream_state::NamesRate,
   };
   const auto gatewayNumber = Draw(mOptions.mGateways);
   const auto upstreamNumber = Draw(mOptions.mUpstreams);
