Hold back a request while its crashes are confirmed

Cause: a crash counts once its upstream has been silent for 0.3 s; until then the same request was sent on, at every gateway. Change: a fingerprint with three unconfirmed crashes is refused for half a second, with a time to come back; a sign of the upstreams ends that.

--- a/include/sapphirespar/policy/crash_suspects.hpp
+++ b/include/sapphirespar/policy/crash_suspects.hpp
@@ -48,7 +48,8 @@
   std::size_t mRequests = 2;
   // Two upstreams that end together count twice, more of them if each but the
   // first got the request after another one's end. Other answers need not have
-  // gone on between crashes.
+  // gone on between crashes. Requests are held back while crashes that would
+  // suffice are confirmed.
   bool mCountsEach = false;
   // Time from the quarantine to the first trial.
   std::chrono::seconds mFirstTrial{ 60 };
@@ -188,6 +189,10 @@
     steady_time mSince{};
   };
 
+  // Returns how long to refuse a request whose part may be about to be
+  // quarantined; nothing if it may be sent.
+  std::optional<std::chrono::milliseconds> HoldBack(const shared_parts& aParts,
+                                                    steady_time aNow) const;
   void AddCrash(const prompt_part& aPart,
                 const crash& aCrash,
                 steady_time aNow);
--- a/src/sapphirespar/policy/crash_suspects.cpp
+++ b/src/sapphirespar/policy/crash_suspects.cpp
@@ -281,6 +281,9 @@
 std::optional<milliseconds>
 crash_suspects::Refuse(const shared_parts& aParts, steady_time aNow)
 {
+  if (const auto wait = HoldBack(aParts, aNow)) {
+    return wait;
+  }
   if (mQuarantines.empty()) {
     return std::nullopt;
   }
--- a/src/sapphirespar/policy/crash_suspects_conclusions.cpp
+++ b/src/sapphirespar/policy/crash_suspects_conclusions.cpp
@@ -31,6 +31,11 @@
 // the time that the signs take from other gateways.
 constexpr milliseconds kConfirmAfter{ 300 };
 
+// Time after a crash for which requests are held back: until it is confirmed
+// and the next update has drawn conclusions.
+constexpr milliseconds kHoldBackFor{ 500 };
+constexpr milliseconds kShortestHoldBack{ 100 };
+
 } // namespace
 
 crash_suspects::cause_map
@@ -218,6 +223,28 @@
   return tied;
 }
 
+std::optional<milliseconds>
+crash_suspects::HoldBack(const shared_parts& aParts, steady_time aNow) const
+{
+  if (!mRules.mCountsEach) {
+    return std::nullopt;
+  }
+  for (const auto id : aParts.mIds) {
+    const prompt_part part{ std::string(aParts.mPool), id };
+    const auto found = mCrashes.find(part);
+    if (found == mCrashes.end() || found->second.size() < kCrashes) {
+      continue;
+    }
+    const auto left = std::chrono::ceil<milliseconds>(
+      found->second.back().mEnded + kHoldBackFor - aNow);
+    if (left > milliseconds::zero() &&
+        ChainOf(part, Clusters(aParts.mPool, aNow)).mCrashes >= kCrashes) {
+      return std::max(left, kShortestHoldBack);
+    }
+  }
+  return std::nullopt;
+}
+
 bool
 crash_suspects::MayRepeat(const shared_parts& aParts, steady_time aNow) const
 {
--- a/src/sapphirespar/policy/crash_suspects_test.cpp
+++ b/src/sapphirespar/policy/crash_suspects_test.cpp
@@ -299,6 +299,37 @@
   EXPECT_FALSE(mSuspects.Refuse(kSound, mNow));
 }
 
+TEST_F(fingerprint_suspects_test, ASuspectedRequestWaitsForTheConfirmation)
+{
+  for (int count = 0; count < 3; ++count) {
+    EXPECT_FALSE(mSuspects.Refuse(kPrompt, mNow));
+    Crash(kPrompt, 20ms);
+    mNow += 50ms;
+  }
+  const auto wait = mSuspects.Refuse(kPrompt, mNow);
+  ASSERT_TRUE(wait);
+  EXPECT_LE(*wait, 500ms);
+  EXPECT_FALSE(mSuspects.Refuse(kSound, mNow));
+  // The upstreams had not ended.
+  mNow += 50ms;
+  for (std::uint64_t upstream = 1; upstream <= mUpstream; ++upstream) {
+    mSuspects.OnSign(upstream, mNow);
+  }
+  EXPECT_FALSE(mSuspects.Refuse(kPrompt, mNow));
+}
+
+TEST_F(fingerprint_suspects_test, AnUnconfirmedSuspicionEnds)
+{
+  for (int count = 0; count < 3; ++count) {
+    Crash(kPrompt, 20ms);
+    mNow += 50ms;
+  }
+  EXPECT_TRUE(mSuspects.Refuse(kPrompt, mNow));
+  mNow += 600ms;
+  mSuspects.Update(mNow);
+  EXPECT_FALSE(mSuspects.Refuse(kPrompt, mNow));
+}
+
 TEST_F(fingerprint_suspects_test, UpstreamsThatEndTogetherCountOnce)
 {
   for (int count = 0; count < 6; ++count) {
