--- a/include/sapphirespar/gateway/part_guard.hpp
+++ b/include/sapphirespar/gateway/crash_guard.hpp
@@ -42,7 +42,7 @@
   std::chrono::milliseconds mRetryAfter{ 0 };
 };
 
-struct part_guard_hooks
+struct crash_guard_hooks
 {
   // Returns whether this gateway makes the trials of a quarantined part or
   // fingerprint.
@@ -51,13 +51,13 @@
   std::function<void()> mTellPeers;
 };
 
-class part_guard
+class crash_guard
 {
 public:
   // The references must outlive the guard.
-  part_guard(timer_service& aTimers,
-             metrics& aMetrics,
-             part_guard_hooks aHooks);
+  crash_guard(timer_service& aTimers,
+              metrics& aMetrics,
+              crash_guard_hooks aHooks);
 
   // How far an answer had come when its connection broke.
   enum class answer_progress
@@ -96,7 +96,7 @@
 
   timer_service& mTimers;
   metrics& mMetrics;
-  const part_guard_hooks mHooks;
+  const crash_guard_hooks mHooks;
   policy::crash_suspects mParts;
   // Their parts are fingerprints.
   policy::crash_suspects mRequests;
--- a/include/sapphirespar/gateway/forward.hpp
+++ b/include/sapphirespar/gateway/forward.hpp
@@ -3,7 +3,7 @@
 #pragma once
 
 #include "sapphirespar/gateway/answer_memory.hpp"
-#include "sapphirespar/gateway/part_guard.hpp"
+#include "sapphirespar/gateway/crash_guard.hpp"
 #include "sapphirespar/gateway/protocol.hpp"
 #include "sapphirespar/gateway/rate_guard.hpp"
 #include "sapphirespar/gateway/routing_state.hpp"
@@ -37,8 +37,8 @@
   const policy::engine_split& mSplit;
   policy::engine_models& mModels;
   policy::prompt_kinds& mKinds;
-  part_guard& mParts;
-  rate_guard& mRates;
+  crash_guard& mCrashGuard;
+  rate_guard& mRateGuard;
   wire::http_client& mClient;
   metrics& mMetrics;
   // Brings the loads of other gateways in mUpstreams up to date.
--- a/src/sapphirespar/gateway/attempt_ending.cpp
+++ b/src/sapphirespar/gateway/attempt_ending.cpp
@@ -42,7 +42,7 @@
 attempt_ending::OnBytes()
 {
   mLastBytes = steady_clock::now();
-  mServices.mParts.OnSign(mUpstream.mKey);
+  mServices.mCrashGuard.OnSign(mUpstream.mKey);
 }
 
 void
@@ -50,7 +50,7 @@
 {
   if (!mSurvived) {
     mSurvived = true;
-    mServices.mParts.OnSurvival(MarksOf(mForwarded));
+    mServices.mCrashGuard.OnSurvival(MarksOf(mForwarded));
   }
 }
 
@@ -59,12 +59,12 @@
 {
   constexpr unsigned kFirstError = 300;
   const bool answers = mStream && mStream->Head().mStatus < kFirstError;
-  using enum part_guard::answer_progress;
+  using enum crash_guard::answer_progress;
   const auto begun = answers ? Begun : Nothing;
-  mServices.mParts.OnUpstreamLost(MarksOf(mForwarded),
-                                  mUpstream.mKey,
-                                  mAttempt.mHasEvents ? Events : begun,
-                                  mAttempt.mStarted);
+  mServices.mCrashGuard.OnUpstreamLost(MarksOf(mForwarded),
+                                       mUpstream.mKey,
+                                       mAttempt.mHasEvents ? Events : begun,
+                                       mAttempt.mStarted);
 }
 
 attempt_result
--- a/src/sapphirespar/gateway/attempt_race.cpp
+++ b/src/sapphirespar/gateway/attempt_race.cpp
@@ -119,7 +119,7 @@
   if (aResult.mEnd == attempt_end::NotSent) {
     --mProgress.mSends;
     if (aAttempt->mTarget.mPermit == send_permit::Granted) {
-      mServices.mRates.ReturnPermit(aAttempt->mTarget.mUpstream->mKey);
+      mServices.mRateGuard.ReturnPermit(aAttempt->mTarget.mUpstream->mKey);
     }
   }
   mOnEnded(*aAttempt, aResult);
--- a/src/sapphirespar/gateway/part_guard.cpp
+++ b/src/sapphirespar/gateway/crash_guard.cpp
@@ -1,5 +1,5 @@
 // Log lines, metric and timers of the search for crashing parts.
-#include "sapphirespar/gateway/part_guard.hpp"
+#include "sapphirespar/gateway/crash_guard.hpp"
 
 #include "sapphirespar/base/log.hpp"
 
@@ -59,9 +59,9 @@
 
 } // namespace
 
-part_guard::part_guard(timer_service& aTimers,
-                       metrics& aMetrics,
-                       part_guard_hooks aHooks)
+crash_guard::crash_guard(timer_service& aTimers,
+                         metrics& aMetrics,
+                         crash_guard_hooks aHooks)
   : mTimers(aTimers)
   , mMetrics(aMetrics)
   , mHooks(std::move(aHooks))
@@ -74,10 +74,10 @@
 }
 
 void
-part_guard::OnUpstreamLost(const request_marks& aMarks,
-                           std::uint64_t aUpstream,
-                           answer_progress aProgress,
-                           steady_time aSent)
+crash_guard::OnUpstreamLost(const request_marks& aMarks,
+                            std::uint64_t aUpstream,
+                            answer_progress aProgress,
+                            steady_time aSent)
 {
   const auto now = mTimers.Now();
   const bool urgentParts = mParts.OnUpstreamLost(
@@ -94,7 +94,7 @@
 }
 
 void
-part_guard::OnSurvival(const request_marks& aMarks)
+crash_guard::OnSurvival(const request_marks& aMarks)
 {
   const auto now = mTimers.Now();
   mParts.OnSurvival(PartsOf(aMarks), now);
@@ -102,7 +102,7 @@
 }
 
 void
-part_guard::OnSign(std::uint64_t aUpstream)
+crash_guard::OnSign(std::uint64_t aUpstream)
 {
   const auto now = mTimers.Now();
   mParts.OnSign(aUpstream, now);
@@ -110,7 +110,7 @@
 }
 
 std::optional<crash_refusal>
-part_guard::Refuse(const request_marks& aMarks)
+crash_guard::Refuse(const request_marks& aMarks)
 {
   const auto now = mTimers.Now();
   if (const auto wait = mRequests.Refuse(RequestOf(aMarks), now)) {
@@ -123,7 +123,7 @@
 }
 
 bool
-part_guard::MayRepeat(const request_marks& aMarks) const
+crash_guard::MayRepeat(const request_marks& aMarks) const
 {
   const auto now = mTimers.Now();
   return mParts.MayRepeat(PartsOf(aMarks), now) &&
@@ -131,7 +131,7 @@
 }
 
 void
-part_guard::Merge(const crash_reports& aReports)
+crash_guard::Merge(const crash_reports& aReports)
 {
   const auto now = mTimers.Now();
   mParts.Merge(aReports.mParts, now);
@@ -139,14 +139,14 @@
 }
 
 crash_reports
-part_guard::Reports() const
+crash_guard::Reports() const
 {
   const auto now = mTimers.Now();
   return { mParts.Report(now), mRequests.Report(now) };
 }
 
 void
-part_guard::Update()
+crash_guard::Update()
 {
   const auto now = mTimers.Now();
   const auto requests = mRequests.Update(now);
@@ -164,7 +164,7 @@
 }
 
 void
-part_guard::ShowQuarantines()
+crash_guard::ShowQuarantines()
 {
   mMetrics.Set(
     "gateway_quarantined_parts", {}, static_cast<double>(mParts.Quarantined()));
--- a/src/sapphirespar/gateway/part_guard_test.cpp
+++ b/src/sapphirespar/gateway/crash_guard_test.cpp
@@ -1,5 +1,5 @@
 // Tests of when the guard of prompt parts tells its peers.
-#include "sapphirespar/gateway/part_guard.hpp"
+#include "sapphirespar/gateway/crash_guard.hpp"
 
 #include <gtest/gtest.h>
 
@@ -15,23 +15,23 @@
 constexpr std::array<std::uint64_t, 1> kSoundIds{ 0xcd };
 const request_marks kParts{ "pool", kIds, 1 };
 const request_marks kSound{ "pool", kSoundIds, 2 };
-constexpr auto kBegun = part_guard::answer_progress::Begun;
-constexpr auto kEvents = part_guard::answer_progress::Events;
-constexpr auto kNothing = part_guard::answer_progress::Nothing;
+constexpr auto kBegun = crash_guard::answer_progress::Begun;
+constexpr auto kEvents = crash_guard::answer_progress::Events;
+constexpr auto kNothing = crash_guard::answer_progress::Nothing;
 
-class part_guard_test : public testing::Test
+class crash_guard_test : public testing::Test
 {
 protected:
   manual_timer_service mTimers;
   metrics mMetrics;
   unsigned mTold = 0;
-  part_guard mGuard{ mTimers,
-                     mMetrics,
-                     { [](const prompt_part&) { return false; },
-                       [this] { ++mTold; } } };
+  crash_guard mGuard{ mTimers,
+                      mMetrics,
+                      { [](const prompt_part&) { return false; },
+                        [this] { ++mTold; } } };
 };
 
-TEST_F(part_guard_test, TellsPeersOfACrashAtOnceAndOnceMore)
+TEST_F(crash_guard_test, TellsPeersOfACrashAtOnceAndOnceMore)
 {
   mTimers.Advance(1s);
   mGuard.OnUpstreamLost(kParts, 1, kBegun, {});
@@ -40,7 +40,7 @@
   EXPECT_EQ(mTold, 2U);
 }
 
-TEST_F(part_guard_test, TellsPeersOfManyCrashesTogether)
+TEST_F(crash_guard_test, TellsPeersOfManyCrashesTogether)
 {
   mTimers.Advance(1s);
   for (std::uint64_t upstream = 1; upstream <= 20; ++upstream) {
@@ -51,7 +51,7 @@
   EXPECT_EQ(mTold, 2U);
 }
 
-TEST_F(part_guard_test, ALossThatIsNoCrashIsNotUrgent)
+TEST_F(crash_guard_test, ALossThatIsNoCrashIsNotUrgent)
 {
   mTimers.Advance(1s);
   mGuard.OnUpstreamLost(kParts, 1, kEvents, {});
@@ -59,7 +59,7 @@
   EXPECT_EQ(mGuard.Reports().mParts.mLosses.size(), 1U);
 }
 
-TEST_F(part_guard_test, RefusesWhatAPeerHasQuarantined)
+TEST_F(crash_guard_test, RefusesWhatAPeerHasQuarantined)
 {
   mTimers.Advance(1s);
   crash_report report;
@@ -74,7 +74,7 @@
   EXPECT_EQ(mTold, 0U);
 }
 
-TEST_F(part_guard_test, ARequestWithoutPartsIsRefusedAfterThreeCrashes)
+TEST_F(crash_guard_test, ARequestWithoutPartsIsRefusedAfterThreeCrashes)
 {
   const request_marks plain{ "pool", {}, 3 };
   const request_marks other{ "pool", {}, 4 };
@@ -92,15 +92,15 @@
   EXPECT_EQ(refused->mReason, "request_crashes_upstreams");
   EXPECT_FALSE(mGuard.Refuse(other));
   // Another gateway takes it over.
-  part_guard second{ mTimers,
-                     mMetrics,
-                     { [](const prompt_part&) { return false; }, [] {} } };
+  crash_guard second{ mTimers,
+                      mMetrics,
+                      { [](const prompt_part&) { return false; }, [] {} } };
   second.Merge(mGuard.Reports());
   EXPECT_TRUE(second.Refuse(plain));
 }
 
 // Crashes under one request, repeated, and under requests that differ.
-TEST_F(part_guard_test, ARepeatedRequestDoesNotBlameItsParts)
+TEST_F(crash_guard_test, ARepeatedRequestDoesNotBlameItsParts)
 {
   constexpr std::array<std::uint64_t, 1> kRare{ 0xef };
   const request_marks crashing{ "pool", kRare, 3 };
--- a/src/sapphirespar/gateway/forward.cpp
+++ b/src/sapphirespar/gateway/forward.cpp
@@ -169,7 +169,7 @@
   void Start(attempt_target aTarget)
   {
     mTried.push_back(aTarget.mUpstream);
-    aTarget.mPermit = mServices.mRates.TakePermit(aTarget.mUpstream->mKey);
+    aTarget.mPermit = mServices.mRateGuard.TakePermit(aTarget.mUpstream->mKey);
     if (mForwarded.mEngine) {
       const auto& figures = mServices.mModels.Of(mForwarded.mPool).Figures();
       mServices.mPrefill.Add(aTarget.mInteractive,
@@ -245,7 +245,7 @@
   {
     const auto now = steady_clock::now();
     if (mTried.size() >= kMaximumTargets ||
-        !mServices.mParts.MayRepeat(MarksOf(mForwarded))) {
+        !mServices.mCrashGuard.MayRepeat(MarksOf(mForwarded))) {
       return false;
     }
     const auto& route = *mForwarded.mRoute;
--- a/src/sapphirespar/gateway/forward_admission.cpp
+++ b/src/sapphirespar/gateway/forward_admission.cpp
@@ -122,7 +122,7 @@
   ChoosePool(aServices, aForwarded);
   aForwarded.mFingerprint = FingerprintOf(
     aForwarded.mRequest, aForwarded.mAccount, aForwarded.mSharedParts);
-  if (const auto refused = aServices.mParts.Refuse(MarksOf(aForwarded))) {
+  if (const auto refused = aServices.mCrashGuard.Refuse(MarksOf(aForwarded))) {
     return refusal_answer{ 503, refused->mReason, refused->mRetryAfter };
   }
   return std::nullopt;
--- a/src/sapphirespar/gateway/forward_attempt.cpp
+++ b/src/sapphirespar/gateway/forward_attempt.cpp
@@ -82,7 +82,7 @@
     }
     auto& permit = mAttempt.mTarget.mPermit;
     if (permit != send_permit::Granted) {
-      permit = mServices.mRates.TakePermit(mUpstream.mKey);
+      permit = mServices.mRateGuard.TakePermit(mUpstream.mKey);
     }
     return permit != send_permit::Refused;
   }
@@ -153,9 +153,9 @@
     // Answers to other requests and spoilt ones can't end a limit.
     const bool sound =
       aKind != answer_kind::Foreign && aKind != answer_kind::Unusable;
-    mServices.mRates.OnAnswer(mUpstream.mKey,
-                              *aInfo.mAcceptedRate,
-                              sound ? mAttempt.mStarted : steady_time{});
+    mServices.mRateGuard.OnAnswer(mUpstream.mKey,
+                                  *aInfo.mAcceptedRate,
+                                  sound ? mAttempt.mStarted : steady_time{});
   }
 
   asio::awaitable<attempt_result> HandleAnswer(answer_kind aKind)
--- a/src/sapphirespar/gateway/forward_fixture_test.hpp
+++ b/src/sapphirespar/gateway/forward_fixture_test.hpp
@@ -98,17 +98,17 @@
   policy::prompt_kinds mKinds;
   metrics mMetrics;
   wire::asio_timer_service mTimers{ mContext.get_executor() };
-  part_guard mParts{ mTimers,
-                     mMetrics,
-                     { [](const prompt_part&) { return true; }, [] {} } };
-  rate_guard mRates{ mTimers,
-                     mMetrics,
-                     { "self" },
-                     { [] { return std::vector<vm_id>{ { "self" } }; },
-                       [this](std::uint64_t aKey) {
-                         return mUpstreams.NameOf(aKey);
-                       },
-                       [] {} } };
+  crash_guard mCrashGuard{ mTimers,
+                           mMetrics,
+                           { [](const prompt_part&) { return true; }, [] {} } };
+  rate_guard mRateGuard{ mTimers,
+                         mMetrics,
+                         { "self" },
+                         { [] { return std::vector<vm_id>{ { "self" } }; },
+                           [this](std::uint64_t aKey) {
+                             return mUpstreams.NameOf(aKey);
+                           },
+                           [] {} } };
   // Called before each choice of an upstream.
   std::function<void()> mRefreshLoads = [] {};
   // Routes of the host "h" with the prefixes "/stream/", "/resume/" (resumable
--- a/src/sapphirespar/gateway/gateway_app.cpp
+++ b/src/sapphirespar/gateway/gateway_app.cpp
@@ -6,10 +6,10 @@
 #include "store_snapshot_codec.hpp"
 
 #include "sapphirespar/base/log.hpp"
+#include "sapphirespar/gateway/crash_guard.hpp"
 #include "sapphirespar/gateway/forward.hpp"
 #include "sapphirespar/gateway/gateway_registry.hpp"
 #include "sapphirespar/gateway/gossip_link.hpp"
-#include "sapphirespar/gateway/part_guard.hpp"
 #include "sapphirespar/gateway/peer_table.hpp"
 #include "sapphirespar/gateway/rate_guard.hpp"
 #include "sapphirespar/wire/asio_timer_service.hpp"
@@ -92,7 +92,7 @@
   forward_services ForwardServices();
   store_reader_hooks ReaderHooks();
   gossip_hooks GossipHooks();
-  part_guard_hooks PartHooks();
+  crash_guard_hooks CrashGuardHooks();
   rate_guard_hooks RateHooks();
   registry_hooks RegistryHooks();
 
@@ -141,8 +141,8 @@
   policy::engine_split mSplit;
   policy::engine_models mModels;
   policy::prompt_kinds mKinds;
-  part_guard mParts;
-  rate_guard mRates;
+  crash_guard mCrashGuard;
+  rate_guard mRateGuard;
   store_reader mReader;
   gateway_registry mRegistry;
   gossip_link mGossip;
@@ -180,8 +180,8 @@
              ToThousandths(mSettings.mProcessor) })
   , mRetries(RetryLimits(mSettings))
   , mModels(mSettings.mEngines)
-  , mParts(mTimers, mMetrics, PartHooks())
-  , mRates(mTimers, mMetrics, mSettings.mVm, RateHooks())
+  , mCrashGuard(mTimers, mMetrics, CrashGuardHooks())
+  , mRateGuard(mTimers, mMetrics, mSettings.mVm, RateHooks())
   , mReader(mPlatform,
             mTimers,
             mProtocol,
@@ -294,8 +294,8 @@
            .mSplit = mSplit,
            .mModels = mModels,
            .mKinds = mKinds,
-           .mParts = mParts,
-           .mRates = mRates,
+           .mCrashGuard = mCrashGuard,
+           .mRateGuard = mRateGuard,
            .mClient = mUpstreamClient,
            .mMetrics = mMetrics,
            .mRefreshLoads = [this] { RefreshLoads(); },
@@ -358,8 +358,8 @@
   hooks.mSelf = [this] { return OwnState(); };
   hooks.mReceived = [this](const gossip_state& aState) {
     mLoadsStale = true;
-    mParts.Merge({ aState.mCrashReport, aState.mRequestCrashReport });
-    mRates.Merge(aState.mUpstreamRates);
+    mCrashGuard.Merge({ aState.mCrashReport, aState.mRequestCrashReport });
+    mRateGuard.Merge(aState.mUpstreamRates);
     for (const auto key : aState.mLeavingUpstreams) {
       mUpstreams.NoteLeaving(key, "peer");
     }
@@ -370,10 +370,10 @@
   return hooks;
 }
 
-part_guard_hooks
-gateway_app::state::PartHooks()
+crash_guard_hooks
+gateway_app::state::CrashGuardHooks()
 {
-  part_guard_hooks hooks;
+  crash_guard_hooks hooks;
   hooks.mMakesTrials = [this](const prompt_part& aPart) {
     return mPeers.IsOwnerOf(aPart.mId, mTimers.Now());
   };
@@ -426,10 +426,10 @@
   own.mStore = mReader.Summary();
   own.mLoads = mUpstreams.OwnLoads();
   own.mLeavingUpstreams = mUpstreams.Leaving();
-  auto crashes = mParts.Reports();
+  auto crashes = mCrashGuard.Reports();
   own.mCrashReport = std::move(crashes.mParts);
   own.mRequestCrashReport = std::move(crashes.mRequests);
-  own.mUpstreamRates = mRates.Report();
+  own.mUpstreamRates = mRateGuard.Report();
   const auto prefill = mPrefill.Demand(mTimers.Now());
   own.mInteractivePrefill = ToThousandths(prefill.mInteractive.mPrefill);
   own.mProcessor = ToThousandths(mSettings.mProcessor);
--- a/src/sapphirespar/gateway/placement.cpp
+++ b/src/sapphirespar/gateway/placement.cpp
@@ -37,7 +37,7 @@
   });
   const auto now = std::chrono::steady_clock::now();
   std::erase_if(members, [&](const upstream_ptr& aMember) {
-    return aMember->TurnsAway(now) || aServices.mRates.TimeUntilPermit(
+    return aMember->TurnsAway(now) || aServices.mRateGuard.TimeUntilPermit(
                                         aMember->mKey) > milliseconds::zero();
   });
   const auto blocked = [&](const upstream_ptr& aMember) {
@@ -235,7 +235,7 @@
   std::optional<pool_pause> pause;
   bool limited = false;
   for (const auto& member : aServices.mUpstreams.Members(aPool)) {
-    const auto permitIn = aServices.mRates.TimeUntilPermit(member->mKey);
+    const auto permitIn = aServices.mRateGuard.TimeUntilPermit(member->mKey);
     const auto left = std::max(
       std::chrono::ceil<milliseconds>(member->mTurnsAwayUntil - now), permitIn);
     limited = limited || permitIn > milliseconds::zero();
