--- a/src/sapphirespar/gateway/crash_guard.cpp
+++ b/src/sapphirespar/gateway/crash_guard.cpp
@@ -1,4 +1,4 @@
-// Log lines, metric and timers of the search for crashing parts.
+// Log lines, metrics and timers of the search for requests that crash upstreams.
 #include "sapphirespar/gateway/crash_guard.hpp"
 
 #include "sapphirespar/base/log.hpp"
--- a/src/sapphirespar/gateway/crash_guard_test.cpp
+++ b/src/sapphirespar/gateway/crash_guard_test.cpp
@@ -1,4 +1,4 @@
-// Tests of when the guard of prompt parts tells its peers.
+// Tests of what the guard of crashing requests refuses and tells its peers.
 #include "sapphirespar/gateway/crash_guard.hpp"
 
 #include <gtest/gtest.h>
