--- a/src/sapphirespar/soak/invariant_checker.cpp
+++ b/src/sapphirespar/soak/invariant_checker.cpp
@@ -2,6 +2,8 @@
 // the caller receives the response.
 #include "sapphirespar/soak/invariant_checker.hpp"
 
+#include <algorithm>
+
 namespace sapphirespar::soak {
 namespace {
 
@@ -217,7 +219,12 @@
   auto& request = mRequests[aId];
   const bool success = aStatus == 200;
   if (success && aBody != ExpectedBody(aId, request.mKind)) {
-    AddViolation("a response is incomplete or has the wrong body", aId);
+    const auto expected = ExpectedBody(aId, request.mKind);
+    const auto differ = std::ranges::mismatch(aBody, expected).in1;
+    AddViolation("a response is incomplete or has the wrong body",
+                 aId + ", " + std::to_string(aBody.size()) + " of " +
+                   std::to_string(expected.size()) + " bytes, differs from " +
+                   std::to_string(differ - aBody.begin()));
   }
   const bool refused =
     aStatus == 408 || aStatus == 421 || aStatus == 429 || aStatus == 503;
