--- a/src/sapphirespar/gateway/crash_guard.cpp
+++ b/src/sapphirespar/gateway/crash_guard.cpp
@@ -1,4 +1,5 @@
-// Log lines, metrics and timers of the search for requests that crash upstreams.
+// Log lines, metrics and timers of the search for requests that crash
+// upstreams.
 #include "sapphirespar/gateway/crash_guard.hpp"
 
 #include "sapphirespar/base/log.hpp"
