Log the software version of upstreams and which stream a request resumes

Entries of upstreams now keep the version, also in the copies between gateways, which get a new path as former gateways' copies lack it. Attempt lines have software, resumes_after and events, request lines resumed_id and resumes_after. Nothing else reads them.

--- a/include/sapphirespar/gateway/protocol.hpp
+++ b/include/sapphirespar/gateway/protocol.hpp
@@ -44,6 +44,9 @@
   // Last event that the caller received of a stream that it resumes; empty for
   // a new stream.
   std::string mLastEventId;
+  // Id of the request by which the caller got the first event of the stream
+  // that it resumes; empty for a new stream.
+  std::string mResumedId;
 };
 
 // Values that the gateway adds to a forwarded request.
--- a/include/sapphirespar/model/routing.hpp
+++ b/include/sapphirespar/model/routing.hpp
@@ -113,6 +113,9 @@
   // Start time in Unix milliseconds; differs between two incarnations of the
   // same id.
   std::int64_t mStartedAtMs = 0;
+  // Version of the upstream's software, which may differ within a pool; empty
+  // if it names none.
+  std::string mSoftware;
 
   bool operator==(const upstream_entry&) const = default;
 };
--- a/src/sapphirespar/gateway/forward_attempt.cpp
+++ b/src/sapphirespar/gateway/forward_attempt.cpp
@@ -53,6 +53,9 @@
                               ? wire::connection_choice::Fresh
                               : wire::connection_choice::Pooled;
     wire::send_check maySend = [this] { return MaySend(); };
+    mAttempt.mResumesAfter = mProgress.mLastEventId.empty()
+                               ? mForwarded.mInfo.mLastEventId
+                               : mProgress.mLastEventId;
     wire::endpoint endpoint;
     endpoint.mAddress = mUpstream.mEntry.mAddress;
     endpoint.mPort = mUpstream.mEntry.mPort;
--- a/src/sapphirespar/gateway/forward_state.hpp
+++ b/src/sapphirespar/gateway/forward_state.hpp
@@ -166,6 +166,8 @@
   // When its upstream was last found silent; the epoch if never.
   steady_time mSilenceNotedAt{};
   bool mHasEvents = false;
+  // The event after which the upstream was asked to go on; empty for the start.
+  std::string mResumesAfter;
   // Another attempt answers. Nothing of this one may be relayed.
   bool mSuperseded = false;
 };
--- a/src/sapphirespar/gateway/store_snapshot_codec.cpp
+++ b/src/sapphirespar/gateway/store_snapshot_codec.cpp
@@ -38,7 +38,8 @@
            { "data_centre", aEntry.mDataCentre.mText },
            { "slots", aEntry.mSlots },
            { "draining", aEntry.mDraining },
-           { "born", aEntry.mStartedAtMs } };
+           { "born", aEntry.mStartedAtMs },
+           { "software", aEntry.mSoftware } };
 }
 
 json::object
@@ -84,6 +85,7 @@
   entry.mSlots = aValue.at("slots").to_number<unsigned>();
   entry.mDraining = aValue.at("draining").as_bool();
   entry.mStartedAtMs = aValue.at("born").to_number<std::int64_t>();
+  entry.mSoftware = TextAt(aValue, "software");
   return entry;
 }
 
--- a/src/sapphirespar/gateway/store_snapshot_codec.hpp
+++ b/src/sapphirespar/gateway/store_snapshot_codec.hpp
@@ -9,7 +9,7 @@
 
 namespace sapphirespar::gateway {
 
-inline constexpr std::string_view kStoreSnapshotPath = "/v2/store-copy";
+inline constexpr std::string_view kStoreSnapshotPath = "/v3/store-copy";
 
 // Makes the HTTP target that requests a snapshot relative to aKnown, and parses
 // the query of such a target. Missing or malformed numbers become zero.
--- a/src/sapphirespar/gateway/store_snapshot_codec_test.cpp
+++ b/src/sapphirespar/gateway/store_snapshot_codec_test.cpp
@@ -20,6 +20,7 @@
   entry.mSlots = 12;
   entry.mDraining = true;
   entry.mStartedAtMs = 1'700'000'000'000;
+  entry.mSoftware = "v1";
   return entry;
 }
 
--- a/src/sapphirespar/gateway/upstream_directory_copies.cpp
+++ b/src/sapphirespar/gateway/upstream_directory_copies.cpp
@@ -115,7 +115,7 @@
     const std::string text =
       entry.mPool + ' ' + entry.mAddress + ' ' + std::to_string(entry.mPort) +
       ' ' + entry.mDataCentre.mText + ' ' + std::to_string(entry.mSlots) + ' ' +
-      std::to_string(static_cast<int>(entry.mDraining));
+      std::to_string(static_cast<int>(entry.mDraining)) + ' ' + entry.mSoftware;
     digest =
       XXH3_64bits_withSeed(text.data(), text.size(), digest ^ known->mKey);
   }
