--- a/src/sapphirespar/gateway/forward_fixture_test.cpp
+++ b/src/sapphirespar/gateway/forward_fixture_test.cpp
@@ -50,6 +50,8 @@
   }
   info.mPrompt = ToSegments(wire::FindHeader(aHeaders, kTestParts));
   info.mPromptTokens = ToUnsigned(wire::FindHeader(aHeaders, kTestTokens));
+  info.mLastEventId = wire::FindHeader(aHeaders, kTestResume);
+  info.mResumedId = wire::FindHeader(aHeaders, kTestResumedId);
   return info;
 }
 
@@ -65,6 +67,9 @@
     { std::string(kTestDeadline), std::to_string(aInfo.mDeadline.count()) });
   headers.push_back({ std::string(kTestExpected), aInfo.mExpected.mText });
   if (!aInfo.mLastEventId.empty()) {
+    std::erase_if(headers, [](const auto& aHeader) {
+      return aHeader.mName == kTestResume;
+    });
     headers.push_back({ std::string(kTestResume), aInfo.mLastEventId });
   }
   return headers;
@@ -255,6 +260,23 @@
   mUpstreams.ApplyList(mEntries, list_completeness::Complete);
 }
 
+void
+forward_fixture::SetSoftware(const std::string& aId, std::string aSoftware)
+{
+  const auto found = std::ranges::find(
+    mEntries, aId, [](const auto& aEntry) { return aEntry.mId.mText; });
+  found->mSoftware = std::move(aSoftware);
+  mUpstreams.ApplyList(mEntries, list_completeness::Complete);
+}
+
+void
+forward_fixture::RemoveEntry(const std::string& aId)
+{
+  std::erase_if(mEntries,
+                [&](const auto& aEntry) { return aEntry.mId.mText == aId; });
+  mUpstreams.ApplyList(mEntries, list_completeness::Complete);
+}
+
 wire::http_response
 forward_fixture::SignedAnswer(const wire::http_request& aRequest,
                               unsigned aStatus,
--- a/src/sapphirespar/gateway/forward_fixture_test.hpp
+++ b/src/sapphirespar/gateway/forward_fixture_test.hpp
@@ -34,6 +34,8 @@
 inline constexpr std::string_view kTestSigned = "Signed";
 inline constexpr std::string_view kTestNotRun = "Not-Run";
 inline constexpr std::string_view kTestResume = "Resume";
+// Id of the request that brought the first event of a resumed stream.
+inline constexpr std::string_view kTestResumedId = "Resumed-Id";
 inline constexpr std::string_view kTestDeadline = "Deadline";
 inline constexpr std::string_view kTestExpected = "Expected";
 inline constexpr std::string_view kTestTokens = "Tokens";
@@ -68,6 +70,12 @@
   // Adds the upstream to the pool at a port on loopback.
   void AddEntry(const std::string& aId, std::uint16_t aPort);
 
+  // Changes the software version that an upstream names.
+  void SetSoftware(const std::string& aId, std::string aSoftware);
+
+  // Removes an upstream from the pool.
+  void RemoveEntry(const std::string& aId);
+
   // Makes a signed answer to a request.
   static wire::http_response SignedAnswer(const wire::http_request& aRequest,
                                           unsigned aStatus,
