--- a/idl/gossip.thrift
+++ b/idl/gossip.thrift
@@ -127,3 +127,26 @@
   // With fingerprints of requests in the place of parts.
   27: optional gossip_crash_report request_crash_report;
 }
+
+// One stream's part at one pool: which version of the upstreams' software began
+// it, and for how long that is remembered. All but the time are hashes.
+struct gossip_stream_version {
+  1: i64 stream;
+  2: i64 pool;
+  3: i64 software;
+  4: i32 left_ms;
+}
+
+struct gossip_pool_software {
+  1: i64 pool;
+  2: i64 software;
+}
+
+// A message of its own, see include/sapphirespar/model/stream_message.hpp.
+struct gossip_streams {
+  1: list<gossip_stream_version> told;
+  2: list<i64> asked;
+  3: list<i64> unknown;
+  4: list<gossip_pool_software> seen;
+  5: bool seen_all;
+}
--- a/include/sapphirespar/gateway/forward.hpp
+++ b/include/sapphirespar/gateway/forward.hpp
@@ -7,6 +7,7 @@
 #include "sapphirespar/gateway/protocol.hpp"
 #include "sapphirespar/gateway/rate_guard.hpp"
 #include "sapphirespar/gateway/routing_state.hpp"
+#include "sapphirespar/gateway/stream_versions.hpp"
 #include "sapphirespar/gateway/upstream_directory.hpp"
 #include "sapphirespar/policy/engine_model.hpp"
 #include "sapphirespar/policy/engine_split.hpp"
@@ -39,6 +40,7 @@
   policy::prompt_kinds& mKinds;
   crash_guard& mCrashGuard;
   rate_guard& mRateGuard;
+  stream_versions& mStreams;
   wire::http_client& mClient;
   metrics& mMetrics;
   // Brings the loads of other gateways in mUpstreams up to date.
--- a/include/sapphirespar/gateway/gossip_link.hpp
+++ b/include/sapphirespar/gateway/gossip_link.hpp
@@ -5,6 +5,7 @@
 #include "sapphirespar/base/timer_service.hpp"
 #include "sapphirespar/gateway/peer_table.hpp"
 #include "sapphirespar/model/gossip.hpp"
+#include "sapphirespar/model/stream_message.hpp"
 #include "sapphirespar/wire/http_client.hpp"
 
 #include <boost/asio/io_context.hpp>
@@ -35,6 +36,9 @@
   std::function<gossip_state()> mSelf;
   // Called after another gateway's state has been stored in the peer table.
   std::function<void(const gossip_state&)> mReceived;
+  // Called with the sender's address.
+  std::function<void(const std::string& aFrom, const stream_message&)>
+    mReceivedStreams;
 };
 
 class gossip_link
@@ -65,6 +69,8 @@
              std::chrono::milliseconds aTimeout,
              state_callback aDone);
 
+  void SendStreams(const std::string& aAddress, const stream_message& aMessage);
+
 private:
   struct state;
   std::shared_ptr<state> mState;
--- a/include/sapphirespar/gateway/peer_table.hpp
+++ b/include/sapphirespar/gateway/peer_table.hpp
@@ -89,6 +89,13 @@
   // requests, one owns each key.
   bool IsOwnerOf(std::uint64_t aKey, steady_time aNow) const;
 
+  // Addresses of at most aCount other live gateways that keep what belongs to a
+  // key, the first ones preferred; those that are shutting down come last.
+  // Gateways with the same view of the fleet prefer the same ones.
+  std::vector<std::string> Keepers(std::uint64_t aKey,
+                                   std::size_t aCount,
+                                   steady_time aNow) const;
+
   // Whether relays forward the loads of other data centres. Large fleets need
   // relays, because each gateway could send to all others only rarely.
   bool UsesRelays() const;
--- a/src/sapphirespar/gateway/forward.cpp
+++ b/src/sapphirespar/gateway/forward.cpp
@@ -6,6 +6,7 @@
 #include "forward_record.hpp"
 #include "forward_state.hpp"
 #include "placement.hpp"
+#include "stream_takeover.hpp"
 
 #include "sapphirespar/base/log.hpp"
 #include "sapphirespar/policy/retry.hpp"
@@ -64,6 +65,9 @@
       auto response = ToResponse(*refusal);
       co_await SendWhole(std::move(response));
     }
+    if (mProgress.mBegun && mOutcome.mAnswered == answered_part::Whole) {
+      mServices.mStreams.End(StreamOf(mForwarded));
+    }
     RecordRequest(mServices, mForwarded, mProgress, mOutcome, mRoutingAge);
   }
 
@@ -107,11 +111,21 @@
   // Returns a refusal if the caller still needs an answer.
   asio::awaitable<std::optional<refusal_answer>> RunAttempts()
   {
+    if (TakesUpStream(mForwarded)) {
+      const auto refusal =
+        co_await FindStreamVersion(mServices, mForwarded, mProgress);
+      if (refusal || mProgress.mCallerGone) {
+        EndWith(attempt_end::CallerDisconnected, 0);
+        co_return refusal;
+      }
+    }
     while (true) {
       if (mRace.Running() == 0) {
-        auto target = PlaceRequest(mServices, mForwarded, mTried);
+        auto target = Place();
         if (!target) {
-          co_return co_await FinishUnanswered("no_upstream", kRetryLater);
+          const auto reason =
+            mProgress.mSoftware ? "no_upstream_of_version" : "no_upstream";
+          co_return co_await FinishUnanswered(reason, kRetryLater);
         }
         if (const auto refusal = CheckWait(*target)) {
           co_return refusal;
@@ -166,6 +180,11 @@
     }
   }
 
+  std::optional<attempt_target> Place() const
+  {
+    return PlaceRequest(mServices, mForwarded, mTried, mProgress.mSoftware);
+  }
+
   void Start(attempt_target aTarget)
   {
     mTried.push_back(aTarget.mUpstream);
@@ -198,17 +217,18 @@
   // attempt with such an end, and another upstream is left.
   void TryBeside(attempt_end aEnd)
   {
-    auto target = PlaceRequest(mServices, mForwarded, mTried);
+    auto target = Place();
     if (target && MayTryAgain(aEnd)) {
       Start(std::move(*target));
     }
   }
 
   // Refuses a request for an engine if the predicted wait is too long. Only a
-  // request that has not been sent to any upstream is refused.
+  // request that has not been sent to any upstream is refused, and no stream
+  // that is taken up, which can't go to upstreams of other versions instead.
   std::optional<refusal_answer> CheckWait(const attempt_target& aTarget)
   {
-    if (!mForwarded.mEngine || mProgress.mSends > 0) {
+    if (!mForwarded.mEngine || mProgress.mSends > 0 || mProgress.mSoftware) {
       return std::nullopt;
     }
     policy::expected_wait wait;
@@ -300,7 +320,8 @@
     if (mProgress.mMayHaveRun) {
       return { 502, aReason };
     }
-    if (const auto pause = PauseOf(mServices, mForwarded.mPool)) {
+    if (const auto pause =
+          PauseOf(mServices, mForwarded.mPool, mProgress.mSoftware)) {
       return { 503, pause->mReason, pause->mLeft };
     }
     return { 503, aReason, aRetryAfter };
--- a/src/sapphirespar/gateway/forward_admission.cpp
+++ b/src/sapphirespar/gateway/forward_admission.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <utility>
 
 namespace sapphirespar::gateway {
 namespace {
@@ -61,11 +62,8 @@
 void
 ChoosePool(const forward_services& aServices, forwarded_request& aForwarded)
 {
-  aForwarded.mPool = policy::ChoosePool(*aForwarded.mRoute, aServices.mDraw());
-  const auto* pool = aForwarded.mRouting->FindPool(aForwarded.mPool);
-  if (pool != nullptr) {
-    aForwarded.mEngine = pool->mEngine;
-  }
+  SetPool(aForwarded,
+          policy::ChoosePool(*aForwarded.mRoute, aServices.mDraw()));
   aServices.mRetries.CountRequest(aForwarded.mPool, aForwarded.mArrived);
 }
 
@@ -82,6 +80,24 @@
 
 } // namespace
 
+void
+SetPool(forwarded_request& aForwarded, std::string aPool)
+{
+  aForwarded.mPool = std::move(aPool);
+  const auto* pool = aForwarded.mRouting->FindPool(aForwarded.mPool);
+  aForwarded.mEngine = pool != nullptr ? pool->mEngine : std::nullopt;
+}
+
+std::optional<refusal_answer>
+CheckCrashes(const forward_services& aServices,
+             const forwarded_request& aForwarded)
+{
+  const auto refused = aServices.mCrashGuard.Refuse(MarksOf(aForwarded));
+  return refused ? std::optional(refusal_answer{
+                     503, refused->mReason, refused->mRetryAfter })
+                 : std::nullopt;
+}
+
 std::optional<refusal_answer>
 AdmitRequest(const forward_services& aServices,
              forwarded_request& aForwarded,
@@ -122,10 +138,7 @@
   ChoosePool(aServices, aForwarded);
   aForwarded.mFingerprint = FingerprintOf(
     aForwarded.mRequest, aForwarded.mAccount, aForwarded.mSharedParts);
-  if (const auto refused = aServices.mCrashGuard.Refuse(MarksOf(aForwarded))) {
-    return refusal_answer{ 503, refused->mReason, refused->mRetryAfter };
-  }
-  return std::nullopt;
+  return CheckCrashes(aServices, aForwarded);
 }
 
 } // namespace sapphirespar::gateway
--- a/src/sapphirespar/gateway/forward_admission.hpp
+++ b/src/sapphirespar/gateway/forward_admission.hpp
@@ -7,6 +7,7 @@
 #include "sapphirespar/base/boot_clock.hpp"
 
 #include <optional>
+#include <string>
 
 namespace sapphirespar::gateway {
 
@@ -25,4 +26,11 @@
   boot_time aArrival,
   std::optional<boot_clock::duration> aRoutingAge);
 
+// Sets the pool whose upstreams may answer the request.
+void SetPool(forwarded_request& aForwarded, std::string aPool);
+
+// Returns the refusal of a request that crashes upstreams of its pool.
+std::optional<refusal_answer> CheckCrashes(const forward_services& aServices,
+                                           const forwarded_request& aForwarded);
+
 } // namespace sapphirespar::gateway
--- a/src/sapphirespar/gateway/forward_attempt.cpp
+++ b/src/sapphirespar/gateway/forward_attempt.cpp
@@ -80,7 +80,11 @@
   // changed what it wants since it was chosen.
   bool MaySend()
   {
-    if (!mUpstream.TakesWork() || mUpstream.TurnsAway(steady_clock::now())) {
+    const auto& software = mProgress.mSoftware;
+    const bool otherVersion =
+      software && SoftwareKey(mUpstream.mEntry) != *software;
+    if (otherVersion || !mUpstream.TakesWork() ||
+        mUpstream.TurnsAway(steady_clock::now())) {
       return false;
     }
     auto& permit = mAttempt.mTarget.mPermit;
@@ -308,12 +312,31 @@
     return mSplitter.InsideEvent() || (aWithoutEvents && closed);
   }
 
+  // Records at which software version the stream begins, so that it goes on
+  // nowhere else.
+  void BeginStream()
+  {
+    mProgress.mBegun = true;
+    if (!mForwarded.mRoute->mResumable) {
+      return;
+    }
+    // The caller may come back until its deadline, and a little later.
+    constexpr milliseconds kMargin{ 5000 };
+    const auto lifetime =
+      LeftUntil(std::max(mForwarded.mDeadline, mForwarded.mCallerDeadline)) +
+      kMargin;
+    const auto software = SoftwareKey(mUpstream.mEntry);
+    mProgress.mSoftware = software;
+    mServices.mStreams.Begin(
+      StreamOf(mForwarded), { PoolKey(mForwarded.mPool), software }, lifetime);
+  }
+
   // Returns false if the caller has disconnected.
   asio::awaitable<bool> SendEvents(const std::string& aBytes, bool aLast)
   {
     const reply_use use(mProgress);
     if (!mProgress.mBegun && (aLast || !aBytes.empty())) {
-      mProgress.mBegun = true;
+      BeginStream();
       const auto& head = mStream->Head();
       auto headers = mServices.mProtocol.mAnswerHeaders(head.mHeaders);
       const bool begun =
--- a/src/sapphirespar/gateway/forward_fixture_test.cpp
+++ b/src/sapphirespar/gateway/forward_fixture_test.cpp
@@ -181,6 +181,7 @@
                                         mKinds,
                                         mCrashGuard,
                                         mRateGuard,
+                                        mStreams,
                                         *mUpstreamClient,
                                         mMetrics,
                                         [this] { mRefreshLoads(); },
--- a/src/sapphirespar/gateway/forward_fixture_test.hpp
+++ b/src/sapphirespar/gateway/forward_fixture_test.hpp
@@ -117,6 +117,18 @@
                              return mUpstreams.NameOf(aKey);
                            },
                            [] {} } };
+  // Other gateways that keep records of streams; they answer by the hook.
+  std::vector<std::string> mKeepers;
+  std::function<void(const std::string&, const stream_message&)> mSendStreams =
+    [](const std::string&, const stream_message&) {};
+  stream_versions mStreams{
+    mTimers,
+    { [this](std::uint64_t, std::size_t) { return mKeepers; },
+      [this](const std::string& aTo, const stream_message& aMessage) {
+        mSendStreams(aTo, aMessage);
+      },
+      [this] { return ListedSoftware(mUpstreams); } }
+  };
   // Called before each choice of an upstream.
   std::function<void()> mRefreshLoads = [] {};
   // Routes of the host "h" with the prefixes "/stream/", "/resume/" (resumable
--- a/src/sapphirespar/gateway/forward_software_version_test.cpp
+++ b/src/sapphirespar/gateway/forward_software_version_test.cpp
@@ -125,6 +125,59 @@
   EXPECT_EQ(mArrivals["a"] + mArrivals["b"], 0U);
 }
 
+TEST_F(forward_software_version_test, AStreamBegunAtAnotherGatewayIsAskedFor)
+{
+  Publish();
+  AddStreaming("a", "v1");
+  AddStreaming("b", "v2");
+  mKeepers = { "peer-1", "peer-2" };
+  mSendStreams = [this](const std::string& aTo, const stream_message& aAsked) {
+    // The first keeper never answers, the second one on the next turn.
+    if (aTo == "peer-2" && !aAsked.mAsked.empty()) {
+      asio::post(mContext, [this, stream = aAsked.mAsked.front()] {
+        stream_message answer;
+        answer.mTold = {
+          { stream, PoolKey("pool"), SoftwareKey(mEntries.back()), 10s }
+        };
+        mStreams.OnMessage("peer-2", answer);
+      });
+    }
+  };
+  const auto answer = TakeUp(2);
+  EXPECT_EQ(answer.mStatus, 200U);
+  EXPECT_EQ(answer.mBody, Event(3, "v2") + Event(4, "v2"));
+  EXPECT_EQ(mArrivals["a"], 0U);
+}
+
+TEST_F(forward_software_version_test, ASilentKeeperDelaysARefusalOnlyShortly)
+{
+  Publish();
+  AddStreaming("a", "v1");
+  AddStreaming("b", "v2");
+  mKeepers = { "peer-1" };
+  unsigned asked = 0;
+  mSendStreams = [&](const std::string&, const stream_message&) { ++asked; };
+  const auto start = std::chrono::steady_clock::now();
+  EXPECT_EQ(TakeUp(2).mStatus, 503U);
+  EXPECT_LT(std::chrono::steady_clock::now() - start, 500ms);
+  EXPECT_GT(asked, 2U);
+}
+
+TEST_F(forward_software_version_test, ABegunStreamIsToldToItsKeepers)
+{
+  Publish();
+  AddStreaming("a", "v1", 2);
+  mKeepers = { "peer-1" };
+  std::vector<stream_version> told;
+  mSendStreams = [&](const std::string&, const stream_message& aMessage) {
+    told.insert(told.end(), aMessage.mTold.begin(), aMessage.mTold.end());
+  };
+  SendRequest("/resume/x");
+  ASSERT_EQ(told.size(), 1U);
+  EXPECT_EQ(told[0].mStream, StreamKey("r1"));
+  EXPECT_EQ(told[0].mSoftware, SoftwareKey(mEntries[0]));
+}
+
 TEST_F(forward_software_version_test, NoOtherVersionIsTriedBesideASilentOne)
 {
   static constexpr auto kSilence = 1300ms;
--- a/src/sapphirespar/gateway/forward_state.hpp
+++ b/src/sapphirespar/gateway/forward_state.hpp
@@ -47,6 +47,23 @@
   steady_time mCallerDeadline{};
 };
 
+// Whether the caller takes up a stream that another request began.
+inline bool
+TakesUpStream(const forwarded_request& aForwarded)
+{
+  return aForwarded.mRoute->mResumable &&
+         !(aForwarded.mInfo.mLastEventId.empty() &&
+           aForwarded.mInfo.mResumedId.empty());
+}
+
+// The key of the request's stream in stream_versions.
+inline std::uint64_t
+StreamOf(const forwarded_request& aForwarded)
+{
+  const auto& info = aForwarded.mInfo;
+  return StreamKey(info.mResumedId.empty() ? info.mId : info.mResumedId);
+}
+
 inline request_marks
 MarksOf(const forwarded_request& aForwarded)
 {
@@ -69,6 +86,9 @@
   // Of a stream: whether any of it was sent to the caller, and its last event.
   bool mBegun = false;
   std::string mLastEventId;
+  // The software version at which the stream began, and the only one at which
+  // it goes on; see stream_versions. Unset while any version may answer.
+  std::optional<std::uint64_t> mSoftware;
   // When the first event, or the complete answer, was sent to the caller.
   std::optional<steady_time> mFirstSent;
 };
--- a/src/sapphirespar/gateway/gateway_app.cpp
+++ b/src/sapphirespar/gateway/gateway_app.cpp
@@ -94,6 +94,7 @@
   gossip_hooks GossipHooks();
   crash_guard_hooks CrashGuardHooks();
   rate_guard_hooks RateHooks();
+  stream_versions_hooks StreamHooks();
   registry_hooks RegistryHooks();
 
   wire::http_response ServeEntry(const wire::http_target& aTarget);
@@ -143,6 +144,7 @@
   policy::prompt_kinds mKinds;
   crash_guard mCrashGuard;
   rate_guard mRateGuard;
+  stream_versions mStreams;
   store_reader mReader;
   gateway_registry mRegistry;
   gossip_link mGossip;
@@ -182,6 +184,7 @@
   , mModels(mSettings.mEngines)
   , mCrashGuard(mTimers, mMetrics, CrashGuardHooks())
   , mRateGuard(mTimers, mMetrics, mSettings.mVm, RateHooks())
+  , mStreams(mTimers, StreamHooks())
   , mReader(mPlatform,
             mTimers,
             mProtocol,
@@ -296,6 +299,7 @@
            .mKinds = mKinds,
            .mCrashGuard = mCrashGuard,
            .mRateGuard = mRateGuard,
+           .mStreams = mStreams,
            .mClient = mUpstreamClient,
            .mMetrics = mMetrics,
            .mRefreshLoads = [this] { RefreshLoads(); },
@@ -367,6 +371,10 @@
       mReader.OnPeerSummary(*aState.mStore);
     }
   };
+  hooks.mReceivedStreams = [this](const std::string& aFrom,
+                                  const stream_message& aMessage) {
+    mStreams.OnMessage(aFrom, aMessage);
+  };
   return hooks;
 }
 
@@ -393,6 +401,26 @@
   return hooks;
 }
 
+stream_versions_hooks
+gateway_app::state::StreamHooks()
+{
+  stream_versions_hooks hooks;
+  hooks.mKeepers = [this](std::uint64_t aStream, std::size_t aCount) {
+    return mPeers.Keepers(aStream, aCount, mTimers.Now());
+  };
+  hooks.mSend = [this](const std::string& aAddress,
+                       const stream_message& aMessage) {
+    mGossip.SendStreams(aAddress, aMessage);
+  };
+  hooks.mListed = [this] {
+    const auto summary = mReader.Summary();
+    const bool fresh =
+      summary && summary->mUpstreamsAge <= mSettings.mMaxPropagationDelay;
+    return fresh ? ListedSoftware(mUpstreams) : std::vector<pool_software>{};
+  };
+  return hooks;
+}
+
 registry_hooks
 gateway_app::state::RegistryHooks()
 {
@@ -710,6 +738,7 @@
              { "drain_ms", mState->mSettings.mDrainTime.count() } });
   mState->mCallers->DisableKeepAlive();
   mState->mGossip.SendNow();
+  mState->mStreams.HandOver();
   mState->StopWhenIdle();
 }
 
--- a/src/sapphirespar/gateway/gossip_link.cpp
+++ b/src/sapphirespar/gateway/gossip_link.cpp
@@ -4,6 +4,7 @@
 #include "sapphirespar/base/log.hpp"
 #include "sapphirespar/gateway/gossip_plan.hpp"
 #include "sapphirespar/wire/gossip_codec.hpp"
+#include "sapphirespar/wire/stream_codec.hpp"
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/ip/udp.hpp>
@@ -67,14 +68,28 @@
       });
   }
 
+  void LogUnreadable(std::string_view aBytes) const
+  {
+    LogEvent(
+      log_level::Warning,
+      "gossip_unreadable",
+      { { "from", mFrom.address().to_string() }, { "bytes", aBytes.size() } });
+  }
+
   void OnDatagram(std::string_view aBytes)
   {
+    if (wire::IsStreamMessage(aBytes)) {
+      const auto streams = wire::DecodeStreamMessage(aBytes);
+      if (streams) {
+        mHooks.mReceivedStreams(mFrom.address().to_string(), *streams);
+      } else {
+        LogUnreadable(aBytes);
+      }
+      return;
+    }
     const auto received = wire::DecodeGossip(aBytes);
     if (!received) {
-      LogEvent(log_level::Warning,
-               "gossip_unreadable",
-               { { "from", mFrom.address().to_string() },
-                 { "bytes", aBytes.size() } });
+      LogUnreadable(aBytes);
       return;
     }
     const auto effect = mPeers.Receive(*received, mTimers.Now());
@@ -244,6 +259,13 @@
   mState->mSettings.mSeeds = std::move(aSeeds);
 }
 
+void
+gossip_link::SendStreams(const std::string& aAddress,
+                         const stream_message& aMessage)
+{
+  mState->SendTo(aAddress, wire::EncodeStreamMessage(aMessage));
+}
+
 void
 gossip_link::SendNow()
 {
--- a/src/sapphirespar/gateway/peer_table.cpp
+++ b/src/sapphirespar/gateway/peer_table.cpp
@@ -274,6 +274,30 @@
   });
 }
 
+std::vector<std::string>
+peer_table::Keepers(std::uint64_t aKey,
+                    std::size_t aCount,
+                    steady_time aNow) const
+{
+  using preference = std::pair<bool, XXH64_hash_t>;
+  std::vector<std::pair<preference, std::string>> ranked;
+  for (const auto& [vm, known] : mPeers) {
+    if (IsLive(known, aNow)) {
+      const auto weight =
+        XXH3_64bits_withSeed(vm.mText.data(), vm.mText.size(), aKey);
+      ranked.push_back(
+        { { !known.mState.mLeaving, weight }, known.mState.mAddress });
+    }
+  }
+  std::ranges::sort(ranked, std::greater<>{});
+  ranked.resize(std::min(ranked.size(), aCount));
+  std::vector<std::string> addresses;
+  std::ranges::transform(ranked,
+                         std::back_inserter(addresses),
+                         [](auto& aItem) { return std::move(aItem.second); });
+  return addresses;
+}
+
 bool
 peer_table::UsesRelays() const
 {
--- a/src/sapphirespar/gateway/peer_table_test.cpp
+++ b/src/sapphirespar/gateway/peer_table_test.cpp
@@ -4,6 +4,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -78,6 +79,38 @@
   }
 }
 
+TEST(PeerTable, GatewaysPreferTheSameKeepers)
+{
+  const std::vector<std::string> names{ "1", "2", "3", "4", "5" };
+  const auto keepers = [&](const std::string& aSelf, std::uint64_t aKey) {
+    peer_table table({ { aSelf }, {}, 0 });
+    for (const auto& name : names) {
+      auto state = From(name);
+      state.mLeaving = name == "5";
+      table.Receive(state, kNow);
+    }
+    return table.Keepers(aKey, 2, kNow);
+  };
+  std::map<std::string, unsigned> kept;
+  for (std::uint64_t key = 0; key < 200; ++key) {
+    const auto first = keepers("1", key);
+    ASSERT_EQ(first.size(), 2U);
+    ++kept[first[0]];
+    // The other one may be this gateway itself.
+    const auto second = keepers("2", key);
+    EXPECT_TRUE(std::ranges::any_of(first, [&](const auto& aKeeper) {
+      return aKeeper == "10.0.0.2" ||
+             std::ranges::find(second, aKeeper) != second.end();
+    }));
+  }
+  // Those that are shutting down keep nothing while others can.
+  EXPECT_EQ(kept.size(), 3U);
+  EXPECT_FALSE(kept.contains("10.0.0.5"));
+  peer_table lost({ { "1" }, {}, 0 });
+  lost.Receive(From("2"), kNow);
+  EXPECT_TRUE(lost.Keepers(7, 2, kNow + 10s).empty());
+}
+
 TEST(PeerTable, RemovesASilentGatewayAndAddsItAgain)
 {
   peer_table table({ { "1" }, {}, 0 });
--- a/src/sapphirespar/gateway/placement.cpp
+++ b/src/sapphirespar/gateway/placement.cpp
@@ -26,12 +26,27 @@
 // Penalty for a plain upstream whose requests all fail, in running requests.
 constexpr double kFailureCost = 8;
 
+// The upstreams of a pool that accept new requests and, if aSoftware is set,
+// run that version.
+std::vector<upstream_ptr>
+MembersWith(const forward_services& aServices,
+            std::string_view aPool,
+            std::optional<std::uint64_t> aSoftware)
+{
+  auto members = aServices.mUpstreams.Members(aPool);
+  std::erase_if(members, [aSoftware](const upstream_ptr& aMember) {
+    return aSoftware && SoftwareKey(aMember->mEntry) != *aSoftware;
+  });
+  return members;
+}
+
 std::vector<upstream_ptr>
 Candidates(const forward_services& aServices,
            const forwarded_request& aForwarded,
-           std::span<const upstream_ptr> aTried)
+           std::span<const upstream_ptr> aTried,
+           std::optional<std::uint64_t> aSoftware)
 {
-  auto members = aServices.mUpstreams.Members(aForwarded.mPool);
+  auto members = MembersWith(aServices, aForwarded.mPool, aSoftware);
   std::erase_if(members, [&](const upstream_ptr& aMember) {
     return std::ranges::find(aTried, aMember) != aTried.end();
   });
@@ -214,10 +229,11 @@
 std::optional<attempt_target>
 PlaceRequest(const forward_services& aServices,
              const forwarded_request& aForwarded,
-             std::span<const upstream_ptr> aTried)
+             std::span<const upstream_ptr> aTried,
+             std::optional<std::uint64_t> aSoftware)
 {
   aServices.mRefreshLoads();
-  const auto members = Candidates(aServices, aForwarded, aTried);
+  const auto members = Candidates(aServices, aForwarded, aTried, aSoftware);
   if (members.empty()) {
     return std::nullopt;
   }
@@ -229,12 +245,14 @@
 }
 
 std::optional<pool_pause>
-PauseOf(const forward_services& aServices, std::string_view aPool)
+PauseOf(const forward_services& aServices,
+        std::string_view aPool,
+        std::optional<std::uint64_t> aSoftware)
 {
   const auto now = std::chrono::steady_clock::now();
   std::optional<pool_pause> pause;
   bool limited = false;
-  for (const auto& member : aServices.mUpstreams.Members(aPool)) {
+  for (const auto& member : MembersWith(aServices, aPool, aSoftware)) {
     const auto permitIn = aServices.mRateGuard.TimeUntilPermit(member->mKey);
     const auto left = std::max(
       std::chrono::ceil<milliseconds>(member->mTurnsAwayUntil - now), permitIn);
--- a/src/sapphirespar/gateway/placement.hpp
+++ b/src/sapphirespar/gateway/placement.hpp
@@ -9,12 +9,14 @@
 
 namespace sapphirespar::gateway {
 
-// Chooses among the upstreams of the request's pool that are not in aTried.
-// Returns nothing if none is left.
+// Chooses among the upstreams of the request's pool that are not in aTried and,
+// if aSoftware is set, run this software version. Returns nothing if none is
+// left.
 std::optional<attempt_target> PlaceRequest(
   const forward_services& aServices,
   const forwarded_request& aForwarded,
-  std::span<const upstream_ptr> aTried);
+  std::span<const upstream_ptr> aTried,
+  std::optional<std::uint64_t> aSoftware);
 
 // Time in which no upstream of a pool takes requests from this gateway.
 struct pool_pause
@@ -24,10 +26,11 @@
   std::string_view mReason;
 };
 
-// Returns nothing if some upstream of the pool takes requests, or there is
-// none.
+// Returns nothing if some upstream of the pool, or of its upstreams that run
+// aSoftware, takes requests, or there is none.
 std::optional<pool_pause> PauseOf(const forward_services& aServices,
-                                  std::string_view aPool);
+                                  std::string_view aPool,
+                                  std::optional<std::uint64_t> aSoftware);
 
 // Longest time that a caller is expected to wait for the first event of a
 // stream, or for the complete answer of a plain request.
--- /dev/null
+++ b/src/sapphirespar/gateway/stream_takeover.cpp
@@ -0,0 +1,162 @@
+// Looks up the version of a stream, here, at other gateways and in what the
+// pool has listed.
+#include "stream_takeover.hpp"
+
+#include "forward_admission.hpp"
+
+#include "sapphirespar/base/log.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace sapphirespar::gateway {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+// A round trip between data centres with a busy receiver.
+constexpr milliseconds kAnswerTime{ 250 };
+
+// Questions are sent again this often, as datagrams are lost.
+constexpr milliseconds kAskAgain{ 60 };
+
+// A question in progress, which ends with this object.
+class open_question
+{
+public:
+  open_question(stream_versions& aStreams,
+                std::uint64_t aStream,
+                std::function<void()> aOnAnswer)
+    : mStreams(aStreams)
+    , mNumber(aStreams.StartQuestion(aStream, std::move(aOnAnswer)))
+  {
+  }
+  ~open_question() { mStreams.EndQuestion(mNumber); }
+  open_question(const open_question&) = delete;
+  open_question& operator=(const open_question&) = delete;
+
+  void Ask() { mStreams.Ask(mNumber); }
+  bool IsOpen() const { return mStreams.IsOpen(mNumber); }
+
+private:
+  stream_versions& mStreams;
+  const std::uint64_t mNumber;
+};
+
+// Asks other gateways until one of them knows the stream, all have answered,
+// the caller has gone or the time is over.
+asio::awaitable<std::vector<pool_software>>
+AskOthers(const forward_services& aServices,
+          std::uint64_t aStream,
+          steady_time aUntil,
+          const relay_progress& aProgress)
+{
+  asio::steady_timer wake(co_await asio::this_coro::executor);
+  open_question question(
+    aServices.mStreams, aStream, [&wake] { wake.cancel(); });
+  std::vector<pool_software> versions;
+  auto askAt = steady_clock::now();
+  while (question.IsOpen() && !aProgress.mCallerGone) {
+    const auto now = steady_clock::now();
+    if (now >= aUntil) {
+      break;
+    }
+    if (now >= askAt) {
+      askAt = now + kAskAgain;
+      question.Ask();
+    }
+    wake.expires_at(std::min(askAt, aUntil));
+    co_await wake.async_wait(asio::as_tuple(asio::use_awaitable));
+    versions = aServices.mStreams.Find(aStream);
+    if (!versions.empty()) {
+      break;
+    }
+  }
+  co_return versions;
+}
+
+// The pool of the route at which the stream has a version, and that version.
+struct known_version
+{
+  std::string mPool;
+  std::uint64_t mSoftware = 0;
+};
+
+std::optional<known_version>
+OnRoute(const route& aRoute, std::span<const pool_software> aVersions)
+{
+  for (const auto& pool : aRoute.mPools) {
+    const auto found =
+      std::ranges::find(aVersions, PoolKey(pool.mPool), &pool_software::mPool);
+    if (found != aVersions.end()) {
+      return known_version{ pool.mPool, found->mSoftware };
+    }
+  }
+  return std::nullopt;
+}
+
+void
+LogTakeover(const forwarded_request& aForwarded,
+            std::string_view aSource,
+            std::optional<std::uint64_t> aSoftware)
+{
+  const auto took = steady_clock::now() - aForwarded.mArrived;
+  LogEvent(
+    log_level::Info,
+    "stream_taken_up",
+    { { "request", aForwarded.mInfo.mId },
+      { "resumed_id", aForwarded.mInfo.mResumedId },
+      { "after", aForwarded.mInfo.mLastEventId },
+      { "pool", aForwarded.mPool },
+      { "software", aSoftware ? PartsText({ &*aSoftware, 1 }) : "" },
+      { "source", aSource },
+      { "took_ms", std::chrono::duration_cast<milliseconds>(took).count() } });
+}
+
+} // namespace
+
+asio::awaitable<std::optional<refusal_answer>>
+FindStreamVersion(const forward_services& aServices,
+                  forwarded_request& aForwarded,
+                  relay_progress& aProgress)
+{
+  std::string_view source = "own";
+  const auto stream = StreamOf(aForwarded);
+  auto versions = aServices.mStreams.Find(stream);
+  if (versions.empty() && !aForwarded.mInfo.mResumedId.empty()) {
+    source = "peer";
+    const auto until = std::min({ aForwarded.mArrived + kAnswerTime,
+                                  aForwarded.mDeadline,
+                                  aForwarded.mCallerDeadline });
+    versions = co_await AskOthers(aServices, stream, until, aProgress);
+  }
+  if (const auto known = OnRoute(*aForwarded.mRoute, versions)) {
+    SetPool(aForwarded, known->mPool);
+    aProgress.mSoftware = known->mSoftware;
+    LogTakeover(aForwarded, source, aProgress.mSoftware);
+    co_return CheckCrashes(aServices, aForwarded);
+  }
+  if (!versions.empty()) {
+    // The route has moved to other pools since the stream began.
+    LogTakeover(aForwarded, "moved", std::nullopt);
+    co_return std::nullopt;
+  }
+  aProgress.mSoftware =
+    aServices.mStreams.OnlyVersion(PoolKey(aForwarded.mPool));
+  LogTakeover(aForwarded,
+              aProgress.mSoftware ? "only_version" : "unknown",
+              aProgress.mSoftware);
+  if (!aProgress.mSoftware) {
+    co_return refusal_answer{ 503, "stream_version_unknown", kRetrySoon };
+  }
+  co_return std::nullopt;
+}
+
+} // namespace sapphirespar::gateway
--- a/src/sapphirespar/wire/gen/gossip_types.cpp
+++ b/src/sapphirespar/wire/gen/gossip_types.cpp
@@ -2532,4 +2532,563 @@
   out << ")";
 }
 
+
+gossip_stream_version::~gossip_stream_version() noexcept {
+}
+
+
+void gossip_stream_version::__set_stream(const int64_t val) {
+  this->stream = val;
+}
+
+void gossip_stream_version::__set_pool(const int64_t val) {
+  this->pool = val;
+}
+
+void gossip_stream_version::__set_software(const int64_t val) {
+  this->software = val;
+}
+
+void gossip_stream_version::__set_left_ms(const int32_t val) {
+  this->left_ms = val;
+}
+std::ostream& operator<<(std::ostream& out, const gossip_stream_version& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t gossip_stream_version::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->stream);
+          this->__isset.stream = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->pool);
+          this->__isset.pool = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->software);
+          this->__isset.software = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->left_ms);
+          this->__isset.left_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t gossip_stream_version::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("gossip_stream_version");
+
+  xfer += oprot->writeFieldBegin("stream", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->stream);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("pool", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->pool);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("software", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->software);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("left_ms", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->left_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(gossip_stream_version &a, gossip_stream_version &b) {
+  using ::std::swap;
+  swap(a.stream, b.stream);
+  swap(a.pool, b.pool);
+  swap(a.software, b.software);
+  swap(a.left_ms, b.left_ms);
+  swap(a.__isset, b.__isset);
+}
+
+gossip_stream_version::gossip_stream_version(const gossip_stream_version& other110) noexcept {
+  stream = other110.stream;
+  pool = other110.pool;
+  software = other110.software;
+  left_ms = other110.left_ms;
+  __isset = other110.__isset;
+}
+gossip_stream_version::gossip_stream_version(gossip_stream_version&& other111) noexcept {
+  stream = other111.stream;
+  pool = other111.pool;
+  software = other111.software;
+  left_ms = other111.left_ms;
+  __isset = other111.__isset;
+}
+gossip_stream_version& gossip_stream_version::operator=(const gossip_stream_version& other112) noexcept {
+  stream = other112.stream;
+  pool = other112.pool;
+  software = other112.software;
+  left_ms = other112.left_ms;
+  __isset = other112.__isset;
+  return *this;
+}
+gossip_stream_version& gossip_stream_version::operator=(gossip_stream_version&& other113) noexcept {
+  stream = other113.stream;
+  pool = other113.pool;
+  software = other113.software;
+  left_ms = other113.left_ms;
+  __isset = other113.__isset;
+  return *this;
+}
+void gossip_stream_version::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "gossip_stream_version(";
+  out << "stream=" << to_string(stream);
+  out << ", " << "pool=" << to_string(pool);
+  out << ", " << "software=" << to_string(software);
+  out << ", " << "left_ms=" << to_string(left_ms);
+  out << ")";
+}
+
+
+gossip_pool_software::~gossip_pool_software() noexcept {
+}
+
+
+void gossip_pool_software::__set_pool(const int64_t val) {
+  this->pool = val;
+}
+
+void gossip_pool_software::__set_software(const int64_t val) {
+  this->software = val;
+}
+std::ostream& operator<<(std::ostream& out, const gossip_pool_software& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t gossip_pool_software::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->pool);
+          this->__isset.pool = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->software);
+          this->__isset.software = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t gossip_pool_software::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("gossip_pool_software");
+
+  xfer += oprot->writeFieldBegin("pool", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->pool);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("software", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->software);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(gossip_pool_software &a, gossip_pool_software &b) {
+  using ::std::swap;
+  swap(a.pool, b.pool);
+  swap(a.software, b.software);
+  swap(a.__isset, b.__isset);
+}
+
+gossip_pool_software::gossip_pool_software(const gossip_pool_software& other114) noexcept {
+  pool = other114.pool;
+  software = other114.software;
+  __isset = other114.__isset;
+}
+gossip_pool_software::gossip_pool_software(gossip_pool_software&& other115) noexcept {
+  pool = other115.pool;
+  software = other115.software;
+  __isset = other115.__isset;
+}
+gossip_pool_software& gossip_pool_software::operator=(const gossip_pool_software& other116) noexcept {
+  pool = other116.pool;
+  software = other116.software;
+  __isset = other116.__isset;
+  return *this;
+}
+gossip_pool_software& gossip_pool_software::operator=(gossip_pool_software&& other117) noexcept {
+  pool = other117.pool;
+  software = other117.software;
+  __isset = other117.__isset;
+  return *this;
+}
+void gossip_pool_software::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "gossip_pool_software(";
+  out << "pool=" << to_string(pool);
+  out << ", " << "software=" << to_string(software);
+  out << ")";
+}
+
+
+gossip_streams::~gossip_streams() noexcept {
+}
+
+
+void gossip_streams::__set_told(const std::vector<gossip_stream_version> & val) {
+  this->told = val;
+}
+
+void gossip_streams::__set_asked(const std::vector<int64_t> & val) {
+  this->asked = val;
+}
+
+void gossip_streams::__set_unknown(const std::vector<int64_t> & val) {
+  this->unknown = val;
+}
+
+void gossip_streams::__set_seen(const std::vector<gossip_pool_software> & val) {
+  this->seen = val;
+}
+
+void gossip_streams::__set_seen_all(const bool val) {
+  this->seen_all = val;
+}
+std::ostream& operator<<(std::ostream& out, const gossip_streams& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t gossip_streams::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->told.clear();
+            uint32_t _size118;
+            ::apache::thrift::protocol::TType _etype121;
+            xfer += iprot->readListBegin(_etype121, _size118);
+            this->told.resize(_size118);
+            uint32_t _i122;
+            for (_i122 = 0; _i122 < _size118; ++_i122)
+            {
+              xfer += this->told[_i122].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.told = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->asked.clear();
+            uint32_t _size123;
+            ::apache::thrift::protocol::TType _etype126;
+            xfer += iprot->readListBegin(_etype126, _size123);
+            this->asked.resize(_size123);
+            uint32_t _i127;
+            for (_i127 = 0; _i127 < _size123; ++_i127)
+            {
+              xfer += iprot->readI64(this->asked[_i127]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.asked = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->unknown.clear();
+            uint32_t _size128;
+            ::apache::thrift::protocol::TType _etype131;
+            xfer += iprot->readListBegin(_etype131, _size128);
+            this->unknown.resize(_size128);
+            uint32_t _i132;
+            for (_i132 = 0; _i132 < _size128; ++_i132)
+            {
+              xfer += iprot->readI64(this->unknown[_i132]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.unknown = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->seen.clear();
+            uint32_t _size133;
+            ::apache::thrift::protocol::TType _etype136;
+            xfer += iprot->readListBegin(_etype136, _size133);
+            this->seen.resize(_size133);
+            uint32_t _i137;
+            for (_i137 = 0; _i137 < _size133; ++_i137)
+            {
+              xfer += this->seen[_i137].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.seen = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->seen_all);
+          this->__isset.seen_all = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t gossip_streams::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("gossip_streams");
+
+  xfer += oprot->writeFieldBegin("told", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->told.size()));
+    std::vector<gossip_stream_version> ::const_iterator _iter138;
+    for (_iter138 = this->told.begin(); _iter138 != this->told.end(); ++_iter138)
+    {
+      xfer += (*_iter138).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("asked", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->asked.size()));
+    std::vector<int64_t> ::const_iterator _iter139;
+    for (_iter139 = this->asked.begin(); _iter139 != this->asked.end(); ++_iter139)
+    {
+      xfer += oprot->writeI64((*_iter139));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("unknown", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->unknown.size()));
+    std::vector<int64_t> ::const_iterator _iter140;
+    for (_iter140 = this->unknown.begin(); _iter140 != this->unknown.end(); ++_iter140)
+    {
+      xfer += oprot->writeI64((*_iter140));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("seen", ::apache::thrift::protocol::T_LIST, 4);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->seen.size()));
+    std::vector<gossip_pool_software> ::const_iterator _iter141;
+    for (_iter141 = this->seen.begin(); _iter141 != this->seen.end(); ++_iter141)
+    {
+      xfer += (*_iter141).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("seen_all", ::apache::thrift::protocol::T_BOOL, 5);
+  xfer += oprot->writeBool(this->seen_all);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(gossip_streams &a, gossip_streams &b) {
+  using ::std::swap;
+  swap(a.told, b.told);
+  swap(a.asked, b.asked);
+  swap(a.unknown, b.unknown);
+  swap(a.seen, b.seen);
+  swap(a.seen_all, b.seen_all);
+  swap(a.__isset, b.__isset);
+}
+
+gossip_streams::gossip_streams(const gossip_streams& other142) {
+  told = other142.told;
+  asked = other142.asked;
+  unknown = other142.unknown;
+  seen = other142.seen;
+  seen_all = other142.seen_all;
+  __isset = other142.__isset;
+}
+gossip_streams::gossip_streams(gossip_streams&& other143) noexcept {
+  told = std::move(other143.told);
+  asked = std::move(other143.asked);
+  unknown = std::move(other143.unknown);
+  seen = std::move(other143.seen);
+  seen_all = other143.seen_all;
+  __isset = other143.__isset;
+}
+gossip_streams& gossip_streams::operator=(const gossip_streams& other144) {
+  told = other144.told;
+  asked = other144.asked;
+  unknown = other144.unknown;
+  seen = other144.seen;
+  seen_all = other144.seen_all;
+  __isset = other144.__isset;
+  return *this;
+}
+gossip_streams& gossip_streams::operator=(gossip_streams&& other145) noexcept {
+  told = std::move(other145.told);
+  asked = std::move(other145.asked);
+  unknown = std::move(other145.unknown);
+  seen = std::move(other145.seen);
+  seen_all = other145.seen_all;
+  __isset = other145.__isset;
+  return *this;
+}
+void gossip_streams::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "gossip_streams(";
+  out << "told=" << to_string(told);
+  out << ", " << "asked=" << to_string(asked);
+  out << ", " << "unknown=" << to_string(unknown);
+  out << ", " << "seen=" << to_string(seen);
+  out << ", " << "seen_all=" << to_string(seen_all);
+  out << ")";
+}
+
 }}} // namespace
--- a/src/sapphirespar/wire/gen/gossip_types.h
+++ b/src/sapphirespar/wire/gen/gossip_types.h
@@ -37,6 +37,12 @@
 
 class gossip_state;
 
+class gossip_stream_version;
+
+class gossip_pool_software;
+
+class gossip_streams;
+
 typedef struct _gossip_load__isset {
   _gossip_load__isset() : upstream(false), urgent_tokens(false), other_tokens(false), memory_tokens(false), running(false), interactive(false) {}
   bool upstream :1;
@@ -903,6 +909,193 @@
 
 std::ostream& operator<<(std::ostream& out, const gossip_state& obj);
 
+typedef struct _gossip_stream_version__isset {
+  _gossip_stream_version__isset() : stream(false), pool(false), software(false), left_ms(false) {}
+  bool stream :1;
+  bool pool :1;
+  bool software :1;
+  bool left_ms :1;
+} _gossip_stream_version__isset;
+
+class gossip_stream_version : public virtual ::apache::thrift::TBase {
+ public:
+
+  gossip_stream_version(const gossip_stream_version&) noexcept;
+  gossip_stream_version(gossip_stream_version&&) noexcept;
+  gossip_stream_version& operator=(const gossip_stream_version&) noexcept;
+  gossip_stream_version& operator=(gossip_stream_version&&) noexcept;
+  gossip_stream_version() noexcept
+                        : stream(0),
+                          pool(0),
+                          software(0),
+                          left_ms(0) {
+  }
+
+  virtual ~gossip_stream_version() noexcept;
+  int64_t stream;
+  int64_t pool;
+  int64_t software;
+  int32_t left_ms;
+
+  _gossip_stream_version__isset __isset;
+
+  void __set_stream(const int64_t val);
+
+  void __set_pool(const int64_t val);
+
+  void __set_software(const int64_t val);
+
+  void __set_left_ms(const int32_t val);
+
+  bool operator == (const gossip_stream_version & rhs) const
+  {
+    if (!(stream == rhs.stream))
+      return false;
+    if (!(pool == rhs.pool))
+      return false;
+    if (!(software == rhs.software))
+      return false;
+    if (!(left_ms == rhs.left_ms))
+      return false;
+    return true;
+  }
+  bool operator != (const gossip_stream_version &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const gossip_stream_version & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(gossip_stream_version &a, gossip_stream_version &b);
+
+std::ostream& operator<<(std::ostream& out, const gossip_stream_version& obj);
+
+typedef struct _gossip_pool_software__isset {
+  _gossip_pool_software__isset() : pool(false), software(false) {}
+  bool pool :1;
+  bool software :1;
+} _gossip_pool_software__isset;
+
+class gossip_pool_software : public virtual ::apache::thrift::TBase {
+ public:
+
+  gossip_pool_software(const gossip_pool_software&) noexcept;
+  gossip_pool_software(gossip_pool_software&&) noexcept;
+  gossip_pool_software& operator=(const gossip_pool_software&) noexcept;
+  gossip_pool_software& operator=(gossip_pool_software&&) noexcept;
+  gossip_pool_software() noexcept
+                       : pool(0),
+                         software(0) {
+  }
+
+  virtual ~gossip_pool_software() noexcept;
+  int64_t pool;
+  int64_t software;
+
+  _gossip_pool_software__isset __isset;
+
+  void __set_pool(const int64_t val);
+
+  void __set_software(const int64_t val);
+
+  bool operator == (const gossip_pool_software & rhs) const
+  {
+    if (!(pool == rhs.pool))
+      return false;
+    if (!(software == rhs.software))
+      return false;
+    return true;
+  }
+  bool operator != (const gossip_pool_software &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const gossip_pool_software & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(gossip_pool_software &a, gossip_pool_software &b);
+
+std::ostream& operator<<(std::ostream& out, const gossip_pool_software& obj);
+
+typedef struct _gossip_streams__isset {
+  _gossip_streams__isset() : told(false), asked(false), unknown(false), seen(false), seen_all(false) {}
+  bool told :1;
+  bool asked :1;
+  bool unknown :1;
+  bool seen :1;
+  bool seen_all :1;
+} _gossip_streams__isset;
+
+class gossip_streams : public virtual ::apache::thrift::TBase {
+ public:
+
+  gossip_streams(const gossip_streams&);
+  gossip_streams(gossip_streams&&) noexcept;
+  gossip_streams& operator=(const gossip_streams&);
+  gossip_streams& operator=(gossip_streams&&) noexcept;
+  gossip_streams() noexcept
+                 : seen_all(0) {
+  }
+
+  virtual ~gossip_streams() noexcept;
+  std::vector<gossip_stream_version>  told;
+  std::vector<int64_t>  asked;
+  std::vector<int64_t>  unknown;
+  std::vector<gossip_pool_software>  seen;
+  bool seen_all;
+
+  _gossip_streams__isset __isset;
+
+  void __set_told(const std::vector<gossip_stream_version> & val);
+
+  void __set_asked(const std::vector<int64_t> & val);
+
+  void __set_unknown(const std::vector<int64_t> & val);
+
+  void __set_seen(const std::vector<gossip_pool_software> & val);
+
+  void __set_seen_all(const bool val);
+
+  bool operator == (const gossip_streams & rhs) const
+  {
+    if (!(told == rhs.told))
+      return false;
+    if (!(asked == rhs.asked))
+      return false;
+    if (!(unknown == rhs.unknown))
+      return false;
+    if (!(seen == rhs.seen))
+      return false;
+    if (!(seen_all == rhs.seen_all))
+      return false;
+    return true;
+  }
+  bool operator != (const gossip_streams &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const gossip_streams & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(gossip_streams &a, gossip_streams &b);
+
+std::ostream& operator<<(std::ostream& out, const gossip_streams& obj);
+
 }}} // namespace
 
 #endif
