--- a/include/sapphirespar/gateway/forward.hpp
+++ b/include/sapphirespar/gateway/forward.hpp
@@ -21,6 +21,7 @@
 
 #include <chrono>
 #include <functional>
+#include <vector>
 
 namespace sapphirespar::gateway {
 
@@ -47,6 +48,9 @@
   std::function<void()> mRefreshLoads;
   // Upper bound of the number of live gateways; zero if unknown.
   std::function<unsigned()> mGateways;
+  // Addresses for callers of other gateways that reach the upstreams, the
+  // preferred ones first.
+  std::function<std::vector<entry_point>()> mHelpers;
   // Returns a random number from 0 to 1.
   std::function<double()> mDraw;
   // Time until this process ends; unset unless it is shutting down.
--- a/src/sapphirespar/gateway/forward_fixture_test.cpp
+++ b/src/sapphirespar/gateway/forward_fixture_test.cpp
@@ -186,6 +186,7 @@
                                         mMetrics,
                                         [this] { mRefreshLoads(); },
                                         [] { return 1U; },
+                                        [this] { return mHelpers; },
                                         [] { return 0.5; },
                                         [this] { return mTimeToStop; },
                                         {},
--- a/src/sapphirespar/gateway/forward_fixture_test.hpp
+++ b/src/sapphirespar/gateway/forward_fixture_test.hpp
@@ -129,6 +129,8 @@
       },
       [this] { return ListedSoftware(mUpstreams); } }
   };
+  // Other gateways that reach the upstreams.
+  std::vector<entry_point> mHelpers;
   // Called before each choice of an upstream.
   std::function<void()> mRefreshLoads = [] {};
   // Routes of the host "h" with the prefixes "/stream/", "/resume/" (resumable
--- a/src/sapphirespar/gateway/gateway_app.cpp
+++ b/src/sapphirespar/gateway/gateway_app.cpp
@@ -305,6 +305,7 @@
            .mRefreshLoads = [this] { RefreshLoads(); },
            .mGateways =
              [this] { return mPeers.MaximumGateways(mTimers.Now()); },
+           .mHelpers = [] { return std::vector<entry_point>(); },
            .mDraw = [this] { return Draw(); },
            .mTimeToStop = [this] { return TimeToStop(); },
            .mDataCentre = mSettings.mDataCentre,
