Let other gateways serve the callers of one without a path to the upstreams

Reach was known for each upstream by itself, and a request had no way but this gateway's own connections.

reach_monitor concludes from a few connections whether the path is gone; peer_relay then passes requests on to a gateway that reaches the upstreams and serves them as its own, with every rule that holds for its own. Nothing that may have run is passed on unless it may run twice, nothing is passed on twice, and what is left of the time goes along.

--- a/idl/gossip.thrift
+++ b/idl/gossip.thrift
@@ -126,6 +126,8 @@
   26: list<gossip_upstream_rate> upstream_rates;
   // With fingerprints of requests in the place of parts.
   27: optional gossip_crash_report request_crash_report;
+  // The sender has no path to any upstream.
+  28: bool cut_off;
 }
 
 // One stream's part at one pool: which version of the upstreams' software began
--- a/include/sapphirespar/gateway/forward.hpp
+++ b/include/sapphirespar/gateway/forward.hpp
@@ -6,6 +6,7 @@
 #include "sapphirespar/gateway/crash_guard.hpp"
 #include "sapphirespar/gateway/protocol.hpp"
 #include "sapphirespar/gateway/rate_guard.hpp"
+#include "sapphirespar/gateway/reach_monitor.hpp"
 #include "sapphirespar/gateway/routing_state.hpp"
 #include "sapphirespar/gateway/stream_versions.hpp"
 #include "sapphirespar/gateway/upstream_directory.hpp"
@@ -42,6 +43,7 @@
   crash_guard& mCrashGuard;
   rate_guard& mRateGuard;
   stream_versions& mStreams;
+  reach_monitor& mReach;
   wire::http_client& mClient;
   metrics& mMetrics;
   // Brings the loads of other gateways in mUpstreams up to date.
--- a/include/sapphirespar/gateway/peer_table.hpp
+++ b/include/sapphirespar/gateway/peer_table.hpp
@@ -69,6 +69,10 @@
   // Addresses of the other live gateways that accept requests.
   std::vector<entry_point> EntryPoints(steady_time aNow) const;
 
+  // The EntryPoints of those gateways that reach the upstreams; in this data
+  // centre if there are any, otherwise in the others.
+  std::vector<entry_point> Helpers(steady_time aNow) const;
+
   // Admin addresses of the other live gateways that have read the store.
   std::vector<entry_point> AdminPoints(steady_time aNow) const;
 
--- a/include/sapphirespar/gateway/protocol.hpp
+++ b/include/sapphirespar/gateway/protocol.hpp
@@ -47,6 +47,8 @@
   // Id of the request by which the caller got the first event of the stream
   // that it resumes; empty for a new stream.
   std::string mResumedId;
+  // Another gateway has passed the request on.
+  bool mFromGateway = false;
 };
 
 // Values that the gateway adds to a forwarded request.
@@ -98,6 +100,11 @@
   std::function<wire::http_headers(const wire::http_headers&,
                                    const forward_info&)>
     mForwardHeaders;
+  // Makes the headers for another gateway from the caller's; aDeadline is how
+  // long that gateway may take.
+  std::function<wire::http_headers(const wire::http_headers&,
+                                   std::chrono::milliseconds aDeadline)>
+    mRelayHeaders;
   std::function<answer_info(unsigned aStatus, const wire::http_headers&)>
     mReadAnswer;
   // Makes the headers for the caller from the upstream's.
--- a/include/sapphirespar/gateway/upstream_directory.hpp
+++ b/include/sapphirespar/gateway/upstream_directory.hpp
@@ -155,6 +155,9 @@
   void SetPeerLoads(
     const std::unordered_map<std::uint64_t, policy::upstream_load>& aLoads);
 
+  // All upstreams that accept new requests.
+  std::vector<upstream_ptr> Members() const;
+
   // The upstreams of a pool that accept new requests.
   std::vector<upstream_ptr> Members(std::string_view aPool) const;
 
--- a/include/sapphirespar/model/gossip.hpp
+++ b/include/sapphirespar/model/gossip.hpp
@@ -68,6 +68,8 @@
   bool mReady = false;
   // The sender is shutting down.
   bool mLeaving = false;
+  // The sender reaches no upstream.
+  bool mCutOff = false;
   // Upstreams on which the sender has requests.
   std::vector<gossip_load> mLoads;
   // Requests the receiver's state as a reply.
--- a/src/sapphirespar/gateway/attempt_ending.cpp
+++ b/src/sapphirespar/gateway/attempt_ending.cpp
@@ -43,6 +43,7 @@
 {
   mLastBytes = steady_clock::now();
   mServices.mCrashGuard.OnSign(mUpstream.mKey);
+  mServices.mReach.OnSign();
 }
 
 void
@@ -57,6 +58,10 @@
 void
 attempt_ending::RecordLoss()
 {
+  // The path is at fault, not the upstream.
+  if (mServices.mReach.IsCutOff()) {
+    return;
+  }
   constexpr unsigned kFirstError = 300;
   const bool answers = mStream && mStream->Head().mStatus < kFirstError;
   using enum crash_guard::answer_progress;
@@ -111,6 +116,7 @@
     // A call that is withdrawn says nothing of the upstream.
     if (aError.mKind != wire::wire_error_kind::Cancelled) {
       mUpstream.mHealth.AddConnectFailure(steady_clock::now());
+      mServices.mReach.Suspect();
     }
     return End(attempt_end::NotSent, aError.mDetail);
   }
@@ -136,6 +142,7 @@
   }
   if (!timedOut) {
     RecordLoss();
+    mServices.mReach.Suspect();
   }
   auto result =
     End(timedOut ? attempt_end::TimedOut : attempt_end::Broken, aError.mDetail);
--- a/src/sapphirespar/gateway/attempt_race.cpp
+++ b/src/sapphirespar/gateway/attempt_race.cpp
@@ -86,6 +86,7 @@
   attempt->mTarget = std::move(aTarget);
   mRunning.push_back(attempt);
   ++mProgress.mSends;
+  mServices.mReach.BeginWait();
   asio::co_spawn(mWake.get_executor(),
                  Run(attempt, aOwner),
                  [this, attempt, aOwner](const std::exception_ptr& aProblem) {
@@ -116,6 +117,7 @@
 attempt_race::OnEnded(const attempt_ptr& aAttempt, attempt_result aResult)
 {
   aAttempt->mWaitingSince.reset();
+  mServices.mReach.EndWait();
   if (aResult.mEnd == attempt_end::NotSent) {
     --mProgress.mSends;
     if (aAttempt->mTarget.mPermit == send_permit::Granted) {
--- a/src/sapphirespar/gateway/forward.cpp
+++ b/src/sapphirespar/gateway/forward.cpp
@@ -5,6 +5,7 @@
 #include "forward_admission.hpp"
 #include "forward_record.hpp"
 #include "forward_state.hpp"
+#include "peer_relay.hpp"
 #include "placement.hpp"
 #include "stream_takeover.hpp"
 
@@ -12,6 +13,10 @@
 #include "sapphirespar/policy/retry.hpp"
 #include "sapphirespar/policy/wait_limit.hpp"
 
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
 #include <algorithm>
 
 namespace sapphirespar::gateway {
@@ -85,6 +90,7 @@
   {
     mProgress.mCallerGone = true;
     mRace.AbortAll();
+    mRelayAbort->Abort();
   }
 
   // Runs the attempts. No attempt uses the reply once this has returned or
@@ -111,17 +117,24 @@
   // Returns a refusal if the caller still needs an answer.
   asio::awaitable<std::optional<refusal_answer>> RunAttempts()
   {
-    if (TakesUpStream(mForwarded)) {
-      const auto refusal =
-        co_await FindStreamVersion(mServices, mForwarded, mProgress);
-      if (refusal || mProgress.mCallerGone) {
-        EndWith(attempt_end::CallerDisconnected, 0);
-        co_return refusal;
-      }
-    }
     while (true) {
       if (mRace.Running() == 0) {
+        if (MayRelay() && co_await Relay()) {
+          co_return mRelayRefusal;
+        }
+        if (TakesUpStream(mForwarded) && !mVersionSought) {
+          mVersionSought = true;
+          const auto refusal =
+            co_await FindStreamVersion(mServices, mForwarded, mProgress);
+          if (refusal || mProgress.mCallerGone) {
+            EndWith(attempt_end::CallerDisconnected, 0);
+            co_return refusal;
+          }
+        }
         auto target = Place();
+        if (!target && co_await MayRelaySoon()) {
+          continue;
+        }
         if (!target) {
           const auto reason =
             mProgress.mSoftware ? "no_upstream_of_version" : "no_upstream";
@@ -159,6 +172,9 @@
         continue;
       }
       if (!MayTryAgain(result->mEnd)) {
+        if (result->mEnd == attempt_end::NotSent && co_await MayRelaySoon()) {
+          continue;
+        }
         co_return co_await FinishUnanswered(ToText(result->mEnd), kRetrySoon);
       }
       if (result->mStaleUpstream) {
@@ -169,6 +185,65 @@
     }
   }
 
+  // Whether another gateway may serve the request, as this one reaches no
+  // upstream. It is asked once.
+  bool MayRelay() const
+  {
+    const bool mayRepeat =
+      !mProgress.mMayHaveRun || mForwarded.mRoute->mIdempotent;
+    return mServices.mReach.IsCutOff() && mayRepeat && !mRelayed &&
+           !mProgress.mBegun && !mForwarded.mInfo.mFromGateway;
+  }
+
+  // The same for a request that would be refused, once it is known whether
+  // upstreams can be reached.
+  asio::awaitable<bool> MayRelaySoon()
+  {
+    constexpr milliseconds kCheck{ 10 };
+    asio::steady_timer timer(co_await asio::this_coro::executor);
+    while (mServices.mReach.IsProbing() && !mProgress.mCallerGone &&
+           LeftUntil(mForwarded.mDeadline) > kCheck) {
+      timer.expires_after(kCheck);
+      co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    }
+    co_return MayRelay() && !mProgress.mCallerGone;
+  }
+
+  // Lets another gateway serve the request. Returns false if none could be
+  // reached; otherwise the request is over, with mRelayRefusal.
+  asio::awaitable<bool> Relay()
+  {
+    mRelayed = true;
+    auto result = co_await RelayToGateway(
+      mServices, mForwarded, mReply, mProgress, mRelayAbort);
+    mOutcome.mName = "relayed_to_gateway";
+    mOutcome.mStatus = result.mStatus;
+    switch (result.mEnd) {
+      case relay_end::Relayed:
+        mOutcome.mAnswered = answered_part::Whole;
+        co_return true;
+      case relay_end::CallerDisconnected:
+        EndWith(attempt_end::CallerDisconnected, result.mStatus);
+        co_return true;
+      case relay_end::Broken:
+        mProgress.mMayHaveRun = true;
+        EndWith(attempt_end::Broken, result.mStatus);
+        mRelayRefusal = co_await FinishUnanswered("relay_broken", kRetrySoon);
+        co_return true;
+      case relay_end::NotRun:
+        break;
+    }
+    if (!result.mRefusal) {
+      co_return false;
+    }
+    if (mProgress.mMayHaveRun) {
+      mRelayRefusal = MakeRefusal("relay_refused", kRetrySoon);
+    } else {
+      co_await SendWhole(std::move(*result.mRefusal));
+    }
+    co_return true;
+  }
+
   void EndWith(attempt_end aEnd, unsigned aStatus)
   {
     mOutcome.mStatus = aStatus;
@@ -208,6 +283,12 @@
     const auto now = steady_clock::now();
     mRace.NoteSilence(
       [now](upstream& aUpstream) { aUpstream.mHealth.AddResult(true, now); });
+    mServices.mReach.Suspect();
+    if (MayRelay() && MayTryAgain(attempt_end::TimedOut)) {
+      mRace.AbortAll();
+      mProgress.mMayHaveRun = true;
+      return;
+    }
     if (mProgress.mSends < mForwarded.mRoute->mMaximumAttempts) {
       TryBeside(attempt_end::TimedOut);
     }
@@ -339,6 +420,12 @@
   std::optional<wire::http_response> mFailure;
   std::shared_ptr<answer_claim> mFailureMemory;
   request_outcome mOutcome;
+  const wire::call_abort_ptr mRelayAbort = std::make_shared<wire::call_abort>();
+  // Another gateway has been asked to serve the request.
+  bool mRelayed = false;
+  std::optional<refusal_answer> mRelayRefusal;
+  // The version of a stream that is taken up has been looked for.
+  bool mVersionSought = false;
 };
 
 } // namespace
--- a/src/sapphirespar/gateway/forward_admission.cpp
+++ b/src/sapphirespar/gateway/forward_admission.cpp
@@ -64,7 +64,10 @@
 {
   SetPool(aForwarded,
           policy::ChoosePool(*aForwarded.mRoute, aServices.mDraw()));
-  aServices.mRetries.CountRequest(aForwarded.mPool, aForwarded.mArrived);
+  // The gateway that passed the request on has counted it.
+  if (!aForwarded.mInfo.mFromGateway) {
+    aServices.mRetries.CountRequest(aForwarded.mPool, aForwarded.mArrived);
+  }
 }
 
 void
--- a/src/sapphirespar/gateway/forward_cut_off_test.cpp
+++ b/src/sapphirespar/gateway/forward_cut_off_test.cpp
@@ -46,6 +46,7 @@
   // gateway that reaches them.
   void SetUp() override
   {
+    mServices->mKeyFreshness = 60s;
     Publish();
     for (const auto* id : { "a", "b", "c" }) {
       asio::ip::tcp::acceptor acceptor(mContext);
@@ -106,6 +107,7 @@
                             own.mCrashGuard,
                             own.mRateGuard,
                             own.mStreams,
+                            mHelperReach,
                             own.mClient,
                             own.mMetrics,
                             [] {},
@@ -126,11 +128,13 @@
   }
 
   // Sends requests of all kinds for as long as the gateway may need to notice.
-  void LetItNotice()
+  void LetItNotice(std::chrono::milliseconds aTime = kContact)
   {
-    const auto end = steady_clock::now() + kContact;
-    while (steady_clock::now() < end) {
-      SendRequest("/safe/x", { { std::string(kTestDeadline), "500" } }, "GET");
+    const auto end = steady_clock::now() + aTime;
+    for (int count = 0; steady_clock::now() < end; ++count) {
+      SendRequest("/safe/" + std::to_string(count),
+                  { { std::string(kTestDeadline), "500" } },
+                  "GET");
     }
     mArrivals.clear();
   }
@@ -154,6 +158,11 @@
   policy::fleet_retry_budget mHelperRetries{
     { 0, 1000, std::chrono::seconds(10) }
   };
+  reach_monitor mHelperReach{ mTimers,
+                              mMetrics,
+                              { MakeConnectHook(mContext.get_executor()),
+                                [this] { return mHelperUpstreams.Members(); },
+                                [] {} } };
   std::vector<entry_point> mHelpersOfHelper;
   std::vector<asio::ip::tcp::acceptor> mHanging;
   std::deque<asio::ip::tcp::socket> mFillers;
@@ -213,6 +222,120 @@
   Run(read());
 }
 
+// Tests that need only one kind of cut.
+class forward_refused_path_test : public forward_cut_off_test
+{};
+
+TEST_P(forward_refused_path_test, ARequestThatMayHaveRunIsNotPassedOnAgain)
+{
+  LetItNotice(200ms);
+  mHandler = [](const wire::http_request&,
+                wire::http_reply&) -> asio::awaitable<void> { co_return; };
+  mHelpers.push_back(mHelpers.front());
+  EXPECT_EQ(SendRequest("/once/x").mStatus, 502U);
+  EXPECT_EQ(mArrivals["upstream"], 1U);
+  EXPECT_EQ(mArrivals["helper"], 1U);
+}
+
+TEST_P(forward_refused_path_test, ARefusalOfTheOtherGatewayIsPassedOn)
+{
+  LetItNotice(200ms);
+  mHelperUpstreams.ApplyList({}, list_completeness::Complete);
+  const auto answer = SendRequest("/once/x");
+  EXPECT_EQ(answer.mStatus, 503U);
+  EXPECT_EQ(answer.mBody, "no_upstream\n");
+  EXPECT_FALSE(answer.Header("Retry-After").empty());
+}
+
+TEST_P(forward_refused_path_test, AGatewayThatDoesNotAnswerIsFollowedByAnother)
+{
+  LetItNotice(200ms);
+  mHelpers.push_back({ "127.0.0.1", 1 });
+  mHelpers.push_back({ "127.0.0.1", 2 });
+  for (int count = 0; count < 10; ++count) {
+    EXPECT_EQ(SendRequest("/once/x").mStatus, 200U);
+  }
+}
+
+TEST_P(forward_refused_path_test, RequestsAreNotPassedOnInCircles)
+{
+  LetItNotice(200ms);
+  // The helper loses its path too, and its helper is the first gateway.
+  mHelperUpstreams.ApplyList(mEntries, list_completeness::Complete);
+  mHelpersOfHelper = { { "127.0.0.1", mGateway->Port() } };
+  for (int count = 0; count < 5; ++count) {
+    EXPECT_EQ(SendRequest("/safe/x").mStatus, 503U);
+  }
+  EXPECT_TRUE(mHelperReach.IsCutOff());
+  EXPECT_EQ(mArrivals["helper"], 5U);
+}
+
+TEST_P(forward_refused_path_test, WhatIsLeftOfTheTimeIsPassedOn)
+{
+  LetItNotice(200ms);
+  unsigned deadline = 0;
+  mHandler = [&](const wire::http_request& aRequest,
+                 wire::http_reply& aReply) -> asio::awaitable<void> {
+    deadline = static_cast<unsigned>(
+      std::stoul(std::string(aRequest.Header(kTestDeadline))));
+    co_await aReply.Send(SignedAnswer(aRequest, 200, "body"));
+  };
+  SendRequest("/safe/x", { { std::string(kTestDeadline), "700" } });
+  EXPECT_GT(deadline, 500U);
+  EXPECT_LE(deadline, 700U);
+  // Without one, the route's timeout counts.
+  SendRequest("/safe/x");
+  EXPECT_GT(deadline, 4500U);
+  EXPECT_LE(deadline, 5000U);
+}
+
+TEST_P(forward_refused_path_test, ACallerWhoLeavesEndsTheRequestUpstream)
+{
+  LetItNotice(200ms);
+  bool cancelled = false;
+  mHandler = [&](const wire::http_request&,
+                 wire::http_reply& aReply) -> asio::awaitable<void> {
+    aReply.OnCallerDisconnect([&] { cancelled = true; });
+    asio::steady_timer timer(mContext, std::chrono::seconds(2));
+    co_await timer.async_wait(asio::use_awaitable);
+  };
+  const auto leave = [this]() -> asio::awaitable<void> {
+    wire::http_request request;
+    request.mMethod = "POST";
+    request.mTarget = "/safe/x";
+    request.mHeaders = { { "Host", "h" },
+                         { std::string(kTestKey), "k1" },
+                         { std::string(kTestId), "r1" } };
+    // The call ends, and its connection is closed, after its timeout.
+    const auto opened =
+      co_await mCaller->Open(Gateway(), std::move(request), 100ms);
+    EXPECT_FALSE(opened.has_value());
+  };
+  Run(leave());
+  Pause(300ms);
+  EXPECT_TRUE(cancelled);
+}
+
+TEST_P(forward_refused_path_test, ARequestGoesStraightAgainOnceThePathIsBack)
+{
+  LetItNotice(200ms);
+  ASSERT_EQ(SendRequest("/safe/x").mStatus, 200U);
+  AddUpstream("d",
+              [](const wire::http_request& aRequest,
+                 wire::http_reply& aReply) -> asio::awaitable<void> {
+                co_await aReply.Send(SignedAnswer(aRequest, 200, "direct"));
+              });
+  for (const auto* id : { "a", "b", "c" }) {
+    RemoveEntry(id);
+  }
+  Pause(1s);
+  EXPECT_EQ(SendRequest("/safe/x").mBody, "direct");
+}
+
+INSTANTIATE_TEST_SUITE_P(One,
+                         forward_refused_path_test,
+                         testing::Values(cut_kind::Refused));
+
 INSTANTIATE_TEST_SUITE_P(All,
                          forward_cut_off_test,
                          testing::Values(cut_kind::Refused,
--- a/src/sapphirespar/gateway/forward_fixture_test.cpp
+++ b/src/sapphirespar/gateway/forward_fixture_test.cpp
@@ -52,6 +52,7 @@
   info.mPromptTokens = ToUnsigned(wire::FindHeader(aHeaders, kTestTokens));
   info.mLastEventId = wire::FindHeader(aHeaders, kTestResume);
   info.mResumedId = wire::FindHeader(aHeaders, kTestResumedId);
+  info.mFromGateway = !wire::FindHeader(aHeaders, kTestFromGateway).empty();
   return info;
 }
 
@@ -92,6 +93,21 @@
   return info;
 }
 
+wire::http_headers
+AddRelayHeaders(const wire::http_headers& aFrom,
+                std::chrono::milliseconds aDeadline)
+{
+  auto headers = aFrom;
+  std::erase_if(headers, [](const auto& aHeader) {
+    return aHeader.mName == kTestDeadline || aHeader.mName == "Connection" ||
+           aHeader.mName == "Content-Length";
+  });
+  headers.push_back(
+    { std::string(kTestDeadline), std::to_string(aDeadline.count()) });
+  headers.push_back({ std::string(kTestFromGateway), "1" });
+  return headers;
+}
+
 wire::http_headers
 DropFraming(const wire::http_headers& aFrom)
 {
@@ -151,6 +167,7 @@
   protocol result;
   result.mReadRequest = ReadRequestInfo;
   result.mForwardHeaders = AddForwardHeaders;
+  result.mRelayHeaders = AddRelayHeaders;
   result.mReadAnswer = ReadAnswerInfo;
   result.mAnswerHeaders = DropFraming;
   return result;
@@ -182,6 +199,7 @@
                                         mCrashGuard,
                                         mRateGuard,
                                         mStreams,
+                                        mReach,
                                         *mUpstreamClient,
                                         mMetrics,
                                         [this] { mRefreshLoads(); },
--- a/src/sapphirespar/gateway/forward_fixture_test.hpp
+++ b/src/sapphirespar/gateway/forward_fixture_test.hpp
@@ -36,6 +36,7 @@
 inline constexpr std::string_view kTestResume = "Resume";
 // Id of the request that brought the first event of a resumed stream.
 inline constexpr std::string_view kTestResumedId = "Resumed-Id";
+inline constexpr std::string_view kTestFromGateway = "From-Gateway";
 inline constexpr std::string_view kTestDeadline = "Deadline";
 inline constexpr std::string_view kTestExpected = "Expected";
 inline constexpr std::string_view kTestTokens = "Tokens";
@@ -129,6 +130,11 @@
       },
       [this] { return ListedSoftware(mUpstreams); } }
   };
+  reach_monitor mReach{ mTimers,
+                        mMetrics,
+                        { MakeConnectHook(mContext.get_executor()),
+                          [this] { return mUpstreams.Members(); },
+                          [] {} } };
   // Other gateways that reach the upstreams.
   std::vector<entry_point> mHelpers;
   // Called before each choice of an upstream.
--- a/src/sapphirespar/gateway/gateway_app.cpp
+++ b/src/sapphirespar/gateway/gateway_app.cpp
@@ -95,6 +95,7 @@
   crash_guard_hooks CrashGuardHooks();
   rate_guard_hooks RateHooks();
   stream_versions_hooks StreamHooks();
+  reach_hooks ReachHooks();
   registry_hooks RegistryHooks();
 
   wire::http_response ServeEntry(const wire::http_target& aTarget);
@@ -145,6 +146,7 @@
   crash_guard mCrashGuard;
   rate_guard mRateGuard;
   stream_versions mStreams;
+  reach_monitor mReach;
   store_reader mReader;
   gateway_registry mRegistry;
   gossip_link mGossip;
@@ -185,6 +187,7 @@
   , mCrashGuard(mTimers, mMetrics, CrashGuardHooks())
   , mRateGuard(mTimers, mMetrics, mSettings.mVm, RateHooks())
   , mStreams(mTimers, StreamHooks())
+  , mReach(mTimers, mMetrics, ReachHooks())
   , mReader(mPlatform,
             mTimers,
             mProtocol,
@@ -300,12 +303,13 @@
            .mCrashGuard = mCrashGuard,
            .mRateGuard = mRateGuard,
            .mStreams = mStreams,
+           .mReach = mReach,
            .mClient = mUpstreamClient,
            .mMetrics = mMetrics,
            .mRefreshLoads = [this] { RefreshLoads(); },
            .mGateways =
              [this] { return mPeers.MaximumGateways(mTimers.Now()); },
-           .mHelpers = [] { return std::vector<entry_point>(); },
+           .mHelpers = [this] { return mPeers.Helpers(mTimers.Now()); },
            .mDraw = [this] { return Draw(); },
            .mTimeToStop = [this] { return TimeToStop(); },
            .mDataCentre = mSettings.mDataCentre,
@@ -422,6 +426,20 @@
   return hooks;
 }
 
+reach_hooks
+gateway_app::state::ReachHooks()
+{
+  reach_hooks hooks;
+  hooks.mConnect = MakeConnectHook(mContext.get_executor());
+  hooks.mUpstreams = [this] {
+    auto members = mUpstreams.Members();
+    std::ranges::shuffle(members, mRandom);
+    return members;
+  };
+  hooks.mChanged = [this] { mGossip.SendNow(); };
+  return hooks;
+}
+
 registry_hooks
 gateway_app::state::RegistryHooks()
 {
@@ -452,6 +470,7 @@
   own.mAdminPort = mSettings.mAdmin.mPort;
   own.mReady = IsReady();
   own.mLeaving = IsLeaving();
+  own.mCutOff = mReach.IsCutOff();
   own.mStore = mReader.Summary();
   own.mLoads = mUpstreams.OwnLoads();
   own.mLeavingUpstreams = mUpstreams.Leaving();
--- a/src/sapphirespar/gateway/peer_table.cpp
+++ b/src/sapphirespar/gateway/peer_table.cpp
@@ -229,6 +229,22 @@
   return points;
 }
 
+std::vector<entry_point>
+peer_table::Helpers(steady_time aNow) const
+{
+  std::vector<entry_point> local;
+  std::vector<entry_point> remote;
+  for (const auto& [vm, known] : mPeers) {
+    const auto& state = known.mState;
+    const bool accepts = state.mReady && !state.mLeaving && !state.mCutOff;
+    if (accepts && IsLive(known, aNow)) {
+      (IsLocal(known) ? local : remote)
+        .push_back({ state.mAddress, state.mCallerPort });
+    }
+  }
+  return local.empty() ? remote : local;
+}
+
 std::vector<entry_point>
 peer_table::AdminPoints(steady_time aNow) const
 {
--- a/src/sapphirespar/gateway/peer_table_test.cpp
+++ b/src/sapphirespar/gateway/peer_table_test.cpp
@@ -79,6 +79,26 @@
   }
 }
 
+TEST(PeerTable, HelpersReachTheUpstreamsAndAreNearIfPossible)
+{
+  peer_table table({ { "1" }, { "here" }, 0 });
+  const auto add = [&](std::string aVm, std::string aWhere, bool aCutOff) {
+    auto state = From(std::move(aVm));
+    state.mDataCentre = { std::move(aWhere) };
+    state.mCutOff = aCutOff;
+    table.Receive(state, kNow);
+  };
+  add("2", "here", true);
+  EXPECT_TRUE(table.Helpers(kNow).empty());
+  add("3", "there", false);
+  ASSERT_EQ(table.Helpers(kNow).size(), 1U);
+  EXPECT_EQ(table.Helpers(kNow)[0].mAddress, "10.0.0.3");
+  add("4", "here", false);
+  ASSERT_EQ(table.Helpers(kNow).size(), 1U);
+  EXPECT_EQ(table.Helpers(kNow)[0].mAddress, "10.0.0.4");
+  EXPECT_TRUE(table.Helpers(kNow + 10s).empty());
+}
+
 TEST(PeerTable, GatewaysPreferTheSameKeepers)
 {
   const std::vector<std::string> names{ "1", "2", "3", "4", "5" };
--- a/src/sapphirespar/gateway/upstream_directory.cpp
+++ b/src/sapphirespar/gateway/upstream_directory.cpp
@@ -291,6 +291,18 @@
   }
 }
 
+std::vector<upstream_ptr>
+upstream_directory::Members() const
+{
+  std::vector<upstream_ptr> members;
+  for (const auto& [id, known] : mUpstreams) {
+    if (known->TakesWork()) {
+      members.push_back(known);
+    }
+  }
+  return members;
+}
+
 std::vector<upstream_ptr>
 upstream_directory::Members(std::string_view aPool) const
 {
--- a/src/sapphirespar/wire/gen/gossip_types.cpp
+++ b/src/sapphirespar/wire/gen/gossip_types.cpp
@@ -1925,6 +1925,10 @@
   this->request_crash_report = val;
 __isset.request_crash_report = true;
 }
+
+void gossip_state::__set_cut_off(const bool val) {
+  this->cut_off = val;
+}
 std::ostream& operator<<(std::ostream& out, const gossip_state& obj)
 {
   obj.printTo(out);
@@ -2201,6 +2205,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 28:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->cut_off);
+          this->__isset.cut_off = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2352,6 +2364,10 @@
     xfer += this->request_crash_report.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  xfer += oprot->writeFieldBegin("cut_off", ::apache::thrift::protocol::T_BOOL, 28);
+  xfer += oprot->writeBool(this->cut_off);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2384,6 +2400,7 @@
   swap(a.crash_report, b.crash_report);
   swap(a.upstream_rates, b.upstream_rates);
   swap(a.request_crash_report, b.request_crash_report);
+  swap(a.cut_off, b.cut_off);
   swap(a.__isset, b.__isset);
 }
 
@@ -2413,6 +2430,7 @@
   crash_report = other106.crash_report;
   upstream_rates = other106.upstream_rates;
   request_crash_report = other106.request_crash_report;
+  cut_off = other106.cut_off;
   __isset = other106.__isset;
 }
 gossip_state::gossip_state(gossip_state&& other107) noexcept {
@@ -2441,6 +2459,7 @@
   crash_report = std::move(other107.crash_report);
   upstream_rates = std::move(other107.upstream_rates);
   request_crash_report = std::move(other107.request_crash_report);
+  cut_off = other107.cut_off;
   __isset = other107.__isset;
 }
 gossip_state& gossip_state::operator=(const gossip_state& other108) {
@@ -2469,6 +2488,7 @@
   crash_report = other108.crash_report;
   upstream_rates = other108.upstream_rates;
   request_crash_report = other108.request_crash_report;
+  cut_off = other108.cut_off;
   __isset = other108.__isset;
   return *this;
 }
@@ -2498,6 +2518,7 @@
   crash_report = std::move(other109.crash_report);
   upstream_rates = std::move(other109.upstream_rates);
   request_crash_report = std::move(other109.request_crash_report);
+  cut_off = other109.cut_off;
   __isset = other109.__isset;
   return *this;
 }
@@ -2529,6 +2550,7 @@
   out << ", " << "crash_report="; (__isset.crash_report ? (out << to_string(crash_report)) : (out << "<null>"));
   out << ", " << "upstream_rates=" << to_string(upstream_rates);
   out << ", " << "request_crash_report="; (__isset.request_crash_report ? (out << to_string(request_crash_report)) : (out << "<null>"));
+  out << ", " << "cut_off=" << to_string(cut_off);
   out << ")";
 }
 
--- a/src/sapphirespar/wire/gen/gossip_types.h
+++ b/src/sapphirespar/wire/gen/gossip_types.h
@@ -699,7 +699,7 @@
 std::ostream& operator<<(std::ostream& out, const gossip_upstream_rate& obj);
 
 typedef struct _gossip_state__isset {
-  _gossip_state__isset() : vm(false), incarnation(false), sequence(false), data_centre(false), address(false), caller_port(false), admin_port(false), ready(false), leaving(false), loads(false), asks(false), answers(false), routing_age_ms(false), upstreams_age_ms(false), upstreams_digest(false), interactive_reading(false), bulk_reading(false), processor(false), zones(false), leaving_upstreams(false), store_era(false), routing_version(false), crash_report(false), upstream_rates(false), request_crash_report(false) {}
+  _gossip_state__isset() : vm(false), incarnation(false), sequence(false), data_centre(false), address(false), caller_port(false), admin_port(false), ready(false), leaving(false), loads(false), asks(false), answers(false), routing_age_ms(false), upstreams_age_ms(false), upstreams_digest(false), interactive_reading(false), bulk_reading(false), processor(false), zones(false), leaving_upstreams(false), store_era(false), routing_version(false), crash_report(false), upstream_rates(false), request_crash_report(false), cut_off(false) {}
   bool vm :1;
   bool incarnation :1;
   bool sequence :1;
@@ -725,6 +725,7 @@
   bool crash_report :1;
   bool upstream_rates :1;
   bool request_crash_report :1;
+  bool cut_off :1;
 } _gossip_state__isset;
 
 class gossip_state : public virtual ::apache::thrift::TBase {
@@ -753,7 +754,8 @@
                  bulk_reading(0),
                  processor(0),
                  store_era(0),
-                 routing_version(0) {
+                 routing_version(0),
+                 cut_off(0) {
   }
 
   virtual ~gossip_state() noexcept;
@@ -782,6 +784,7 @@
   gossip_crash_report crash_report;
   std::vector<gossip_upstream_rate>  upstream_rates;
   gossip_crash_report request_crash_report;
+  bool cut_off;
 
   _gossip_state__isset __isset;
 
@@ -835,6 +838,8 @@
 
   void __set_request_crash_report(const gossip_crash_report& val);
 
+  void __set_cut_off(const bool val);
+
   bool operator == (const gossip_state & rhs) const
   {
     if (!(vm == rhs.vm))
@@ -891,6 +896,8 @@
       return false;
     else if (__isset.request_crash_report && !(request_crash_report == rhs.request_crash_report))
       return false;
+    if (!(cut_off == rhs.cut_off))
+      return false;
     return true;
   }
   bool operator != (const gossip_state &rhs) const {
--- a/src/sapphirespar/wire/gossip_codec.cpp
+++ b/src/sapphirespar/wire/gossip_codec.cpp
@@ -126,6 +126,7 @@
   state.admin_port = aState.mAdminPort;
   state.ready = aState.mReady;
   state.leaving = aState.mLeaving;
+  state.cut_off = aState.mCutOff;
   std::ranges::transform(
     aState.mLoads, std::back_inserter(state.loads), ToWireLoad);
   state.asks = aState.mWantsReply;
@@ -196,6 +197,7 @@
   read.mAdminPort = static_cast<std::uint16_t>(state.admin_port);
   read.mReady = state.ready;
   read.mLeaving = state.leaving;
+  read.mCutOff = state.cut_off;
   std::ranges::transform(
     state.loads, std::back_inserter(read.mLoads), FromWireLoad);
   std::ranges::transform(state.zones,
--- a/src/sapphirespar/wire/gossip_codec_test.cpp
+++ b/src/sapphirespar/wire/gossip_codec_test.cpp
@@ -25,6 +25,7 @@
   state.mAdminPort = 8081;
   state.mReady = true;
   state.mLeaving = true;
+  state.mCutOff = true;
   state.mLoads = { { 0xffffffffffffffffULL, 1, 2, 3, 4, 5 } };
   state.mWantsReply = true;
   state.mReplyTo = 13;
