--- a/include/sapphirespar/gateway/protocol.hpp
+++ b/include/sapphirespar/gateway/protocol.hpp
@@ -84,6 +84,9 @@
   // The request rate that the upstream accepts; unset if the answer does not
   // tell it. See upstream_rate.
   std::optional<double> mAcceptedRate = std::nullopt;
+  // The requests a second that the upstream can turn away for want of room
+  // without falling over; unset unless it says that it is brittle.
+  std::optional<double> mToleratedRejections = std::nullopt;
 };
 
 // An address where a gateway accepts connections.
--- a/src/sapphirespar/gateway/forward_fixture_test.cpp
+++ b/src/sapphirespar/gateway/forward_fixture_test.cpp
@@ -89,6 +89,10 @@
     info.mRetryAfter = std::chrono::milliseconds(ToUnsigned(retryAfter));
   }
   const auto rate = wire::FindHeader(aHeaders, kTestRate);
+  const auto brittle = wire::FindHeader(aHeaders, kTestBrittle);
+  if (!brittle.empty()) {
+    info.mToleratedRejections = ToUnsigned(brittle);
+  }
   info.mAcceptedRate = rate.empty() ? kUnlimitedRate : ToUnsigned(rate);
   return info;
 }
--- a/src/sapphirespar/gateway/forward_fixture_test.hpp
+++ b/src/sapphirespar/gateway/forward_fixture_test.hpp
@@ -48,6 +48,9 @@
 // In requests per second, an integer.
 inline constexpr std::string_view kTestRate = "Rate";
 
+// In requests per second, an integer.
+inline constexpr std::string_view kTestBrittle = "Brittle";
+
 protocol TestProtocol();
 
 class forward_fixture : public testing::Test
