--- a/include/sapphirespar/soak/invariant_checker.hpp
+++ b/include/sapphirespar/soak/invariant_checker.hpp
@@ -6,6 +6,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace sapphirespar::soak {
@@ -46,6 +47,9 @@
   unsigned mRefused = 0;
   // Any other status, or no response.
   unsigned mLost = 0;
+  // Streams that callers took up again, and those of them that went on.
+  unsigned mTakenUp = 0;
+  unsigned mWentOn = 0;
   unsigned mFaults = 0;
 };
 
@@ -102,6 +106,24 @@
                       unsigned aStatus,
                       const std::string& aBody);
 
+  // Records the status of a request for a resumable stream, 0 if the answer is
+  // incomplete; see RecordStream for its body.
+  void RecordPart(const std::string& aId, unsigned aStatus);
+
+  // Returns the key of a request that was sent.
+  std::string KeyOf(const std::string& aId) const;
+
+  // Records what the caller holds of the resumable stream of a request, in one
+  // answer or over several tries, with the lines of WithSoftware; aComplete if
+  // the last answer has ended like a complete one.
+  void RecordStream(const std::string& aId,
+                    const std::string& aHeld,
+                    bool aComplete);
+
+  // Returns the events without the lines of WithSoftware, and the versions.
+  static std::pair<std::string, std::set<std::string>> WithoutSoftware(
+    const std::string& aEvents);
+
   // Records that the store has acknowledged the removal of a key.
   void RecordKeyRevoked(const std::string& aKey);
 
@@ -134,6 +156,10 @@
     std::vector<std::pair<time_point, unsigned>> mArrivals;
   };
 
+  // Counts the status and checks what it promises.
+  void CountStatus(request_record& aRequest,
+                   const std::string& aId,
+                   unsigned aStatus);
   void CheckNamedRate(const std::string& aId, const upstream_gateway& aLink);
   void AddViolation(const std::string& aRule, const std::string& aId);
   void ForgetGateway(unsigned aGateway);
@@ -160,4 +186,8 @@
 // Returns the event with number aNumber, from 1, of the stream for a request.
 std::string ExpectedEvent(const std::string& aId, int aNumber);
 
+// Adds a line to an event that names the software version of its upstream.
+std::string WithSoftware(const std::string& aEvent,
+                         const std::string& aSoftware);
+
 } // namespace sapphirespar::soak
--- a/include/sapphirespar/soak/soak_harness.hpp
+++ b/include/sapphirespar/soak/soak_harness.hpp
@@ -67,6 +67,8 @@
   Closes,
   // Names in every answer the rate that it accepts.
   NamesRate,
+  // Closes the connection in the middle of each stream.
+  BreaksOff,
 };
 
 // An upstream's server and the proxy between the gateways and the server.
@@ -107,6 +109,17 @@
   asio::awaitable<void> RunCaller(unsigned aNumber);
   asio::awaitable<void> SendRequest(wire::http_client& aClient,
                                     std::string aId);
+  // Sends the request for a resumable stream, and takes the stream up at other
+  // gateways while it is incomplete.
+  asio::awaitable<void> ReadStream(wire::http_client& aClient,
+                                   wire::http_request aRequest,
+                                   unsigned aGateway);
+  // Adds the events of one answer to aHeld. Returns its status; 0 if it is
+  // incomplete.
+  asio::awaitable<unsigned> ReadPart(wire::http_client& aClient,
+                                     wire::http_request aRequest,
+                                     unsigned aGateway,
+                                     std::string& aHeld);
   asio::awaitable<void> InjectFault();
   asio::awaitable<void> HandleUpstreamRequest(
     unsigned aNumber,
@@ -115,7 +128,11 @@
   asio::awaitable<void> RunUpstreamRequest(wire::http_headers aHeaders,
                                            const wire::http_request& aRequest,
                                            wire::http_reply& aReply,
-                                           upstream_state aState);
+                                           upstream_state aState,
+                                           const std::string& aSoftware);
+
+  // Half of the upstreams run another software version than the others.
+  static std::string SoftwareOf(unsigned aNumber);
 
   // Puts the routing with mKeys and mRoutingVersion into the store. Returns
   // whether the store has acknowledged it.
--- a/programs/soak/main.cpp
+++ b/programs/soak/main.cpp
@@ -27,6 +27,7 @@
   std::cout << "seed=" << aOptions.mSeed << " faults=" << totals.mFaults
             << " requests=" << totals.mRequests << " served=" << totals.mServed
             << " refused=" << totals.mRefused << " lost=" << totals.mLost
+            << " taken_up=" << totals.mTakenUp << " went_on=" << totals.mWentOn
             << " broken=" << harness.Checker().Violations().size() << std::endl;
   for (const auto& line : harness.Checker().Violations()) {
     std::cout << "  " << line << '\n';
--- a/src/sapphirespar/soak/invariant_checker.cpp
+++ b/src/sapphirespar/soak/invariant_checker.cpp
@@ -3,6 +3,8 @@
 #include "sapphirespar/soak/invariant_checker.hpp"
 
 #include <algorithm>
+#include <sstream>
+#include <string_view>
 
 namespace sapphirespar::soak {
 namespace {
@@ -42,6 +44,45 @@
   return "id: " + number + "\ndata: " + aId + "-" + number + "\n\n";
 }
 
+std::string
+WithSoftware(const std::string& aEvent, const std::string& aSoftware)
+{
+  return "software: " + aSoftware + "\n" + aEvent;
+}
+
+std::pair<std::string, std::set<std::string>>
+invariant_checker::WithoutSoftware(const std::string& aEvents)
+{
+  std::istringstream lines(aEvents);
+  std::pair<std::string, std::set<std::string>> result;
+  for (std::string line; std::getline(lines, line);) {
+    constexpr std::string_view kField = "software: ";
+    if (line.starts_with(kField)) {
+      result.second.insert(line.substr(kField.size()));
+    } else {
+      result.first += line + "\n";
+    }
+  }
+  return result;
+}
+
+void
+invariant_checker::RecordStream(const std::string& aId,
+                                const std::string& aHeld,
+                                bool aComplete)
+{
+  const auto [events, versions] = WithoutSoftware(aHeld);
+  if (versions.size() > 1) {
+    AddViolation("a stream holds events of two software versions", aId);
+  }
+  const auto expected = ExpectedBody(aId, request_kind::ResumableStream);
+  if (aComplete ? events != expected : !expected.starts_with(events)) {
+    AddViolation("a resumable stream is incomplete or has the wrong events",
+                 aId + ", " + std::to_string(events.size()) + " of " +
+                   std::to_string(expected.size()) + " bytes");
+  }
+}
+
 std::string
 invariant_checker::ExpectedBody(const std::string& aId, request_kind aKind)
 {
@@ -226,10 +267,31 @@
                    std::to_string(expected.size()) + " bytes, differs from " +
                    std::to_string(differ - aBody.begin()));
   }
+  CountStatus(request, aId, aStatus);
+}
+
+void
+invariant_checker::RecordPart(const std::string& aId, unsigned aStatus)
+{
+  CountStatus(mRequests[aId], aId, aStatus);
+}
+
+std::string
+invariant_checker::KeyOf(const std::string& aId) const
+{
+  return mRequests.at(aId).mKey;
+}
+
+void
+invariant_checker::CountStatus(request_record& aRequest,
+                               const std::string& aId,
+                               unsigned aStatus)
+{
+  const bool success = aStatus == 200;
   const bool refused =
     aStatus == 408 || aStatus == 421 || aStatus == 429 || aStatus == 503;
-  request.mReportedNotRun = refused && RunsAtMostOnce(request.mKind);
-  if (request.mReportedNotRun && request.mRuns > 0) {
+  aRequest.mReportedNotRun = refused && RunsAtMostOnce(aRequest.mKind);
+  if (aRequest.mReportedNotRun && aRequest.mRuns > 0) {
     AddViolation("a request that has run is reported as not run", aId);
   }
   mTotals.mServed += success ? 1 : 0;
--- a/src/sapphirespar/soak/invariant_checker_test.cpp
+++ b/src/sapphirespar/soak/invariant_checker_test.cpp
@@ -30,6 +30,34 @@
   EXPECT_EQ(Violations(), 0U);
 }
 
+TEST_F(invariant_checker_test, ReportsStreamsOfTwoSoftwareVersions)
+{
+  Send(request_kind::ResumableStream);
+  const auto event = [](int aNumber, const char* aSoftware) {
+    return WithSoftware(ExpectedEvent("r", aNumber), aSoftware);
+  };
+  mChecker.RecordStream("r", event(1, "v1") + event(2, "v1"), false);
+  EXPECT_EQ(Violations(), 0U);
+  mChecker.RecordStream("r", event(1, "v1") + event(2, "v2"), false);
+  EXPECT_EQ(Violations(), 1U);
+}
+
+TEST_F(invariant_checker_test, ReportsGapsInStreamsThatAreTakenUp)
+{
+  Send(request_kind::ResumableStream);
+  std::string whole;
+  for (int number = 1; number <= kStreamEvents; ++number) {
+    whole += WithSoftware(ExpectedEvent("r", number), "v1");
+  }
+  mChecker.RecordStream("r", whole, true);
+  EXPECT_EQ(Violations(), 0U);
+  mChecker.RecordStream(
+    "r", ExpectedEvent("r", 1) + ExpectedEvent("r", 3), false);
+  EXPECT_EQ(Violations(), 1U);
+  mChecker.RecordStream("r", ExpectedEvent("r", 1), true);
+  EXPECT_EQ(Violations(), 2U);
+}
+
 TEST_F(invariant_checker_test, ReportsASecondRunOfAnAtMostOnceRequest)
 {
   Send(request_kind::AtMostOnce);
--- a/src/sapphirespar/soak/soak_store.cpp
+++ b/src/sapphirespar/soak/soak_store.cpp
@@ -99,6 +99,7 @@
   entry["slots"] = 16;
   entry["state"] = "ready";
   entry["born"] = mUpstreams[aNumber].mBorn;
+  entry["version"] = SoftwareOf(aNumber);
   json::object body;
   body["metadata"] = json::object{ { "name", name }, { "revision", revision } };
   body["spec"] = std::move(entry);
--- a/src/sapphirespar/soak/soak_upstreams.cpp
+++ b/src/sapphirespar/soak/soak_upstreams.cpp
@@ -98,14 +98,16 @@
     co_await SendWithoutEnd(mContext, std::move(headers), aReply, fast);
     co_return;
   }
-  co_await RunUpstreamRequest(std::move(headers), aRequest, aReply, state);
+  co_await RunUpstreamRequest(
+    std::move(headers), aRequest, aReply, state, SoftwareOf(aNumber));
 }
 
 asio::awaitable<void>
 soak_harness::RunUpstreamRequest(wire::http_headers aHeaders,
                                  const wire::http_request& aRequest,
                                  wire::http_reply& aReply,
-                                 upstream_state aState)
+                                 upstream_state aState,
+                                 const std::string& aSoftware)
 {
   constexpr milliseconds kEventInterval{ 25 };
   constexpr milliseconds kSilence{ 1000 };
@@ -127,9 +129,17 @@
   aHeaders.push_back({ "Content-Type", "text/event-stream" });
   const std::string last(aRequest.Header("Last-Event-Id"));
   const int from = last.empty() ? 1 : std::stoi(last) + 1;
+  const std::string resumed(aRequest.Header("Resumes"));
+  const bool resumable = aRequest.mTarget.starts_with("/resume/");
   bool connected = co_await aReply.Begin(200, std::move(aHeaders));
   for (int number = from; connected && number <= kStreamEvents; ++number) {
-    const auto event = ExpectedEvent(id, number);
+    if (aState == upstream_state::BreaksOff && number > kSilentAfter) {
+      co_return;
+    }
+    auto event = ExpectedEvent(resumed.empty() ? id : resumed, number);
+    if (resumable) {
+      event = WithSoftware(event, aSoftware);
+    }
     connected = co_await aReply.Write(event);
     timer.expires_after(silent && number == kSilentAfter ? kSilence
                                                          : kEventInterval);
@@ -140,6 +150,12 @@
   }
 }
 
+std::string
+soak_harness::SoftwareOf(unsigned aNumber)
+{
+  return aNumber % 2 == 0 ? "v1" : "v2";
+}
+
 asio::awaitable<void>
 soak_harness::ChangeUpstream(unsigned aNumber, upstream_state aState)
 {
--- a/src/sapphirespar/soak/soak_workload.cpp
+++ b/src/sapphirespar/soak/soak_workload.cpp
@@ -74,6 +74,10 @@
                        { "X-Deadline-Ms", "4000" },
                        { "Authorization", "Bearer " + key } };
   mChecker.RecordSent(aId, route.mKind, key, gateway);
+  if (route.mKind == request_kind::ResumableStream) {
+    co_await ReadStream(aClient, std::move(request), gateway);
+    co_return;
+  }
   auto response =
     co_await aClient.Fetch(endpoint, std::move(request), kCallerTimeout);
   const bool received = response.has_value();
@@ -87,6 +91,83 @@
                           received ? response.value().mBody : std::string{});
 }
 
+asio::awaitable<void>
+soak_harness::ReadStream(wire::http_client& aClient,
+                         wire::http_request aRequest,
+                         unsigned aGateway)
+{
+  constexpr int kTries = 4;
+  constexpr milliseconds kPause{ 30 };
+  const std::string id(aRequest.Header("X-Request-Id"));
+  const std::string key = mChecker.KeyOf(id);
+  std::string held;
+  std::string tryId = id;
+  for (int count = 1; count <= kTries; ++count) {
+    auto request = aRequest;
+    const auto before = held.size();
+    if (before > 0) {
+      tryId = id + "+" + std::to_string(count);
+      const auto events = invariant_checker::WithoutSoftware(held).first;
+      const auto at = events.rfind("id: ") + 4;
+      auto last = events.substr(at, events.find('\n', at) - at);
+      for (auto& header : request.mHeaders) {
+        if (header.mName == "X-Request-Id") {
+          header.mValue = tryId;
+        }
+      }
+      request.mHeaders.push_back({ "Last-Event-Id", std::move(last) });
+      request.mHeaders.push_back({ "Resumes", id });
+      aGateway = Draw(mOptions.mGateways);
+      mChecker.RecordSent(tryId, request_kind::ResumableStream, key, aGateway);
+      ++mChecker.Totals().mTakenUp;
+    }
+    const auto status =
+      co_await ReadPart(aClient, std::move(request), aGateway, held);
+    const bool complete = status == 200;
+    mChecker.RecordPart(tryId, status);
+    mChecker.RecordStream(id, held, complete);
+    mChecker.Totals().mWentOn += before > 0 && held.size() > before ? 1 : 0;
+    if (complete || held.empty()) {
+      co_return;
+    }
+    co_await Sleep(kPause);
+  }
+}
+
+asio::awaitable<unsigned>
+soak_harness::ReadPart(wire::http_client& aClient,
+                       wire::http_request aRequest,
+                       unsigned aGateway,
+                       std::string& aHeld)
+{
+  constexpr milliseconds kCallerTimeout{ 4500 };
+  constexpr std::uint16_t kCallerPort = 18080;
+  wire::endpoint endpoint;
+  endpoint.mAddress = mGateways[aGateway]->mAddress;
+  endpoint.mPort = kCallerPort;
+  const auto opened = co_await aClient.Open(
+    std::move(endpoint), std::move(aRequest), kCallerTimeout);
+  if (!opened) {
+    co_return 0;
+  }
+  auto& stream = *opened.value();
+  if (stream.Head().mStatus != 200) {
+    co_return stream.Head().mStatus;
+  }
+  std::string received;
+  while (!stream.Finished()) {
+    const auto piece = co_await stream.Read(kCallerTimeout);
+    if (!piece) {
+      break;
+    }
+    received += piece.value();
+  }
+  // What follows the last whole event is not kept.
+  const auto end = received.rfind("\n\n");
+  aHeld += end == std::string::npos ? "" : received.substr(0, end + 2);
+  co_return stream.Finished() ? 200 : 0;
+}
+
 asio::awaitable<void>
 soak_harness::InjectFaults()
 {
@@ -143,6 +224,7 @@
     upstream_state::Refuses,       upstream_state::EndlessBytes,
     upstream_state::TrickledBytes, upstream_state::Silent,
     upstream_state::Closes,        upstream_state::NamesRate,
+    upstream_state::BreaksOff,
   };
   const auto gatewayNumber = Draw(mOptions.mGateways);
   const auto upstreamNumber = Draw(mOptions.mUpstreams);
