--- a/src/sapphirespar/gateway/forward_silent_upstream_test.cpp
+++ b/src/sapphirespar/gateway/forward_silent_upstream_test.cpp
@@ -204,5 +204,23 @@
   EXPECT_EQ(SendRequest("/safe/x").mBody, "body");
 }
 
+// The only upstream is silent, so that nothing at all comes from upstreams.
+TEST_F(forward_silent_upstream_test, AShortSilenceIsNotTakenForALostPath)
+{
+  Publish();
+  AddUpstream("a",
+              [](const wire::http_request& aRequest,
+                 wire::http_reply& aReply) -> asio::awaitable<void> {
+                co_await Sleep(kStreamSilence);
+                co_await AnswerAfterSilence(aRequest, aReply);
+              });
+  mHelpers = { { "127.0.0.1", 1 } };
+  for (const auto* path : { "/safe/x", "/once/x" }) {
+    EXPECT_EQ(SendRequest(path).mStatus, 200U) << path;
+    EXPECT_FALSE(mReach.IsCutOff());
+  }
+  EXPECT_EQ(mArrivals["a"], 2U);
+}
+
 } // namespace
 } // namespace sapphirespar::gateway
