--- a/include/sapphirespar/soak/soak_harness.hpp
+++ b/include/sapphirespar/soak/soak_harness.hpp
@@ -31,6 +31,8 @@
   std::chrono::seconds mDuration{ 8 };
   // Path of the sapphirespar-gateway executable.
   std::string mGatewayProgram;
+  // Keep the gateways' logs even if nothing was broken.
+  bool mKeepLogs = false;
 };
 
 // A gateway process and the proxy between it and the store.
--- a/programs/soak/main.cpp
+++ b/programs/soak/main.cpp
@@ -35,7 +35,7 @@
   // A soak in which few requests are served doesn't exercise the guarantees.
   const bool passed = harness.Checker().Violations().empty() &&
                       totals.mServed > totals.mRequests / 10;
-  if (passed) {
+  if (passed && !aOptions.mKeepLogs) {
     std::filesystem::remove_all(harness.Directory());
   } else {
     std::cout << "  logs: " << harness.Directory().string() << std::endl;
@@ -62,6 +62,8 @@
     ->check(CLI::Range(1, 200));
   options.add_option("--callers", soakOptions.mCallers, "Callers")
     ->check(CLI::Range(1, 5000));
+  options.add_flag(
+    "--keep-logs", soakOptions.mKeepLogs, "Keep the gateways' logs");
   options
     .add_option("--gateway", soakOptions.mGatewayProgram, "Gateway executable")
     ->required()
