Soak: let nothing follow bytes that the proxy has dropped

The proxy dropped bytes for a while and then passed later ones of the same connection, which TCP never delivers; gateways could not tell such a gap from a sound answer. The new test got "one three" of "one two three" before, and gets "one" now.

--- a/include/sapphirespar/soak/fault_proxy.hpp
+++ b/include/sapphirespar/soak/fault_proxy.hpp
@@ -21,9 +21,10 @@
   Delay,
   // Open connections are reset, and new ones as soon as they are accepted.
   Reset,
-  // Bytes from the connecting side are dropped; bytes to it still pass.
+  // Bytes from the connecting side are dropped, for good on connections that
+  // send any meanwhile; bytes to it still pass.
   DropRequests,
-  // Bytes to the connecting side are dropped; bytes from it still pass.
+  // The same for bytes to the connecting side.
   DropResponses,
   // No bytes pass in either direction, and connections stay open. The proxy
   // forwards the held bytes when the fault ends.
--- a/src/sapphirespar/soak/fault_proxy.cpp
+++ b/src/sapphirespar/soak/fault_proxy.cpp
@@ -78,6 +78,9 @@
 Relay(state_ptr aState, socket_ptr aFrom, socket_ptr aTo, direction aDirection)
 {
   std::array<char, 16 * 1024> bytes{};
+  // No later bytes pass once some were dropped: TCP delivers none with a gap
+  // before them.
+  bool dropped = false;
   while (true) {
     const auto [readError, count] =
       co_await aFrom->async_read_some(asio::buffer(bytes), kAsTuple);
@@ -91,7 +94,8 @@
     if (aState->mFault == link_fault::Delay) {
       co_await Sleep(kDelay);
     }
-    if (IsDropped(aState->mFault, aDirection)) {
+    dropped = dropped || IsDropped(aState->mFault, aDirection);
+    if (dropped) {
       continue;
     }
     const auto [writeError, written] = co_await asio::async_write(
