Move the refusal of long waits beside the other refusals

What refuses a request before its first attempt now stands in forward_admission, and the wait for the verdict on the path in peer_relay. No behaviour changes.

--- a/src/sapphirespar/gateway/forward.cpp
+++ b/src/sapphirespar/gateway/forward.cpp
@@ -9,13 +9,7 @@
 #include "placement.hpp"
 #include "stream_takeover.hpp"
 
-#include "sapphirespar/base/log.hpp"
 #include "sapphirespar/policy/retry.hpp"
-#include "sapphirespar/policy/wait_limit.hpp"
-
-#include <boost/asio/as_tuple.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
 
@@ -140,8 +134,12 @@
             mProgress.mSoftware ? "no_upstream_of_version" : "no_upstream";
           co_return co_await FinishUnanswered(reason, kRetryLater);
         }
-        if (const auto refusal = CheckWait(*target)) {
-          co_return refusal;
+        // Not for streams that are taken up, which can't go to upstreams of
+        // other versions instead.
+        if (mProgress.mSends == 0 && !mProgress.mSoftware) {
+          if (const auto refusal = CheckWait(mServices, mForwarded, *target)) {
+            co_return refusal;
+          }
         }
         Start(std::move(*target));
       }
@@ -199,13 +197,7 @@
   // upstreams can be reached.
   asio::awaitable<bool> MayRelaySoon()
   {
-    constexpr milliseconds kCheck{ 10 };
-    asio::steady_timer timer(co_await asio::this_coro::executor);
-    while (mServices.mReach.IsProbing() && !mProgress.mCallerGone &&
-           LeftUntil(mForwarded.mDeadline) > kCheck) {
-      timer.expires_after(kCheck);
-      co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
-    }
+    co_await WaitForProbes(mServices, mForwarded, mProgress);
     co_return MayRelay() && !mProgress.mCallerGone;
   }
 
@@ -304,42 +296,6 @@
     }
   }
 
-  // Refuses a request for an engine if the predicted wait is too long. Only a
-  // request that has not been sent to any upstream is refused, and no stream
-  // that is taken up, which can't go to upstreams of other versions instead.
-  std::optional<refusal_answer> CheckWait(const attempt_target& aTarget)
-  {
-    if (!mForwarded.mEngine || mProgress.mSends > 0 || mProgress.mSoftware) {
-      return std::nullopt;
-    }
-    policy::expected_wait wait;
-    wait.mFirstEvent =
-      milliseconds(static_cast<std::int64_t>(aTarget.mPredictedMs));
-    wait.mQueueing =
-      milliseconds(static_cast<std::int64_t>(aTarget.mQueueingMs));
-    wait.mSlotsTaken = aTarget.mSlotsTaken;
-    wait.mInteractive = aTarget.mInteractive;
-    wait.mTarget = mForwarded.mRoute->mTargetLatency;
-    wait.mPatience = std::min({ CallerPatience(*mForwarded.mRoute),
-                                LeftUntil(mForwarded.mDeadline),
-                                LeftUntil(mForwarded.mCallerDeadline) });
-    const auto retryAfter = policy::CheckWaitLimit(wait, mServices.mDraw());
-    if (!retryAfter) {
-      return std::nullopt;
-    }
-    constexpr double kPercent = 100;
-    LogEvent(log_level::Info,
-             "wait_refused",
-             { { "request", mForwarded.mInfo.mId },
-               { "upstream", aTarget.mUpstream->mEntry.mId.mText },
-               { "predicted_ms", wait.mFirstEvent.count() },
-               { "queueing_ms", wait.mQueueing.count() },
-               { "slots_taken_percent",
-                 static_cast<int>(kPercent * wait.mSlotsTaken) },
-               { "others_running", aTarget.mUpstream->mPeerLoad.mRunning } });
-    return refusal_answer{ 503, "too_long_a_wait", *retryAfter };
-  }
-
   // Whether another attempt is allowed after one that has ended like this.
   // Spends a retry if so.
   bool MayTryAgain(attempt_end aEnd)
--- a/src/sapphirespar/gateway/forward_admission.cpp
+++ b/src/sapphirespar/gateway/forward_admission.cpp
@@ -1,7 +1,11 @@
 // Route, key, deadlines and pool of a request.
 #include "forward_admission.hpp"
 
+#include "placement.hpp"
+
+#include "sapphirespar/base/log.hpp"
 #include "sapphirespar/gateway/request_fingerprint.hpp"
+#include "sapphirespar/policy/wait_limit.hpp"
 
 #include <algorithm>
 #include <iterator>
@@ -144,4 +148,39 @@
   return CheckCrashes(aServices, aForwarded);
 }
 
+std::optional<refusal_answer>
+CheckWait(const forward_services& aServices,
+          const forwarded_request& aForwarded,
+          const attempt_target& aTarget)
+{
+  if (!aForwarded.mEngine) {
+    return std::nullopt;
+  }
+  policy::expected_wait wait;
+  wait.mFirstEvent =
+    milliseconds(static_cast<std::int64_t>(aTarget.mPredictedMs));
+  wait.mQueueing = milliseconds(static_cast<std::int64_t>(aTarget.mQueueingMs));
+  wait.mSlotsTaken = aTarget.mSlotsTaken;
+  wait.mInteractive = aTarget.mInteractive;
+  wait.mTarget = aForwarded.mRoute->mTargetLatency;
+  wait.mPatience = std::min({ CallerPatience(*aForwarded.mRoute),
+                              LeftUntil(aForwarded.mDeadline),
+                              LeftUntil(aForwarded.mCallerDeadline) });
+  const auto retryAfter = policy::CheckWaitLimit(wait, aServices.mDraw());
+  if (!retryAfter) {
+    return std::nullopt;
+  }
+  constexpr double kPercent = 100;
+  LogEvent(
+    log_level::Info,
+    "wait_refused",
+    { { "request", aForwarded.mInfo.mId },
+      { "upstream", aTarget.mUpstream->mEntry.mId.mText },
+      { "predicted_ms", wait.mFirstEvent.count() },
+      { "queueing_ms", wait.mQueueing.count() },
+      { "slots_taken_percent", static_cast<int>(kPercent * wait.mSlotsTaken) },
+      { "others_running", aTarget.mUpstream->mPeerLoad.mRunning } });
+  return refusal_answer{ 503, "too_long_a_wait", *retryAfter };
+}
+
 } // namespace sapphirespar::gateway
--- a/src/sapphirespar/gateway/forward_admission.hpp
+++ b/src/sapphirespar/gateway/forward_admission.hpp
@@ -26,6 +26,12 @@
   boot_time aArrival,
   std::optional<boot_clock::duration> aRoutingAge);
 
+// Returns the refusal of a request that has not been sent to any upstream if it
+// is for an engine and the predicted wait there is too long.
+std::optional<refusal_answer> CheckWait(const forward_services& aServices,
+                                        const forwarded_request& aForwarded,
+                                        const attempt_target& aTarget);
+
 // Sets the pool whose upstreams may answer the request.
 void SetPool(forwarded_request& aForwarded, std::string aPool);
 
--- a/src/sapphirespar/gateway/peer_relay.cpp
+++ b/src/sapphirespar/gateway/peer_relay.cpp
@@ -5,6 +5,10 @@
 
 #include "sapphirespar/base/log.hpp"
 
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
 #include <algorithm>
 #include <array>
 #include <utility>
@@ -217,6 +221,20 @@
 
 } // namespace
 
+asio::awaitable<void>
+WaitForProbes(const forward_services& aServices,
+              const forwarded_request& aForwarded,
+              const relay_progress& aProgress)
+{
+  constexpr milliseconds kCheck{ 10 };
+  asio::steady_timer timer(co_await asio::this_coro::executor);
+  while (aServices.mReach.IsProbing() && !aProgress.mCallerGone &&
+         LeftUntil(aForwarded.mDeadline) > kCheck) {
+    timer.expires_after(kCheck);
+    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+  }
+}
+
 asio::awaitable<relay_result>
 RelayToGateway(const forward_services& aServices,
                const forwarded_request& aForwarded,
--- a/src/sapphirespar/gateway/peer_relay.hpp
+++ b/src/sapphirespar/gateway/peer_relay.hpp
@@ -8,6 +8,12 @@
 
 namespace sapphirespar::gateway {
 
+// Waits while it is in question whether any upstream can be reached, until the
+// request's deadline at the latest.
+asio::awaitable<void> WaitForProbes(const forward_services& aServices,
+                                    const forwarded_request& aForwarded,
+                                    const relay_progress& aProgress);
+
 enum class relay_end
 {
   // The complete answer was sent to the caller.
