--- a/include/sapphirespar/gateway/brittle_guard.hpp
+++ b/include/sapphirespar/gateway/brittle_guard.hpp
@@ -61,6 +61,8 @@
 
   timer_service& mTimers;
   const brittle_hooks mHooks;
+  // Pauses after rejections of this gateway's requests; at most one for each
+  // upstream.
   std::vector<own_pause> mOwn;
   peer_alert mAlert;
 };
--- a/src/sapphirespar/gateway/stream_versions.cpp
+++ b/src/sapphirespar/gateway/stream_versions.cpp
@@ -14,8 +14,8 @@
 
 using std::chrono::milliseconds;
 
-// Other gateways that keep a record, so that it outlives the loss of a third of
-// the fleet in all but one of a hundred cases.
+// Other gateways that keep a record. A third of the fleet, lost at once, takes
+// all of them along in one of 27 cases.
 constexpr std::size_t kKeepers = 3;
 
 // Gateways that are asked. More than the keepers, as the asker may know of
