--- /dev/null
+++ b/review/2/case.cpp
@@ -0,0 +1,204 @@
+// A server fails part of its requests and says so as an event stream: whether a
+// stream that another server began goes on with the failure, as if it were
+// complete.
+#include "../common/traffic.hpp"
+
+#include <iostream>
+
+namespace {
+
+using namespace review;
+using std::chrono::steady_clock;
+
+constexpr unsigned kServers = 9;
+constexpr int kEvents = 20;
+constexpr milliseconds kEventInterval{ 100 };
+
+// A sound server may fall silent for a second or so and go on.
+constexpr milliseconds kSilence{ 1300 };
+constexpr milliseconds kBetweenSilences{ 900 };
+
+// The server that fails does so for two of five requests.
+constexpr unsigned kFailures = 2;
+constexpr unsigned kOutOf = 5;
+
+constexpr std::string_view kFailureText = "this server has failed";
+
+std::string
+Event(int aNumber, std::string_view aText)
+{
+  return "id: " + std::to_string(aNumber) + "\ndata: " + std::string(aText) +
+         "\n\n";
+}
+
+std::string
+Chunk(const std::string& aText)
+{
+  std::ostringstream text;
+  text << std::hex << aText.size() << "\r\n" << aText << "\r\n";
+  return text.str();
+}
+
+// A model server that streams events and can go on after any of them.
+class stream_server
+{
+public:
+  stream_server(std::string aId, bool aFails, ledger& aLedger)
+    : mId(std::move(aId))
+    , mFails(aFails)
+    , mLedger(aLedger)
+    , mListener("127.0.0.1", [this](connection& aPeer) { Serve(aPeer); })
+  {
+  }
+
+  const std::string& Id() const { return mId; }
+  address Where() const { return mListener.Where(); }
+  void FallSilent() { mSilentUntil = steady_clock::now() + kSilence; }
+
+private:
+  void Serve(connection& aPeer)
+  {
+    constexpr std::chrono::seconds kIdle{ 30 };
+    bool open = true;
+    while (open) {
+      const auto request = aPeer.Read(steady_clock::now() + kIdle);
+      open = request && Answer(aPeer, *request);
+    }
+  }
+
+  bool Answer(connection& aPeer, const http_message& aRequest)
+  {
+    const auto id = aRequest.Header("X-Request-Id");
+    const std::vector<std::pair<std::string, std::string>> headers{
+      { "X-Request-Id", id },
+      { "X-Upstream-Signature", "made-" + mId + "-" + id },
+      { "Content-Type", "text/event-stream" }
+    };
+    const auto last = aRequest.Header("Last-Event-Id");
+    const int from = last.empty() ? 0 : std::stoi(last);
+    const auto number = mLedger.Add({ id, mId, steady_clock::now() });
+    if (mFails && ++mRequests % kOutOf < kFailures) {
+      constexpr int kNotFound = 404;
+      return aPeer.Write(ToText(
+        MakeResponse(kNotFound, headers, Event(from + 1, kFailureText))));
+    }
+    mLedger.MarkRan(number);
+    http_message head;
+    head.mStart = "HTTP/1.1 200 OK";
+    head.mHeaders = headers;
+    head.mHeaders.emplace_back("Transfer-Encoding", "chunked");
+    bool open = aPeer.Write(ToText(head));
+    for (int event = from + 1; open && event <= kEvents; ++event) {
+      std::this_thread::sleep_for(kEventInterval);
+      std::this_thread::sleep_until(mSilentUntil.load());
+      open = aPeer.Write(Chunk(Event(event, "by " + mId)));
+    }
+    if (open) {
+      mLedger.MarkAnswered(number);
+    }
+    return open && aPeer.Write("0\r\n\r\n");
+  }
+
+  std::string mId;
+  bool mFails;
+  ledger& mLedger;
+  std::atomic<unsigned> mRequests{ 0 };
+  std::atomic<steady_time> mSilentUntil{ steady_time{} };
+  listener mListener;
+};
+
+// Whether a complete answer has each event once and nothing else.
+bool
+IsWhole(const std::string& aBody)
+{
+  std::size_t at = 0;
+  for (int event = 1; event <= kEvents; ++event) {
+    const auto start = "id: " + std::to_string(event) + "\ndata: by ";
+    if (aBody.compare(at, start.size(), start) != 0) {
+      return false;
+    }
+    at = aBody.find("\n\n", at) + 2;
+  }
+  return at == aBody.size();
+}
+
+} // namespace
+
+int
+main(int aCount, char** aArguments)
+{
+  record written(aCount > 1 ? aArguments[1] : "record.txt");
+  ledger seen;
+  store platform("127.0.0.1");
+  std::vector<std::unique_ptr<stream_server>> servers;
+  for (unsigned number = 0; number < kServers; ++number) {
+    const bool fails = number == 0 && !WithoutTrouble();
+    servers.push_back(std::make_unique<stream_server>(
+      "i-90bb13a" + std::to_string(number), fails, seen));
+    const auto& server = *servers.back();
+    platform.Write("servers",
+                   server.Id(),
+                   ServerEntry("sapphirespar-pool", server.Where(), "ready"));
+  }
+  constexpr int kTimeoutMs = 15000;
+  platform.Write("config",
+                 "main",
+                 ConfigSpec(4,
+                            { { "lohu930",
+                                "streaming",
+                                "sapphirespar-pool",
+                                kTimeoutMs,
+                                2,
+                                true } }));
+  fleet gateways({}, platform.Where());
+  if (!gateways.WaitUntilReady(std::chrono::seconds(20))) {
+    written.Line("gateways are not ready");
+    return static_cast<int>(verdict::NotRun);
+  }
+  clients callers(gateways, seen);
+  clients::plan plan;
+  plan.mRoute = "lohu930";
+  plan.mKind = "streaming";
+  plan.mDeadlineMs = kTimeoutMs;
+  constexpr unsigned kClients = 60;
+  for (unsigned number = 0; number < kClients; ++number) {
+    callers.Start(
+      plan, number % gateways.Gateways().size(), "c" + std::to_string(number));
+  }
+  constexpr unsigned kSilences = 66;
+  for (unsigned number = 0; number < kSilences; ++number) {
+    std::this_thread::sleep_for(kBetweenSilences);
+    servers[number % kServers]->FallSilent();
+  }
+  callers.Stop();
+  if (gateways.AnyEnded()) {
+    written.Line("a gateway has ended");
+    return static_cast<int>(verdict::NotRun);
+  }
+  WriteAll(written, seen);
+  constexpr int kSuccess = 200;
+  std::size_t whole = 0;
+  std::size_t failed = 0;
+  std::size_t other = 0;
+  for (const auto& item : seen.Outcomes()) {
+    const bool success = item.mStatus == kSuccess;
+    const bool sound = success && IsWhole(item.mBody);
+    whole += sound ? 1 : 0;
+    if (success && !sound) {
+      const bool spliced = item.mBody.find(kFailureText) != std::string::npos;
+      (spliced ? failed : other) += 1;
+      written.Line("MIXED ", item.mId, " got 200, complete, with the body:");
+      written.Line(item.mBody);
+    }
+  }
+  written.Line("complete streams: ",
+               whole,
+               " whole, ",
+               failed,
+               " with a server's failure in them, ",
+               other,
+               " wrong in another way");
+  const auto judged = failed + other > 0 ? verdict::Broken : verdict::Held;
+  std::cout << "verdict " << static_cast<int>(judged) << '\n';
+  return static_cast<int>(judged);
+}
