--- a/review/common/traffic.cpp
+++ b/review/common/traffic.cpp
@@ -191,6 +191,7 @@
 {
   constexpr milliseconds kConnectTimeout{ 1000 };
   constexpr milliseconds kPatience{ 500 };
+  constexpr int kFinal = 200;
   std::unique_ptr<connection> kept;
   for (unsigned number = 0; !mStopped; ++number) {
     std::this_thread::sleep_for(aPlan.mPause);
@@ -207,8 +208,13 @@
       aPlan.mMethod, aPlan.mRoute, seen.mId, aPlan.mDeadlineMs, body);
     std::optional<http_message> answer;
     if (kept && kept->Write(ToText(request))) {
-      answer =
-        kept->Read(seen.mSent + milliseconds(aPlan.mDeadlineMs) + kPatience);
+      const auto until =
+        seen.mSent + milliseconds(aPlan.mDeadlineMs) + kPatience;
+      answer = kept->Read(until);
+      while (answer && answer->Status() < kFinal) {
+        seen.mInterim = answer->Status();
+        answer = kept->Read(until);
+      }
     }
     seen.mEnded = steady_clock::now();
     if (answer) {
@@ -249,7 +255,9 @@
                  " ended_ms=",
                  aRecord.Elapsed(seen.mEnded),
                  " status=",
-                 seen.mStatus);
+                 seen.mStatus,
+                 " interim=",
+                 seen.mInterim);
   }
 }
 
--- a/review/common/traffic.hpp
+++ b/review/common/traffic.hpp
@@ -27,8 +27,10 @@
   std::string mGateway;
   steady_time mSent;
   steady_time mEnded;
-  // 0 if the connection ended without a complete answer.
+  // Of the final answer; 0 without a complete one.
   int mStatus = 0;
+  // Of the latest answer that isn't final; 0 without one.
+  int mInterim = 0;
   std::string mBody;
 };
 
