--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -1,18 +1,16 @@
 // A server fails part of its requests and says so as an event stream: whether a
 // stream that another server began goes on with the failure, as if it were
 // complete.
-#include "../common/traffic.hpp"
+#include "../common/streams.hpp"
 
 #include <iostream>
 
 namespace {
 
 using namespace review;
-using std::chrono::steady_clock;
 
 constexpr unsigned kServers = 9;
 constexpr int kEvents = 20;
-constexpr milliseconds kEventInterval{ 100 };
 
 // A sound server may fall silent for a second or so and go on.
 constexpr milliseconds kSilence{ 1300 };
@@ -24,88 +22,28 @@
 
 constexpr std::string_view kFailureText = "this server has failed";
 
-std::string
-Event(int aNumber, std::string_view aText)
+// Fails for two of five requests, and says so in the form of the route's
+// answers.
+std::function<std::optional<bool>(connection&, const http_message&, int)>
+MakeFailing(const std::string& aId)
 {
-  return "id: " + std::to_string(aNumber) + "\ndata: " + std::string(aText) +
-         "\n\n";
-}
-
-std::string
-Chunk(const std::string& aText)
-{
-  std::ostringstream text;
-  text << std::hex << aText.size() << "\r\n" << aText << "\r\n";
-  return text.str();
-}
-
-// A model server that streams events and can go on after any of them.
-class stream_server
-{
-public:
-  stream_server(std::string aId, bool aFails, ledger& aLedger)
-    : mId(std::move(aId))
-    , mFails(aFails)
-    , mLedger(aLedger)
-    , mListener("127.0.0.1", [this](connection& aPeer) { Serve(aPeer); })
-  {
-  }
-
-  const std::string& Id() const { return mId; }
-  address Where() const { return mListener.Where(); }
-  void FallSilent() { mSilentUntil = steady_clock::now() + kSilence; }
-
-private:
-  void Serve(connection& aPeer)
-  {
-    constexpr std::chrono::seconds kIdle{ 30 };
-    bool open = true;
-    while (open) {
-      const auto request = aPeer.Read(steady_clock::now() + kIdle);
-      open = request && Answer(aPeer, *request);
+  const auto requests = std::make_shared<std::atomic<unsigned>>(0);
+  return [aId, requests](connection& aPeer,
+                         const http_message& aRequest,
+                         int aNextEvent) -> std::optional<bool> {
+    if (++*requests % kOutOf >= kFailures) {
+      return std::nullopt;
     }
-  }
-
-  bool Answer(connection& aPeer, const http_message& aRequest)
-  {
+    constexpr int kNotFound = 404;
     const auto id = aRequest.Header("X-Request-Id");
-    const std::vector<std::pair<std::string, std::string>> headers{
-      { "X-Request-Id", id },
-      { "X-Upstream-Signature", "made-" + mId + "-" + id },
-      { "Content-Type", "text/event-stream" }
-    };
-    const auto last = aRequest.Header("Last-Event-Id");
-    const int from = last.empty() ? 0 : std::stoi(last);
-    const auto number = mLedger.Add({ id, mId, steady_clock::now() });
-    if (mFails && ++mRequests % kOutOf < kFailures) {
-      constexpr int kNotFound = 404;
-      return aPeer.Write(ToText(
-        MakeResponse(kNotFound, headers, Event(from + 1, kFailureText))));
-    }
-    mLedger.MarkRan(number);
-    http_message head;
-    head.mStart = "HTTP/1.1 200 OK";
-    head.mHeaders = headers;
-    head.mHeaders.emplace_back("Transfer-Encoding", "chunked");
-    bool open = aPeer.Write(ToText(head));
-    for (int event = from + 1; open && event <= kEvents; ++event) {
-      std::this_thread::sleep_for(kEventInterval);
-      std::this_thread::sleep_until(mSilentUntil.load());
-      open = aPeer.Write(Chunk(Event(event, "by " + mId)));
-    }
-    if (open) {
-      mLedger.MarkAnswered(number);
-    }
-    return open && aPeer.Write("0\r\n\r\n");
-  }
-
-  std::string mId;
-  bool mFails;
-  ledger& mLedger;
-  std::atomic<unsigned> mRequests{ 0 };
-  std::atomic<steady_time> mSilentUntil{ steady_time{} };
-  listener mListener;
-};
+    return aPeer.Write(ToText(
+      MakeResponse(kNotFound,
+                   { { "X-Request-Id", id },
+                     { "X-Upstream-Signature", "made-" + aId + "-" + id },
+                     { "Content-Type", "text/event-stream" } },
+                   stream_server::Event(aNextEvent, kFailureText))));
+  };
+}
 
 // Whether a complete answer has each event once and nothing else.
 bool
@@ -133,8 +71,13 @@
   std::vector<std::unique_ptr<stream_server>> servers;
   for (unsigned number = 0; number < kServers; ++number) {
     const bool fails = number == 0 && !WithoutTrouble();
-    servers.push_back(std::make_unique<stream_server>(
-      "i-90bb13a" + std::to_string(number), fails, seen));
+    stream_server::options options;
+    options.mId = "i-90bb13a" + std::to_string(number);
+    options.mText = "by " + options.mId;
+    options.mEvents = kEvents;
+    options.mInstead = fails ? MakeFailing(options.mId) : nullptr;
+    servers.push_back(
+      std::make_unique<stream_server>(std::move(options), seen));
     const auto& server = *servers.back();
     platform.Write("servers",
                    server.Id(),
@@ -168,7 +111,7 @@
   constexpr unsigned kSilences = 66;
   for (unsigned number = 0; number < kSilences; ++number) {
     std::this_thread::sleep_for(kBetweenSilences);
-    servers[number % kServers]->FallSilent();
+    servers[number % kServers]->FallSilent(kSilence);
   }
   callers.Stop();
   if (gateways.AnyEnded()) {
--- a/review/common/fleet.cpp
+++ b/review/common/fleet.cpp
@@ -327,19 +327,21 @@
 ServerEntry(const std::string& aService,
             const address& aWhere,
             const std::string& aState,
-            unsigned aSequence)
+            unsigned aSequence,
+            const std::string& aVersion,
+            unsigned aStarts)
 {
   json::object entry;
   entry["service"] = aService;
   entry["address"] = aWhere.Text();
   entry["zone"] = "valmiera";
-  entry["version"] = "1";
+  entry["version"] = aVersion;
   entry["slots"] = 6;
   entry["state"] = aState;
   entry["cold_remaining_ms"] = 0;
   entry["sequence"] = aSequence;
   constexpr std::int64_t kBorn = 1764892800000;
-  entry["born"] = kBorn;
+  entry["born"] = kBorn + aStarts;
   return json::serialize(entry);
 }
 
--- a/review/common/fleet.hpp
+++ b/review/common/fleet.hpp
@@ -125,11 +125,13 @@
   std::ofstream mFile;
 };
 
-// The entry of a server in the store.
+// The entry of a server in the store. Each start has a later time of birth.
 std::string ServerEntry(const std::string& aService,
                         const address& aWhere,
                         const std::string& aState,
-                        unsigned aSequence = 1);
+                        unsigned aSequence = 1,
+                        const std::string& aVersion = "v1",
+                        unsigned aStarts = 1);
 
 // Loopback addresses that depend on the process, so that cases can run at the
 // same time.
--- a/review/common/net.cpp
+++ b/review/common/net.cpp
@@ -252,10 +252,12 @@
   ::shutdown(mSocket, SHUT_RDWR);
 }
 
-listener::listener(const std::string& aHost, serve_hook aServe)
+listener::listener(const std::string& aHost,
+                   serve_hook aServe,
+                   std::uint16_t aPort)
   : mServe(std::move(aServe))
 {
-  mWhere.mHost = aHost;
+  mWhere = { aHost, aPort };
   mSocket = Listen(aHost, mWhere.mPort);
   mAcceptor = std::thread([this] { Accept(); });
 }
--- a/review/common/net.hpp
+++ b/review/common/net.hpp
@@ -90,8 +90,10 @@
 public:
   using serve_hook = std::function<void(connection&)>;
 
-  // Listens at a free port of aHost.
-  listener(const std::string& aHost, serve_hook aServe);
+  // Listens at a port of aHost; zero for a free one.
+  listener(const std::string& aHost,
+           serve_hook aServe,
+           std::uint16_t aPort = 0);
   ~listener();
   listener(const listener&) = delete;
   listener& operator=(const listener&) = delete;
