Review: end gateways with the script, and join threads as connections end

A script that is told to end, or that can't start all gateways, left processes behind; it now ends them and exits with 2.

--- a/review/common/fleet.cpp
+++ b/review/common/fleet.cpp
@@ -70,7 +70,8 @@
     << seeds << "]\n"
     << "[limits]\nopen_files = 4100\nprocessor = 0.25\nmemory_mb = 260\n"
     << "[bounds]\nkey_freshness_ms = 5000\nrouting_change_ms = 2000\n"
-    << "upstream_change_ms = 2000\nupstream_heartbeat_ms = 1200\ndrain_s = 8\n"
+    << "upstream_change_ms = 2000\nupstream_heartbeat_ms = 1200\ndrain_s = "
+       "8\n"
     << "retry_ratio = 0.2\nretry_window_s = 10\nretry_slack = 58\n"
     << "entry_ttl_s = 5\n"
     << "[engines]\nprefill_tokens_per_ms = 81.9\nfirst_event_ms = 41\n"
@@ -78,6 +79,21 @@
     << "[log]\nlevel = \"info\"\n";
 }
 
+// The gateways that run, for the signal handler.
+constexpr std::size_t kMostGateways = 16;
+std::array<std::atomic<pid_t>, kMostGateways> sRunning{};
+
+void
+EndGateways(int /*aSignal*/)
+{
+  for (const auto& running : sRunning) {
+    if (running != 0) {
+      ::kill(running, SIGKILL);
+    }
+  }
+  ::_exit(static_cast<int>(verdict::NotRun));
+}
+
 } // namespace
 
 store::store(const std::string& aHost)
@@ -230,19 +246,35 @@
     one.mCallers.mPort = callers;
     one.mReadiness.mPort = ports.back();
   }
-  for (auto& one : mGateways) {
-    MakeSettings(one, mGateways, aStore, ports);
-    Start(one);
+  std::signal(SIGTERM, EndGateways);
+  std::signal(SIGINT, EndGateways);
+  try {
+    for (auto& one : mGateways) {
+      MakeSettings(one, mGateways, aStore, ports);
+      Start(one);
+    }
+  } catch (...) {
+    Stop();
+    throw;
   }
 }
 
 fleet::~fleet()
 {
-  for (auto& one : mGateways) {
+  Stop();
+}
+
+void
+fleet::Stop()
+{
+  for (std::size_t number = 0; number < mGateways.size(); ++number) {
+    auto& one = mGateways[number];
     if (one.mPid != 0) {
       ::kill(one.mPid, SIGKILL);
       ::waitpid(one.mPid, nullptr, 0);
+      one.mPid = 0;
     }
+    sRunning.at(number) = 0;
   }
   const char* keep = std::getenv("KEEP_LOGS");
   if (keep == nullptr || *keep == '\0') {
@@ -280,6 +312,8 @@
     aGateway.mPid = 0;
     throw std::runtime_error("cannot start " + program);
   }
+  const auto number = static_cast<std::size_t>(&aGateway - mGateways.data());
+  sRunning.at(number) = aGateway.mPid;
 }
 
 void
@@ -314,13 +348,16 @@
 bool
 fleet::AnyEnded()
 {
-  return std::ranges::any_of(mGateways, [](gateway& aGateway) {
-    if (aGateway.mPid != 0 &&
-        ::waitpid(aGateway.mPid, nullptr, WNOHANG) == aGateway.mPid) {
-      aGateway.mPid = 0;
+  bool any = false;
+  for (std::size_t number = 0; number < mGateways.size(); ++number) {
+    auto& one = mGateways[number];
+    if (one.mPid != 0 && ::waitpid(one.mPid, nullptr, WNOHANG) == one.mPid) {
+      one.mPid = 0;
+      sRunning.at(number) = 0;
     }
-    return aGateway.mPid == 0;
-  });
+    any = any || one.mPid == 0;
+  }
+  return any;
 }
 
 std::string
--- a/review/common/fleet.hpp
+++ b/review/common/fleet.hpp
@@ -71,7 +71,8 @@
 class fleet
 {
 public:
-  // Throws std::runtime_error if the gateways cannot be started.
+  // Throws std::runtime_error if the gateways cannot be started. They also end
+  // if this process gets SIGTERM or SIGINT.
   fleet(fleet_options aOptions, const address& aStore);
   ~fleet();
   fleet(const fleet&) = delete;
@@ -87,6 +88,7 @@
 
 private:
   void Start(gateway& aGateway);
+  void Stop();
 
   fleet_options mOptions;
   std::filesystem::path mDirectory;
--- a/review/common/net.cpp
+++ b/review/common/net.cpp
@@ -22,6 +22,8 @@
 
 using std::chrono::steady_clock;
 
+std::atomic<std::uint64_t> sConnections{ 0 };
+
 sockaddr_in
 ToSocketAddress(const address& aAddress)
 {
@@ -106,6 +108,12 @@
   return Word(mStart, 1);
 }
 
+connection::connection(int aSocket)
+  : mSocket(aSocket)
+  , mNumber(++sConnections)
+{
+}
+
 connection::~connection()
 {
   ::close(mSocket);
@@ -266,12 +274,12 @@
 {
   Close();
   mAcceptor.join();
-  std::vector<std::thread> threads;
+  std::vector<worker> workers;
   {
     const std::scoped_lock lock(mMutex);
-    threads.swap(mThreads);
+    workers.swap(mWorkers);
   }
-  std::ranges::for_each(threads, [](auto& aThread) { aThread.join(); });
+  std::ranges::for_each(workers, [](auto& aWorker) { aWorker.mThread.join(); });
 }
 
 void
@@ -290,6 +298,20 @@
   }
 }
 
+// Threads that have ended are joined while others go on, as many connections
+// come and go.
+void
+listener::JoinDone()
+{
+  std::erase_if(mWorkers, [](worker& aWorker) {
+    const bool done = *aWorker.mDone;
+    if (done) {
+      aWorker.mThread.join();
+    }
+    return done;
+  });
+}
+
 void
 listener::Accept()
 {
@@ -311,7 +333,14 @@
     }
     std::erase_if(mOpen, [](const auto& aOpen) { return aOpen.expired(); });
     mOpen.push_back(peer);
-    mThreads.emplace_back([this, peer] { mServe(*peer); });
+    JoinDone();
+    auto done = std::make_shared<std::atomic<bool>>(false);
+    mWorkers.push_back({ std::thread([this, peer, done]() mutable {
+                           mServe(*peer);
+                           peer.reset();
+                           *done = true;
+                         }),
+                         done });
   }
 }
 
--- a/review/common/net.hpp
+++ b/review/common/net.hpp
@@ -47,10 +47,7 @@
 class connection
 {
 public:
-  explicit connection(int aSocket)
-    : mSocket(aSocket)
-  {
-  }
+  explicit connection(int aSocket);
   ~connection();
   connection(const connection&) = delete;
   connection& operator=(const connection&) = delete;
@@ -59,6 +56,8 @@
   static std::unique_ptr<connection> Open(const address& aPeer,
                                           milliseconds aTimeout);
 
+  // Different for each connection of this process.
+  std::uint64_t Number() const { return mNumber; }
   bool Write(std::string_view aBytes);
   // Returns a complete message, or nothing if the connection ends or the time
   // is over before.
@@ -81,6 +80,7 @@
   std::optional<std::string> TakeLine(steady_time aUntil);
 
   int mSocket;
+  const std::uint64_t mNumber;
   std::string mBuffer;
 };
 
@@ -103,14 +103,21 @@
   void Close();
 
 private:
+  struct worker
+  {
+    std::thread mThread;
+    std::shared_ptr<std::atomic<bool>> mDone;
+  };
+
   void Accept();
+  void JoinDone();
 
   address mWhere;
   serve_hook mServe;
   int mSocket = -1;
   std::atomic<bool> mClosed{ false };
   std::mutex mMutex;
-  std::vector<std::thread> mThreads;
+  std::vector<worker> mWorkers;
   std::vector<std::weak_ptr<connection>> mOpen;
   std::thread mAcceptor;
 };
