--- a/review/common/fleet.cpp
+++ b/review/common/fleet.cpp
@@ -366,14 +366,15 @@
             const std::string& aState,
             unsigned aSequence,
             const std::string& aVersion,
-            unsigned aStarts)
+            unsigned aStarts,
+            unsigned aSlots)
 {
   json::object entry;
   entry["service"] = aService;
   entry["address"] = aWhere.Text();
   entry["zone"] = "valmiera";
   entry["version"] = aVersion;
-  entry["slots"] = 6;
+  entry["slots"] = aSlots;
   entry["state"] = aState;
   entry["cold_remaining_ms"] = 0;
   entry["sequence"] = aSequence;
--- a/review/common/fleet.hpp
+++ b/review/common/fleet.hpp
@@ -133,7 +133,8 @@
                         const std::string& aState,
                         unsigned aSequence = 1,
                         const std::string& aVersion = "v1",
-                        unsigned aStarts = 1);
+                        unsigned aStarts = 1,
+                        unsigned aSlots = 6);
 
 // Loopback addresses that depend on the process, so that cases can run at the
 // same time.
--- a/review/common/streams.cpp
+++ b/review/common/streams.cpp
@@ -62,8 +62,12 @@
 bool
 stream_server::Answer(connection& aPeer, const http_message& aRequest)
 {
+  if (aRequest.Target() == kHealthPath) {
+    return aPeer.Write(ToText(HealthAnswer(mOptions.mId)));
+  }
   const auto id = aRequest.Header("X-Request-Id");
-  if (aRequest.Header("X-Expect-Instance") != mOptions.mId) {
+  const auto expected = aRequest.Header("X-Expect-Instance");
+  if (!expected.empty() && expected != mOptions.mId) {
     return aPeer.Write(ToText(MakeResponse(
       421, { { "X-Request-Id", id }, { "X-Not-Executed", "1" } }, "")));
   }
--- a/review/common/traffic.cpp
+++ b/review/common/traffic.cpp
@@ -76,6 +76,12 @@
 {
   constexpr std::chrono::seconds kIdle{ 30 };
   while (const auto request = aPeer.Read(steady_clock::now() + kIdle)) {
+    if (request->Target() == kHealthPath) {
+      if (!aPeer.Write(ToText(HealthAnswer(mId)))) {
+        return;
+      }
+      continue;
+    }
     const auto id = request->Header("X-Request-Id");
     const auto expected = request->Header("X-Expect-Instance");
     if (!expected.empty() && expected != mId) {
@@ -103,6 +109,12 @@
   }
 }
 
+http_message
+HealthAnswer(const std::string& aId)
+{
+  return MakeResponse(200, { { "X-Upstream-Instance", aId } }, "");
+}
+
 std::string
 ConfigSpec(int aVersion, const std::vector<route_entry>& aRoutes)
 {
@@ -118,15 +130,21 @@
     item["stream_resume"] = route.mResume;
     item["service"] = route.mService;
     item["timeout_ms"] = route.mTimeoutMs;
-    item["target_latency_ms"] = 100;
+    item["target_latency_ms"] = route.mTargetMs;
     item["target_gap_ms"] = 250;
     item["max_attempts"] = route.mMaximumAttempts;
     item["priority"] = 0;
     routes.push_back(std::move(item));
     if (known.insert(route.mService).second) {
-      services.push_back(json::object{ { "name", route.mService },
-                                       { "health_path", "/healthz" },
-                                       { "max_connections", 110 } });
+      json::object service{ { "name", route.mService },
+                            { "health_path", "/healthz" },
+                            { "max_connections", route.mEngine ? 370 : 110 } };
+      if (route.mEngine) {
+        service["runtime"] = json::object{ { "slots", 64 },
+                                           { "kv_capacity", 695905 },
+                                           { "stride", 5 } };
+      }
+      services.push_back(std::move(service));
     }
   }
   json::object config;
@@ -204,8 +222,17 @@
     seen.mGateway = aName;
     seen.mSent = steady_clock::now();
     const auto body = aPlan.mMethod == "POST" ? "lot " + seen.mId : "";
-    const auto request = MakeRequest(
+    auto request = MakeRequest(
       aPlan.mMethod, aPlan.mRoute, seen.mId, aPlan.mDeadlineMs, body);
+    if (aPlan.mPrompt) {
+      // The last part is the request's own.
+      std::ostringstream prompt;
+      prompt << "5c1e07a2:119,91bd3f06:79," << std::hex
+             << std::hash<std::string>()(seen.mId) << ":430";
+      request.mHeaders.emplace_back("X-Model", "m");
+      request.mHeaders.emplace_back("X-Token-Usage", "628,100");
+      request.mHeaders.emplace_back("X-Prefix-Hash", prompt.str());
+    }
     std::optional<http_message> answer;
     if (kept && kept->Write(ToText(request))) {
       const auto until =
--- a/review/common/traffic.hpp
+++ b/review/common/traffic.hpp
@@ -81,6 +81,10 @@
   std::unique_ptr<listener> mListener;
 };
 
+// Of all services.
+inline constexpr std::string_view kHealthPath = "/healthz";
+http_message HealthAnswer(const std::string& aId);
+
 struct route_entry
 {
   std::string mName;
@@ -89,6 +93,9 @@
   int mTimeoutMs = 1000;
   int mMaximumAttempts = 1;
   bool mResume = false;
+  int mTargetMs = 100;
+  // Whether the service runs model servers.
+  bool mEngine = false;
 };
 
 // The value of config/main, with one tenant, whose key is kKey.
@@ -115,6 +122,8 @@
     std::string mKind;
     int mDeadlineMs = 1000;
     milliseconds mPause{ 100 };
+    // Whether requests name a model, tokens and the parts of a prompt.
+    bool mPrompt = false;
   };
 
   clients(const fleet& aFleet, ledger& aLedger)
