Log each rejection by a brittle upstream with what was known of its load

The logs could not tell a rejection by an upstream that looked empty from one by an upstream known to be full, nor one of a request written before a pause. One line a rejection; what a pause does is logged as before.

--- a/src/sapphirespar/gateway/brittle_guard.cpp
+++ b/src/sapphirespar/gateway/brittle_guard.cpp
@@ -51,6 +51,14 @@
 {
   const auto pause = PauseFor(aTolerated);
   const auto now = mTimers.Now();
+  LogEvent(log_level::Info,
+           "brittle_upstream_full",
+           { { "upstream", aUpstream.mEntry.mId.mText },
+             { "tolerates_per_s", aTolerated },
+             { "slots", aUpstream.mEntry.mSlots },
+             { "own_running", aUpstream.mOwnLoad.mRunning },
+             { "others_running", aUpstream.mPeerLoad.mRunning },
+             { "pausing", aUpstream.TurnsAway(now) } });
   std::erase_if(mOwn, [&](const own_pause& aPause) {
     return aPause.mUpstream == aUpstream.mKey || aPause.mUntil <= now;
   });
