--- a/idl/gossip.thrift
+++ b/idl/gossip.thrift
@@ -89,6 +89,14 @@
   2: i32 left_ms;
 }
 
+// The same file. The rejections are in thousandths a second.
+struct gossip_rationed_pool {
+  1: i64 pool;
+  2: i64 tolerated;
+  3: i32 left_ms;
+  4: i32 work_ms;
+}
+
 struct gossip_state {
   1: string vm;
   2: i64 incarnation;
@@ -135,6 +143,7 @@
   // The sender has no path to any upstream.
   28: bool cut_off;
   29: list<gossip_upstream_pause> upstream_pauses;
+  30: list<gossip_rationed_pool> rationed_pools;
 }
 
 // One stream's part at one pool: which version of the upstreams' software began
--- a/include/sapphirespar/gateway/peer_table.hpp
+++ b/include/sapphirespar/gateway/peer_table.hpp
@@ -152,6 +152,11 @@
   std::chrono::milliseconds UpdatePeriod(
     std::chrono::milliseconds aShortest) const;
 
+  // Time within which a changed load is known to all gateways if no datagram is
+  // lost. aShortest as in UpdatePeriod.
+  std::chrono::milliseconds LoadDelay(
+    std::chrono::milliseconds aShortest) const;
+
 private:
   struct peer
   {
--- a/include/sapphirespar/gateway/stream_versions.hpp
+++ b/include/sapphirespar/gateway/stream_versions.hpp
@@ -21,10 +21,9 @@
 
 namespace sapphirespar::gateway {
 
-// Hashes that name streams, pools and versions; the same at all gateways.
-// aRequestId is the id of the request that brought the stream's first event.
+// Hashes that name streams and versions; the same at all gateways. aRequestId
+// is the id of the request that brought the stream's first event.
 std::uint64_t StreamKey(std::string_view aRequestId);
-std::uint64_t PoolKey(std::string_view aPool);
 std::uint64_t SoftwareKey(const upstream_entry& aEntry);
 
 // The versions of all upstreams that a directory lists, draining ones included.
--- a/include/sapphirespar/gateway/upstream_directory.hpp
+++ b/include/sapphirespar/gateway/upstream_directory.hpp
@@ -38,6 +38,23 @@
   std::unordered_map<std::uint64_t, steady_time> mAddedAt;
 };
 
+// The requests that a gateway may send to an upstream in one period.
+struct send_ration
+{
+  steady_time mPeriodEnd{};
+  unsigned mSendsLeft = 0;
+  // When the upstream last turned a request away, as far as is known, and the
+  // requests that were known to run there then; the epoch if never.
+  steady_time mFullAt{};
+  double mRunningWhenFull = 0;
+  // Whether the last answer of the upstream said that it is brittle; unset
+  // before the first one.
+  std::optional<bool> mSaysBrittle;
+};
+
+// A hash that names a pool; the same at all gateways.
+std::uint64_t PoolKey(std::string_view aPool);
+
 // One incarnation of an upstream. A restarted upstream gets a new object.
 struct upstream
 {
@@ -57,8 +74,8 @@
   bool mLeaving = false;
   // The upstream wants no request from this gateway until then.
   steady_time mTurnsAwayUntil{};
-  // Until then requests are spaced out; see brittle_guard.
-  steady_time mSpacedUntil{};
+  // What this gateway may send while the pool is rationed; see brittle_guard.
+  send_ration mRation;
 
   bool TakesWork() const { return !mRemoved && !mEntry.mDraining && !mLeaving; }
   bool TurnsAway(steady_time aNow) const { return aNow < mTurnsAwayUntil; }
--- a/include/sapphirespar/model/gossip.hpp
+++ b/include/sapphirespar/model/gossip.hpp
@@ -96,8 +96,9 @@
   crash_report mRequestCrashReport;
   // What upstreams have told the sender of the rates they accept.
   std::vector<upstream_rate> mUpstreamRates;
-  // Brittle upstreams that have turned away a request of the sender.
-  std::vector<upstream_pause> mUpstreamPauses;
+  // Brittle upstreams that have turned away a request of the sender, and their
+  // pools.
+  brittle_report mBrittle;
 
   bool operator==(const gossip_state&) const = default;
 };
--- a/src/sapphirespar/gateway/brittle_fleet_test.cpp
+++ b/src/sapphirespar/gateway/brittle_fleet_test.cpp
@@ -11,6 +11,7 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <sstream>
 
 namespace sapphirespar::gateway {
 namespace {
@@ -24,6 +25,9 @@
 // Gateways know each other's loads by reports of this age at most.
 constexpr auto kReportPeriod = 260ms;
 constexpr auto kDown = 3s;
+// A request waits this long for an upstream.
+constexpr auto kPatience = 240ms;
+constexpr auto kWaitStep = 20ms;
 // Rejections count from then on.
 constexpr auto kGrace = 4s;
 
@@ -38,6 +42,8 @@
   // Offered requests as a multiple of what the upstreams can do.
   double mLoad = 2;
   double mLoss = 0.05;
+  // Gateways that lose all that they know, in each second.
+  std::size_t mRestarts = 0;
 };
 
 struct fleet_result
@@ -67,6 +73,14 @@
     }
   }
 
+  // Lets one upstream turn a request of the first gateway away.
+  void StartRations()
+  {
+    Run(2s);
+    mGateways[0].mGuard->OnAnswer(
+      *mGateways[0].mUpstreams[0], mCase.mTolerated, true);
+  }
+
   fleet_result Run(std::chrono::seconds aTime)
   {
     mStart = mTimers.Now();
@@ -84,6 +98,9 @@
       if (mTimers.Now() - mLastReport >= kReportPeriod) {
         Report();
       }
+      if (mTimers.Now() - mLastRestarts >= 1s) {
+        RestartSome();
+      }
       mTimers.Advance(kStep);
       RunPending();
     }
@@ -137,13 +154,8 @@
     return added;
   }
 
-  void AddGateway(std::size_t aNumber)
+  std::unique_ptr<brittle_guard> MakeGuard(std::size_t aNumber)
   {
-    auto& added = mGateways.emplace_back();
-    added.mReported.resize(mServers.size());
-    for (std::size_t number = 0; number < mServers.size(); ++number) {
-      added.mUpstreams.push_back(NewUpstream(number));
-    }
     brittle_hooks hooks;
     hooks.mFind = [this, aNumber](std::uint64_t aKey) -> upstream_ptr {
       const auto& known = mGateways[aNumber].mUpstreams;
@@ -153,13 +165,25 @@
     };
     hooks.mDraw = [this] { return Draw(); };
     hooks.mTellPeers = [this, aNumber] { Alert(aNumber); };
-    added.mGuard = std::make_unique<brittle_guard>(mTimers, std::move(hooks));
+    hooks.mGateways = [this] { return static_cast<unsigned>(mCase.mGateways); };
+    hooks.mLoadPeriod = [] { return kReportPeriod; };
+    return std::make_unique<brittle_guard>(mTimers, std::move(hooks));
+  }
+
+  void AddGateway(std::size_t aNumber)
+  {
+    auto& added = mGateways.emplace_back();
+    added.mReported.resize(mServers.size());
+    for (std::size_t number = 0; number < mServers.size(); ++number) {
+      added.mUpstreams.push_back(NewUpstream(number));
+    }
+    added.mGuard = MakeGuard(aNumber);
   }
 
   void Tell(std::size_t aFrom)
   {
     const auto report = mGateways[aFrom].mGuard->Report();
-    if (report.empty()) {
+    if (report == brittle_report{}) {
       return;
     }
     for (std::size_t other = 0; other < mGateways.size(); ++other) {
@@ -177,6 +201,20 @@
     Tell(aFrom);
   }
 
+  void RestartSome()
+  {
+    mLastRestarts = mTimers.Now();
+    for (std::size_t count = 0; count < mCase.mRestarts; ++count) {
+      const auto number = Pick(mGateways.size());
+      mGateways[number].mGuard = MakeGuard(number);
+      for (const auto& known : mGateways[number].mUpstreams) {
+        known->mRation = {};
+        known->mTurnsAwayUntil = {};
+        known->mPeerLoad = {};
+      }
+    }
+  }
+
   // Brings all gateways' loads to the knowledge of all others.
   void Report()
   {
@@ -200,15 +238,17 @@
 
   // Sends a request from a gateway to the upstream that it thinks is least
   // loaded.
-  void Send(std::size_t aFrom, std::vector<std::size_t> aTried)
+  void Send(std::size_t aFrom,
+            std::vector<std::size_t> aTried,
+            milliseconds aWaited = 0ms)
   {
     auto& from = mGateways[aFrom];
     std::optional<std::size_t> best;
     double lowest = 0;
     for (std::size_t number = 0; number < mServers.size(); ++number) {
-      const auto& target = *from.mUpstreams[number];
+      auto& target = *from.mUpstreams[number];
       if (std::ranges::find(aTried, number) != aTried.end() ||
-          target.TurnsAway(mTimers.Now())) {
+          !from.mGuard->MaySend(target, 0)) {
         continue;
       }
       const auto load =
@@ -219,10 +259,15 @@
       }
     }
     if (!best) {
+      if (aWaited < kPatience) {
+        After(kWaitStep, [this, aFrom, aWaited, tried = std::move(aTried)] {
+          Send(aFrom, tried, aWaited + kWaitStep);
+        });
+      }
       return;
     }
     const auto target = from.mUpstreams[*best];
-    from.mGuard->OnSend(*target);
+    EXPECT_TRUE(from.mGuard->TakeSend(*target));
     ++target->mOwnLoad.mRunning;
     aTried.push_back(*best);
     After(kDelay / 2, [this, aFrom, target, tried = std::move(aTried)] {
@@ -244,7 +289,7 @@
       NoteRejection(number);
       After(kDelay / 2, [this, aFrom, aTarget, aTried] {
         --aTarget->mOwnLoad.mRunning;
-        mGateways[aFrom].mGuard->OnRejected(*aTarget, mCase.mTolerated);
+        mGateways[aFrom].mGuard->OnAnswer(*aTarget, mCase.mTolerated, true);
         if (aTried.size() < 2 && Draw() < 0.2) {
           Send(aFrom, aTried);
         }
@@ -255,8 +300,12 @@
     const milliseconds work(
       static_cast<int>(std::exponential_distribution<double>(1)(mRandom) *
                        static_cast<double>(mCase.mWork.count())));
-    After(work + kDelay / 2, [this, number, aTarget] {
+    After(kDelay / 2, [this, aFrom, aTarget] {
+      mGateways[aFrom].mGuard->OnAnswer(*aTarget, mCase.mTolerated, false);
+    });
+    After(work + kDelay / 2, [this, aFrom, number, work, aTarget] {
       --aTarget->mOwnLoad.mRunning;
+      mGateways[aFrom].mGuard->OnServed(*aTarget, work);
       if (mServers[number].mKey == aTarget->mKey) {
         --mServers[number].mTaken;
         ++mResult.mServed;
@@ -315,6 +364,7 @@
   std::uint64_t mLastKey = 0;
   steady_time mStart{};
   steady_time mLastReport{};
+  steady_time mLastRestarts{};
   std::multimap<steady_time, std::function<void()>> mPending;
   fleet_result mResult;
 };
@@ -326,15 +376,30 @@
   return 2 + 0.1 * static_cast<double>(aUpstreams);
 }
 
+constexpr auto kPlayed = 24s;
+
+// What the upstreams can do in the time of a test.
+double
+Capacity(const fleet_case& aCase)
+{
+  return static_cast<double>(aCase.mUpstreams) * aCase.mSlots *
+         std::chrono::duration<double>(kPlayed) /
+         std::chrono::duration<double>(aCase.mWork);
+}
+
 void
 ExpectFewFalls(const fleet_case& aCase)
 {
-  const auto result = fleet(aCase).Run(24s);
-  EXPECT_LE(result.mFalls, AllowedFalls(aCase.mUpstreams))
-    << "tolerated " << aCase.mTolerated << ", load " << aCase.mLoad
-    << ", rejected " << result.mRejected << " (" << result.mRejectedOnReturn
-    << " on return), served " << result.mServed << " of " << result.mOffered
-    << ", alerts " << result.mAlerts;
+  const auto result = fleet(aCase).Run(kPlayed);
+  std::ostringstream told;
+  told << "tolerated " << aCase.mTolerated << ", load " << aCase.mLoad
+       << ", falls " << result.mFalls << ", rejected " << result.mRejected
+       << " (" << result.mRejectedOnReturn << " on return), served "
+       << result.mServed << " of " << result.mOffered << ", alerts "
+       << result.mAlerts;
+  EXPECT_LE(result.mFalls, AllowedFalls(aCase.mUpstreams)) << told.str();
+  EXPECT_GE(result.mServed, Capacity(aCase) / 2) << told.str();
+  testing::Test::RecordProperty("played", told.str());
 }
 
 TEST(BrittleFleet, OverloadedUpstreamsStayUp)
@@ -349,6 +414,37 @@
   }
 }
 
+TEST(BrittleFleet, GatewaysThatRestartDoNotPushUpstreamsOver)
+{
+  fleet_case played;
+  played.mRestarts = 9;
+  ExpectFewFalls(played);
+}
+
+TEST(BrittleFleet, AFleetOfHundredsDoesNotPushUpstreamsOver)
+{
+  fleet_case played;
+  played.mGateways = 295;
+  played.mLoss = 0.2;
+  ExpectFewFalls(played);
+}
+
+TEST(BrittleFleet, ShortRequestsWithinTheCapacityAreServed)
+{
+  fleet_case played;
+  played.mUpstreams = 3;
+  played.mSlots = 6;
+  played.mMayWait = 4;
+  played.mWork = 15ms;
+  played.mLoad = 0.15;
+  fleet gateways(played);
+  gateways.StartRations();
+  const auto result = gateways.Run(kPlayed);
+  EXPECT_LE(result.mFalls, AllowedFalls(played.mUpstreams));
+  EXPECT_GE(result.mServed, 0.95 * result.mOffered)
+    << "rejected " << result.mRejected;
+}
+
 TEST(BrittleFleet, AReturningUpstreamIsNotFilledAtOnce)
 {
   fleet_case played;
--- a/src/sapphirespar/gateway/brittle_guard_test.cpp
+++ b/src/sapphirespar/gateway/brittle_guard_test.cpp
@@ -29,12 +29,16 @@
     for (std::size_t number = 0; number < aSize; ++number) {
       mUpstreams[number] = std::make_shared<upstream>();
       mUpstreams[number]->mKey = 7;
+      mUpstreams[number]->mEntry.mPool = "pool";
+      mUpstreams[number]->mEntry.mSlots = static_cast<unsigned>(kPlaces);
       brittle_hooks hooks;
       hooks.mFind = [this, number](std::uint64_t) {
         return mUpstreams[number];
       };
       hooks.mDraw = [this] { return Draw(); };
       hooks.mTellPeers = [this, number] { Tell(number); };
+      hooks.mGateways = [aSize] { return static_cast<unsigned>(aSize); };
+      hooks.mLoadPeriod = [] { return 250ms; };
       mGuards.push_back(
         std::make_unique<brittle_guard>(mTimers, std::move(hooks)));
     }
@@ -54,10 +58,9 @@
       room = std::min(room + aRoom / 1000, kPlaces);
       for (std::size_t number = 0; number < mUpstreams.size(); ++number) {
         auto& target = *mUpstreams[number];
-        if (Draw() >= aPerSecond / 1000 || target.TurnsAway(mTimers.Now())) {
+        if (Draw() >= aPerSecond / 1000 || !mGuards[number]->TakeSend(target)) {
           continue;
         }
-        mGuards[number]->OnSend(target);
         if (room >= 1) {
           room -= 1;
           ++mTaken;
@@ -67,7 +70,7 @@
           rejected.push_back(mTimers.Now());
         }
         Later([this, number] {
-          mGuards[number]->OnRejected(*mUpstreams[number], mTolerated);
+          mGuards[number]->OnAnswer(*mUpstreams[number], mTolerated, true);
         });
       }
       mTimers.Advance(kStep);
@@ -147,10 +150,13 @@
   manual_timer_service timers;
   const auto pause = [&](double aTolerated) {
     auto known = std::make_shared<upstream>();
-    brittle_guard guard(
-      timers,
-      { [&](std::uint64_t) { return known; }, [] { return 0.0; }, [] {} });
-    guard.OnRejected(*known, aTolerated);
+    brittle_guard guard(timers,
+                        { [&](std::uint64_t) { return known; },
+                          [] { return 0.0; },
+                          [] {},
+                          [] { return 1U; },
+                          [] { return 0ms; } });
+    guard.OnAnswer(*known, aTolerated, true);
     return known->mTurnsAwayUntil - timers.Now();
   };
   EXPECT_EQ(pause(8), 500ms);
--- a/src/sapphirespar/gateway/forward.cpp
+++ b/src/sapphirespar/gateway/forward.cpp
@@ -11,6 +11,10 @@
 
 #include "sapphirespar/policy/retry.hpp"
 
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
 #include <algorithm>
 
 namespace sapphirespar::gateway {
@@ -130,6 +134,14 @@
         if (!target && !mTried.empty() && co_await MayRelaySoon()) {
           continue;
         }
+        if (!target && co_await WaitForRation()) {
+          if (mProgress.mCallerGone) {
+            EndWith(attempt_end::CallerDisconnected, 0);
+            co_return std::nullopt;
+          }
+          continue;
+        }
+        mRationWait.reset();
         if (!target) {
           const auto reason =
             mProgress.mSoftware ? "no_upstream_of_version" : "no_upstream";
@@ -201,6 +213,28 @@
     co_return MayRelay() && !mProgress.mCallerGone;
   }
 
+  // Waits a little for a brittle upstream with room, at most for half of the
+  // target latency. Returns false if that is not worth while.
+  asio::awaitable<bool> WaitForRation()
+  {
+    constexpr milliseconds kStep{ 20 };
+    const auto& guard = mServices.mBrittleGuard;
+    const auto until =
+      std::min({ mForwarded.mArrived + mForwarded.mRoute->mTargetLatency / 2,
+                 mForwarded.mDeadline - kTimerTolerance,
+                 mForwarded.mCallerDeadline - kTimerTolerance });
+    if (!guard.IsRationed(mForwarded.mPool) || steady_clock::now() >= until) {
+      co_return false;
+    }
+    if (!mRationWait) {
+      mRationWait = mServices.mBrittleGuard.StartWait(mForwarded.mPool,
+                                                      mForwarded.mPriority);
+    }
+    asio::steady_timer timer(co_await asio::this_coro::executor, kStep);
+    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    co_return true;
+  }
+
   // Lets another gateway serve the request. Returns false if none could be
   // reached; otherwise the request is over, with mRelayRefusal.
   asio::awaitable<bool> Relay()
@@ -380,6 +414,8 @@
   // Another gateway has been asked to serve the request.
   bool mRelayed = false;
   std::optional<refusal_answer> mRelayRefusal;
+  // Set while the request waits for a ration.
+  std::unique_ptr<ration_wait> mRationWait;
   // The version of a stream that is taken up has been looked for.
   bool mVersionSought = false;
 };
--- a/src/sapphirespar/gateway/forward_attempt.cpp
+++ b/src/sapphirespar/gateway/forward_attempt.cpp
@@ -72,7 +72,14 @@
     mStream = std::move(opened).value();
     OnBytes();
     mUpstream.mHealth.AddResponse();
-    co_return co_await ReceiveAnswer();
+    auto result = co_await ReceiveAnswer();
+    if (result.mEnd == attempt_end::Relayed) {
+      mServices.mBrittleGuard.OnServed(
+        mUpstream,
+        std::chrono::duration_cast<milliseconds>(steady_clock::now() -
+                                                 mAttempt.mStarted));
+    }
+    co_return result;
   }
 
 private:
@@ -91,11 +98,8 @@
     if (permit != send_permit::Granted) {
       permit = mServices.mRateGuard.TakePermit(mUpstream.mKey);
     }
-    const bool maySend = permit != send_permit::Refused;
-    if (maySend) {
-      mServices.mBrittleGuard.OnSend(mUpstream);
-    }
-    return maySend;
+    return permit != send_permit::Refused &&
+           mServices.mBrittleGuard.TakeSend(mUpstream);
   }
 
   wire::http_request MakeRequest() const
@@ -133,9 +137,9 @@
       const auto kind =
         ClassifyAnswer(head.mStatus, info, mForwarded.mInfo.mId);
       NoteAcceptedRate(info, kind);
-      if (kind == answer_kind::NotRun && info.mToleratedRejections) {
-        mServices.mBrittleGuard.OnRejected(mUpstream,
-                                           *info.mToleratedRejections);
+      if (kind != answer_kind::Foreign && kind != answer_kind::Unusable) {
+        mServices.mBrittleGuard.OnAnswer(
+          mUpstream, info.mToleratedRejections, kind == answer_kind::NotRun);
       }
       if (kind != answer_kind::Foreign) {
         co_return co_await HandleAnswer(kind);
--- a/src/sapphirespar/gateway/forward_fixture_test.hpp
+++ b/src/sapphirespar/gateway/forward_fixture_test.hpp
@@ -121,12 +121,15 @@
                              return mUpstreams.NameOf(aKey);
                            },
                            [] {} } };
-  brittle_guard mBrittleGuard{ mTimers,
-                               { [this](std::uint64_t aKey) {
-                                  return mUpstreams.Find(aKey);
-                                },
-                                 [] { return 0.5; },
-                                 [] {} } };
+  brittle_guard mBrittleGuard{
+    mTimers,
+    { [this](std::uint64_t aKey) { return mUpstreams.Find(aKey); },
+      [this] { return mBrittleDraw(); },
+      [] {},
+      [] { return 1U; },
+      [] { return std::chrono::milliseconds(0); } }
+  };
+  std::function<double()> mBrittleDraw = [] { return 0.5; };
   // Other gateways that keep records of streams; they answer by the hook.
   std::vector<std::string> mKeepers;
   std::function<void(const std::string&, const stream_message&)> mSendStreams =
--- a/src/sapphirespar/gateway/gateway_hooks.cpp
+++ b/src/sapphirespar/gateway/gateway_hooks.cpp
@@ -117,7 +117,7 @@
     mLoadsStale = true;
     mCrashGuard.Merge({ aState.mCrashReport, aState.mRequestCrashReport });
     mRateGuard.Merge(aState.mUpstreamRates);
-    mBrittleGuard.Merge(aState.mUpstreamPauses);
+    mBrittleGuard.Merge(aState.mBrittle);
     for (const auto key : aState.mLeavingUpstreams) {
       mUpstreams.NoteLeaving(key, "peer");
     }
@@ -162,6 +162,16 @@
   hooks.mFind = [this](std::uint64_t aKey) { return mUpstreams.Find(aKey); };
   hooks.mDraw = [this] { return Draw(); };
   hooks.mTellPeers = [this] { mGossip.SendNow(); };
+  hooks.mGateways = [this] {
+    // Those that have been lost for seconds send nothing any more; half of
+    // them may be cut off from this gateway only.
+    const auto now = mTimers.Now();
+    const auto live = static_cast<unsigned>(mPeers.LiveGateways(now).size());
+    return std::max(live + 1, mPeers.MaximumGateways(now) / 2);
+  };
+  hooks.mLoadPeriod = [this] {
+    return mPeers.LoadDelay(GossipSettings(mSettings).mMinimumInterval);
+  };
   return hooks;
 }
 
@@ -237,7 +247,7 @@
   own.mCrashReport = std::move(crashes.mParts);
   own.mRequestCrashReport = std::move(crashes.mRequests);
   own.mUpstreamRates = mRateGuard.Report();
-  own.mUpstreamPauses = mBrittleGuard.Report();
+  own.mBrittle = mBrittleGuard.Report();
   const auto prefill = mPrefill.Demand(mTimers.Now());
   own.mInteractivePrefill = ToThousandths(prefill.mInteractive.mPrefill);
   own.mProcessor = ToThousandths(mSettings.mProcessor);
--- a/src/sapphirespar/gateway/peer_table.cpp
+++ b/src/sapphirespar/gateway/peer_table.cpp
@@ -87,6 +87,14 @@
       kHeartbeatPerPeer * receivers / kUpdatesPerHeartbeat });
 }
 
+milliseconds
+peer_table::LoadDelay(milliseconds aShortest) const
+{
+  // Through relays: an update, a sum of one data centre, its forwarding.
+  constexpr int kUpdatesThroughRelays = 5;
+  return UpdatePeriod(aShortest) * (UsesRelays() ? kUpdatesThroughRelays : 1);
+}
+
 bool
 peer_table::IsLive(const peer& aPeer, steady_time aNow) const
 {
@@ -130,7 +138,7 @@
   mPeers[sender.mVm].mState.mCrashReport = {};
   mPeers[sender.mVm].mState.mRequestCrashReport = {};
   mPeers[sender.mVm].mState.mUpstreamRates.clear();
-  mPeers[sender.mVm].mState.mUpstreamPauses.clear();
+  mPeers[sender.mVm].mState.mBrittle = {};
   return sameProcess ? gossip_effect::Updated : gossip_effect::NewProcess;
 }
 
--- a/src/sapphirespar/gateway/placement.cpp
+++ b/src/sapphirespar/gateway/placement.cpp
@@ -52,8 +52,9 @@
   });
   const auto now = std::chrono::steady_clock::now();
   std::erase_if(members, [&](const upstream_ptr& aMember) {
-    return aMember->TurnsAway(now) || aServices.mRateGuard.TimeUntilPermit(
-                                        aMember->mKey) > milliseconds::zero();
+    return aServices.mRateGuard.TimeUntilPermit(aMember->mKey) >
+             milliseconds::zero() ||
+           !aServices.mBrittleGuard.MaySend(*aMember, aForwarded.mPriority);
   });
   const auto blocked = [&](const upstream_ptr& aMember) {
     return aMember->mHealth.IsInBackoff(now);
@@ -261,11 +262,20 @@
       pause = pool_pause{ left, {} };
     }
   }
-  if (!pause || pause->mLeft <= milliseconds::zero()) {
-    return std::nullopt;
+  if (pause && pause->mLeft > milliseconds::zero()) {
+    pause->mReason = limited ? "rates_used_up" : "all_turn_away";
+    return pause;
+  }
+  if (pause && aServices.mBrittleGuard.IsRationed(aPool)) {
+    // Spread over the time in which rations follow the load.
+    const auto period = aServices.mBrittleGuard.Period();
+    const std::chrono::duration<double, std::milli> spread =
+      2 * aServices.mDraw() * period;
+    return pool_pause{
+      2 * period + std::chrono::duration_cast<milliseconds>(spread), "rationed"
+    };
   }
-  pause->mReason = limited ? "rates_used_up" : "all_turn_away";
-  return pause;
+  return std::nullopt;
 }
 
 milliseconds
--- a/src/sapphirespar/gateway/placement.hpp
+++ b/src/sapphirespar/gateway/placement.hpp
@@ -22,7 +22,8 @@
 struct pool_pause
 {
   std::chrono::milliseconds mLeft{ 0 };
-  // "all_turn_away", or "rates_used_up" if some of them limit their rates.
+  // "all_turn_away", "rates_used_up" if some of them limit their rates, or
+  // "rationed" if they are brittle.
   std::string_view mReason;
 };
 
--- a/src/sapphirespar/gateway/stream_versions.cpp
+++ b/src/sapphirespar/gateway/stream_versions.cpp
@@ -51,12 +51,6 @@
   return KeyOf(aRequestId);
 }
 
-std::uint64_t
-PoolKey(std::string_view aPool)
-{
-  return KeyOf(aPool);
-}
-
 std::uint64_t
 SoftwareKey(const upstream_entry& aEntry)
 {
--- a/src/sapphirespar/gateway/upstream_directory.cpp
+++ b/src/sapphirespar/gateway/upstream_directory.cpp
@@ -44,6 +44,12 @@
 
 } // namespace
 
+std::uint64_t
+PoolKey(std::string_view aPool)
+{
+  return XXH3_64bits(aPool.data(), aPool.size());
+}
+
 void
 prefix_cache_estimate::Add(std::span<const prompt_segment> aSegments,
                            steady_time aNow)
--- a/src/sapphirespar/wire/gen/gossip_types.cpp
+++ b/src/sapphirespar/wire/gen/gossip_types.cpp
@@ -1943,6 +1943,173 @@
 }
 
 
+gossip_rationed_pool::~gossip_rationed_pool() noexcept {
+}
+
+
+void gossip_rationed_pool::__set_pool(const int64_t val) {
+  this->pool = val;
+}
+
+void gossip_rationed_pool::__set_tolerated(const int64_t val) {
+  this->tolerated = val;
+}
+
+void gossip_rationed_pool::__set_left_ms(const int32_t val) {
+  this->left_ms = val;
+}
+
+void gossip_rationed_pool::__set_work_ms(const int32_t val) {
+  this->work_ms = val;
+}
+std::ostream& operator<<(std::ostream& out, const gossip_rationed_pool& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t gossip_rationed_pool::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->pool);
+          this->__isset.pool = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->tolerated);
+          this->__isset.tolerated = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->left_ms);
+          this->__isset.left_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->work_ms);
+          this->__isset.work_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t gossip_rationed_pool::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("gossip_rationed_pool");
+
+  xfer += oprot->writeFieldBegin("pool", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->pool);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("tolerated", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->tolerated);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("left_ms", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->left_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("work_ms", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->work_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(gossip_rationed_pool &a, gossip_rationed_pool &b) {
+  using ::std::swap;
+  swap(a.pool, b.pool);
+  swap(a.tolerated, b.tolerated);
+  swap(a.left_ms, b.left_ms);
+  swap(a.work_ms, b.work_ms);
+  swap(a.__isset, b.__isset);
+}
+
+gossip_rationed_pool::gossip_rationed_pool(const gossip_rationed_pool& other86) noexcept {
+  pool = other86.pool;
+  tolerated = other86.tolerated;
+  left_ms = other86.left_ms;
+  work_ms = other86.work_ms;
+  __isset = other86.__isset;
+}
+gossip_rationed_pool::gossip_rationed_pool(gossip_rationed_pool&& other87) noexcept {
+  pool = other87.pool;
+  tolerated = other87.tolerated;
+  left_ms = other87.left_ms;
+  work_ms = other87.work_ms;
+  __isset = other87.__isset;
+}
+gossip_rationed_pool& gossip_rationed_pool::operator=(const gossip_rationed_pool& other88) noexcept {
+  pool = other88.pool;
+  tolerated = other88.tolerated;
+  left_ms = other88.left_ms;
+  work_ms = other88.work_ms;
+  __isset = other88.__isset;
+  return *this;
+}
+gossip_rationed_pool& gossip_rationed_pool::operator=(gossip_rationed_pool&& other89) noexcept {
+  pool = other89.pool;
+  tolerated = other89.tolerated;
+  left_ms = other89.left_ms;
+  work_ms = other89.work_ms;
+  __isset = other89.__isset;
+  return *this;
+}
+void gossip_rationed_pool::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "gossip_rationed_pool(";
+  out << "pool=" << to_string(pool);
+  out << ", " << "tolerated=" << to_string(tolerated);
+  out << ", " << "left_ms=" << to_string(left_ms);
+  out << ", " << "work_ms=" << to_string(work_ms);
+  out << ")";
+}
+
+
 gossip_state::~gossip_state() noexcept {
 }
 
@@ -2056,6 +2223,10 @@
 void gossip_state::__set_upstream_pauses(const std::vector<gossip_upstream_pause> & val) {
   this->upstream_pauses = val;
 }
+
+void gossip_state::__set_rationed_pools(const std::vector<gossip_rationed_pool> & val) {
+  this->rationed_pools = val;
+}
 std::ostream& operator<<(std::ostream& out, const gossip_state& obj)
 {
   obj.printTo(out);
@@ -2160,14 +2331,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->loads.clear();
-            uint32_t _size86;
-            ::apache::thrift::protocol::TType _etype89;
-            xfer += iprot->readListBegin(_etype89, _size86);
-            this->loads.resize(_size86);
-            uint32_t _i90;
-            for (_i90 = 0; _i90 < _size86; ++_i90)
+            uint32_t _size90;
+            ::apache::thrift::protocol::TType _etype93;
+            xfer += iprot->readListBegin(_etype93, _size90);
+            this->loads.resize(_size90);
+            uint32_t _i94;
+            for (_i94 = 0; _i94 < _size90; ++_i94)
             {
-              xfer += this->loads[_i90].read(iprot);
+              xfer += this->loads[_i94].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2244,14 +2415,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->zones.clear();
-            uint32_t _size91;
-            ::apache::thrift::protocol::TType _etype94;
-            xfer += iprot->readListBegin(_etype94, _size91);
-            this->zones.resize(_size91);
-            uint32_t _i95;
-            for (_i95 = 0; _i95 < _size91; ++_i95)
+            uint32_t _size95;
+            ::apache::thrift::protocol::TType _etype98;
+            xfer += iprot->readListBegin(_etype98, _size95);
+            this->zones.resize(_size95);
+            uint32_t _i99;
+            for (_i99 = 0; _i99 < _size95; ++_i99)
             {
-              xfer += this->zones[_i95].read(iprot);
+              xfer += this->zones[_i99].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2264,14 +2435,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->leaving_upstreams.clear();
-            uint32_t _size96;
-            ::apache::thrift::protocol::TType _etype99;
-            xfer += iprot->readListBegin(_etype99, _size96);
-            this->leaving_upstreams.resize(_size96);
-            uint32_t _i100;
-            for (_i100 = 0; _i100 < _size96; ++_i100)
+            uint32_t _size100;
+            ::apache::thrift::protocol::TType _etype103;
+            xfer += iprot->readListBegin(_etype103, _size100);
+            this->leaving_upstreams.resize(_size100);
+            uint32_t _i104;
+            for (_i104 = 0; _i104 < _size100; ++_i104)
             {
-              xfer += iprot->readI64(this->leaving_upstreams[_i100]);
+              xfer += iprot->readI64(this->leaving_upstreams[_i104]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2308,14 +2479,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->upstream_rates.clear();
-            uint32_t _size101;
-            ::apache::thrift::protocol::TType _etype104;
-            xfer += iprot->readListBegin(_etype104, _size101);
-            this->upstream_rates.resize(_size101);
-            uint32_t _i105;
-            for (_i105 = 0; _i105 < _size101; ++_i105)
+            uint32_t _size105;
+            ::apache::thrift::protocol::TType _etype108;
+            xfer += iprot->readListBegin(_etype108, _size105);
+            this->upstream_rates.resize(_size105);
+            uint32_t _i109;
+            for (_i109 = 0; _i109 < _size105; ++_i109)
             {
-              xfer += this->upstream_rates[_i105].read(iprot);
+              xfer += this->upstream_rates[_i109].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2344,14 +2515,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->upstream_pauses.clear();
-            uint32_t _size106;
-            ::apache::thrift::protocol::TType _etype109;
-            xfer += iprot->readListBegin(_etype109, _size106);
-            this->upstream_pauses.resize(_size106);
-            uint32_t _i110;
-            for (_i110 = 0; _i110 < _size106; ++_i110)
+            uint32_t _size110;
+            ::apache::thrift::protocol::TType _etype113;
+            xfer += iprot->readListBegin(_etype113, _size110);
+            this->upstream_pauses.resize(_size110);
+            uint32_t _i114;
+            for (_i114 = 0; _i114 < _size110; ++_i114)
             {
-              xfer += this->upstream_pauses[_i110].read(iprot);
+              xfer += this->upstream_pauses[_i114].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2360,6 +2531,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 30:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->rationed_pools.clear();
+            uint32_t _size115;
+            ::apache::thrift::protocol::TType _etype118;
+            xfer += iprot->readListBegin(_etype118, _size115);
+            this->rationed_pools.resize(_size115);
+            uint32_t _i119;
+            for (_i119 = 0; _i119 < _size115; ++_i119)
+            {
+              xfer += this->rationed_pools[_i119].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.rationed_pools = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2416,10 +2607,10 @@
   xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 11);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
-    std::vector<gossip_load> ::const_iterator _iter111;
-    for (_iter111 = this->loads.begin(); _iter111 != this->loads.end(); ++_iter111)
+    std::vector<gossip_load> ::const_iterator _iter120;
+    for (_iter120 = this->loads.begin(); _iter120 != this->loads.end(); ++_iter120)
     {
-      xfer += (*_iter111).write(oprot);
+      xfer += (*_iter120).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2460,10 +2651,10 @@
   xfer += oprot->writeFieldBegin("zones", ::apache::thrift::protocol::T_LIST, 21);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->zones.size()));
-    std::vector<gossip_zone> ::const_iterator _iter112;
-    for (_iter112 = this->zones.begin(); _iter112 != this->zones.end(); ++_iter112)
+    std::vector<gossip_zone> ::const_iterator _iter121;
+    for (_iter121 = this->zones.begin(); _iter121 != this->zones.end(); ++_iter121)
     {
-      xfer += (*_iter112).write(oprot);
+      xfer += (*_iter121).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2472,10 +2663,10 @@
   xfer += oprot->writeFieldBegin("leaving_upstreams", ::apache::thrift::protocol::T_LIST, 22);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->leaving_upstreams.size()));
-    std::vector<int64_t> ::const_iterator _iter113;
-    for (_iter113 = this->leaving_upstreams.begin(); _iter113 != this->leaving_upstreams.end(); ++_iter113)
+    std::vector<int64_t> ::const_iterator _iter122;
+    for (_iter122 = this->leaving_upstreams.begin(); _iter122 != this->leaving_upstreams.end(); ++_iter122)
     {
-      xfer += oprot->writeI64((*_iter113));
+      xfer += oprot->writeI64((*_iter122));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2497,10 +2688,10 @@
   xfer += oprot->writeFieldBegin("upstream_rates", ::apache::thrift::protocol::T_LIST, 26);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->upstream_rates.size()));
-    std::vector<gossip_upstream_rate> ::const_iterator _iter114;
-    for (_iter114 = this->upstream_rates.begin(); _iter114 != this->upstream_rates.end(); ++_iter114)
+    std::vector<gossip_upstream_rate> ::const_iterator _iter123;
+    for (_iter123 = this->upstream_rates.begin(); _iter123 != this->upstream_rates.end(); ++_iter123)
     {
-      xfer += (*_iter114).write(oprot);
+      xfer += (*_iter123).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2518,10 +2709,22 @@
   xfer += oprot->writeFieldBegin("upstream_pauses", ::apache::thrift::protocol::T_LIST, 29);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->upstream_pauses.size()));
-    std::vector<gossip_upstream_pause> ::const_iterator _iter115;
-    for (_iter115 = this->upstream_pauses.begin(); _iter115 != this->upstream_pauses.end(); ++_iter115)
+    std::vector<gossip_upstream_pause> ::const_iterator _iter124;
+    for (_iter124 = this->upstream_pauses.begin(); _iter124 != this->upstream_pauses.end(); ++_iter124)
+    {
+      xfer += (*_iter124).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("rationed_pools", ::apache::thrift::protocol::T_LIST, 30);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rationed_pools.size()));
+    std::vector<gossip_rationed_pool> ::const_iterator _iter125;
+    for (_iter125 = this->rationed_pools.begin(); _iter125 != this->rationed_pools.end(); ++_iter125)
     {
-      xfer += (*_iter115).write(oprot);
+      xfer += (*_iter125).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2561,129 +2764,134 @@
   swap(a.request_crash_report, b.request_crash_report);
   swap(a.cut_off, b.cut_off);
   swap(a.upstream_pauses, b.upstream_pauses);
+  swap(a.rationed_pools, b.rationed_pools);
   swap(a.__isset, b.__isset);
 }
 
-gossip_state::gossip_state(const gossip_state& other116) {
-  vm = other116.vm;
-  incarnation = other116.incarnation;
-  sequence = other116.sequence;
-  data_centre = other116.data_centre;
-  address = other116.address;
-  caller_port = other116.caller_port;
-  admin_port = other116.admin_port;
-  ready = other116.ready;
-  leaving = other116.leaving;
-  loads = other116.loads;
-  asks = other116.asks;
-  answers = other116.answers;
-  routing_age_ms = other116.routing_age_ms;
-  upstreams_age_ms = other116.upstreams_age_ms;
-  upstreams_digest = other116.upstreams_digest;
-  interactive_reading = other116.interactive_reading;
-  bulk_reading = other116.bulk_reading;
-  processor = other116.processor;
-  zones = other116.zones;
-  leaving_upstreams = other116.leaving_upstreams;
-  store_era = other116.store_era;
-  routing_version = other116.routing_version;
-  crash_report = other116.crash_report;
-  upstream_rates = other116.upstream_rates;
-  request_crash_report = other116.request_crash_report;
-  cut_off = other116.cut_off;
-  upstream_pauses = other116.upstream_pauses;
-  __isset = other116.__isset;
-}
-gossip_state::gossip_state(gossip_state&& other117) noexcept {
-  vm = std::move(other117.vm);
-  incarnation = other117.incarnation;
-  sequence = other117.sequence;
-  data_centre = std::move(other117.data_centre);
-  address = std::move(other117.address);
-  caller_port = other117.caller_port;
-  admin_port = other117.admin_port;
-  ready = other117.ready;
-  leaving = other117.leaving;
-  loads = std::move(other117.loads);
-  asks = other117.asks;
-  answers = other117.answers;
-  routing_age_ms = other117.routing_age_ms;
-  upstreams_age_ms = other117.upstreams_age_ms;
-  upstreams_digest = other117.upstreams_digest;
-  interactive_reading = other117.interactive_reading;
-  bulk_reading = other117.bulk_reading;
-  processor = other117.processor;
-  zones = std::move(other117.zones);
-  leaving_upstreams = std::move(other117.leaving_upstreams);
-  store_era = other117.store_era;
-  routing_version = other117.routing_version;
-  crash_report = std::move(other117.crash_report);
-  upstream_rates = std::move(other117.upstream_rates);
-  request_crash_report = std::move(other117.request_crash_report);
-  cut_off = other117.cut_off;
-  upstream_pauses = std::move(other117.upstream_pauses);
-  __isset = other117.__isset;
-}
-gossip_state& gossip_state::operator=(const gossip_state& other118) {
-  vm = other118.vm;
-  incarnation = other118.incarnation;
-  sequence = other118.sequence;
-  data_centre = other118.data_centre;
-  address = other118.address;
-  caller_port = other118.caller_port;
-  admin_port = other118.admin_port;
-  ready = other118.ready;
-  leaving = other118.leaving;
-  loads = other118.loads;
-  asks = other118.asks;
-  answers = other118.answers;
-  routing_age_ms = other118.routing_age_ms;
-  upstreams_age_ms = other118.upstreams_age_ms;
-  upstreams_digest = other118.upstreams_digest;
-  interactive_reading = other118.interactive_reading;
-  bulk_reading = other118.bulk_reading;
-  processor = other118.processor;
-  zones = other118.zones;
-  leaving_upstreams = other118.leaving_upstreams;
-  store_era = other118.store_era;
-  routing_version = other118.routing_version;
-  crash_report = other118.crash_report;
-  upstream_rates = other118.upstream_rates;
-  request_crash_report = other118.request_crash_report;
-  cut_off = other118.cut_off;
-  upstream_pauses = other118.upstream_pauses;
-  __isset = other118.__isset;
+gossip_state::gossip_state(const gossip_state& other126) {
+  vm = other126.vm;
+  incarnation = other126.incarnation;
+  sequence = other126.sequence;
+  data_centre = other126.data_centre;
+  address = other126.address;
+  caller_port = other126.caller_port;
+  admin_port = other126.admin_port;
+  ready = other126.ready;
+  leaving = other126.leaving;
+  loads = other126.loads;
+  asks = other126.asks;
+  answers = other126.answers;
+  routing_age_ms = other126.routing_age_ms;
+  upstreams_age_ms = other126.upstreams_age_ms;
+  upstreams_digest = other126.upstreams_digest;
+  interactive_reading = other126.interactive_reading;
+  bulk_reading = other126.bulk_reading;
+  processor = other126.processor;
+  zones = other126.zones;
+  leaving_upstreams = other126.leaving_upstreams;
+  store_era = other126.store_era;
+  routing_version = other126.routing_version;
+  crash_report = other126.crash_report;
+  upstream_rates = other126.upstream_rates;
+  request_crash_report = other126.request_crash_report;
+  cut_off = other126.cut_off;
+  upstream_pauses = other126.upstream_pauses;
+  rationed_pools = other126.rationed_pools;
+  __isset = other126.__isset;
+}
+gossip_state::gossip_state(gossip_state&& other127) noexcept {
+  vm = std::move(other127.vm);
+  incarnation = other127.incarnation;
+  sequence = other127.sequence;
+  data_centre = std::move(other127.data_centre);
+  address = std::move(other127.address);
+  caller_port = other127.caller_port;
+  admin_port = other127.admin_port;
+  ready = other127.ready;
+  leaving = other127.leaving;
+  loads = std::move(other127.loads);
+  asks = other127.asks;
+  answers = other127.answers;
+  routing_age_ms = other127.routing_age_ms;
+  upstreams_age_ms = other127.upstreams_age_ms;
+  upstreams_digest = other127.upstreams_digest;
+  interactive_reading = other127.interactive_reading;
+  bulk_reading = other127.bulk_reading;
+  processor = other127.processor;
+  zones = std::move(other127.zones);
+  leaving_upstreams = std::move(other127.leaving_upstreams);
+  store_era = other127.store_era;
+  routing_version = other127.routing_version;
+  crash_report = std::move(other127.crash_report);
+  upstream_rates = std::move(other127.upstream_rates);
+  request_crash_report = std::move(other127.request_crash_report);
+  cut_off = other127.cut_off;
+  upstream_pauses = std::move(other127.upstream_pauses);
+  rationed_pools = std::move(other127.rationed_pools);
+  __isset = other127.__isset;
+}
+gossip_state& gossip_state::operator=(const gossip_state& other128) {
+  vm = other128.vm;
+  incarnation = other128.incarnation;
+  sequence = other128.sequence;
+  data_centre = other128.data_centre;
+  address = other128.address;
+  caller_port = other128.caller_port;
+  admin_port = other128.admin_port;
+  ready = other128.ready;
+  leaving = other128.leaving;
+  loads = other128.loads;
+  asks = other128.asks;
+  answers = other128.answers;
+  routing_age_ms = other128.routing_age_ms;
+  upstreams_age_ms = other128.upstreams_age_ms;
+  upstreams_digest = other128.upstreams_digest;
+  interactive_reading = other128.interactive_reading;
+  bulk_reading = other128.bulk_reading;
+  processor = other128.processor;
+  zones = other128.zones;
+  leaving_upstreams = other128.leaving_upstreams;
+  store_era = other128.store_era;
+  routing_version = other128.routing_version;
+  crash_report = other128.crash_report;
+  upstream_rates = other128.upstream_rates;
+  request_crash_report = other128.request_crash_report;
+  cut_off = other128.cut_off;
+  upstream_pauses = other128.upstream_pauses;
+  rationed_pools = other128.rationed_pools;
+  __isset = other128.__isset;
   return *this;
 }
-gossip_state& gossip_state::operator=(gossip_state&& other119) noexcept {
-  vm = std::move(other119.vm);
-  incarnation = other119.incarnation;
-  sequence = other119.sequence;
-  data_centre = std::move(other119.data_centre);
-  address = std::move(other119.address);
-  caller_port = other119.caller_port;
-  admin_port = other119.admin_port;
-  ready = other119.ready;
-  leaving = other119.leaving;
-  loads = std::move(other119.loads);
-  asks = other119.asks;
-  answers = other119.answers;
-  routing_age_ms = other119.routing_age_ms;
-  upstreams_age_ms = other119.upstreams_age_ms;
-  upstreams_digest = other119.upstreams_digest;
-  interactive_reading = other119.interactive_reading;
-  bulk_reading = other119.bulk_reading;
-  processor = other119.processor;
-  zones = std::move(other119.zones);
-  leaving_upstreams = std::move(other119.leaving_upstreams);
-  store_era = other119.store_era;
-  routing_version = other119.routing_version;
-  crash_report = std::move(other119.crash_report);
-  upstream_rates = std::move(other119.upstream_rates);
-  request_crash_report = std::move(other119.request_crash_report);
-  cut_off = other119.cut_off;
-  upstream_pauses = std::move(other119.upstream_pauses);
-  __isset = other119.__isset;
+gossip_state& gossip_state::operator=(gossip_state&& other129) noexcept {
+  vm = std::move(other129.vm);
+  incarnation = other129.incarnation;
+  sequence = other129.sequence;
+  data_centre = std::move(other129.data_centre);
+  address = std::move(other129.address);
+  caller_port = other129.caller_port;
+  admin_port = other129.admin_port;
+  ready = other129.ready;
+  leaving = other129.leaving;
+  loads = std::move(other129.loads);
+  asks = other129.asks;
+  answers = other129.answers;
+  routing_age_ms = other129.routing_age_ms;
+  upstreams_age_ms = other129.upstreams_age_ms;
+  upstreams_digest = other129.upstreams_digest;
+  interactive_reading = other129.interactive_reading;
+  bulk_reading = other129.bulk_reading;
+  processor = other129.processor;
+  zones = std::move(other129.zones);
+  leaving_upstreams = std::move(other129.leaving_upstreams);
+  store_era = other129.store_era;
+  routing_version = other129.routing_version;
+  crash_report = std::move(other129.crash_report);
+  upstream_rates = std::move(other129.upstream_rates);
+  request_crash_report = std::move(other129.request_crash_report);
+  cut_off = other129.cut_off;
+  upstream_pauses = std::move(other129.upstream_pauses);
+  rationed_pools = std::move(other129.rationed_pools);
+  __isset = other129.__isset;
   return *this;
 }
 void gossip_state::printTo(std::ostream& out) const {
@@ -2716,6 +2924,7 @@
   out << ", " << "request_crash_report="; (__isset.request_crash_report ? (out << to_string(request_crash_report)) : (out << "<null>"));
   out << ", " << "cut_off=" << to_string(cut_off);
   out << ", " << "upstream_pauses=" << to_string(upstream_pauses);
+  out << ", " << "rationed_pools=" << to_string(rationed_pools);
   out << ")";
 }
 
@@ -2846,34 +3055,34 @@
   swap(a.__isset, b.__isset);
 }
 
-gossip_stream_version::gossip_stream_version(const gossip_stream_version& other120) noexcept {
-  stream = other120.stream;
-  pool = other120.pool;
-  software = other120.software;
-  left_ms = other120.left_ms;
-  __isset = other120.__isset;
-}
-gossip_stream_version::gossip_stream_version(gossip_stream_version&& other121) noexcept {
-  stream = other121.stream;
-  pool = other121.pool;
-  software = other121.software;
-  left_ms = other121.left_ms;
-  __isset = other121.__isset;
-}
-gossip_stream_version& gossip_stream_version::operator=(const gossip_stream_version& other122) noexcept {
-  stream = other122.stream;
-  pool = other122.pool;
-  software = other122.software;
-  left_ms = other122.left_ms;
-  __isset = other122.__isset;
+gossip_stream_version::gossip_stream_version(const gossip_stream_version& other130) noexcept {
+  stream = other130.stream;
+  pool = other130.pool;
+  software = other130.software;
+  left_ms = other130.left_ms;
+  __isset = other130.__isset;
+}
+gossip_stream_version::gossip_stream_version(gossip_stream_version&& other131) noexcept {
+  stream = other131.stream;
+  pool = other131.pool;
+  software = other131.software;
+  left_ms = other131.left_ms;
+  __isset = other131.__isset;
+}
+gossip_stream_version& gossip_stream_version::operator=(const gossip_stream_version& other132) noexcept {
+  stream = other132.stream;
+  pool = other132.pool;
+  software = other132.software;
+  left_ms = other132.left_ms;
+  __isset = other132.__isset;
   return *this;
 }
-gossip_stream_version& gossip_stream_version::operator=(gossip_stream_version&& other123) noexcept {
-  stream = other123.stream;
-  pool = other123.pool;
-  software = other123.software;
-  left_ms = other123.left_ms;
-  __isset = other123.__isset;
+gossip_stream_version& gossip_stream_version::operator=(gossip_stream_version&& other133) noexcept {
+  stream = other133.stream;
+  pool = other133.pool;
+  software = other133.software;
+  left_ms = other133.left_ms;
+  __isset = other133.__isset;
   return *this;
 }
 void gossip_stream_version::printTo(std::ostream& out) const {
@@ -2979,26 +3188,26 @@
   swap(a.__isset, b.__isset);
 }
 
-gossip_pool_software::gossip_pool_software(const gossip_pool_software& other124) noexcept {
-  pool = other124.pool;
-  software = other124.software;
-  __isset = other124.__isset;
+gossip_pool_software::gossip_pool_software(const gossip_pool_software& other134) noexcept {
+  pool = other134.pool;
+  software = other134.software;
+  __isset = other134.__isset;
 }
-gossip_pool_software::gossip_pool_software(gossip_pool_software&& other125) noexcept {
-  pool = other125.pool;
-  software = other125.software;
-  __isset = other125.__isset;
+gossip_pool_software::gossip_pool_software(gossip_pool_software&& other135) noexcept {
+  pool = other135.pool;
+  software = other135.software;
+  __isset = other135.__isset;
 }
-gossip_pool_software& gossip_pool_software::operator=(const gossip_pool_software& other126) noexcept {
-  pool = other126.pool;
-  software = other126.software;
-  __isset = other126.__isset;
+gossip_pool_software& gossip_pool_software::operator=(const gossip_pool_software& other136) noexcept {
+  pool = other136.pool;
+  software = other136.software;
+  __isset = other136.__isset;
   return *this;
 }
-gossip_pool_software& gossip_pool_software::operator=(gossip_pool_software&& other127) noexcept {
-  pool = other127.pool;
-  software = other127.software;
-  __isset = other127.__isset;
+gossip_pool_software& gossip_pool_software::operator=(gossip_pool_software&& other137) noexcept {
+  pool = other137.pool;
+  software = other137.software;
+  __isset = other137.__isset;
   return *this;
 }
 void gossip_pool_software::printTo(std::ostream& out) const {
@@ -3065,14 +3274,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->told.clear();
-            uint32_t _size128;
-            ::apache::thrift::protocol::TType _etype131;
-            xfer += iprot->readListBegin(_etype131, _size128);
-            this->told.resize(_size128);
-            uint32_t _i132;
-            for (_i132 = 0; _i132 < _size128; ++_i132)
+            uint32_t _size138;
+            ::apache::thrift::protocol::TType _etype141;
+            xfer += iprot->readListBegin(_etype141, _size138);
+            this->told.resize(_size138);
+            uint32_t _i142;
+            for (_i142 = 0; _i142 < _size138; ++_i142)
             {
-              xfer += this->told[_i132].read(iprot);
+              xfer += this->told[_i142].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3085,14 +3294,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->asked.clear();
-            uint32_t _size133;
-            ::apache::thrift::protocol::TType _etype136;
-            xfer += iprot->readListBegin(_etype136, _size133);
-            this->asked.resize(_size133);
-            uint32_t _i137;
-            for (_i137 = 0; _i137 < _size133; ++_i137)
+            uint32_t _size143;
+            ::apache::thrift::protocol::TType _etype146;
+            xfer += iprot->readListBegin(_etype146, _size143);
+            this->asked.resize(_size143);
+            uint32_t _i147;
+            for (_i147 = 0; _i147 < _size143; ++_i147)
             {
-              xfer += iprot->readI64(this->asked[_i137]);
+              xfer += iprot->readI64(this->asked[_i147]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3105,14 +3314,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->unknown.clear();
-            uint32_t _size138;
-            ::apache::thrift::protocol::TType _etype141;
-            xfer += iprot->readListBegin(_etype141, _size138);
-            this->unknown.resize(_size138);
-            uint32_t _i142;
-            for (_i142 = 0; _i142 < _size138; ++_i142)
+            uint32_t _size148;
+            ::apache::thrift::protocol::TType _etype151;
+            xfer += iprot->readListBegin(_etype151, _size148);
+            this->unknown.resize(_size148);
+            uint32_t _i152;
+            for (_i152 = 0; _i152 < _size148; ++_i152)
             {
-              xfer += iprot->readI64(this->unknown[_i142]);
+              xfer += iprot->readI64(this->unknown[_i152]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3125,14 +3334,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->seen.clear();
-            uint32_t _size143;
-            ::apache::thrift::protocol::TType _etype146;
-            xfer += iprot->readListBegin(_etype146, _size143);
-            this->seen.resize(_size143);
-            uint32_t _i147;
-            for (_i147 = 0; _i147 < _size143; ++_i147)
+            uint32_t _size153;
+            ::apache::thrift::protocol::TType _etype156;
+            xfer += iprot->readListBegin(_etype156, _size153);
+            this->seen.resize(_size153);
+            uint32_t _i157;
+            for (_i157 = 0; _i157 < _size153; ++_i157)
             {
-              xfer += this->seen[_i147].read(iprot);
+              xfer += this->seen[_i157].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3169,10 +3378,10 @@
   xfer += oprot->writeFieldBegin("told", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->told.size()));
-    std::vector<gossip_stream_version> ::const_iterator _iter148;
-    for (_iter148 = this->told.begin(); _iter148 != this->told.end(); ++_iter148)
+    std::vector<gossip_stream_version> ::const_iterator _iter158;
+    for (_iter158 = this->told.begin(); _iter158 != this->told.end(); ++_iter158)
     {
-      xfer += (*_iter148).write(oprot);
+      xfer += (*_iter158).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3181,10 +3390,10 @@
   xfer += oprot->writeFieldBegin("asked", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->asked.size()));
-    std::vector<int64_t> ::const_iterator _iter149;
-    for (_iter149 = this->asked.begin(); _iter149 != this->asked.end(); ++_iter149)
+    std::vector<int64_t> ::const_iterator _iter159;
+    for (_iter159 = this->asked.begin(); _iter159 != this->asked.end(); ++_iter159)
     {
-      xfer += oprot->writeI64((*_iter149));
+      xfer += oprot->writeI64((*_iter159));
     }
     xfer += oprot->writeListEnd();
   }
@@ -3193,10 +3402,10 @@
   xfer += oprot->writeFieldBegin("unknown", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->unknown.size()));
-    std::vector<int64_t> ::const_iterator _iter150;
-    for (_iter150 = this->unknown.begin(); _iter150 != this->unknown.end(); ++_iter150)
+    std::vector<int64_t> ::const_iterator _iter160;
+    for (_iter160 = this->unknown.begin(); _iter160 != this->unknown.end(); ++_iter160)
     {
-      xfer += oprot->writeI64((*_iter150));
+      xfer += oprot->writeI64((*_iter160));
     }
     xfer += oprot->writeListEnd();
   }
@@ -3205,10 +3414,10 @@
   xfer += oprot->writeFieldBegin("seen", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->seen.size()));
-    std::vector<gossip_pool_software> ::const_iterator _iter151;
-    for (_iter151 = this->seen.begin(); _iter151 != this->seen.end(); ++_iter151)
+    std::vector<gossip_pool_software> ::const_iterator _iter161;
+    for (_iter161 = this->seen.begin(); _iter161 != this->seen.end(); ++_iter161)
     {
-      xfer += (*_iter151).write(oprot);
+      xfer += (*_iter161).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3233,38 +3442,38 @@
   swap(a.__isset, b.__isset);
 }
 
-gossip_streams::gossip_streams(const gossip_streams& other152) {
-  told = other152.told;
-  asked = other152.asked;
-  unknown = other152.unknown;
-  seen = other152.seen;
-  seen_all = other152.seen_all;
-  __isset = other152.__isset;
-}
-gossip_streams::gossip_streams(gossip_streams&& other153) noexcept {
-  told = std::move(other153.told);
-  asked = std::move(other153.asked);
-  unknown = std::move(other153.unknown);
-  seen = std::move(other153.seen);
-  seen_all = other153.seen_all;
-  __isset = other153.__isset;
-}
-gossip_streams& gossip_streams::operator=(const gossip_streams& other154) {
-  told = other154.told;
-  asked = other154.asked;
-  unknown = other154.unknown;
-  seen = other154.seen;
-  seen_all = other154.seen_all;
-  __isset = other154.__isset;
+gossip_streams::gossip_streams(const gossip_streams& other162) {
+  told = other162.told;
+  asked = other162.asked;
+  unknown = other162.unknown;
+  seen = other162.seen;
+  seen_all = other162.seen_all;
+  __isset = other162.__isset;
+}
+gossip_streams::gossip_streams(gossip_streams&& other163) noexcept {
+  told = std::move(other163.told);
+  asked = std::move(other163.asked);
+  unknown = std::move(other163.unknown);
+  seen = std::move(other163.seen);
+  seen_all = other163.seen_all;
+  __isset = other163.__isset;
+}
+gossip_streams& gossip_streams::operator=(const gossip_streams& other164) {
+  told = other164.told;
+  asked = other164.asked;
+  unknown = other164.unknown;
+  seen = other164.seen;
+  seen_all = other164.seen_all;
+  __isset = other164.__isset;
   return *this;
 }
-gossip_streams& gossip_streams::operator=(gossip_streams&& other155) noexcept {
-  told = std::move(other155.told);
-  asked = std::move(other155.asked);
-  unknown = std::move(other155.unknown);
-  seen = std::move(other155.seen);
-  seen_all = other155.seen_all;
-  __isset = other155.__isset;
+gossip_streams& gossip_streams::operator=(gossip_streams&& other165) noexcept {
+  told = std::move(other165.told);
+  asked = std::move(other165.asked);
+  unknown = std::move(other165.unknown);
+  seen = std::move(other165.seen);
+  seen_all = other165.seen_all;
+  __isset = other165.__isset;
   return *this;
 }
 void gossip_streams::printTo(std::ostream& out) const {
--- a/src/sapphirespar/wire/gen/gossip_types.h
+++ b/src/sapphirespar/wire/gen/gossip_types.h
@@ -37,6 +37,8 @@
 
 class gossip_upstream_pause;
 
+class gossip_rationed_pool;
+
 class gossip_state;
 
 class gossip_stream_version;
@@ -752,8 +754,74 @@
 
 std::ostream& operator<<(std::ostream& out, const gossip_upstream_pause& obj);
 
+typedef struct _gossip_rationed_pool__isset {
+  _gossip_rationed_pool__isset() : pool(false), tolerated(false), left_ms(false), work_ms(false) {}
+  bool pool :1;
+  bool tolerated :1;
+  bool left_ms :1;
+  bool work_ms :1;
+} _gossip_rationed_pool__isset;
+
+class gossip_rationed_pool : public virtual ::apache::thrift::TBase {
+ public:
+
+  gossip_rationed_pool(const gossip_rationed_pool&) noexcept;
+  gossip_rationed_pool(gossip_rationed_pool&&) noexcept;
+  gossip_rationed_pool& operator=(const gossip_rationed_pool&) noexcept;
+  gossip_rationed_pool& operator=(gossip_rationed_pool&&) noexcept;
+  gossip_rationed_pool() noexcept
+                       : pool(0),
+                         tolerated(0),
+                         left_ms(0),
+                         work_ms(0) {
+  }
+
+  virtual ~gossip_rationed_pool() noexcept;
+  int64_t pool;
+  int64_t tolerated;
+  int32_t left_ms;
+  int32_t work_ms;
+
+  _gossip_rationed_pool__isset __isset;
+
+  void __set_pool(const int64_t val);
+
+  void __set_tolerated(const int64_t val);
+
+  void __set_left_ms(const int32_t val);
+
+  void __set_work_ms(const int32_t val);
+
+  bool operator == (const gossip_rationed_pool & rhs) const
+  {
+    if (!(pool == rhs.pool))
+      return false;
+    if (!(tolerated == rhs.tolerated))
+      return false;
+    if (!(left_ms == rhs.left_ms))
+      return false;
+    if (!(work_ms == rhs.work_ms))
+      return false;
+    return true;
+  }
+  bool operator != (const gossip_rationed_pool &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const gossip_rationed_pool & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(gossip_rationed_pool &a, gossip_rationed_pool &b);
+
+std::ostream& operator<<(std::ostream& out, const gossip_rationed_pool& obj);
+
 typedef struct _gossip_state__isset {
-  _gossip_state__isset() : vm(false), incarnation(false), sequence(false), data_centre(false), address(false), caller_port(false), admin_port(false), ready(false), leaving(false), loads(false), asks(false), answers(false), routing_age_ms(false), upstreams_age_ms(false), upstreams_digest(false), interactive_reading(false), bulk_reading(false), processor(false), zones(false), leaving_upstreams(false), store_era(false), routing_version(false), crash_report(false), upstream_rates(false), request_crash_report(false), cut_off(false), upstream_pauses(false) {}
+  _gossip_state__isset() : vm(false), incarnation(false), sequence(false), data_centre(false), address(false), caller_port(false), admin_port(false), ready(false), leaving(false), loads(false), asks(false), answers(false), routing_age_ms(false), upstreams_age_ms(false), upstreams_digest(false), interactive_reading(false), bulk_reading(false), processor(false), zones(false), leaving_upstreams(false), store_era(false), routing_version(false), crash_report(false), upstream_rates(false), request_crash_report(false), cut_off(false), upstream_pauses(false), rationed_pools(false) {}
   bool vm :1;
   bool incarnation :1;
   bool sequence :1;
@@ -781,6 +849,7 @@
   bool request_crash_report :1;
   bool cut_off :1;
   bool upstream_pauses :1;
+  bool rationed_pools :1;
 } _gossip_state__isset;
 
 class gossip_state : public virtual ::apache::thrift::TBase {
@@ -841,6 +910,7 @@
   gossip_crash_report request_crash_report;
   bool cut_off;
   std::vector<gossip_upstream_pause>  upstream_pauses;
+  std::vector<gossip_rationed_pool>  rationed_pools;
 
   _gossip_state__isset __isset;
 
@@ -898,6 +968,8 @@
 
   void __set_upstream_pauses(const std::vector<gossip_upstream_pause> & val);
 
+  void __set_rationed_pools(const std::vector<gossip_rationed_pool> & val);
+
   bool operator == (const gossip_state & rhs) const
   {
     if (!(vm == rhs.vm))
@@ -958,6 +1030,8 @@
       return false;
     if (!(upstream_pauses == rhs.upstream_pauses))
       return false;
+    if (!(rationed_pools == rhs.rationed_pools))
+      return false;
     return true;
   }
   bool operator != (const gossip_state &rhs) const {
--- a/src/sapphirespar/wire/gossip_codec.cpp
+++ b/src/sapphirespar/wire/gossip_codec.cpp
@@ -82,11 +82,11 @@
 }
 
 constexpr double kRateScale = 1000;
+constexpr double kMost = 1e15;
 
 gen::gossip_upstream_rate
 ToWireRate(const upstream_rate& aRate)
 {
-  constexpr double kMost = 1e15;
   gen::gossip_upstream_rate wire;
   wire.upstream = static_cast<std::int64_t>(aRate.mUpstream);
   wire.rate = std::isfinite(aRate.mRate)
@@ -121,6 +121,28 @@
            std::chrono::milliseconds(ClampNegativeToZero(aWire.left_ms)) };
 }
 
+gen::gossip_rationed_pool
+ToWirePool(const rationed_pool& aPool)
+{
+  gen::gossip_rationed_pool wire;
+  wire.pool = static_cast<std::int64_t>(aPool.mPool);
+  wire.tolerated =
+    std::llround(std::clamp(kRateScale * aPool.mTolerated, 0.0, kMost));
+  wire.left_ms = ToAgeMs(aPool.mLeft);
+  wire.work_ms = ToAgeMs(aPool.mWork);
+  return wire;
+}
+
+rationed_pool
+FromWirePool(const gen::gossip_rationed_pool& aWire)
+{
+  const auto tolerated = std::max<std::int64_t>(aWire.tolerated, 0);
+  return { static_cast<std::uint64_t>(aWire.pool),
+           static_cast<double>(tolerated) / kRateScale,
+           std::chrono::milliseconds(ClampNegativeToZero(aWire.left_ms)),
+           std::chrono::milliseconds(ClampNegativeToZero(aWire.work_ms)) };
+}
+
 bool
 IsPort(std::int32_t aNumber)
 {
@@ -160,9 +182,12 @@
   std::ranges::transform(aState.mUpstreamRates,
                          std::back_inserter(state.upstream_rates),
                          ToWireRate);
-  std::ranges::transform(aState.mUpstreamPauses,
+  std::ranges::transform(aState.mBrittle.mPauses,
                          std::back_inserter(state.upstream_pauses),
                          ToWirePause);
+  std::ranges::transform(aState.mBrittle.mPools,
+                         std::back_inserter(state.rationed_pools),
+                         ToWirePool);
   state.routing_age_ms = -1;
   if (aState.mStore) {
     const auto& store = *aState.mStore;
@@ -230,8 +255,11 @@
                          std::back_inserter(read.mUpstreamRates),
                          FromWireRate);
   std::ranges::transform(state.upstream_pauses,
-                         std::back_inserter(read.mUpstreamPauses),
+                         std::back_inserter(read.mBrittle.mPauses),
                          FromWirePause);
+  std::ranges::transform(state.rationed_pools,
+                         std::back_inserter(read.mBrittle.mPools),
+                         FromWirePool);
   read.mWantsReply = state.asks;
   read.mInteractivePrefill = ClampNegativeToZero(state.interactive_reading);
   read.mBulkPrefill = ClampNegativeToZero(state.bulk_reading);
--- a/src/sapphirespar/wire/gossip_codec_test.cpp
+++ b/src/sapphirespar/wire/gossip_codec_test.cpp
@@ -54,7 +54,8 @@
   state.mUpstreamRates = { { 0xfffffffffffffff5ULL, 2.8, 130ms },
                            { 6, kUnlimitedRate, 140ms },
                            { 7, 0, 0ms } };
-  state.mUpstreamPauses = { { 0xfffffffffffffff8ULL, 150ms } };
+  state.mBrittle.mPauses = { { 0xfffffffffffffff8ULL, 150ms } };
+  state.mBrittle.mPools = { { 0xfffffffffffffff7ULL, 2.5, 8s, 15ms } };
   return state;
 }
 
