Count on one software version only for as long as streams live

What callers could get: a stream whose rest comes from another software version, with nothing in the answer to show it, if all gateways were killed in an upgrade and the stream may be taken up for more than 30 s.

Cause: a gateway without memory took 30 s for the life of a stream until it met a longer one, and took a peer's word for its own, longer time. The time now covers the timeouts of the configured routes, and a peer tells how long it has watched; one of an earlier build counts for 30 s.

Failed before: ACommonKillAfterAnUpgradeForgetsNoLongStream and APeerVouchesForNoLongerThanItHasWatched.

--- a/idl/gossip.thrift
+++ b/idl/gossip.thrift
@@ -167,4 +167,5 @@
   3: list<i64> unknown;
   4: list<gossip_pool_software> seen;
   5: bool seen_all;
+  6: i32 span_ms;
 }
--- a/include/sapphirespar/gateway/stream_versions.hpp
+++ b/include/sapphirespar/gateway/stream_versions.hpp
@@ -21,6 +21,9 @@
 
 namespace sapphirespar::gateway {
 
+// Callers may take a stream up until their deadline, and a little later.
+inline constexpr std::chrono::milliseconds kTakeUpMargin{ 5000 };
+
 // Hashes that name streams and versions; the same at all gateways. aRequestId
 // is the id of the request that brought the stream's first event.
 std::uint64_t StreamKey(std::string_view aRequestId);
@@ -39,6 +42,8 @@
   std::function<void(const std::string& aAddress, const stream_message&)> mSend;
   // The pools' versions as listed now; empty unless the list is up to date.
   std::function<std::vector<pool_software>()> mListed;
+  // The longest time for which a caller may take a stream up, as configured.
+  std::function<std::chrono::milliseconds()> mLongestLifetime;
 };
 
 class stream_versions
@@ -100,6 +105,8 @@
     std::function<void()> mOnAnswer;
   };
 
+  // For how long streams may have to be remembered.
+  steady_duration Span() const;
   void Update();
   void Watch();
   void Remember(const stream_version& aTold, bool aOwn);
@@ -114,7 +121,7 @@
   std::map<std::uint64_t, question> mQuestions;
   std::uint64_t mLastQuestion = 0;
   policy::software_history mHistory;
-  // The longest lifetime met, for which streams may have to be remembered.
+  // The longest lifetime met.
   steady_duration mSpan;
   timer_subscription mUpdate;
   timer_subscription mWatch;
--- a/include/sapphirespar/model/stream_message.hpp
+++ b/include/sapphirespar/model/stream_message.hpp
@@ -36,9 +36,11 @@
   // Streams that the receiver asked about and the sender does not know.
   std::vector<std::uint64_t> mUnknown;
   // With unknown streams: the versions that the sender has seen listed lately,
-  // and whether it has watched the list for as long as streams are remembered.
+  // and whether it has watched the list for as long as it remembers streams,
+  // which is mSpan. Zero if the sender does not tell how long that is.
   std::vector<pool_software> mSeen;
   bool mSeenAll = false;
+  std::chrono::milliseconds mSpan{ 0 };
 
   bool operator==(const stream_message&) const = default;
 };
--- a/src/sapphirespar/gateway/forward_attempt.cpp
+++ b/src/sapphirespar/gateway/forward_attempt.cpp
@@ -332,11 +332,9 @@
     if (!mForwarded.mRoute->mResumable) {
       return;
     }
-    // The caller may come back until its deadline, and a little later.
-    constexpr milliseconds kMargin{ 5000 };
     const auto lifetime =
       LeftUntil(std::max(mForwarded.mDeadline, mForwarded.mCallerDeadline)) +
-      kMargin;
+      kTakeUpMargin;
     const auto software = SoftwareKey(mUpstream.mEntry);
     mProgress.mSoftware = software;
     mServices.mStreams.Begin(
--- a/src/sapphirespar/gateway/forward_fixture_test.hpp
+++ b/src/sapphirespar/gateway/forward_fixture_test.hpp
@@ -140,7 +140,8 @@
       [this](const std::string& aTo, const stream_message& aMessage) {
         mSendStreams(aTo, aMessage);
       },
-      [this] { return ListedSoftware(mUpstreams); } }
+      [this] { return ListedSoftware(mUpstreams); },
+      [] { return std::chrono::milliseconds(0); } }
   };
   reach_monitor mReach{ mTimers,
                         mMetrics,
--- a/src/sapphirespar/gateway/gateway_hooks.cpp
+++ b/src/sapphirespar/gateway/gateway_hooks.cpp
@@ -192,6 +192,16 @@
       summary && summary->mUpstreamsAge <= mSettings.mMaxPropagationDelay;
     return fresh ? ListedSoftware(mUpstreams) : std::vector<pool_software>{};
   };
+  hooks.mLongestLifetime = [this] {
+    milliseconds longest{ 0 };
+    if (const auto& table = mRouting.Table()) {
+      for (const auto& route : table->Config().mRoutes) {
+        longest =
+          std::max(longest, route.mResumable ? route.mTimeout : longest);
+      }
+    }
+    return longest + kTakeUpMargin;
+  };
   return hooks;
 }
 
--- a/src/sapphirespar/gateway/stream_versions.cpp
+++ b/src/sapphirespar/gateway/stream_versions.cpp
@@ -193,7 +193,14 @@
   }
   const auto now = mTimers.Now();
   mHistory.Watch(listed, now);
-  return mHistory.OnlyVersion(aPool, mSpan, now);
+  return mHistory.OnlyVersion(aPool, Span(), now);
+}
+
+steady_duration
+stream_versions::Span() const
+{
+  return std::clamp<steady_duration>(
+    mHooks.mLongestLifetime(), mSpan, kMaximumSpan);
 }
 
 void
@@ -204,7 +211,10 @@
     Remember(told, false);
   }
   if (!aMessage.mUnknown.empty()) {
-    mHistory.Merge(aMessage.mSeen, aMessage.mSeenAll, mSpan, mTimers.Now());
+    // Earlier builds watch for at least the minimum and don't tell.
+    const auto watched =
+      std::max<steady_duration>(aMessage.mSpan, kMinimumSpan);
+    mHistory.Merge(aMessage.mSeen, aMessage.mSeenAll, watched, mTimers.Now());
   }
   if (!aMessage.mAsked.empty()) {
     Reply(aFrom, aMessage);
@@ -232,8 +242,9 @@
     }
   }
   if (!reply.mUnknown.empty()) {
-    reply.mSeen = mHistory.SeenWithin(mSpan, now);
-    reply.mSeenAll = mHistory.Covers(mSpan, now);
+    reply.mSeen = mHistory.SeenWithin(Span(), now);
+    reply.mSeenAll = mHistory.Covers(Span(), now);
+    reply.mSpan = std::chrono::floor<milliseconds>(Span());
   }
   mHooks.mSend(aFrom, reply);
 }
--- a/src/sapphirespar/gateway/stream_versions_test.cpp
+++ b/src/sapphirespar/gateway/stream_versions_test.cpp
@@ -45,6 +45,7 @@
       }
     };
     hooks.mListed = [this] { return mListed; };
+    hooks.mLongestLifetime = [this] { return mLongestLifetime; };
     mGateways[aNumber] =
       std::make_unique<stream_versions>(mTimers, std::move(hooks));
   }
@@ -75,6 +76,7 @@
 
   manual_timer_service mTimers;
   std::vector<pool_software> mListed{ kOld };
+  std::chrono::milliseconds mLongestLifetime{ 0 };
   // Whether a message from one gateway to another is lost.
   std::function<bool(std::size_t, std::size_t)> mLoses = [](auto, auto) {
     return false;
@@ -215,6 +217,37 @@
   EXPECT_FALSE(gateways[1].OnlyVersion(kPool));
 }
 
+TEST(StreamVersions, ACommonKillAfterAnUpgradeForgetsNoLongStream)
+{
+  fleet gateways(3);
+  gateways.mLongestLifetime = 60s;
+  gateways.mTimers.Advance(61s);
+  gateways[0].Begin(7, kOld, 60s);
+  gateways.mListed = { kNew };
+  for (std::size_t number = 0; number < gateways.Size(); ++number) {
+    gateways.Kill(number);
+    gateways.Start(number);
+  }
+  // The stream can still be taken up.
+  gateways.mTimers.Advance(40s);
+  EXPECT_TRUE(gateways.Ask(1, 7).empty());
+  EXPECT_FALSE(gateways[1].OnlyVersion(kPool));
+  gateways.mTimers.Advance(21s);
+  EXPECT_EQ(gateways[1].OnlyVersion(kPool), kNew.mSoftware);
+}
+
+TEST(StreamVersions, APeerVouchesForNoLongerThanItHasWatched)
+{
+  fleet gateways(9);
+  gateways.mTimers.Advance(31s);
+  // Only this gateway and the keepers know that streams may last longer.
+  gateways[0].Begin(8, kOld, 60s);
+  EXPECT_TRUE(gateways.Ask(0, 7).empty());
+  EXPECT_FALSE(gateways[0].OnlyVersion(kPool));
+  gateways.mTimers.Advance(30s);
+  EXPECT_EQ(gateways[0].OnlyVersion(kPool), kOld.mSoftware);
+}
+
 // Whatever is lost, killed and restarted: a gateway knows the version that
 // began a stream, or none.
 TEST(StreamVersions, NoGatewayEverFindsAnotherVersion)
--- a/src/sapphirespar/wire/gen/gossip_types.cpp
+++ b/src/sapphirespar/wire/gen/gossip_types.cpp
@@ -3242,6 +3242,10 @@
 void gossip_streams::__set_seen_all(const bool val) {
   this->seen_all = val;
 }
+
+void gossip_streams::__set_span_ms(const int32_t val) {
+  this->span_ms = val;
+}
 std::ostream& operator<<(std::ostream& out, const gossip_streams& obj)
 {
   obj.printTo(out);
@@ -3358,6 +3362,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->span_ms);
+          this->__isset.span_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3427,6 +3439,10 @@
   xfer += oprot->writeBool(this->seen_all);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("span_ms", ::apache::thrift::protocol::T_I32, 6);
+  xfer += oprot->writeI32(this->span_ms);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3439,6 +3455,7 @@
   swap(a.unknown, b.unknown);
   swap(a.seen, b.seen);
   swap(a.seen_all, b.seen_all);
+  swap(a.span_ms, b.span_ms);
   swap(a.__isset, b.__isset);
 }
 
@@ -3448,6 +3465,7 @@
   unknown = other162.unknown;
   seen = other162.seen;
   seen_all = other162.seen_all;
+  span_ms = other162.span_ms;
   __isset = other162.__isset;
 }
 gossip_streams::gossip_streams(gossip_streams&& other163) noexcept {
@@ -3456,6 +3474,7 @@
   unknown = std::move(other163.unknown);
   seen = std::move(other163.seen);
   seen_all = other163.seen_all;
+  span_ms = other163.span_ms;
   __isset = other163.__isset;
 }
 gossip_streams& gossip_streams::operator=(const gossip_streams& other164) {
@@ -3464,6 +3483,7 @@
   unknown = other164.unknown;
   seen = other164.seen;
   seen_all = other164.seen_all;
+  span_ms = other164.span_ms;
   __isset = other164.__isset;
   return *this;
 }
@@ -3473,6 +3493,7 @@
   unknown = std::move(other165.unknown);
   seen = std::move(other165.seen);
   seen_all = other165.seen_all;
+  span_ms = other165.span_ms;
   __isset = other165.__isset;
   return *this;
 }
@@ -3484,6 +3505,7 @@
   out << ", " << "unknown=" << to_string(unknown);
   out << ", " << "seen=" << to_string(seen);
   out << ", " << "seen_all=" << to_string(seen_all);
+  out << ", " << "span_ms=" << to_string(span_ms);
   out << ")";
 }
 
--- a/src/sapphirespar/wire/gen/gossip_types.h
+++ b/src/sapphirespar/wire/gen/gossip_types.h
@@ -1169,12 +1169,13 @@
 std::ostream& operator<<(std::ostream& out, const gossip_pool_software& obj);
 
 typedef struct _gossip_streams__isset {
-  _gossip_streams__isset() : told(false), asked(false), unknown(false), seen(false), seen_all(false) {}
+  _gossip_streams__isset() : told(false), asked(false), unknown(false), seen(false), seen_all(false), span_ms(false) {}
   bool told :1;
   bool asked :1;
   bool unknown :1;
   bool seen :1;
   bool seen_all :1;
+  bool span_ms :1;
 } _gossip_streams__isset;
 
 class gossip_streams : public virtual ::apache::thrift::TBase {
@@ -1185,7 +1186,8 @@
   gossip_streams& operator=(const gossip_streams&);
   gossip_streams& operator=(gossip_streams&&) noexcept;
   gossip_streams() noexcept
-                 : seen_all(0) {
+                 : seen_all(0),
+                   span_ms(0) {
   }
 
   virtual ~gossip_streams() noexcept;
@@ -1194,6 +1196,7 @@
   std::vector<int64_t>  unknown;
   std::vector<gossip_pool_software>  seen;
   bool seen_all;
+  int32_t span_ms;
 
   _gossip_streams__isset __isset;
 
@@ -1207,6 +1210,8 @@
 
   void __set_seen_all(const bool val);
 
+  void __set_span_ms(const int32_t val);
+
   bool operator == (const gossip_streams & rhs) const
   {
     if (!(told == rhs.told))
@@ -1219,6 +1224,8 @@
       return false;
     if (!(seen_all == rhs.seen_all))
       return false;
+    if (!(span_ms == rhs.span_ms))
+      return false;
     return true;
   }
   bool operator != (const gossip_streams &rhs) const {
--- a/src/sapphirespar/wire/stream_codec.cpp
+++ b/src/sapphirespar/wire/stream_codec.cpp
@@ -43,16 +43,22 @@
   return keys;
 }
 
+std::int32_t
+ToWireMs(std::chrono::milliseconds aTime)
+{
+  constexpr std::int64_t kMost = std::numeric_limits<std::int32_t>::max();
+  return static_cast<std::int32_t>(
+    std::clamp<std::int64_t>(aTime.count(), 0, kMost));
+}
+
 gen::gossip_stream_version
 ToWireVersion(const stream_version& aVersion)
 {
-  constexpr std::int64_t kMost = std::numeric_limits<std::int32_t>::max();
   gen::gossip_stream_version wire;
   wire.stream = static_cast<std::int64_t>(aVersion.mStream);
   wire.pool = static_cast<std::int64_t>(aVersion.mPool);
   wire.software = static_cast<std::int64_t>(aVersion.mSoftware);
-  wire.left_ms = static_cast<std::int32_t>(
-    std::clamp<std::int64_t>(aVersion.mLeft.count(), 0, kMost));
+  wire.left_ms = ToWireMs(aVersion.mLeft);
   return wire;
 }
 
@@ -100,6 +106,7 @@
   std::ranges::transform(
     aMessage.mSeen, std::back_inserter(wire.seen), ToWireSeen);
   wire.seen_all = aMessage.mSeenAll;
+  wire.span_ms = ToWireMs(aMessage.mSpan);
   const auto buffer = std::make_shared<TMemoryBuffer>();
   TCompactProtocolT<TMemoryBuffer> protocol(buffer);
   wire.write(&protocol);
@@ -135,6 +142,7 @@
   std::ranges::transform(
     wire.seen, std::back_inserter(message.mSeen), FromWireSeen);
   message.mSeenAll = wire.seen_all;
+  message.mSpan = std::chrono::milliseconds(std::max(wire.span_ms, 0));
   return message;
 }
 
--- a/src/sapphirespar/wire/stream_codec_test.cpp
+++ b/src/sapphirespar/wire/stream_codec_test.cpp
@@ -24,6 +24,7 @@
   message.mUnknown = { 9 };
   message.mSeen = { { 10, 0xfffffffffffffff1ULL } };
   message.mSeenAll = true;
+  message.mSpan = 65s;
   return message;
 }
 
