Take an answer only for the request that it names

What callers saw: beside a faulty upstream, a booking answered 503 that had run, so that a caller who follows the promise books twice.

Cause: an answer without an id counted as the answer to the current request, and a statement that the request was not run was believed with any status. On a kept connection such bytes may be left over from the request before. One that names several requests is unusable. "Not run" needs a status that rejects; 400 does so only for a request without an id. What an upstream states of itself (leaving, Retry-After, rate, brittle) is taken from answers to the request only. A relayed answer of another gateway that names another request is not passed on. `attempt` lines count `foreign_answers`.

--- a/include/sapphirespar/gateway/answer_classifier.hpp
+++ b/include/sapphirespar/gateway/answer_classifier.hpp
@@ -16,22 +16,35 @@
   Failed,
   // The upstream did not run the request and never will.
   NotRun,
-  // A late answer to an earlier request on the same connection.
+  // An answer to another request, or bytes that belong to none. Nothing in it
+  // holds for the request.
   Foreign,
   // Must not be relayed: its status promises that the request did not run,
-  // which the upstream has not stated, or a success lacks the upstream's
-  // signature. The request may have run.
+  // which the upstream has not stated, or the other way round; a success lacks
+  // the upstream's signature; or it names several requests. The request may
+  // have run.
   Unusable,
 };
 
 // Returns the name used in logs, such as "not_run".
 std::string_view ToText(answer_kind aKind);
 
-// aRequestId is the id of the request that was sent; an answer that names
-// another one is Foreign.
+// What comes before an answer on its connection.
+enum class connection_past
+{
+  // No answer.
+  None,
+  // Answers, after which a faulty upstream may have sent more bytes.
+  Answers,
+};
+
+// aRequestId is the id of the request that was sent, empty if it has none. An
+// answer that names another request is Foreign, and so is one that names none
+// after others, as an upstream names the request that it answers.
 answer_kind ClassifyAnswer(unsigned aStatus,
                            const answer_info& aInfo,
-                           std::string_view aRequestId);
+                           std::string_view aRequestId,
+                           connection_past aPast);
 
 // Whether a caller takes this status to mean that the request has not run and
 // never will.
--- a/include/sapphirespar/gateway/protocol.hpp
+++ b/include/sapphirespar/gateway/protocol.hpp
@@ -87,6 +87,8 @@
   // The requests a second that the upstream can turn away for want of room
   // without falling over; unset unless it says that it is brittle.
   std::optional<double> mToleratedRejections = std::nullopt;
+  // The answer names more than one request.
+  bool mHasSeveralIds = false;
 };
 
 // An address where a gateway accepts connections.
--- a/src/sapphirespar/gateway/answer_classifier.cpp
+++ b/src/sapphirespar/gateway/answer_classifier.cpp
@@ -32,14 +32,24 @@
 answer_kind
 ClassifyAnswer(unsigned aStatus,
                const answer_info& aInfo,
-               std::string_view aRequestId)
+               std::string_view aRequestId,
+               connection_past aPast)
 {
-  const bool hasId = !aInfo.mRequestId.empty();
-  if (hasId && aInfo.mRequestId != aRequestId) {
+  if (aInfo.mHasSeveralIds) {
+    return answer_kind::Unusable;
+  }
+  const bool namesNone = aInfo.mRequestId.empty();
+  const bool mustName =
+    !aRequestId.empty() && aPast == connection_past::Answers;
+  if (namesNone ? mustName : aInfo.mRequestId != aRequestId) {
     return answer_kind::Foreign;
   }
   if (aInfo.mNotRun) {
-    return answer_kind::NotRun;
+    // Bad Request answers a request that has no id.
+    constexpr unsigned kBadRequest = 400;
+    const bool rejects =
+      PromisesNotRun(aStatus) || (aStatus == kBadRequest && aRequestId.empty());
+    return rejects ? answer_kind::NotRun : answer_kind::Unusable;
   }
   const bool success = aStatus >= 200 && aStatus < 300;
   if (PromisesNotRun(aStatus) || (success && !aInfo.mSigned)) {
--- a/src/sapphirespar/gateway/forward_attempt.cpp
+++ b/src/sapphirespar/gateway/forward_attempt.cpp
@@ -126,27 +126,20 @@
     while (true) {
       const auto& head = mStream->Head();
       const auto info =
+    auto past =
+      mStream->Reused() ? connection_past::Answers : connection_past::None;
         mServices.mProtocol.mReadAnswer(head.mStatus, head.mHeaders);
-      if (info.mLeaving) {
-        mServices.mUpstreams.NoteLeaving(mUpstream.mKey, "answer");
-      }
-      if (info.mRetryAfter) {
-        TurnAwayFor(*info.mRetryAfter);
-      }
-      mAcceptedRate = info.mAcceptedRate;
       const auto kind =
-        ClassifyAnswer(head.mStatus, info, mForwarded.mInfo.mId);
-      NoteAcceptedRate(info, kind);
-      if (kind != answer_kind::Foreign && kind != answer_kind::Unusable) {
-        mServices.mBrittleGuard.OnAnswer(
-          mUpstream, info.mToleratedRejections, kind == answer_kind::NotRun);
-      }
+        ClassifyAnswer(head.mStatus, info, mForwarded.mInfo.mId, past);
       if (kind != answer_kind::Foreign) {
         co_return co_await HandleAnswer(kind);
       }
       const auto next =
+        NoteStatements(info, kind);
         co_await mStream->SkipResponse(LeftUntil(mForwarded.mDeadline));
       if (!next) {
+      ++mAttempt.mForeignAnswers;
+      past = connection_past::Answers;
         co_return AnswerLost(next.error());
       }
     }
@@ -155,6 +148,27 @@
   // Sends no further request to the upstream for this long.
   void TurnAwayFor(milliseconds aTime)
   {
+  // Takes over what the upstream states of itself in an answer to this request.
+  void NoteStatements(const answer_info& aInfo, answer_kind aKind)
+  {
+    if (aKind == answer_kind::Unusable) {
+      return;
+    }
+    if (aInfo.mLeaving) {
+      mServices.mUpstreams.NoteLeaving(mUpstream.mKey, "answer");
+    }
+    if (aInfo.mRetryAfter) {
+      TurnAwayFor(*aInfo.mRetryAfter);
+    }
+    mAcceptedRate = aInfo.mAcceptedRate;
+    if (aInfo.mAcceptedRate) {
+      mServices.mRateGuard.OnAnswer(
+        mUpstream.mKey, *aInfo.mAcceptedRate, mAttempt.mStarted);
+    }
+    mServices.mBrittleGuard.OnAnswer(
+      mUpstream, aInfo.mToleratedRejections, aKind == answer_kind::NotRun);
+  }
+
     const auto until = steady_clock::now() + aTime;
     mUpstream.mTurnsAwayUntil = std::max(mUpstream.mTurnsAwayUntil, until);
     LogEvent(log_level::Info,
@@ -164,19 +178,6 @@
                { "for_ms", aTime.count() } });
   }
 
-  void NoteAcceptedRate(const answer_info& aInfo, answer_kind aKind)
-  {
-    if (!aInfo.mAcceptedRate) {
-      return;
-    }
-    // Answers to other requests and spoilt ones can't end a limit.
-    const bool sound =
-      aKind != answer_kind::Foreign && aKind != answer_kind::Unusable;
-    mServices.mRateGuard.OnAnswer(mUpstream.mKey,
-                                  *aInfo.mAcceptedRate,
-                                  sound ? mAttempt.mStarted : steady_time{});
-  }
-
   asio::awaitable<attempt_result> HandleAnswer(answer_kind aKind)
   {
     const auto now = steady_clock::now();
--- a/src/sapphirespar/gateway/forward_fixture_test.cpp
+++ b/src/sapphirespar/gateway/forward_fixture_test.cpp
@@ -81,6 +81,8 @@
 {
   answer_info info;
   info.mRequestId = wire::FindHeader(aHeaders, kTestId);
+  info.mHasSeveralIds =
+    std::ranges::count(aHeaders, kTestId, &wire::http_header::mName) > 1;
   info.mSigned = !wire::FindHeader(aHeaders, kTestSigned).empty();
   info.mNotRun = !wire::FindHeader(aHeaders, kTestNotRun).empty();
   info.mLeaving = !wire::FindHeader(aHeaders, kTestLeaving).empty();
--- a/src/sapphirespar/gateway/forward_state.hpp
+++ b/src/sapphirespar/gateway/forward_state.hpp
@@ -186,6 +186,8 @@
   // When its upstream was last found silent; the epoch if never.
   steady_time mSilenceNotedAt{};
   bool mHasEvents = false;
+  // Answers to other requests that came before this one's.
+  unsigned mForeignAnswers = 0;
   // The event after which the upstream was asked to go on; empty for the start.
   std::string mResumesAfter;
   // Another attempt answers. Nothing of this one may be relayed.
--- a/src/sapphirespar/gateway/peer_relay.cpp
+++ b/src/sapphirespar/gateway/peer_relay.cpp
@@ -75,6 +75,13 @@
     }
     mStream = std::move(opened).value();
     mResult.mStatus = mStream->Head().mStatus;
+    const auto answered =
+      mServices.mProtocol.mReadAnswer(mResult.mStatus, mStream->Head().mHeaders)
+        .mRequestId;
+    if (!answered.empty() && answered != mForwarded.mInfo.mId) {
+      mDetail = "answer to another request";
+      co_return End(relay_end::Broken);
+    }
     if (IsEventStream(mStream->Head())) {
       co_return co_await RelayStream();
     }
