Continue a stream with events of successful answers only

What callers saw: a stream that ended as complete with another upstream's failure in the place of its last events.

Cause: any event stream was relayed as one, whatever its status, also when it was to continue a stream that had begun, and dropped the sound attempt. An answer that is no success is now read as a whole, as plain ones are: beside a stream that has begun it is that upstream's failure, and the other attempt goes on.

--- a/src/sapphirespar/gateway/forward_attempt.cpp
+++ b/src/sapphirespar/gateway/forward_attempt.cpp
@@ -30,6 +30,9 @@
   relay_progress& mProgress;
 };
 
+// Statuses from here on tell no success.
+constexpr unsigned kFirstError = 300;
+
 class attempt : private attempt_ending
 {
 public:
@@ -123,31 +126,28 @@
 
   asio::awaitable<attempt_result> ReceiveAnswer()
   {
+    auto past =
+      mStream->Reused() ? connection_past::Answers : connection_past::None;
     while (true) {
       const auto& head = mStream->Head();
       const auto info =
-    auto past =
-      mStream->Reused() ? connection_past::Answers : connection_past::None;
         mServices.mProtocol.mReadAnswer(head.mStatus, head.mHeaders);
       const auto kind =
         ClassifyAnswer(head.mStatus, info, mForwarded.mInfo.mId, past);
       if (kind != answer_kind::Foreign) {
+        NoteStatements(info, kind);
         co_return co_await HandleAnswer(kind);
       }
+      ++mAttempt.mForeignAnswers;
+      past = connection_past::Answers;
       const auto next =
-        NoteStatements(info, kind);
         co_await mStream->SkipResponse(LeftUntil(mForwarded.mDeadline));
       if (!next) {
-      ++mAttempt.mForeignAnswers;
-      past = connection_past::Answers;
         co_return AnswerLost(next.error());
       }
     }
   }
 
-  // Sends no further request to the upstream for this long.
-  void TurnAwayFor(milliseconds aTime)
-  {
   // Takes over what the upstream states of itself in an answer to this request.
   void NoteStatements(const answer_info& aInfo, answer_kind aKind)
   {
@@ -169,6 +169,9 @@
       mUpstream, aInfo.mToleratedRejections, aKind == answer_kind::NotRun);
   }
 
+  // Sends no further request to the upstream for this long.
+  void TurnAwayFor(milliseconds aTime)
+  {
     const auto until = steady_clock::now() + aTime;
     mUpstream.mTurnsAwayUntil = std::max(mUpstream.mTurnsAwayUntil, until);
     LogEvent(log_level::Info,
@@ -193,7 +196,8 @@
       mUpstream.mHealth.AddResult(true, now);
       co_return End(attempt_end::Broken, "unusable answer");
     }
-    if (aKind == answer_kind::Relay && IsEventStream(mStream->Head())) {
+    const bool success = mStream->Head().mStatus < kFirstError;
+    if (success && IsEventStream(mStream->Head())) {
       if (!mClaim()) {
         co_return End(attempt_end::Superseded);
       }
@@ -225,8 +229,10 @@
     if (!failed) {
       RecordSurvival();
     }
-    mUpstream.mHealth.AddResult(failed, steady_clock::now());
-    if (failed || mProgress.mBegun) {
+    // A stream that has begun can't go on with another kind of answer.
+    const bool unfit = failed || mProgress.mBegun;
+    mUpstream.mHealth.AddResult(unfit, steady_clock::now());
+    if (unfit) {
       auto result = End(attempt_end::Failed);
       result.mFailure = std::move(response);
       result.mFailureMemory = mMemory;
--- a/src/sapphirespar/gateway/forward_silent_upstream_test.cpp
+++ b/src/sapphirespar/gateway/forward_silent_upstream_test.cpp
@@ -113,6 +113,49 @@
   ExpectWholeStream("/resume/x");
 }
 
+// Answers with a failure in the form of a stream.
+upstream_handler
+FailWith(unsigned aStatus)
+{
+  return [aStatus](const wire::http_request& aRequest,
+                   wire::http_reply& aReply) -> asio::awaitable<void> {
+    co_await aReply.Begin(
+      aStatus, EventHeaders(aRequest), "id: 9\ndata: failure\n\n");
+    co_await aReply.Finish({});
+  };
+}
+
+TEST_F(forward_silent_upstream_test, AFailureIsNotJoinedToTheStreamOfAnother)
+{
+  Publish();
+  for (const unsigned status : { 302U, 404U, 409U, 500U }) {
+    SCOPED_TRACE(status);
+    mEntries.clear();
+    mArrivals.clear();
+    AddPair(SendWithSilence, FailWith(status));
+    ExpectWholeStream("/resume/x");
+    EXPECT_EQ(Arrivals(), 2U);
+  }
+}
+
+TEST_F(forward_silent_upstream_test, AFailureDoesNotEndABrokenStreamAsComplete)
+{
+  Publish();
+  for (const unsigned status : { 302U, 404U, 500U }) {
+    SCOPED_TRACE(status);
+    mEntries.clear();
+    mArrivals.clear();
+    AddPair(
+      [](const wire::http_request& aRequest,
+         wire::http_reply& aReply) -> asio::awaitable<void> {
+        co_await aReply.Begin(200, EventHeaders(aRequest), kFirstEvent);
+      },
+      FailWith(status));
+    // The connection ends without the end of the answer.
+    EXPECT_EQ(SendRequest("/resume/x").mStatus, 0U);
+  }
+}
+
 TEST_F(forward_silent_upstream_test, AStreamGoesOnIfTheRetryBudgetIsSpent)
 {
   mRetries.SetLimits({ 0, 0, 10s });
