Decode each entry of the store by itself

What callers saw: requests sent to a draining upstream until it was gone, as long as one entry of the store could not be parsed.

Cause: a list was parsed as one JSON text, so that one entry made the whole list unavailable, and gateways kept the one they had. Now the readable elements of a list, or of a watch's answer, are kept; what can't be parsed keeps its name and revision without a value and names no upstream. One that was listed before drains, also while missing entries are kept after an outage. Each such entry is logged once, counted in a metric and named by the status page.

--- a/include/sapphirespar/gateway/store_reader.hpp
+++ b/include/sapphirespar/gateway/store_reader.hpp
@@ -155,6 +155,10 @@
     const known_versions& aKnown = {}) const;
   std::optional<store_summary> Summary() const;
 
+  // Names of the upstreams' entries that could not be read when this gateway
+  // last read the store itself.
+  std::vector<std::string> UnreadableEntries() const;
+
 private:
   struct state;
   std::shared_ptr<state> mState;
--- a/src/sapphirespar/gateway/gateway_pages.cpp
+++ b/src/sapphirespar/gateway/gateway_pages.cpp
@@ -55,6 +55,9 @@
     mMetrics.Set(
       "gateway_upstreams", {}, static_cast<double>(status.mUpstreams));
     mMetrics.Set("gateway_gateways", {}, status.mGateways);
+    mMetrics.Set("gateway_unreadable_entries",
+                 {},
+                 static_cast<double>(status.mUnreadableEntries.size()));
     return TextResponse(200, mMetrics.Render());
   }
   if (aTarget.mPath == kStatusPath) {
@@ -88,6 +91,7 @@
   }
   status.mUpstreams = mUpstreams.Size();
   status.mGateways = mPeers.MaximumGateways(mTimers.Now());
+  status.mUnreadableEntries = mReader.UnreadableEntries();
   return status;
 }
 
--- a/src/sapphirespar/gateway/pages.cpp
+++ b/src/sapphirespar/gateway/pages.cpp
@@ -45,6 +45,8 @@
                              : boost::json::value(nullptr);
   body["upstreams"] = aStatus.mUpstreams;
   body["gateways"] = aStatus.mGateways;
+  body["unreadable_entries"] = boost::json::array(
+    aStatus.mUnreadableEntries.begin(), aStatus.mUnreadableEntries.end());
   return wire::JsonResponse(200, boost::json::serialize(body));
 }
 
--- a/src/sapphirespar/gateway/pages.hpp
+++ b/src/sapphirespar/gateway/pages.hpp
@@ -22,6 +22,8 @@
   std::size_t mUpstreams = 0;
   // Upper bound of the number of live gateways; zero if unknown.
   unsigned mGateways = 0;
+  // Upstreams' entries in the store that could not be read.
+  std::vector<std::string> mUnreadableEntries;
 };
 
 wire::http_response TextResponse(unsigned aStatus, std::string aBody);
--- a/src/sapphirespar/gateway/store_contents.cpp
+++ b/src/sapphirespar/gateway/store_contents.cpp
@@ -240,20 +240,52 @@
              { "told", aVersion } });
 }
 
+// Logs each entry that can't be read once, and lets an upstream that was listed
+// under its name before drain: unlike one whose entry is missing, it is not
+// named by the store any more.
+void
+store_reader::state::AddUnreadable(
+  std::map<std::string, std::string> aUnreadable,
+  std::vector<upstream_entry>& aEntries)
+{
+  for (const auto& [name, reason] : aUnreadable) {
+    const auto logged = mUnreadable.find(name);
+    if (logged == mUnreadable.end() || logged->second != reason) {
+      LogEvent(log_level::Warning,
+               "upstream_entry_unreadable",
+               { { "name", name }, { "reason", reason } });
+    }
+  }
+  if (!aUnreadable.empty()) {
+    for (auto& known : mUpstreams.Entries()) {
+      if (aUnreadable.contains(known.mId.mText)) {
+        known.mDraining = true;
+        aEntries.push_back(std::move(known));
+      }
+    }
+  }
+  mUnreadable = std::move(aUnreadable);
+}
+
 void
 store_reader::state::ApplyStoreList(std::span<const platform_object> aObjects,
                                     boot_time aSent)
 {
+  if (mUpstreamsRead && aSent < *mUpstreamsRead) {
+    return;
+  }
   std::vector<upstream_entry> entries;
+  std::map<std::string, std::string> unreadable;
   for (const auto& object : aObjects) {
     if (auto entry =
           mProtocol.mReadUpstream(object.mKey.mName, object.mValue)) {
       entries.push_back(std::move(*entry));
+    } else {
+      unreadable[object.mKey.mName] =
+        object.mValue.empty() ? "no value that can be read" : "no upstream";
     }
   }
-  if (mUpstreamsRead && aSent < *mUpstreamsRead) {
-    return;
-  }
+  AddUnreadable(std::move(unreadable), entries);
   mUpstreamsRead = aSent;
   ApplyEntries(entries, CompletenessNow(), "store");
 }
--- a/src/sapphirespar/gateway/store_reader.cpp
+++ b/src/sapphirespar/gateway/store_reader.cpp
@@ -5,6 +5,8 @@
 #include "store_reader_state.hpp"
 
 #include <algorithm>
+#include <iterator>
+#include <ranges>
 
 namespace sapphirespar::gateway {
 namespace {
@@ -336,6 +338,15 @@
   return snapshot;
 }
 
+std::vector<std::string>
+store_reader::UnreadableEntries() const
+{
+  std::vector<std::string> names;
+  std::ranges::copy(std::views::keys(mState->mUnreadable),
+                    std::back_inserter(names));
+  return names;
+}
+
 std::optional<store_summary>
 store_reader::Summary() const
 {
--- a/src/sapphirespar/gateway/store_reader_state.hpp
+++ b/src/sapphirespar/gateway/store_reader_state.hpp
@@ -4,6 +4,7 @@
 
 #include "sapphirespar/gateway/store_reader.hpp"
 
+#include <map>
 #include <memory>
 #include <optional>
 #include <span>
@@ -78,6 +79,8 @@
   void LogFormerRouting(routing_version aVersion, std::string_view aSource);
   void ApplyStoreList(std::span<const platform_object> aObjects,
                       boot_time aSent);
+  void AddUnreadable(std::map<std::string, std::string> aUnreadable,
+                     std::vector<upstream_entry>& aEntries);
   list_completeness CompletenessNow() const;
   void ApplyEntries(std::span<const upstream_entry> aEntries,
                     list_completeness aCompleteness,
@@ -104,6 +107,8 @@
   store_restores mRestores;
   // When the read that returned the contents of mUpstreams was sent. Unset
   // before the first read; never decreases.
+  // Names of the entries of the last list that could not be read, and why.
+  std::map<std::string, std::string> mUnreadable;
   std::optional<boot_time> mUpstreamsRead;
   // The last snapshot did not lead to the sender's digest, so the next one must
   // contain the full list.
--- a/src/sapphirespar/gateway/store_reader_test.cpp
+++ b/src/sapphirespar/gateway/store_reader_test.cpp
@@ -58,6 +58,39 @@
   EXPECT_EQ(gateway.Members(), 1U);
 }
 
+TEST_F(store_reader_test, AnEntryThatBecomesUnreadableNamesNoUpstream)
+{
+  test_gateway gateway(mTimers, mStore);
+  gateway.mReader.Start();
+  mTimers.Advance(10ms);
+  Write({ "servers", "a" }, "nonsense");
+  Write({ "servers", "other" }, "nonsense");
+  mTimers.Advance(700ms);
+  EXPECT_EQ(gateway.Members(), 1U);
+  EXPECT_EQ(gateway.mReader.UnreadableEntries(),
+            (std::vector<std::string>{ "a", "other" }));
+  Write({ "servers", "a" }, "80");
+  mTimers.Advance(700ms);
+  EXPECT_EQ(gateway.Members(), 2U);
+  EXPECT_EQ(gateway.mReader.UnreadableEntries(),
+            std::vector<std::string>{ "other" });
+}
+
+TEST_F(store_reader_test, AnEntryThatBecomesUnreadableInAnOutageIsNotKept)
+{
+  test_gateway gateway(mTimers, mStore);
+  gateway.mReader.Start();
+  mTimers.Advance(10ms);
+  gateway.mPlatform.Faults().mOutage = true;
+  mTimers.Advance(8s);
+  Remove({ "servers", "a" });
+  Write({ "servers", "b" }, "nonsense");
+  gateway.mPlatform.Faults().mOutage = false;
+  mTimers.Advance(1s);
+  // The missing entry may be written again; the other one was.
+  EXPECT_EQ(gateway.Members(), 1U);
+}
+
 TEST_F(store_reader_test, RetriesQueriesBeforeReadingTheStore)
 {
   test_gateway reader(mTimers, mStore);
--- a/src/sapphirespar/wire/platform_answer.cpp
+++ b/src/sapphirespar/wire/platform_answer.cpp
@@ -1,6 +1,8 @@
 // Parses and writes the platform's JSON.
 #include "platform_answer.hpp"
 
+#include "json_salvage.hpp"
+
 #include "sapphirespar/base/log.hpp"
 
 #include <boost/json.hpp>
@@ -57,6 +59,22 @@
   return error ? std::nullopt : std::optional(std::move(document));
 }
 
+// The same, of a document that lists objects. What can't be read of an element
+// must not hide the others.
+std::optional<json::value>
+ParseListing(std::string_view aText,
+             std::string_view aKey,
+             std::string_view aMetadataIn,
+             bool aMustName)
+{
+  auto document = ParseJson(aText);
+  if (!document) {
+    const auto kept = SalvageElements(aText, aKey, aMetadataIn, aMustName);
+    document = kept ? ParseJson(*kept) : std::nullopt;
+  }
+  return document;
+}
+
 const json::object*
 ObjectAt(const json::object& aObject, std::string_view aKey)
 {
@@ -169,7 +187,9 @@
     return page;
   }
   page.mAnswer.mStatus = platform_status::Unavailable;
-  if (const auto document = ParseJson(aResult.mResponse.mBody)) {
+  constexpr bool kMustName = false;
+  if (const auto document =
+        ParseListing(aResult.mResponse.mBody, "entries", "", kMustName)) {
     page.mAnswer = ReadItems(*document, "entries", [&](const auto& aItem) {
       return ToObject(aItem, aKind);
     });
@@ -190,7 +210,10 @@
     return answer;
   }
   answer.mStatus = platform_status::Unavailable;
-  if (const auto document = ParseJson(aResult.mResponse.mBody)) {
+  // A change of an unknown object can't be left out.
+  constexpr bool kMustName = true;
+  if (const auto document =
+        ParseListing(aResult.mResponse.mBody, "events", "object", kMustName)) {
     answer = ReadItems(*document, "events", [&](const auto& aItem) {
       return ToEventObject(aItem, aKind);
     });
--- a/src/sapphirespar/wire/platform_client_test.cpp
+++ b/src/sapphirespar/wire/platform_client_test.cpp
@@ -126,6 +126,39 @@
   EXPECT_EQ(Get().mEra, 0U);
 }
 
+TEST_F(platform_calls, AnUnreadableEntryDoesNotHideTheOthersOfItsList)
+{
+  const std::string nested = std::string(40, '[') + std::string(40, ']');
+  for (const auto& value : { nested, std::string("\"\xff\"") }) {
+    mAnswer->mBody = R"({"entries":[{"metadata":{"name":"a","revision":2},)"
+                     R"("spec":"x"},{"metadata":{"name":"b","revision":3},)"
+                     R"("spec":)" +
+                     value + R"(}],"has_more":false,"at":9})";
+    const auto answer =
+      Wait<list_answer>([&](auto aDone) { mClient->List("bundle", aDone); });
+    EXPECT_EQ(answer.mStatus, platform_status::Ok);
+    EXPECT_EQ(answer.mVersion, 9U);
+    ASSERT_EQ(answer.mObjects.size(), 2U);
+    EXPECT_EQ(answer.mObjects[0].mValue, "x");
+    EXPECT_EQ(answer.mObjects[1].mKey.mName, "b");
+    EXPECT_EQ(answer.mObjects[1].mValue, "");
+  }
+}
+
+TEST_F(platform_calls, AnUnreadableChangeIsToldWithoutItsValue)
+{
+  mAnswer->mBody =
+    "{\"events\":[{\"object\":{\"metadata\":{\"name\":\"b\",\"revision\":3},"
+    "\"spec\":\"\xff\"}}],\"at\":9}";
+  const auto answer = Watch();
+  EXPECT_EQ(answer.mStatus, platform_status::Ok);
+  ASSERT_EQ(answer.mObjects.size(), 1U);
+  EXPECT_EQ(answer.mObjects[0].mKey.mName, "b");
+  // Without a name nobody knows what has changed.
+  mAnswer->mBody = "{\"events\":[{\"object\":\"\xff\"}],\"at\":9}";
+  EXPECT_EQ(Watch().mStatus, platform_status::Unavailable);
+}
+
 TEST_F(platform_calls, PagesOfTwoErasMakeNoList)
 {
   mAnswer->mHeaders = { { "Store-Era", "4" } };
