Refuse requests whose length is in doubt

What callers saw: an upstream ran a request that was the body of another one.

Cause: a transfer coding that does not end in "chunked" was ignored, and the body read as the next request. Requests are now refused with 400 and the connection closed if they have a coding other than "chunked" alone, a coding besides a length or in HTTP/1.0, several lengths or one that is no number, and if their head has folded lines, line feeds without carriage return or NUL. All servers of the gateway and of the router read requests through this code.

--- a/src/sapphirespar/gateway/forward_bad_request_test.cpp
+++ b/src/sapphirespar/gateway/forward_bad_request_test.cpp
@@ -65,6 +65,43 @@
         "0\r\n\r\n" + inner,
       "400" },
     { "negative_length", ValidHead("Content-Length: -1\r\n") + inner, "400" },
+    { "same_length_twice",
+      ValidHead("Content-Length: 0\r\nContent-Length: 0\r\n") + inner,
+      "400" },
+    { "list_of_lengths", ValidHead("Content-Length: 0, 0\r\n") + inner, "400" },
+    { "other_coding", ValidHead("Transfer-Encoding: gzip\r\n") + inner, "400" },
+    { "other_coding_last",
+      ValidHead("Transfer-Encoding: chunked, gzip\r\n") + inner,
+      "400" },
+    { "other_coding_first",
+      ValidHead("Transfer-Encoding: gzip, chunked\r\n") + "0\r\n\r\n" + inner,
+      "400" },
+    { "chunked_twice",
+      ValidHead("Transfer-Encoding: chunked, chunked\r\n") + "0\r\n\r\n" +
+        inner,
+      "400" },
+    { "two_codings",
+      ValidHead("Transfer-Encoding: chunked\r\nTransfer-Encoding: gzip\r\n") +
+        inner,
+      "400" },
+    { "empty_coding", ValidHead("Transfer-Encoding:\r\n") + inner, "400" },
+    { "misspelt_coding",
+      ValidHead("Transfer-Encoding: xchunked\r\n") + inner,
+      "400" },
+    { "old_version_with_coding",
+      "POST /once/x HTTP/1.0\r\nHost: h\r\nKey: k1\r\nId: r1\r\n"
+      "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n" +
+        inner,
+      "400" },
+    { "folded_line",
+      ValidHead("Transfer-Encoding:\r\n chunked\r\n") + "0\r\n\r\n" + inner,
+      "400" },
+    { "folded_other_line", ValidHead("Pad: a\r\n\tb\r\n") + inner, "400" },
+    { "bare_line_feed", ValidHead("Pad: a\nContent-Length: 0\r\n"), "400" },
+    { "bare_line_feeds",
+      "POST /once/x HTTP/1.1\nHost: h\nKey: k1\nId: r1\n\n" + inner,
+      "400" },
+    { "nul", ValidHead("Pad: a" + std::string(1, '\0') + "\r\n"), "400" },
   };
 }
 
--- a/src/sapphirespar/wire/http_request_read.cpp
+++ b/src/sapphirespar/wire/http_request_read.cpp
@@ -25,6 +25,68 @@
                                    kWriteTimeout);
 }
 
+// Checks what has arrived of a head for what the parser lets pass, although
+// other servers may see other fields there: folded lines, line feeds without
+// carriage return, NUL.
+error_code
+CheckHeadBytes(const beast::flat_buffer& aBuffer)
+{
+  const auto data = aBuffer.data();
+  const std::string_view bytes(static_cast<const char*>(data.data()),
+                               data.size());
+  const auto head = bytes.substr(0, bytes.find("\r\n\r\n"));
+  if (head.find('\0') != std::string_view::npos) {
+    return http::error::bad_value;
+  }
+  for (auto at = head.find('\n'); at != std::string_view::npos;
+       at = head.find('\n', at + 1)) {
+    if (at == 0 || head[at - 1] != '\r') {
+      return http::error::bad_line_ending;
+    }
+    if (at + 1 < head.size() && (head[at + 1] == ' ' || head[at + 1] == '\t')) {
+      return http::error::bad_obs_fold;
+    }
+  }
+  return {};
+}
+
+// Refuses a head from which the length of the body is not plain, see RFC 9112,
+// section 6.3. Transfer codings other than "chunked" are not supported.
+error_code
+CheckBodyLength(const http::request_header<>& aHead)
+{
+  const auto lengths = aHead.count(http::field::content_length);
+  const auto codings = aHead.count(http::field::transfer_encoding);
+  const std::string_view length = aHead[http::field::content_length];
+  if (lengths > 1 ||
+      length.find_first_not_of("0123456789") != std::string_view::npos) {
+    return http::error::bad_content_length;
+  }
+  if (codings == 0) {
+    return {};
+  }
+  const bool chunked =
+    codings == 1 &&
+    beast::iequals(aHead[http::field::transfer_encoding], "chunked");
+  return chunked && lengths == 0 && aHead.version() >= kHttpVersion
+           ? error_code{}
+           : http::error::bad_transfer_encoding;
+}
+
+// Feeds a parser that has not got the whole head yet.
+error_code
+FeedHead(beast::flat_buffer& aBuffer, request_parser& aParser)
+{
+  auto error = CheckHeadBytes(aBuffer);
+  if (!error) {
+    error = Feed(aBuffer, aParser);
+  }
+  if (!error && aParser.is_header_done()) {
+    error = CheckBodyLength(aParser.get());
+  }
+  return error;
+}
+
 } // namespace
 
 unsigned
@@ -82,11 +144,19 @@
   }
   read.mReceivedBytes = true;
   const auto headerDeadline = steady_clock::now() + aLimits.mHeaderTimeout;
-  read.mError = Feed(aBuffer, aParser);
+  read.mError = FeedHead(aBuffer, aParser);
   while (!read.mError && !aParser.is_header_done()) {
+    constexpr std::size_t kReadBytes = 8 * 1024;
     const auto more =
-      co_await ReadMore(aStream, aBuffer, aParser, headerDeadline);
+      co_await aStream.ReadSome(aBuffer.prepare(kReadBytes), headerDeadline);
+    aBuffer.commit(more.mBytes);
     read.mError = more.mError;
+    if (!read.mError) {
+      read.mError = FeedHead(aBuffer, aParser);
+    } else if (read.mError == asio::error::eof && aParser.got_some()) {
+      read.mError = {};
+      aParser.put_eof(read.mError);
+    }
   }
   if (!read.mError && !aParser.is_done()) {
     read.mError = co_await ContinueIfExpected(aStream, aParser);
