Take no spoilt status for an answer

What callers saw: 101 as the answer to a booking, and nothing after it until their deadline.

Cause: 101 was not among the interim statuses, although no request asks for an upgrade. 101, statuses outside 100 to 599 and interim heads that announce a body now end the attempt like other bytes that are no answer: 502 at once, or another attempt where the request may run twice. Other interim heads are skipped as before.

--- a/src/sapphirespar/gateway/forward_spoilt_answer_test.cpp
+++ b/src/sapphirespar/gateway/forward_spoilt_answer_test.cpp
@@ -117,5 +117,33 @@
   }
 }
 
+TEST_F(forward_spoilt_answer_test, AStatusThatEndsNoExchangeIsNoAnswer)
+{
+  Publish();
+  for (const std::string status :
+       { "000", "099", "100", "101", "102", "199", "600", "999" }) {
+    SCOPED_TRACE(status);
+    // Each request is another one, as the same one is refused after three.
+    AddSpoiltUpstream(Answer(status, kOwn), kWhole);
+    EXPECT_EQ(SendRequest("/once/" + status).mStatus, 502U);
+    EXPECT_EQ(mArrivals, 1U);
+    // One that may run twice is not sent there again at once.
+    AddSpoiltUpstream(Answer(status, kOwn), kWhole);
+    EXPECT_EQ(SendRequest("/safe/" + status).mStatus, 502U);
+  }
+}
+
+TEST_F(forward_spoilt_answer_test, InterimHeadsAreSkipped)
+{
+  Publish();
+  for (const std::string status : { "100", "102", "103", "199" }) {
+    SCOPED_TRACE(status);
+    AddSpoiltUpstream("HTTP/1.1 " + status + " X\r\nA: b\r\n\r\n" + kWhole, "");
+    const auto answer = SendRequest("/once/x");
+    EXPECT_EQ(answer.mStatus, 200U);
+    EXPECT_EQ(answer.mBody, "body");
+  }
+}
+
 } // namespace
 } // namespace sapphirespar::gateway
--- a/src/sapphirespar/wire/http_response_reader.cpp
+++ b/src/sapphirespar/wire/http_response_reader.cpp
@@ -18,9 +18,23 @@
 
 bool
 IsInterim(unsigned aStatus)
+{
+  return aStatus < 200;
+}
+
+// Whether a head may begin an answer to a request that asks for no upgrade. An
+// interim head has no body.
+bool
+IsValidHead(const http::response_header<>& aHead)
 {
   constexpr unsigned kSwitchingProtocols = 101;
-  return aStatus < 200 && aStatus != kSwitchingProtocols;
+  constexpr unsigned kFirstStatus = 100;
+  constexpr unsigned kLastStatus = 599;
+  const auto status = aHead.result_int();
+  const bool hasBody = aHead.count(http::field::content_length) > 0 ||
+                       aHead.count(http::field::transfer_encoding) > 0;
+  return status >= kFirstStatus && status <= kLastStatus &&
+         status != kSwitchingProtocols && !(IsInterim(status) && hasBody);
 }
 
 http_response
@@ -112,6 +126,9 @@
         error = http::error::header_limit;
       }
     }
+    if (!error && !IsValidHead(mParser->get())) {
+      error = http::error::bad_status;
+    }
     interim = !error && IsInterim(mParser->get().result_int());
     if (interim) {
       ResetParser();
