Go on when the reader of the log goes away

Lines that can't be written are dropped and counted, as those of a reader that stalls. AReaderThatGoesAwayDoesNotEndTheProcess logs into a pipe without a reader.

--- a/src/sapphirespar/base/log.cpp
+++ b/src/sapphirespar/base/log.cpp
@@ -12,6 +12,7 @@
 
 #include <algorithm>
 #include <atomic>
+#include <csignal>
 #include <memory>
 #include <utility>
 
@@ -138,6 +139,8 @@
 StartLog(log_level aLevel, std::string_view aNode, log_target aTarget)
 {
   static log4cplus::Initializer initializer;
+  // A reader of the log that goes away must not end the process.
+  std::signal(SIGPIPE, SIG_IGN);
   auto root = log4cplus::Logger::getRoot();
   root.setLogLevel(ToLibraryLevel(aLevel));
   if (sStarted) {
--- a/src/sapphirespar/base/log_test.cpp
+++ b/src/sapphirespar/base/log_test.cpp
@@ -113,5 +113,34 @@
   std::fclose(lines);
 }
 
+// Runs in a child process, whose log nobody reads any more.
+int
+LogWithoutReader(const pipe_ends& aOutput)
+{
+  ::dup2(aOutput.Writer(), STDOUT_FILENO);
+  ::close(aOutput.Writer());
+  ::close(aOutput.Reader());
+  StartLog(log_level::Info, "vm", log_target::StandardOutput);
+  for (int line = 0; line < kBurstLines; ++line) {
+    LogEvent(log_level::Info, "burst", { { "text", std::string(100, 'x') } });
+  }
+  return DroppedLogLines() > 0 ? 0 : 1;
+}
+
+TEST(Log, AReaderThatGoesAwayDoesNotEndTheProcess)
+{
+  const pipe_ends output;
+  const auto child = ::fork();
+  if (child == 0) {
+    ::_exit(LogWithoutReader(output));
+  }
+  ::close(output.Writer());
+  ::close(output.Reader());
+  int status = 0;
+  ASSERT_EQ(::waitpid(child, &status, 0), child);
+  ASSERT_TRUE(WIFEXITED(status)) << WTERMSIG(status);
+  EXPECT_EQ(WEXITSTATUS(status), 0);
+}
+
 } // namespace
 } // namespace sapphirespar
