Apply new limits to requests on idle connections

Callers got 413 for a body that a new configuration allows, on a connection that was idle when it came (seen once by the review): the limits were read before the wait for the request. They are now read when it begins. LimitsThatChangeHoldOnIdleConnections raises the limit between two requests.

--- a/src/sapphirespar/wire/http_request_limits_test.cpp
+++ b/src/sapphirespar/wire/http_request_limits_test.cpp
@@ -71,9 +71,9 @@
   http_request_limits_test()
   {
     http_server_settings settings;
-    settings.mLimits = [] {
+    settings.mLimits = [this] {
       http_limits limits;
-      limits.mBodyBytes = 100'000;
+      limits.mBodyBytes = mBodyBytes;
       limits.mHeaderTimeout = kTimeout;
       limits.mBodyTimeout = kTimeout;
       return limits;
@@ -128,10 +128,48 @@
     co_return line;
   }
 
+  // Sends a request with a body on a connection and returns the first line of
+  // the answer.
+  static asio::awaitable<std::string> Post(asio::ip::tcp::socket& aSocket,
+                                           std::size_t aBytes)
+  {
+    const auto request = kPost + "Content-Length: " + std::to_string(aBytes) +
+                         "\r\n\r\n" + std::string(aBytes, 'a');
+    co_await asio::async_write(aSocket, asio::buffer(request), kAsTuple);
+    std::string answer;
+    co_await asio::async_read_until(
+      aSocket, asio::dynamic_buffer(answer), "ok", kAsTuple);
+    co_return answer.substr(0, answer.find("\r\n"));
+  }
+
+  std::size_t mBodyBytes = 100'000;
   asio::io_context mContext;
   std::unique_ptr<http_server> mServer;
 };
 
+TEST_F(http_request_limits_test, LimitsThatChangeHoldOnIdleConnections)
+{
+  std::string before;
+  std::string after;
+  asio::co_spawn(
+    mContext,
+    [&]() -> asio::awaitable<void> {
+      asio::ip::tcp::socket socket(mContext);
+      const asio::ip::tcp::endpoint remote(asio::ip::make_address("127.0.0.1"),
+                                           mServer->Port());
+      co_await socket.async_connect(remote, asio::use_awaitable);
+      before = co_await Post(socket, 1000);
+      asio::steady_timer timer(mContext, 20ms);
+      co_await timer.async_wait(asio::use_awaitable);
+      mBodyBytes = 200'000;
+      after = co_await Post(socket, 150'000);
+    },
+    [&](const std::exception_ptr&) { mContext.stop(); });
+  mContext.run();
+  EXPECT_EQ(before, "HTTP/1.1 200 OK");
+  EXPECT_EQ(after, "HTTP/1.1 200 OK");
+}
+
 TEST_F(http_request_limits_test,
        Fault_EndlessBytes_Request_Admit_ARequestEndsByItsDeadline)
 {
--- a/src/sapphirespar/wire/http_request_read.cpp
+++ b/src/sapphirespar/wire/http_request_read.cpp
@@ -127,15 +127,16 @@
 ReadRequest(byte_stream& aStream,
             beast::flat_buffer& aBuffer,
             request_parser& aParser,
-            const http_limits& aLimits)
+            const std::function<http_limits()>& aLimits)
 {
   using std::chrono::steady_clock;
   request_read_result read;
   aParser.eager(true);
   if (aBuffer.size() == 0) {
     constexpr std::size_t kReadBytes = 8 * 1024;
-    const auto first = co_await aStream.ReadSome(
-      aBuffer.prepare(kReadBytes), steady_clock::now() + aLimits.mIdleTimeout);
+    const auto first =
+      co_await aStream.ReadSome(aBuffer.prepare(kReadBytes),
+                                steady_clock::now() + aLimits().mIdleTimeout);
     aBuffer.commit(first.mBytes);
     if (first.mError) {
       read.mError = first.mError;
@@ -143,7 +144,10 @@
     }
   }
   read.mReceivedBytes = true;
-  const auto headerDeadline = steady_clock::now() + aLimits.mHeaderTimeout;
+  const auto limits = aLimits();
+  aParser.header_limit(static_cast<std::uint32_t>(limits.mHeaderBytes));
+  aParser.body_limit(limits.mBodyBytes);
+  const auto headerDeadline = steady_clock::now() + limits.mHeaderTimeout;
   read.mError = FeedHead(aBuffer, aParser);
   while (!read.mError && !aParser.is_header_done()) {
     constexpr std::size_t kReadBytes = 8 * 1024;
@@ -161,15 +165,15 @@
   if (!read.mError && !aParser.is_done()) {
     read.mError = co_await ContinueIfExpected(aStream, aParser);
   }
-  const auto bodyDeadline = steady_clock::now() + aLimits.mBodyTimeout;
+  const auto bodyDeadline = steady_clock::now() + limits.mBodyTimeout;
   while (!read.mError && !aParser.is_done()) {
-    const auto idleDeadline = steady_clock::now() + aLimits.mIdleTimeout;
+    const auto idleDeadline = steady_clock::now() + limits.mIdleTimeout;
     const auto more = co_await ReadMore(
       aStream, aBuffer, aParser, std::min(idleDeadline, bodyDeadline));
     read.mError = more.mError;
     // The parser leaves an incomplete line of a chunk or trailer in the buffer.
     if (!read.mError && !aParser.is_done() &&
-        aBuffer.size() > aLimits.mHeaderBytes) {
+        aBuffer.size() > limits.mHeaderBytes) {
       read.mError = http::error::header_limit;
     }
   }
--- a/src/sapphirespar/wire/http_request_read.hpp
+++ b/src/sapphirespar/wire/http_request_read.hpp
@@ -6,6 +6,8 @@
 
 #include "sapphirespar/wire/http_server.hpp"
 
+#include <functional>
+
 namespace sapphirespar::wire {
 
 using request_parser = http::request_parser<http::string_body>;
@@ -18,10 +20,13 @@
   bool mReceivedBytes = false;
 };
 
-asio::awaitable<request_read_result> ReadRequest(byte_stream& aStream,
-                                                 beast::flat_buffer& aBuffer,
-                                                 request_parser& aParser,
-                                                 const http_limits& aLimits);
+// aLimits returns the limits that hold now. They are asked for again when a
+// request begins, as they may change while a connection is idle.
+asio::awaitable<request_read_result> ReadRequest(
+  byte_stream& aStream,
+  beast::flat_buffer& aBuffer,
+  request_parser& aParser,
+  const std::function<http_limits()>& aLimits);
 
 // Returns the HTTP status for a request that could not be read.
 unsigned StatusOfReadError(const boost::system::error_code& aError);
--- a/src/sapphirespar/wire/http_server.cpp
+++ b/src/sapphirespar/wire/http_server.cpp
@@ -267,11 +267,9 @@
   beast::flat_buffer buffer;
   bool open = true;
   while (open) {
-    const auto limits = aServices->mSettings.mLimits();
     request_parser parser;
-    parser.header_limit(static_cast<std::uint32_t>(limits.mHeaderBytes));
-    parser.body_limit(limits.mBodyBytes);
-    const auto read = co_await ReadRequest(aStream, buffer, parser, limits);
+    const auto read = co_await ReadRequest(
+      aStream, buffer, parser, aServices->mSettings.mLimits);
     if (read.mError) {
       const bool canRespond =
         IsParseError(read.mError) || IsTimeout(read.mError);
