Take no routing for confirmed by the boot of the machine

A routing that no read had confirmed counted as confirmed at boot, so that on a machine that had booted shortly before, revoked keys could be accepted (read by the review, not run). ATableThatNoReadHasConfirmedIsNotFreshSoonAfterBoot.

--- a/include/sapphirespar/gateway/routing_state.hpp
+++ b/include/sapphirespar/gateway/routing_state.hpp
@@ -39,8 +39,11 @@
   bool IsConfirmedWithin(boot_time aArrival, boot_clock::duration aBound) const;
 
 private:
+  bool IsConfirmed() const { return mTable && mConfirmed != boot_time{}; }
+
   routing_ptr mTable;
-  // When the latest read that returned mTable was sent; never decreases.
+  // When the latest read that returned mTable was sent; never decreases. The
+  // boot itself stands for no such read.
   boot_time mConfirmed{};
 };
 
--- a/src/sapphirespar/gateway/routing_state.cpp
+++ b/src/sapphirespar/gateway/routing_state.cpp
@@ -35,14 +35,14 @@
 std::optional<boot_clock::duration>
 routing_state::Age(boot_time aNow) const
 {
-  return mTable ? std::optional(aNow - mConfirmed) : std::nullopt;
+  return IsConfirmed() ? std::optional(aNow - mConfirmed) : std::nullopt;
 }
 
 bool
 routing_state::IsConfirmedWithin(boot_time aArrival,
                                  boot_clock::duration aBound) const
 {
-  return mTable && aArrival - mConfirmed < aBound;
+  return IsConfirmed() && aArrival - mConfirmed < aBound;
 }
 
 } // namespace sapphirespar::gateway
--- a/src/sapphirespar/gateway/routing_state_test.cpp
+++ b/src/sapphirespar/gateway/routing_state_test.cpp
@@ -41,6 +41,16 @@
   EXPECT_TRUE(state.IsConfirmedWithin(boot_time{ 16s }, 5s));
 }
 
+TEST(RoutingState, ATableThatNoReadHasConfirmedIsNotFreshSoonAfterBoot)
+{
+  routing_state state;
+  state.Apply(Table(7), boot_time{});
+  EXPECT_FALSE(state.IsConfirmedWithin(boot_time{ 1s }, 5s));
+  EXPECT_FALSE(state.Age(boot_time{ 1s }));
+  state.Confirm(boot_time{ 1s });
+  EXPECT_TRUE(state.IsConfirmedWithin(boot_time{ 2s }, 5s));
+}
+
 // A key that was revoked more than the bound before a request arrives is never
 // accepted, however long reads are delayed.
 TEST(RoutingState, NeverAcceptsAKeyRevokedLongerAgoThanTheBound)
