--- a/include/sapphirespar/model/upstream_pause.hpp
+++ b/include/sapphirespar/model/upstream_pause.hpp
@@ -1,5 +1,5 @@
-// What gateways tell each other of upstreams that fall over if they have to turn
-// many requests away.
+// What gateways tell each other of upstreams that fall over if they have to
+// turn many requests away.
 #pragma once
 
 #include <chrono>
--- a/src/sapphirespar/gateway/brittle_guard.cpp
+++ b/src/sapphirespar/gateway/brittle_guard.cpp
@@ -337,8 +337,8 @@
            "peer");
     if (reported.mWork > milliseconds::zero()) {
       mWork.try_emplace(reported.mPool,
-                        static_cast<double>(reported.mWork.count()),
-                        kReportedSamples);
+                        mean_work{ static_cast<double>(reported.mWork.count()),
+                                   kReportedSamples });
     }
   }
   for (const auto& reported : aReported.mPauses) {
--- a/src/sapphirespar/gateway/store_reader.cpp
+++ b/src/sapphirespar/gateway/store_reader.cpp
@@ -6,7 +6,6 @@
 
 #include <algorithm>
 #include <iterator>
-#include <ranges>
 
 namespace sapphirespar::gateway {
 namespace {
@@ -342,8 +341,9 @@
 store_reader::UnreadableEntries() const
 {
   std::vector<std::string> names;
-  std::ranges::copy(std::views::keys(mState->mUnreadable),
-                    std::back_inserter(names));
+  std::ranges::transform(mState->mUnreadable,
+                         std::back_inserter(names),
+                         [](const auto& aItem) { return aItem.first; });
   return names;
 }
 
--- a/src/sapphirespar/policy/brittle_share.cpp
+++ b/src/sapphirespar/policy/brittle_share.cpp
@@ -29,8 +29,7 @@
   const double room = std::max(aRoom.mSlots - aRoom.mRunning, 0.0);
   const double trials = kSpentOnTrials * aRoom.mTolerated * period.count();
   const double filled = std::min(kFilledPerPeriod * turns, 1.0) * room * turns;
-  return (filled + trials) /
-         std::max(aRoom.mGateways, 1U);
+  return (filled + trials) / std::max(aRoom.mGateways, 1U);
 }
 
 unsigned
