Keep the records of streams in the store while versions change

What callers saw: after all gateways were killed at once in an upgrade, streams that they took up again were refused for 30 s, as nobody knew the version at which they had begun (LOST).

Cause: the records lived in gateways only. While several versions of a pool were listed lately, each gateway now writes the records of its streams to an object of its own in the store, in batches; a stream that no gateway knows is looked for there, and refused if it isn't found. First events wait for nothing. Records say what has been, so that an old or restored copy of them is true as well. Earlier builds neither write nor read them, and refuse as before.

Open: streams of a pool of one version are still refused for 30 s after such a kill.

--- a/include/sapphirespar/gateway/forward.hpp
+++ b/include/sapphirespar/gateway/forward.hpp
@@ -9,6 +9,7 @@
 #include "sapphirespar/gateway/rate_guard.hpp"
 #include "sapphirespar/gateway/reach_monitor.hpp"
 #include "sapphirespar/gateway/routing_state.hpp"
+#include "sapphirespar/gateway/stream_archive.hpp"
 #include "sapphirespar/gateway/stream_versions.hpp"
 #include "sapphirespar/gateway/upstream_directory.hpp"
 #include "sapphirespar/policy/engine_model.hpp"
@@ -67,6 +68,13 @@
   // Never null.
   answer_memory_ptr mAnswerMemory =
     std::make_shared<answer_memory>(48 * 1024 * 1024);
+  // Looks up the versions of a stream in the platform's store; see
+  // stream_archive.
+  std::function<void(std::uint64_t aStream, stream_archive::versions_callback)>
+    mFindArchived =
+      [](std::uint64_t, const stream_archive::versions_callback& aDone) {
+        aDone({});
+      };
 };
 
 // Handles one request until it is answered or the caller disconnects. Writes
--- a/include/sapphirespar/gateway/stream_versions.hpp
+++ b/include/sapphirespar/gateway/stream_versions.hpp
@@ -86,6 +86,10 @@
   // Tells other gateways all that this one remembers, before it ends.
   void HandOver();
 
+  // The records of streams that this gateway has relayed, at pools of which
+  // several versions were listed lately.
+  std::vector<stream_version> OwnAmongSeveralVersions() const;
+
   std::size_t Size() const { return mRecords.size(); }
 
 private:
--- a/src/sapphirespar/gateway/forward_software_version_test.cpp
+++ b/src/sapphirespar/gateway/forward_software_version_test.cpp
@@ -149,6 +149,46 @@
   EXPECT_EQ(mArrivals["a"], 0U);
 }
 
+TEST_F(forward_software_version_test,
+       AStreamThatNoGatewayKnowsIsReadFromTheStore)
+{
+  Publish();
+  AddStreaming("a", "v1");
+  AddStreaming("b", "v2");
+  mServices->mFindArchived = [this](std::uint64_t aStream,
+                                    stream_archive::versions_callback aDone) {
+    asio::post(mContext, [this, aStream, done = std::move(aDone)] {
+      const bool known = aStream == StreamKey("r1");
+      const pool_software version{ PoolKey("pool"),
+                                   SoftwareKey(mEntries.back()) };
+      done(known ? std::vector{ version } : std::vector<pool_software>{});
+    });
+  };
+  const auto answer = TakeUp(2);
+  EXPECT_EQ(answer.mStatus, 200U);
+  EXPECT_EQ(answer.mBody, Event(3, "v2") + Event(4, "v2"));
+  EXPECT_EQ(TakeUp(2, "unknown").mStatus, 503U);
+  EXPECT_EQ(mArrivals["a"], 0U);
+}
+
+TEST_F(forward_software_version_test, AStoreThatIsSilentDelaysARefusalShortly)
+{
+  Publish();
+  AddStreaming("a", "v1");
+  AddStreaming("b", "v2");
+  std::vector<stream_archive::versions_callback> waiting;
+  mServices->mFindArchived = [&](std::uint64_t,
+                                 stream_archive::versions_callback aDone) {
+    waiting.push_back(std::move(aDone));
+  };
+  const auto start = std::chrono::steady_clock::now();
+  EXPECT_EQ(TakeUp(2).mStatus, 503U);
+  EXPECT_LT(std::chrono::steady_clock::now() - start, 700ms);
+  // An answer that comes later finds nobody.
+  ASSERT_EQ(waiting.size(), 1U);
+  waiting.front()({});
+}
+
 TEST_F(forward_software_version_test, ASilentKeeperDelaysARefusalOnlyShortly)
 {
   Publish();
--- a/src/sapphirespar/gateway/gateway_app.cpp
+++ b/src/sapphirespar/gateway/gateway_app.cpp
@@ -63,6 +63,9 @@
   , mRateGuard(mTimers, mMetrics, mSettings.mVm, RateHooks())
   , mBrittleGuard(mTimers, BrittleHooks())
   , mStreams(mTimers, StreamHooks())
+  , mArchive(mPlatform, mTimers, mStreams, { mSelf }, { [this] {
+               return mPeers.MaximumGateways(mTimers.Now());
+             } })
   , mReach(mTimers, mMetrics, ReachHooks())
   , mReader(mPlatform,
             mTimers,
@@ -98,6 +101,7 @@
   mGossip.Start();
   mReader.Start();
   mRegistry.Start();
+  mArchive.Start();
 }
 
 std::unique_ptr<wire::http_server>
--- a/src/sapphirespar/gateway/gateway_app_state.hpp
+++ b/src/sapphirespar/gateway/gateway_app_state.hpp
@@ -100,6 +100,7 @@
   rate_guard mRateGuard;
   brittle_guard mBrittleGuard;
   stream_versions mStreams;
+  stream_archive mArchive;
   reach_monitor mReach;
   store_reader mReader;
   gateway_registry mRegistry;
--- a/src/sapphirespar/gateway/gateway_hooks.cpp
+++ b/src/sapphirespar/gateway/gateway_hooks.cpp
@@ -39,32 +39,37 @@
 forward_services
 gateway_app::state::ForwardServices()
 {
-  return { .mProtocol = mProtocol,
-           .mRouting = mRouting,
-           .mUpstreams = mUpstreams,
-           .mRetries = mRetries,
-           .mPrefill = mPrefill,
-           .mSplit = mSplit,
-           .mModels = mModels,
-           .mKinds = mKinds,
-           .mCrashGuard = mCrashGuard,
-           .mRateGuard = mRateGuard,
-           .mBrittleGuard = mBrittleGuard,
-           .mStreams = mStreams,
-           .mReach = mReach,
-           .mClient = mUpstreamClient,
-           .mMetrics = mMetrics,
-           .mRefreshLoads = [this] { RefreshLoads(); },
-           .mGateways =
-             [this] { return mPeers.MaximumGateways(mTimers.Now()); },
-           .mHelpers = [this] { return mPeers.Helpers(mTimers.Now()); },
-           .mDraw = [this] { return Draw(); },
-           .mTimeToStop = [this] { return TimeToStop(); },
-           .mDataCentre = mSettings.mDataCentre,
-           .mKeyFreshness = mSettings.mKeyFreshness,
-           .mEventLimitBytes = mSettings.mAnswers.mEventBytes,
-           .mAnswerMemory =
-             std::make_shared<answer_memory>(mSettings.mAnswers.mTotalBytes) };
+  return {
+    .mProtocol = mProtocol,
+    .mRouting = mRouting,
+    .mUpstreams = mUpstreams,
+    .mRetries = mRetries,
+    .mPrefill = mPrefill,
+    .mSplit = mSplit,
+    .mModels = mModels,
+    .mKinds = mKinds,
+    .mCrashGuard = mCrashGuard,
+    .mRateGuard = mRateGuard,
+    .mBrittleGuard = mBrittleGuard,
+    .mStreams = mStreams,
+    .mReach = mReach,
+    .mClient = mUpstreamClient,
+    .mMetrics = mMetrics,
+    .mRefreshLoads = [this] { RefreshLoads(); },
+    .mGateways = [this] { return mPeers.MaximumGateways(mTimers.Now()); },
+    .mHelpers = [this] { return mPeers.Helpers(mTimers.Now()); },
+    .mDraw = [this] { return Draw(); },
+    .mTimeToStop = [this] { return TimeToStop(); },
+    .mDataCentre = mSettings.mDataCentre,
+    .mKeyFreshness = mSettings.mKeyFreshness,
+    .mEventLimitBytes = mSettings.mAnswers.mEventBytes,
+    .mAnswerMemory =
+      std::make_shared<answer_memory>(mSettings.mAnswers.mTotalBytes),
+    .mFindArchived =
+      [this](std::uint64_t aStream, stream_archive::versions_callback aDone) {
+        mArchive.Find(aStream, std::move(aDone));
+      }
+  };
 }
 
 store_reader_hooks
--- a/src/sapphirespar/gateway/stream_takeover.cpp
+++ b/src/sapphirespar/gateway/stream_takeover.cpp
@@ -11,8 +11,10 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
+#include <memory>
 #include <span>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace sapphirespar::gateway {
@@ -24,6 +26,9 @@
 // A round trip between data centres with a busy receiver.
 constexpr milliseconds kAnswerTime{ 250 };
 
+// A read of the platform's store with some answers before it.
+constexpr milliseconds kReadTime{ 400 };
+
 // Questions are sent again this often, as datagrams are lost.
 constexpr milliseconds kAskAgain{ 60 };
 
@@ -82,6 +87,40 @@
   co_return versions;
 }
 
+// Reads the platform's store for a stream that no gateway knows. Returns
+// nothing if the store does not answer in time.
+asio::awaitable<std::vector<pool_software>>
+FindArchived(const forward_services& aServices,
+             std::uint64_t aStream,
+             steady_time aUntil,
+             const relay_progress& aProgress)
+{
+  struct answer
+  {
+    asio::steady_timer mWake;
+    bool mDone = false;
+    std::vector<pool_software> mVersions;
+  };
+  // Outlives this call if the store answers later.
+  const auto found = std::make_shared<answer>(
+    answer{ asio::steady_timer(co_await asio::this_coro::executor) });
+  aServices.mFindArchived(aStream,
+                          [found](std::vector<pool_software> aVersions) {
+                            found->mDone = true;
+                            found->mVersions = std::move(aVersions);
+                            found->mWake.cancel();
+                          });
+  while (!found->mDone && !aProgress.mCallerGone) {
+    const auto now = steady_clock::now();
+    if (now >= aUntil) {
+      break;
+    }
+    found->mWake.expires_at(std::min(now + kAskAgain, aUntil));
+    co_await found->mWake.async_wait(asio::as_tuple(asio::use_awaitable));
+  }
+  co_return found->mVersions;
+}
+
 // The pool of the route at which the stream has a version, and that version.
 struct known_version
 {
@@ -136,6 +175,13 @@
                                   aForwarded.mDeadline,
                                   aForwarded.mCallerDeadline });
     versions = co_await AskOthers(aServices, stream, until, aProgress);
+    if (versions.empty() && !aProgress.mCallerGone) {
+      source = "store";
+      const auto readUntil = std::min({ steady_clock::now() + kReadTime,
+                                        aForwarded.mDeadline,
+                                        aForwarded.mCallerDeadline });
+      versions = co_await FindArchived(aServices, stream, readUntil, aProgress);
+    }
   }
   if (const auto known = OnRoute(*aForwarded.mRoute, versions)) {
     SetPool(aForwarded, known->mPool);
--- a/src/sapphirespar/gateway/stream_versions.cpp
+++ b/src/sapphirespar/gateway/stream_versions.cpp
@@ -265,6 +265,37 @@
   mHistory.Watch(mHooks.mListed(), mTimers.Now());
 }
 
+std::vector<stream_version>
+stream_versions::OwnAmongSeveralVersions() const
+{
+  const auto now = mTimers.Now();
+  std::map<std::uint64_t, int> versions;
+  for (const auto& seen : mHistory.SeenWithin(Span(), now)) {
+    ++versions[seen.mPool];
+  }
+  std::vector<stream_version> found;
+  if (std::ranges::all_of(versions,
+                          [](const auto& aItem) { return aItem.second < 2; })) {
+    return found;
+  }
+  for (const auto& [stream, known] : mRecords) {
+    if (!known.mOwn || known.mExpires <= now) {
+      continue;
+    }
+    for (const auto& version : known.mVersions) {
+      const auto count = versions.find(version.mPool);
+      if (count != versions.end() && count->second > 1) {
+        found.push_back(
+          { stream,
+            version.mPool,
+            version.mSoftware,
+            std::chrono::ceil<milliseconds>(known.mExpires - now) });
+      }
+    }
+  }
+  return found;
+}
+
 void
 stream_versions::HandOver()
 {
