--- a/src/sapphirespar/gateway/brittle_guard.cpp
+++ b/src/sapphirespar/gateway/brittle_guard.cpp
@@ -230,7 +230,8 @@
 {
   using seconds = std::chrono::duration<double>;
   const auto& ration = aUpstream.mRation;
-  const double named = aUpstream.mEntry.mSlots;
+  // An upstream that names no slots has one at least.
+  const double named = std::max(aUpstream.mEntry.mSlots, 1U);
   if (ration.mFullAt == steady_time{}) {
     return named;
   }
--- a/src/sapphirespar/gateway/forward.cpp
+++ b/src/sapphirespar/gateway/forward.cpp
@@ -7,14 +7,11 @@
 #include "forward_state.hpp"
 #include "peer_relay.hpp"
 #include "placement.hpp"
+#include "ration_waiting.hpp"
 #include "stream_takeover.hpp"
 
 #include "sapphirespar/policy/retry.hpp"
 
-#include <boost/asio/as_tuple.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
-
 #include <algorithm>
 
 namespace sapphirespar::gateway {
@@ -134,7 +131,8 @@
         if (!target && !mTried.empty() && co_await MayRelaySoon()) {
           continue;
         }
-        if (!target && co_await WaitForRation()) {
+        if (!target &&
+            co_await WaitForRation(mServices, mForwarded, mRationWait)) {
           if (mProgress.mCallerGone) {
             EndWith(attempt_end::CallerDisconnected, 0);
             co_return std::nullopt;
@@ -213,28 +211,6 @@
     co_return MayRelay() && !mProgress.mCallerGone;
   }
 
-  // Waits a little for a brittle upstream with room, at most for half of the
-  // target latency. Returns false if that is not worth while.
-  asio::awaitable<bool> WaitForRation()
-  {
-    constexpr milliseconds kStep{ 20 };
-    const auto& guard = mServices.mBrittleGuard;
-    const auto until =
-      std::min({ mForwarded.mArrived + mForwarded.mRoute->mTargetLatency / 2,
-                 mForwarded.mDeadline - kTimerTolerance,
-                 mForwarded.mCallerDeadline - kTimerTolerance });
-    if (!guard.IsRationed(mForwarded.mPool) || steady_clock::now() >= until) {
-      co_return false;
-    }
-    if (!mRationWait) {
-      mRationWait = mServices.mBrittleGuard.StartWait(mForwarded.mPool,
-                                                      mForwarded.mPriority);
-    }
-    asio::steady_timer timer(co_await asio::this_coro::executor, kStep);
-    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
-    co_return true;
-  }
-
   // Lets another gateway serve the request. Returns false if none could be
   // reached; otherwise the request is over, with mRelayRefusal.
   asio::awaitable<bool> Relay()
--- a/src/sapphirespar/gateway/forward_brittle_test.cpp
+++ b/src/sapphirespar/gateway/forward_brittle_test.cpp
@@ -112,6 +112,27 @@
   }
 }
 
+TEST_F(forward_brittle_test, ARequestWithoutARationIsRefusedShortly)
+{
+  Publish();
+  AddBrittle("a", 0);
+  // The whole part of a ration only, which is none.
+  mBrittleDraw = [] { return 1.0; };
+  EXPECT_EQ(SendRequest("/safe/x").mStatus, 503U);
+  // Longer than the pause.
+  Pause(3s);
+  const auto rejected = mRejected["a"].size();
+  const auto start = steady_clock::now();
+  const auto answer = SendRequest("/safe/y");
+  const auto took = steady_clock::now() - start;
+  EXPECT_EQ(answer.mStatus, 503U);
+  EXPECT_FALSE(answer.Header("Retry-After").empty());
+  EXPECT_EQ(mRejected["a"].size(), rejected);
+  // Half of the target latency, which is 100 ms, and some steps.
+  EXPECT_GE(took, 50ms);
+  EXPECT_LT(took, 150ms);
+}
+
 TEST_F(forward_brittle_test, AnUpstreamWithRoomIsNotSpared)
 {
   Publish();
