--- a/src/sapphirespar/gateway/routing_state.cpp
+++ b/src/sapphirespar/gateway/routing_state.cpp
@@ -35,7 +35,12 @@
 std::optional<boot_clock::duration>
 routing_state::Age(boot_time aNow) const
 {
-  return IsConfirmed() ? std::optional(aNow - mConfirmed) : std::nullopt;
+  if (!mTable) {
+    return std::nullopt;
+  }
+  // Older than any bound, and still safe to add to.
+  constexpr boot_clock::duration kNeverConfirmed = std::chrono::hours(24);
+  return IsConfirmed() ? aNow - mConfirmed : kNeverConfirmed;
 }
 
 bool
