Continue a stream only with the status that the caller has

What callers saw: events of an answer of another kind in their stream, or a stream that ended as complete before its last event, when the upstream that was to go on answered 206 or 202 with events, or 204.

Cause: any success in the form of events was joined. A stream that has begun now goes on only with the status that the caller has been sent; another one is that upstream's failure.

Failed before, on: AnotherSuccessIsNotJoined (202, 204, 206; beside a silent upstream and after one that broke off).

--- a/include/sapphirespar/gateway/answer_classifier.hpp
+++ b/include/sapphirespar/gateway/answer_classifier.hpp
@@ -50,4 +50,6 @@
 // never will.
 bool PromisesNotRun(unsigned aStatus);
 
+bool IsSuccess(unsigned aStatus);
+
 } // namespace sapphirespar::gateway
--- a/src/sapphirespar/gateway/answer_classifier.cpp
+++ b/src/sapphirespar/gateway/answer_classifier.cpp
@@ -29,6 +29,12 @@
   return aStatus == 408 || aStatus == 421 || aStatus == 429 || aStatus == 503;
 }
 
+bool
+IsSuccess(unsigned aStatus)
+{
+  return aStatus >= 200 && aStatus < 300;
+}
+
 answer_kind
 ClassifyAnswer(unsigned aStatus,
                const answer_info& aInfo,
@@ -51,8 +57,7 @@
       PromisesNotRun(aStatus) || (aStatus == kBadRequest && aRequestId.empty());
     return rejects ? answer_kind::NotRun : answer_kind::Unusable;
   }
-  const bool success = aStatus >= 200 && aStatus < 300;
-  if (PromisesNotRun(aStatus) || (success && !aInfo.mSigned)) {
+  if (PromisesNotRun(aStatus) || (IsSuccess(aStatus) && !aInfo.mSigned)) {
     return answer_kind::Unusable;
   }
   return aStatus >= 500 ? answer_kind::Failed : answer_kind::Relay;
--- a/src/sapphirespar/gateway/attempt_ending.cpp
+++ b/src/sapphirespar/gateway/attempt_ending.cpp
@@ -62,8 +62,7 @@
   if (mServices.mReach.IsCutOff()) {
     return;
   }
-  constexpr unsigned kFirstError = 300;
-  const bool answers = mStream && mStream->Head().mStatus < kFirstError;
+  const bool answers = mStream && IsSuccess(mStream->Head().mStatus);
   using enum crash_guard::answer_progress;
   const auto begun = answers ? Begun : Nothing;
   mServices.mCrashGuard.OnUpstreamLost(MarksOf(mForwarded),
--- a/src/sapphirespar/gateway/forward_attempt.cpp
+++ b/src/sapphirespar/gateway/forward_attempt.cpp
@@ -30,9 +30,6 @@
   relay_progress& mProgress;
 };
 
-// Statuses from here on tell no success.
-constexpr unsigned kFirstError = 300;
-
 class attempt : private attempt_ending
 {
 public:
@@ -196,8 +193,9 @@
       mUpstream.mHealth.AddResult(true, now);
       co_return End(attempt_end::Broken, "unusable answer");
     }
-    const bool success = mStream->Head().mStatus < kFirstError;
-    if (success && IsEventStream(mStream->Head())) {
+    const auto status = mStream->Head().mStatus;
+    const bool fits = !mProgress.mBegun || mProgress.mStatus == status;
+    if (fits && IsSuccess(status) && IsEventStream(mStream->Head())) {
       co_return co_await RelayStream();
     }
     co_return co_await RelayPlainAnswer(aKind);
@@ -333,6 +331,7 @@
   void BeginStream()
   {
     mProgress.mBegun = true;
+    mProgress.mStatus = mStream->Head().mStatus;
     if (!mForwarded.mRoute->mResumable) {
       return;
     }
--- a/src/sapphirespar/gateway/forward_state.hpp
+++ b/src/sapphirespar/gateway/forward_state.hpp
@@ -83,8 +83,10 @@
   unsigned mSends = 0;
   // Whether any upstream may have run the request. Never reset to false.
   bool mMayHaveRun = false;
-  // Of a stream: whether any of it was sent to the caller, and its last event.
+  // Of a stream: whether any of it was sent to the caller, with which status,
+  // and its last event.
   bool mBegun = false;
+  unsigned mStatus = 0;
   std::string mLastEventId;
   // The software version at which the stream began, and the only one at which
   // it goes on; see stream_versions. Unset while any version may answer.
--- a/src/sapphirespar/gateway/forward_stream_join_test.cpp
+++ b/src/sapphirespar/gateway/forward_stream_join_test.cpp
@@ -133,6 +133,19 @@
   }
 }
 
+TEST_F(forward_stream_join_test, AnotherSuccessIsNotJoined)
+{
+  Publish();
+  for (const unsigned status : { 202U, 204U, 206U }) {
+    SCOPED_TRACE(status);
+    const auto other = Answer(status, status == 204 ? "" : kSecondEvent);
+    UsePair(SendWithSilence, other);
+    ExpectWholeStream();
+    UsePair(BreakAfter(kFirstEvent), other);
+    ExpectIncomplete(kFirstEvent);
+  }
+}
+
 TEST_F(forward_stream_join_test, AHeadWithoutEventsDoesNotEndTheSoundAttempt)
 {
   Publish();
