Join no answer that begins a stream again

What callers saw: events twice, when an upstream that was to go on after an event answered from the start.

Cause: what an answer to "go on after event n" begins with was not looked at. If its first event has a number that is not above n, the answer is not joined and counts as the upstream's failure. That holds for resumptions, for attempts beside a silent upstream and for streams that callers take up at another gateway.

Failed before, on: AnAnswerThatStartsAgainIsNotJoined, AStreamThatACallerTakesUpDoesNotStartAgain.

--- a/include/sapphirespar/wire/sse_splitter.hpp
+++ b/include/sapphirespar/wire/sse_splitter.hpp
@@ -19,7 +19,9 @@
   unsigned mCount = 0;
   // Whether the end marker "data: [DONE]" was among them. mBytes ends with it.
   bool mDone = false;
-  // The last event identifier among them; empty if no event has one.
+  // The identifiers of the first event with data, and the last one among all
+  // events; empty if these have none.
+  std::string mFirstId;
   std::string mLastId;
 };
 
--- a/src/sapphirespar/gateway/attempt_ending.cpp
+++ b/src/sapphirespar/gateway/attempt_ending.cpp
@@ -1,7 +1,22 @@
 // Results of attempts, health of upstreams, evidence about crashing parts.
 #include "attempt_ending.hpp"
 
+#include <charconv>
+
 namespace sapphirespar::gateway {
+namespace {
+
+std::optional<std::uint64_t>
+ToNumber(std::string_view aText)
+{
+  std::uint64_t number = 0;
+  const auto* end = aText.data() + aText.size();
+  const auto read = std::from_chars(aText.data(), end, number);
+  const bool whole = read.ec == std::errc() && read.ptr == end;
+  return whole ? std::optional(number) : std::nullopt;
+}
+
+} // namespace
 
 using std::chrono::milliseconds;
 using std::chrono::steady_clock;
@@ -12,6 +27,14 @@
   return aHead.Header("Content-Type").starts_with("text/event-stream");
 }
 
+bool
+FollowsEvent(std::string_view aLast, std::string_view aFirst)
+{
+  const auto last = ToNumber(aLast);
+  const auto first = ToNumber(aFirst);
+  return !last || !first || *first > *last;
+}
+
 attempt_ending::attempt_ending(const forward_services& aServices,
                                const forwarded_request& aForwarded,
                                running_attempt& aAttempt,
--- a/src/sapphirespar/gateway/attempt_ending.hpp
+++ b/src/sapphirespar/gateway/attempt_ending.hpp
@@ -15,6 +15,10 @@
 
 bool IsEventStream(const wire::http_response& aHead);
 
+// Whether an answer that was asked for after the event aLast may begin with
+// aFirst. Only numbers can be compared; anything else is taken to follow.
+bool FollowsEvent(std::string_view aLast, std::string_view aFirst);
+
 class attempt_ending
 {
 protected:
--- a/src/sapphirespar/gateway/forward_attempt.cpp
+++ b/src/sapphirespar/gateway/forward_attempt.cpp
@@ -6,6 +6,7 @@
 #include "sapphirespar/base/log.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace sapphirespar::gateway {
 namespace {
@@ -286,6 +287,11 @@
       const bool cut =
         finished && IsCut(!mAttempt.mHasEvents && events.mBytes.empty());
       const bool ends = finished && !cut;
+      if (events.mCount > 0 && !std::exchange(mSeenEvent, true) &&
+          !FollowsEvent(mAttempt.mResumesAfter, events.mFirstId)) {
+        mUpstream.mHealth.AddResult(true, steady_clock::now());
+        co_return End(attempt_end::Broken, "repeats events");
+      }
       if (ends) {
         events.mBytes += mSplitter.Remainder();
       }
@@ -370,6 +376,8 @@
   attempt_learning mLearning;
   // The bytes of the answer that wait to be sent to the caller.
   std::shared_ptr<answer_claim> mMemory;
+  // The first event with data has arrived.
+  bool mSeenEvent = false;
 };
 
 } // namespace
--- a/src/sapphirespar/gateway/forward_stream_join_test.cpp
+++ b/src/sapphirespar/gateway/forward_stream_join_test.cpp
@@ -1,5 +1,6 @@
-// Tests of what may continue a stream, whichever attempt it comes from.
-// Anything else leaves the stream to a sound attempt, or incomplete.
+// Tests of what may continue a stream: only events of a successful run that
+// goes on after the last event which the caller has, whichever attempt they
+// come from. Anything else leaves the stream to a sound attempt, or incomplete.
 #include "forward_fixture_test.hpp"
 
 #include <boost/asio/steady_timer.hpp>
@@ -153,6 +154,26 @@
   ExpectWholeStream();
 }
 
+TEST_F(forward_stream_join_test, AnAnswerThatStartsAgainIsNotJoined)
+{
+  Publish();
+  const auto fromTheStart = Answer(200, kFirstEvent + kSecondEvent);
+  UsePair(SendWithSilence, fromTheStart);
+  ExpectWholeStream();
+  UsePair(BreakAfter(kFirstEvent), fromTheStart);
+  ExpectIncomplete(kFirstEvent);
+}
+
+TEST_F(forward_stream_join_test, AStreamThatACallerTakesUpDoesNotStartAgain)
+{
+  Publish();
+  BeginStream();
+  UsePair(Answer(200, kFirstEvent + kSecondEvent), Answer(200, kSecondEvent));
+  const auto answer = TakeUp();
+  EXPECT_EQ(answer.mStatus, 200U);
+  EXPECT_EQ(answer.mBody, kSecondEvent);
+}
+
 TEST_F(forward_stream_join_test, AFailureToTakeAStreamUpKeepsItsStatus)
 {
   Publish();
--- a/src/sapphirespar/wire/sse_splitter.cpp
+++ b/src/sapphirespar/wire/sse_splitter.cpp
@@ -94,7 +94,11 @@
       returned = mLineStart;
       const auto event = std::exchange(mEvent, {});
       mDone = event.mIsEndMarker;
-      result.mCount += event.mHasData && !mDone ? 1 : 0;
+      const bool counts = event.mHasData && !mDone;
+      if (counts && result.mCount == 0) {
+        result.mFirstId = event.mId;
+      }
+      result.mCount += counts ? 1 : 0;
       if (event.mHasData) {
         mBytesSinceData = mPartial.size() - returned;
       }
