Do not resume a stream after an event without an id

What callers saw: events twice, when a stream broke off after an event without an id.

Cause: the upstream was asked to go on after the last event that had an id, and sent those after it again. Such a stream now stays incomplete.

Failed before, on: AnEventWithoutIdIsNotPassedOver.

--- a/include/sapphirespar/wire/sse_splitter.hpp
+++ b/include/sapphirespar/wire/sse_splitter.hpp
@@ -23,6 +23,9 @@
   // events; empty if these have none.
   std::string mFirstId;
   std::string mLastId;
+  // Whether events with data follow the one with mLastId, or the start if no
+  // event has an identifier. The stream can't be resumed after these.
+  bool mEndsWithoutId = false;
 };
 
 // Looks at each byte of the stream once, however the stream is cut into pieces.
--- a/src/sapphirespar/gateway/forward_attempt.cpp
+++ b/src/sapphirespar/gateway/forward_attempt.cpp
@@ -298,7 +298,9 @@
       if ((ends || !events.mBytes.empty()) && !mClaim()) {
         co_return End(attempt_end::Superseded);
       }
-      if (!events.mLastId.empty()) {
+      if (events.mEndsWithoutId) {
+        mProgress.mLastEventId.clear();
+      } else if (!events.mLastId.empty()) {
         mProgress.mLastEventId = events.mLastId;
       }
       if (ends || (mAttempt.mHasEvents && !events.mBytes.empty())) {
--- a/src/sapphirespar/gateway/forward_state.hpp
+++ b/src/sapphirespar/gateway/forward_state.hpp
@@ -84,7 +84,7 @@
   // Whether any upstream may have run the request. Never reset to false.
   bool mMayHaveRun = false;
   // Of a stream: whether any of it was sent to the caller, with which status,
-  // and its last event.
+  // and the last event. The latter is empty if the stream can't go on after it.
   bool mBegun = false;
   unsigned mStatus = 0;
   std::string mLastEventId;
--- a/src/sapphirespar/gateway/forward_stream_join_test.cpp
+++ b/src/sapphirespar/gateway/forward_stream_join_test.cpp
@@ -184,5 +184,14 @@
   EXPECT_EQ(answer.mBody, kFailure);
 }
 
+// Asked to go on after event 1, an upstream would send the second event again.
+TEST_F(forward_stream_join_test, AnEventWithoutIdIsNotPassedOver)
+{
+  Publish();
+  UsePair(BreakAfter(kFirstEvent + "data: b\n\n"), Answer(200, kSecondEvent));
+  ExpectIncomplete(kFirstEvent + "data: b\n\n");
+  EXPECT_EQ(Arrivals(), 1U);
+}
+
 } // namespace
 } // namespace sapphirespar::gateway
--- a/src/sapphirespar/wire/sse_splitter.cpp
+++ b/src/sapphirespar/wire/sse_splitter.cpp
@@ -104,6 +104,9 @@
       }
       if (!event.mId.empty()) {
         result.mLastId = event.mId;
+        result.mEndsWithoutId = false;
+      } else if (counts) {
+        result.mEndsWithoutId = true;
       }
     }
   }
