Take a refusal of another gateway for one in any form

What callers saw: 503 as an event stream, passed on from another gateway without asking a third one, also when the request may have run before.

A relayed answer is a stream only if it is a success. Both lists of statuses that promise "not run" are one now.

--- a/src/sapphirespar/gateway/forward_cut_off_test.cpp
+++ b/src/sapphirespar/gateway/forward_cut_off_test.cpp
@@ -258,6 +258,50 @@
   }
 }
 
+// A refusal is one in whatever form it comes, so that it is not sent on after
+// the request may have run.
+TEST_P(forward_refused_path_test, ARefusalInTheFormOfAStreamIsARefusal)
+{
+  LetItNotice(200ms);
+  const std::array workers{ &mContext };
+  mServers.push_back(std::make_unique<wire::http_server>(
+    mContext,
+    workers,
+    wire::http_server_settings{},
+    [this](const wire::http_request& aRequest,
+           wire::http_reply& aReply) -> asio::awaitable<void> {
+      ++mArrivals["refusing"];
+      auto headers = SignedAnswer(aRequest, 503, "").mHeaders;
+      headers.push_back({ "Content-Type", "text/event-stream" });
+      co_await aReply.Begin(503, std::move(headers), "id: 1\ndata: no\n\n");
+      co_await aReply.Finish({});
+    }));
+  mHelpers.push_back({ "127.0.0.1", mServers.back()->Port() });
+  EXPECT_EQ(SendRequest("/once/x").mStatus, 200U);
+  EXPECT_EQ(mArrivals["refusing"], 1U);
+  EXPECT_EQ(mArrivals["helper"], 1U);
+}
+
+// The other gateway's upstream fails in the form of a stream.
+TEST_P(forward_refused_path_test, AFailureKeepsItsStatusWhenItIsRelayed)
+{
+  LetItNotice(200ms);
+  for (const unsigned status : { 302U, 404U, 500U }) {
+    mHandler = [status](const wire::http_request& aRequest,
+                        wire::http_reply& aReply) -> asio::awaitable<void> {
+      auto headers = SignedAnswer(aRequest, status, "").mHeaders;
+      headers.push_back({ "Content-Type", "text/event-stream" });
+      co_await aReply.Begin(status, std::move(headers), "id: 1\ndata: no\n\n");
+      co_await aReply.Finish({});
+    };
+    for (const auto* path : { "/resume/x", "/stream/x" }) {
+      const auto answer = SendRequest(path);
+      EXPECT_EQ(answer.mStatus, status) << path;
+      EXPECT_EQ(answer.mBody, "id: 1\ndata: no\n\n") << path;
+    }
+  }
+}
+
 TEST_P(forward_refused_path_test, RequestsAreNotPassedOnInCircles)
 {
   LetItNotice(200ms);
--- a/src/sapphirespar/gateway/peer_relay.cpp
+++ b/src/sapphirespar/gateway/peer_relay.cpp
@@ -10,7 +10,6 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
-#include <array>
 #include <utility>
 
 namespace sapphirespar::gateway {
@@ -19,15 +18,6 @@
 using std::chrono::milliseconds;
 using std::chrono::steady_clock;
 
-// Statuses by which a gateway promises that the request has not run and never
-// will.
-bool
-PromisesNotRun(unsigned aStatus)
-{
-  constexpr std::array<unsigned, 4> kStatuses{ 408, 421, 429, 503 };
-  return std::ranges::find(kStatuses, aStatus) != kStatuses.end();
-}
-
 std::string_view
 ToText(relay_end aEnd)
 {
@@ -82,7 +72,7 @@
       mDetail = "answer to another request";
       co_return End(relay_end::Broken);
     }
-    if (IsEventStream(mStream->Head())) {
+    if (IsSuccess(mResult.mStatus) && IsEventStream(mStream->Head())) {
       co_return co_await RelayStream();
     }
     co_return co_await RelayPlainAnswer();
