--- a/include/sapphirespar/model/routing.hpp
+++ b/include/sapphirespar/model/routing.hpp
@@ -94,6 +94,9 @@
   std::vector<route> mRoutes;
   std::vector<upstream_pool> mPools;
   std::vector<routing_account> mAccounts;
+  // Whether requests need a key of one of mAccounts, which may be empty.
+  // Without, they have no account.
+  bool mUsesKeys = true;
   caller_limits mLimits;
 };
 
--- a/src/sapphirespar/gateway/forward_admission.cpp
+++ b/src/sapphirespar/gateway/forward_admission.cpp
@@ -125,7 +125,7 @@
                  : refusal_answer{ 503, "routing_stale", kRetrySoon };
   }
   aForwarded.mPriority = routing.PriorityOf(*aForwarded.mRoute, nullptr);
-  if (!aForwarded.mRoute->mPublic) {
+  if (!aForwarded.mRoute->mPublic && routing.Config().mUsesKeys) {
     if (const auto refusal = CheckKey(aServices, aForwarded, aArrival, fresh)) {
       return refusal;
     }
--- a/src/sapphirespar/gateway/forward_fixture_test.cpp
+++ b/src/sapphirespar/gateway/forward_fixture_test.cpp
@@ -239,6 +239,7 @@
   pool.mEngine = mEngine;
   config.mPools = { pool };
   config.mAccounts = { { { "anna" }, { "k1" }, {} } };
+  config.mUsesKeys = mUsesKeys;
   mRouting.Apply(std::make_shared<policy::route_table>(std::move(config)),
                  BootNow());
 }
--- a/src/sapphirespar/gateway/forward_fixture_test.hpp
+++ b/src/sapphirespar/gateway/forward_fixture_test.hpp
@@ -155,6 +155,7 @@
   // Routes of the host "h" with the prefixes "/stream/", "/resume/" (resumable
   // stream), "/once/" (not idempotent) and "/safe/" (idempotent).
   std::vector<route> mRoutes;
+  bool mUsesKeys = true;
   std::optional<engine_traits> mEngine;
   std::optional<std::chrono::milliseconds> mTimeToStop;
   std::chrono::milliseconds mKeyFreshness{ 5000 };
--- a/src/sapphirespar/gateway/forward_test.cpp
+++ b/src/sapphirespar/gateway/forward_test.cpp
@@ -111,6 +111,20 @@
   EXPECT_EQ(Arrivals(), 1U);
 }
 
+// Requests got 401 although no key was asked for.
+TEST_F(forward_test, NeedsNoKeyIfTheRoutingUsesNone)
+{
+  mUsesKeys = false;
+  Publish();
+  AddUpstream("a", Answers(200, "body"));
+  EXPECT_EQ(SendRequest("/once/x", { { std::string(kTestKey), "k2" } }).mStatus,
+            200U);
+  mUsesKeys = true;
+  Publish(2);
+  EXPECT_EQ(SendRequest("/once/x", { { std::string(kTestKey), "k2" } }).mStatus,
+            401U);
+}
+
 TEST_F(forward_test, RefusesKeysWhenTheRoutingIsStale)
 {
   routing_config config;
