Bound the memory of all request bodies together

Cause: the bodies of requests had a limit each and none together, unlike answers. Without room a request gets 503 with Retry-After, which is true.

New: AllBodiesTogetherStayWithinTheirMemory, ReadsTheMemoryOfRequests.

--- a/include/sapphirespar/config/gateway_settings.hpp
+++ b/include/sapphirespar/config/gateway_settings.hpp
@@ -65,6 +65,8 @@
   // Memory that the process may use, in bytes.
   std::size_t mMemoryBytes = 0;
   answer_limits mAnswers;
+  // Bytes of the bodies of all requests in progress.
+  std::size_t mRequestBytes = 32 * 1024 * 1024;
 
   // Requests with a key are refused if the routing has not been confirmed for
   // this long, because the key may have been revoked.
--- a/include/sapphirespar/gateway/forward.hpp
+++ b/include/sapphirespar/gateway/forward.hpp
@@ -2,7 +2,7 @@
 // upstream, retries where that is safe, and relays the answer.
 #pragma once
 
-#include "sapphirespar/gateway/answer_memory.hpp"
+#include "sapphirespar/base/memory_budget.hpp"
 #include "sapphirespar/gateway/brittle_guard.hpp"
 #include "sapphirespar/gateway/crash_guard.hpp"
 #include "sapphirespar/gateway/protocol.hpp"
@@ -66,8 +66,8 @@
   // A stream is ended if more bytes follow its last event with data.
   std::size_t mEventLimitBytes = 1024 * 1024;
   // Never null.
-  answer_memory_ptr mAnswerMemory =
-    std::make_shared<answer_memory>(48 * 1024 * 1024);
+  memory_budget_ptr mAnswerMemory =
+    std::make_shared<memory_budget>(48 * 1024 * 1024);
   // Looks up the versions of a stream in the platform's store; see
   // stream_archive.
   std::function<void(std::uint64_t aStream, stream_archive::versions_callback)>
--- a/include/sapphirespar/wire/http_server.hpp
+++ b/include/sapphirespar/wire/http_server.hpp
@@ -1,6 +1,7 @@
 // An HTTP/1.1 server with one coroutine per connection and one request handler.
 #pragma once
 
+#include "sapphirespar/base/memory_budget.hpp"
 #include "sapphirespar/wire/byte_stream.hpp"
 #include "sapphirespar/wire/http_message.hpp"
 
@@ -78,6 +79,10 @@
   std::uint16_t mPort = 0;
   // Called for each request; never empty.
   std::function<http_limits()> mLimits = [] { return http_limits{}; };
+  // The memory for the bodies of all requests in progress, which then run on
+  // one thread. A request whose body finds no room gets 503. Null means no
+  // limit.
+  memory_budget_ptr mBodyMemory;
   std::chrono::seconds mWriteTimeout{ 30 };
   // Null means plain TCP.
   tls_context_ptr mTls;
--- a/src/sapphirespar/gateway/answer_memory.cpp
+++ b/src/sapphirespar/base/memory_budget.cpp
@@ -1,26 +1,26 @@
-// Divides the memory for answers among those in progress.
-#include "sapphirespar/gateway/answer_memory.hpp"
+// Divides a memory budget among the messages in progress.
+#include "sapphirespar/base/memory_budget.hpp"
 
 #include <algorithm>
 #include <utility>
 
-namespace sapphirespar::gateway {
+namespace sapphirespar {
 
-answer_claim::answer_claim(answer_memory_ptr aMemory)
+memory_claim::memory_claim(memory_budget_ptr aMemory)
   : mMemory(std::move(aMemory))
 {
 }
 
-answer_claim::~answer_claim()
+memory_claim::~memory_claim()
 {
   mMemory->mTaken -= mBytes;
 }
 
 bool
-answer_claim::Resize(std::size_t aBytes)
+memory_claim::Resize(std::size_t aBytes)
 {
-  // Of the whole limit: what a short answer may take, and what only short
-  // answers may use.
+  // Of the whole limit: what a short message may take, and what only short
+  // messages may use.
   constexpr std::size_t kShortPart = 1024;
   constexpr std::size_t kReservedPart = 4;
   const auto limit = mMemory->mLimitBytes;
@@ -39,4 +39,4 @@
   return true;
 }
 
-} // namespace sapphirespar::gateway
+} // namespace sapphirespar
--- a/src/sapphirespar/config/gateway_settings.cpp
+++ b/src/sapphirespar/config/gateway_settings.cpp
@@ -169,19 +169,41 @@
                                          "memory_mb", kMemoryBounds, machine));
 }
 
+// Least memory for all requests, or all answers, together.
+constexpr std::size_t kLeastTotal = 1024 * 1024;
+
+// Reads a number of bytes, which the memory bounds.
+void
+ReadBytes(toml_table& aTable,
+          std::string_view aKey,
+          std::size_t aLeast,
+          std::size_t aMemory,
+          std::size_t& aBytes)
+{
+  const integer_bounds bounds{ static_cast<std::int64_t>(aLeast),
+                               static_cast<std::int64_t>(aMemory) };
+  aBytes = static_cast<std::size_t>(
+    aTable.Integer(aKey, bounds, static_cast<std::int64_t>(aBytes)));
+}
+
+void
+ReadRequests(toml_table& aTable, gateway_settings& aSettings)
+{
+  ReadBytes(aTable,
+            "total_bytes",
+            kLeastTotal,
+            aSettings.mMemoryBytes,
+            aSettings.mRequestBytes);
+}
+
 void
 ReadAnswers(toml_table& aTable, gateway_settings& aSettings)
 {
   const auto read =
     [&](std::string_view aKey, std::size_t aLeast, std::size_t& aBytes) {
-      const integer_bounds bounds{ static_cast<std::int64_t>(aLeast),
-                                   static_cast<std::int64_t>(
-                                     aSettings.mMemoryBytes) };
-      aBytes = static_cast<std::size_t>(
-        aTable.Integer(aKey, bounds, static_cast<std::int64_t>(aBytes)));
+      ReadBytes(aTable, aKey, aLeast, aSettings.mMemoryBytes, aBytes);
     };
   constexpr std::size_t kLeastHead = 1024;
-  constexpr std::size_t kLeastTotal = 1024 * 1024;
   auto& answers = aSettings.mAnswers;
   read("head_bytes", kLeastHead, answers.mHeadBytes);
   read("dropped_bytes", 1, answers.mDroppedBytes);
@@ -208,6 +230,11 @@
   answers.mTotalBytes =
     std::min(answers.mTotalBytes, aSettings.mMemoryBytes / kAnswersPart);
   aRoot.Table("answers", with(ReadAnswers));
+  // A body is copied to be sent, so that it takes this twice.
+  constexpr std::size_t kRequestsPart = 10;
+  aSettings.mRequestBytes =
+    std::min(aSettings.mRequestBytes, aSettings.mMemoryBytes / kRequestsPart);
+  aRoot.Table("requests", with(ReadRequests));
   aRoot.Table("bounds", with(ReadBounds));
   aRoot.Table("engines", with(ReadEngines));
   aRoot.Table("log", [&](toml_table& aTable) {
--- a/src/sapphirespar/config/gateway_settings_test.cpp
+++ b/src/sapphirespar/config/gateway_settings_test.cpp
@@ -117,6 +117,21 @@
   EXPECT_EQ(settings->mAnswers.mTotalBytes, 20 * kMegabyte);
 }
 
+TEST(GatewaySettings, ReadsTheMemoryOfRequests)
+{
+  const std::string memory = "[limits]\nmemory_mb = 100\n";
+  const auto settings = ParseGatewaySettings(kGood + memory, "g.toml");
+  ASSERT_TRUE(settings);
+  EXPECT_EQ(settings->mRequestBytes, 10 * 1024 * 1024U);
+  const auto given = ParseGatewaySettings(
+    kGood + memory + "[requests]\ntotal_bytes = 2000000\n", "g.toml");
+  ASSERT_TRUE(given);
+  EXPECT_EQ(given->mRequestBytes, 2'000'000U);
+  EXPECT_EQ(FailureOf(kGood + memory + "[requests]\ntotal_bytes = 1000\n"),
+            "g.toml:17: requests.total_bytes: expected 1048576 to 104857600, "
+            "found 1000");
+}
+
 TEST(GatewaySettings, RefusesImpossibleLimitsOfAnswers)
 {
   const std::string memory = "[limits]\nmemory_mb = 100\n[answers]\n";
--- a/src/sapphirespar/gateway/forward.cpp
+++ b/src/sapphirespar/gateway/forward.cpp
@@ -384,7 +384,7 @@
   std::vector<upstream_ptr> mTried;
   // The latest error answer of an upstream, for the caller if none is better.
   std::optional<wire::http_response> mFailure;
-  std::shared_ptr<answer_claim> mFailureMemory;
+  std::shared_ptr<memory_claim> mFailureMemory;
   request_outcome mOutcome;
   const wire::call_abort_ptr mRelayAbort = std::make_shared<wire::call_abort>();
   // Another gateway has been asked to serve the request.
--- a/src/sapphirespar/gateway/forward_attempt.cpp
+++ b/src/sapphirespar/gateway/forward_attempt.cpp
@@ -44,7 +44,7 @@
     , mReply(aReply)
     , mClaim(aClaim)
     , mLearning(aServices, aForwarded, mTarget)
-    , mMemory(std::make_shared<answer_claim>(aServices.mAnswerMemory))
+    , mMemory(std::make_shared<memory_claim>(aServices.mAnswerMemory))
   {
   }
 
@@ -377,7 +377,7 @@
   const claim_hook& mClaim;
   attempt_learning mLearning;
   // The bytes of the answer that wait to be sent to the caller.
-  std::shared_ptr<answer_claim> mMemory;
+  std::shared_ptr<memory_claim> mMemory;
   // The first event with data has arrived.
   bool mSeenEvent = false;
 };
--- a/src/sapphirespar/gateway/forward_endless_answer_test.cpp
+++ b/src/sapphirespar/gateway/forward_endless_answer_test.cpp
@@ -150,7 +150,7 @@
       return Serve(this, std::move(aSocket));
     };
     mServices->mEventLimitBytes = kEventBytes;
-    mServices->mAnswerMemory = std::make_shared<answer_memory>(kMemoryBytes);
+    mServices->mAnswerMemory = std::make_shared<memory_budget>(kMemoryBytes);
     mPort = ServeConnections(mContext, script);
     AddUpstreams();
   }
--- a/src/sapphirespar/gateway/forward_state.hpp
+++ b/src/sapphirespar/gateway/forward_state.hpp
@@ -124,7 +124,7 @@
   // The error answer of a Failed attempt, ready to be sent to the caller.
   std::optional<wire::http_response> mFailure;
   // Claims the memory of mFailure; null without it.
-  std::shared_ptr<answer_claim> mFailureMemory;
+  std::shared_ptr<memory_claim> mFailureMemory;
   bool mReusedConnection = false;
   // The upstream of an idempotent request whose kept connection ended before
   // any byte of an answer arrived; otherwise null. See wire_error.
--- a/src/sapphirespar/gateway/gateway_app.cpp
+++ b/src/sapphirespar/gateway/gateway_app.cpp
@@ -1,7 +1,9 @@
 // Makes the parts of a gateway, keeps their sums up to date, and shuts it down.
 #include "gateway_app_state.hpp"
 
+#include "forward_admission.hpp"
 #include "part_settings.hpp"
+#include "refusal_answer.hpp"
 
 #include "sapphirespar/base/log.hpp"
 
@@ -140,13 +142,19 @@
     }
     return limits;
   };
+  settings.mBodyMemory = mRequestMemory;
   settings.mMakeErrorResponse = [this](unsigned aStatus,
                                        std::string_view aReason) {
     LogEvent(log_level::Info,
              "request_unparsed",
-             { { "status", aStatus }, { "reason", aReason } });
+             { { "status", aStatus },
+               { "reason", aReason },
+               { "bodies_bytes", mRequestMemory->Taken() } });
     mMetrics.Count("gateway_unparsed_total");
-    return TextResponse(aStatus, std::string(aReason) + "\n");
+    constexpr unsigned kUnavailable = 503;
+    return aStatus == kUnavailable
+             ? ToResponse({ aStatus, "no_memory_for_body", kRetrySoon })
+             : TextResponse(aStatus, std::string(aReason) + "\n");
   };
   const std::array workers{ &mContext };
   return std::make_unique<wire::http_server>(
--- a/src/sapphirespar/gateway/gateway_app_state.hpp
+++ b/src/sapphirespar/gateway/gateway_app_state.hpp
@@ -106,6 +106,8 @@
   gateway_registry mRegistry;
   gossip_link mGossip;
   forward_services mForward;
+  const memory_budget_ptr mRequestMemory =
+    std::make_shared<memory_budget>(mSettings.mRequestBytes);
   // Null only during construction.
   std::unique_ptr<wire::http_server> mCallers;
   std::unique_ptr<wire::http_server> mReadiness;
--- a/src/sapphirespar/gateway/gateway_hooks.cpp
+++ b/src/sapphirespar/gateway/gateway_hooks.cpp
@@ -64,7 +64,7 @@
     .mKeyFreshness = mSettings.mKeyFreshness,
     .mEventLimitBytes = mSettings.mAnswers.mEventBytes,
     .mAnswerMemory =
-      std::make_shared<answer_memory>(mSettings.mAnswers.mTotalBytes),
+      std::make_shared<memory_budget>(mSettings.mAnswers.mTotalBytes),
     .mFindArchived =
       [this](std::uint64_t aStream, stream_archive::versions_callback aDone) {
         mArchive.Find(aStream, std::move(aDone));
--- a/src/sapphirespar/gateway/peer_relay.cpp
+++ b/src/sapphirespar/gateway/peer_relay.cpp
@@ -45,7 +45,7 @@
     , mForwarded(aForwarded)
     , mReply(aReply)
     , mProgress(aProgress)
-    , mMemory(std::make_shared<answer_claim>(aServices.mAnswerMemory))
+    , mMemory(std::make_shared<memory_claim>(aServices.mAnswerMemory))
   {
   }
 
@@ -180,7 +180,7 @@
   const forwarded_request& mForwarded;
   wire::http_reply& mReply;
   relay_progress& mProgress;
-  std::shared_ptr<answer_claim> mMemory;
+  std::shared_ptr<memory_claim> mMemory;
   wire::http_stream_ptr mStream;
   relay_result mResult;
   std::string mDetail;
--- a/src/sapphirespar/wire/http_request_limits_test.cpp
+++ b/src/sapphirespar/wire/http_request_limits_test.cpp
@@ -14,6 +14,7 @@
 #include <gtest/gtest.h>
 
 #include <array>
+#include <map>
 
 namespace sapphirespar::wire {
 namespace {
@@ -57,14 +58,6 @@
   };
 }
 
-asio::awaitable<void>
-AnswerShortly(const http_request&, http_reply& aReply)
-{
-  http_response response;
-  response.mBody = "ok";
-  co_await aReply.Send(std::move(response));
-}
-
 class http_request_limits_test : public testing::Test
 {
 protected:
@@ -78,9 +71,19 @@
       limits.mBodyTimeout = kTimeout;
       return limits;
     };
+    settings.mBodyMemory = mBodyMemory;
     const std::array workers{ &mContext };
     mServer = std::make_unique<http_server>(
-      mContext, workers, std::move(settings), AnswerShortly);
+      mContext,
+      workers,
+      std::move(settings),
+      [this](const http_request&, http_reply& aReply) -> asio::awaitable<void> {
+        asio::steady_timer timer(mContext, mWork);
+        co_await timer.async_wait(asio::use_awaitable);
+        http_response response;
+        response.mBody = "ok";
+        co_await aReply.Send(std::move(response));
+      });
   }
 
   // Writes aRequest until the server closes the connection.
@@ -142,7 +145,39 @@
     co_return answer.substr(0, answer.find("\r\n"));
   }
 
+  // Sends a request with a body and counts the answers by their first line.
+  asio::awaitable<void> PostOnce(std::size_t aBytes)
+  {
+    asio::ip::tcp::socket socket(mContext);
+    const asio::ip::tcp::endpoint remote(asio::ip::make_address("127.0.0.1"),
+                                         mServer->Port());
+    co_await socket.async_connect(remote, asio::use_awaitable);
+    ++mAnswers[co_await Post(socket, aBytes)];
+  }
+
+  // Sends requests at the same time and waits for all answers.
+  void PostTogether(int aCount, std::size_t aBytes)
+  {
+    mAnswers.clear();
+    int left = aCount;
+    for (int number = 0; number < aCount; ++number) {
+      asio::co_spawn(
+        mContext, PostOnce(aBytes), [&](const std::exception_ptr&) {
+          if (--left == 0) {
+            mContext.stop();
+          }
+        });
+    }
+    mContext.restart();
+    mContext.run();
+  }
+
   std::size_t mBodyBytes = 100'000;
+  const memory_budget_ptr mBodyMemory =
+    std::make_shared<memory_budget>(800'000);
+  // How long the handler works on a request.
+  milliseconds mWork{ 0 };
+  std::map<std::string, int> mAnswers;
   asio::io_context mContext;
   std::unique_ptr<http_server> mServer;
 };
@@ -170,6 +205,26 @@
   EXPECT_EQ(after, "HTTP/1.1 200 OK");
 }
 
+// Many bodies within the limit of each took more memory than there is.
+TEST_F(http_request_limits_test, AllBodiesTogetherStayWithinTheirMemory)
+{
+  constexpr int kRequests = 20;
+  mWork = 200ms;
+  PostTogether(kRequests, mBodyBytes);
+  EXPECT_GT(mAnswers["HTTP/1.1 200 OK"], 0);
+  EXPECT_GT(mAnswers["HTTP/1.1 503 Service Unavailable"], 0);
+  EXPECT_EQ(mAnswers.size(), 2U);
+  EXPECT_GE(mBodyMemory->Peak(), mBodyBytes);
+  EXPECT_LE(mBodyMemory->Peak(), 800'000U);
+  // Short bodies have room beside long ones, and all of it is given back.
+  PostTogether(kRequests, 700);
+  EXPECT_EQ(mAnswers["HTTP/1.1 200 OK"], kRequests);
+  EXPECT_EQ(mBodyMemory->Taken(), 0U);
+  mWork = 0ms;
+  PostTogether(1, mBodyBytes);
+  EXPECT_EQ(mAnswers["HTTP/1.1 200 OK"], 1);
+}
+
 TEST_F(http_request_limits_test,
        Fault_EndlessBytes_Request_Admit_ARequestEndsByItsDeadline)
 {
--- a/src/sapphirespar/wire/http_request_read.cpp
+++ b/src/sapphirespar/wire/http_request_read.cpp
@@ -87,8 +87,25 @@
   return error;
 }
 
+// Claims memory for the whole body, or for what has arrived of it if its length
+// isn't known. Bodies that grew side by side would leave no room for any.
+error_code
+ClaimBody(const request_parser& aParser, memory_claim* aBody)
+{
+  const auto length = aParser.content_length().value_or(0);
+  const auto bytes = std::max<std::size_t>(length, aParser.get().body().size());
+  return aBody == nullptr || aBody->Resize(bytes) ? error_code{}
+                                                  : asio::error::no_memory;
+}
+
 } // namespace
 
+bool
+IsOutOfMemory(const error_code& aError)
+{
+  return aError == asio::error::no_memory;
+}
+
 unsigned
 StatusOfReadError(const boost::system::error_code& aError)
 {
@@ -96,6 +113,7 @@
   constexpr unsigned kTimeout = 408;
   constexpr unsigned kTooLarge = 413;
   constexpr unsigned kHeadersTooLarge = 431;
+  constexpr unsigned kUnavailable = 503;
   if (aError == http::error::body_limit) {
     return kTooLarge;
   }
@@ -105,6 +123,9 @@
   if (IsTimeout(aError)) {
     return kTimeout;
   }
+  if (IsOutOfMemory(aError)) {
+    return kUnavailable;
+  }
   return kBadRequest;
 }
 
@@ -127,7 +148,8 @@
 ReadRequest(byte_stream& aStream,
             beast::flat_buffer& aBuffer,
             request_parser& aParser,
-            const std::function<http_limits()>& aLimits)
+            const std::function<http_limits()>& aLimits,
+            memory_claim* aBody)
 {
   using std::chrono::steady_clock;
   request_read_result read;
@@ -162,6 +184,9 @@
       aParser.put_eof(read.mError);
     }
   }
+  if (!read.mError) {
+    read.mError = ClaimBody(aParser, aBody);
+  }
   if (!read.mError && !aParser.is_done()) {
     read.mError = co_await ContinueIfExpected(aStream, aParser);
   }
@@ -170,7 +195,7 @@
     const auto idleDeadline = steady_clock::now() + limits.mIdleTimeout;
     const auto more = co_await ReadMore(
       aStream, aBuffer, aParser, std::min(idleDeadline, bodyDeadline));
-    read.mError = more.mError;
+    read.mError = more.mError ? more.mError : ClaimBody(aParser, aBody);
     // The parser leaves an incomplete line of a chunk or trailer in the buffer.
     if (!read.mError && !aParser.is_done() &&
         aBuffer.size() > limits.mHeaderBytes) {
--- a/src/sapphirespar/wire/http_request_read.hpp
+++ b/src/sapphirespar/wire/http_request_read.hpp
@@ -4,6 +4,7 @@
 
 #include "http_codec.hpp"
 
+#include "sapphirespar/base/memory_budget.hpp"
 #include "sapphirespar/wire/http_server.hpp"
 
 #include <functional>
@@ -20,13 +21,19 @@
   bool mReceivedBytes = false;
 };
 
+// Whether the request was given up because its body has no room in the memory
+// for bodies.
+bool IsOutOfMemory(const boost::system::error_code& aError);
+
 // aLimits returns the limits that hold now. They are asked for again when a
-// request begins, as they may change while a connection is idle.
+// request begins, as they may change while a connection is idle. aBody claims
+// the memory that the body takes; null if there is no common limit.
 asio::awaitable<request_read_result> ReadRequest(
   byte_stream& aStream,
   beast::flat_buffer& aBuffer,
   request_parser& aParser,
-  const std::function<http_limits()>& aLimits);
+  const std::function<http_limits()>& aLimits,
+  memory_claim* aBody);
 
 // Returns the HTTP status for a request that could not be read.
 unsigned StatusOfReadError(const boost::system::error_code& aError);
--- a/src/sapphirespar/wire/http_server.cpp
+++ b/src/sapphirespar/wire/http_server.cpp
@@ -268,11 +268,20 @@
   bool open = true;
   while (open) {
     request_parser parser;
-    const auto read = co_await ReadRequest(
-      aStream, buffer, parser, aServices->mSettings.mLimits);
+    // Released after the request has been handled.
+    std::optional<memory_claim> body;
+    if (aServices->mSettings.mBodyMemory) {
+      body.emplace(aServices->mSettings.mBodyMemory);
+    }
+    const auto read = co_await ReadRequest(aStream,
+                                           buffer,
+                                           parser,
+                                           aServices->mSettings.mLimits,
+                                           body ? &*body : nullptr);
     if (read.mError) {
-      const bool canRespond =
-        IsParseError(read.mError) || IsTimeout(read.mError);
+      const bool canRespond = IsParseError(read.mError) ||
+                              IsTimeout(read.mError) ||
+                              IsOutOfMemory(read.mError);
       if (read.mReceivedBytes && canRespond) {
         co_await RejectUnreadableRequest(aServices, aStream, read.mError);
       }
