Soak: kill all gateways, failing upstreams, gateways of two builds

Three kinds of trouble that the soak lacked: all gateways are killed at the same moment, an upstream fails every second request in the form of the route's answers, and every second gateway runs another build (--other-gateway).

--- a/include/sapphirespar/soak/soak_harness.hpp
+++ b/include/sapphirespar/soak/soak_harness.hpp
@@ -31,6 +31,9 @@
   std::chrono::seconds mDuration{ 8 };
   // Path of the sapphirespar-gateway executable.
   std::string mGatewayProgram;
+  // The same of another build, which every second gateway runs; empty if all
+  // run the first one.
+  std::string mOtherProgram;
   // Keep the gateways' logs even if nothing was broken.
   bool mKeepLogs = false;
 };
@@ -39,6 +42,7 @@
 struct gateway_process
 {
   std::string mName;
+  std::string mProgram;
   std::string mAddress;
   std::filesystem::path mSettings;
   std::filesystem::path mLog;
@@ -71,6 +75,8 @@
   NamesRate,
   // Closes the connection in the middle of each stream.
   BreaksOff,
+  // Fails every second request, in the form of the route's answers.
+  Fails,
 };
 
 // An upstream's server and the proxy between the gateways and the server.
@@ -85,6 +91,8 @@
   std::chrono::milliseconds mRetryAfter{ 0 };
   // What it accepts while it names a rate, in requests per second.
   unsigned mRate = 0;
+  // Requests that reached it while it fails some of them.
+  unsigned mCount = 0;
 };
 
 class soak_harness
@@ -158,6 +166,10 @@
   void StartGateway(gateway_process& aGateway);
   void Signal(gateway_process& aGateway, int aSignal);
   asio::awaitable<void> StopAndRestart(gateway_process& aGateway, int aSignal);
+  // The same, with the gateway excused meanwhile.
+  asio::awaitable<void> Restart(unsigned aGateway, int aSignal);
+  // Kills all gateways at the same moment.
+  void KillAll();
   asio::awaitable<void> Pause(gateway_process& aGateway);
   void Reap(gateway_process& aGateway);
 
--- a/programs/soak/main.cpp
+++ b/programs/soak/main.cpp
@@ -68,6 +68,11 @@
     .add_option("--gateway", soakOptions.mGatewayProgram, "Gateway executable")
     ->required()
     ->check(CLI::ExistingFile);
+  options
+    .add_option("--other-gateway",
+                soakOptions.mOtherProgram,
+                "Gateway executable of another build, for every second gateway")
+    ->check(CLI::ExistingFile);
   try {
     options.parse(aCount, aArguments);
   } catch (const CLI::ParseError& problem) {
--- a/src/sapphirespar/soak/soak_harness.cpp
+++ b/src/sapphirespar/soak/soak_harness.cpp
@@ -104,6 +104,8 @@
 {
   auto gateway = std::make_unique<gateway_process>();
   gateway->mName = "gateway-" + std::to_string(aNumber);
+  const bool other = aNumber % 2 == 1 && !mOptions.mOtherProgram.empty();
+  gateway->mProgram = other ? mOptions.mOtherProgram : mOptions.mGatewayProgram;
   // The subnet depends on the process id, so that soaks can run concurrently.
   const auto subnet = 1 + static_cast<unsigned>(::getpid()) % 250;
   gateway->mAddress =
@@ -128,7 +130,7 @@
                                      O_WRONLY | O_CREAT | O_APPEND,
                                      kMode);
   ::posix_spawn_file_actions_adddup2(&files, STDOUT_FILENO, STDERR_FILENO);
-  std::string program = mOptions.mGatewayProgram;
+  std::string program = aGateway.mProgram;
   std::string flag = "--settings";
   std::string settings = aGateway.mSettings.string();
   std::array<char*, 4> arguments{
--- a/src/sapphirespar/soak/soak_upstreams.cpp
+++ b/src/sapphirespar/soak/soak_upstreams.cpp
@@ -54,6 +54,24 @@
   }
 }
 
+// Answers with a failure, which on streams looks like the rest of one.
+asio::awaitable<void>
+Fail(wire::http_headers aHeaders,
+     const wire::http_request& aRequest,
+     wire::http_reply& aReply,
+     unsigned aCount)
+{
+  constexpr std::array<unsigned, 4> kStatuses{ 404, 500, 302, 409 };
+  wire::http_response response;
+  response.mStatus = kStatuses[aCount / 2 % kStatuses.size()];
+  response.mHeaders = std::move(aHeaders);
+  if (IsStream(aRequest)) {
+    response.mHeaders.push_back({ "Content-Type", "text/event-stream" });
+  }
+  response.mBody = "id: 1000\ndata: failure\n\n";
+  co_await aReply.Send(std::move(response));
+}
+
 } // namespace
 
 asio::awaitable<void>
@@ -62,7 +80,7 @@
                                     wire::http_reply& aReply)
 {
   const std::string id(aRequest.Header("X-Request-Id"));
-  const auto& upstream = mUpstreams[aNumber];
+  auto& upstream = mUpstreams[aNumber];
   const auto state = upstream.mState;
   mChecker.RecordArrival(id, aNumber);
   wire::http_headers headers{ { "X-Request-Id", id },
@@ -90,6 +108,10 @@
     mChecker.RecordNamedRate(id, aNumber, upstream.mRate);
   }
   mChecker.RecordRun(id, std::string(aRequest.Header("X-Tenant")));
+  if (state == upstream_state::Fails && ++upstream.mCount % 2 == 0) {
+    co_await Fail(std::move(headers), aRequest, aReply, upstream.mCount);
+    co_return;
+  }
   const bool fast = state == upstream_state::EndlessBytes;
   if (fast || state == upstream_state::TrickledBytes) {
     if (IsStream(aRequest)) {
--- a/src/sapphirespar/soak/soak_workload.cpp
+++ b/src/sapphirespar/soak/soak_workload.cpp
@@ -199,6 +199,22 @@
   aGateway.mFaultActive = false;
 }
 
+asio::awaitable<void>
+soak_harness::Restart(unsigned aGateway, int aSignal)
+{
+  mChecker.BeginGatewayExcuse(aGateway);
+  co_await StopAndRestart(*mGateways[aGateway], aSignal);
+  mChecker.EndGatewayExcuse(aGateway);
+}
+
+void
+soak_harness::KillAll()
+{
+  for (unsigned number = 0; number < mOptions.mGateways; ++number) {
+    asio::co_spawn(mContext, Restart(number, SIGKILL), asio::detached);
+  }
+}
+
 asio::awaitable<void>
 soak_harness::Pause(gateway_process& aGateway)
 {
@@ -224,23 +240,19 @@
     upstream_state::Refuses,       upstream_state::EndlessBytes,
     upstream_state::TrickledBytes, upstream_state::Silent,
     upstream_state::Closes,        upstream_state::NamesRate,
-    upstream_state::BreaksOff,
+    upstream_state::BreaksOff,     upstream_state::Fails,
   };
   const auto gatewayNumber = Draw(mOptions.mGateways);
   const auto upstreamNumber = Draw(mOptions.mUpstreams);
   auto& gateway = *mGateways[gatewayNumber];
   const auto fault = kLinkFaults[Draw(kLinkFaults.size())];
   const milliseconds duration(200 + Draw(2500));
-  switch (Draw(11)) {
+  switch (Draw(12)) {
     case 0:
-      mChecker.BeginGatewayExcuse(gatewayNumber);
-      co_await StopAndRestart(gateway, SIGKILL);
-      mChecker.EndGatewayExcuse(gatewayNumber);
+      co_await Restart(gatewayNumber, SIGKILL);
       break;
     case 1:
-      mChecker.BeginGatewayExcuse(gatewayNumber);
-      co_await StopAndRestart(gateway, SIGTERM);
-      mChecker.EndGatewayExcuse(gatewayNumber);
+      co_await Restart(gatewayNumber, SIGTERM);
       break;
     case 2:
       mChecker.BeginGatewayExcuse(gatewayNumber);
@@ -272,6 +284,9 @@
     case 9:
       co_await RestoreStore();
       break;
+    case 10:
+      KillAll();
+      break;
     default:
       co_await DisturbStore();
   }
