Wait for more of a last chunk that the parser asserts on

What callers saw: all connections of a gateway end, as its process does, when any caller sends an empty chunked body in pieces, "0" with its line end and then one byte, or an upstream answers so.

Cause: Beast's parser asserts, in a build with assertions as ours is, that at least five bytes are there when it is fed a last chunk again; without a chunk before it they may be four. The parser is now fed again with the fifth byte.

Failed before: AnEmptyChunkedBodyMayArriveInPieces ended the test's process (Assertion `n >= 5' failed).

--- a/src/sapphirespar/wire/http_codec.hpp
+++ b/src/sapphirespar/wire/http_codec.hpp
@@ -16,6 +16,7 @@
 #include <boost/beast/http/string_body.hpp>
 
 #include <string>
+#include <string_view>
 
 namespace sapphirespar::wire {
 
@@ -36,6 +37,21 @@
          aError != http::error::partial_message;
 }
 
+// Whether more bytes have to arrive before a parser may be fed. A parser that
+// was fed a last chunk's "0\r\n", with no chunk before it, asserts that at
+// least two more bytes follow when it is fed again.
+template<class Parser>
+bool
+HasToWait(const beast::flat_buffer& aBuffer, const Parser& aParser)
+{
+  constexpr std::string_view kBegin = "0\r\n";
+  const auto data = aBuffer.data();
+  const std::string_view bytes(static_cast<const char*>(data.data()),
+                               data.size());
+  return bytes.size() == kBegin.size() + 1 && bytes.starts_with(kBegin) &&
+         aParser.is_header_done() && aParser.chunked();
+}
+
 // Passes the bytes of aBuffer to aParser and removes those that it consumed.
 // need_more does not count as an error.
 template<class Parser>
@@ -43,7 +59,7 @@
 Feed(beast::flat_buffer& aBuffer, Parser& aParser)
 {
   boost::system::error_code error;
-  if (aBuffer.size() > 0) {
+  if (aBuffer.size() > 0 && !HasToWait(aBuffer, aParser)) {
     aBuffer.consume(aParser.put(aBuffer.data(), error));
   }
   return error == http::error::need_more ? boost::system::error_code{} : error;
--- a/src/sapphirespar/wire/http_test.cpp
+++ b/src/sapphirespar/wire/http_test.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 
@@ -93,13 +94,25 @@
   // Sends raw bytes and returns everything that the server sends until it
   // closes the connection.
   asio::awaitable<std::string> SendRaw(std::string aBytes)
+  {
+    std::vector<std::string> whole{ std::move(aBytes) };
+    co_return co_await SendPieces(std::move(whole));
+  }
+
+  // The same with pauses between the pieces.
+  asio::awaitable<std::string> SendPieces(std::vector<std::string> aPieces)
   {
     asio::ip::tcp::socket socket(mContext);
     const asio::ip::tcp::endpoint remote(asio::ip::make_address("127.0.0.1"),
                                          mServer->Port());
     co_await socket.async_connect(remote, asio::use_awaitable);
-    co_await asio::async_write(
-      socket, asio::buffer(aBytes), asio::use_awaitable);
+    asio::steady_timer timer(mContext);
+    for (const auto& piece : aPieces) {
+      co_await asio::async_write(
+        socket, asio::buffer(piece), asio::use_awaitable);
+      timer.expires_after(std::chrono::milliseconds(5));
+      co_await timer.async_wait(asio::use_awaitable);
+    }
     // Signals the end of the request, so that the server does not wait for
     // more.
     boost::system::error_code error;
@@ -119,6 +132,20 @@
   std::unique_ptr<http_client> mClient;
 };
 
+// An assertion of the parser ended the process.
+TEST_F(http_exchange, AnEmptyChunkedBodyMayArriveInPieces)
+{
+  const std::string head =
+    "POST /echo HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
+  std::string answer;
+  Run([&]() -> asio::awaitable<void> {
+    std::vector<std::string> pieces{ head, "0\r\n", "\r", "\n" };
+    answer = co_await SendPieces(std::move(pieces));
+  }());
+  EXPECT_TRUE(answer.starts_with("HTTP/1.1 200 ")) << answer;
+  EXPECT_EQ(mAnswered, 1U);
+}
+
 // The check runs after connecting: for a new connection as for an idle one.
 TEST_F(http_exchange, ARefusedCallSendsNothing)
 {
