--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # Entry points for people. Everything is built below build/.
 
-.PHONY: all setup build test demo bench lint format clean
+.PHONY: all setup build test demo bench fuzz sanitize lint format clean
 
 all: build
 
@@ -22,6 +22,14 @@
 bench: build
 	@scripts/bench
 
+# A minute for each fuzz target.
+fuzz: setup
+	@scripts/fuzz
+
+# All tests and eight seeds of the soak, with the sanitizers.
+sanitize: setup
+	@scripts/sanitize
+
 lint: build
 	@scripts/lint
 
--- /dev/null
+++ b/fuzz/http_answer_fuzz.cpp
@@ -0,0 +1,14 @@
+// Fuzz target of the decoder of answers, see docs/FUZZING.md.
+#include "http_decoding_test.hpp"
+
+#include <cstddef>
+#include <cstdint>
+
+extern "C" int
+LLVMFuzzerTestOneInput(const std::uint8_t* aData, std::size_t aSize)
+{
+  // The bytes are text to the decoder.
+  const auto* bytes = reinterpret_cast<const char*>(aData);
+  sapphirespar::wire::CheckAnswers({ bytes, aSize });
+  return 0;
+}
