Take up streams of a pool that has had one version, after a common kill

Cause: which versions a pool has had was known to the gateways' memory only. software_record keeps it in the store: a gateway adds a version before it begins a stream there, so that a record that names one version of a pool proves that no other can have begun streams. It holds for one era of the store, is begun by a gateway that has seen all versions listed lately or at the first start of the fleet, and loses a version only when no stream of it can be left. In doubt the refusal stays.

--- a/include/sapphirespar/gateway/forward.hpp
+++ b/include/sapphirespar/gateway/forward.hpp
@@ -9,6 +9,7 @@
 #include "sapphirespar/gateway/rate_guard.hpp"
 #include "sapphirespar/gateway/reach_monitor.hpp"
 #include "sapphirespar/gateway/routing_state.hpp"
+#include "sapphirespar/gateway/software_record.hpp"
 #include "sapphirespar/gateway/stream_archive.hpp"
 #include "sapphirespar/gateway/stream_versions.hpp"
 #include "sapphirespar/gateway/upstream_directory.hpp"
@@ -75,6 +76,15 @@
       [](std::uint64_t, const stream_archive::versions_callback& aDone) {
         aDone({});
       };
+  // Finds the only version at which streams of a pool can have begun, and tells
+  // whether one may begin at a version; see software_record.
+  std::function<void(std::uint64_t aPool, software_record::version_callback)>
+    mFindOnlyVersion =
+      [](std::uint64_t, const software_record::version_callback& aDone) {
+        aDone(std::nullopt);
+      };
+  std::function<bool(const pool_software&)> mMayBeginStream =
+    [](const pool_software&) { return true; };
 };
 
 // Handles one request until it is answered or the caller disconnects. Writes
--- a/include/sapphirespar/gateway/stream_versions.hpp
+++ b/include/sapphirespar/gateway/stream_versions.hpp
@@ -80,6 +80,11 @@
   // may have been several.
   std::optional<std::uint64_t> OnlyVersion(std::uint64_t aPool);
 
+  // The versions listed within the longest life of a stream, and whether this
+  // gateway knows all of them.
+  std::vector<pool_software> SeenLately() const;
+  bool HasSeenAll() const;
+
   // Handles the message of another gateway.
   void OnMessage(const std::string& aFrom, const stream_message& aMessage);
 
--- a/src/sapphirespar/gateway/attempt_ending.hpp
+++ b/src/sapphirespar/gateway/attempt_ending.hpp
@@ -19,6 +19,23 @@
 // aFirst. Only numbers can be compared; anything else is taken to follow.
 bool FollowsEvent(std::string_view aLast, std::string_view aFirst);
 
+// Marks the reply as in use for the lifetime of this object.
+class reply_use
+{
+public:
+  explicit reply_use(relay_progress& aProgress)
+    : mProgress(aProgress)
+  {
+    ++mProgress.mReplyUses;
+  }
+  ~reply_use() { --mProgress.mReplyUses; }
+  reply_use(const reply_use&) = delete;
+  reply_use& operator=(const reply_use&) = delete;
+
+private:
+  relay_progress& mProgress;
+};
+
 class attempt_ending
 {
 protected:
--- a/src/sapphirespar/gateway/forward_attempt.cpp
+++ b/src/sapphirespar/gateway/forward_attempt.cpp
@@ -2,6 +2,7 @@
 #include "attempt_ending.hpp"
 #include "attempt_learning.hpp"
 #include "forward_state.hpp"
+#include "stream_takeover.hpp"
 
 #include "sapphirespar/base/log.hpp"
 
@@ -14,23 +15,6 @@
 using std::chrono::milliseconds;
 using std::chrono::steady_clock;
 
-// Marks the reply as in use for the lifetime of this object.
-class reply_use
-{
-public:
-  explicit reply_use(relay_progress& aProgress)
-    : mProgress(aProgress)
-  {
-    ++mProgress.mReplyUses;
-  }
-  ~reply_use() { --mProgress.mReplyUses; }
-  reply_use(const reply_use&) = delete;
-  reply_use& operator=(const reply_use&) = delete;
-
-private:
-  relay_progress& mProgress;
-};
-
 class attempt : private attempt_ending
 {
 public:
@@ -357,6 +341,10 @@
   {
     const reply_use use(mProgress);
     if (!mProgress.mBegun && (aLast || !aBytes.empty())) {
+      if (mForwarded.mRoute->mResumable) {
+        co_await AwaitVersionRecord(
+          mServices, mForwarded, mUpstream, mProgress);
+      }
       BeginStream();
       const auto& head = mStream->Head();
       auto headers = mServices.mProtocol.mAnswerHeaders(head.mHeaders);
--- a/src/sapphirespar/gateway/gateway_app.cpp
+++ b/src/sapphirespar/gateway/gateway_app.cpp
@@ -68,6 +68,10 @@
   , mArchive(mPlatform, mTimers, mStreams, { mSelf }, { [this] {
                return mPeers.MaximumGateways(mTimers.Now());
              } })
+  , mSoftwareRecord(mPlatform,
+                    mTimers,
+                    { mSettings.mFirstStart },
+                    SoftwareHooks())
   , mReach(mTimers, mMetrics, ReachHooks())
   , mReader(mPlatform,
             mTimers,
@@ -104,6 +108,7 @@
   mReader.Start();
   mRegistry.Start();
   mArchive.Start();
+  mSoftwareRecord.Start();
 }
 
 std::unique_ptr<wire::http_server>
--- a/src/sapphirespar/gateway/gateway_app_state.hpp
+++ b/src/sapphirespar/gateway/gateway_app_state.hpp
@@ -48,6 +48,7 @@
   rate_guard_hooks RateHooks();
   brittle_hooks BrittleHooks();
   stream_versions_hooks StreamHooks();
+  software_record_hooks SoftwareHooks();
   reach_hooks ReachHooks();
   registry_hooks RegistryHooks();
 
@@ -101,6 +102,7 @@
   brittle_guard mBrittleGuard;
   stream_versions mStreams;
   stream_archive mArchive;
+  software_record mSoftwareRecord;
   reach_monitor mReach;
   store_reader mReader;
   gateway_registry mRegistry;
--- a/src/sapphirespar/gateway/gateway_hooks.cpp
+++ b/src/sapphirespar/gateway/gateway_hooks.cpp
@@ -68,7 +68,15 @@
     .mFindArchived =
       [this](std::uint64_t aStream, stream_archive::versions_callback aDone) {
         mArchive.Find(aStream, std::move(aDone));
-      }
+      },
+    .mFindOnlyVersion =
+      [this](std::uint64_t aPool, software_record::version_callback aDone) {
+        mSoftwareRecord.FindOnly(aPool, std::move(aDone));
+      },
+    .mMayBeginStream =
+      [this](const pool_software& aVersion) {
+        return mSoftwareRecord.MayBegin(aVersion);
+      },
   };
 }
 
@@ -180,6 +188,20 @@
   return hooks;
 }
 
+software_record_hooks
+gateway_app::state::SoftwareHooks()
+{
+  software_record_hooks hooks;
+  hooks.mListed = StreamHooks().mListed;
+  hooks.mSeen = [this] { return mStreams.SeenLately(); };
+  hooks.mSeenAll = [this] { return mStreams.HasSeenAll(); };
+  hooks.mEra = [this] {
+    const auto summary = mReader.Summary();
+    return summary ? summary->mEra : store_era{ 0 };
+  };
+  return hooks;
+}
+
 stream_versions_hooks
 gateway_app::state::StreamHooks()
 {
--- a/src/sapphirespar/gateway/stream_takeover.cpp
+++ b/src/sapphirespar/gateway/stream_takeover.cpp
@@ -87,38 +87,70 @@
   co_return versions;
 }
 
-// Reads the platform's store for a stream that no gateway knows. Returns
-// nothing if the store does not answer in time.
-asio::awaitable<std::vector<pool_software>>
-FindArchived(const forward_services& aServices,
-             std::uint64_t aStream,
-             steady_time aUntil,
-             const relay_progress& aProgress)
+// Starts a read of the platform's store and waits for its answer. Returns an
+// empty one if the store does not answer in time.
+template<class Answer>
+asio::awaitable<Answer>
+ReadStore(const std::function<void(std::function<void(Answer)>)>& aStart,
+          const forwarded_request& aForwarded,
+          const relay_progress& aProgress)
 {
   struct answer
   {
     asio::steady_timer mWake;
     bool mDone = false;
-    std::vector<pool_software> mVersions;
+    Answer mAnswer;
   };
+  const auto until = std::min({ steady_clock::now() + kReadTime,
+                                aForwarded.mDeadline,
+                                aForwarded.mCallerDeadline });
   // Outlives this call if the store answers later.
-  const auto found = std::make_shared<answer>(
-    answer{ asio::steady_timer(co_await asio::this_coro::executor) });
-  aServices.mFindArchived(aStream,
-                          [found](std::vector<pool_software> aVersions) {
-                            found->mDone = true;
-                            found->mVersions = std::move(aVersions);
-                            found->mWake.cancel();
-                          });
+  const auto found = std::make_shared<answer>(answer{
+    asio::steady_timer(co_await asio::this_coro::executor), false, {} });
+  aStart([found](Answer aAnswer) {
+    found->mDone = true;
+    found->mAnswer = std::move(aAnswer);
+    found->mWake.cancel();
+  });
   while (!found->mDone && !aProgress.mCallerGone) {
     const auto now = steady_clock::now();
-    if (now >= aUntil) {
+    if (now >= until) {
       break;
     }
-    found->mWake.expires_at(std::min(now + kAskAgain, aUntil));
+    found->mWake.expires_at(std::min(now + kAskAgain, until));
     co_await found->mWake.async_wait(asio::as_tuple(asio::use_awaitable));
   }
-  co_return found->mVersions;
+  co_return found->mAnswer;
+}
+
+// Looks for a stream that no gateway knows.
+asio::awaitable<std::vector<pool_software>>
+FindArchived(const forward_services& aServices,
+             const forwarded_request& aForwarded,
+             const relay_progress& aProgress)
+{
+  co_return co_await ReadStore<std::vector<pool_software>>(
+    [&](auto aDone) {
+      aServices.mFindArchived(StreamOf(aForwarded), std::move(aDone));
+    },
+    aForwarded,
+    aProgress);
+}
+
+// Looks for the only version that can have begun streams of the pool.
+asio::awaitable<std::optional<std::uint64_t>>
+FindOnlyVersion(const forward_services& aServices,
+                const forwarded_request& aForwarded,
+                const relay_progress& aProgress)
+{
+  const auto pool = PoolKey(aForwarded.mPool);
+  if (const auto only = aServices.mStreams.OnlyVersion(pool)) {
+    co_return only;
+  }
+  co_return co_await ReadStore<std::optional<std::uint64_t>>(
+    [&](auto aDone) { aServices.mFindOnlyVersion(pool, std::move(aDone)); },
+    aForwarded,
+    aProgress);
 }
 
 // The pool of the route at which the stream has a version, and that version.
@@ -161,6 +193,32 @@
 
 } // namespace
 
+asio::awaitable<void>
+AwaitVersionRecord(const forward_services& aServices,
+                   const forwarded_request& aForwarded,
+                   const upstream& aUpstream,
+                   const relay_progress& aProgress)
+{
+  constexpr milliseconds kLongest{ 100 };
+  constexpr milliseconds kCheck{ 5 };
+  const pool_software version{ PoolKey(aForwarded.mPool),
+                               SoftwareKey(aUpstream.mEntry) };
+  const auto end = steady_clock::now() + kLongest;
+  asio::steady_timer timer(co_await asio::this_coro::executor);
+  while (!aServices.mMayBeginStream(version) && !aProgress.mCallerGone) {
+    if (steady_clock::now() >= end) {
+      LogEvent(log_level::Warning,
+               "stream_version_unrecorded",
+               { { "request", aForwarded.mInfo.mId },
+                 { "upstream", aUpstream.mEntry.mId.mText },
+                 { "software", aUpstream.mEntry.mSoftware } });
+      break;
+    }
+    timer.expires_after(kCheck);
+    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+  }
+}
+
 asio::awaitable<std::optional<refusal_answer>>
 FindStreamVersion(const forward_services& aServices,
                   forwarded_request& aForwarded,
@@ -177,10 +235,7 @@
     versions = co_await AskOthers(aServices, stream, until, aProgress);
     if (versions.empty() && !aProgress.mCallerGone) {
       source = "store";
-      const auto readUntil = std::min({ steady_clock::now() + kReadTime,
-                                        aForwarded.mDeadline,
-                                        aForwarded.mCallerDeadline });
-      versions = co_await FindArchived(aServices, stream, readUntil, aProgress);
+      versions = co_await FindArchived(aServices, aForwarded, aProgress);
     }
   }
   if (const auto known = OnRoute(*aForwarded.mRoute, versions)) {
@@ -195,7 +250,7 @@
     co_return std::nullopt;
   }
   aProgress.mSoftware =
-    aServices.mStreams.OnlyVersion(PoolKey(aForwarded.mPool));
+    co_await FindOnlyVersion(aServices, aForwarded, aProgress);
   LogTakeover(aForwarded,
               aProgress.mSoftware ? "only_version" : "unknown",
               aProgress.mSoftware);
--- a/src/sapphirespar/gateway/stream_takeover.hpp
+++ b/src/sapphirespar/gateway/stream_takeover.hpp
@@ -17,4 +17,12 @@
   forwarded_request& aForwarded,
   relay_progress& aProgress);
 
+// Waits until the store names the upstream's software version, for 100 ms at
+// most and only while it is being written, which is done once for a version.
+// To be called before a stream that may be taken up begins there.
+asio::awaitable<void> AwaitVersionRecord(const forward_services& aServices,
+                                         const forwarded_request& aForwarded,
+                                         const upstream& aUpstream,
+                                         const relay_progress& aProgress);
+
 } // namespace sapphirespar::gateway
--- a/src/sapphirespar/gateway/stream_versions.cpp
+++ b/src/sapphirespar/gateway/stream_versions.cpp
@@ -196,6 +196,18 @@
   return mHistory.OnlyVersion(aPool, Span(), now);
 }
 
+std::vector<pool_software>
+stream_versions::SeenLately() const
+{
+  return mHistory.SeenWithin(Span(), mTimers.Now());
+}
+
+bool
+stream_versions::HasSeenAll() const
+{
+  return mHistory.Covers(Span(), mTimers.Now());
+}
+
 steady_duration
 stream_versions::Span() const
 {
@@ -242,8 +254,8 @@
     }
   }
   if (!reply.mUnknown.empty()) {
-    reply.mSeen = mHistory.SeenWithin(Span(), now);
-    reply.mSeenAll = mHistory.Covers(Span(), now);
+    reply.mSeen = SeenLately();
+    reply.mSeenAll = HasSeenAll();
     reply.mSpan = std::chrono::floor<milliseconds>(Span());
   }
   mHooks.mSend(aFrom, reply);
@@ -270,7 +282,7 @@
 {
   const auto now = mTimers.Now();
   std::map<std::uint64_t, int> versions;
-  for (const auto& seen : mHistory.SeenWithin(Span(), now)) {
+  for (const auto& seen : SeenLately()) {
     ++versions[seen.mPool];
   }
   std::vector<stream_version> found;
