Serve lanes with credit by how long they have waited for it

What callers saw: a class of short requests got less than its minimum share of a router's slots beside classes of long ones (14.2 % where 16 % is promised).

Cause: among the lanes that have credit, the one with the oldest request was served, so that each got as many slots as the others whatever its requests take. The credit of short requests reached its limit and was lost. The lane that has waited longest for its credit, by its share, goes first now.

ShortRequestsKeepTheirsBesideLongOnes failed before. The experiments of this module and of experiment/ pass as before.

--- a/src/sapphirespar/policy/class_lanes.cpp
+++ b/src/sapphirespar/policy/class_lanes.cpp
@@ -28,6 +28,17 @@
   return aLane.mQueue.begin()->first.mStartBy;
 }
 
+// For how long the lane has accrued the credit that it has; zero without any.
+// Lanes with short requests would fall behind those with long ones if each
+// request counted the same.
+double
+CreditInTime(const class_lane& aLane)
+{
+  return aLane.HasCredit()
+           ? static_cast<double>(aLane.mCredit.count()) / MinimumShare(aLane)
+           : 0;
+}
+
 } // namespace
 
 class_lane&
@@ -149,6 +160,7 @@
     return std::tuple(aLane.IsFirstTier() ? 0 : 1,
                       hasCredit ? 0 : 1,
                       tier,
+                      -CreditInTime(aLane),
                       EarliestStartOf(aLane));
   };
   return rank(aLeft) < rank(aRight);
--- a/src/sapphirespar/policy/fairness_property_test.cpp
+++ b/src/sapphirespar/policy/fairness_property_test.cpp
@@ -128,5 +128,22 @@
   }));
 }
 
+// Lanes with credit were served by the age of their requests, so that short
+// requests got as many slots as long ones and less of their time.
+TEST(MinimumShare, ShortRequestsKeepTheirsBesideLongOnes)
+{
+  constexpr unsigned kSlots = 2;
+  const std::vector<class_plan> plans{
+    { 3, 5, 120ms }, { 2, 16, 10ms }, { 2, 2, 640ms }, { 2, 19, 60ms }
+  };
+  saturated_upstream upstream(plans, kSlots);
+  constexpr steady_duration kTime = 60s;
+  upstream.RunUntil(steady_time{ 1h } + kTime);
+  for (std::size_t i = 0; i < plans.size(); ++i) {
+    const auto promised = kTime * kSlots * plans[i].mSharePercent / 100;
+    EXPECT_GE(upstream.Used(i), promised * 95 / 100) << i;
+  }
+}
+
 } // namespace
 } // namespace sapphirespar::policy
