Compare minimum shares in exact time

The property allowed a tenth of what is promised, but counted in whole seconds: of 6 s promised a tenth was 0 s, and of 12.6 s promised 12 were asked for.

--- a/src/sapphirespar/policy/fairness_property_test.cpp
+++ b/src/sapphirespar/policy/fairness_property_test.cpp
@@ -116,7 +116,8 @@
       plan.mSlotTime = 10ms * *rc::gen::inRange(1, 100);
     }
     saturated_upstream upstream(plans, slots);
-    constexpr auto kTime = 60s;
+    // Not in seconds, in which a tenth of a short time would be none.
+    constexpr steady_duration kTime = 60s;
     upstream.RunUntil(steady_time{ 1h } + kTime);
     for (std::size_t i = 0; i < plans.size(); ++i) {
       const auto promised = kTime * slots * plans[i].mSharePercent / 100;
