--- a/src/sapphirespar/gateway/forward_fixture_test.cpp
+++ b/src/sapphirespar/gateway/forward_fixture_test.cpp
@@ -167,6 +167,21 @@
 
 } // namespace
 
+wire::http_headers
+EventHeaders(const wire::http_request& aRequest)
+{
+  return { { "Content-Type", "text/event-stream" },
+           { std::string(kTestId), std::string(aRequest.Header(kTestId)) },
+           { std::string(kTestSigned), "yes" } };
+}
+
+asio::awaitable<void>
+Sleep(std::chrono::milliseconds aTime)
+{
+  asio::steady_timer timer(co_await asio::this_coro::executor, aTime);
+  co_await timer.async_wait(asio::use_awaitable);
+}
+
 protocol
 TestProtocol()
 {
--- a/src/sapphirespar/gateway/forward_fixture_test.hpp
+++ b/src/sapphirespar/gateway/forward_fixture_test.hpp
@@ -53,6 +53,15 @@
 
 protocol TestProtocol();
 
+// The events of a stream.
+inline const std::string kFirstEvent = "id: 1\ndata: a\n\n";
+inline const std::string kSecondEvent = "id: 2\ndata: b\n\n";
+
+// The headers of a signed answer to a request that is a stream.
+wire::http_headers EventHeaders(const wire::http_request& aRequest);
+
+asio::awaitable<void> Sleep(std::chrono::milliseconds aTime);
+
 class forward_fixture : public testing::Test
 {
 protected:
--- a/src/sapphirespar/gateway/forward_overlap_test.cpp
+++ b/src/sapphirespar/gateway/forward_overlap_test.cpp
@@ -16,24 +16,6 @@
 using namespace std::chrono_literals;
 using std::chrono::steady_clock;
 
-const std::string kFirstEvent = "id: 1\ndata: a\n\n";
-const std::string kSecondEvent = "id: 2\ndata: b\n\n";
-
-asio::awaitable<void>
-Sleep(std::chrono::milliseconds aTime)
-{
-  asio::steady_timer timer(co_await asio::this_coro::executor, aTime);
-  co_await timer.async_wait(asio::use_awaitable);
-}
-
-wire::http_headers
-EventHeaders(const wire::http_request& aRequest)
-{
-  return { { "Content-Type", "text/event-stream" },
-           { std::string(kTestId), std::string(aRequest.Header(kTestId)) },
-           { std::string(kTestSigned), "yes" } };
-}
-
 // Answers nothing for longer than any route's timeout here, or until the
 // caller leaves.
 asio::awaitable<void>
--- a/src/sapphirespar/gateway/forward_silent_upstream_test.cpp
+++ b/src/sapphirespar/gateway/forward_silent_upstream_test.cpp
@@ -2,38 +2,17 @@
 // caller gets the whole answer, whatever becomes of other attempts.
 #include "forward_fixture_test.hpp"
 
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
-
 namespace sapphirespar::gateway {
 namespace {
 
 using namespace std::chrono_literals;
 
-const std::string kFirstEvent = "id: 1\ndata: a\n\n";
-const std::string kSecondEvent = "id: 2\ndata: b\n\n";
-
 // Longer than a stream may be silent before another upstream is tried, by less
 // than two of them may work on a request.
 constexpr auto kStreamSilence = 1150ms;
 // The same for a plain answer.
 constexpr auto kPlainSilence = 700ms;
 
-asio::awaitable<void>
-Sleep(std::chrono::milliseconds aTime)
-{
-  asio::steady_timer timer(co_await asio::this_coro::executor, aTime);
-  co_await timer.async_wait(asio::use_awaitable);
-}
-
-wire::http_headers
-EventHeaders(const wire::http_request& aRequest)
-{
-  return { { "Content-Type", "text/event-stream" },
-           { std::string(kTestId), std::string(aRequest.Header(kTestId)) },
-           { std::string(kTestSigned), "yes" } };
-}
-
 // Sends an event, is silent, and sends the last event.
 asio::awaitable<void>
 SendWithSilence(const wire::http_request& aRequest, wire::http_reply& aReply)
--- a/src/sapphirespar/gateway/forward_stream_join_test.cpp
+++ b/src/sapphirespar/gateway/forward_stream_join_test.cpp
@@ -3,37 +3,17 @@
 // come from. Anything else leaves the stream to a sound attempt, or incomplete.
 #include "forward_fixture_test.hpp"
 
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
-
 namespace sapphirespar::gateway {
 namespace {
 
 using namespace std::chrono_literals;
 
-const std::string kFirstEvent = "id: 1\ndata: a\n\n";
-const std::string kSecondEvent = "id: 2\ndata: b\n\n";
 const std::string kFailure = "id: 9\ndata: failure\n\n";
 
 // Longer than a stream may be silent before another upstream is tried, by less
 // than two of them may work on a request.
 constexpr auto kSilence = 1150ms;
 
-asio::awaitable<void>
-Sleep(std::chrono::milliseconds aTime)
-{
-  asio::steady_timer timer(co_await asio::this_coro::executor, aTime);
-  co_await timer.async_wait(asio::use_awaitable);
-}
-
-wire::http_headers
-EventHeaders(const wire::http_request& aRequest)
-{
-  return { { "Content-Type", "text/event-stream" },
-           { std::string(kTestId), std::string(aRequest.Header(kTestId)) },
-           { std::string(kTestSigned), "yes" } };
-}
-
 // Answers completely with these events.
 upstream_handler
 Answer(unsigned aStatus, const std::string& aEvents)
--- a/src/sapphirespar/gateway/forward_test.cpp
+++ b/src/sapphirespar/gateway/forward_test.cpp
@@ -10,21 +10,6 @@
 
 using namespace std::chrono_literals;
 
-asio::awaitable<void>
-Sleep(std::chrono::milliseconds aTime)
-{
-  asio::steady_timer timer(co_await asio::this_coro::executor, aTime);
-  co_await timer.async_wait(asio::use_awaitable);
-}
-
-wire::http_headers
-EventHeaders(const wire::http_request& aRequest)
-{
-  return { { "Content-Type", "text/event-stream" },
-           { std::string(kTestId), std::string(aRequest.Header(kTestId)) },
-           { std::string(kTestSigned), "yes" } };
-}
-
 class forward_test : public forward_fixture
 {
 protected:
--- a/src/sapphirespar/gateway/forward_turned_away_test.cpp
+++ b/src/sapphirespar/gateway/forward_turned_away_test.cpp
@@ -15,13 +15,6 @@
 
 using namespace std::chrono_literals;
 
-asio::awaitable<void>
-Sleep(std::chrono::milliseconds aTime)
-{
-  asio::steady_timer timer(co_await asio::this_coro::executor, aTime);
-  co_await timer.async_wait(asio::use_awaitable);
-}
-
 class forward_turned_away_test : public forward_fixture
 {
 protected:
