--- a/fuzz/http_request_fuzz.cpp
+++ b/fuzz/http_request_fuzz.cpp
@@ -1,5 +1,5 @@
 // Fuzz target of the decoder of requests, see docs/FUZZING.md.
-#include "http_decoding_test.hpp"
+#include "../src/sapphirespar/wire/http_decoding_test.hpp"
 
 #include <cstddef>
 #include <cstdint>
