Read no empty result in two properties

RC_ASSERT evaluates both sides of an "or", so that these read a value that isn't there: found by make sanitize (heap-use-after-free in StreamCodec.SurvivesDamage) and by looking for the same form elsewhere. The conditions are the same.

--- a/src/sapphirespar/gateway/software_record_test.cpp
+++ b/src/sapphirespar/gateway/software_record_test.cpp
@@ -280,7 +280,9 @@
         const auto only = gateway.FindOnly();
         for (const auto& [version, at] : begun) {
           const bool remembered = timers.Now() - at < 30s;
-          RC_ASSERT(!only || !remembered || version.mSoftware == *only);
+          // The macro evaluates both sides of an "or".
+          const bool sound = !only || !remembered || version.mSoftware == *only;
+          RC_ASSERT(sound);
         }
         break;
       }
--- a/src/sapphirespar/wire/stream_codec_test.cpp
+++ b/src/sapphirespar/wire/stream_codec_test.cpp
@@ -62,9 +62,12 @@
                                         rc::gen::arbitrary<std::string>()));
     const auto read =
       DecodeStreamMessage(Mutate(EncodeStreamMessage(Sample()), damage));
-    RC_ASSERT(!read || std::ranges::all_of(read->mTold, [](const auto& aTold) {
-      return aTold.mLeft >= 0ms;
-    }));
+    // The macro evaluates both sides of an "or".
+    const bool sound =
+      !read || std::ranges::all_of(read->mTold, [](const auto& aTold) {
+        return aTold.mLeft >= 0ms;
+      });
+    RC_ASSERT(sound);
   }));
 }
 
