--- a/src/sapphirespar/gateway/store_reader_fixture_test.hpp
+++ b/src/sapphirespar/gateway/store_reader_fixture_test.hpp
@@ -90,7 +90,8 @@
     hooks.mFetch = [this](const std::optional<vm_id>& aVm,
                           const known_versions& aKnown,
                           snapshot_callback aDone) {
-      const auto query = wire::SplitTarget(SnapshotTarget(aKnown)).mQuery;
+      const auto target = SnapshotTarget(aKnown);
+      const auto query = wire::SplitTarget(target).mQuery;
       const bool second = aVm && aVm->mText == "second";
       Later([this, known = ParseKnownVersions(query), second, aDone] {
         const auto* from = second ? mSecondPeer : mPeer ? mPeer : mOther;
