Move fencing numbers to the model

Orders to engines derive them from a write's era and version. The duties that one gateway does for the fleet need the same numbers; one copy serves both. No change of behaviour: upstream_test passes.

--- a/include/sapphirespar/model/platform.hpp
+++ b/include/sapphirespar/model/platform.hpp
@@ -25,6 +25,11 @@
 // Largest value that the store accepts.
 inline constexpr std::size_t kObjectLimitBytes = 1024 * 1024;
 
+// Returns a number for calls that are made on the strength of a write. It is
+// higher than those of all earlier writes, also than those of earlier eras, in
+// which the same versions may have been given out.
+std::uint64_t FencingNumber(store_era aEra, object_version aVersion);
+
 struct object_key
 {
   // For example "bundle", "claims" or "order".
--- a/src/sapphirespar/model/platform.cpp
+++ b/src/sapphirespar/model/platform.cpp
@@ -1,8 +1,18 @@
-// Names of platform statuses.
+// Names of platform statuses, and fencing numbers.
 #include "sapphirespar/model/platform.hpp"
 
+#include <algorithm>
+
 namespace sapphirespar {
 
+std::uint64_t
+FencingNumber(store_era aEra, object_version aVersion)
+{
+  constexpr unsigned kVersionBits = 40;
+  constexpr store_era kMaxEra = (store_era{ 1 } << 23) - 1;
+  return (std::min(aEra, kMaxEra) << kVersionBits) + aVersion;
+}
+
 std::string_view
 ToText(platform_status aStatus)
 {
--- a/src/sapphirespar/upstream/order_record.cpp
+++ b/src/sapphirespar/upstream/order_record.cpp
@@ -3,8 +3,6 @@
 
 #include <boost/json.hpp>
 
-#include <algorithm>
-
 namespace sapphirespar::upstream {
 namespace {
 
@@ -53,14 +51,6 @@
   return json::serialize(object);
 }
 
-std::uint64_t
-FencingNumber(store_era aEra, object_version aVersion)
-{
-  constexpr unsigned kVersionBits = 40;
-  constexpr store_era kMaxEra = (store_era{ 1 } << 23) - 1;
-  return (std::min(aEra, kMaxEra) << kVersionBits) + aVersion;
-}
-
 bool
 IsLatest(const order_record& aRecord, store_era aEra)
 {
--- a/src/sapphirespar/upstream/order_record.hpp
+++ b/src/sapphirespar/upstream/order_record.hpp
@@ -27,11 +27,6 @@
 order_record ReadOrderRecord(std::string_view aValue);
 std::string WriteOrderRecord(const order_record& aRecord);
 
-// Returns the fencing number of a record with that version. It is higher than
-// all numbers of earlier eras, in which the same versions may have been given
-// out.
-std::uint64_t FencingNumber(store_era aEra, object_version aVersion);
-
 // Returns whether a record proves that its order was the latest one. Later ones
 // may be missing in a record that is older than the store's last restore.
 bool IsLatest(const order_record& aRecord, store_era aEra);
