--- a/idl/gossip.thrift
+++ b/idl/gossip.thrift
@@ -97,6 +97,14 @@
   4: i32 work_ms;
 }
 
+// include/sapphirespar/model/gossip.hpp. The token is zero unless the sender
+// holds the duties; the window is zero if it knows of no report.
+struct gossip_duties {
+  1: i64 wall_ms;
+  2: i64 token;
+  3: i64 fixed_window;
+}
+
 struct gossip_state {
   1: string vm;
   2: i64 incarnation;
@@ -144,6 +152,8 @@
   28: bool cut_off;
   29: list<gossip_upstream_pause> upstream_pauses;
   30: list<gossip_rationed_pool> rationed_pools;
+  // Absent unless the sender's settings name duties.
+  31: optional gossip_duties duties;
 }
 
 // One stream's part at one pool: which version of the upstreams' software began
@@ -169,3 +179,17 @@
   5: bool seen_all;
   6: i32 span_ms;
 }
+
+// A message of its own, see include/sapphirespar/model/usage_message.hpp.
+struct gossip_usage_count {
+  1: string account;
+  2: i64 requests;
+}
+
+struct gossip_usage {
+  1: string vm;
+  2: i64 incarnation;
+  3: i64 window;
+  4: bool complete;
+  5: list<gossip_usage_count> counts;
+}
--- a/include/sapphirespar/model/gossip.hpp
+++ b/include/sapphirespar/model/gossip.hpp
@@ -56,6 +56,20 @@
   bool operator==(const store_summary&) const = default;
 };
 
+// What a gateway tells of the duties that one gateway does for the fleet.
+struct duty_gossip
+{
+  // The sender's wall clock, in milliseconds since the start of 1970.
+  std::int64_t mWallMs = 0;
+  // The fencing token with which the sender holds the duties; zero if it does
+  // not.
+  std::uint64_t mToken = 0;
+  // The latest window whose usage report is known to be fixed; zero if none is.
+  std::int64_t mFixedWindow = 0;
+
+  bool operator==(const duty_gossip&) const = default;
+};
+
 // One gossip message.
 struct gossip_state
 {
@@ -99,6 +113,8 @@
   // Brittle upstreams that have turned away a request of the sender, and their
   // pools.
   brittle_report mBrittle;
+  // Unset unless the sender's settings name duties.
+  std::optional<duty_gossip> mDuties;
 
   bool operator==(const gossip_state&) const = default;
 };
--- a/src/sapphirespar/wire/gen/gossip_types.cpp
+++ b/src/sapphirespar/wire/gen/gossip_types.cpp
@@ -2110,6 +2110,151 @@
 }
 
 
+gossip_duties::~gossip_duties() noexcept {
+}
+
+
+void gossip_duties::__set_wall_ms(const int64_t val) {
+  this->wall_ms = val;
+}
+
+void gossip_duties::__set_token(const int64_t val) {
+  this->token = val;
+}
+
+void gossip_duties::__set_fixed_window(const int64_t val) {
+  this->fixed_window = val;
+}
+std::ostream& operator<<(std::ostream& out, const gossip_duties& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t gossip_duties::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->wall_ms);
+          this->__isset.wall_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->token);
+          this->__isset.token = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->fixed_window);
+          this->__isset.fixed_window = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t gossip_duties::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("gossip_duties");
+
+  xfer += oprot->writeFieldBegin("wall_ms", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->wall_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("token", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->token);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("fixed_window", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->fixed_window);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(gossip_duties &a, gossip_duties &b) {
+  using ::std::swap;
+  swap(a.wall_ms, b.wall_ms);
+  swap(a.token, b.token);
+  swap(a.fixed_window, b.fixed_window);
+  swap(a.__isset, b.__isset);
+}
+
+gossip_duties::gossip_duties(const gossip_duties& other90) noexcept {
+  wall_ms = other90.wall_ms;
+  token = other90.token;
+  fixed_window = other90.fixed_window;
+  __isset = other90.__isset;
+}
+gossip_duties::gossip_duties(gossip_duties&& other91) noexcept {
+  wall_ms = other91.wall_ms;
+  token = other91.token;
+  fixed_window = other91.fixed_window;
+  __isset = other91.__isset;
+}
+gossip_duties& gossip_duties::operator=(const gossip_duties& other92) noexcept {
+  wall_ms = other92.wall_ms;
+  token = other92.token;
+  fixed_window = other92.fixed_window;
+  __isset = other92.__isset;
+  return *this;
+}
+gossip_duties& gossip_duties::operator=(gossip_duties&& other93) noexcept {
+  wall_ms = other93.wall_ms;
+  token = other93.token;
+  fixed_window = other93.fixed_window;
+  __isset = other93.__isset;
+  return *this;
+}
+void gossip_duties::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "gossip_duties(";
+  out << "wall_ms=" << to_string(wall_ms);
+  out << ", " << "token=" << to_string(token);
+  out << ", " << "fixed_window=" << to_string(fixed_window);
+  out << ")";
+}
+
+
 gossip_state::~gossip_state() noexcept {
 }
 
@@ -2227,6 +2372,11 @@
 void gossip_state::__set_rationed_pools(const std::vector<gossip_rationed_pool> & val) {
   this->rationed_pools = val;
 }
+
+void gossip_state::__set_duties(const gossip_duties& val) {
+  this->duties = val;
+__isset.duties = true;
+}
 std::ostream& operator<<(std::ostream& out, const gossip_state& obj)
 {
   obj.printTo(out);
@@ -2331,14 +2481,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->loads.clear();
-            uint32_t _size90;
-            ::apache::thrift::protocol::TType _etype93;
-            xfer += iprot->readListBegin(_etype93, _size90);
-            this->loads.resize(_size90);
-            uint32_t _i94;
-            for (_i94 = 0; _i94 < _size90; ++_i94)
+            uint32_t _size94;
+            ::apache::thrift::protocol::TType _etype97;
+            xfer += iprot->readListBegin(_etype97, _size94);
+            this->loads.resize(_size94);
+            uint32_t _i98;
+            for (_i98 = 0; _i98 < _size94; ++_i98)
             {
-              xfer += this->loads[_i94].read(iprot);
+              xfer += this->loads[_i98].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2415,14 +2565,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->zones.clear();
-            uint32_t _size95;
-            ::apache::thrift::protocol::TType _etype98;
-            xfer += iprot->readListBegin(_etype98, _size95);
-            this->zones.resize(_size95);
-            uint32_t _i99;
-            for (_i99 = 0; _i99 < _size95; ++_i99)
+            uint32_t _size99;
+            ::apache::thrift::protocol::TType _etype102;
+            xfer += iprot->readListBegin(_etype102, _size99);
+            this->zones.resize(_size99);
+            uint32_t _i103;
+            for (_i103 = 0; _i103 < _size99; ++_i103)
             {
-              xfer += this->zones[_i99].read(iprot);
+              xfer += this->zones[_i103].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2435,14 +2585,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->leaving_upstreams.clear();
-            uint32_t _size100;
-            ::apache::thrift::protocol::TType _etype103;
-            xfer += iprot->readListBegin(_etype103, _size100);
-            this->leaving_upstreams.resize(_size100);
-            uint32_t _i104;
-            for (_i104 = 0; _i104 < _size100; ++_i104)
+            uint32_t _size104;
+            ::apache::thrift::protocol::TType _etype107;
+            xfer += iprot->readListBegin(_etype107, _size104);
+            this->leaving_upstreams.resize(_size104);
+            uint32_t _i108;
+            for (_i108 = 0; _i108 < _size104; ++_i108)
             {
-              xfer += iprot->readI64(this->leaving_upstreams[_i104]);
+              xfer += iprot->readI64(this->leaving_upstreams[_i108]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2479,14 +2629,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->upstream_rates.clear();
-            uint32_t _size105;
-            ::apache::thrift::protocol::TType _etype108;
-            xfer += iprot->readListBegin(_etype108, _size105);
-            this->upstream_rates.resize(_size105);
-            uint32_t _i109;
-            for (_i109 = 0; _i109 < _size105; ++_i109)
+            uint32_t _size109;
+            ::apache::thrift::protocol::TType _etype112;
+            xfer += iprot->readListBegin(_etype112, _size109);
+            this->upstream_rates.resize(_size109);
+            uint32_t _i113;
+            for (_i113 = 0; _i113 < _size109; ++_i113)
             {
-              xfer += this->upstream_rates[_i109].read(iprot);
+              xfer += this->upstream_rates[_i113].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2515,14 +2665,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->upstream_pauses.clear();
-            uint32_t _size110;
-            ::apache::thrift::protocol::TType _etype113;
-            xfer += iprot->readListBegin(_etype113, _size110);
-            this->upstream_pauses.resize(_size110);
-            uint32_t _i114;
-            for (_i114 = 0; _i114 < _size110; ++_i114)
+            uint32_t _size114;
+            ::apache::thrift::protocol::TType _etype117;
+            xfer += iprot->readListBegin(_etype117, _size114);
+            this->upstream_pauses.resize(_size114);
+            uint32_t _i118;
+            for (_i118 = 0; _i118 < _size114; ++_i118)
             {
-              xfer += this->upstream_pauses[_i114].read(iprot);
+              xfer += this->upstream_pauses[_i118].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2535,14 +2685,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->rationed_pools.clear();
-            uint32_t _size115;
-            ::apache::thrift::protocol::TType _etype118;
-            xfer += iprot->readListBegin(_etype118, _size115);
-            this->rationed_pools.resize(_size115);
-            uint32_t _i119;
-            for (_i119 = 0; _i119 < _size115; ++_i119)
+            uint32_t _size119;
+            ::apache::thrift::protocol::TType _etype122;
+            xfer += iprot->readListBegin(_etype122, _size119);
+            this->rationed_pools.resize(_size119);
+            uint32_t _i123;
+            for (_i123 = 0; _i123 < _size119; ++_i123)
             {
-              xfer += this->rationed_pools[_i119].read(iprot);
+              xfer += this->rationed_pools[_i123].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2551,6 +2701,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 31:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->duties.read(iprot);
+          this->__isset.duties = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2607,10 +2765,10 @@
   xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 11);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
-    std::vector<gossip_load> ::const_iterator _iter120;
-    for (_iter120 = this->loads.begin(); _iter120 != this->loads.end(); ++_iter120)
+    std::vector<gossip_load> ::const_iterator _iter124;
+    for (_iter124 = this->loads.begin(); _iter124 != this->loads.end(); ++_iter124)
     {
-      xfer += (*_iter120).write(oprot);
+      xfer += (*_iter124).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2651,10 +2809,10 @@
   xfer += oprot->writeFieldBegin("zones", ::apache::thrift::protocol::T_LIST, 21);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->zones.size()));
-    std::vector<gossip_zone> ::const_iterator _iter121;
-    for (_iter121 = this->zones.begin(); _iter121 != this->zones.end(); ++_iter121)
+    std::vector<gossip_zone> ::const_iterator _iter125;
+    for (_iter125 = this->zones.begin(); _iter125 != this->zones.end(); ++_iter125)
     {
-      xfer += (*_iter121).write(oprot);
+      xfer += (*_iter125).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2663,10 +2821,10 @@
   xfer += oprot->writeFieldBegin("leaving_upstreams", ::apache::thrift::protocol::T_LIST, 22);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->leaving_upstreams.size()));
-    std::vector<int64_t> ::const_iterator _iter122;
-    for (_iter122 = this->leaving_upstreams.begin(); _iter122 != this->leaving_upstreams.end(); ++_iter122)
+    std::vector<int64_t> ::const_iterator _iter126;
+    for (_iter126 = this->leaving_upstreams.begin(); _iter126 != this->leaving_upstreams.end(); ++_iter126)
     {
-      xfer += oprot->writeI64((*_iter122));
+      xfer += oprot->writeI64((*_iter126));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2688,10 +2846,10 @@
   xfer += oprot->writeFieldBegin("upstream_rates", ::apache::thrift::protocol::T_LIST, 26);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->upstream_rates.size()));
-    std::vector<gossip_upstream_rate> ::const_iterator _iter123;
-    for (_iter123 = this->upstream_rates.begin(); _iter123 != this->upstream_rates.end(); ++_iter123)
+    std::vector<gossip_upstream_rate> ::const_iterator _iter127;
+    for (_iter127 = this->upstream_rates.begin(); _iter127 != this->upstream_rates.end(); ++_iter127)
     {
-      xfer += (*_iter123).write(oprot);
+      xfer += (*_iter127).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2709,10 +2867,10 @@
   xfer += oprot->writeFieldBegin("upstream_pauses", ::apache::thrift::protocol::T_LIST, 29);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->upstream_pauses.size()));
-    std::vector<gossip_upstream_pause> ::const_iterator _iter124;
-    for (_iter124 = this->upstream_pauses.begin(); _iter124 != this->upstream_pauses.end(); ++_iter124)
+    std::vector<gossip_upstream_pause> ::const_iterator _iter128;
+    for (_iter128 = this->upstream_pauses.begin(); _iter128 != this->upstream_pauses.end(); ++_iter128)
     {
-      xfer += (*_iter124).write(oprot);
+      xfer += (*_iter128).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2721,15 +2879,20 @@
   xfer += oprot->writeFieldBegin("rationed_pools", ::apache::thrift::protocol::T_LIST, 30);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rationed_pools.size()));
-    std::vector<gossip_rationed_pool> ::const_iterator _iter125;
-    for (_iter125 = this->rationed_pools.begin(); _iter125 != this->rationed_pools.end(); ++_iter125)
+    std::vector<gossip_rationed_pool> ::const_iterator _iter129;
+    for (_iter129 = this->rationed_pools.begin(); _iter129 != this->rationed_pools.end(); ++_iter129)
     {
-      xfer += (*_iter125).write(oprot);
+      xfer += (*_iter129).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.duties) {
+    xfer += oprot->writeFieldBegin("duties", ::apache::thrift::protocol::T_STRUCT, 31);
+    xfer += this->duties.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2765,133 +2928,138 @@
   swap(a.cut_off, b.cut_off);
   swap(a.upstream_pauses, b.upstream_pauses);
   swap(a.rationed_pools, b.rationed_pools);
+  swap(a.duties, b.duties);
   swap(a.__isset, b.__isset);
 }
 
-gossip_state::gossip_state(const gossip_state& other126) {
-  vm = other126.vm;
-  incarnation = other126.incarnation;
-  sequence = other126.sequence;
-  data_centre = other126.data_centre;
-  address = other126.address;
-  caller_port = other126.caller_port;
-  admin_port = other126.admin_port;
-  ready = other126.ready;
-  leaving = other126.leaving;
-  loads = other126.loads;
-  asks = other126.asks;
-  answers = other126.answers;
-  routing_age_ms = other126.routing_age_ms;
-  upstreams_age_ms = other126.upstreams_age_ms;
-  upstreams_digest = other126.upstreams_digest;
-  interactive_reading = other126.interactive_reading;
-  bulk_reading = other126.bulk_reading;
-  processor = other126.processor;
-  zones = other126.zones;
-  leaving_upstreams = other126.leaving_upstreams;
-  store_era = other126.store_era;
-  routing_version = other126.routing_version;
-  crash_report = other126.crash_report;
-  upstream_rates = other126.upstream_rates;
-  request_crash_report = other126.request_crash_report;
-  cut_off = other126.cut_off;
-  upstream_pauses = other126.upstream_pauses;
-  rationed_pools = other126.rationed_pools;
-  __isset = other126.__isset;
-}
-gossip_state::gossip_state(gossip_state&& other127) noexcept {
-  vm = std::move(other127.vm);
-  incarnation = other127.incarnation;
-  sequence = other127.sequence;
-  data_centre = std::move(other127.data_centre);
-  address = std::move(other127.address);
-  caller_port = other127.caller_port;
-  admin_port = other127.admin_port;
-  ready = other127.ready;
-  leaving = other127.leaving;
-  loads = std::move(other127.loads);
-  asks = other127.asks;
-  answers = other127.answers;
-  routing_age_ms = other127.routing_age_ms;
-  upstreams_age_ms = other127.upstreams_age_ms;
-  upstreams_digest = other127.upstreams_digest;
-  interactive_reading = other127.interactive_reading;
-  bulk_reading = other127.bulk_reading;
-  processor = other127.processor;
-  zones = std::move(other127.zones);
-  leaving_upstreams = std::move(other127.leaving_upstreams);
-  store_era = other127.store_era;
-  routing_version = other127.routing_version;
-  crash_report = std::move(other127.crash_report);
-  upstream_rates = std::move(other127.upstream_rates);
-  request_crash_report = std::move(other127.request_crash_report);
-  cut_off = other127.cut_off;
-  upstream_pauses = std::move(other127.upstream_pauses);
-  rationed_pools = std::move(other127.rationed_pools);
-  __isset = other127.__isset;
-}
-gossip_state& gossip_state::operator=(const gossip_state& other128) {
-  vm = other128.vm;
-  incarnation = other128.incarnation;
-  sequence = other128.sequence;
-  data_centre = other128.data_centre;
-  address = other128.address;
-  caller_port = other128.caller_port;
-  admin_port = other128.admin_port;
-  ready = other128.ready;
-  leaving = other128.leaving;
-  loads = other128.loads;
-  asks = other128.asks;
-  answers = other128.answers;
-  routing_age_ms = other128.routing_age_ms;
-  upstreams_age_ms = other128.upstreams_age_ms;
-  upstreams_digest = other128.upstreams_digest;
-  interactive_reading = other128.interactive_reading;
-  bulk_reading = other128.bulk_reading;
-  processor = other128.processor;
-  zones = other128.zones;
-  leaving_upstreams = other128.leaving_upstreams;
-  store_era = other128.store_era;
-  routing_version = other128.routing_version;
-  crash_report = other128.crash_report;
-  upstream_rates = other128.upstream_rates;
-  request_crash_report = other128.request_crash_report;
-  cut_off = other128.cut_off;
-  upstream_pauses = other128.upstream_pauses;
-  rationed_pools = other128.rationed_pools;
-  __isset = other128.__isset;
+gossip_state::gossip_state(const gossip_state& other130) {
+  vm = other130.vm;
+  incarnation = other130.incarnation;
+  sequence = other130.sequence;
+  data_centre = other130.data_centre;
+  address = other130.address;
+  caller_port = other130.caller_port;
+  admin_port = other130.admin_port;
+  ready = other130.ready;
+  leaving = other130.leaving;
+  loads = other130.loads;
+  asks = other130.asks;
+  answers = other130.answers;
+  routing_age_ms = other130.routing_age_ms;
+  upstreams_age_ms = other130.upstreams_age_ms;
+  upstreams_digest = other130.upstreams_digest;
+  interactive_reading = other130.interactive_reading;
+  bulk_reading = other130.bulk_reading;
+  processor = other130.processor;
+  zones = other130.zones;
+  leaving_upstreams = other130.leaving_upstreams;
+  store_era = other130.store_era;
+  routing_version = other130.routing_version;
+  crash_report = other130.crash_report;
+  upstream_rates = other130.upstream_rates;
+  request_crash_report = other130.request_crash_report;
+  cut_off = other130.cut_off;
+  upstream_pauses = other130.upstream_pauses;
+  rationed_pools = other130.rationed_pools;
+  duties = other130.duties;
+  __isset = other130.__isset;
+}
+gossip_state::gossip_state(gossip_state&& other131) noexcept {
+  vm = std::move(other131.vm);
+  incarnation = other131.incarnation;
+  sequence = other131.sequence;
+  data_centre = std::move(other131.data_centre);
+  address = std::move(other131.address);
+  caller_port = other131.caller_port;
+  admin_port = other131.admin_port;
+  ready = other131.ready;
+  leaving = other131.leaving;
+  loads = std::move(other131.loads);
+  asks = other131.asks;
+  answers = other131.answers;
+  routing_age_ms = other131.routing_age_ms;
+  upstreams_age_ms = other131.upstreams_age_ms;
+  upstreams_digest = other131.upstreams_digest;
+  interactive_reading = other131.interactive_reading;
+  bulk_reading = other131.bulk_reading;
+  processor = other131.processor;
+  zones = std::move(other131.zones);
+  leaving_upstreams = std::move(other131.leaving_upstreams);
+  store_era = other131.store_era;
+  routing_version = other131.routing_version;
+  crash_report = std::move(other131.crash_report);
+  upstream_rates = std::move(other131.upstream_rates);
+  request_crash_report = std::move(other131.request_crash_report);
+  cut_off = other131.cut_off;
+  upstream_pauses = std::move(other131.upstream_pauses);
+  rationed_pools = std::move(other131.rationed_pools);
+  duties = std::move(other131.duties);
+  __isset = other131.__isset;
+}
+gossip_state& gossip_state::operator=(const gossip_state& other132) {
+  vm = other132.vm;
+  incarnation = other132.incarnation;
+  sequence = other132.sequence;
+  data_centre = other132.data_centre;
+  address = other132.address;
+  caller_port = other132.caller_port;
+  admin_port = other132.admin_port;
+  ready = other132.ready;
+  leaving = other132.leaving;
+  loads = other132.loads;
+  asks = other132.asks;
+  answers = other132.answers;
+  routing_age_ms = other132.routing_age_ms;
+  upstreams_age_ms = other132.upstreams_age_ms;
+  upstreams_digest = other132.upstreams_digest;
+  interactive_reading = other132.interactive_reading;
+  bulk_reading = other132.bulk_reading;
+  processor = other132.processor;
+  zones = other132.zones;
+  leaving_upstreams = other132.leaving_upstreams;
+  store_era = other132.store_era;
+  routing_version = other132.routing_version;
+  crash_report = other132.crash_report;
+  upstream_rates = other132.upstream_rates;
+  request_crash_report = other132.request_crash_report;
+  cut_off = other132.cut_off;
+  upstream_pauses = other132.upstream_pauses;
+  rationed_pools = other132.rationed_pools;
+  duties = other132.duties;
+  __isset = other132.__isset;
   return *this;
 }
-gossip_state& gossip_state::operator=(gossip_state&& other129) noexcept {
-  vm = std::move(other129.vm);
-  incarnation = other129.incarnation;
-  sequence = other129.sequence;
-  data_centre = std::move(other129.data_centre);
-  address = std::move(other129.address);
-  caller_port = other129.caller_port;
-  admin_port = other129.admin_port;
-  ready = other129.ready;
-  leaving = other129.leaving;
-  loads = std::move(other129.loads);
-  asks = other129.asks;
-  answers = other129.answers;
-  routing_age_ms = other129.routing_age_ms;
-  upstreams_age_ms = other129.upstreams_age_ms;
-  upstreams_digest = other129.upstreams_digest;
-  interactive_reading = other129.interactive_reading;
-  bulk_reading = other129.bulk_reading;
-  processor = other129.processor;
-  zones = std::move(other129.zones);
-  leaving_upstreams = std::move(other129.leaving_upstreams);
-  store_era = other129.store_era;
-  routing_version = other129.routing_version;
-  crash_report = std::move(other129.crash_report);
-  upstream_rates = std::move(other129.upstream_rates);
-  request_crash_report = std::move(other129.request_crash_report);
-  cut_off = other129.cut_off;
-  upstream_pauses = std::move(other129.upstream_pauses);
-  rationed_pools = std::move(other129.rationed_pools);
-  __isset = other129.__isset;
+gossip_state& gossip_state::operator=(gossip_state&& other133) noexcept {
+  vm = std::move(other133.vm);
+  incarnation = other133.incarnation;
+  sequence = other133.sequence;
+  data_centre = std::move(other133.data_centre);
+  address = std::move(other133.address);
+  caller_port = other133.caller_port;
+  admin_port = other133.admin_port;
+  ready = other133.ready;
+  leaving = other133.leaving;
+  loads = std::move(other133.loads);
+  asks = other133.asks;
+  answers = other133.answers;
+  routing_age_ms = other133.routing_age_ms;
+  upstreams_age_ms = other133.upstreams_age_ms;
+  upstreams_digest = other133.upstreams_digest;
+  interactive_reading = other133.interactive_reading;
+  bulk_reading = other133.bulk_reading;
+  processor = other133.processor;
+  zones = std::move(other133.zones);
+  leaving_upstreams = std::move(other133.leaving_upstreams);
+  store_era = other133.store_era;
+  routing_version = other133.routing_version;
+  crash_report = std::move(other133.crash_report);
+  upstream_rates = std::move(other133.upstream_rates);
+  request_crash_report = std::move(other133.request_crash_report);
+  cut_off = other133.cut_off;
+  upstream_pauses = std::move(other133.upstream_pauses);
+  rationed_pools = std::move(other133.rationed_pools);
+  duties = std::move(other133.duties);
+  __isset = other133.__isset;
   return *this;
 }
 void gossip_state::printTo(std::ostream& out) const {
@@ -2925,6 +3093,7 @@
   out << ", " << "cut_off=" << to_string(cut_off);
   out << ", " << "upstream_pauses=" << to_string(upstream_pauses);
   out << ", " << "rationed_pools=" << to_string(rationed_pools);
+  out << ", " << "duties="; (__isset.duties ? (out << to_string(duties)) : (out << "<null>"));
   out << ")";
 }
 
@@ -3055,34 +3224,34 @@
   swap(a.__isset, b.__isset);
 }
 
-gossip_stream_version::gossip_stream_version(const gossip_stream_version& other130) noexcept {
-  stream = other130.stream;
-  pool = other130.pool;
-  software = other130.software;
-  left_ms = other130.left_ms;
-  __isset = other130.__isset;
+gossip_stream_version::gossip_stream_version(const gossip_stream_version& other134) noexcept {
+  stream = other134.stream;
+  pool = other134.pool;
+  software = other134.software;
+  left_ms = other134.left_ms;
+  __isset = other134.__isset;
 }
-gossip_stream_version::gossip_stream_version(gossip_stream_version&& other131) noexcept {
-  stream = other131.stream;
-  pool = other131.pool;
-  software = other131.software;
-  left_ms = other131.left_ms;
-  __isset = other131.__isset;
+gossip_stream_version::gossip_stream_version(gossip_stream_version&& other135) noexcept {
+  stream = other135.stream;
+  pool = other135.pool;
+  software = other135.software;
+  left_ms = other135.left_ms;
+  __isset = other135.__isset;
 }
-gossip_stream_version& gossip_stream_version::operator=(const gossip_stream_version& other132) noexcept {
-  stream = other132.stream;
-  pool = other132.pool;
-  software = other132.software;
-  left_ms = other132.left_ms;
-  __isset = other132.__isset;
+gossip_stream_version& gossip_stream_version::operator=(const gossip_stream_version& other136) noexcept {
+  stream = other136.stream;
+  pool = other136.pool;
+  software = other136.software;
+  left_ms = other136.left_ms;
+  __isset = other136.__isset;
   return *this;
 }
-gossip_stream_version& gossip_stream_version::operator=(gossip_stream_version&& other133) noexcept {
-  stream = other133.stream;
-  pool = other133.pool;
-  software = other133.software;
-  left_ms = other133.left_ms;
-  __isset = other133.__isset;
+gossip_stream_version& gossip_stream_version::operator=(gossip_stream_version&& other137) noexcept {
+  stream = other137.stream;
+  pool = other137.pool;
+  software = other137.software;
+  left_ms = other137.left_ms;
+  __isset = other137.__isset;
   return *this;
 }
 void gossip_stream_version::printTo(std::ostream& out) const {
@@ -3188,26 +3357,26 @@
   swap(a.__isset, b.__isset);
 }
 
-gossip_pool_software::gossip_pool_software(const gossip_pool_software& other134) noexcept {
-  pool = other134.pool;
-  software = other134.software;
-  __isset = other134.__isset;
+gossip_pool_software::gossip_pool_software(const gossip_pool_software& other138) noexcept {
+  pool = other138.pool;
+  software = other138.software;
+  __isset = other138.__isset;
 }
-gossip_pool_software::gossip_pool_software(gossip_pool_software&& other135) noexcept {
-  pool = other135.pool;
-  software = other135.software;
-  __isset = other135.__isset;
+gossip_pool_software::gossip_pool_software(gossip_pool_software&& other139) noexcept {
+  pool = other139.pool;
+  software = other139.software;
+  __isset = other139.__isset;
 }
-gossip_pool_software& gossip_pool_software::operator=(const gossip_pool_software& other136) noexcept {
-  pool = other136.pool;
-  software = other136.software;
-  __isset = other136.__isset;
+gossip_pool_software& gossip_pool_software::operator=(const gossip_pool_software& other140) noexcept {
+  pool = other140.pool;
+  software = other140.software;
+  __isset = other140.__isset;
   return *this;
 }
-gossip_pool_software& gossip_pool_software::operator=(gossip_pool_software&& other137) noexcept {
-  pool = other137.pool;
-  software = other137.software;
-  __isset = other137.__isset;
+gossip_pool_software& gossip_pool_software::operator=(gossip_pool_software&& other141) noexcept {
+  pool = other141.pool;
+  software = other141.software;
+  __isset = other141.__isset;
   return *this;
 }
 void gossip_pool_software::printTo(std::ostream& out) const {
@@ -3278,14 +3447,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->told.clear();
-            uint32_t _size138;
-            ::apache::thrift::protocol::TType _etype141;
-            xfer += iprot->readListBegin(_etype141, _size138);
-            this->told.resize(_size138);
-            uint32_t _i142;
-            for (_i142 = 0; _i142 < _size138; ++_i142)
+            uint32_t _size142;
+            ::apache::thrift::protocol::TType _etype145;
+            xfer += iprot->readListBegin(_etype145, _size142);
+            this->told.resize(_size142);
+            uint32_t _i146;
+            for (_i146 = 0; _i146 < _size142; ++_i146)
             {
-              xfer += this->told[_i142].read(iprot);
+              xfer += this->told[_i146].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3298,14 +3467,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->asked.clear();
-            uint32_t _size143;
-            ::apache::thrift::protocol::TType _etype146;
-            xfer += iprot->readListBegin(_etype146, _size143);
-            this->asked.resize(_size143);
-            uint32_t _i147;
-            for (_i147 = 0; _i147 < _size143; ++_i147)
+            uint32_t _size147;
+            ::apache::thrift::protocol::TType _etype150;
+            xfer += iprot->readListBegin(_etype150, _size147);
+            this->asked.resize(_size147);
+            uint32_t _i151;
+            for (_i151 = 0; _i151 < _size147; ++_i151)
             {
-              xfer += iprot->readI64(this->asked[_i147]);
+              xfer += iprot->readI64(this->asked[_i151]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3318,14 +3487,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->unknown.clear();
-            uint32_t _size148;
-            ::apache::thrift::protocol::TType _etype151;
-            xfer += iprot->readListBegin(_etype151, _size148);
-            this->unknown.resize(_size148);
-            uint32_t _i152;
-            for (_i152 = 0; _i152 < _size148; ++_i152)
+            uint32_t _size152;
+            ::apache::thrift::protocol::TType _etype155;
+            xfer += iprot->readListBegin(_etype155, _size152);
+            this->unknown.resize(_size152);
+            uint32_t _i156;
+            for (_i156 = 0; _i156 < _size152; ++_i156)
             {
-              xfer += iprot->readI64(this->unknown[_i152]);
+              xfer += iprot->readI64(this->unknown[_i156]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3338,14 +3507,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->seen.clear();
-            uint32_t _size153;
-            ::apache::thrift::protocol::TType _etype156;
-            xfer += iprot->readListBegin(_etype156, _size153);
-            this->seen.resize(_size153);
-            uint32_t _i157;
-            for (_i157 = 0; _i157 < _size153; ++_i157)
+            uint32_t _size157;
+            ::apache::thrift::protocol::TType _etype160;
+            xfer += iprot->readListBegin(_etype160, _size157);
+            this->seen.resize(_size157);
+            uint32_t _i161;
+            for (_i161 = 0; _i161 < _size157; ++_i161)
             {
-              xfer += this->seen[_i157].read(iprot);
+              xfer += this->seen[_i161].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3390,10 +3559,10 @@
   xfer += oprot->writeFieldBegin("told", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->told.size()));
-    std::vector<gossip_stream_version> ::const_iterator _iter158;
-    for (_iter158 = this->told.begin(); _iter158 != this->told.end(); ++_iter158)
+    std::vector<gossip_stream_version> ::const_iterator _iter162;
+    for (_iter162 = this->told.begin(); _iter162 != this->told.end(); ++_iter162)
     {
-      xfer += (*_iter158).write(oprot);
+      xfer += (*_iter162).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3402,10 +3571,10 @@
   xfer += oprot->writeFieldBegin("asked", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->asked.size()));
-    std::vector<int64_t> ::const_iterator _iter159;
-    for (_iter159 = this->asked.begin(); _iter159 != this->asked.end(); ++_iter159)
+    std::vector<int64_t> ::const_iterator _iter163;
+    for (_iter163 = this->asked.begin(); _iter163 != this->asked.end(); ++_iter163)
     {
-      xfer += oprot->writeI64((*_iter159));
+      xfer += oprot->writeI64((*_iter163));
     }
     xfer += oprot->writeListEnd();
   }
@@ -3414,10 +3583,10 @@
   xfer += oprot->writeFieldBegin("unknown", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->unknown.size()));
-    std::vector<int64_t> ::const_iterator _iter160;
-    for (_iter160 = this->unknown.begin(); _iter160 != this->unknown.end(); ++_iter160)
+    std::vector<int64_t> ::const_iterator _iter164;
+    for (_iter164 = this->unknown.begin(); _iter164 != this->unknown.end(); ++_iter164)
     {
-      xfer += oprot->writeI64((*_iter160));
+      xfer += oprot->writeI64((*_iter164));
     }
     xfer += oprot->writeListEnd();
   }
@@ -3426,10 +3595,10 @@
   xfer += oprot->writeFieldBegin("seen", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->seen.size()));
-    std::vector<gossip_pool_software> ::const_iterator _iter161;
-    for (_iter161 = this->seen.begin(); _iter161 != this->seen.end(); ++_iter161)
+    std::vector<gossip_pool_software> ::const_iterator _iter165;
+    for (_iter165 = this->seen.begin(); _iter165 != this->seen.end(); ++_iter165)
     {
-      xfer += (*_iter161).write(oprot);
+      xfer += (*_iter165).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3459,42 +3628,42 @@
   swap(a.__isset, b.__isset);
 }
 
-gossip_streams::gossip_streams(const gossip_streams& other162) {
-  told = other162.told;
-  asked = other162.asked;
-  unknown = other162.unknown;
-  seen = other162.seen;
-  seen_all = other162.seen_all;
-  span_ms = other162.span_ms;
-  __isset = other162.__isset;
-}
-gossip_streams::gossip_streams(gossip_streams&& other163) noexcept {
-  told = std::move(other163.told);
-  asked = std::move(other163.asked);
-  unknown = std::move(other163.unknown);
-  seen = std::move(other163.seen);
-  seen_all = other163.seen_all;
-  span_ms = other163.span_ms;
-  __isset = other163.__isset;
-}
-gossip_streams& gossip_streams::operator=(const gossip_streams& other164) {
-  told = other164.told;
-  asked = other164.asked;
-  unknown = other164.unknown;
-  seen = other164.seen;
-  seen_all = other164.seen_all;
-  span_ms = other164.span_ms;
-  __isset = other164.__isset;
+gossip_streams::gossip_streams(const gossip_streams& other166) {
+  told = other166.told;
+  asked = other166.asked;
+  unknown = other166.unknown;
+  seen = other166.seen;
+  seen_all = other166.seen_all;
+  span_ms = other166.span_ms;
+  __isset = other166.__isset;
+}
+gossip_streams::gossip_streams(gossip_streams&& other167) noexcept {
+  told = std::move(other167.told);
+  asked = std::move(other167.asked);
+  unknown = std::move(other167.unknown);
+  seen = std::move(other167.seen);
+  seen_all = other167.seen_all;
+  span_ms = other167.span_ms;
+  __isset = other167.__isset;
+}
+gossip_streams& gossip_streams::operator=(const gossip_streams& other168) {
+  told = other168.told;
+  asked = other168.asked;
+  unknown = other168.unknown;
+  seen = other168.seen;
+  seen_all = other168.seen_all;
+  span_ms = other168.span_ms;
+  __isset = other168.__isset;
   return *this;
 }
-gossip_streams& gossip_streams::operator=(gossip_streams&& other165) noexcept {
-  told = std::move(other165.told);
-  asked = std::move(other165.asked);
-  unknown = std::move(other165.unknown);
-  seen = std::move(other165.seen);
-  seen_all = other165.seen_all;
-  span_ms = other165.span_ms;
-  __isset = other165.__isset;
+gossip_streams& gossip_streams::operator=(gossip_streams&& other169) noexcept {
+  told = std::move(other169.told);
+  asked = std::move(other169.asked);
+  unknown = std::move(other169.unknown);
+  seen = std::move(other169.seen);
+  seen_all = other169.seen_all;
+  span_ms = other169.span_ms;
+  __isset = other169.__isset;
   return *this;
 }
 void gossip_streams::printTo(std::ostream& out) const {
@@ -3509,4 +3678,336 @@
   out << ")";
 }
 
+
+gossip_usage_count::~gossip_usage_count() noexcept {
+}
+
+
+void gossip_usage_count::__set_account(const std::string& val) {
+  this->account = val;
+}
+
+void gossip_usage_count::__set_requests(const int64_t val) {
+  this->requests = val;
+}
+std::ostream& operator<<(std::ostream& out, const gossip_usage_count& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t gossip_usage_count::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->account);
+          this->__isset.account = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->requests);
+          this->__isset.requests = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t gossip_usage_count::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("gossip_usage_count");
+
+  xfer += oprot->writeFieldBegin("account", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->account);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("requests", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->requests);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(gossip_usage_count &a, gossip_usage_count &b) {
+  using ::std::swap;
+  swap(a.account, b.account);
+  swap(a.requests, b.requests);
+  swap(a.__isset, b.__isset);
+}
+
+gossip_usage_count::gossip_usage_count(const gossip_usage_count& other170) {
+  account = other170.account;
+  requests = other170.requests;
+  __isset = other170.__isset;
+}
+gossip_usage_count::gossip_usage_count(gossip_usage_count&& other171) noexcept {
+  account = std::move(other171.account);
+  requests = other171.requests;
+  __isset = other171.__isset;
+}
+gossip_usage_count& gossip_usage_count::operator=(const gossip_usage_count& other172) {
+  account = other172.account;
+  requests = other172.requests;
+  __isset = other172.__isset;
+  return *this;
+}
+gossip_usage_count& gossip_usage_count::operator=(gossip_usage_count&& other173) noexcept {
+  account = std::move(other173.account);
+  requests = other173.requests;
+  __isset = other173.__isset;
+  return *this;
+}
+void gossip_usage_count::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "gossip_usage_count(";
+  out << "account=" << to_string(account);
+  out << ", " << "requests=" << to_string(requests);
+  out << ")";
+}
+
+
+gossip_usage::~gossip_usage() noexcept {
+}
+
+
+void gossip_usage::__set_vm(const std::string& val) {
+  this->vm = val;
+}
+
+void gossip_usage::__set_incarnation(const int64_t val) {
+  this->incarnation = val;
+}
+
+void gossip_usage::__set_window(const int64_t val) {
+  this->window = val;
+}
+
+void gossip_usage::__set_complete(const bool val) {
+  this->complete = val;
+}
+
+void gossip_usage::__set_counts(const std::vector<gossip_usage_count> & val) {
+  this->counts = val;
+}
+std::ostream& operator<<(std::ostream& out, const gossip_usage& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t gossip_usage::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->vm);
+          this->__isset.vm = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->incarnation);
+          this->__isset.incarnation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->window);
+          this->__isset.window = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->complete);
+          this->__isset.complete = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->counts.clear();
+            uint32_t _size174;
+            ::apache::thrift::protocol::TType _etype177;
+            xfer += iprot->readListBegin(_etype177, _size174);
+            this->counts.resize(_size174);
+            uint32_t _i178;
+            for (_i178 = 0; _i178 < _size174; ++_i178)
+            {
+              xfer += this->counts[_i178].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.counts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t gossip_usage::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("gossip_usage");
+
+  xfer += oprot->writeFieldBegin("vm", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->vm);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("incarnation", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->incarnation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("window", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->window);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("complete", ::apache::thrift::protocol::T_BOOL, 4);
+  xfer += oprot->writeBool(this->complete);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("counts", ::apache::thrift::protocol::T_LIST, 5);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->counts.size()));
+    std::vector<gossip_usage_count> ::const_iterator _iter179;
+    for (_iter179 = this->counts.begin(); _iter179 != this->counts.end(); ++_iter179)
+    {
+      xfer += (*_iter179).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(gossip_usage &a, gossip_usage &b) {
+  using ::std::swap;
+  swap(a.vm, b.vm);
+  swap(a.incarnation, b.incarnation);
+  swap(a.window, b.window);
+  swap(a.complete, b.complete);
+  swap(a.counts, b.counts);
+  swap(a.__isset, b.__isset);
+}
+
+gossip_usage::gossip_usage(const gossip_usage& other180) {
+  vm = other180.vm;
+  incarnation = other180.incarnation;
+  window = other180.window;
+  complete = other180.complete;
+  counts = other180.counts;
+  __isset = other180.__isset;
+}
+gossip_usage::gossip_usage(gossip_usage&& other181) noexcept {
+  vm = std::move(other181.vm);
+  incarnation = other181.incarnation;
+  window = other181.window;
+  complete = other181.complete;
+  counts = std::move(other181.counts);
+  __isset = other181.__isset;
+}
+gossip_usage& gossip_usage::operator=(const gossip_usage& other182) {
+  vm = other182.vm;
+  incarnation = other182.incarnation;
+  window = other182.window;
+  complete = other182.complete;
+  counts = other182.counts;
+  __isset = other182.__isset;
+  return *this;
+}
+gossip_usage& gossip_usage::operator=(gossip_usage&& other183) noexcept {
+  vm = std::move(other183.vm);
+  incarnation = other183.incarnation;
+  window = other183.window;
+  complete = other183.complete;
+  counts = std::move(other183.counts);
+  __isset = other183.__isset;
+  return *this;
+}
+void gossip_usage::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "gossip_usage(";
+  out << "vm=" << to_string(vm);
+  out << ", " << "incarnation=" << to_string(incarnation);
+  out << ", " << "window=" << to_string(window);
+  out << ", " << "complete=" << to_string(complete);
+  out << ", " << "counts=" << to_string(counts);
+  out << ")";
+}
+
 }}} // namespace
--- a/src/sapphirespar/wire/gen/gossip_types.h
+++ b/src/sapphirespar/wire/gen/gossip_types.h
@@ -39,6 +39,8 @@
 
 class gossip_rationed_pool;
 
+class gossip_duties;
+
 class gossip_state;
 
 class gossip_stream_version;
@@ -47,6 +49,10 @@
 
 class gossip_streams;
 
+class gossip_usage_count;
+
+class gossip_usage;
+
 typedef struct _gossip_load__isset {
   _gossip_load__isset() : upstream(false), urgent_tokens(false), other_tokens(false), memory_tokens(false), running(false), interactive(false) {}
   bool upstream :1;
@@ -820,8 +826,67 @@
 
 std::ostream& operator<<(std::ostream& out, const gossip_rationed_pool& obj);
 
+typedef struct _gossip_duties__isset {
+  _gossip_duties__isset() : wall_ms(false), token(false), fixed_window(false) {}
+  bool wall_ms :1;
+  bool token :1;
+  bool fixed_window :1;
+} _gossip_duties__isset;
+
+class gossip_duties : public virtual ::apache::thrift::TBase {
+ public:
+
+  gossip_duties(const gossip_duties&) noexcept;
+  gossip_duties(gossip_duties&&) noexcept;
+  gossip_duties& operator=(const gossip_duties&) noexcept;
+  gossip_duties& operator=(gossip_duties&&) noexcept;
+  gossip_duties() noexcept
+                : wall_ms(0),
+                  token(0),
+                  fixed_window(0) {
+  }
+
+  virtual ~gossip_duties() noexcept;
+  int64_t wall_ms;
+  int64_t token;
+  int64_t fixed_window;
+
+  _gossip_duties__isset __isset;
+
+  void __set_wall_ms(const int64_t val);
+
+  void __set_token(const int64_t val);
+
+  void __set_fixed_window(const int64_t val);
+
+  bool operator == (const gossip_duties & rhs) const
+  {
+    if (!(wall_ms == rhs.wall_ms))
+      return false;
+    if (!(token == rhs.token))
+      return false;
+    if (!(fixed_window == rhs.fixed_window))
+      return false;
+    return true;
+  }
+  bool operator != (const gossip_duties &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const gossip_duties & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(gossip_duties &a, gossip_duties &b);
+
+std::ostream& operator<<(std::ostream& out, const gossip_duties& obj);
+
 typedef struct _gossip_state__isset {
-  _gossip_state__isset() : vm(false), incarnation(false), sequence(false), data_centre(false), address(false), caller_port(false), admin_port(false), ready(false), leaving(false), loads(false), asks(false), answers(false), routing_age_ms(false), upstreams_age_ms(false), upstreams_digest(false), interactive_reading(false), bulk_reading(false), processor(false), zones(false), leaving_upstreams(false), store_era(false), routing_version(false), crash_report(false), upstream_rates(false), request_crash_report(false), cut_off(false), upstream_pauses(false), rationed_pools(false) {}
+  _gossip_state__isset() : vm(false), incarnation(false), sequence(false), data_centre(false), address(false), caller_port(false), admin_port(false), ready(false), leaving(false), loads(false), asks(false), answers(false), routing_age_ms(false), upstreams_age_ms(false), upstreams_digest(false), interactive_reading(false), bulk_reading(false), processor(false), zones(false), leaving_upstreams(false), store_era(false), routing_version(false), crash_report(false), upstream_rates(false), request_crash_report(false), cut_off(false), upstream_pauses(false), rationed_pools(false), duties(false) {}
   bool vm :1;
   bool incarnation :1;
   bool sequence :1;
@@ -850,6 +915,7 @@
   bool cut_off :1;
   bool upstream_pauses :1;
   bool rationed_pools :1;
+  bool duties :1;
 } _gossip_state__isset;
 
 class gossip_state : public virtual ::apache::thrift::TBase {
@@ -911,6 +977,7 @@
   bool cut_off;
   std::vector<gossip_upstream_pause>  upstream_pauses;
   std::vector<gossip_rationed_pool>  rationed_pools;
+  gossip_duties duties;
 
   _gossip_state__isset __isset;
 
@@ -970,6 +1037,8 @@
 
   void __set_rationed_pools(const std::vector<gossip_rationed_pool> & val);
 
+  void __set_duties(const gossip_duties& val);
+
   bool operator == (const gossip_state & rhs) const
   {
     if (!(vm == rhs.vm))
@@ -1032,6 +1101,10 @@
       return false;
     if (!(rationed_pools == rhs.rationed_pools))
       return false;
+    if (__isset.duties != rhs.__isset.duties)
+      return false;
+    else if (__isset.duties && !(duties == rhs.duties))
+      return false;
     return true;
   }
   bool operator != (const gossip_state &rhs) const {
@@ -1244,6 +1317,130 @@
 
 std::ostream& operator<<(std::ostream& out, const gossip_streams& obj);
 
+typedef struct _gossip_usage_count__isset {
+  _gossip_usage_count__isset() : account(false), requests(false) {}
+  bool account :1;
+  bool requests :1;
+} _gossip_usage_count__isset;
+
+class gossip_usage_count : public virtual ::apache::thrift::TBase {
+ public:
+
+  gossip_usage_count(const gossip_usage_count&);
+  gossip_usage_count(gossip_usage_count&&) noexcept;
+  gossip_usage_count& operator=(const gossip_usage_count&);
+  gossip_usage_count& operator=(gossip_usage_count&&) noexcept;
+  gossip_usage_count() noexcept
+                     : account(),
+                       requests(0) {
+  }
+
+  virtual ~gossip_usage_count() noexcept;
+  std::string account;
+  int64_t requests;
+
+  _gossip_usage_count__isset __isset;
+
+  void __set_account(const std::string& val);
+
+  void __set_requests(const int64_t val);
+
+  bool operator == (const gossip_usage_count & rhs) const
+  {
+    if (!(account == rhs.account))
+      return false;
+    if (!(requests == rhs.requests))
+      return false;
+    return true;
+  }
+  bool operator != (const gossip_usage_count &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const gossip_usage_count & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(gossip_usage_count &a, gossip_usage_count &b);
+
+std::ostream& operator<<(std::ostream& out, const gossip_usage_count& obj);
+
+typedef struct _gossip_usage__isset {
+  _gossip_usage__isset() : vm(false), incarnation(false), window(false), complete(false), counts(false) {}
+  bool vm :1;
+  bool incarnation :1;
+  bool window :1;
+  bool complete :1;
+  bool counts :1;
+} _gossip_usage__isset;
+
+class gossip_usage : public virtual ::apache::thrift::TBase {
+ public:
+
+  gossip_usage(const gossip_usage&);
+  gossip_usage(gossip_usage&&) noexcept;
+  gossip_usage& operator=(const gossip_usage&);
+  gossip_usage& operator=(gossip_usage&&) noexcept;
+  gossip_usage() noexcept
+               : vm(),
+                 incarnation(0),
+                 window(0),
+                 complete(0) {
+  }
+
+  virtual ~gossip_usage() noexcept;
+  std::string vm;
+  int64_t incarnation;
+  int64_t window;
+  bool complete;
+  std::vector<gossip_usage_count>  counts;
+
+  _gossip_usage__isset __isset;
+
+  void __set_vm(const std::string& val);
+
+  void __set_incarnation(const int64_t val);
+
+  void __set_window(const int64_t val);
+
+  void __set_complete(const bool val);
+
+  void __set_counts(const std::vector<gossip_usage_count> & val);
+
+  bool operator == (const gossip_usage & rhs) const
+  {
+    if (!(vm == rhs.vm))
+      return false;
+    if (!(incarnation == rhs.incarnation))
+      return false;
+    if (!(window == rhs.window))
+      return false;
+    if (!(complete == rhs.complete))
+      return false;
+    if (!(counts == rhs.counts))
+      return false;
+    return true;
+  }
+  bool operator != (const gossip_usage &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const gossip_usage & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(gossip_usage &a, gossip_usage &b);
+
+std::ostream& operator<<(std::ostream& out, const gossip_usage& obj);
+
 }}} // namespace
 
 #endif
--- a/src/sapphirespar/wire/gossip_codec.cpp
+++ b/src/sapphirespar/wire/gossip_codec.cpp
@@ -1,24 +1,17 @@
 // Encodes and decodes gossip.
 #include "sapphirespar/wire/gossip_codec.hpp"
 
+#include "compact_message.hpp"
 #include "gossip_crash_report.hpp"
 
-#include <thrift/Thrift.h>
-#include <thrift/protocol/TCompactProtocol.h>
-#include <thrift/transport/TBufferTransports.h>
-
 #include <algorithm>
 #include <cmath>
 #include <iterator>
 #include <limits>
-#include <memory>
 
 namespace sapphirespar::wire {
 namespace {
 
-using apache::thrift::protocol::TCompactProtocolT;
-using apache::thrift::transport::TMemoryBuffer;
-
 // The wire has signed numbers.
 std::int32_t
 ToWireNumber(std::uint32_t aNumber)
@@ -143,6 +136,24 @@
            std::chrono::milliseconds(ClampNegativeToZero(aWire.work_ms)) };
 }
 
+gen::gossip_duties
+ToWireDuties(const duty_gossip& aDuties)
+{
+  gen::gossip_duties wire;
+  wire.wall_ms = aDuties.mWallMs;
+  wire.token = static_cast<std::int64_t>(aDuties.mToken);
+  wire.fixed_window = aDuties.mFixedWindow;
+  return wire;
+}
+
+duty_gossip
+FromWireDuties(const gen::gossip_duties& aWire)
+{
+  return { aWire.wall_ms,
+           static_cast<std::uint64_t>(aWire.token),
+           aWire.fixed_window };
+}
+
 bool
 IsPort(std::int32_t aNumber)
 {
@@ -203,29 +214,20 @@
   if (aState.mRequestCrashReport != crash_report{}) {
     state.__set_request_crash_report(ToWireReport(aState.mRequestCrashReport));
   }
-  const auto buffer = std::make_shared<TMemoryBuffer>();
-  TCompactProtocolT<TMemoryBuffer> protocol(buffer);
-  state.write(&protocol);
-  return buffer->getBufferAsString();
+  if (aState.mDuties) {
+    state.__set_duties(ToWireDuties(*aState.mDuties));
+  }
+  return EncodeCompact(state);
 }
 
 std::optional<gossip_state>
 DecodeGossip(std::string_view aBytes)
 {
-  // The buffer only reads, although its interface takes a mutable pointer.
-  auto* bytes =
-    reinterpret_cast<std::uint8_t*>(const_cast<char*>(aBytes.data()));
-  gen::gossip_state state;
-  try {
-    const auto buffer = std::make_shared<TMemoryBuffer>(
-      bytes, static_cast<std::uint32_t>(aBytes.size()));
-    TCompactProtocolT<TMemoryBuffer> protocol(buffer);
-    if (state.read(&protocol) != aBytes.size()) {
-      return std::nullopt;
-    }
-  } catch (const apache::thrift::TException&) {
+  const auto decoded = DecodeCompact<gen::gossip_state>(aBytes);
+  if (!decoded) {
     return std::nullopt;
   }
+  const auto& state = *decoded;
   if (state.vm.empty() || !IsPort(state.caller_port) ||
       !IsPort(state.admin_port)) {
     return std::nullopt;
@@ -280,6 +282,9 @@
   if (state.__isset.request_crash_report) {
     read.mRequestCrashReport = FromWireReport(state.request_crash_report);
   }
+  if (state.__isset.duties) {
+    read.mDuties = FromWireDuties(state.duties);
+  }
   return read;
 }
 
--- a/src/sapphirespar/wire/stream_codec.cpp
+++ b/src/sapphirespar/wire/stream_codec.cpp
@@ -1,23 +1,16 @@
 // Encodes and decodes messages about streams.
 #include "sapphirespar/wire/stream_codec.hpp"
 
+#include "compact_message.hpp"
 #include "gen/gossip_types.h"
 
-#include <thrift/Thrift.h>
-#include <thrift/protocol/TCompactProtocol.h>
-#include <thrift/transport/TBufferTransports.h>
-
 #include <algorithm>
 #include <iterator>
 #include <limits>
-#include <memory>
 
 namespace sapphirespar::wire {
 namespace {
 
-using apache::thrift::protocol::TCompactProtocolT;
-using apache::thrift::transport::TMemoryBuffer;
-
 // No gossip begins with this byte: it would declare a number as first field.
 constexpr char kTag = 'S';
 
@@ -107,10 +100,7 @@
     aMessage.mSeen, std::back_inserter(wire.seen), ToWireSeen);
   wire.seen_all = aMessage.mSeenAll;
   wire.span_ms = ToWireMs(aMessage.mSpan);
-  const auto buffer = std::make_shared<TMemoryBuffer>();
-  TCompactProtocolT<TMemoryBuffer> protocol(buffer);
-  wire.write(&protocol);
-  return kTag + buffer->getBufferAsString();
+  return kTag + EncodeCompact(wire);
 }
 
 std::optional<stream_message>
@@ -120,20 +110,11 @@
     return std::nullopt;
   }
   aBytes.remove_prefix(1);
-  // The buffer only reads, although its interface takes a mutable pointer.
-  auto* bytes =
-    reinterpret_cast<std::uint8_t*>(const_cast<char*>(aBytes.data()));
-  gen::gossip_streams wire;
-  try {
-    const auto buffer = std::make_shared<TMemoryBuffer>(
-      bytes, static_cast<std::uint32_t>(aBytes.size()));
-    TCompactProtocolT<TMemoryBuffer> protocol(buffer);
-    if (wire.read(&protocol) != aBytes.size()) {
-      return std::nullopt;
-    }
-  } catch (const apache::thrift::TException&) {
+  const auto read = DecodeCompact<gen::gossip_streams>(aBytes);
+  if (!read) {
     return std::nullopt;
   }
+  const auto& wire = *read;
   stream_message message;
   std::ranges::transform(
     wire.told, std::back_inserter(message.mTold), FromWireVersion);
