--- a/include/sapphirespar/model/routing.hpp
+++ b/include/sapphirespar/model/routing.hpp
@@ -7,6 +7,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -61,12 +62,33 @@
   unsigned mTokensPerEvent = 1;
 };
 
+// Within which bounds, and at which prices, the platform provides upstreams of
+// a pool when they are ordered.
+struct capacity_bounds
+{
+  // For each data centre, both kinds of upstreams together.
+  unsigned mMinimum = 0;
+  unsigned mMaximum = 0;
+  // Time from an order until the upstream accepts requests.
+  std::chrono::milliseconds mStartTime{ 0 };
+  // Price of a preemptible upstream as a part of that of a regular one; unset
+  // if the platform has none. All such upstreams of a data centre may be taken
+  // away at once.
+  std::optional<double> mPreemptiblePrice;
+  // Price of a regular upstream by data centre; all positive.
+  std::map<data_centre_id, double> mPrices;
+
+  bool operator==(const capacity_bounds&) const = default;
+};
+
 struct upstream_pool
 {
   std::string mName;
   unsigned mMaximumConnections = 0;
   // Unset for a plain service.
   std::optional<engine_traits> mEngine;
+  // Unset if the pool's upstreams can't be ordered.
+  std::optional<capacity_bounds> mCapacity;
 };
 
 struct routing_account
@@ -119,6 +141,9 @@
   // Version of the upstream's software, which may differ within a pool; empty
   // if it names none.
   std::string mSoftware;
+  // The platform may take the upstream away with all others of its data centre
+  // that are preemptible.
+  bool mPreemptible = false;
 
   bool operator==(const upstream_entry&) const = default;
 };
--- a/include/sapphirespar/policy/engine_split.hpp
+++ b/include/sapphirespar/policy/engine_split.hpp
@@ -66,6 +66,9 @@
   // moves shared prefixes to other engines.
   double Share() const { return mShare; }
 
+  // Returns the number of engines that both kinds of work need, smoothed.
+  double Needed() const { return mInteractive + mBulk; }
+
 private:
   // Smoothed number of engines that each kind needs.
   double mInteractive = 0;
