Duties that one gateway does for the fleet: lease, usage, capacity

What callers saw: nothing was reported or ordered, and the platform charged for 60 upstreams at all times. Cause: no gateway had the right to act for all of them. Change: a module of its own. duty_lease: a record in the store, written by its holder once in a period on the condition that nobody else has; the version of the last write, with the store's era, is the fencing token. The right to send is checked on the boot clock as the call is written. usage_reporter fixes each report in the store before it is sent, so that a successor repeats it byte for byte. capacity_controller sends the orders of the plan; after an order without an answer the next one needs a higher token, which voids the late one.

--- /dev/null
+++ b/src/sapphirespar/duties/capacity_controller.cpp
@@ -0,0 +1,311 @@
+// Plans the capacity of each pool and sends the orders that differ from what
+// was ordered before.
+#include "sapphirespar/duties/capacity_controller.hpp"
+
+#include "sapphirespar/base/log.hpp"
+
+#include <algorithm>
+#include <map>
+#include <tuple>
+#include <utility>
+
+namespace sapphirespar::duties {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds kTick{ 500 };
+
+// An order that shows no effect is repeated this long after the time that
+// upstreams take to start or to leave.
+constexpr milliseconds kSettleTime{ 6000 };
+
+// How long no preemptible upstreams are ordered where there were none.
+constexpr milliseconds kNoneLeftPause{ 4000 };
+
+// An upstream may be listed this much later than after its start time.
+constexpr milliseconds kStartDelay{ 3000 };
+
+// A list that has not changed for this long is taken to be complete when the
+// duties have just been taken.
+constexpr milliseconds kListTime{ 2000 };
+
+constexpr milliseconds kFirstPause{ 1000 };
+constexpr milliseconds kLongestPause{ 8000 };
+
+constexpr int kMaximumCalls = 4;
+
+// Part of the platform's rate that orders may use.
+constexpr double kRatePart = 0.2;
+
+} // namespace
+
+struct capacity_controller::state : std::enable_shared_from_this<state>
+{
+  state(timer_service& aTimers,
+        metrics& aMetrics,
+        duty_lease& aLease,
+        capacity_settings aSettings,
+        capacity_hooks aHooks)
+    : mTimers(aTimers)
+    , mMetrics(aMetrics)
+    , mLease(aLease)
+    , mSettings(aSettings)
+    , mHooks(std::move(aHooks))
+  {
+  }
+
+  // The last order for one pool, data centre and kind of upstream.
+  struct last_order
+  {
+    // Unset if it may not have been carried out.
+    std::optional<unsigned> mUpstreams;
+    steady_time mSentAt{};
+    // A further order needs a higher token: the platform may carry this one out
+    // later, unless it has seen a higher one by then.
+    fencing_token mUnanswered = 0;
+    bool mInProgress = false;
+  };
+
+  struct pool_state
+  {
+    policy::capacity_need mNeed;
+    // The upstreams listed last, and since when.
+    unsigned mPresent = 0;
+    steady_time mPresentSince{};
+    // The list was complete once, and orders follow from it.
+    bool mIsPlanned = false;
+  };
+
+  using subject = std::tuple<std::string, data_centre_id, bool>;
+
+  void Tick()
+  {
+    mBudget = std::min(mBudget + kRatePart * mSettings.mCallsPerSecond *
+                                   std::chrono::duration<double>(kTick).count(),
+                       std::max(1.0, kRatePart * mSettings.mCallsPerSecond));
+    if (!mHooks.mIsOn() || !mLease.Token() || mTimers.Now() < mPausedUntil) {
+      return;
+    }
+    for (const auto& pool : mHooks.mPools()) {
+      PlanPool(pool);
+    }
+  }
+
+  void PlanPool(const ordered_pool& aPool)
+  {
+    const auto now = mTimers.Now();
+    auto zones = aPool.mZones;
+    unsigned present = 0;
+    for (auto& zone : zones) {
+      present += zone.mRegular + zone.mPreemptible;
+      NoteOrders(aPool, zone);
+    }
+    auto& state = mPools[aPool.mName];
+    if (std::exchange(state.mPresent, present) != present) {
+      state.mPresentSince = now;
+    }
+    const bool settled =
+      state.mIsPlanned || now - state.mPresentSince >= kListTime;
+    if (!aPool.mNeeded || present == 0 || !settled) {
+      return;
+    }
+    state.mIsPlanned = true;
+    // One data centre's preemptible upstreams come on top of what is needed.
+    const auto kept = present * (zones.size() - 1) / zones.size();
+    const auto needed =
+      state.mNeed.Update(*aPool.mNeeded, static_cast<unsigned>(kept), now);
+    const auto plan = policy::PlanCapacity(aPool.mBounds, zones, needed);
+    mMetrics.Set("duties_capacity_needed", { { "pool", aPool.mName } }, needed);
+    for (std::size_t index = 0; index < zones.size(); ++index) {
+      const auto& zone = zones[index];
+      const auto order = [&](bool aPreemptible, unsigned aWanted) {
+        return capacity_order{
+          aPool.mName, zone.mDataCentre, aPreemptible, aWanted
+        };
+      };
+      if (aPool.mBounds.mPreemptiblePrice && !zone.mNoPreemptible) {
+        Consider(aPool,
+                 order(true, plan[index].mPreemptible),
+                 zone.mPreemptible,
+                 needed);
+      }
+      Consider(
+        aPool, order(false, plan[index].mRegular), zone.mRegular, needed);
+    }
+  }
+
+  // Sets what the last orders tell of the preemptible upstreams.
+  void NoteOrders(const ordered_pool& aPool, policy::zone_capacity& aZone) const
+  {
+    const auto now = mTimers.Now();
+    const subject key{ aPool.mName, aZone.mDataCentre, true };
+    const auto none = mNoneLeftUntil.find(key);
+    aZone.mNoPreemptible = none != mNoneLeftUntil.end() && now < none->second;
+    const auto last = mOrders.find(key);
+    if (last != mOrders.end() && last->second.mUpstreams &&
+        now - last->second.mSentAt < aPool.mBounds.mStartTime + kStartDelay) {
+      const auto ordered = *last->second.mUpstreams;
+      aZone.mStarting = ordered - std::min(ordered, aZone.mPreemptible);
+    }
+  }
+
+  void Consider(const ordered_pool& aPool,
+                const capacity_order& aOrder,
+                unsigned aPresent,
+                unsigned aNeeded)
+  {
+    const auto now = mTimers.Now();
+    auto& last = mOrders[SubjectOf(aOrder)];
+    const bool settled =
+      now - last.mSentAt > aPool.mBounds.mStartTime + kSettleTime;
+    const bool differs = last.mUpstreams ? *last.mUpstreams != aOrder.mUpstreams
+                                         : aPresent != aOrder.mUpstreams;
+    const bool wanted = differs || (settled && aPresent != aOrder.mUpstreams);
+    const auto token = mLease.Token();
+    if (!wanted || !token || last.mInProgress || mCalls >= kMaximumCalls ||
+        mBudget < 1 || now < mPausedUntil) {
+      return;
+    }
+    if (last.mUnanswered >= *token) {
+      mLease.RaiseToken();
+      return;
+    }
+    LogEvent(log_level::Info,
+             "capacity_ordered",
+             { { "pool", aOrder.mPool },
+               { "data_centre", aOrder.mDataCentre.mText },
+               { "preemptible", aOrder.mPreemptible ? 1 : 0 },
+               { "upstreams", aOrder.mUpstreams },
+               { "present", aPresent },
+               { "demand", aPool.mNeeded.value_or(0) },
+               { "needed", aNeeded },
+               { "token", *token } });
+    Send(aOrder, *token, last);
+  }
+
+  void Send(const capacity_order& aOrder,
+            fencing_token aToken,
+            last_order& aLast)
+  {
+    aLast.mUpstreams = aOrder.mUpstreams;
+    aLast.mSentAt = mTimers.Now();
+    aLast.mInProgress = true;
+    ++mCalls;
+    mBudget -= 1;
+    mLease.NoteCall();
+    mHooks.mOrder(aOrder,
+                  aToken,
+                  [weak = weak_from_this(), aOrder, aToken, term = mTerm](
+                    duty_reply aReply) {
+                    const auto self = weak.lock();
+                    if (self) {
+                      --self->mCalls;
+                      self->OnReply(aOrder, aToken, aReply, term);
+                    }
+                  });
+  }
+
+  void OnReply(const capacity_order& aOrder,
+               fencing_token aToken,
+               duty_reply aReply,
+               std::uint64_t aTerm)
+  {
+    LogEvent(log_level::Info,
+             "capacity_order_ended",
+             { { "pool", aOrder.mPool },
+               { "data_centre", aOrder.mDataCentre.mText },
+               { "preemptible", aOrder.mPreemptible ? 1 : 0 },
+               { "upstreams", aOrder.mUpstreams },
+               { "token", aToken },
+               { "reply", ToText(aReply) } });
+    mMetrics.Count("duties_capacity_orders_total",
+                   { { "reply", ToText(aReply) } });
+    if (aTerm != mTerm) {
+      return;
+    }
+    auto& last = mOrders[SubjectOf(aOrder)];
+    last.mInProgress = false;
+    if (aReply == duty_reply::Done) {
+      mPause = kFirstPause;
+      return;
+    }
+    last.mUpstreams.reset();
+    if (aReply == duty_reply::Throttled) {
+      Pause();
+      return;
+    }
+    last.mUnanswered = aToken;
+    if (aReply == duty_reply::Unknown) {
+      Pause();
+    } else if (aOrder.mPreemptible) {
+      // Refused for want of upstreams, unless another gateway holds the duties,
+      // which the next write of the lease tells.
+      mNoneLeftUntil[SubjectOf(aOrder)] = mTimers.Now() + kNoneLeftPause;
+    }
+  }
+
+  // Sends nothing for a while, longer each time.
+  void Pause()
+  {
+    if (mTimers.Now() < mPausedUntil) {
+      return;
+    }
+    mPausedUntil = mTimers.Now() + mPause;
+    mPause = std::min(2 * mPause, kLongestPause);
+  }
+
+  static subject SubjectOf(const capacity_order& aOrder)
+  {
+    return { aOrder.mPool, aOrder.mDataCentre, aOrder.mPreemptible };
+  }
+
+  timer_service& mTimers;
+  metrics& mMetrics;
+  duty_lease& mLease;
+  const capacity_settings mSettings;
+  const capacity_hooks mHooks;
+  std::map<std::string, pool_state> mPools;
+  std::map<subject, last_order> mOrders;
+  std::map<subject, steady_time> mNoneLeftUntil;
+  // Calls that may be sent now, of a rate that never exceeds the platform's.
+  double mBudget = 0;
+  int mCalls = 0;
+  // Counts how often the duties have been taken or lost.
+  std::uint64_t mTerm = 0;
+  steady_time mPausedUntil{};
+  milliseconds mPause = kFirstPause;
+  timer_subscription mTick;
+};
+
+capacity_controller::capacity_controller(timer_service& aTimers,
+                                         metrics& aMetrics,
+                                         duty_lease& aLease,
+                                         capacity_settings aSettings,
+                                         capacity_hooks aHooks)
+  : mState(std::make_shared<state>(aTimers,
+                                   aMetrics,
+                                   aLease,
+                                   aSettings,
+                                   std::move(aHooks)))
+{
+}
+
+capacity_controller::~capacity_controller() = default;
+
+void
+capacity_controller::Start()
+{
+  mState->mTick =
+    mState->mTimers.Every(kTick, [self = mState.get()] { self->Tick(); });
+}
+
+void
+capacity_controller::OnHolderChanged()
+{
+  ++mState->mTerm;
+  mState->mOrders.clear();
+  mState->mPools.clear();
+}
+
+} // namespace sapphirespar::duties
