--- a/include/sapphirespar/config/gateway_settings.hpp
+++ b/include/sapphirespar/config/gateway_settings.hpp
@@ -10,6 +10,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -32,6 +33,26 @@
   std::size_t mTotalBytes = 48 * 1024 * 1024;
 };
 
+// Calls to the platform that one gateway makes for the whole fleet.
+struct duty_settings
+{
+  // Where the platform takes the calls.
+  address_port mPlatform;
+  // Whether usage is reported, and whether upstreams are ordered.
+  bool mMetering = false;
+  bool mAutoscaler = false;
+  // Switches orders off without a restart, and keeps what runs.
+  bool mSendsOrders = true;
+  // Calls that the platform takes from all gateways together.
+  double mCallsPerSecond = 50;
+  // Within this time, the duties change their holder at most once.
+  std::chrono::milliseconds mLease{ 3000 };
+  // Usage is reported for each window of this length, at the latest after
+  // mReportDelay.
+  std::chrono::milliseconds mReportWindow{ 5000 };
+  std::chrono::milliseconds mReportDelay{ 10000 };
+};
+
 struct gateway_settings
 {
   vm_id mVm;
@@ -86,6 +107,9 @@
   // Longest time for which callers may cache an answer of mEntry.
   std::chrono::milliseconds mEntryTtl{ 5000 };
 
+  // Unset if the platform asks for no such calls.
+  std::optional<duty_settings> mDuties;
+
   // Speed of the engines from which learning starts.
   engine_figures mEngines;
 
--- a/include/sapphirespar/gateway/forward.hpp
+++ b/include/sapphirespar/gateway/forward.hpp
@@ -85,6 +85,10 @@
       };
   std::function<bool(const pool_software&)> mMayBeginStream =
     [](const pool_software&) { return true; };
+  // Called when an upstream has begun to run a request of an account, with the
+  // time at which it began, as far as is known. See fleet_duties.
+  std::function<void(const account_id&, steady_time)> mCountUsage =
+    [](const account_id&, steady_time) {};
 };
 
 // Handles one request until it is answered or the caller disconnects. Writes
--- a/include/sapphirespar/gateway/gossip_link.hpp
+++ b/include/sapphirespar/gateway/gossip_link.hpp
@@ -6,6 +6,7 @@
 #include "sapphirespar/gateway/peer_table.hpp"
 #include "sapphirespar/model/gossip.hpp"
 #include "sapphirespar/model/stream_message.hpp"
+#include "sapphirespar/model/usage_message.hpp"
 #include "sapphirespar/wire/http_client.hpp"
 
 #include <boost/asio/io_context.hpp>
@@ -39,6 +40,7 @@
   // Called with the sender's address.
   std::function<void(const std::string& aFrom, const stream_message&)>
     mReceivedStreams;
+  std::function<void(const usage_message&)> mReceivedUsage;
 };
 
 class gossip_link
@@ -71,6 +73,8 @@
 
   void SendStreams(const std::string& aAddress, const stream_message& aMessage);
 
+  void SendUsage(const std::string& aAddress, const usage_message& aMessage);
+
 private:
   struct state;
   std::shared_ptr<state> mState;
--- a/include/sapphirespar/gateway/peer_table.hpp
+++ b/include/sapphirespar/gateway/peer_table.hpp
@@ -9,6 +9,7 @@
 #include "sapphirespar/policy/upstream_load.hpp"
 
 #include <map>
+#include <optional>
 #include <span>
 #include <unordered_map>
 #include <vector>
@@ -33,6 +34,13 @@
   auto operator<=>(const peer_contact&) const = default;
 };
 
+// A gateway that does the duties of the fleet, and its fencing token.
+struct duty_holder
+{
+  vm_id mVm;
+  std::uint64_t mToken = 0;
+};
+
 enum class gossip_effect
 {
   // Older than the known state, or this gateway's own.
@@ -83,6 +91,13 @@
   std::vector<vm_id> Readers(steady_time aNow) const;
   bool IsFirstReader(steady_time aNow) const;
 
+  // The other live gateway that tells that it holds the duties, with the
+  // highest token; nothing if none does.
+  std::optional<duty_holder> DutyHolder(steady_time aNow) const;
+
+  // The other live gateways that tell of duties.
+  std::vector<vm_id> DutyGateways(steady_time aNow) const;
+
   // The last state that a gateway sent; null if none is known.
   const gossip_state* Find(const vm_id& aVm) const;
 
--- a/include/sapphirespar/gateway/protocol.hpp
+++ b/include/sapphirespar/gateway/protocol.hpp
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "sapphirespar/base/ids.hpp"
+#include "sapphirespar/duties/duty_calls.hpp"
 #include "sapphirespar/model/routing.hpp"
 #include "sapphirespar/model/upstream_rate.hpp"
 #include "sapphirespar/wire/http_message.hpp"
@@ -98,6 +99,13 @@
   std::uint16_t mPort = 0;
 };
 
+// Who makes a call for the whole fleet, and its permission to do so.
+struct duty_caller
+{
+  vm_id mVm;
+  duties::fencing_token mToken = 0;
+};
+
 struct protocol
 {
   std::function<request_info(const wire::http_headers&)> mReadRequest;
@@ -130,6 +138,15 @@
   std::function<std::string(std::span<const entry_point>,
                             std::chrono::milliseconds aTimeToLive)>
     mEntryBody;
+  // Make the calls of the duties. The answer is read by its status alone.
+  std::function<wire::http_request(const duties::usage_report&,
+                                   const duty_caller&)>
+    mUsageRequest;
+  std::function<wire::http_request(const duties::capacity_order&,
+                                   const duty_caller&)>
+    mCapacityRequest;
+  std::function<duties::duty_reply(unsigned aStatus)> mReadDutyReply;
+
   // Paths of the gateway's entry and readiness pages.
   std::string mEntryPath;
   std::string mReadinessPath;
--- a/src/sapphirespar/config/gateway_settings.cpp
+++ b/src/sapphirespar/config/gateway_settings.cpp
@@ -21,6 +21,7 @@
 constexpr real_bounds kProcessorBounds{ 0.001, 1024 };
 constexpr real_bounds kRatioBounds{ 0, 10 };
 constexpr real_bounds kSlackBounds{ 0, 1'000'000 };
+constexpr real_bounds kCallRateBounds{ 0.1, 100'000 };
 constexpr real_bounds kTokenRateBounds{ 0.01, 100'000 };
 constexpr real_bounds kFirstEventBounds{ 0.1, 60'000 };
 constexpr real_bounds kChunkBounds{ 16, 1'000'000 };
@@ -212,6 +213,30 @@
   read("total_bytes", kLeastTotal, answers.mTotalBytes);
 }
 
+void
+ReadDuties(toml_table& aTable, gateway_settings& aSettings)
+{
+  duty_settings duties;
+  duties.mPlatform = ReadAddressPort(aTable, "address");
+  // Other duties may be named, which this program does not do.
+  const auto assigned = aTable.Texts("assigned");
+  const auto has = [&](std::string_view aDuty) {
+    return std::ranges::find(assigned, aDuty) != assigned.end();
+  };
+  duties.mMetering = has("metering");
+  duties.mAutoscaler = has("autoscaler");
+  duties.mSendsOrders = aTable.Flag("send_orders", duties.mSendsOrders);
+  duties.mCallsPerSecond =
+    aTable.Real("calls_per_s", kCallRateBounds, duties.mCallsPerSecond);
+  duties.mLease =
+    aTable.Milliseconds("lease_ms", kFreshnessBounds, duties.mLease.count());
+  duties.mReportWindow =
+    ReadSeconds(aTable, "report_window_s", duties.mReportWindow);
+  duties.mReportDelay =
+    ReadSeconds(aTable, "report_delay_s", duties.mReportDelay);
+  aSettings.mDuties = duties;
+}
+
 void
 ReadAll(toml_table& aRoot, gateway_settings& aSettings)
 {
@@ -237,6 +262,7 @@
   aRoot.Table("requests", with(ReadRequests));
   aRoot.Table("bounds", with(ReadBounds));
   aRoot.Table("engines", with(ReadEngines));
+  aRoot.Table("duties", with(ReadDuties));
   aRoot.Table("log", [&](toml_table& aTable) {
     aSettings.mLogLevel = ReadLogLevel(aTable, "level", aSettings.mLogLevel);
   });
--- a/src/sapphirespar/config/gateway_settings_test.cpp
+++ b/src/sapphirespar/config/gateway_settings_test.cpp
@@ -154,6 +154,28 @@
             "g.toml:15: limits.memory_mb: expected 16 to 16000000, found 0");
 }
 
+TEST(GatewaySettings, ReadsTheDuties)
+{
+  EXPECT_FALSE(ParseGatewaySettings(kGood, "g.toml")->mDuties);
+  const auto settings = ParseGatewaySettings(kGood + R"([duties]
+address = "10.0.0.7:80"
+assigned = ["metering", "another"]
+lease_ms = 2000
+report_window_s = 4
+)",
+                                             "g.toml");
+  ASSERT_TRUE(settings);
+  ASSERT_TRUE(settings->mDuties);
+  EXPECT_EQ(settings->mDuties->mPlatform.mPort, 80);
+  EXPECT_TRUE(settings->mDuties->mMetering);
+  EXPECT_FALSE(settings->mDuties->mAutoscaler);
+  EXPECT_EQ(settings->mDuties->mLease, 2s);
+  EXPECT_EQ(settings->mDuties->mReportWindow, 4s);
+  EXPECT_EQ(settings->mDuties->mReportDelay, duty_settings{}.mReportDelay);
+  EXPECT_EQ(FailureOf(kGood + "[duties]\naddress = \"x:1\"\nlease_ms = 0\n"),
+            "g.toml:16: duties.lease_ms: expected 500 to 600000, found 0");
+}
+
 TEST(GatewaySettings, NamesFileLineAndKeyOfEachFailure)
 {
   EXPECT_EQ(FailureOf(kGood + "[peers]\nseeds = [\"10.0.0.2\"]\n"),
--- a/src/sapphirespar/gateway/forward_attempt.cpp
+++ b/src/sapphirespar/gateway/forward_attempt.cpp
@@ -213,6 +213,7 @@
     const bool unfit = failed || mProgress.mBegun;
     mUpstream.mHealth.AddResult(unfit, steady_clock::now());
     if (unfit) {
+      CountUsage(mAttempt.mStarted);
       auto result = End(attempt_end::Failed);
       result.mFailure = std::move(response);
       result.mFailureMemory = mMemory;
@@ -246,6 +247,14 @@
     }
     mUpstream.mPrefixCache.Add(mTarget.mShared, now);
     mLearning.OnFirstEvent(now);
+    CountUsage(mForwarded.mEngine ? now : mAttempt.mStarted);
+  }
+
+  void CountUsage(steady_time aBegan)
+  {
+    if (mForwarded.mAccount) {
+      mServices.mCountUsage(*mForwarded.mAccount, aBegan);
+    }
   }
 
   asio::awaitable<attempt_result> RelayStream()
--- a/src/sapphirespar/gateway/gateway_app.cpp
+++ b/src/sapphirespar/gateway/gateway_app.cpp
@@ -94,6 +94,22 @@
       return (this->*aPage)(aTarget);
     };
   };
+  if (mSettings.mDuties) {
+    mDuties.emplace(duty_parts{ mContext.get_executor(),
+                                mPlatform,
+                                mTimers,
+                                mMetrics,
+                                mProtocol,
+                                mRouting,
+                                mUpstreams,
+                                mPeers,
+                                mSplit,
+                                mGossip },
+                    mSelf,
+                    mSettings.mFirstStart,
+                    *mSettings.mDuties);
+    mDuties->Start();
+  }
   mReadiness =
     ServePages(mSettings.mReadiness, bindPage(&state::ServeReadiness));
   mEntry = ServePages(mSettings.mEntry, bindPage(&state::ServeEntry));
@@ -300,6 +316,9 @@
   mState->mGossip.SetSeeds(GossipSettings(settings).mSeeds);
   mState->mForward.mKeyFreshness = settings.mKeyFreshness;
   mState->mRetries.SetLimits(RetryLimits(settings));
+  if (mState->mDuties && aSettings.mDuties) {
+    mState->mDuties->Reload(*aSettings.mDuties);
+  }
 }
 
 void
@@ -314,6 +333,9 @@
            { { "in_progress", mState->mCallers->RequestsInProgress() },
              { "drain_ms", mState->mSettings.mDrainTime.count() } });
   mState->mCallers->DisableKeepAlive();
+  if (mState->mDuties) {
+    mState->mDuties->Release();
+  }
   mState->mGossip.SendNow();
   mState->mStreams.HandOver();
   mState->StopWhenIdle();
--- a/src/sapphirespar/gateway/gateway_app_state.hpp
+++ b/src/sapphirespar/gateway/gateway_app_state.hpp
@@ -1,6 +1,7 @@
 // The parts of a gateway and what connects them. Internal to gateway.
 #pragma once
 
+#include "fleet_duties.hpp"
 #include "pages.hpp"
 #include "store_snapshot_codec.hpp"
 
@@ -107,6 +108,8 @@
   store_reader mReader;
   gateway_registry mRegistry;
   gossip_link mGossip;
+  // Unset if the settings name no duties.
+  std::optional<fleet_duties> mDuties;
   forward_services mForward;
   const memory_budget_ptr mRequestMemory =
     std::make_shared<memory_budget>(mSettings.mRequestBytes);
--- a/src/sapphirespar/gateway/gateway_hooks.cpp
+++ b/src/sapphirespar/gateway/gateway_hooks.cpp
@@ -77,6 +77,12 @@
       [this](const pool_software& aVersion) {
         return mSoftwareRecord.MayBegin(aVersion);
       },
+    .mCountUsage =
+      [this](const account_id& aAccount, steady_time aBegan) {
+        if (mDuties) {
+          mDuties->CountUsage(aAccount, aBegan);
+        }
+      },
   };
 }
 
@@ -137,11 +143,19 @@
     if (aState.mStore) {
       mReader.OnPeerSummary(*aState.mStore);
     }
+    if (mDuties) {
+      mDuties->OnGossip(aState);
+    }
   };
   hooks.mReceivedStreams = [this](const std::string& aFrom,
                                   const stream_message& aMessage) {
     mStreams.OnMessage(aFrom, aMessage);
   };
+  hooks.mReceivedUsage = [this](const usage_message& aMessage) {
+    if (mDuties) {
+      mDuties->OnUsage(aMessage);
+    }
+  };
   return hooks;
 }
 
@@ -285,6 +299,9 @@
   own.mRequestCrashReport = std::move(crashes.mRequests);
   own.mUpstreamRates = mRateGuard.Report();
   own.mBrittle = mBrittleGuard.Report();
+  if (mDuties) {
+    own.mDuties = mDuties->Gossip();
+  }
   const auto prefill = mPrefill.Demand(mTimers.Now());
   own.mInteractivePrefill = ToThousandths(prefill.mInteractive.mPrefill);
   own.mProcessor = ToThousandths(mSettings.mProcessor);
--- a/src/sapphirespar/gateway/gossip_link.cpp
+++ b/src/sapphirespar/gateway/gossip_link.cpp
@@ -5,6 +5,7 @@
 #include "sapphirespar/gateway/gossip_plan.hpp"
 #include "sapphirespar/wire/gossip_codec.hpp"
 #include "sapphirespar/wire/stream_codec.hpp"
+#include "sapphirespar/wire/usage_codec.hpp"
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/ip/udp.hpp>
@@ -87,6 +88,15 @@
       }
       return;
     }
+    if (wire::IsUsageMessage(aBytes)) {
+      const auto usage = wire::DecodeUsageMessage(aBytes);
+      if (usage) {
+        mHooks.mReceivedUsage(*usage);
+      } else {
+        LogUnreadable(aBytes);
+      }
+      return;
+    }
     const auto received = wire::DecodeGossip(aBytes);
     if (!received) {
       LogUnreadable(aBytes);
@@ -266,6 +276,13 @@
   mState->SendTo(aAddress, wire::EncodeStreamMessage(aMessage));
 }
 
+void
+gossip_link::SendUsage(const std::string& aAddress,
+                       const usage_message& aMessage)
+{
+  mState->SendTo(aAddress, wire::EncodeUsageMessage(aMessage));
+}
+
 void
 gossip_link::SendNow()
 {
--- a/src/sapphirespar/gateway/peer_choice.cpp
+++ b/src/sapphirespar/gateway/peer_choice.cpp
@@ -110,6 +110,32 @@
   return Readers(aNow).front() == mSelf.mVm;
 }
 
+std::optional<duty_holder>
+peer_table::DutyHolder(steady_time aNow) const
+{
+  std::optional<duty_holder> holder;
+  for (const auto& [vm, known] : mPeers) {
+    const auto& duties = known.mState.mDuties;
+    if (duties && duties->mToken > (holder ? holder->mToken : 0) &&
+        IsLive(known, aNow)) {
+      holder = { vm, duties->mToken };
+    }
+  }
+  return holder;
+}
+
+std::vector<vm_id>
+peer_table::DutyGateways(steady_time aNow) const
+{
+  std::vector<vm_id> vms;
+  for (const auto& [vm, known] : mPeers) {
+    if (known.mState.mDuties && IsLive(known, aNow)) {
+      vms.push_back(vm);
+    }
+  }
+  return vms;
+}
+
 bool
 peer_table::IsOwnerOf(std::uint64_t aKey, steady_time aNow) const
 {
--- a/src/sapphirespar/gateway/store_snapshot_codec.cpp
+++ b/src/sapphirespar/gateway/store_snapshot_codec.cpp
@@ -31,15 +31,19 @@
 json::object
 ToJson(const upstream_entry& aEntry)
 {
-  return { { "id", aEntry.mId.mText },
-           { "pool", aEntry.mPool },
-           { "address", aEntry.mAddress },
-           { "port", aEntry.mPort },
-           { "data_centre", aEntry.mDataCentre.mText },
-           { "slots", aEntry.mSlots },
-           { "draining", aEntry.mDraining },
-           { "born", aEntry.mStartedAtMs },
-           { "software", aEntry.mSoftware } };
+  json::object entry{ { "id", aEntry.mId.mText },
+                      { "pool", aEntry.mPool },
+                      { "address", aEntry.mAddress },
+                      { "port", aEntry.mPort },
+                      { "data_centre", aEntry.mDataCentre.mText },
+                      { "slots", aEntry.mSlots },
+                      { "draining", aEntry.mDraining },
+                      { "born", aEntry.mStartedAtMs },
+                      { "software", aEntry.mSoftware } };
+  if (aEntry.mPreemptible) {
+    entry["preemptible"] = true;
+  }
+  return entry;
 }
 
 json::object
@@ -86,6 +90,7 @@
   entry.mDraining = aValue.at("draining").as_bool();
   entry.mStartedAtMs = aValue.at("born").to_number<std::int64_t>();
   entry.mSoftware = TextAt(aValue, "software");
+  entry.mPreemptible = aValue.as_object().contains("preemptible");
   return entry;
 }
 
--- a/src/sapphirespar/gateway/store_snapshot_codec_test.cpp
+++ b/src/sapphirespar/gateway/store_snapshot_codec_test.cpp
@@ -21,6 +21,7 @@
   entry.mDraining = true;
   entry.mStartedAtMs = 1'700'000'000'000;
   entry.mSoftware = "v1";
+  entry.mPreemptible = entry.mId.mText == "b";
   return entry;
 }
 
