Raise the token with each renewal, and keep replacements until others run

Cause: (1) the record of the lease did not change, and the store gives no new version to a write that changes nothing, so the token never rose, and orders that had been refused were never repeated. (2) After a pause the plan counted on preemptible upstreams that had not been given. (3) Room for planned preemptible upstreams was taken from regular ones that still ran. Change: the record counts its writes; a data centre without preemptible upstreams is asked again without a change of the plan; regular ones go first within the bounds. Evidence: capacity_controller_test ReplacementsStayUntilOthersHaveStarted failed before.

--- a/include/sapphirespar/model/fake_platform.hpp
+++ b/include/sapphirespar/model/fake_platform.hpp
@@ -27,7 +27,8 @@
                                        object_version aFrom) const;
 
   // Writes if the object's version is aExpected, else returns Conflict.
-  // aDeleted writes a tombstone.
+  // aDeleted writes a tombstone. A write of the same value succeeds and leaves
+  // the version as it is.
   object_answer Write(object_key aKey,
                       std::string aValue,
                       bool aDeleted,
--- a/src/sapphirespar/duties/capacity_controller.cpp
+++ b/src/sapphirespar/duties/capacity_controller.cpp
@@ -20,7 +20,7 @@
 // upstreams take to start or to leave.
 constexpr milliseconds kSettleTime{ 6000 };
 
-// How long no preemptible upstreams are ordered where there were none.
+// Pause before preemptible upstreams are ordered again where there were none.
 constexpr milliseconds kNoneLeftPause{ 4000 };
 
 // An upstream may be listed this much later than after its start time.
@@ -65,6 +65,9 @@
     // later, unless it has seen a higher one by then.
     fencing_token mUnanswered = 0;
     bool mInProgress = false;
+    // The platform had no upstreams of this kind; it is asked again then. The
+    // epoch if it had, or has not been asked.
+    steady_time mNoneLeftUntil{};
   };
 
   struct pool_state
@@ -116,6 +119,11 @@
     const auto needed =
       state.mNeed.Update(*aPool.mNeeded, static_cast<unsigned>(kept), now);
     const auto plan = policy::PlanCapacity(aPool.mBounds, zones, needed);
+    // What would be ordered if the platform had preemptible upstreams again.
+    auto open = zones;
+    std::ranges::for_each(open,
+                          [](auto& aZone) { aZone.mNoPreemptible = false; });
+    const auto openPlan = policy::PlanCapacity(aPool.mBounds, open, needed);
     mMetrics.Set("duties_capacity_needed", { { "pool", aPool.mName } }, needed);
     for (std::size_t index = 0; index < zones.size(); ++index) {
       const auto& zone = zones[index];
@@ -124,9 +132,9 @@
           aPool.mName, zone.mDataCentre, aPreemptible, aWanted
         };
       };
-      if (aPool.mBounds.mPreemptiblePrice && !zone.mNoPreemptible) {
+      if (aPool.mBounds.mPreemptiblePrice) {
         Consider(aPool,
-                 order(true, plan[index].mPreemptible),
+                 order(true, openPlan[index].mPreemptible),
                  zone.mPreemptible,
                  needed);
       }
@@ -140,9 +148,9 @@
   {
     const auto now = mTimers.Now();
     const subject key{ aPool.mName, aZone.mDataCentre, true };
-    const auto none = mNoneLeftUntil.find(key);
-    aZone.mNoPreemptible = none != mNoneLeftUntil.end() && now < none->second;
     const auto last = mOrders.find(key);
+    aZone.mNoPreemptible =
+      last != mOrders.end() && last->second.mNoneLeftUntil != steady_time{};
     if (last != mOrders.end() && last->second.mUpstreams &&
         now - last->second.mSentAt < aPool.mBounds.mStartTime + kStartDelay) {
       const auto ordered = *last->second.mUpstreams;
@@ -164,7 +172,7 @@
     const bool wanted = differs || (settled && aPresent != aOrder.mUpstreams);
     const auto token = mLease.Token();
     if (!wanted || !token || last.mInProgress || mCalls >= kMaximumCalls ||
-        mBudget < 1 || now < mPausedUntil) {
+        mBudget < 1 || now < std::max(mPausedUntil, last.mNoneLeftUntil)) {
       return;
     }
     if (last.mUnanswered >= *token) {
@@ -227,6 +235,7 @@
     auto& last = mOrders[SubjectOf(aOrder)];
     last.mInProgress = false;
     if (aReply == duty_reply::Done) {
+      last.mNoneLeftUntil = {};
       mPause = kFirstPause;
       return;
     }
@@ -241,7 +250,7 @@
     } else if (aOrder.mPreemptible) {
       // Refused for want of upstreams, unless another gateway holds the duties,
       // which the next write of the lease tells.
-      mNoneLeftUntil[SubjectOf(aOrder)] = mTimers.Now() + kNoneLeftPause;
+      last.mNoneLeftUntil = mTimers.Now() + kNoneLeftPause;
     }
   }
 
@@ -267,7 +276,6 @@
   const capacity_hooks mHooks;
   std::map<std::string, pool_state> mPools;
   std::map<subject, last_order> mOrders;
-  std::map<subject, steady_time> mNoneLeftUntil;
   // Calls that may be sent now, of a rate that never exceeds the platform's.
   double mBudget = 0;
   int mCalls = 0;
--- a/src/sapphirespar/duties/capacity_controller_test.cpp
+++ b/src/sapphirespar/duties/capacity_controller_test.cpp
@@ -205,6 +205,24 @@
   EXPECT_EQ(mCloud.Total(false), 0U);
 }
 
+// While the platform is asked again and again, the replacements stay.
+TEST_F(capacity_controller_test, ReplacementsStayUntilOthersHaveStarted)
+{
+  mNeeded = 60;
+  mTimers.Advance(20s);
+  mCloud.mDry = true;
+  mCloud.mRunning[{ { "b" }, true }] = 0;
+  mCloud.mRunning[{ { "c" }, true }] = 0;
+  mTimers.Advance(10s);
+  for (int step = 0; step < 240; ++step) {
+    mCloud.mDry = step < 80;
+    mTimers.Advance(250ms);
+    EXPECT_GE(mCloud.Total(true) + mCloud.Total(false), 60U) << step;
+  }
+  EXPECT_EQ(mCloud.Total(true), 90U);
+  EXPECT_EQ(mCloud.Total(false), 0U);
+}
+
 // Orders that got no answer are carried out after newer ones.
 TEST_F(capacity_controller_test, Fault_AnswerLost_Duty_Order_LateOrdersAreVoid)
 {
--- a/src/sapphirespar/duties/duty_lease.cpp
+++ b/src/sapphirespar/duties/duty_lease.cpp
@@ -171,7 +171,7 @@
     mNextWrite = mTimers.Now() + mSettings.mPeriod;
     mPlatform.Put(
       Key(),
-      WriteLeaseRecord({ mSettings.mSelf, mEra }),
+      WriteLeaseRecord({ mSettings.mSelf, mEra, ++mWrites }),
       aExpected,
       BeginCall([sentAt](state& aSelf, const object_answer& aAnswer) {
         aSelf.OnWritten(aAnswer, sentAt);
@@ -231,7 +231,7 @@
   {
     mHeldVersion.reset();
     mPlatform.Put(Key(),
-                  WriteLeaseRecord({ {}, mEra }),
+                  WriteLeaseRecord({ {}, mEra, ++mWrites }),
                   aVersion,
                   BeginCall([](state&, const object_answer&) {}));
   }
@@ -291,6 +291,8 @@
   boot_time mMaySendAt{};
   boot_time mSendUntil{};
   std::optional<boot_time> mLastCall;
+  // Writes of the record so far.
+  std::uint64_t mWrites = 0;
   // The token of the record as last seen or told, and since when.
   std::optional<std::pair<fencing_token, boot_time>> mSeen;
   bool mReleased = false;
--- a/src/sapphirespar/duties/lease_record.cpp
+++ b/src/sapphirespar/duties/lease_record.cpp
@@ -22,9 +22,10 @@
     const auto& holder = value.at("holder").as_string();
     return { { { std::string(holder.data(), holder.size()) },
                value.at("incarnation").to_number<incarnation_number>() },
-             value.at("era").to_number<store_era>() };
+             value.at("era").to_number<store_era>(),
+             value.at("writes").to_number<std::uint64_t>() };
   } catch (const std::exception&) {
-    return { { { kUnreadable }, 0 }, 0 };
+    return { { { kUnreadable }, 0 }, 0, 0 };
   }
 }
 
@@ -34,7 +35,8 @@
   return json::serialize(
     json::object{ { "holder", aRecord.mHolder.mVm.mText },
                   { "incarnation", aRecord.mHolder.mIncarnation },
-                  { "era", aRecord.mEra } });
+                  { "era", aRecord.mEra },
+                  { "writes", aRecord.mWrites } });
 }
 
 } // namespace sapphirespar::duties
--- a/src/sapphirespar/duties/lease_record.hpp
+++ b/src/sapphirespar/duties/lease_record.hpp
@@ -4,6 +4,7 @@
 #include "sapphirespar/base/ids.hpp"
 #include "sapphirespar/model/platform.hpp"
 
+#include <cstdint>
 #include <string>
 #include <string_view>
 
@@ -15,6 +16,9 @@
   process_id mHolder;
   // The store's era in which the record was written; zero if it told none.
   store_era mEra = 0;
+  // Counts the holder's writes. The store gives no new version to a write that
+  // changes nothing.
+  std::uint64_t mWrites = 0;
 
   bool operator==(const lease_record&) const = default;
 };
--- a/src/sapphirespar/model/fake_platform.cpp
+++ b/src/sapphirespar/model/fake_platform.cpp
@@ -41,6 +41,10 @@
   if (version != aExpected) {
     return { platform_status::Conflict, exists ? *current : platform_object{} };
   }
+  // A write that changes nothing is not counted.
+  if (exists && !aDeleted && current->mValue == aValue) {
+    return { platform_status::Ok, *current };
+  }
   platform_object written{ aKey, ++mVersion, std::move(aValue), aDeleted };
   mObjects[std::move(aKey)] = written;
   const auto listeners = mListeners;
--- a/src/sapphirespar/policy/capacity_plan.cpp
+++ b/src/sapphirespar/policy/capacity_plan.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 #include <numeric>
 
 namespace sapphirespar::policy {
@@ -27,44 +28,47 @@
 // The same number of preemptible upstreams in each data centre, so that those
 // of all but one are enough. Where the platform has no more, the present ones
 // are kept.
-std::vector<zone_plan>
+std::vector<unsigned>
 SpreadPreemptible(const capacity_bounds& aBounds,
                   std::span<const zone_capacity> aZones,
                   unsigned aNeeded)
 {
   const auto others = static_cast<unsigned>(aZones.size()) - 1;
   const auto share = (aNeeded + others - 1) / others;
-  std::vector<zone_plan> plan;
-  for (const auto& zone : aZones) {
-    const auto wanted = zone.mNoPreemptible ? zone.mPreemptible : share;
-    plan.push_back({ 0, std::min(wanted, aBounds.mMaximum) });
-  }
-  return plan;
+  std::vector<unsigned> counts;
+  std::ranges::transform(
+    aZones, std::back_inserter(counts), [&](const zone_capacity& aZone) {
+      return std::min(aZone.mNoPreemptible ? aZone.mPreemptible : share,
+                      aBounds.mMaximum);
+    });
+  return counts;
 }
 
-// Adds aCount regular upstreams to the plan: those that are there first, as
-// far as the bounds allow.
-void
-AddRegular(std::vector<zone_plan>& aPlan,
-           const capacity_bounds& aBounds,
-           std::span<const zone_capacity> aZones,
-           unsigned aCount)
+// Plans aCount regular upstreams, as far as the bounds allow beside the
+// preemptible ones that run or are starting: those that are there first, then
+// the cheapest.
+std::vector<zone_plan>
+SpreadRegular(const capacity_bounds& aBounds,
+              std::span<const zone_capacity> aZones,
+              unsigned aCount)
 {
+  std::vector<zone_plan> plan(aZones.size());
   const auto order = CheapestFirst(aZones);
   const auto fill = [&](auto aLimit) {
     for (const auto index : order) {
-      auto& plan = aPlan[index];
-      const auto free =
-        aBounds.mMaximum - std::min(aBounds.mMaximum, plan.mPreemptible);
-      const auto limit = std::min(free, aLimit(aZones[index]));
-      const auto added =
-        std::min(aCount, limit - std::min(limit, plan.mRegular));
-      plan.mRegular += added;
+      const auto& zone = aZones[index];
+      const auto taken = zone.mPreemptible + zone.mStarting;
+      const auto free = aBounds.mMaximum - std::min(aBounds.mMaximum, taken);
+      auto& regular = plan[index].mRegular;
+      const auto limit = std::min(free, aLimit(zone));
+      const auto added = std::min(aCount, limit - std::min(limit, regular));
+      regular += added;
       aCount -= added;
     }
   };
   fill([](const zone_capacity& aZone) { return aZone.mRegular; });
   fill([&](const zone_capacity&) { return aBounds.mMaximum; });
+  return plan;
 }
 
 void
@@ -103,8 +107,13 @@
             std::span<const zone_capacity> aZones,
             unsigned aNeeded)
 {
-  std::vector<zone_plan> plan(aZones.size());
-  AddRegular(plan, aBounds, aZones, aNeeded);
+  // The preemptible ones make room.
+  std::vector<zone_capacity> zones(aZones.begin(), aZones.end());
+  std::ranges::for_each(zones, [](zone_capacity& aZone) {
+    aZone.mPreemptible = 0;
+    aZone.mStarting = 0;
+  });
+  auto plan = SpreadRegular(aBounds, zones, aNeeded);
   RaiseToMinimum(plan, aBounds);
   return plan;
 }
@@ -114,19 +123,23 @@
           std::span<const zone_capacity> aZones,
           unsigned aNeeded)
 {
-  auto plan = SpreadPreemptible(aBounds, aZones, aNeeded);
+  const auto wanted = SpreadPreemptible(aBounds, aZones, aNeeded);
   unsigned regular = 0;
   unsigned running = 0;
   unsigned expected = 0;
-  for (std::size_t index = 0; index < plan.size(); ++index) {
+  for (std::size_t index = 0; index < wanted.size(); ++index) {
     const auto& zone = aZones[index];
-    const auto wanted = plan[index].mPreemptible;
     regular += zone.mRegular;
-    running += std::min(wanted, zone.mPreemptible);
-    expected += std::min(wanted, zone.mPreemptible + zone.mStarting);
+    running += std::min(wanted[index], zone.mPreemptible);
+    expected += std::min(wanted[index], zone.mPreemptible + zone.mStarting);
   }
   const auto kept = std::min(regular, Missing(aNeeded, running));
-  AddRegular(plan, aBounds, aZones, std::max(kept, Missing(aNeeded, expected)));
+  auto plan =
+    SpreadRegular(aBounds, aZones, std::max(kept, Missing(aNeeded, expected)));
+  for (std::size_t index = 0; index < plan.size(); ++index) {
+    plan[index].mPreemptible =
+      std::min(wanted[index], aBounds.mMaximum - plan[index].mRegular);
+  }
   RaiseToMinimum(plan, aBounds);
   return plan;
 }
@@ -144,9 +157,11 @@
   }
   // Compares what the plans cost once all that is ordered runs.
   std::vector<zone_capacity> later(aZones.begin(), aZones.end());
-  const auto spread = SpreadPreemptible(aBounds, aZones, aNeeded);
+  const auto wanted = SpreadPreemptible(aBounds, aZones, aNeeded);
   for (std::size_t index = 0; index < later.size(); ++index) {
-    later[index].mPreemptible = spread[index].mPreemptible;
+    later[index].mRegular = 0;
+    later[index].mPreemptible = wanted[index];
+    later[index].mStarting = 0;
   }
   const auto settled = PlanMixed(aBounds, later, aNeeded);
   return PriceOf(settled, aBounds, aZones) < PriceOf(regular, aBounds, aZones)
