Soak: usage reports before a platform that falls silent

The gateways of the soak hold a lease of 0.6 s and report windows of half a second, while they are killed, paused and cut from the store; the platform carries calls out without answering for up to 2.5 s. Checked: one report for each window, one holder for each token.

--- a/include/sapphirespar/soak/invariant_checker.hpp
+++ b/include/sapphirespar/soak/invariant_checker.hpp
@@ -130,6 +130,9 @@
   // Returns the body of a complete response to a request.
   static std::string ExpectedBody(const std::string& aId, request_kind aKind);
 
+  // Adds a violated guarantee; aId names a request or a gateway.
+  void AddViolation(const std::string& aRule, const std::string& aId);
+
   // One line for each violated guarantee, with the request's id.
   const std::vector<std::string>& Violations() const { return mViolations; }
   soak_totals& Totals() { return mTotals; }
@@ -161,7 +164,6 @@
                    const std::string& aId,
                    unsigned aStatus);
   void CheckNamedRate(const std::string& aId, const upstream_gateway& aLink);
-  void AddViolation(const std::string& aRule, const std::string& aId);
   void ForgetGateway(unsigned aGateway);
   bool IsExcused(const upstream_gateway& aLink) const;
 
--- a/include/sapphirespar/soak/soak_harness.hpp
+++ b/include/sapphirespar/soak/soak_harness.hpp
@@ -3,6 +3,7 @@
 // fault proxy.
 #pragma once
 
+#include "sapphirespar/soak/duty_platform.hpp"
 #include "sapphirespar/soak/fault_proxy.hpp"
 #include "sapphirespar/soak/invariant_checker.hpp"
 
@@ -109,6 +110,7 @@
   void Run();
 
   invariant_checker& Checker() { return mChecker; }
+  const duty_platform& Duties() const { return mDuties; }
   const std::filesystem::path& Directory() const { return mDirectory; }
 
 private:
@@ -155,6 +157,7 @@
   // operator and the upstreams had written.
   asio::awaitable<void> RestoreStore();
   asio::awaitable<void> DisturbStore();
+  asio::awaitable<void> SilenceDuties();
   // Makes an upstream say something in its answers for some time. One that
   // leaves is replaced by a new incarnation afterwards.
   asio::awaitable<void> ChangeUpstream(unsigned aNumber, upstream_state aState);
@@ -182,6 +185,7 @@
   asio::io_context mContext{ 1 };
   invariant_checker mChecker;
   tools::standin_platform mStore;
+  duty_platform mDuties;
   wire::http_client mStoreClient;
   std::vector<soak_upstream> mUpstreams;
   std::vector<std::unique_ptr<gateway_process>> mGateways;
--- a/src/sapphirespar/soak/soak_harness.cpp
+++ b/src/sapphirespar/soak/soak_harness.cpp
@@ -36,8 +36,15 @@
 }
 
 std::string
-MakeSettings(const gateway_process& aGateway)
+MakeSettings(const gateway_process& aGateway, std::uint16_t aDutyPort)
 {
+  // An earlier build may not know duties.
+  const auto duties =
+    aDutyPort == 0
+      ? std::string()
+      : "[duties]\naddress = \"127.0.0.1:" + std::to_string(aDutyPort) +
+          "\"\nassigned = [\"metering\"]\nlease_ms = 600\n"
+          "report_window_s = 0.5\nreport_delay_s = 2\n";
   const auto listenAddress = [&](unsigned aPort) {
     return "\"" + aGateway.mAddress + ":" + std::to_string(aPort) + "\"\n";
   };
@@ -51,7 +58,7 @@
          "\nmetrics_port = " + std::to_string(kMetricsPort) +
          "\n[platform]\naddress = \"127.0.0.1:" +
          std::to_string(aGateway.mStorePath->Port()) +
-         "\"\n[bounds]\nretry_slack = 100\n";
+         "\"\n[bounds]\nretry_slack = 100\n" + duties;
 }
 
 } // namespace
@@ -60,6 +67,10 @@
   : mOptions(std::move(aOptions))
   , mRandom(mOptions.mSeed)
   , mStore(mContext, tools::platform_settings{})
+  , mDuties(mContext,
+            [this](const std::string& aRule, const std::string& aHolder) {
+              mChecker.AddViolation(aRule, aHolder);
+            })
   , mStoreClient(mContext.get_executor(), wire::http_client_settings{})
 {
   std::string name =
@@ -114,7 +125,8 @@
   gateway->mLog = mDirectory / (gateway->mName + ".log");
   gateway->mStorePath =
     std::make_unique<fault_proxy>(mContext, Loopback(mStore.Port()));
-  std::ofstream(gateway->mSettings) << MakeSettings(*gateway);
+  std::ofstream(gateway->mSettings)
+    << MakeSettings(*gateway, other ? 0 : mDuties.Port());
   mGateways.push_back(std::move(gateway));
 }
 
--- a/src/sapphirespar/soak/soak_store.cpp
+++ b/src/sapphirespar/soak/soak_store.cpp
@@ -176,4 +176,12 @@
   }
 }
 
+asio::awaitable<void>
+soak_harness::SilenceDuties()
+{
+  mDuties.SetSilent(true);
+  co_await Sleep(milliseconds(500 + Draw(2000)));
+  mDuties.SetSilent(false);
+}
+
 } // namespace sapphirespar::soak
--- a/src/sapphirespar/soak/soak_workload.cpp
+++ b/src/sapphirespar/soak/soak_workload.cpp
@@ -247,7 +247,7 @@
   auto& gateway = *mGateways[gatewayNumber];
   const auto fault = kLinkFaults[Draw(kLinkFaults.size())];
   const milliseconds duration(200 + Draw(2500));
-  switch (Draw(12)) {
+  switch (Draw(13)) {
     case 0:
       co_await Restart(gatewayNumber, SIGKILL);
       break;
@@ -259,6 +259,9 @@
       co_await Pause(gateway);
       mChecker.EndGatewayExcuse(gatewayNumber);
       break;
+    case 12:
+      co_await SilenceDuties();
+      break;
     case 3:
       Signal(gateway, SIGHUP);
       break;
