Measure stalls of streams against the engine's own pace

What callers saw: on a pool whose engines differ in speed, streams of short answers paused for longer than their target while long prompts were processed beside them. Cause: a stream at a slow engine looks stalled beside the pool's quickest step. The learned chunk fell from 4096 to 400 tokens within 30 s, long prompts seemed to do streams no harm, and the engines were not split any more. Change: each engine has a pace of its own, learned from the gaps of its streams; only gaps that are long beside it count as stalled. Evidence: EngineModel.SlowEnginesOfAPoolDoNotMoveTheChunk failed before.

--- a/include/sapphirespar/gateway/upstream_directory.hpp
+++ b/include/sapphirespar/gateway/upstream_directory.hpp
@@ -6,6 +6,7 @@
 #include "sapphirespar/gateway/protocol.hpp"
 #include "sapphirespar/model/gossip.hpp"
 #include "sapphirespar/model/routing.hpp"
+#include "sapphirespar/policy/engine_model.hpp"
 #include "sapphirespar/policy/engine_split.hpp"
 #include "sapphirespar/policy/passive_health.hpp"
 #include "sapphirespar/policy/upstream_load.hpp"
@@ -70,6 +71,7 @@
   policy::upstream_load mPeerLoad;
   policy::passive_health mHealth;
   prefix_cache_estimate mPrefixCache;
+  policy::engine_pace mPace;
   // The upstream has stated that it is shutting down; never reset.
   bool mLeaving = false;
   // The upstream wants no request from this gateway until then.
--- a/include/sapphirespar/policy/engine_model.hpp
+++ b/include/sapphirespar/policy/engine_model.hpp
@@ -6,6 +6,7 @@
 
 #include <cstddef>
 #include <map>
+#include <optional>
 #include <span>
 #include <string>
 
@@ -43,6 +44,23 @@
   unsigned mSamples = 0;
 };
 
+// How fast one engine generates tokens while no prefill stalls it. Engines of a
+// pool may differ in speed.
+class engine_pace
+{
+public:
+  // Records the time that a token took beside aRunning requests.
+  void Add(double aTokenMs, const engine_figures& aFigures, unsigned aRunning);
+
+  // Returns the expected time of a token beside aRunning requests; that of the
+  // pool's engines before the first sample.
+  double TokenMs(const engine_figures& aFigures, unsigned aRunning) const;
+
+private:
+  // Without the part that other requests add.
+  std::optional<quantile_estimate> mStepMs;
+};
+
 // Each sample moves an estimate by a limited factor towards itself, however far
 // away it is, and by a few per cent once there have been some. So lost, late or
 // wrong answers, and a minority of engines with another speed, do not distort
@@ -67,10 +85,11 @@
 
   // Records the latest gaps between events of a stream, oldest first, in
   // milliseconds. Each event holds aTokensPerEvent tokens, and aRunning
-  // requests ran at the engine.
+  // requests ran at the engine, whose pace is aPace.
   void AddGaps(std::span<const double, kGaps> aGaps,
                unsigned aTokensPerEvent,
-               unsigned aRunning);
+               unsigned aRunning,
+               engine_pace& aPace);
 
 private:
   engine_figures mFigures;
--- a/src/sapphirespar/gateway/attempt_learning.cpp
+++ b/src/sapphirespar/gateway/attempt_learning.cpp
@@ -49,7 +49,8 @@
       mServices.mModels.Of(mForwarded.mPool)
         .AddGaps(mGaps,
                  mForwarded.mEngine->mTokensPerEvent,
-                 static_cast<unsigned>(std::max(load.mRunning, 1)));
+                 static_cast<unsigned>(std::max(load.mRunning, 1)),
+                 mTarget.mUpstream->mPace);
     }
   }
   mLastEventAt = aNow;
--- a/src/sapphirespar/policy/engine_model.cpp
+++ b/src/sapphirespar/policy/engine_model.cpp
@@ -22,6 +22,9 @@
 constexpr double kStalledQuantile = 0.85;
 constexpr double kUnhinderedQuantile = 0.05;
 
+// Events may arrive together, so that a gap takes no time.
+constexpr double kShortestStepMs = 0.01;
+
 // While an engine processes one full chunk after another, the gaps of a stream
 // are equal, and longer than this multiple of an unhindered gap. Gaps of many
 // tokens are nearly equal also by chance, since each is a sum of many steps, so
@@ -78,6 +81,29 @@
                             StepMs(aFigures, aRunning));
 }
 
+void
+engine_pace::Add(double aTokenMs,
+                 const engine_figures& aFigures,
+                 unsigned aRunning)
+{
+  if (!std::isfinite(aTokenMs)) {
+    return;
+  }
+  const double step =
+    std::max(aTokenMs - aFigures.mStepMsPerRequest * aRunning, kShortestStepMs);
+  if (!mStepMs) {
+    mStepMs.emplace(step);
+  }
+  Track(*mStepMs, step, kUnhinderedQuantile);
+}
+
+double
+engine_pace::TokenMs(const engine_figures& aFigures, unsigned aRunning) const
+{
+  const double step = mStepMs ? mStepMs->mValue : aFigures.mStepMs;
+  return step + aFigures.mStepMsPerRequest * aRunning;
+}
+
 engine_model::engine_model(const engine_figures& aStart)
   : mFigures(aStart)
   , mTokenMs(1 / aStart.mPrefillTokensPerMs)
@@ -105,13 +131,17 @@
 void
 engine_model::AddGaps(std::span<const double, kGaps> aGaps,
                       unsigned aTokensPerEvent,
-                      unsigned aRunning)
+                      unsigned aRunning,
+                      engine_pace& aPace)
 {
   if (aTokensPerEvent == 0) {
     return;
   }
   const double perToken = aGaps.back() / aTokensPerEvent;
-  const double step = StepMs(mFigures, aRunning);
+  // Gaps of an engine that is slower than the others are no stalls.
+  const double step = std::max(StepMs(mFigures, aRunning),
+                               aPace.TokenMs(mFigures, aRunning));
+  aPace.Add(perToken, mFigures, aRunning);
   Track(mStepMs,
         perToken - mFigures.mStepMsPerRequest * aRunning,
         kUnhinderedQuantile);
--- a/src/sapphirespar/policy/engine_model_test.cpp
+++ b/src/sapphirespar/policy/engine_model_test.cpp
@@ -47,7 +47,7 @@
                          mTrue.mStepMsPerRequest * kRunning) +
             Noise(1);
     }
-    aModel.AddGaps(gaps, kPerEvent, kRunning);
+    aModel.AddGaps(gaps, kPerEvent, kRunning, mPace);
   }
 
   static constexpr unsigned kPerEvent = 6;
@@ -58,6 +58,7 @@
   double Noise(double aMs) { return aMs * (2 * Draw() - 1); }
 
   engine_figures mTrue;
+  engine_pace mPace;
   std::mt19937_64 mRandom;
 };
 
@@ -115,9 +116,37 @@
   std::mt19937_64 random(*rc::gen::inRange(1, 1000));
   std::normal_distribution<double> gap(300, 25);
   engine_model model(kStart);
+  engine_pace pace;
   for (int sample = 0; sample < 1000; ++sample) {
     const std::array gaps{ gap(random), gap(random), gap(random), gap(random) };
-    model.AddGaps(gaps, 9, 10);
+    model.AddGaps(gaps, 9, 10, pace);
+  }
+  RC_ASSERT(ErrorFactor(model.Figures().mChunkTokens, kStart.mChunkTokens) <
+            1.4);
+}
+
+// Steady streams of engines that are slower than most of their pool are not
+// taken for stalled ones. Otherwise the chunk seems short, and long prompts
+// seem to do streams no harm.
+RC_GTEST_PROP(EngineModel, SlowEnginesOfAPoolDoNotMoveTheChunk, ())
+{
+  std::mt19937_64 random(*rc::gen::inRange(1, 1000));
+  std::uniform_real_distribution<double> noise(-1, 1);
+  constexpr unsigned kTokens = 8;
+  const std::array speeds{ 0.7, 0.7, 1.7 };
+  engine_model model(kStart);
+  std::array<engine_pace, 30> paces;
+  for (int sample = 0; sample < 3000; ++sample) {
+    const auto engine = random() % paces.size();
+    const double speed = speeds[engine % speeds.size()];
+    const unsigned running = 1 + random() % 15;
+    const double gap =
+      kTokens * (kStart.mStepMs + kStart.mStepMsPerRequest * running) / speed;
+    const std::array gaps{ gap + noise(random),
+                           gap + noise(random),
+                           gap + noise(random),
+                           gap + noise(random) };
+    model.AddGaps(gaps, kTokens, running, paces[engine]);
   }
   RC_ASSERT(ErrorFactor(model.Figures().mChunkTokens, kStart.mChunkTokens) <
             1.4);
@@ -129,9 +158,10 @@
   std::mt19937_64 random(7);
   std::uniform_real_distribution<double> gap(20, 150);
   engine_model model(kStart);
+  engine_pace pace;
   for (int sample = 0; sample < 2000; ++sample) {
     const std::array gaps{ gap(random), gap(random), gap(random), gap(random) };
-    model.AddGaps(gaps, 6, 10);
+    model.AddGaps(gaps, 6, 10, pace);
   }
   EXPECT_LT(ErrorFactor(model.Figures().mChunkTokens, kStart.mChunkTokens),
             1.25);
@@ -141,6 +171,7 @@
 RC_GTEST_PROP(EngineModel, NeverDivergesOnWrongAnswers, ())
 {
   engine_model model(kStart);
+  engine_pace pace;
   const auto anyMs = [] {
     return *rc::gen::element(
       0.0, 1e-9, 1.0, 50.0, 1e4, 1e12, -5.0, std::nan(""), HUGE_VAL);
@@ -148,7 +179,8 @@
   for (int sample = 0; sample < 300; ++sample) {
     model.AddFirstEvent(anyMs(), anyMs());
     const std::array gaps{ anyMs(), anyMs(), anyMs(), anyMs() };
-    model.AddGaps(gaps, *rc::gen::inRange(0U, 3U), *rc::gen::inRange(0U, 3U));
+    model.AddGaps(
+      gaps, *rc::gen::inRange(0U, 3U), *rc::gen::inRange(0U, 3U), pace);
   }
   const auto& figures = model.Figures();
   const auto inRange = [](double aValue, double aStart) {
