--- a/idl/gossip.thrift
+++ b/idl/gossip.thrift
@@ -105,6 +105,12 @@
   3: i64 fixed_window;
 }
 
+// How long an engine that is slower than its pool takes for a token.
+struct gossip_engine_pace {
+  1: i64 upstream;
+  2: i32 step_us;
+}
+
 struct gossip_state {
   1: string vm;
   2: i64 incarnation;
@@ -154,6 +160,8 @@
   30: list<gossip_rationed_pool> rationed_pools;
   // Absent unless the sender's settings name duties.
   31: optional gossip_duties duties;
+  // Sent within the sender's data centre only.
+  32: list<gossip_engine_pace> engine_paces;
 }
 
 // One stream's part at one pool: which version of the upstreams' software began
--- a/include/sapphirespar/gateway/upstream_directory.hpp
+++ b/include/sapphirespar/gateway/upstream_directory.hpp
@@ -12,6 +12,7 @@
 #include "sapphirespar/policy/upstream_load.hpp"
 
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -189,6 +190,14 @@
   // part of the result is zero.
   policy::engine_demand SlotDemand() const;
 
+  // The engines that this gateway has lately found to be slower than others of
+  // their pools, for other gateways; aFigures tells those of a pool.
+  std::vector<engine_pace_report> SlowEngines(
+    const std::function<engine_figures(const std::string&)>& aFigures) const;
+
+  // Takes what another gateway has found.
+  void NotePaces(std::span<const engine_pace_report> aReports);
+
   // This gateway's load on each upstream, as sent to other gateways.
   std::vector<gossip_load> OwnLoads() const;
 
--- a/include/sapphirespar/model/gossip.hpp
+++ b/include/sapphirespar/model/gossip.hpp
@@ -70,6 +70,17 @@
   bool operator==(const duty_gossip&) const = default;
 };
 
+// How long an engine that is slower than others of its pool takes for a token,
+// beside no other requests, as the sender has measured lately.
+struct engine_pace_report
+{
+  // Identifies the engine as in gossip_load.
+  std::uint64_t mUpstream = 0;
+  std::uint32_t mStepUs = 0;
+
+  bool operator==(const engine_pace_report&) const = default;
+};
+
 // One gossip message.
 struct gossip_state
 {
@@ -115,6 +126,8 @@
   brittle_report mBrittle;
   // Unset unless the sender's settings name duties.
   std::optional<duty_gossip> mDuties;
+  // For gateways of the sender's data centre.
+  std::vector<engine_pace_report> mEnginePaces;
 
   bool operator==(const gossip_state&) const = default;
 };
--- a/include/sapphirespar/policy/engine_choice.hpp
+++ b/include/sapphirespar/policy/engine_choice.hpp
@@ -42,6 +42,8 @@
   unsigned mSlots = 0;
   // Memory in tokens; zero if unknown.
   double mMemoryTokens = 0;
+  // How many times as long as the figures say it takes.
+  double mSlowness = 1;
   // Recent lateness of its first events against the prediction, plus the cost
   // of its failures, in milliseconds.
   double mPenaltyMs = 0;
--- a/include/sapphirespar/policy/engine_model.hpp
+++ b/include/sapphirespar/policy/engine_model.hpp
@@ -52,13 +52,26 @@
   // Records the time that a token took beside aRunning requests.
   void Add(double aTokenMs, const engine_figures& aFigures, unsigned aRunning);
 
+  // Records the step that another gateway has learned, in milliseconds.
+  void AddReport(double aStepMs);
+
+  // The step learned from enough samples of this gateway's own streams; nothing
+  // before. For other gateways.
+  std::optional<double> OwnStepMs() const;
+
+  // Returns how many times as long as the quicker engines of the pool this one
+  // takes; 1 if it hardly differs or is not known.
+  double Slowness(const engine_figures& aFigures) const;
+
   // Returns the expected time of a token beside aRunning requests; that of the
-  // pool's engines before the first sample.
+  // slowest possible engine before enough samples.
   double TokenMs(const engine_figures& aFigures, unsigned aRunning) const;
 
 private:
   // Without the part that other requests add.
   std::optional<quantile_estimate> mStepMs;
+  // Samples of this gateway's own streams.
+  unsigned mOwnSamples = 0;
 };
 
 // Each sample moves an estimate by a limited factor towards itself, however far
--- a/src/sapphirespar/gateway/gateway_hooks.cpp
+++ b/src/sapphirespar/gateway/gateway_hooks.cpp
@@ -145,6 +145,7 @@
     if (aState.mStore) {
       mReader.OnPeerSummary(*aState.mStore);
     }
+    mUpstreams.NotePaces(aState.mEnginePaces);
     if (mDuties) {
       mDuties->OnGossip(aState);
     }
@@ -304,6 +305,11 @@
   if (mDuties) {
     own.mDuties = mDuties->Gossip();
   }
+  own.mEnginePaces = mUpstreams.SlowEngines([this](const std::string& aPool) {
+    const auto model = mModels.All().find(aPool);
+    return model == mModels.All().end() ? mSettings.mEngines
+                                        : model->second.Figures();
+  });
   const auto prefill = mPrefill.Demand(mTimers.Now());
   own.mInteractivePrefill = ToThousandths(prefill.mInteractive.mPrefill);
   own.mProcessor = ToThousandths(mSettings.mProcessor);
--- a/src/sapphirespar/gateway/gossip_plan.cpp
+++ b/src/sapphirespar/gateway/gossip_plan.cpp
@@ -93,6 +93,7 @@
 gossip_plan::ToRemote(gossip_state aSelf, steady_time aNow)
 {
   mLastRemote = aNow;
+  aSelf.mEnginePaces.clear();
   if (mPeers.UsesRelays()) {
     aSelf.mLoads.clear();
   }
@@ -104,6 +105,7 @@
 {
   aSelf.mDataCentreLoads = { mPeers.LocalLoads(aSelf.mLoads, aNow) };
   aSelf.mLoads.clear();
+  aSelf.mEnginePaces.clear();
   return { mPeers.RemoteRelays(aNow), std::move(aSelf) };
 }
 
--- a/src/sapphirespar/gateway/placement.cpp
+++ b/src/sapphirespar/gateway/placement.cpp
@@ -79,6 +79,7 @@
 ToCandidate(const upstream& aUpstream,
             const engine_traits& aEngine,
             std::span<const prompt_segment> aShared,
+            const engine_figures& aFigures,
             bool aTellsZonesApart,
             steady_time aNow)
 {
@@ -89,6 +90,7 @@
   candidate.mLoad = TotalLoad(aUpstream);
   candidate.mSlots = aUpstream.mEntry.mSlots;
   candidate.mMemoryTokens = static_cast<double>(aEngine.mMemoryTokens);
+  candidate.mSlowness = aUpstream.mPace.Slowness(aFigures);
   candidate.mPenaltyMs = aUpstream.mHealth.PenaltyMs(aNow);
   candidate.mCachedTokens = aUpstream.mPrefixCache.CachedTokens(aShared, aNow);
   return candidate;
@@ -214,8 +216,12 @@
   std::vector<policy::engine_candidate> candidates;
   std::ranges::transform(
     aMembers, std::back_inserter(candidates), [&](const upstream_ptr& aMember) {
-      return ToCandidate(
-        *aMember, *aForwarded.mEngine, shared, exit != nullptr, now);
+      return ToCandidate(*aMember,
+                         *aForwarded.mEngine,
+                         shared,
+                         model.Figures(),
+                         exit != nullptr,
+                         now);
     });
   const auto choice =
     policy::ChooseEngine(work,
--- a/src/sapphirespar/gateway/upstream_directory_copies.cpp
+++ b/src/sapphirespar/gateway/upstream_directory_copies.cpp
@@ -122,4 +122,33 @@
   return digest;
 }
 
+std::vector<engine_pace_report>
+upstream_directory::SlowEngines(
+  const std::function<engine_figures(const std::string&)>& aFigures) const
+{
+  constexpr double kUsPerMs = 1000;
+  std::vector<engine_pace_report> reports;
+  for (const auto& [id, known] : mUpstreams) {
+    const auto step = known->mPace.OwnStepMs();
+    // Only those with work of this gateway, whose pace it measures now.
+    if (step && !known->mOwnLoad.Empty() &&
+        known->mPace.Slowness(aFigures(known->mEntry.mPool)) > 1) {
+      reports.push_back(
+        { known->mKey, static_cast<std::uint32_t>(kUsPerMs * *step) });
+    }
+  }
+  return reports;
+}
+
+void
+upstream_directory::NotePaces(std::span<const engine_pace_report> aReports)
+{
+  constexpr double kMsPerUs = 0.001;
+  for (const auto& report : aReports) {
+    if (const auto known = Find(report.mUpstream)) {
+      known->mPace.AddReport(kMsPerUs * report.mStepUs);
+    }
+  }
+}
+
 } // namespace sapphirespar::gateway
--- a/src/sapphirespar/policy/engine_choice.cpp
+++ b/src/sapphirespar/policy/engine_choice.cpp
@@ -255,7 +255,8 @@
        const engine_candidate& aEngine,
        const engine_figures& aFigures)
 {
-  return PrefillMs(aFigures, TokensAhead(aWork, aEngine, aFigures));
+  return aEngine.mSlowness *
+         PrefillMs(aFigures, TokensAhead(aWork, aEngine, aFigures));
 }
 
 // Returns the mean time until the prefill at the engines of a group is done.
@@ -288,8 +289,10 @@
   const auto& load = aEngine.mLoad;
   const double processed =
     TokensAhead(aWork, aEngine, aFigures) + aPrefillTokens;
-  double cost = SlowdownMs(
-    aFigures, processed, static_cast<unsigned>(std::max(load.mRunning, 0)));
+  double cost = aEngine.mSlowness *
+                SlowdownMs(aFigures,
+                           processed,
+                           static_cast<unsigned>(std::max(load.mRunning, 0)));
   const int slots = static_cast<int>(aEngine.mSlots);
   // Interactive work is more urgent and takes the slots of other work.
   const int ahead = aWork.mInteractive ? load.mInteractive : load.mRunning;
@@ -336,8 +339,9 @@
     const double queueing = WaitMs(aWork, engine, aFigures) +
                             ContentionMs(aWork, engine, aFigures, tokens) +
                             engine.mPenaltyMs;
-    const double firstEvent =
-      aFigures.mFirstEventMs + PrefillMs(aFigures, tokens) + queueing;
+    const double firstEvent = aFigures.mFirstEventMs +
+                              engine.mSlowness * PrefillMs(aFigures, tokens) +
+                              queueing;
     // Small random cost that breaks near ties.
     const auto jitter =
       std::ldexp(static_cast<double>(
@@ -346,7 +350,8 @@
       kTieMs;
     const double pending =
       std::max(engine.mLoad.mUrgentTokens + engine.mLoad.mOtherTokens, 0.0);
-    const double prefill = PrefillMs(aFigures, tokens + pending);
+    const double prefill =
+      engine.mSlowness * PrefillMs(aFigures, tokens + pending);
     const double begin =
       firstEvent + OverflowMs(aWork, engine, prefill, inGroup) + jitter;
     const double cost =
--- a/src/sapphirespar/policy/engine_choice_test.cpp
+++ b/src/sapphirespar/policy/engine_choice_test.cpp
@@ -87,6 +87,63 @@
     bulk, [&](auto aIndex) { return interactive.contains(aIndex); }));
 }
 
+// Two of three engines take 2.4 times as long. Work that arrives at what they
+// can do together must not pile up at the slow ones.
+TEST(ChooseEngine, EnginesGetWorkInProportionToWhatTheyCanDo)
+{
+  constexpr double kSlow = 2.4;
+  auto engines = Engines(30);
+  for (std::size_t index = 0; index < engines.size(); ++index) {
+    engines[index].mSlowness = index % 3 == 0 ? 1 : kSlow;
+  }
+  std::mt19937_64 random(3);
+  std::uniform_real_distribution<double> draw(0, 1);
+  // Each tick an engine of speed 1 does 1000 tokens; 70 % of all is offered.
+  const double perTick = 1000 * (10 + 20 / kSlow);
+  double offered = 0;
+  double worstMs = 0;
+  for (int tick = 0; tick < 2000; ++tick) {
+    for (offered += 0.7 * perTick; offered > 0;) {
+      prompt_work work;
+      work.mPromptTokens = 200 + 3000 * draw(random);
+      work.mTargetMs = 600;
+      const auto choice =
+        ChooseEngine(work, engines, kFigures, 0, draw(random));
+      engines[choice->mIndex].mLoad.mOtherTokens += work.mPromptTokens;
+      offered -= work.mPromptTokens;
+    }
+    for (auto& engine : engines) {
+      auto& tokens = engine.mLoad.mOtherTokens;
+      tokens = std::max(tokens - 1000 / engine.mSlowness, 0.0);
+      worstMs =
+        std::max(worstMs, engine.mSlowness * PrefillMs(kFigures, tokens));
+    }
+  }
+  EXPECT_LT(worstMs, 300);
+}
+
+// The groups of engines that a gateway sees are the same whether it chooses
+// among all data centres or in one.
+TEST(ChooseEngine, GroupsAreThoseOfTheDataCentre)
+{
+  auto engines = Engines(24);
+  for (std::size_t index = 0; index < engines.size(); ++index) {
+    engines[index].mZone = 1 + index % 3;
+  }
+  std::vector<engine_candidate> own;
+  std::ranges::copy_if(engines, std::back_inserter(own), [](const auto& aOne) {
+    return aOne.mZone == 1;
+  });
+  std::set<std::uint64_t> interactive;
+  std::set<std::uint64_t> bulk;
+  for (std::uint64_t key = 1; key < 200; ++key) {
+    interactive.insert(own[ChosenFor(ShortPrompt(key), own)].mKey);
+    bulk.insert(engines[ChosenFor(LongPrompt(key), engines)].mKey);
+  }
+  EXPECT_TRUE(std::ranges::none_of(
+    bulk, [&](auto aKey) { return interactive.contains(aKey); }));
+}
+
 TEST(ChooseEngine, AllRoutersSendASharedPrefixToTheSameEngine)
 {
   const auto engines = Engines(18);
--- a/src/sapphirespar/policy/engine_model.cpp
+++ b/src/sapphirespar/policy/engine_model.cpp
@@ -22,6 +22,16 @@
 constexpr double kStalledQuantile = 0.85;
 constexpr double kUnhinderedQuantile = 0.05;
 
+// An engine counts as slower than its pool from this multiple of the quicker
+// ones' step, and as this much slower at most: one that is slower still is left
+// to the penalty for lateness.
+constexpr double kNoticeablySlow = 1.6;
+constexpr double kSlowest = 2;
+
+// Gaps of one stream of some length, before which an engine's pace is not told.
+constexpr unsigned kKnownAfter = 12;
+constexpr double kReportQuantile = 0.4;
+
 // Events may arrive together, so that a gap takes no time.
 constexpr double kShortestStepMs = 0.01;
 
@@ -89,18 +99,54 @@
   if (!std::isfinite(aTokenMs)) {
     return;
   }
+  // A longer one is a stall.
   const double step =
-    std::max(aTokenMs - aFigures.mStepMsPerRequest * aRunning, kShortestStepMs);
+    std::clamp(aTokenMs - aFigures.mStepMsPerRequest * aRunning,
+               kShortestStepMs,
+               std::max(kSlowest * aFigures.mStepMs, kShortestStepMs));
   if (!mStepMs) {
     mStepMs.emplace(step);
   }
   Track(*mStepMs, step, kUnhinderedQuantile);
+  ++mOwnSamples;
+}
+
+void
+engine_pace::AddReport(double aStepMs)
+{
+  if (!std::isfinite(aStepMs) || aStepMs < kShortestStepMs) {
+    return;
+  }
+  if (!mStepMs) {
+    mStepMs.emplace(aStepMs);
+  }
+  // Reports are made from several samples.
+  Track(*mStepMs, aStepMs, kReportQuantile);
+}
+
+std::optional<double>
+engine_pace::OwnStepMs() const
+{
+  return mOwnSamples >= kKnownAfter ? std::optional(mStepMs->mValue)
+                                    : std::nullopt;
+}
+
+double
+engine_pace::Slowness(const engine_figures& aFigures) const
+{
+  if (!mStepMs) {
+    return 1;
+  }
+  const double ratio = mStepMs->mValue / aFigures.mStepMs;
+  return ratio < kNoticeablySlow ? 1 : std::min(ratio, kSlowest);
 }
 
 double
 engine_pace::TokenMs(const engine_figures& aFigures, unsigned aRunning) const
 {
-  const double step = mStepMs ? mStepMs->mValue : aFigures.mStepMs;
+  // Until the pace is known, the engine may be a slow one.
+  const double step =
+    mOwnSamples < kKnownAfter ? kSlowest * aFigures.mStepMs : mStepMs->mValue;
   return step + aFigures.mStepMsPerRequest * aRunning;
 }
 
@@ -139,8 +185,8 @@
   }
   const double perToken = aGaps.back() / aTokensPerEvent;
   // Gaps of an engine that is slower than the others are no stalls.
-  const double step = std::max(StepMs(mFigures, aRunning),
-                               aPace.TokenMs(mFigures, aRunning));
+  const double step =
+    std::max(StepMs(mFigures, aRunning), aPace.TokenMs(mFigures, aRunning));
   aPace.Add(perToken, mFigures, aRunning);
   Track(mStepMs,
         perToken - mFigures.mStepMsPerRequest * aRunning,
--- a/src/sapphirespar/wire/gen/gossip_types.cpp
+++ b/src/sapphirespar/wire/gen/gossip_types.cpp
@@ -2255,6 +2255,129 @@
 }
 
 
+gossip_engine_pace::~gossip_engine_pace() noexcept {
+}
+
+
+void gossip_engine_pace::__set_upstream(const int64_t val) {
+  this->upstream = val;
+}
+
+void gossip_engine_pace::__set_step_us(const int32_t val) {
+  this->step_us = val;
+}
+std::ostream& operator<<(std::ostream& out, const gossip_engine_pace& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t gossip_engine_pace::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->upstream);
+          this->__isset.upstream = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->step_us);
+          this->__isset.step_us = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t gossip_engine_pace::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("gossip_engine_pace");
+
+  xfer += oprot->writeFieldBegin("upstream", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->upstream);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("step_us", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->step_us);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(gossip_engine_pace &a, gossip_engine_pace &b) {
+  using ::std::swap;
+  swap(a.upstream, b.upstream);
+  swap(a.step_us, b.step_us);
+  swap(a.__isset, b.__isset);
+}
+
+gossip_engine_pace::gossip_engine_pace(const gossip_engine_pace& other94) noexcept {
+  upstream = other94.upstream;
+  step_us = other94.step_us;
+  __isset = other94.__isset;
+}
+gossip_engine_pace::gossip_engine_pace(gossip_engine_pace&& other95) noexcept {
+  upstream = other95.upstream;
+  step_us = other95.step_us;
+  __isset = other95.__isset;
+}
+gossip_engine_pace& gossip_engine_pace::operator=(const gossip_engine_pace& other96) noexcept {
+  upstream = other96.upstream;
+  step_us = other96.step_us;
+  __isset = other96.__isset;
+  return *this;
+}
+gossip_engine_pace& gossip_engine_pace::operator=(gossip_engine_pace&& other97) noexcept {
+  upstream = other97.upstream;
+  step_us = other97.step_us;
+  __isset = other97.__isset;
+  return *this;
+}
+void gossip_engine_pace::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "gossip_engine_pace(";
+  out << "upstream=" << to_string(upstream);
+  out << ", " << "step_us=" << to_string(step_us);
+  out << ")";
+}
+
+
 gossip_state::~gossip_state() noexcept {
 }
 
@@ -2377,6 +2500,10 @@
   this->duties = val;
 __isset.duties = true;
 }
+
+void gossip_state::__set_engine_paces(const std::vector<gossip_engine_pace> & val) {
+  this->engine_paces = val;
+}
 std::ostream& operator<<(std::ostream& out, const gossip_state& obj)
 {
   obj.printTo(out);
@@ -2481,14 +2608,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->loads.clear();
-            uint32_t _size94;
-            ::apache::thrift::protocol::TType _etype97;
-            xfer += iprot->readListBegin(_etype97, _size94);
-            this->loads.resize(_size94);
-            uint32_t _i98;
-            for (_i98 = 0; _i98 < _size94; ++_i98)
+            uint32_t _size98;
+            ::apache::thrift::protocol::TType _etype101;
+            xfer += iprot->readListBegin(_etype101, _size98);
+            this->loads.resize(_size98);
+            uint32_t _i102;
+            for (_i102 = 0; _i102 < _size98; ++_i102)
             {
-              xfer += this->loads[_i98].read(iprot);
+              xfer += this->loads[_i102].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2565,14 +2692,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->zones.clear();
-            uint32_t _size99;
-            ::apache::thrift::protocol::TType _etype102;
-            xfer += iprot->readListBegin(_etype102, _size99);
-            this->zones.resize(_size99);
-            uint32_t _i103;
-            for (_i103 = 0; _i103 < _size99; ++_i103)
+            uint32_t _size103;
+            ::apache::thrift::protocol::TType _etype106;
+            xfer += iprot->readListBegin(_etype106, _size103);
+            this->zones.resize(_size103);
+            uint32_t _i107;
+            for (_i107 = 0; _i107 < _size103; ++_i107)
             {
-              xfer += this->zones[_i103].read(iprot);
+              xfer += this->zones[_i107].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2585,14 +2712,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->leaving_upstreams.clear();
-            uint32_t _size104;
-            ::apache::thrift::protocol::TType _etype107;
-            xfer += iprot->readListBegin(_etype107, _size104);
-            this->leaving_upstreams.resize(_size104);
-            uint32_t _i108;
-            for (_i108 = 0; _i108 < _size104; ++_i108)
+            uint32_t _size108;
+            ::apache::thrift::protocol::TType _etype111;
+            xfer += iprot->readListBegin(_etype111, _size108);
+            this->leaving_upstreams.resize(_size108);
+            uint32_t _i112;
+            for (_i112 = 0; _i112 < _size108; ++_i112)
             {
-              xfer += iprot->readI64(this->leaving_upstreams[_i108]);
+              xfer += iprot->readI64(this->leaving_upstreams[_i112]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2629,14 +2756,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->upstream_rates.clear();
-            uint32_t _size109;
-            ::apache::thrift::protocol::TType _etype112;
-            xfer += iprot->readListBegin(_etype112, _size109);
-            this->upstream_rates.resize(_size109);
-            uint32_t _i113;
-            for (_i113 = 0; _i113 < _size109; ++_i113)
+            uint32_t _size113;
+            ::apache::thrift::protocol::TType _etype116;
+            xfer += iprot->readListBegin(_etype116, _size113);
+            this->upstream_rates.resize(_size113);
+            uint32_t _i117;
+            for (_i117 = 0; _i117 < _size113; ++_i117)
             {
-              xfer += this->upstream_rates[_i113].read(iprot);
+              xfer += this->upstream_rates[_i117].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2665,14 +2792,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->upstream_pauses.clear();
-            uint32_t _size114;
-            ::apache::thrift::protocol::TType _etype117;
-            xfer += iprot->readListBegin(_etype117, _size114);
-            this->upstream_pauses.resize(_size114);
-            uint32_t _i118;
-            for (_i118 = 0; _i118 < _size114; ++_i118)
+            uint32_t _size118;
+            ::apache::thrift::protocol::TType _etype121;
+            xfer += iprot->readListBegin(_etype121, _size118);
+            this->upstream_pauses.resize(_size118);
+            uint32_t _i122;
+            for (_i122 = 0; _i122 < _size118; ++_i122)
             {
-              xfer += this->upstream_pauses[_i118].read(iprot);
+              xfer += this->upstream_pauses[_i122].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2685,14 +2812,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->rationed_pools.clear();
-            uint32_t _size119;
-            ::apache::thrift::protocol::TType _etype122;
-            xfer += iprot->readListBegin(_etype122, _size119);
-            this->rationed_pools.resize(_size119);
-            uint32_t _i123;
-            for (_i123 = 0; _i123 < _size119; ++_i123)
+            uint32_t _size123;
+            ::apache::thrift::protocol::TType _etype126;
+            xfer += iprot->readListBegin(_etype126, _size123);
+            this->rationed_pools.resize(_size123);
+            uint32_t _i127;
+            for (_i127 = 0; _i127 < _size123; ++_i127)
             {
-              xfer += this->rationed_pools[_i123].read(iprot);
+              xfer += this->rationed_pools[_i127].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2709,6 +2836,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 32:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->engine_paces.clear();
+            uint32_t _size128;
+            ::apache::thrift::protocol::TType _etype131;
+            xfer += iprot->readListBegin(_etype131, _size128);
+            this->engine_paces.resize(_size128);
+            uint32_t _i132;
+            for (_i132 = 0; _i132 < _size128; ++_i132)
+            {
+              xfer += this->engine_paces[_i132].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.engine_paces = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2765,10 +2912,10 @@
   xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 11);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
-    std::vector<gossip_load> ::const_iterator _iter124;
-    for (_iter124 = this->loads.begin(); _iter124 != this->loads.end(); ++_iter124)
+    std::vector<gossip_load> ::const_iterator _iter133;
+    for (_iter133 = this->loads.begin(); _iter133 != this->loads.end(); ++_iter133)
     {
-      xfer += (*_iter124).write(oprot);
+      xfer += (*_iter133).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2809,10 +2956,10 @@
   xfer += oprot->writeFieldBegin("zones", ::apache::thrift::protocol::T_LIST, 21);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->zones.size()));
-    std::vector<gossip_zone> ::const_iterator _iter125;
-    for (_iter125 = this->zones.begin(); _iter125 != this->zones.end(); ++_iter125)
+    std::vector<gossip_zone> ::const_iterator _iter134;
+    for (_iter134 = this->zones.begin(); _iter134 != this->zones.end(); ++_iter134)
     {
-      xfer += (*_iter125).write(oprot);
+      xfer += (*_iter134).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2821,10 +2968,10 @@
   xfer += oprot->writeFieldBegin("leaving_upstreams", ::apache::thrift::protocol::T_LIST, 22);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->leaving_upstreams.size()));
-    std::vector<int64_t> ::const_iterator _iter126;
-    for (_iter126 = this->leaving_upstreams.begin(); _iter126 != this->leaving_upstreams.end(); ++_iter126)
+    std::vector<int64_t> ::const_iterator _iter135;
+    for (_iter135 = this->leaving_upstreams.begin(); _iter135 != this->leaving_upstreams.end(); ++_iter135)
     {
-      xfer += oprot->writeI64((*_iter126));
+      xfer += oprot->writeI64((*_iter135));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2846,10 +2993,10 @@
   xfer += oprot->writeFieldBegin("upstream_rates", ::apache::thrift::protocol::T_LIST, 26);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->upstream_rates.size()));
-    std::vector<gossip_upstream_rate> ::const_iterator _iter127;
-    for (_iter127 = this->upstream_rates.begin(); _iter127 != this->upstream_rates.end(); ++_iter127)
+    std::vector<gossip_upstream_rate> ::const_iterator _iter136;
+    for (_iter136 = this->upstream_rates.begin(); _iter136 != this->upstream_rates.end(); ++_iter136)
     {
-      xfer += (*_iter127).write(oprot);
+      xfer += (*_iter136).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2867,10 +3014,10 @@
   xfer += oprot->writeFieldBegin("upstream_pauses", ::apache::thrift::protocol::T_LIST, 29);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->upstream_pauses.size()));
-    std::vector<gossip_upstream_pause> ::const_iterator _iter128;
-    for (_iter128 = this->upstream_pauses.begin(); _iter128 != this->upstream_pauses.end(); ++_iter128)
+    std::vector<gossip_upstream_pause> ::const_iterator _iter137;
+    for (_iter137 = this->upstream_pauses.begin(); _iter137 != this->upstream_pauses.end(); ++_iter137)
     {
-      xfer += (*_iter128).write(oprot);
+      xfer += (*_iter137).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2879,10 +3026,10 @@
   xfer += oprot->writeFieldBegin("rationed_pools", ::apache::thrift::protocol::T_LIST, 30);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rationed_pools.size()));
-    std::vector<gossip_rationed_pool> ::const_iterator _iter129;
-    for (_iter129 = this->rationed_pools.begin(); _iter129 != this->rationed_pools.end(); ++_iter129)
+    std::vector<gossip_rationed_pool> ::const_iterator _iter138;
+    for (_iter138 = this->rationed_pools.begin(); _iter138 != this->rationed_pools.end(); ++_iter138)
     {
-      xfer += (*_iter129).write(oprot);
+      xfer += (*_iter138).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2893,6 +3040,18 @@
     xfer += this->duties.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  xfer += oprot->writeFieldBegin("engine_paces", ::apache::thrift::protocol::T_LIST, 32);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->engine_paces.size()));
+    std::vector<gossip_engine_pace> ::const_iterator _iter139;
+    for (_iter139 = this->engine_paces.begin(); _iter139 != this->engine_paces.end(); ++_iter139)
+    {
+      xfer += (*_iter139).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2929,137 +3088,142 @@
   swap(a.upstream_pauses, b.upstream_pauses);
   swap(a.rationed_pools, b.rationed_pools);
   swap(a.duties, b.duties);
+  swap(a.engine_paces, b.engine_paces);
   swap(a.__isset, b.__isset);
 }
 
-gossip_state::gossip_state(const gossip_state& other130) {
-  vm = other130.vm;
-  incarnation = other130.incarnation;
-  sequence = other130.sequence;
-  data_centre = other130.data_centre;
-  address = other130.address;
-  caller_port = other130.caller_port;
-  admin_port = other130.admin_port;
-  ready = other130.ready;
-  leaving = other130.leaving;
-  loads = other130.loads;
-  asks = other130.asks;
-  answers = other130.answers;
-  routing_age_ms = other130.routing_age_ms;
-  upstreams_age_ms = other130.upstreams_age_ms;
-  upstreams_digest = other130.upstreams_digest;
-  interactive_reading = other130.interactive_reading;
-  bulk_reading = other130.bulk_reading;
-  processor = other130.processor;
-  zones = other130.zones;
-  leaving_upstreams = other130.leaving_upstreams;
-  store_era = other130.store_era;
-  routing_version = other130.routing_version;
-  crash_report = other130.crash_report;
-  upstream_rates = other130.upstream_rates;
-  request_crash_report = other130.request_crash_report;
-  cut_off = other130.cut_off;
-  upstream_pauses = other130.upstream_pauses;
-  rationed_pools = other130.rationed_pools;
-  duties = other130.duties;
-  __isset = other130.__isset;
-}
-gossip_state::gossip_state(gossip_state&& other131) noexcept {
-  vm = std::move(other131.vm);
-  incarnation = other131.incarnation;
-  sequence = other131.sequence;
-  data_centre = std::move(other131.data_centre);
-  address = std::move(other131.address);
-  caller_port = other131.caller_port;
-  admin_port = other131.admin_port;
-  ready = other131.ready;
-  leaving = other131.leaving;
-  loads = std::move(other131.loads);
-  asks = other131.asks;
-  answers = other131.answers;
-  routing_age_ms = other131.routing_age_ms;
-  upstreams_age_ms = other131.upstreams_age_ms;
-  upstreams_digest = other131.upstreams_digest;
-  interactive_reading = other131.interactive_reading;
-  bulk_reading = other131.bulk_reading;
-  processor = other131.processor;
-  zones = std::move(other131.zones);
-  leaving_upstreams = std::move(other131.leaving_upstreams);
-  store_era = other131.store_era;
-  routing_version = other131.routing_version;
-  crash_report = std::move(other131.crash_report);
-  upstream_rates = std::move(other131.upstream_rates);
-  request_crash_report = std::move(other131.request_crash_report);
-  cut_off = other131.cut_off;
-  upstream_pauses = std::move(other131.upstream_pauses);
-  rationed_pools = std::move(other131.rationed_pools);
-  duties = std::move(other131.duties);
-  __isset = other131.__isset;
-}
-gossip_state& gossip_state::operator=(const gossip_state& other132) {
-  vm = other132.vm;
-  incarnation = other132.incarnation;
-  sequence = other132.sequence;
-  data_centre = other132.data_centre;
-  address = other132.address;
-  caller_port = other132.caller_port;
-  admin_port = other132.admin_port;
-  ready = other132.ready;
-  leaving = other132.leaving;
-  loads = other132.loads;
-  asks = other132.asks;
-  answers = other132.answers;
-  routing_age_ms = other132.routing_age_ms;
-  upstreams_age_ms = other132.upstreams_age_ms;
-  upstreams_digest = other132.upstreams_digest;
-  interactive_reading = other132.interactive_reading;
-  bulk_reading = other132.bulk_reading;
-  processor = other132.processor;
-  zones = other132.zones;
-  leaving_upstreams = other132.leaving_upstreams;
-  store_era = other132.store_era;
-  routing_version = other132.routing_version;
-  crash_report = other132.crash_report;
-  upstream_rates = other132.upstream_rates;
-  request_crash_report = other132.request_crash_report;
-  cut_off = other132.cut_off;
-  upstream_pauses = other132.upstream_pauses;
-  rationed_pools = other132.rationed_pools;
-  duties = other132.duties;
-  __isset = other132.__isset;
+gossip_state::gossip_state(const gossip_state& other140) {
+  vm = other140.vm;
+  incarnation = other140.incarnation;
+  sequence = other140.sequence;
+  data_centre = other140.data_centre;
+  address = other140.address;
+  caller_port = other140.caller_port;
+  admin_port = other140.admin_port;
+  ready = other140.ready;
+  leaving = other140.leaving;
+  loads = other140.loads;
+  asks = other140.asks;
+  answers = other140.answers;
+  routing_age_ms = other140.routing_age_ms;
+  upstreams_age_ms = other140.upstreams_age_ms;
+  upstreams_digest = other140.upstreams_digest;
+  interactive_reading = other140.interactive_reading;
+  bulk_reading = other140.bulk_reading;
+  processor = other140.processor;
+  zones = other140.zones;
+  leaving_upstreams = other140.leaving_upstreams;
+  store_era = other140.store_era;
+  routing_version = other140.routing_version;
+  crash_report = other140.crash_report;
+  upstream_rates = other140.upstream_rates;
+  request_crash_report = other140.request_crash_report;
+  cut_off = other140.cut_off;
+  upstream_pauses = other140.upstream_pauses;
+  rationed_pools = other140.rationed_pools;
+  duties = other140.duties;
+  engine_paces = other140.engine_paces;
+  __isset = other140.__isset;
+}
+gossip_state::gossip_state(gossip_state&& other141) noexcept {
+  vm = std::move(other141.vm);
+  incarnation = other141.incarnation;
+  sequence = other141.sequence;
+  data_centre = std::move(other141.data_centre);
+  address = std::move(other141.address);
+  caller_port = other141.caller_port;
+  admin_port = other141.admin_port;
+  ready = other141.ready;
+  leaving = other141.leaving;
+  loads = std::move(other141.loads);
+  asks = other141.asks;
+  answers = other141.answers;
+  routing_age_ms = other141.routing_age_ms;
+  upstreams_age_ms = other141.upstreams_age_ms;
+  upstreams_digest = other141.upstreams_digest;
+  interactive_reading = other141.interactive_reading;
+  bulk_reading = other141.bulk_reading;
+  processor = other141.processor;
+  zones = std::move(other141.zones);
+  leaving_upstreams = std::move(other141.leaving_upstreams);
+  store_era = other141.store_era;
+  routing_version = other141.routing_version;
+  crash_report = std::move(other141.crash_report);
+  upstream_rates = std::move(other141.upstream_rates);
+  request_crash_report = std::move(other141.request_crash_report);
+  cut_off = other141.cut_off;
+  upstream_pauses = std::move(other141.upstream_pauses);
+  rationed_pools = std::move(other141.rationed_pools);
+  duties = std::move(other141.duties);
+  engine_paces = std::move(other141.engine_paces);
+  __isset = other141.__isset;
+}
+gossip_state& gossip_state::operator=(const gossip_state& other142) {
+  vm = other142.vm;
+  incarnation = other142.incarnation;
+  sequence = other142.sequence;
+  data_centre = other142.data_centre;
+  address = other142.address;
+  caller_port = other142.caller_port;
+  admin_port = other142.admin_port;
+  ready = other142.ready;
+  leaving = other142.leaving;
+  loads = other142.loads;
+  asks = other142.asks;
+  answers = other142.answers;
+  routing_age_ms = other142.routing_age_ms;
+  upstreams_age_ms = other142.upstreams_age_ms;
+  upstreams_digest = other142.upstreams_digest;
+  interactive_reading = other142.interactive_reading;
+  bulk_reading = other142.bulk_reading;
+  processor = other142.processor;
+  zones = other142.zones;
+  leaving_upstreams = other142.leaving_upstreams;
+  store_era = other142.store_era;
+  routing_version = other142.routing_version;
+  crash_report = other142.crash_report;
+  upstream_rates = other142.upstream_rates;
+  request_crash_report = other142.request_crash_report;
+  cut_off = other142.cut_off;
+  upstream_pauses = other142.upstream_pauses;
+  rationed_pools = other142.rationed_pools;
+  duties = other142.duties;
+  engine_paces = other142.engine_paces;
+  __isset = other142.__isset;
   return *this;
 }
-gossip_state& gossip_state::operator=(gossip_state&& other133) noexcept {
-  vm = std::move(other133.vm);
-  incarnation = other133.incarnation;
-  sequence = other133.sequence;
-  data_centre = std::move(other133.data_centre);
-  address = std::move(other133.address);
-  caller_port = other133.caller_port;
-  admin_port = other133.admin_port;
-  ready = other133.ready;
-  leaving = other133.leaving;
-  loads = std::move(other133.loads);
-  asks = other133.asks;
-  answers = other133.answers;
-  routing_age_ms = other133.routing_age_ms;
-  upstreams_age_ms = other133.upstreams_age_ms;
-  upstreams_digest = other133.upstreams_digest;
-  interactive_reading = other133.interactive_reading;
-  bulk_reading = other133.bulk_reading;
-  processor = other133.processor;
-  zones = std::move(other133.zones);
-  leaving_upstreams = std::move(other133.leaving_upstreams);
-  store_era = other133.store_era;
-  routing_version = other133.routing_version;
-  crash_report = std::move(other133.crash_report);
-  upstream_rates = std::move(other133.upstream_rates);
-  request_crash_report = std::move(other133.request_crash_report);
-  cut_off = other133.cut_off;
-  upstream_pauses = std::move(other133.upstream_pauses);
-  rationed_pools = std::move(other133.rationed_pools);
-  duties = std::move(other133.duties);
-  __isset = other133.__isset;
+gossip_state& gossip_state::operator=(gossip_state&& other143) noexcept {
+  vm = std::move(other143.vm);
+  incarnation = other143.incarnation;
+  sequence = other143.sequence;
+  data_centre = std::move(other143.data_centre);
+  address = std::move(other143.address);
+  caller_port = other143.caller_port;
+  admin_port = other143.admin_port;
+  ready = other143.ready;
+  leaving = other143.leaving;
+  loads = std::move(other143.loads);
+  asks = other143.asks;
+  answers = other143.answers;
+  routing_age_ms = other143.routing_age_ms;
+  upstreams_age_ms = other143.upstreams_age_ms;
+  upstreams_digest = other143.upstreams_digest;
+  interactive_reading = other143.interactive_reading;
+  bulk_reading = other143.bulk_reading;
+  processor = other143.processor;
+  zones = std::move(other143.zones);
+  leaving_upstreams = std::move(other143.leaving_upstreams);
+  store_era = other143.store_era;
+  routing_version = other143.routing_version;
+  crash_report = std::move(other143.crash_report);
+  upstream_rates = std::move(other143.upstream_rates);
+  request_crash_report = std::move(other143.request_crash_report);
+  cut_off = other143.cut_off;
+  upstream_pauses = std::move(other143.upstream_pauses);
+  rationed_pools = std::move(other143.rationed_pools);
+  duties = std::move(other143.duties);
+  engine_paces = std::move(other143.engine_paces);
+  __isset = other143.__isset;
   return *this;
 }
 void gossip_state::printTo(std::ostream& out) const {
@@ -3094,6 +3258,7 @@
   out << ", " << "upstream_pauses=" << to_string(upstream_pauses);
   out << ", " << "rationed_pools=" << to_string(rationed_pools);
   out << ", " << "duties="; (__isset.duties ? (out << to_string(duties)) : (out << "<null>"));
+  out << ", " << "engine_paces=" << to_string(engine_paces);
   out << ")";
 }
 
@@ -3224,34 +3389,34 @@
   swap(a.__isset, b.__isset);
 }
 
-gossip_stream_version::gossip_stream_version(const gossip_stream_version& other134) noexcept {
-  stream = other134.stream;
-  pool = other134.pool;
-  software = other134.software;
-  left_ms = other134.left_ms;
-  __isset = other134.__isset;
-}
-gossip_stream_version::gossip_stream_version(gossip_stream_version&& other135) noexcept {
-  stream = other135.stream;
-  pool = other135.pool;
-  software = other135.software;
-  left_ms = other135.left_ms;
-  __isset = other135.__isset;
-}
-gossip_stream_version& gossip_stream_version::operator=(const gossip_stream_version& other136) noexcept {
-  stream = other136.stream;
-  pool = other136.pool;
-  software = other136.software;
-  left_ms = other136.left_ms;
-  __isset = other136.__isset;
+gossip_stream_version::gossip_stream_version(const gossip_stream_version& other144) noexcept {
+  stream = other144.stream;
+  pool = other144.pool;
+  software = other144.software;
+  left_ms = other144.left_ms;
+  __isset = other144.__isset;
+}
+gossip_stream_version::gossip_stream_version(gossip_stream_version&& other145) noexcept {
+  stream = other145.stream;
+  pool = other145.pool;
+  software = other145.software;
+  left_ms = other145.left_ms;
+  __isset = other145.__isset;
+}
+gossip_stream_version& gossip_stream_version::operator=(const gossip_stream_version& other146) noexcept {
+  stream = other146.stream;
+  pool = other146.pool;
+  software = other146.software;
+  left_ms = other146.left_ms;
+  __isset = other146.__isset;
   return *this;
 }
-gossip_stream_version& gossip_stream_version::operator=(gossip_stream_version&& other137) noexcept {
-  stream = other137.stream;
-  pool = other137.pool;
-  software = other137.software;
-  left_ms = other137.left_ms;
-  __isset = other137.__isset;
+gossip_stream_version& gossip_stream_version::operator=(gossip_stream_version&& other147) noexcept {
+  stream = other147.stream;
+  pool = other147.pool;
+  software = other147.software;
+  left_ms = other147.left_ms;
+  __isset = other147.__isset;
   return *this;
 }
 void gossip_stream_version::printTo(std::ostream& out) const {
@@ -3357,26 +3522,26 @@
   swap(a.__isset, b.__isset);
 }
 
-gossip_pool_software::gossip_pool_software(const gossip_pool_software& other138) noexcept {
-  pool = other138.pool;
-  software = other138.software;
-  __isset = other138.__isset;
+gossip_pool_software::gossip_pool_software(const gossip_pool_software& other148) noexcept {
+  pool = other148.pool;
+  software = other148.software;
+  __isset = other148.__isset;
 }
-gossip_pool_software::gossip_pool_software(gossip_pool_software&& other139) noexcept {
-  pool = other139.pool;
-  software = other139.software;
-  __isset = other139.__isset;
+gossip_pool_software::gossip_pool_software(gossip_pool_software&& other149) noexcept {
+  pool = other149.pool;
+  software = other149.software;
+  __isset = other149.__isset;
 }
-gossip_pool_software& gossip_pool_software::operator=(const gossip_pool_software& other140) noexcept {
-  pool = other140.pool;
-  software = other140.software;
-  __isset = other140.__isset;
+gossip_pool_software& gossip_pool_software::operator=(const gossip_pool_software& other150) noexcept {
+  pool = other150.pool;
+  software = other150.software;
+  __isset = other150.__isset;
   return *this;
 }
-gossip_pool_software& gossip_pool_software::operator=(gossip_pool_software&& other141) noexcept {
-  pool = other141.pool;
-  software = other141.software;
-  __isset = other141.__isset;
+gossip_pool_software& gossip_pool_software::operator=(gossip_pool_software&& other151) noexcept {
+  pool = other151.pool;
+  software = other151.software;
+  __isset = other151.__isset;
   return *this;
 }
 void gossip_pool_software::printTo(std::ostream& out) const {
@@ -3447,14 +3612,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->told.clear();
-            uint32_t _size142;
-            ::apache::thrift::protocol::TType _etype145;
-            xfer += iprot->readListBegin(_etype145, _size142);
-            this->told.resize(_size142);
-            uint32_t _i146;
-            for (_i146 = 0; _i146 < _size142; ++_i146)
+            uint32_t _size152;
+            ::apache::thrift::protocol::TType _etype155;
+            xfer += iprot->readListBegin(_etype155, _size152);
+            this->told.resize(_size152);
+            uint32_t _i156;
+            for (_i156 = 0; _i156 < _size152; ++_i156)
             {
-              xfer += this->told[_i146].read(iprot);
+              xfer += this->told[_i156].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3467,14 +3632,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->asked.clear();
-            uint32_t _size147;
-            ::apache::thrift::protocol::TType _etype150;
-            xfer += iprot->readListBegin(_etype150, _size147);
-            this->asked.resize(_size147);
-            uint32_t _i151;
-            for (_i151 = 0; _i151 < _size147; ++_i151)
+            uint32_t _size157;
+            ::apache::thrift::protocol::TType _etype160;
+            xfer += iprot->readListBegin(_etype160, _size157);
+            this->asked.resize(_size157);
+            uint32_t _i161;
+            for (_i161 = 0; _i161 < _size157; ++_i161)
             {
-              xfer += iprot->readI64(this->asked[_i151]);
+              xfer += iprot->readI64(this->asked[_i161]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3487,14 +3652,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->unknown.clear();
-            uint32_t _size152;
-            ::apache::thrift::protocol::TType _etype155;
-            xfer += iprot->readListBegin(_etype155, _size152);
-            this->unknown.resize(_size152);
-            uint32_t _i156;
-            for (_i156 = 0; _i156 < _size152; ++_i156)
+            uint32_t _size162;
+            ::apache::thrift::protocol::TType _etype165;
+            xfer += iprot->readListBegin(_etype165, _size162);
+            this->unknown.resize(_size162);
+            uint32_t _i166;
+            for (_i166 = 0; _i166 < _size162; ++_i166)
             {
-              xfer += iprot->readI64(this->unknown[_i156]);
+              xfer += iprot->readI64(this->unknown[_i166]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3507,14 +3672,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->seen.clear();
-            uint32_t _size157;
-            ::apache::thrift::protocol::TType _etype160;
-            xfer += iprot->readListBegin(_etype160, _size157);
-            this->seen.resize(_size157);
-            uint32_t _i161;
-            for (_i161 = 0; _i161 < _size157; ++_i161)
+            uint32_t _size167;
+            ::apache::thrift::protocol::TType _etype170;
+            xfer += iprot->readListBegin(_etype170, _size167);
+            this->seen.resize(_size167);
+            uint32_t _i171;
+            for (_i171 = 0; _i171 < _size167; ++_i171)
             {
-              xfer += this->seen[_i161].read(iprot);
+              xfer += this->seen[_i171].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3559,10 +3724,10 @@
   xfer += oprot->writeFieldBegin("told", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->told.size()));
-    std::vector<gossip_stream_version> ::const_iterator _iter162;
-    for (_iter162 = this->told.begin(); _iter162 != this->told.end(); ++_iter162)
+    std::vector<gossip_stream_version> ::const_iterator _iter172;
+    for (_iter172 = this->told.begin(); _iter172 != this->told.end(); ++_iter172)
     {
-      xfer += (*_iter162).write(oprot);
+      xfer += (*_iter172).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3571,10 +3736,10 @@
   xfer += oprot->writeFieldBegin("asked", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->asked.size()));
-    std::vector<int64_t> ::const_iterator _iter163;
-    for (_iter163 = this->asked.begin(); _iter163 != this->asked.end(); ++_iter163)
+    std::vector<int64_t> ::const_iterator _iter173;
+    for (_iter173 = this->asked.begin(); _iter173 != this->asked.end(); ++_iter173)
     {
-      xfer += oprot->writeI64((*_iter163));
+      xfer += oprot->writeI64((*_iter173));
     }
     xfer += oprot->writeListEnd();
   }
@@ -3583,10 +3748,10 @@
   xfer += oprot->writeFieldBegin("unknown", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->unknown.size()));
-    std::vector<int64_t> ::const_iterator _iter164;
-    for (_iter164 = this->unknown.begin(); _iter164 != this->unknown.end(); ++_iter164)
+    std::vector<int64_t> ::const_iterator _iter174;
+    for (_iter174 = this->unknown.begin(); _iter174 != this->unknown.end(); ++_iter174)
     {
-      xfer += oprot->writeI64((*_iter164));
+      xfer += oprot->writeI64((*_iter174));
     }
     xfer += oprot->writeListEnd();
   }
@@ -3595,10 +3760,10 @@
   xfer += oprot->writeFieldBegin("seen", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->seen.size()));
-    std::vector<gossip_pool_software> ::const_iterator _iter165;
-    for (_iter165 = this->seen.begin(); _iter165 != this->seen.end(); ++_iter165)
+    std::vector<gossip_pool_software> ::const_iterator _iter175;
+    for (_iter175 = this->seen.begin(); _iter175 != this->seen.end(); ++_iter175)
     {
-      xfer += (*_iter165).write(oprot);
+      xfer += (*_iter175).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3628,42 +3793,42 @@
   swap(a.__isset, b.__isset);
 }
 
-gossip_streams::gossip_streams(const gossip_streams& other166) {
-  told = other166.told;
-  asked = other166.asked;
-  unknown = other166.unknown;
-  seen = other166.seen;
-  seen_all = other166.seen_all;
-  span_ms = other166.span_ms;
-  __isset = other166.__isset;
-}
-gossip_streams::gossip_streams(gossip_streams&& other167) noexcept {
-  told = std::move(other167.told);
-  asked = std::move(other167.asked);
-  unknown = std::move(other167.unknown);
-  seen = std::move(other167.seen);
-  seen_all = other167.seen_all;
-  span_ms = other167.span_ms;
-  __isset = other167.__isset;
-}
-gossip_streams& gossip_streams::operator=(const gossip_streams& other168) {
-  told = other168.told;
-  asked = other168.asked;
-  unknown = other168.unknown;
-  seen = other168.seen;
-  seen_all = other168.seen_all;
-  span_ms = other168.span_ms;
-  __isset = other168.__isset;
+gossip_streams::gossip_streams(const gossip_streams& other176) {
+  told = other176.told;
+  asked = other176.asked;
+  unknown = other176.unknown;
+  seen = other176.seen;
+  seen_all = other176.seen_all;
+  span_ms = other176.span_ms;
+  __isset = other176.__isset;
+}
+gossip_streams::gossip_streams(gossip_streams&& other177) noexcept {
+  told = std::move(other177.told);
+  asked = std::move(other177.asked);
+  unknown = std::move(other177.unknown);
+  seen = std::move(other177.seen);
+  seen_all = other177.seen_all;
+  span_ms = other177.span_ms;
+  __isset = other177.__isset;
+}
+gossip_streams& gossip_streams::operator=(const gossip_streams& other178) {
+  told = other178.told;
+  asked = other178.asked;
+  unknown = other178.unknown;
+  seen = other178.seen;
+  seen_all = other178.seen_all;
+  span_ms = other178.span_ms;
+  __isset = other178.__isset;
   return *this;
 }
-gossip_streams& gossip_streams::operator=(gossip_streams&& other169) noexcept {
-  told = std::move(other169.told);
-  asked = std::move(other169.asked);
-  unknown = std::move(other169.unknown);
-  seen = std::move(other169.seen);
-  seen_all = other169.seen_all;
-  span_ms = other169.span_ms;
-  __isset = other169.__isset;
+gossip_streams& gossip_streams::operator=(gossip_streams&& other179) noexcept {
+  told = std::move(other179.told);
+  asked = std::move(other179.asked);
+  unknown = std::move(other179.unknown);
+  seen = std::move(other179.seen);
+  seen_all = other179.seen_all;
+  span_ms = other179.span_ms;
+  __isset = other179.__isset;
   return *this;
 }
 void gossip_streams::printTo(std::ostream& out) const {
@@ -3771,26 +3936,26 @@
   swap(a.__isset, b.__isset);
 }
 
-gossip_usage_count::gossip_usage_count(const gossip_usage_count& other170) {
-  account = other170.account;
-  requests = other170.requests;
-  __isset = other170.__isset;
+gossip_usage_count::gossip_usage_count(const gossip_usage_count& other180) {
+  account = other180.account;
+  requests = other180.requests;
+  __isset = other180.__isset;
 }
-gossip_usage_count::gossip_usage_count(gossip_usage_count&& other171) noexcept {
-  account = std::move(other171.account);
-  requests = other171.requests;
-  __isset = other171.__isset;
+gossip_usage_count::gossip_usage_count(gossip_usage_count&& other181) noexcept {
+  account = std::move(other181.account);
+  requests = other181.requests;
+  __isset = other181.__isset;
 }
-gossip_usage_count& gossip_usage_count::operator=(const gossip_usage_count& other172) {
-  account = other172.account;
-  requests = other172.requests;
-  __isset = other172.__isset;
+gossip_usage_count& gossip_usage_count::operator=(const gossip_usage_count& other182) {
+  account = other182.account;
+  requests = other182.requests;
+  __isset = other182.__isset;
   return *this;
 }
-gossip_usage_count& gossip_usage_count::operator=(gossip_usage_count&& other173) noexcept {
-  account = std::move(other173.account);
-  requests = other173.requests;
-  __isset = other173.__isset;
+gossip_usage_count& gossip_usage_count::operator=(gossip_usage_count&& other183) noexcept {
+  account = std::move(other183.account);
+  requests = other183.requests;
+  __isset = other183.__isset;
   return *this;
 }
 void gossip_usage_count::printTo(std::ostream& out) const {
@@ -3889,14 +4054,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->counts.clear();
-            uint32_t _size174;
-            ::apache::thrift::protocol::TType _etype177;
-            xfer += iprot->readListBegin(_etype177, _size174);
-            this->counts.resize(_size174);
-            uint32_t _i178;
-            for (_i178 = 0; _i178 < _size174; ++_i178)
+            uint32_t _size184;
+            ::apache::thrift::protocol::TType _etype187;
+            xfer += iprot->readListBegin(_etype187, _size184);
+            this->counts.resize(_size184);
+            uint32_t _i188;
+            for (_i188 = 0; _i188 < _size184; ++_i188)
             {
-              xfer += this->counts[_i178].read(iprot);
+              xfer += this->counts[_i188].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3941,10 +4106,10 @@
   xfer += oprot->writeFieldBegin("counts", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->counts.size()));
-    std::vector<gossip_usage_count> ::const_iterator _iter179;
-    for (_iter179 = this->counts.begin(); _iter179 != this->counts.end(); ++_iter179)
+    std::vector<gossip_usage_count> ::const_iterator _iter189;
+    for (_iter189 = this->counts.begin(); _iter189 != this->counts.end(); ++_iter189)
     {
-      xfer += (*_iter179).write(oprot);
+      xfer += (*_iter189).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3965,38 +4130,38 @@
   swap(a.__isset, b.__isset);
 }
 
-gossip_usage::gossip_usage(const gossip_usage& other180) {
-  vm = other180.vm;
-  incarnation = other180.incarnation;
-  window = other180.window;
-  complete = other180.complete;
-  counts = other180.counts;
-  __isset = other180.__isset;
-}
-gossip_usage::gossip_usage(gossip_usage&& other181) noexcept {
-  vm = std::move(other181.vm);
-  incarnation = other181.incarnation;
-  window = other181.window;
-  complete = other181.complete;
-  counts = std::move(other181.counts);
-  __isset = other181.__isset;
-}
-gossip_usage& gossip_usage::operator=(const gossip_usage& other182) {
-  vm = other182.vm;
-  incarnation = other182.incarnation;
-  window = other182.window;
-  complete = other182.complete;
-  counts = other182.counts;
-  __isset = other182.__isset;
+gossip_usage::gossip_usage(const gossip_usage& other190) {
+  vm = other190.vm;
+  incarnation = other190.incarnation;
+  window = other190.window;
+  complete = other190.complete;
+  counts = other190.counts;
+  __isset = other190.__isset;
+}
+gossip_usage::gossip_usage(gossip_usage&& other191) noexcept {
+  vm = std::move(other191.vm);
+  incarnation = other191.incarnation;
+  window = other191.window;
+  complete = other191.complete;
+  counts = std::move(other191.counts);
+  __isset = other191.__isset;
+}
+gossip_usage& gossip_usage::operator=(const gossip_usage& other192) {
+  vm = other192.vm;
+  incarnation = other192.incarnation;
+  window = other192.window;
+  complete = other192.complete;
+  counts = other192.counts;
+  __isset = other192.__isset;
   return *this;
 }
-gossip_usage& gossip_usage::operator=(gossip_usage&& other183) noexcept {
-  vm = std::move(other183.vm);
-  incarnation = other183.incarnation;
-  window = other183.window;
-  complete = other183.complete;
-  counts = std::move(other183.counts);
-  __isset = other183.__isset;
+gossip_usage& gossip_usage::operator=(gossip_usage&& other193) noexcept {
+  vm = std::move(other193.vm);
+  incarnation = other193.incarnation;
+  window = other193.window;
+  complete = other193.complete;
+  counts = std::move(other193.counts);
+  __isset = other193.__isset;
   return *this;
 }
 void gossip_usage::printTo(std::ostream& out) const {
--- a/src/sapphirespar/wire/gen/gossip_types.h
+++ b/src/sapphirespar/wire/gen/gossip_types.h
@@ -41,6 +41,8 @@
 
 class gossip_duties;
 
+class gossip_engine_pace;
+
 class gossip_state;
 
 class gossip_stream_version;
@@ -885,8 +887,60 @@
 
 std::ostream& operator<<(std::ostream& out, const gossip_duties& obj);
 
+typedef struct _gossip_engine_pace__isset {
+  _gossip_engine_pace__isset() : upstream(false), step_us(false) {}
+  bool upstream :1;
+  bool step_us :1;
+} _gossip_engine_pace__isset;
+
+class gossip_engine_pace : public virtual ::apache::thrift::TBase {
+ public:
+
+  gossip_engine_pace(const gossip_engine_pace&) noexcept;
+  gossip_engine_pace(gossip_engine_pace&&) noexcept;
+  gossip_engine_pace& operator=(const gossip_engine_pace&) noexcept;
+  gossip_engine_pace& operator=(gossip_engine_pace&&) noexcept;
+  gossip_engine_pace() noexcept
+                     : upstream(0),
+                       step_us(0) {
+  }
+
+  virtual ~gossip_engine_pace() noexcept;
+  int64_t upstream;
+  int32_t step_us;
+
+  _gossip_engine_pace__isset __isset;
+
+  void __set_upstream(const int64_t val);
+
+  void __set_step_us(const int32_t val);
+
+  bool operator == (const gossip_engine_pace & rhs) const
+  {
+    if (!(upstream == rhs.upstream))
+      return false;
+    if (!(step_us == rhs.step_us))
+      return false;
+    return true;
+  }
+  bool operator != (const gossip_engine_pace &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const gossip_engine_pace & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(gossip_engine_pace &a, gossip_engine_pace &b);
+
+std::ostream& operator<<(std::ostream& out, const gossip_engine_pace& obj);
+
 typedef struct _gossip_state__isset {
-  _gossip_state__isset() : vm(false), incarnation(false), sequence(false), data_centre(false), address(false), caller_port(false), admin_port(false), ready(false), leaving(false), loads(false), asks(false), answers(false), routing_age_ms(false), upstreams_age_ms(false), upstreams_digest(false), interactive_reading(false), bulk_reading(false), processor(false), zones(false), leaving_upstreams(false), store_era(false), routing_version(false), crash_report(false), upstream_rates(false), request_crash_report(false), cut_off(false), upstream_pauses(false), rationed_pools(false), duties(false) {}
+  _gossip_state__isset() : vm(false), incarnation(false), sequence(false), data_centre(false), address(false), caller_port(false), admin_port(false), ready(false), leaving(false), loads(false), asks(false), answers(false), routing_age_ms(false), upstreams_age_ms(false), upstreams_digest(false), interactive_reading(false), bulk_reading(false), processor(false), zones(false), leaving_upstreams(false), store_era(false), routing_version(false), crash_report(false), upstream_rates(false), request_crash_report(false), cut_off(false), upstream_pauses(false), rationed_pools(false), duties(false), engine_paces(false) {}
   bool vm :1;
   bool incarnation :1;
   bool sequence :1;
@@ -916,6 +970,7 @@
   bool upstream_pauses :1;
   bool rationed_pools :1;
   bool duties :1;
+  bool engine_paces :1;
 } _gossip_state__isset;
 
 class gossip_state : public virtual ::apache::thrift::TBase {
@@ -978,6 +1033,7 @@
   std::vector<gossip_upstream_pause>  upstream_pauses;
   std::vector<gossip_rationed_pool>  rationed_pools;
   gossip_duties duties;
+  std::vector<gossip_engine_pace>  engine_paces;
 
   _gossip_state__isset __isset;
 
@@ -1039,6 +1095,8 @@
 
   void __set_duties(const gossip_duties& val);
 
+  void __set_engine_paces(const std::vector<gossip_engine_pace> & val);
+
   bool operator == (const gossip_state & rhs) const
   {
     if (!(vm == rhs.vm))
@@ -1105,6 +1163,8 @@
       return false;
     else if (__isset.duties && !(duties == rhs.duties))
       return false;
+    if (!(engine_paces == rhs.engine_paces))
+      return false;
     return true;
   }
   bool operator != (const gossip_state &rhs) const {
--- a/src/sapphirespar/wire/gossip_codec.cpp
+++ b/src/sapphirespar/wire/gossip_codec.cpp
@@ -199,6 +199,15 @@
   std::ranges::transform(aState.mBrittle.mPools,
                          std::back_inserter(state.rationed_pools),
                          ToWirePool);
+  std::ranges::transform(aState.mEnginePaces,
+                         std::back_inserter(state.engine_paces),
+                         [](const engine_pace_report& aPace) {
+                           gen::gossip_engine_pace pace;
+                           pace.upstream =
+                             static_cast<std::int64_t>(aPace.mUpstream);
+                           pace.step_us = ToWireNumber(aPace.mStepUs);
+                           return pace;
+                         });
   state.routing_age_ms = -1;
   if (aState.mStore) {
     const auto& store = *aState.mStore;
@@ -262,6 +271,13 @@
   std::ranges::transform(state.rationed_pools,
                          std::back_inserter(read.mBrittle.mPools),
                          FromWirePool);
+  std::ranges::transform(
+    state.engine_paces,
+    std::back_inserter(read.mEnginePaces),
+    [](const gen::gossip_engine_pace& aPace) {
+      return engine_pace_report{ static_cast<std::uint64_t>(aPace.upstream),
+                                 ClampNegativeToZero(aPace.step_us) };
+    });
   read.mWantsReply = state.asks;
   read.mInteractivePrefill = ClampNegativeToZero(state.interactive_reading);
   read.mBulkPrefill = ClampNegativeToZero(state.bulk_reading);
--- a/src/sapphirespar/wire/gossip_codec_test.cpp
+++ b/src/sapphirespar/wire/gossip_codec_test.cpp
@@ -56,6 +56,7 @@
                            { 7, 0, 0ms } };
   state.mBrittle.mPauses = { { 0xfffffffffffffff8ULL, 150ms } };
   state.mBrittle.mPools = { { 0xfffffffffffffff7ULL, 2.5, 8s, 15ms } };
+  state.mEnginePaces = { { 0xfffffffffffffff4ULL, 5414 } };
   state.mDuties = duty_gossip{ 1'700'000'000'000, 0x7ffffffffffffff9ULL, 7 };
   return state;
 }
