Send each call for duties on a connection of its own

A platform that sends a second copy of an answer late, on a connection in use again, would have had it taken for the answer to the next call: an order that was refused would count as done. Answers name no call. Evidence: duty_client_test ASecondCopyAnswersNoOther fails on a kept connection.

--- a/src/sapphirespar/gateway/fleet_duties.cpp
+++ b/src/sapphirespar/gateway/fleet_duties.cpp
@@ -1,6 +1,8 @@
 // Hooks, counts and calls of the duties.
 #include "fleet_duties.hpp"
 
+#include "duty_client.hpp"
+
 #include "sapphirespar/base/log.hpp"
 
 #include <boost/asio/co_spawn.hpp>
@@ -12,7 +14,6 @@
 namespace sapphirespar::gateway {
 namespace {
 
-namespace asio = boost::asio;
 using std::chrono::milliseconds;
 
 // Interval between two messages with the counts of a window.
@@ -22,9 +23,6 @@
 // the holder of the duties is lost.
 constexpr std::size_t kKeepers = 2;
 
-constexpr milliseconds kCallTimeout{ 2000 };
-constexpr milliseconds kConnectTimeout{ 800 };
-
 // Demand that is summed over a smaller part of the gateways says nothing.
 constexpr double kHeardPart = 0.7;
 
@@ -35,41 +33,6 @@
     std::chrono::system_clock::now().time_since_epoch());
 }
 
-wire::http_client_settings
-ClientSettings()
-{
-  wire::http_client_settings settings;
-  settings.mConnectTimeout = kConnectTimeout;
-  settings.mMaxIdlePerEndpoint = 4;
-  return settings;
-}
-
-asio::awaitable<void>
-SendCall(wire::http_client& aClient,
-         wire::endpoint aEndpoint,
-         wire::http_request aRequest,
-         wire::send_check aMaySend,
-         std::function<duties::duty_reply(unsigned)> aRead,
-         duties::duty_callback aDone)
-{
-  const auto opened = co_await aClient.Open(aEndpoint,
-                                            std::move(aRequest),
-                                            kCallTimeout,
-                                            wire::connection_choice::Pooled,
-                                            nullptr,
-                                            std::move(aMaySend));
-  if (!opened) {
-    aClient.DropIdle(aEndpoint);
-    aDone(opened.error().mBytesWritten ? duties::duty_reply::Unknown
-                                       : duties::duty_reply::Throttled);
-    co_return;
-  }
-  const auto reply = aRead(opened.value()->Head().mStatus);
-  // Read to its end, so that the connection can be used again.
-  co_await opened.value()->Discard(kConnectTimeout);
-  aDone(reply);
-}
-
 } // namespace
 
 fleet_duties::fleet_duties(duty_parts aParts,
@@ -79,7 +42,7 @@
   : mParts(std::move(aParts))
   , mSelf(std::move(aSelf))
   , mSettings(std::move(aSettings))
-  , mClient(mParts.mExecutor, ClientSettings())
+  , mClient(mParts.mExecutor, DutyClientSettings())
   , mMeter(mSelf, mSettings.mReportWindow)
   , mLease(mParts.mPlatform,
            mParts.mTimers,
@@ -304,7 +267,7 @@
   endpoint.mAddress = mSettings.mPlatform.mAddress;
   endpoint.mPort = mSettings.mPlatform.mPort;
   asio::co_spawn(mParts.mExecutor,
-                 SendCall(
+                 SendDutyCall(
                    mClient,
                    std::move(endpoint),
                    std::move(aRequest),
