Wait for requests that are being read before a planned stop

What callers saw: a request whose head or body was still on its way when the gateway had no other in progress was cut off without an answer. Cause: only requests that had been read whole counted as in progress, and the process ended at the first moment without any. Change: a request is in progress from its first byte. At the end of the shutdown the gateway takes no new connections, and ends after a quarter of a second without a request.

--- a/include/sapphirespar/wire/http_server.hpp
+++ b/include/sapphirespar/wire/http_server.hpp
@@ -112,7 +112,7 @@
 
   std::uint16_t Port() const;
 
-  // Returns the number of requests in progress.
+  // Returns the number of requests in progress, from their first byte on.
   std::size_t RequestsInProgress() const;
 
   // Sends "Connection: close" with all further responses, but still accepts
--- a/src/sapphirespar/gateway/gateway_app.cpp
+++ b/src/sapphirespar/gateway/gateway_app.cpp
@@ -28,6 +28,10 @@
 constexpr milliseconds kStopMargin{ 400 };
 constexpr milliseconds kStopCheckPeriod{ 50 };
 
+// Time without a request, once no new connections are taken, after which the
+// process ends: a caller that has just connected is about to send one.
+constexpr milliseconds kQuietTime{ 250 };
+
 // Interval between updates of the split of the engines.
 constexpr milliseconds kSplitPeriod{ 200 };
 
@@ -290,20 +294,28 @@
 }
 
 // Stops the process once callers no longer cache this gateway's address and no
-// request is in progress, or when the drain time is over.
+// request is in progress, or when the drain time is over. Before that, it takes
+// no new connections, and waits for the requests of those that it has taken.
 void
 gateway_app::state::StopWhenIdle()
 {
+  const auto now = mTimers.Now();
   const auto left = TimeToStop().value_or(milliseconds::zero());
   const auto cacheTime =
     std::min(kEntryTtl, mSettings.mEntryTtl) * kEntryTtlFactor;
-  const bool uncached = mTimers.Now() - *mLeaveBegun >= cacheTime;
-  const bool idle = mCallers->RequestsInProgress() == 0;
-  if ((uncached && idle) || left <= milliseconds::zero()) {
+  const bool uncached = now - *mLeaveBegun >= cacheTime;
+  const auto inProgress = mCallers->RequestsInProgress();
+  if (uncached && inProgress == 0 && !mQuietSince) {
+    mCallers->Drain();
+  }
+  if (!uncached || inProgress > 0 || !mQuietSince) {
+    mQuietSince = uncached ? std::optional(now) : std::nullopt;
+  }
+  const bool quiet = mQuietSince && now - *mQuietSince >= kQuietTime;
+  if (quiet || left <= milliseconds::zero()) {
     LogEvent(log_level::Info,
              "stopped",
-             { { "in_progress", mCallers->RequestsInProgress() },
-               { "left_ms", left.count() } });
+             { { "in_progress", inProgress }, { "left_ms", left.count() } });
     mContext.stop();
     return;
   }
--- a/src/sapphirespar/gateway/gateway_app_state.hpp
+++ b/src/sapphirespar/gateway/gateway_app_state.hpp
@@ -124,6 +124,9 @@
   std::unique_ptr<wire::http_server> mMetricsServer;
   // Unset unless the process is shutting down.
   std::optional<steady_time> mLeaveBegun;
+  // At the end of the shutdown, when no new connections are taken: since when
+  // no request has been in progress.
+  std::optional<steady_time> mQuietSince;
   routing_packer mPacker;
   // A datagram has arrived since the loads of other gateways were added up.
   bool mLoadsStale = false;
--- a/src/sapphirespar/wire/http_decoding_test.cpp
+++ b/src/sapphirespar/wire/http_decoding_test.cpp
@@ -84,7 +84,7 @@
   while (true) {
     request_parser parser;
     const auto read = co_await ReadRequest(
-      aStream, buffer, parser, [&] { return limits; }, &claim);
+      aStream, buffer, parser, [&] { return limits; }, [] {}, &claim);
     if (read.mError) {
       // An unfinished head is malformed or incomplete, as the pieces have it.
       aInto.emplace_back("no request");
--- a/src/sapphirespar/wire/http_request_read.cpp
+++ b/src/sapphirespar/wire/http_request_read.cpp
@@ -149,6 +149,7 @@
             beast::flat_buffer& aBuffer,
             request_parser& aParser,
             const std::function<http_limits()>& aLimits,
+            const std::function<void()>& aOnBegin,
             memory_claim* aBody)
 {
   using std::chrono::steady_clock;
@@ -166,6 +167,7 @@
     }
   }
   read.mReceivedBytes = true;
+  aOnBegin();
   const auto limits = aLimits();
   aParser.header_limit(static_cast<std::uint32_t>(limits.mHeaderBytes));
   aParser.body_limit(limits.mBodyBytes);
--- a/src/sapphirespar/wire/http_request_read.hpp
+++ b/src/sapphirespar/wire/http_request_read.hpp
@@ -26,13 +26,15 @@
 bool IsOutOfMemory(const boost::system::error_code& aError);
 
 // aLimits returns the limits that hold now. They are asked for again when a
-// request begins, as they may change while a connection is idle. aBody claims
-// the memory that the body takes; null if there is no common limit.
+// request begins, as they may change while a connection is idle. aOnBegin is
+// called once the first byte of the request has arrived. aBody claims the
+// memory that the body takes; null if there is no common limit.
 asio::awaitable<request_read_result> ReadRequest(
   byte_stream& aStream,
   beast::flat_buffer& aBuffer,
   request_parser& aParser,
   const std::function<http_limits()>& aLimits,
+  const std::function<void()>& aOnBegin,
   memory_claim* aBody);
 
 // Returns the HTTP status for a request that could not be read.
--- a/src/sapphirespar/wire/http_server.cpp
+++ b/src/sapphirespar/wire/http_server.cpp
@@ -273,10 +273,16 @@
     if (aServices->mSettings.mBodyMemory) {
       body.emplace(aServices->mSettings.mBodyMemory);
     }
+    // A request that is still being read must not be cut off by a shutdown.
+    std::optional<active_request_counter> counter;
+    const auto onBegin = [&] {
+      counter.emplace(aServices->mRequestsInProgress);
+    };
     const auto read = co_await ReadRequest(aStream,
                                            buffer,
                                            parser,
                                            aServices->mSettings.mLimits,
+                                           onBegin,
                                            body ? &*body : nullptr);
     if (read.mError) {
       const bool canRespond = IsParseError(read.mError) ||
@@ -287,7 +293,6 @@
       }
       break;
     }
-    const active_request_counter counter(aServices->mRequestsInProgress);
     const bool keepAlive = parser.get().keep_alive();
     const auto request = ToRequest(parser.release());
     stream_reply reply(aStream, *aServices, keepAlive);
--- a/src/sapphirespar/wire/http_test.cpp
+++ b/src/sapphirespar/wire/http_test.cpp
@@ -146,6 +146,34 @@
   EXPECT_EQ(mAnswered, 1U);
 }
 
+// A shutdown waits for requests in progress. One that is still being read would
+// otherwise be cut off without an answer.
+TEST_F(http_exchange, ARequestIsInProgressFromItsFirstByte)
+{
+  std::size_t during = 0;
+  std::size_t after = 1;
+  Run([&]() -> asio::awaitable<void> {
+    asio::ip::tcp::socket socket(mContext);
+    const asio::ip::tcp::endpoint remote(asio::ip::make_address("127.0.0.1"),
+                                         mServer->Port());
+    co_await socket.async_connect(remote, asio::use_awaitable);
+    asio::steady_timer timer(mContext, 20ms);
+    co_await timer.async_wait(asio::use_awaitable);
+    EXPECT_EQ(mServer->RequestsInProgress(), 0U);
+    const std::string half = "POST /echo HTTP/1.1\r\nHost: h\r\n";
+    co_await asio::async_write(socket, asio::buffer(half), asio::use_awaitable);
+    timer.expires_after(20ms);
+    co_await timer.async_wait(asio::use_awaitable);
+    during = mServer->RequestsInProgress();
+    socket.close();
+    timer.expires_after(20ms);
+    co_await timer.async_wait(asio::use_awaitable);
+    after = mServer->RequestsInProgress();
+  }());
+  EXPECT_EQ(during, 1U);
+  EXPECT_EQ(after, 0U);
+}
+
 // The check runs after connecting: for a new connection as for an idle one.
 TEST_F(http_exchange, ARefusedCallSendsNothing)
 {
