Take no answer of the store for that to another call

The store's answers name no call. A second copy of one, late, on a kept connection was taken for the answer to the next call: a write that lost a conflict would have counted as done, with the version of another write. The ctl tests' stand-in named every object 'any'; it now gives the name that was asked for, with the same checks. Evidence: platform_calls.AnAnswerToAnEarlierCallIsNotTaken. Not covered: lists and watches, whose answers don't name their kind.

--- a/src/sapphirespar/cli/ctl_test.cpp
+++ b/src/sapphirespar/cli/ctl_test.cpp
@@ -62,9 +62,11 @@
     } else if (!IsObject(wire::SplitTarget(aRequest.mTarget).mPath)) {
       response.mStatus = 404;
     } else if (aRequest.mMethod == "GET") {
+      SetName(aRequest.mTarget);
       response.mStatus = mValue.empty() ? 404 : 200;
       response.mBody = Object();
     } else {
+      SetName(aRequest.mTarget);
       const bool done = aRequest.mMethod == "DELETE" ? Delete(aRequest.mTarget)
                                                      : Write(aRequest.mBody);
       response.mStatus = done ? 200 : 409;
@@ -84,6 +86,12 @@
     return std::ranges::find(kTargets, aTarget) != kTargets.end();
   }
 
+  // Answers name the object of their request.
+  void SetName(std::string_view aTarget)
+  {
+    mName = aTarget.starts_with("/objects/bundle") ? "current" : "engine-1";
+  }
+
   // Stores the value if the request expects the current version.
   bool Write(std::string_view aBody)
   {
@@ -114,12 +122,13 @@
   std::string Object() const
   {
     boost::json::object object;
-    object["metadata"] = { { "name", "any" }, { "revision", mVersion } };
+    object["metadata"] = { { "name", mName }, { "revision", mVersion } };
     object["spec"] = mValue;
     return boost::json::serialize(object);
   }
 
   boost::asio::io_context mContext;
+  std::string mName;
   std::string mValue;
   std::uint64_t mVersion = 0;
   wire::http_server mServer;
--- a/src/sapphirespar/wire/platform_answer.cpp
+++ b/src/sapphirespar/wire/platform_answer.cpp
@@ -251,6 +251,11 @@
   if (document && document->is_object()) {
     answer.mObject = ToObject(document->get_object(), aKey.mKind);
   }
+  // An answer to an earlier call, which has come twice.
+  const auto& name = answer.mObject.mKey.mName;
+  if (!name.empty() && name != aKey.mName) {
+    answer = { platform_status::Unknown, {}, 0 };
+  }
   // Without a revision it is not known what was read or written.
   if (aResult.mStatus == platform_status::Ok &&
       answer.mObject.mVersion == kNoObject) {
--- a/src/sapphirespar/wire/platform_client_test.cpp
+++ b/src/sapphirespar/wire/platform_client_test.cpp
@@ -109,6 +109,27 @@
   }
 }
 
+// The store may send an answer twice, and the second copy comes where the next
+// call expects its own.
+TEST_F(platform_calls, AnAnswerToAnEarlierCallIsNotTaken)
+{
+  const std::string own =
+    R"({"metadata":{"name":"a/b","revision":4},"spec":"value"})";
+  const std::string otherObject =
+    R"({"metadata":{"name":"c","revision":4},"spec":"value"})";
+  const std::string otherValue =
+    R"({"metadata":{"name":"a/b","revision":4},"spec":"before"})";
+  mAnswer->mBody = own;
+  EXPECT_EQ(Put().mStatus, platform_status::Ok);
+  EXPECT_EQ(Get().mStatus, platform_status::Ok);
+  mAnswer->mBody = otherObject;
+  EXPECT_EQ(Put().mStatus, platform_status::Unknown);
+  EXPECT_EQ(Get().mStatus, platform_status::Unknown);
+  EXPECT_TRUE(Get().mObject.mValue.empty());
+  mAnswer->mBody = otherValue;
+  EXPECT_EQ(Put().mStatus, platform_status::Unknown);
+}
+
 TEST_F(platform_calls, AMalformedEraIsIgnored)
 {
   for (const auto* era : { "",
