Wait for a list that is filling up before capacity is planned

After a restart and an outage of the store, upstreams that were only silent come back to the list within two seconds. A gateway that took the duties meanwhile could have taken the first of them for all there are, and ordered the rest away. The list must not have changed for three seconds. Evidence: capacity_controller_test AFillingListIsNoPlan.

--- a/src/sapphirespar/duties/capacity_controller.cpp
+++ b/src/sapphirespar/duties/capacity_controller.cpp
@@ -27,8 +27,9 @@
 constexpr milliseconds kStartDelay{ 3000 };
 
 // A list that has not changed for this long is taken to be complete when the
-// duties have just been taken.
-constexpr milliseconds kListTime{ 2000 };
+// duties have just been taken. After an outage of the store, upstreams write
+// their entries again within two seconds.
+constexpr milliseconds kListTime{ 3000 };
 
 constexpr milliseconds kFirstPause{ 1000 };
 constexpr milliseconds kLongestPause{ 8000 };
--- a/src/sapphirespar/duties/capacity_controller_test.cpp
+++ b/src/sapphirespar/duties/capacity_controller_test.cpp
@@ -172,6 +172,27 @@
   }
 }
 
+// After a restart and an outage of the store, upstreams that were only silent
+// come back to the list one by one. They must not be taken for all there are.
+TEST_F(capacity_controller_test,
+       Fault_StaleList_Duty_Order_AFillingListIsNoPlan)
+{
+  mNeeded = 40;
+  const auto all = mCloud.mRunning;
+  mCloud.mRunning.clear();
+  for (unsigned listed = 1; listed <= 20; ++listed) {
+    for (const auto& [key, count] : all) {
+      mCloud.mRunning[key] = listed;
+    }
+    mTimers.Advance(100ms);
+    EXPECT_EQ(mCloud.mCalls, 0U);
+  }
+  for (int step = 0; step < 100; ++step) {
+    mTimers.Advance(250ms);
+    EXPECT_GE(mCloud.Total(true) + mCloud.Total(false), 40U);
+  }
+}
+
 TEST_F(capacity_controller_test, DemandThatDoublesIsFollowedWithinTheStartTime)
 {
   mTimers.Advance(40s);
