Split the plan of a pool; check written values where answers are read

Readability: the question how many upstreams to keep has a function of its own, and platform_answer holds what makes an answer valid.

--- a/include/sapphirespar/model/gossip.hpp
+++ b/include/sapphirespar/model/gossip.hpp
@@ -71,7 +71,7 @@
 };
 
 // How long an engine that is slower than others of its pool takes for a token,
-// beside no other requests, as the sender has measured lately.
+// beside no other requests, as the sender has found lately.
 struct engine_pace_report
 {
   // Identifies the engine as in gossip_load.
--- a/src/sapphirespar/duties/capacity_controller.cpp
+++ b/src/sapphirespar/duties/capacity_controller.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <map>
+#include <optional>
 #include <tuple>
 #include <utility>
 
@@ -98,27 +99,17 @@
 
   void PlanPool(const ordered_pool& aPool)
   {
-    const auto now = mTimers.Now();
     auto zones = aPool.mZones;
     unsigned present = 0;
     for (auto& zone : zones) {
       present += zone.mRegular + zone.mPreemptible;
       NoteOrders(aPool, zone);
     }
-    auto& state = mPools[aPool.mName];
-    if (std::exchange(state.mPresent, present) != present) {
-      state.mPresentSince = now;
-    }
-    const bool settled =
-      state.mIsPlanned || now - state.mPresentSince >= kListTime;
-    if (!aPool.mNeeded || present == 0 || !settled) {
+    const auto kept = UpstreamsToKeep(aPool, present);
+    if (!kept) {
       return;
     }
-    state.mIsPlanned = true;
-    // One data centre's preemptible upstreams come on top of what is needed.
-    const auto kept = present * (zones.size() - 1) / zones.size();
-    const auto needed =
-      state.mNeed.Update(*aPool.mNeeded, static_cast<unsigned>(kept), now);
+    const auto needed = *kept;
     const auto plan = policy::PlanCapacity(aPool.mBounds, zones, needed);
     // What would be ordered if the platform had preemptible upstreams again.
     auto open = zones;
@@ -144,6 +135,28 @@
     }
   }
 
+  // Returns how many upstreams the pool should keep beside those that may be
+  // lost with a data centre; nothing until its list is complete and its demand
+  // known.
+  std::optional<unsigned> UpstreamsToKeep(const ordered_pool& aPool,
+                                          unsigned aPresent)
+  {
+    const auto now = mTimers.Now();
+    auto& state = mPools[aPool.mName];
+    if (std::exchange(state.mPresent, aPresent) != aPresent) {
+      state.mPresentSince = now;
+    }
+    const bool settled =
+      state.mIsPlanned || now - state.mPresentSince >= kListTime;
+    if (!aPool.mNeeded || aPresent == 0 || !settled) {
+      return std::nullopt;
+    }
+    state.mIsPlanned = true;
+    const auto zones = aPool.mZones.size();
+    const auto present = static_cast<unsigned>(aPresent * (zones - 1) / zones);
+    return state.mNeed.Update(*aPool.mNeeded, present, now);
+  }
+
   // Sets what the last orders tell of the preemptible upstreams.
   void NoteOrders(const ordered_pool& aPool, policy::zone_capacity& aZone) const
   {
--- a/src/sapphirespar/wire/platform_answer.cpp
+++ b/src/sapphirespar/wire/platform_answer.cpp
@@ -265,6 +265,21 @@
   return answer;
 }
 
+object_answer
+ToWriteAnswer(call_result aResult, object_key aKey, std::string_view aValue)
+{
+  auto answer = ToObjectAnswer(std::move(aResult), std::move(aKey));
+  const auto& written = answer.mObject.mValue;
+  if (answer.mStatus == platform_status::Ok && !written.empty() &&
+      written != aValue) {
+    // An answer to an earlier call for the same object.
+    answer.mStatus = platform_status::Unknown;
+    answer.mObject.mVersion = kNoObject;
+    answer.mObject.mValue.clear();
+  }
+  return answer;
+}
+
 std::string
 ObjectBody(std::string_view aName,
            std::string_view aValue,
--- a/src/sapphirespar/wire/platform_answer.hpp
+++ b/src/sapphirespar/wire/platform_answer.hpp
@@ -34,9 +34,16 @@
 // Converts the result of a call for one object. The answer holds the object
 // that the store sent, also after a conflict. A successful response that cannot
 // be parsed yields platform_status::Unknown, because the version of the object
-// is unknown.
+// is unknown. So does one that names another object: the store may send an
+// answer twice, and the second copy comes where the next call expects its own.
 object_answer ToObjectAnswer(call_result aResult, object_key aKey);
 
+// The same for a call that has written aValue: the answer must not hold another
+// value.
+object_answer ToWriteAnswer(call_result aResult,
+                            object_key aKey,
+                            std::string_view aValue);
+
 // Returns the request body that creates an object, or replaces the object of
 // version aExpected.
 std::string ObjectBody(std::string_view aName,
--- a/src/sapphirespar/wire/platform_client.cpp
+++ b/src/sapphirespar/wire/platform_client.cpp
@@ -347,13 +347,7 @@
   mState->Write(std::move(request),
                 [key = std::move(aKey), value = std::move(aValue), aDone](
                   call_result aResult) {
-                  auto answer = ToObjectAnswer(std::move(aResult), key);
-                  const auto& written = answer.mObject.mValue;
-                  if (answer.mStatus == platform_status::Ok &&
-                      !written.empty() && written != value) {
-                    // The answer to an earlier call for the same object.
-                    answer = { platform_status::Unknown, { key }, 0 };
-                  }
+                  auto answer = ToWriteAnswer(std::move(aResult), key, value);
                   if (answer.mStatus == platform_status::NotFound) {
                     // The object to be replaced has been deleted.
                     answer.mStatus = platform_status::Conflict;
