Tell upstreams the time that is left when a request is written

Callers saw nothing; an upstream could work on a request after its caller had left. Cause: the time left was computed before the connection was made, which may take a second, and a process may be paused meanwhile. The headers are made anew right before the first byte, and a request without time left is not sent (503, true).

--- a/include/sapphirespar/wire/http_client.hpp
+++ b/include/sapphirespar/wire/http_client.hpp
@@ -152,10 +152,10 @@
 using call_abort_ptr = std::shared_ptr<call_abort>;
 
 // Called once a call has a connection and before the first byte of its request
-// is written, however long connecting has taken. If it returns false, the
-// connection is closed, and the call fails with wire_error_kind::Cancelled and
-// no bytes written.
-using send_check = std::function<bool()>;
+// is written, however long connecting has taken. May change what has become old
+// in the request meanwhile. If it returns false, the connection is closed, and
+// the call fails with wire_error_kind::Cancelled and no bytes written.
+using send_check = std::function<bool(http_request& aRequest)>;
 
 class http_client
 {
--- a/src/sapphirespar/gateway/duty_client_test.cpp
+++ b/src/sapphirespar/gateway/duty_client_test.cpp
@@ -17,9 +17,8 @@
 {
 protected:
   // Makes one call and returns its reply.
-  duties::duty_reply Call(const wire::send_check& aMaySend = [] {
-    return true;
-  })
+  duties::duty_reply Call(const wire::send_check& aMaySend =
+                            [](wire::http_request&) { return true; })
   {
     std::optional<duties::duty_reply> reply;
     wire::endpoint endpoint;
@@ -97,7 +96,8 @@
         ++mCalls;
       }
     });
-  EXPECT_EQ(Call([] { return false; }), duties::duty_reply::Throttled);
+  EXPECT_EQ(Call([](wire::http_request&) { return false; }),
+            duties::duty_reply::Throttled);
   RunFor(50ms);
   EXPECT_EQ(mCalls, 0U);
 }
--- a/src/sapphirespar/gateway/fleet_duties.cpp
+++ b/src/sapphirespar/gateway/fleet_duties.cpp
@@ -266,15 +266,16 @@
   wire::endpoint endpoint;
   endpoint.mAddress = mSettings.mPlatform.mAddress;
   endpoint.mPort = mSettings.mPlatform.mPort;
-  asio::co_spawn(mParts.mExecutor,
-                 SendDutyCall(
-                   mClient,
-                   std::move(endpoint),
-                   std::move(aRequest),
-                   [this, aToken] { return mLease.Token() == aToken; },
-                   mParts.mProtocol.mReadDutyReply,
-                   std::move(aDone)),
-                 asio::detached);
+  asio::co_spawn(
+    mParts.mExecutor,
+    SendDutyCall(
+      mClient,
+      std::move(endpoint),
+      std::move(aRequest),
+      [this, aToken](wire::http_request&) { return mLease.Token() == aToken; },
+      mParts.mProtocol.mReadDutyReply,
+      std::move(aDone)),
+    asio::detached);
 }
 
 } // namespace sapphirespar::gateway
--- a/src/sapphirespar/gateway/forward_attempt.cpp
+++ b/src/sapphirespar/gateway/forward_attempt.cpp
@@ -37,7 +37,11 @@
     const auto connection = mProgress.mFreshConnection
                               ? wire::connection_choice::Fresh
                               : wire::connection_choice::Pooled;
-    wire::send_check maySend = [this] { return MaySend(); };
+    wire::send_check maySend = [this](wire::http_request& aRequest) {
+      // Connecting, or a pause of this process, may have taken a while.
+      aRequest.mHeaders = MakeHeaders();
+      return MaySend();
+    };
     mAttempt.mResumesAfter = mProgress.mLastEventId.empty()
                                ? mForwarded.mInfo.mLastEventId
                                : mProgress.mLastEventId;
@@ -73,6 +77,9 @@
   bool MaySend()
   {
     const auto& software = mProgress.mSoftware;
+    if (Left() <= kTimerTolerance) {
+      return false;
+    }
     const bool otherVersion =
       software && SoftwareKey(mUpstream.mEntry) != *software;
     if (otherVersion || !mUpstream.TakesWork() ||
@@ -87,21 +94,31 @@
            mServices.mBrittleGuard.TakeSend(mUpstream);
   }
 
-  wire::http_request MakeRequest() const
+  milliseconds Left() const
+  {
+    return LeftUntil(
+      std::min(mForwarded.mDeadline, mForwarded.mCallerDeadline));
+  }
+
+  wire::http_headers MakeHeaders() const
   {
     forward_info info;
-    info.mDeadline =
-      LeftUntil(std::min(mForwarded.mDeadline, mForwarded.mCallerDeadline));
+    info.mDeadline = Left();
     info.mExpected = mUpstream.mEntry.mId;
     info.mAccount = mForwarded.mAccount;
     info.mPriority = mForwarded.mPriority;
     info.mLastEventId = mProgress.mLastEventId;
+    return mServices.mProtocol.mForwardHeaders(mForwarded.mRequest.mHeaders,
+                                               info);
+  }
+
+  // Makes the request without its headers, which are added when it is sent.
+  wire::http_request MakeRequest() const
+  {
     const auto& request = mForwarded.mRequest;
     wire::http_request forward;
     forward.mMethod = request.mMethod;
     forward.mTarget = request.mTarget;
-    forward.mHeaders =
-      mServices.mProtocol.mForwardHeaders(request.mHeaders, info);
     forward.mBody = request.mBody;
     return forward;
   }
--- a/src/sapphirespar/gateway/forward_test.cpp
+++ b/src/sapphirespar/gateway/forward_test.cpp
@@ -2,9 +2,12 @@
 // succeeds, fails, disconnects or times out.
 #include "forward_fixture_test.hpp"
 
+#include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <thread>
+
 namespace sapphirespar::gateway {
 namespace {
 
@@ -81,6 +84,33 @@
   EXPECT_LE(left, 700);
 }
 
+// The process is paused while it connects to the upstream, which would work on
+// the request after its caller has left.
+TEST_F(forward_test, Fault_PausePastLease_Request_Dispatch_TheTimeLeftIsCurrent)
+{
+  Publish();
+  auto pause = 500ms;
+  mRefreshLoads = [&] {
+    asio::post(mContext, [&] { std::this_thread::sleep_for(pause); });
+  };
+  AddUpstream("a",
+              [](const wire::http_request& aRequest,
+                 wire::http_reply& aReply) -> asio::awaitable<void> {
+                const std::string left(aRequest.Header(kTestDeadline));
+                co_await aReply.Send(SignedAnswer(aRequest, 200, left));
+              });
+  const auto answer =
+    SendRequest("/once/x", { { std::string(kTestDeadline), "700" } });
+  ASSERT_EQ(answer.mStatus, 200U);
+  EXPECT_LE(std::stoi(answer.mBody), 200);
+  pause = 900ms;
+  mUpstreamClient->DropIdle({ "127.0.0.1", mServers.back()->Port() });
+  EXPECT_EQ(
+    SendRequest("/once/x", { { std::string(kTestDeadline), "700" } }).mStatus,
+    503U);
+  EXPECT_EQ(mArrivals["a"], 1U);
+}
+
 TEST_F(forward_test, RefusesUnknownRoutesAndKeys)
 {
   EXPECT_EQ(SendRequest("/once/x").mStatus, 503U) << "without a routing";
--- a/src/sapphirespar/wire/http_client.cpp
+++ b/src/sapphirespar/wire/http_client.cpp
@@ -228,7 +228,7 @@
       co_return wire_error{ wire_error_kind::Cancelled, kNothingWritten, {} };
     }
   }
-  if (aOptions.mMaySend && !aOptions.mMaySend()) {
+  if (aOptions.mMaySend && !aOptions.mMaySend(aRequest)) {
     co_return wire_error{ wire_error_kind::Cancelled, kNothingWritten, {} };
   }
   const bool reused = connection->mReused;
--- a/src/sapphirespar/wire/http_test.cpp
+++ b/src/sapphirespar/wire/http_test.cpp
@@ -187,7 +187,7 @@
       EXPECT_TRUE(response.has_value());
       const auto answered = mAnswered;
       unsigned checks = 0;
-      const send_check refuse = [&checks] {
+      const send_check refuse = [&checks](http_request&) {
         ++checks;
         return false;
       };
@@ -216,7 +216,7 @@
 {
   Run([this]() -> asio::awaitable<void> {
     bool allowed = true;
-    const send_check check = [&allowed] { return allowed; };
+    const send_check check = [&allowed](http_request&) { return allowed; };
     // Runs once the call below has begun to connect.
     asio::post(mContext, [&allowed] { allowed = false; });
     http_request request{ "POST", "/echo", {}, "hello" };
