Take no upstream back that a returning reader only keeps

Cause, found by reading and shown by a test: a reader that was cut off for 2 s or more can't tell whether missing entries have expired in an outage of the store, and keeps them for 2.2 s. Other gateways, which had read meanwhile that the upstream left, took its copy as complete and listed the upstream again. Copies now mark such entries, and a gateway that saw the incarnation leave does not take it; one that starts does.

Evidence: Fault_Partition_Drain_Upstream_AReaderThatReturnsBringsNothingBack, failed before.

--- a/include/sapphirespar/gateway/upstream_directory.hpp
+++ b/include/sapphirespar/gateway/upstream_directory.hpp
@@ -145,7 +145,8 @@
 {
 public:
   // Replaces the known upstreams by a new list. An incarnation that is listed
-  // again keeps what was known of it.
+  // again keeps what was known of it. One that the sender of a copy only keeps
+  // as it may return is not taken if this gateway saw it leave.
   directory_change ApplyList(std::span<const upstream_entry> aEntries,
                              list_completeness aCompleteness);
 
--- a/include/sapphirespar/model/routing.hpp
+++ b/include/sapphirespar/model/routing.hpp
@@ -144,6 +144,9 @@
   // The platform may take the upstream away with all others of its data centre
   // that are preemptible.
   bool mPreemptible = false;
+  // The last list that was read lacked the upstream, which may have to write
+  // its entry again.
+  bool mMissing = false;
 
   bool operator==(const upstream_entry&) const = default;
 };
--- a/src/sapphirespar/gateway/store_reader_test.cpp
+++ b/src/sapphirespar/gateway/store_reader_test.cpp
@@ -258,6 +258,59 @@
 
 // When a whole fleet starts, a gateway copies from the first one that has read
 // the store instead of reading it too.
+// The first reader was cut off for seconds. It can't tell whether entries that
+// are missing now have expired in an outage of the store, and keeps them for a
+// while. Others have read meanwhile that the upstream left, and requests would
+// reach it long after that.
+TEST_F(store_reader_test,
+       Fault_Partition_Drain_Upstream_AReaderThatReturnsBringsNothingBack)
+{
+  test_gateway first(mTimers, mStore);
+  test_gateway second(mTimers, mStore);
+  test_gateway third(mTimers, mStore);
+  second.mPeer = &first;
+  second.mIsSecond = true;
+  third.mPeer = &first;
+  third.mSecondPeer = &second;
+  first.mReader.Start();
+  second.mReader.Start();
+  third.mReader.Start();
+  mTimers.Advance(1s);
+  first.mPlatform.Faults().mOutage = true;
+  mTimers.Advance(2s);
+  Remove({ "servers", "a" });
+  mTimers.Advance(2s);
+  EXPECT_EQ(third.Members(), 1U);
+  first.mPlatform.Faults().mOutage = false;
+  for (int step = 0; step < 40; ++step) {
+    mTimers.Advance(100ms);
+    EXPECT_EQ(third.Members(), 1U) << step;
+  }
+  EXPECT_EQ(first.Members(), 1U);
+  // Another one that is listed again is taken.
+  Write({ "servers", "a" }, "80");
+  mTimers.Advance(2s);
+  EXPECT_EQ(third.Members(), 2U);
+}
+
+// A gateway that has just started knows of no upstream that left.
+TEST_F(store_reader_test, ANewGatewayTakesEntriesThatMayReturn)
+{
+  test_gateway first(mTimers, mStore);
+  first.mReader.Start();
+  mTimers.Advance(1s);
+  first.mPlatform.Faults().mOutage = true;
+  mTimers.Advance(4s);
+  Remove({ "servers", "a" });
+  first.mPlatform.Faults().mOutage = false;
+  mTimers.Advance(1s);
+  test_gateway started(mTimers, mStore);
+  started.mPeer = &first;
+  started.mReader.Start();
+  mTimers.Advance(100ms);
+  EXPECT_EQ(started.Members(), 2U);
+}
+
 TEST_F(store_reader_test, AGatewayWithoutDataWaitsForACopy)
 {
   store_reader_settings patient;
--- a/src/sapphirespar/gateway/store_snapshot_codec.cpp
+++ b/src/sapphirespar/gateway/store_snapshot_codec.cpp
@@ -43,6 +43,9 @@
   if (aEntry.mPreemptible) {
     entry["preemptible"] = true;
   }
+  if (aEntry.mMissing) {
+    entry["missing"] = true;
+  }
   return entry;
 }
 
@@ -91,6 +94,7 @@
   entry.mStartedAtMs = aValue.at("born").to_number<std::int64_t>();
   entry.mSoftware = TextAt(aValue, "software");
   entry.mPreemptible = aValue.as_object().contains("preemptible");
+  entry.mMissing = aValue.as_object().contains("missing");
   return entry;
 }
 
--- a/src/sapphirespar/gateway/store_snapshot_codec_test.cpp
+++ b/src/sapphirespar/gateway/store_snapshot_codec_test.cpp
@@ -22,6 +22,7 @@
   entry.mStartedAtMs = 1'700'000'000'000;
   entry.mSoftware = "v1";
   entry.mPreemptible = entry.mId.mText == "b";
+  entry.mMissing = entry.mId.mText == "b";
   return entry;
 }
 
--- a/src/sapphirespar/gateway/upstream_directory.cpp
+++ b/src/sapphirespar/gateway/upstream_directory.cpp
@@ -121,7 +121,7 @@
   for (auto entry : aEntries) {
     const auto key = KeyOf(entry);
     listed.insert(entry.mId);
-    if (restored && isRemoved(key)) {
+    if ((restored || entry.mMissing) && isRemoved(key)) {
       continue;
     }
     auto& known = mUpstreams[entry.mId];
@@ -151,7 +151,11 @@
     const bool partial = aCompleteness == list_completeness::PossiblyPartial ||
                          aCompleteness == list_completeness::Restored;
     const bool mayReturn = partial && !known->mEntry.mDraining;
-    if (!listed.contains(id) && !mayReturn) {
+    if (listed.contains(id)) {
+      continue;
+    }
+    known->mEntry.mMissing = true;
+    if (!mayReturn) {
       missing.push_back(id);
     }
   }
