Order upstreams for refused work, and replace at once what is taken away

Change: gateways tell what the prefill of refused prompts would need (in the message of the duties), two refusals standing for one request; it is held until upstreams ordered for it have started. Upstreams that were listed and are gone are ordered again after 1 s. Regular ones are no longer ordered for a moment whenever the need rises, and come where accepted orders bring nothing. Builds of before tell no refusals.

Weighed and left out: regular upstreams that replace the reserve while the platform has no preemptible ones.

--- a/idl/gossip.thrift
+++ b/idl/gossip.thrift
@@ -103,6 +103,9 @@
   1: i64 wall_ms;
   2: i64 token;
   3: i64 fixed_window;
+  // Prefill of the prompts that the sender refused, in thousandths of one
+  // engine.
+  4: i32 refused_reading;
 }
 
 // How long an engine that is slower than its pool takes for a token.
--- a/include/sapphirespar/duties/capacity_controller.hpp
+++ b/include/sapphirespar/duties/capacity_controller.hpp
@@ -24,6 +24,8 @@
   // Upstreams that the requests of all gateways need; unset while too few
   // gateways are heard to tell.
   std::optional<double> mNeeded;
+  // Upstreams that the requests would need besides that gateways refuse.
+  double mRefused = 0;
 };
 
 struct capacity_settings
--- a/include/sapphirespar/gateway/peer_table.hpp
+++ b/include/sapphirespar/gateway/peer_table.hpp
@@ -147,6 +147,10 @@
   // The engine time, in engines, that all other live gateways need for prefill.
   policy::engine_demand PrefillDemand(steady_time aNow) const;
 
+  // The engine time, in engines, that the prefill of the prompts would take
+  // that all other live gateways have refused.
+  double RefusedPrefill(steady_time aNow) const;
+
   // The gateways that may be live, sorted: those heard recently or registered,
   // including this one. Empty until another gateway has been heard or a list of
   // gateways has been received.
--- a/include/sapphirespar/model/gossip.hpp
+++ b/include/sapphirespar/model/gossip.hpp
@@ -6,6 +6,7 @@
 #include "sapphirespar/model/upstream_pause.hpp"
 #include "sapphirespar/model/upstream_rate.hpp"
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 #include <optional>
@@ -14,6 +15,14 @@
 
 namespace sapphirespar {
 
+// Thousandths of an amount; zero for a negative one.
+inline std::uint32_t
+ToThousandths(double aNumber)
+{
+  constexpr double kThousand = 1000;
+  return static_cast<std::uint32_t>(kThousand * std::max(aNumber, 0.0));
+}
+
 // The sender's own load on one upstream; see policy/upstream_load.hpp.
 struct gossip_load
 {
@@ -66,6 +75,9 @@
   std::uint64_t mToken = 0;
   // The latest window whose usage report is known to be fixed; zero if none is.
   std::int64_t mFixedWindow = 0;
+  // Thousandths of an engine that the prefill of the prompts would keep busy
+  // that the sender has lately refused for want of room.
+  std::uint32_t mRefusedPrefill = 0;
 
   bool operator==(const duty_gossip&) const = default;
 };
--- a/include/sapphirespar/policy/capacity_plan.hpp
+++ b/include/sapphirespar/policy/capacity_plan.hpp
@@ -45,16 +45,26 @@
                                     unsigned aNeeded);
 
 // Turns the present need for upstreams, which varies, into the number that is
-// kept. Follows a rise at once. Follows a fall once it has lasted, and only a
-// large one: whoever is removed takes its cached prompts with it.
+// kept. Follows a rise at once. Follows a fall once it has lasted for the hold
+// time, and only a large one: whoever is removed takes its cached prompts with
+// it.
 class capacity_need
 {
 public:
+  // Bursts come back within the default time, and an upstream that is ordered
+  // again starts with empty caches.
+  explicit capacity_need(
+    std::chrono::milliseconds aHoldTime = std::chrono::seconds(20))
+    : mHoldTime(aHoldTime)
+  {
+  }
+
   // aNow never decreases. Returns the number to keep. Until the need has been
   // observed for long enough, that is at least aPresent of the first call.
   unsigned Update(double aNeeded, unsigned aPresent, steady_time aNow);
 
 private:
+  const std::chrono::milliseconds mHoldTime;
   // The needs of the latest time; each is higher than all later ones.
   std::deque<std::pair<steady_time, double>> mPeaks;
   std::optional<steady_time> mFirst;
--- a/include/sapphirespar/policy/engine_split.hpp
+++ b/include/sapphirespar/policy/engine_split.hpp
@@ -43,17 +43,33 @@
   // Records a prompt whose prefill takes an engine aPrefillMs milliseconds.
   void Add(bool aInteractive, double aPrefillMs, steady_time aNow);
 
+  // Records a prompt that was refused for want of room.
+  void AddRefused(double aPrefillMs, steady_time aNow);
+
   engine_demand Demand(steady_time aNow) const;
 
+  // Returns the number of engines that the prefill of the refused prompts would
+  // keep busy.
+  double RefusedPrefill(steady_time aNow) const;
+
 private:
   double DecayFactor(steady_time aNow) const;
+  // Lets the sums decay until aNow.
+  void Decay(steady_time aNow);
 
   // Exponentially decaying sums in milliseconds.
   double mInteractiveMs = 0;
   double mBulkMs = 0;
+  double mRefusedMs = 0;
   steady_time mDecayedAt{};
 };
 
+// Returns the number of engines that refused prompts need beside those that
+// run, from the sum of what prefill_meter::RefusedPrefill returns at all
+// routers. Callers that are refused come back once, as a rule, so that two
+// refusals stand for one request.
+double EnginesForRefused(double aRefusedPrefill);
+
 class engine_split
 {
 public:
--- a/src/sapphirespar/duties/capacity_controller.cpp
+++ b/src/sapphirespar/duties/capacity_controller.cpp
@@ -21,6 +21,10 @@
 // upstreams take to start or to leave.
 constexpr milliseconds kSettleTime{ 6000 };
 
+// Where upstreams that had been listed are gone, so that the order was carried
+// out, it is repeated after this.
+constexpr milliseconds kReplacePause{ 1000 };
+
 // Pause before preemptible upstreams are ordered again where there were none.
 constexpr milliseconds kNoneLeftPause{ 4000 };
 
@@ -67,6 +71,10 @@
     // later, unless it has seen a higher one by then.
     fencing_token mUnanswered = 0;
     bool mInProgress = false;
+    // The most upstreams that have been listed since.
+    unsigned mMostPresent = 0;
+    // Since when fewer are listed than ordered; the epoch if all are.
+    steady_time mShortSince{};
     // The platform had no upstreams of this kind; it is asked again then. The
     // epoch if it had, or has not been asked.
     steady_time mNoneLeftUntil{};
@@ -74,7 +82,15 @@
 
   struct pool_state
   {
+    explicit pool_state(const capacity_bounds& aBounds)
+      : mWithRefused(aBounds.mStartTime + kStartDelay)
+    {
+    }
+
     policy::capacity_need mNeed;
+    // With what refused requests need. It is kept only until upstreams that
+    // were ordered for them have started: their work counts in mNeed then.
+    policy::capacity_need mWithRefused;
     // The upstreams listed last, and since when.
     unsigned mPresent = 0;
     steady_time mPresentSince{};
@@ -142,7 +158,7 @@
                                           unsigned aPresent)
   {
     const auto now = mTimers.Now();
-    auto& state = mPools[aPool.mName];
+    auto& state = mPools.try_emplace(aPool.mName, aPool.mBounds).first->second;
     if (std::exchange(state.mPresent, aPresent) != aPresent) {
       state.mPresentSince = now;
     }
@@ -154,7 +170,10 @@
     state.mIsPlanned = true;
     const auto zones = aPool.mZones.size();
     const auto present = static_cast<unsigned>(aPresent * (zones - 1) / zones);
-    return state.mNeed.Update(*aPool.mNeeded, present, now);
+    const auto kept = state.mNeed.Update(*aPool.mNeeded, present, now);
+    const auto withRefused =
+      state.mWithRefused.Update(*aPool.mNeeded + aPool.mRefused, 0, now);
+    return std::max(kept, withRefused);
   }
 
   // Sets what the last orders tell of the preemptible upstreams.
@@ -163,10 +182,17 @@
     const auto now = mTimers.Now();
     const subject key{ aPool.mName, aZone.mDataCentre, true };
     const auto last = mOrders.find(key);
+    if (last == mOrders.end()) {
+      return;
+    }
+    // Orders that are accepted may bring nothing.
+    const auto startTime = aPool.mBounds.mStartTime + kStartDelay;
+    const auto shortSince = last->second.mShortSince;
+    const bool isOverdue =
+      shortSince != steady_time{} && now - shortSince > startTime;
     aZone.mNoPreemptible =
-      last != mOrders.end() && last->second.mNoneLeftUntil != steady_time{};
-    if (last != mOrders.end() && last->second.mUpstreams &&
-        now - last->second.mSentAt < aPool.mBounds.mStartTime + kStartDelay) {
+      last->second.mNoneLeftUntil != steady_time{} || isOverdue;
+    if (last->second.mUpstreams && now - last->second.mSentAt < startTime) {
       const auto ordered = *last->second.mUpstreams;
       aZone.mStarting = ordered - std::min(ordered, aZone.mPreemptible);
     }
@@ -183,7 +209,17 @@
       now - last.mSentAt > aPool.mBounds.mStartTime + kSettleTime;
     const bool differs = last.mUpstreams ? *last.mUpstreams != aOrder.mUpstreams
                                          : aPresent != aOrder.mUpstreams;
-    const bool wanted = differs || (settled && aPresent != aOrder.mUpstreams);
+    last.mMostPresent = std::max(last.mMostPresent, aPresent);
+    if (aPresent >= aOrder.mUpstreams) {
+      last.mShortSince = {};
+    } else if (last.mShortSince == steady_time{}) {
+      last.mShortSince = now;
+    }
+    const bool gone =
+      aPresent < std::min(last.mMostPresent, aOrder.mUpstreams) &&
+      now - last.mSentAt > kReplacePause;
+    const bool wanted =
+      differs || gone || (settled && aPresent != aOrder.mUpstreams);
     const auto token = mLease.Token();
     if (!wanted || !token || last.mInProgress || mCalls >= kMaximumCalls ||
         mBudget < 1 || now < std::max(mPausedUntil, last.mNoneLeftUntil)) {
@@ -199,10 +235,16 @@
                { "data_centre", aOrder.mDataCentre.mText },
                { "preemptible", aOrder.mPreemptible ? 1 : 0 },
                { "upstreams", aOrder.mUpstreams },
+               { "cause",
+                 differs ? "plan"
+                 : gone  ? "gone"
+                         : "not_carried_out" },
                { "present", aPresent },
                { "demand", aPool.mNeeded.value_or(0) },
+               { "refused", aPool.mRefused },
                { "needed", aNeeded },
                { "token", *token } });
+    last.mMostPresent = aPresent;
     Send(aOrder, *token, last);
   }
 
--- a/src/sapphirespar/duties/capacity_controller_test.cpp
+++ b/src/sapphirespar/duties/capacity_controller_test.cpp
@@ -59,6 +59,9 @@
       return false;
     }
     highest = aToken;
+    if (aOrder.mPreemptible && mGivesNothing) {
+      return true;
+    }
     const subject key{ aOrder.mDataCentre, aOrder.mPreemptible };
     if (aOrder.mUpstreams < mRunning[key]) {
       mRunning[key] = aOrder.mUpstreams;
@@ -88,6 +91,8 @@
   unsigned mCalls = 0;
   unsigned mRefused = 0;
   bool mDry = false;
+  // Orders of preemptible upstreams are accepted without effect.
+  bool mGivesNothing = false;
   bool mThrottles = false;
   bool mLosesAnswers = false;
 };
@@ -117,7 +122,7 @@
     bounds.mMaximum = 40;
     bounds.mStartTime = kStart;
     bounds.mPreemptiblePrice = 0.22;
-    ordered_pool pool{ "pool", bounds, {}, mNeeded };
+    ordered_pool pool{ "pool", bounds, {}, mNeeded, mRefused };
     for (const auto* name : { "a", "b", "c" }) {
       const data_centre_id id{ name };
       const auto count = [&](bool aPreemptible) {
@@ -135,6 +140,7 @@
   metrics mMetrics;
   fake_cloud mCloud{ mTimers };
   std::optional<double> mNeeded = 10;
+  double mRefused = 0;
   bool mIsOn = true;
   duty_lease mLease{ mPlatform,
                      mTimers,
@@ -203,6 +209,20 @@
   EXPECT_GE(mCloud.Total(true), 45U);
 }
 
+// Only what runs was counted: while callers were refused, too few upstreams
+// were ordered for them. Once those have started, what they run counts instead.
+TEST_F(capacity_controller_test, RefusedRequestsAreOrderedFor)
+{
+  mTimers.Advance(40s);
+  const auto before = mCloud.Total(true);
+  mRefused = 20;
+  mTimers.Advance(kStart + 1s);
+  EXPECT_GE(mCloud.Total(true) + mCloud.Total(false), 30U);
+  mRefused = 0;
+  mTimers.Advance(15s);
+  EXPECT_EQ(mCloud.Total(true) + mCloud.Total(false), before);
+}
+
 TEST_F(capacity_controller_test, ADataCentreThatIsTakenAwayIsReplaced)
 {
   mNeeded = 40;
@@ -212,6 +232,18 @@
   EXPECT_EQ(mCloud.Total(true), 60U);
 }
 
+// What the platform takes away had been ordered long ago or just now.
+TEST_F(capacity_controller_test, WhatIsTakenAwayIsReplacedAtOnce)
+{
+  mNeeded = 40;
+  for (const auto settled : { 15s, 9s }) {
+    mTimers.Advance(settled);
+    mCloud.mRunning[{ { "b" }, true }] = 0;
+    mTimers.Advance(kStart + 2s);
+    EXPECT_EQ(mCloud.Total(true), 60U);
+  }
+}
+
 TEST_F(capacity_controller_test, RegularOnesComeWhereThereAreNoOthers)
 {
   mNeeded = 40;
@@ -228,6 +260,18 @@
   EXPECT_EQ(mCloud.Total(false), 0U);
 }
 
+// The platform accepts the orders that replace them and carries none out.
+TEST_F(capacity_controller_test, RegularOnesComeWhereAcceptedOrdersBringNothing)
+{
+  mNeeded = 40;
+  mTimers.Advance(15s);
+  mCloud.mGivesNothing = true;
+  mCloud.mRunning[{ { "b" }, true }] = 0;
+  mCloud.mRunning[{ { "c" }, true }] = 0;
+  mTimers.Advance(25s);
+  EXPECT_GE(mCloud.Total(true) + mCloud.Total(false), 40U);
+}
+
 // While the platform is asked again and again, the replacements stay.
 TEST_F(capacity_controller_test, ReplacementsStayUntilOthersHaveStarted)
 {
--- a/src/sapphirespar/gateway/fleet_duties.cpp
+++ b/src/sapphirespar/gateway/fleet_duties.cpp
@@ -155,7 +155,11 @@
 duty_gossip
 fleet_duties::Gossip() const
 {
-  return { OwnWallClock().count(), mLease.HeldToken(), mReporter.LastFixed() };
+  return { OwnWallClock().count(),
+           mLease.HeldToken(),
+           mReporter.LastFixed(),
+           ToThousandths(
+             mParts.mPrefill.RefusedPrefill(mParts.mTimers.Now())) };
 }
 
 policy::wall_time
@@ -206,14 +210,14 @@
   }
 }
 
-std::optional<double>
-fleet_duties::NeededEngines(std::string_view aPool) const
+void
+fleet_duties::SetDemand(duties::ordered_pool& aPool) const
 {
   const auto now = mParts.mTimers.Now();
   const auto live = mParts.mPeers.LiveGateways(now).size() + 1;
   if (static_cast<double>(live) <
       kHeardPart * mParts.mPeers.MaximumGateways(now)) {
-    return std::nullopt;
+    return;
   }
   // The split covers all engines. Each pool gets its part of what runs.
   double running = 0;
@@ -222,10 +226,14 @@
     if (member->mOwnLoad.mMemoryTokens + member->mPeerLoad.mMemoryTokens > 0) {
       const auto load = member->mOwnLoad.mRunning + member->mPeerLoad.mRunning;
       running += load;
-      inPool += member->mEntry.mPool == aPool ? load : 0;
+      inPool += member->mEntry.mPool == aPool.mName ? load : 0;
     }
   }
-  return running > 0 ? mParts.mSplit.Needed() * inPool / running : 0;
+  const auto refused =
+    mParts.mPrefill.RefusedPrefill(now) + mParts.mPeers.RefusedPrefill(now);
+  const double part = running > 0 ? inPool / running : 0;
+  aPool.mNeeded = part * mParts.mSplit.Needed();
+  aPool.mRefused = part * policy::EnginesForRefused(refused);
 }
 
 std::vector<duties::ordered_pool>
@@ -240,9 +248,10 @@
     if (!pool.mCapacity || !pool.mEngine) {
       continue;
     }
-    duties::ordered_pool item{
-      pool.mName, *pool.mCapacity, {}, NeededEngines(pool.mName)
-    };
+    duties::ordered_pool item;
+    item.mName = pool.mName;
+    item.mBounds = *pool.mCapacity;
+    SetDemand(item);
     const auto members = mParts.mUpstreams.Members(pool.mName);
     for (const auto& [dataCentre, price] : pool.mCapacity->mPrices) {
       policy::zone_capacity zone{ dataCentre, price };
--- a/src/sapphirespar/gateway/fleet_duties.hpp
+++ b/src/sapphirespar/gateway/fleet_duties.hpp
@@ -33,6 +33,7 @@
   const upstream_directory& mUpstreams;
   const peer_table& mPeers;
   const policy::engine_split& mSplit;
+  const policy::prefill_meter& mPrefill;
   gossip_link& mGossip;
 };
 
@@ -73,9 +74,9 @@
   std::vector<std::string> Keepers() const;
 
   std::vector<duties::ordered_pool> OrderedPools() const;
-  // The engines of each pool that the requests of all gateways need; nothing
-  // while too few of the gateways are heard.
-  std::optional<double> NeededEngines(std::string_view aPool) const;
+  // Sets the engines of the pool that the requests of all gateways need, unless
+  // too few of the gateways are heard to tell.
+  void SetDemand(duties::ordered_pool& aPool) const;
 
   // Sends a call if this gateway still holds aToken when the first byte is
   // written.
--- a/src/sapphirespar/gateway/forward_admission.cpp
+++ b/src/sapphirespar/gateway/forward_admission.cpp
@@ -170,6 +170,10 @@
   if (!retryAfter) {
     return std::nullopt;
   }
+  const auto& figures = aServices.mModels.Of(aForwarded.mPool).Figures();
+  aServices.mPrefill.AddRefused(
+    policy::PrefillMs(figures, aTarget.mPrefillTokens),
+    std::chrono::steady_clock::now());
   constexpr double kPercent = 100;
   LogEvent(
     log_level::Info,
--- a/src/sapphirespar/gateway/gateway_app_state.hpp
+++ b/src/sapphirespar/gateway/gateway_app_state.hpp
@@ -136,7 +136,4 @@
   timer_subscription mStopTimer;
 };
 
-// Thousandths of an amount; zero for a negative one.
-std::uint32_t ToThousandths(double aNumber);
-
 } // namespace sapphirespar::gateway
--- a/src/sapphirespar/gateway/gateway_hooks.cpp
+++ b/src/sapphirespar/gateway/gateway_hooks.cpp
@@ -18,13 +18,6 @@
 
 } // namespace
 
-std::uint32_t
-ToThousandths(double aNumber)
-{
-  constexpr double kThousand = 1000;
-  return static_cast<std::uint32_t>(kThousand * std::max(aNumber, 0.0));
-}
-
 wire::platform_client_settings
 gateway_app::state::StoreClientSettings()
 {
--- a/src/sapphirespar/gateway/peer_table.cpp
+++ b/src/sapphirespar/gateway/peer_table.cpp
@@ -326,6 +326,19 @@
   return sum;
 }
 
+double
+peer_table::RefusedPrefill(steady_time aNow) const
+{
+  constexpr double kThousandth = 0.001;
+  double sum = 0;
+  for (const auto& [vm, known] : mPeers) {
+    if (IsLive(known, aNow) && known.mState.mDuties) {
+      sum += kThousandth * known.mState.mDuties->mRefusedPrefill;
+    }
+  }
+  return sum;
+}
+
 std::vector<vm_id>
 peer_table::PossibleGateways(steady_time aNow) const
 {
--- a/src/sapphirespar/policy/capacity_plan.cpp
+++ b/src/sapphirespar/policy/capacity_plan.cpp
@@ -9,9 +9,6 @@
 namespace sapphirespar::policy {
 namespace {
 
-// How long a lower need must last. Bursts come back within this time, and an
-// upstream that is ordered again starts with empty caches.
-constexpr std::chrono::seconds kHoldTime{ 20 };
 // A fall is followed only to less than this part of what is kept.
 constexpr double kShrinkPart = 0.75;
 
@@ -131,7 +128,10 @@
     const auto& zone = aZones[index];
     regular += zone.mRegular;
     running += std::min(wanted[index], zone.mPreemptible);
-    expected += std::min(wanted[index], zone.mPreemptible + zone.mStarting);
+    // What is wanted comes, unless the platform has said that it has none.
+    expected += zone.mNoPreemptible
+                  ? std::min(wanted[index], zone.mPreemptible + zone.mStarting)
+                  : wanted[index];
   }
   const auto kept = std::min(regular, Missing(aNeeded, running));
   auto plan =
@@ -180,12 +180,12 @@
     mPeaks.pop_back();
   }
   mPeaks.emplace_back(aNow, aNeeded);
-  while (aNow - mPeaks.front().first > kHoldTime) {
+  while (aNow - mPeaks.front().first > mHoldTime) {
     mPeaks.pop_front();
   }
   const auto peak =
     static_cast<unsigned>(std::ceil(std::max(mPeaks.front().second, 1.0)));
-  if (aNow - *mFirst < kHoldTime) {
+  if (aNow - *mFirst < mHoldTime) {
     mKept = std::max(mKept, peak);
   } else if (peak > mKept || peak < kShrinkPart * mKept) {
     mKept = peak;
--- a/src/sapphirespar/policy/capacity_plan_test.cpp
+++ b/src/sapphirespar/policy/capacity_plan_test.cpp
@@ -85,6 +85,15 @@
             (std::vector<zone_plan>{ { 7, 0 } }));
 }
 
+// A need that rises is met by preemptible upstreams while the platform gives
+// them.
+TEST(capacity_plan, ARisingNeedIsNotMetByRegularUpstreams)
+{
+  const auto plan = PlanCapacity(Bounds(), Zones(0, 20), 50);
+  EXPECT_EQ(Sum(plan, &zone_plan::mPreemptible), 75U);
+  EXPECT_EQ(Sum(plan, &zone_plan::mRegular), 0U);
+}
+
 RC_GTEST_PROP(capacity_plan, BoundsHoldAndTheLossOfADataCentreIsBorne, ())
 {
   auto bounds = Bounds();
--- a/src/sapphirespar/policy/engine_split.cpp
+++ b/src/sapphirespar/policy/engine_split.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <numbers>
 
 namespace sapphirespar::policy {
 namespace {
@@ -12,6 +13,11 @@
 constexpr double kMeterHalfLifeSeconds = 2;
 constexpr double kSplitHalfLifeSeconds = 2;
 
+// Prompts that keep exactly one engine busy hold a decaying sum at the mean
+// lifetime of the decay.
+constexpr double kMeterMeanLifeMs =
+  1000 * kMeterHalfLifeSeconds / std::numbers::ln2;
+
 // Intended shares of an engine's slots and of its time spent on prefill. Above
 // these, streams slow down and first events are delayed. Prompts arrive
 // irregularly and vary in length, so they queue long before prefill takes all
@@ -56,27 +62,49 @@
 }
 
 void
-prefill_meter::Add(bool aInteractive, double aPrefillMs, steady_time aNow)
+prefill_meter::Decay(steady_time aNow)
 {
   const double decay = DecayFactor(aNow);
   mInteractiveMs *= decay;
   mBulkMs *= decay;
+  mRefusedMs *= decay;
   mDecayedAt = std::max(mDecayedAt, aNow);
+}
+
+void
+prefill_meter::Add(bool aInteractive, double aPrefillMs, steady_time aNow)
+{
+  Decay(aNow);
   (aInteractive ? mInteractiveMs : mBulkMs) += aPrefillMs;
 }
 
+void
+prefill_meter::AddRefused(double aPrefillMs, steady_time aNow)
+{
+  Decay(aNow);
+  mRefusedMs += aPrefillMs;
+}
+
 engine_demand
 prefill_meter::Demand(steady_time aNow) const
 {
-  // Prompts that keep exactly one engine busy hold the decaying sum at the mean
-  // lifetime of the decay.
-  constexpr double kMsPerSecond = 1000;
-  const double meanLifeMs =
-    kMeterHalfLifeSeconds / std::log(2.0) * kMsPerSecond;
-  const double scale = DecayFactor(aNow) / meanLifeMs;
+  const double scale = DecayFactor(aNow) / kMeterMeanLifeMs;
   return { { 0, mInteractiveMs * scale }, { 0, mBulkMs * scale } };
 }
 
+double
+prefill_meter::RefusedPrefill(steady_time aNow) const
+{
+  return mRefusedMs * DecayFactor(aNow) / kMeterMeanLifeMs;
+}
+
+double
+EnginesForRefused(double aRefusedPrefill)
+{
+  constexpr double kRefusalsPerRequest = 2;
+  return aRefusedPrefill / kRefusalsPerRequest / kTargetPrefillUse;
+}
+
 void
 engine_split::Update(const engine_demand& aDemand,
                      double aEngines,
--- a/src/sapphirespar/policy/engine_split_test.cpp
+++ b/src/sapphirespar/policy/engine_split_test.cpp
@@ -115,6 +115,28 @@
   EXPECT_NEAR(meter.Demand(now).mBulk.mPrefill, 2, 0.1);
   EXPECT_NEAR(meter.Demand(now).mInteractive.mPrefill, 0.2, 0.02);
   EXPECT_LT(meter.Demand(now + 20s).mBulk.mPrefill, 0.01);
+  EXPECT_EQ(meter.RefusedPrefill(now), 0);
+}
+
+// More engines are needed while callers are refused, though none of their work
+// runs. Each caller comes back once: two refusals are one request.
+TEST(PrefillMeter, RefusedPromptsNeedEnginesToo)
+{
+  prefill_meter served;
+  prefill_meter refused;
+  steady_time now{ 100s };
+  for (int step = 0; step < 200; ++step) {
+    now += 50ms;
+    served.Add(false, 100, now);
+    refused.AddRefused(100, now);
+    refused.AddRefused(100, now);
+  }
+  engine_split split;
+  split.Update(served.Demand(now), kEngines, now);
+  EXPECT_NEAR(
+    EnginesForRefused(refused.RefusedPrefill(now)), split.Needed(), 0.1);
+  EXPECT_EQ(refused.Demand(now).mBulk.mPrefill, 0);
+  EXPECT_LT(refused.RefusedPrefill(now + 20s), 0.01);
 }
 
 } // namespace
--- a/src/sapphirespar/wire/gen/gossip_types.cpp
+++ b/src/sapphirespar/wire/gen/gossip_types.cpp
@@ -2125,6 +2125,10 @@
 void gossip_duties::__set_fixed_window(const int64_t val) {
   this->fixed_window = val;
 }
+
+void gossip_duties::__set_refused_reading(const int32_t val) {
+  this->refused_reading = val;
+}
 std::ostream& operator<<(std::ostream& out, const gossip_duties& obj)
 {
   obj.printTo(out);
@@ -2177,6 +2181,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->refused_reading);
+          this->__isset.refused_reading = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2206,6 +2218,10 @@
   xfer += oprot->writeI64(this->fixed_window);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("refused_reading", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->refused_reading);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2216,6 +2232,7 @@
   swap(a.wall_ms, b.wall_ms);
   swap(a.token, b.token);
   swap(a.fixed_window, b.fixed_window);
+  swap(a.refused_reading, b.refused_reading);
   swap(a.__isset, b.__isset);
 }
 
@@ -2223,18 +2240,21 @@
   wall_ms = other90.wall_ms;
   token = other90.token;
   fixed_window = other90.fixed_window;
+  refused_reading = other90.refused_reading;
   __isset = other90.__isset;
 }
 gossip_duties::gossip_duties(gossip_duties&& other91) noexcept {
   wall_ms = other91.wall_ms;
   token = other91.token;
   fixed_window = other91.fixed_window;
+  refused_reading = other91.refused_reading;
   __isset = other91.__isset;
 }
 gossip_duties& gossip_duties::operator=(const gossip_duties& other92) noexcept {
   wall_ms = other92.wall_ms;
   token = other92.token;
   fixed_window = other92.fixed_window;
+  refused_reading = other92.refused_reading;
   __isset = other92.__isset;
   return *this;
 }
@@ -2242,6 +2262,7 @@
   wall_ms = other93.wall_ms;
   token = other93.token;
   fixed_window = other93.fixed_window;
+  refused_reading = other93.refused_reading;
   __isset = other93.__isset;
   return *this;
 }
@@ -2251,6 +2272,7 @@
   out << "wall_ms=" << to_string(wall_ms);
   out << ", " << "token=" << to_string(token);
   out << ", " << "fixed_window=" << to_string(fixed_window);
+  out << ", " << "refused_reading=" << to_string(refused_reading);
   out << ")";
 }
 
--- a/src/sapphirespar/wire/gen/gossip_types.h
+++ b/src/sapphirespar/wire/gen/gossip_types.h
@@ -829,10 +829,11 @@
 std::ostream& operator<<(std::ostream& out, const gossip_rationed_pool& obj);
 
 typedef struct _gossip_duties__isset {
-  _gossip_duties__isset() : wall_ms(false), token(false), fixed_window(false) {}
+  _gossip_duties__isset() : wall_ms(false), token(false), fixed_window(false), refused_reading(false) {}
   bool wall_ms :1;
   bool token :1;
   bool fixed_window :1;
+  bool refused_reading :1;
 } _gossip_duties__isset;
 
 class gossip_duties : public virtual ::apache::thrift::TBase {
@@ -845,13 +846,15 @@
   gossip_duties() noexcept
                 : wall_ms(0),
                   token(0),
-                  fixed_window(0) {
+                  fixed_window(0),
+                  refused_reading(0) {
   }
 
   virtual ~gossip_duties() noexcept;
   int64_t wall_ms;
   int64_t token;
   int64_t fixed_window;
+  int32_t refused_reading;
 
   _gossip_duties__isset __isset;
 
@@ -861,6 +864,8 @@
 
   void __set_fixed_window(const int64_t val);
 
+  void __set_refused_reading(const int32_t val);
+
   bool operator == (const gossip_duties & rhs) const
   {
     if (!(wall_ms == rhs.wall_ms))
@@ -869,6 +874,8 @@
       return false;
     if (!(fixed_window == rhs.fixed_window))
       return false;
+    if (!(refused_reading == rhs.refused_reading))
+      return false;
     return true;
   }
   bool operator != (const gossip_duties &rhs) const {
--- a/src/sapphirespar/wire/gossip_codec.cpp
+++ b/src/sapphirespar/wire/gossip_codec.cpp
@@ -143,6 +143,7 @@
   wire.wall_ms = aDuties.mWallMs;
   wire.token = static_cast<std::int64_t>(aDuties.mToken);
   wire.fixed_window = aDuties.mFixedWindow;
+  wire.refused_reading = ToWireNumber(aDuties.mRefusedPrefill);
   return wire;
 }
 
@@ -151,7 +152,8 @@
 {
   return { aWire.wall_ms,
            static_cast<std::uint64_t>(aWire.token),
-           aWire.fixed_window };
+           aWire.fixed_window,
+           ClampNegativeToZero(aWire.refused_reading) };
 }
 
 bool
--- a/src/sapphirespar/wire/gossip_codec_test.cpp
+++ b/src/sapphirespar/wire/gossip_codec_test.cpp
@@ -57,7 +57,8 @@
   state.mBrittle.mPauses = { { 0xfffffffffffffff8ULL, 150ms } };
   state.mBrittle.mPools = { { 0xfffffffffffffff7ULL, 2.5, 8s, 15ms } };
   state.mEnginePaces = { { 0xfffffffffffffff4ULL, 5414 } };
-  state.mDuties = duty_gossip{ 1'700'000'000'000, 0x7ffffffffffffff9ULL, 7 };
+  state.mDuties =
+    duty_gossip{ 1'700'000'000'000, 0x7ffffffffffffff9ULL, 7, 1500 };
   return state;
 }
 
