Move runs off engines that are taken away before their streams end

Cause: such engines get no new work, but their streams were left there; those that may not be resumed were lost.

On where a pool's runtime offers moves and its engines are preemptible. What decides on another attempt moves out of forward.cpp (after_attempt); what an upstream states of itself is noted in attempt_ending.

--- a/include/sapphirespar/gateway/protocol.hpp
+++ b/include/sapphirespar/gateway/protocol.hpp
@@ -52,6 +52,22 @@
   bool mFromGateway = false;
 };
 
+// An address where a gateway or an engine accepts connections.
+struct entry_point
+{
+  std::string mAddress;
+  std::uint16_t mPort = 0;
+};
+
+// The memory of a run that has stopped, from which the request can go on at
+// another engine.
+struct run_copy
+{
+  // The engine at which the run was.
+  entry_point mSource;
+  std::string mHandle;
+};
+
 // Values that the gateway adds to a forwarded request.
 struct forward_info
 {
@@ -66,6 +82,42 @@
   // Event after which to resume a broken stream; empty to keep the caller's
   // header.
   std::string mLastEventId;
+  // The request goes on from this copy.
+  std::optional<run_copy> mCopy;
+};
+
+// A call that copies the memory of a run to another engine.
+struct run_move_call
+{
+  std::string mRequestId;
+  entry_point mTo;
+  // Stops the run, so that it can go on from the copy.
+  bool mStops = false;
+};
+
+enum class run_move_end
+{
+  // No byte of the call was sent.
+  NotSent,
+  Copied,
+  // The run has ended, or is not known.
+  NoSuchRun,
+  // Another call for the run is in progress.
+  Busy,
+  // The other engine has no room or can't be reached. The run has stopped
+  // nevertheless if the call asked for that.
+  NoRoom,
+  Unknown,
+};
+
+// Returns the name used in logs, such as "no_such_run".
+std::string_view ToText(run_move_end aEnd);
+
+struct run_move_reply
+{
+  run_move_end mEnd = run_move_end::Unknown;
+  // Names the copy; empty if there is none.
+  std::string mHandle;
 };
 
 // Values decoded from the head of an upstream's answer.
@@ -92,13 +144,6 @@
   bool mHasSeveralIds = false;
 };
 
-// An address where a gateway accepts connections.
-struct entry_point
-{
-  std::string mAddress;
-  std::uint16_t mPort = 0;
-};
-
 // Who makes a call for the whole fleet, and its permission to do so.
 struct duty_caller
 {
@@ -147,6 +192,19 @@
     mCapacityRequest;
   std::function<duties::duty_reply(unsigned aStatus)> mReadDutyReply;
 
+  // Asks an engine for its state, and reads the time until it is taken away;
+  // nothing if it names none, or is another than that of the entry.
+  std::function<wire::http_request()> mStateRequest;
+  std::function<std::optional<std::chrono::milliseconds>(
+    const upstream_entry&,
+    std::string_view aBody)>
+    mReadLeavesIn;
+  // Make the calls that move runs between engines, and read their replies.
+  std::function<wire::http_request(const run_move_call&)> mMoveRequest;
+  std::function<wire::http_request(std::string_view aHandle)> mFreeCopyRequest;
+  std::function<run_move_reply(unsigned aStatus, std::string_view aBody)>
+    mReadMoveReply;
+
   // Paths of the gateway's entry and readiness pages.
   std::string mEntryPath;
   std::string mReadinessPath;
--- a/include/sapphirespar/gateway/upstream_directory.hpp
+++ b/include/sapphirespar/gateway/upstream_directory.hpp
@@ -2,6 +2,7 @@
 // gateways, and their observed health.
 #pragma once
 
+#include "sapphirespar/base/boot_clock.hpp"
 #include "sapphirespar/base/timer_service.hpp"
 #include "sapphirespar/gateway/protocol.hpp"
 #include "sapphirespar/model/gossip.hpp"
@@ -75,12 +76,19 @@
   policy::engine_pace mPace;
   // The upstream has stated that it is shutting down; never reset.
   bool mLeaving = false;
+  // When the upstream is taken away, as it has stated; see leave_time.
+  std::optional<boot_time> mLeavesAt;
+  // How often this gateway has asked for that, and whether it is doing so.
+  unsigned mLeaveQueries = 0;
+  bool mIsAskedWhenItLeaves = false;
   // The upstream wants no request from this gateway until then.
   steady_time mTurnsAwayUntil{};
   // What this gateway may send while the pool is rationed; see brittle_guard.
   send_ration mRation;
 
   bool TakesWork() const { return !mRemoved && !mEntry.mDraining && !mLeaving; }
+  // The platform has called the upstream back and takes it away soon.
+  bool IsReclaimed() const { return mEntry.mPreemptible && !TakesWork(); }
   bool TurnsAway(steady_time aNow) const { return aNow < mTurnsAwayUntil; }
 };
 
--- a/include/sapphirespar/model/routing.hpp
+++ b/include/sapphirespar/model/routing.hpp
@@ -60,6 +60,8 @@
   std::uint64_t mMemoryTokens = 0;
   // Tokens that one event of a stream holds.
   unsigned mTokensPerEvent = 1;
+  // Running requests can be moved between the engines of the pool.
+  bool mMovesRuns = false;
 };
 
 // Within which bounds, and at which prices, the platform provides upstreams of
--- a/src/sapphirespar/gateway/attempt_ending.cpp
+++ b/src/sapphirespar/gateway/attempt_ending.cpp
@@ -1,6 +1,11 @@
 // Results of attempts, health of upstreams, evidence about crashing parts.
 #include "attempt_ending.hpp"
 
+#include "run_move.hpp"
+
+#include "sapphirespar/base/log.hpp"
+
+#include <algorithm>
 #include <charconv>
 
 namespace sapphirespar::gateway {
@@ -61,6 +66,45 @@
   co_return piece;
 }
 
+milliseconds
+attempt_ending::Left() const
+{
+  return LeftUntil(std::min(mForwarded.mDeadline, mForwarded.mCallerDeadline));
+}
+
+void
+attempt_ending::NoteStatements(const answer_info& aInfo, answer_kind aKind)
+{
+  if (aKind == answer_kind::Unusable) {
+    return;
+  }
+  if (aInfo.mLeaving) {
+    mServices.mUpstreams.NoteLeaving(mUpstream.mKey, "answer");
+  }
+  if (aInfo.mRetryAfter) {
+    TurnAwayFor(*aInfo.mRetryAfter);
+  }
+  mAcceptedRate = aInfo.mAcceptedRate;
+  if (aInfo.mAcceptedRate) {
+    mServices.mRateGuard.OnAnswer(
+      mUpstream.mKey, *aInfo.mAcceptedRate, mAttempt.mStarted);
+  }
+  mServices.mBrittleGuard.OnAnswer(
+    mUpstream, aInfo.mToleratedRejections, aKind == answer_kind::NotRun);
+}
+
+void
+attempt_ending::TurnAwayFor(milliseconds aTime)
+{
+  const auto until = steady_clock::now() + aTime;
+  mUpstream.mTurnsAwayUntil = std::max(mUpstream.mTurnsAwayUntil, until);
+  LogEvent(log_level::Info,
+           "upstream_turns_away",
+           { { "request", mForwarded.mInfo.mId },
+             { "upstream", mUpstream.mEntry.mId.mText },
+             { "for_ms", aTime.count() } });
+}
+
 void
 attempt_ending::OnBytes()
 {
@@ -111,11 +155,24 @@
   }
   const bool mayHaveRun =
     aEnd == attempt_end::Broken || aEnd == attempt_end::TimedOut ||
-    aEnd == attempt_end::Superseded || aEnd == attempt_end::Failed;
+    aEnd == attempt_end::Superseded || aEnd == attempt_end::Failed ||
+    aEnd == attempt_end::Moved;
   mProgress.mMayHaveRun = mProgress.mMayHaveRun || mayHaveRun;
   return result;
 }
 
+attempt_result
+attempt_ending::EndMoved(run_move_ptr aMove)
+{
+  if (const auto stopped = Stopped()) {
+    aMove->Abandon();
+    return *stopped;
+  }
+  auto result = End(attempt_end::Moved);
+  result.mMove = std::move(aMove);
+  return result;
+}
+
 std::optional<attempt_result>
 attempt_ending::Stopped()
 {
--- a/src/sapphirespar/gateway/attempt_ending.hpp
+++ b/src/sapphirespar/gateway/attempt_ending.hpp
@@ -48,6 +48,12 @@
   // Reads the next piece of the answer.
   asio::awaitable<wire::wire_result<std::string>> ReadPiece();
 
+  // Takes over what the upstream states of itself in an answer to this request.
+  void NoteStatements(const answer_info& aInfo, answer_kind aKind);
+
+  // Returns the time left for the request.
+  std::chrono::milliseconds Left() const;
+
   // Records that bytes of the answer have arrived.
   void OnBytes();
 
@@ -59,6 +65,9 @@
 
   attempt_result End(attempt_end aEnd, std::string aDetail = {});
 
+  // Ends the attempt of a stream whose run aMove has stopped.
+  attempt_result EndMoved(std::shared_ptr<run_move> aMove);
+
   // Ends the attempt after no head of an answer arrived.
   attempt_result OpenFailed(const wire::wire_error& aError);
 
@@ -83,6 +92,9 @@
   std::optional<double> mAcceptedRate;
 
 private:
+  // Sends no further request to the upstream for this long.
+  void TurnAwayFor(std::chrono::milliseconds aTime);
+
   // Returns the end of an attempt that this gateway has aborted.
   std::optional<attempt_result> Stopped();
 
--- a/src/sapphirespar/gateway/forward.cpp
+++ b/src/sapphirespar/gateway/forward.cpp
@@ -1,6 +1,7 @@
 // Admission, attempts, retries and final answers of forwarded requests.
 #include "sapphirespar/gateway/forward.hpp"
 
+#include "after_attempt.hpp"
 #include "attempt_race.hpp"
 #include "forward_admission.hpp"
 #include "forward_record.hpp"
@@ -8,10 +9,9 @@
 #include "peer_relay.hpp"
 #include "placement.hpp"
 #include "ration_waiting.hpp"
+#include "run_move.hpp"
 #include "stream_takeover.hpp"
 
-#include "sapphirespar/policy/retry.hpp"
-
 #include <algorithm>
 
 namespace sapphirespar::gateway {
@@ -20,10 +20,6 @@
 using std::chrono::milliseconds;
 using std::chrono::steady_clock;
 
-// Maximum number of upstreams tried for one request, including those that could
-// not be reached.
-constexpr std::size_t kMaximumTargets = 4;
-
 // Attempts that were aborted may outlive the request; they keep the forwarder
 // alive, but use neither the request nor the reply once it has ended.
 class request_forwarder : public std::enable_shared_from_this<request_forwarder>
@@ -173,6 +169,9 @@
         mFailureMemory = std::move(result->mFailureMemory);
       }
       EndWith(result->mEnd, result->mStatus);
+      if (result->mMove && GoOnFromCopy(*result->mMove)) {
+        continue;
+      }
       if (mRace.Running() > 0) {
         if (result->mEnd == attempt_end::NotSent) {
           TryBeside(result->mEnd);
@@ -275,6 +274,20 @@
     mRace.Start(std::move(aTarget), shared_from_this());
   }
 
+  // Goes on with a run that was stopped where its memory was copied to, unless
+  // another attempt answers.
+  bool GoOnFromCopy(run_move& aMove)
+  {
+    auto target = mRace.Running() == 0 ? aMove.TakeTarget()
+                                       : std::optional<attempt_target>();
+    if (!target) {
+      aMove.Abandon();
+      return false;
+    }
+    Start(std::move(*target));
+    return true;
+  }
+
   // Starts an attempt beside those whose upstreams are silent. A silent one may
   // still answer first.
   void TryBesideSilentAttempts()
@@ -306,34 +319,9 @@
     }
   }
 
-  // Whether another attempt is allowed after one that has ended like this.
-  // Spends a retry if so.
   bool MayTryAgain(attempt_end aEnd)
   {
-    const auto now = steady_clock::now();
-    if (mTried.size() >= kMaximumTargets ||
-        !mServices.mCrashGuard.MayRepeat(MarksOf(mForwarded))) {
-      return false;
-    }
-    const auto& route = *mForwarded.mRoute;
-    policy::failed_attempt failed;
-    failed.mIdempotent = route.mIdempotent;
-    failed.mBytesWritten = aEnd != attempt_end::NotSent;
-    failed.mRejectedByUpstream = aEnd == attempt_end::NotRun;
-    failed.mSentToCaller = mProgress.mBegun;
-    failed.mResumeOffered =
-      mProgress.mBegun && route.mResumable && !mProgress.mLastEventId.empty();
-    failed.mAttempts = mProgress.mSends;
-    failed.mMaximumAttempts = route.mMaximumAttempts;
-    failed.mAnswerBy =
-      std::min(mForwarded.mDeadline, mForwarded.mCallerDeadline) -
-      kTimerTolerance;
-    const auto take = [&] {
-      return mServices.mRetries.TryTake(
-        mForwarded.mPool, mServices.mGateways(), now);
-    };
-    return policy::DecideRetry(failed, take, now).mAction !=
-           policy::retry_action::GiveUp;
+    return TakeRetry(mServices, mForwarded, mProgress, mTried.size(), aEnd);
   }
 
   // Ends a request that no further attempt is made for. Returns a refusal if
@@ -359,19 +347,10 @@
     co_return MakeRefusal(aReason, aRetryAfter);
   }
 
-  // A 503 promises the caller that the request did not run and may be retried,
-  // so a request that may have run gets a 502.
   refusal_answer MakeRefusal(std::string_view aReason,
                              milliseconds aRetryAfter) const
   {
-    if (mProgress.mMayHaveRun) {
-      return { 502, aReason };
-    }
-    if (const auto pause =
-          PauseOf(mServices, mForwarded.mPool, mProgress.mSoftware)) {
-      return { 503, pause->mReason, pause->mLeft };
-    }
-    return { 503, aReason, aRetryAfter };
+    return RefusalAfter(mServices, mForwarded, mProgress, aReason, aRetryAfter);
   }
 
   const forward_services& mServices;
--- a/src/sapphirespar/gateway/forward_attempt.cpp
+++ b/src/sapphirespar/gateway/forward_attempt.cpp
@@ -2,6 +2,7 @@
 #include "attempt_ending.hpp"
 #include "attempt_learning.hpp"
 #include "forward_state.hpp"
+#include "stream_moving.hpp"
 #include "stream_takeover.hpp"
 
 #include "sapphirespar/base/log.hpp"
@@ -28,6 +29,7 @@
     , mReply(aReply)
     , mClaim(aClaim)
     , mLearning(aServices, aForwarded, mTarget)
+    , mMoving(aServices, aForwarded, aAttempt, aProgress)
     , mMemory(std::make_shared<memory_claim>(aServices.mAnswerMemory))
   {
   }
@@ -94,12 +96,6 @@
            mServices.mBrittleGuard.TakeSend(mUpstream);
   }
 
-  milliseconds Left() const
-  {
-    return LeftUntil(
-      std::min(mForwarded.mDeadline, mForwarded.mCallerDeadline));
-  }
-
   wire::http_headers MakeHeaders() const
   {
     forward_info info;
@@ -108,6 +104,7 @@
     info.mAccount = mForwarded.mAccount;
     info.mPriority = mForwarded.mPriority;
     info.mLastEventId = mProgress.mLastEventId;
+    info.mCopy = mTarget.mCopy;
     return mServices.mProtocol.mForwardHeaders(mForwarded.mRequest.mHeaders,
                                                info);
   }
@@ -147,39 +144,6 @@
     }
   }
 
-  // Takes over what the upstream states of itself in an answer to this request.
-  void NoteStatements(const answer_info& aInfo, answer_kind aKind)
-  {
-    if (aKind == answer_kind::Unusable) {
-      return;
-    }
-    if (aInfo.mLeaving) {
-      mServices.mUpstreams.NoteLeaving(mUpstream.mKey, "answer");
-    }
-    if (aInfo.mRetryAfter) {
-      TurnAwayFor(*aInfo.mRetryAfter);
-    }
-    mAcceptedRate = aInfo.mAcceptedRate;
-    if (aInfo.mAcceptedRate) {
-      mServices.mRateGuard.OnAnswer(
-        mUpstream.mKey, *aInfo.mAcceptedRate, mAttempt.mStarted);
-    }
-    mServices.mBrittleGuard.OnAnswer(
-      mUpstream, aInfo.mToleratedRejections, aKind == answer_kind::NotRun);
-  }
-
-  // Sends no further request to the upstream for this long.
-  void TurnAwayFor(milliseconds aTime)
-  {
-    const auto until = steady_clock::now() + aTime;
-    mUpstream.mTurnsAwayUntil = std::max(mUpstream.mTurnsAwayUntil, until);
-    LogEvent(log_level::Info,
-             "upstream_turns_away",
-             { { "request", mForwarded.mInfo.mId },
-               { "upstream", mUpstream.mEntry.mId.mText },
-               { "for_ms", aTime.count() } });
-  }
-
   asio::awaitable<attempt_result> HandleAnswer(answer_kind aKind)
   {
     const auto now = steady_clock::now();
@@ -263,6 +227,10 @@
       mTarget.mReservation->OnFirstEvent();
     }
     mUpstream.mPrefixCache.Add(mTarget.mShared, now);
+    if (mTarget.mCopy) {
+      // The same run goes on.
+      return;
+    }
     mLearning.OnFirstEvent(now);
     CountUsage(mForwarded.mEngine ? now : mAttempt.mStarted);
   }
@@ -279,7 +247,8 @@
     while (true) {
       auto piece = co_await ReadPiece();
       if (!piece) {
-        co_return AnswerLost(piece.error());
+        auto move = co_await mMoving.FindMove();
+        co_return move ? EndMoved(std::move(move)) : AnswerLost(piece.error());
       }
       if (mAttempt.mSuperseded) {
         co_return End(attempt_end::Superseded);
@@ -293,7 +262,14 @@
       if (!mMemory->Resize(waiting)) {
         co_return NoMemory(waiting);
       }
-      const bool finished = mStream->Finished();
+      // The connection of a run that was stopped is closed, too.
+      const bool closed =
+        mStream->Finished() && mStream->Framing() == wire::body_framing::Close;
+      run_move_ptr move;
+      if (closed) {
+        move = co_await mMoving.FindMove();
+      }
+      const bool finished = mStream->Finished() && !move;
       const bool cut =
         finished && IsCut(!mAttempt.mHasEvents && events.mBytes.empty());
       const bool ends = finished && !cut;
@@ -326,6 +302,11 @@
       if (!co_await SendEvents(events.mBytes, ends)) {
         co_return End(attempt_end::CallerDisconnected);
       }
+      mProgress.mEvents += events.mCount;
+      if (move) {
+        co_return EndMoved(std::move(move));
+      }
+      mMoving.OnEvents(co_await asio::this_coro::executor);
       if (finished) {
         mUpstream.mHealth.AddResult(cut, steady_clock::now());
         if (cut) {
@@ -341,7 +322,8 @@
   bool IsCut(bool aWithoutEvents) const
   {
     const bool closed = mStream->Framing() == wire::body_framing::Close;
-    return mSplitter.InsideEvent() || (aWithoutEvents && closed);
+    return mSplitter.InsideEvent() ||
+           (closed && (aWithoutEvents || mMoving.MayHaveStopped()));
   }
 
   // Records at which software version the stream begins, so that it goes on
@@ -390,6 +372,7 @@
   wire::http_reply& mReply;
   const claim_hook& mClaim;
   attempt_learning mLearning;
+  stream_moving mMoving;
   // The bytes of the answer that wait to be sent to the caller.
   std::shared_ptr<memory_claim> mMemory;
   // The first event with data has arrived.
--- a/src/sapphirespar/gateway/forward_fixture_test.cpp
+++ b/src/sapphirespar/gateway/forward_fixture_test.cpp
@@ -50,6 +50,8 @@
   }
   info.mPrompt = ToSegments(wire::FindHeader(aHeaders, kTestParts));
   info.mPromptTokens = ToUnsigned(wire::FindHeader(aHeaders, kTestTokens));
+  info.mMaximumOutputTokens =
+    ToUnsigned(wire::FindHeader(aHeaders, kTestOutputTokens));
   info.mLastEventId = wire::FindHeader(aHeaders, kTestResume);
   info.mResumedId = wire::FindHeader(aHeaders, kTestResumedId);
   info.mFromGateway = !wire::FindHeader(aHeaders, kTestFromGateway).empty();
@@ -73,9 +75,57 @@
     });
     headers.push_back({ std::string(kTestResume), aInfo.mLastEventId });
   }
+  if (aInfo.mCopy) {
+    const auto& copy = *aInfo.mCopy;
+    headers.push_back({ std::string(kTestCopy),
+                        copy.mSource.mAddress + ":" +
+                          std::to_string(copy.mSource.mPort) + "/" +
+                          copy.mHandle });
+  }
   return headers;
 }
 
+wire::http_request
+MoveRequest(const run_move_call& aCall)
+{
+  wire::http_request request;
+  request.mMethod = "POST";
+  request.mTarget = kTestMovePath;
+  request.mHeaders = {
+    { std::string(kTestId), aCall.mRequestId },
+    { std::string(kTestExpected), std::to_string(aCall.mTo.mPort) },
+    { std::string(kTestStops), aCall.mStops ? "yes" : "no" }
+  };
+  return request;
+}
+
+run_move_reply
+ReadMoveReply(unsigned aStatus, std::string_view aBody)
+{
+  constexpr unsigned kOk = 200;
+  constexpr unsigned kNotFound = 404;
+  constexpr unsigned kUnavailable = 503;
+  switch (aStatus) {
+    case kOk:
+      return { run_move_end::Copied, std::string(aBody) };
+    case kNotFound:
+      return { run_move_end::NoSuchRun, {} };
+    case kUnavailable:
+      return { run_move_end::NoRoom, {} };
+    default:
+      return {};
+  }
+}
+
+wire::http_request
+FreeCopyRequest(std::string_view aHandle)
+{
+  wire::http_request request;
+  request.mMethod = "DELETE";
+  request.mTarget = std::string(kTestFreePath) + std::string(aHandle);
+  return request;
+}
+
 answer_info
 ReadAnswerInfo(unsigned, const wire::http_headers& aHeaders)
 {
@@ -191,6 +241,19 @@
   result.mRelayHeaders = AddRelayHeaders;
   result.mReadAnswer = ReadAnswerInfo;
   result.mAnswerHeaders = DropFraming;
+  result.mStateRequest = [] {
+    wire::http_request request;
+    request.mTarget = kTestStatePath;
+    return request;
+  };
+  result.mReadLeavesIn = [](const upstream_entry&, std::string_view aBody) {
+    return aBody.empty()
+             ? std::nullopt
+             : std::optional(std::chrono::milliseconds(ToUnsigned(aBody)));
+  };
+  result.mMoveRequest = MoveRequest;
+  result.mReadMoveReply = ReadMoveReply;
+  result.mFreeCopyRequest = FreeCopyRequest;
   return result;
 }
 
@@ -312,6 +375,16 @@
   mUpstreams.ApplyList(mEntries, list_completeness::Complete);
 }
 
+void
+forward_fixture::Reclaim(const std::string& aId)
+{
+  const auto found = std::ranges::find(
+    mEntries, aId, [](const auto& aEntry) { return aEntry.mId.mText; });
+  found->mPreemptible = true;
+  found->mDraining = true;
+  mUpstreams.ApplyList(mEntries, list_completeness::Complete);
+}
+
 void
 forward_fixture::RemoveEntry(const std::string& aId)
 {
--- a/src/sapphirespar/gateway/forward_fixture_test.hpp
+++ b/src/sapphirespar/gateway/forward_fixture_test.hpp
@@ -40,6 +40,7 @@
 inline constexpr std::string_view kTestDeadline = "Deadline";
 inline constexpr std::string_view kTestExpected = "Expected";
 inline constexpr std::string_view kTestTokens = "Tokens";
+inline constexpr std::string_view kTestOutputTokens = "Output-Tokens";
 // Identifiers of the prompt's parts, in decimal, with commas.
 inline constexpr std::string_view kTestParts = "Parts";
 inline constexpr std::string_view kTestLeaving = "Leaving";
@@ -48,6 +49,17 @@
 // In requests per second, an integer.
 inline constexpr std::string_view kTestRate = "Rate";
 
+// Names the copy from which a run goes on, as "ADDRESS:PORT/HANDLE".
+inline constexpr std::string_view kTestCopy = "Copy";
+// Path of the question when an engine is taken away, whose answer is the time
+// left in milliseconds.
+inline constexpr std::string_view kTestStatePath = "/state";
+// Path and header of the calls that move runs, whose replies have the handle as
+// their body; and the path of those that free a copy, without its handle.
+inline constexpr std::string_view kTestMovePath = "/move";
+inline constexpr std::string_view kTestStops = "Stops";
+inline constexpr std::string_view kTestFreePath = "/free/";
+
 // In requests per second, an integer.
 inline constexpr std::string_view kTestBrittle = "Brittle";
 
@@ -86,6 +98,9 @@
   // Changes the software version that an upstream names.
   void SetSoftware(const std::string& aId, std::string aSoftware);
 
+  // Lists an upstream as one that the platform has called back.
+  void Reclaim(const std::string& aId);
+
   // Removes an upstream from the pool.
   void RemoveEntry(const std::string& aId);
 
--- a/src/sapphirespar/gateway/forward_state.cpp
+++ b/src/sapphirespar/gateway/forward_state.cpp
@@ -26,12 +26,34 @@
       return "failed";
     case attempt_end::Broken:
       return "broken";
+    case attempt_end::Moved:
+      return "moved";
     case attempt_end::TimedOut:
       break;
   }
   return "silent";
 }
 
+std::string_view
+ToText(run_move_end aEnd)
+{
+  switch (aEnd) {
+    case run_move_end::NotSent:
+      return "not_sent";
+    case run_move_end::Copied:
+      return "copied";
+    case run_move_end::NoSuchRun:
+      return "no_such_run";
+    case run_move_end::Busy:
+      return "busy";
+    case run_move_end::NoRoom:
+      return "no_room";
+    case run_move_end::Unknown:
+      break;
+  }
+  return "unknown";
+}
+
 milliseconds
 LeftUntil(steady_time aTime)
 {
--- a/src/sapphirespar/gateway/forward_state.hpp
+++ b/src/sapphirespar/gateway/forward_state.hpp
@@ -13,6 +13,8 @@
 
 namespace sapphirespar::gateway {
 
+class run_move;
+
 // Timers may fire this much early.
 inline constexpr std::chrono::milliseconds kTimerTolerance{ 5 };
 
@@ -88,6 +90,8 @@
   bool mBegun = false;
   unsigned mStatus = 0;
   std::string mLastEventId;
+  // Events of the stream that were sent to the caller.
+  unsigned mEvents = 0;
   // The software version at which the stream began, and the only one at which
   // it goes on; see stream_versions. Unset while any version may answer.
   std::optional<std::uint64_t> mSoftware;
@@ -112,6 +116,8 @@
   Broken,
   // Like Broken, but because the route's timeout expired.
   TimedOut,
+  // The upstream stopped the run, which can go on elsewhere; see mMove.
+  Moved,
 };
 
 // Returns the name used in logs, such as "not_sent".
@@ -131,6 +137,8 @@
   upstream_ptr mStaleUpstream;
   // Unset if no answer arrived.
   std::optional<wire::body_framing> mFraming;
+  // Set after Moved only.
+  std::shared_ptr<run_move> mMove;
   // Bytes of a stream after its last complete event.
   std::size_t mUnfinishedBytes = 0;
   // Time since the upstream last sent bytes of the answer, or since the start.
@@ -174,6 +182,8 @@
   std::optional<silence_limits> mSilence;
   // Whether the attempt may be sent although its upstream limits its rate.
   send_permit mPermit = send_permit::NotNeeded;
+  // The run goes on from this copy; unset for a new run.
+  std::optional<run_copy> mCopy;
 };
 
 // An attempt in progress.
