Soak: upstreams that are taken away after a notice

They move their runs and lose some of the replies; no two upstreams may work on a run. The pool of a soak is one of engines now.

--- a/include/sapphirespar/soak/invariant_checker.hpp
+++ b/include/sapphirespar/soak/invariant_checker.hpp
@@ -50,6 +50,8 @@
   // Streams that callers took up again, and those of them that went on.
   unsigned mTakenUp = 0;
   unsigned mWentOn = 0;
+  // Runs that went on at another upstream.
+  unsigned mMoved = 0;
   unsigned mFaults = 0;
 };
 
--- a/include/sapphirespar/soak/soak_harness.hpp
+++ b/include/sapphirespar/soak/soak_harness.hpp
@@ -16,9 +16,11 @@
 #include <sys/types.h>
 
 #include <filesystem>
+#include <map>
 #include <memory>
 #include <random>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace sapphirespar::soak {
@@ -78,6 +80,19 @@
   BreaksOff,
   // Fails every second request, in the form of the route's answers.
   Fails,
+  // Is about to be taken away, streams slowly and moves its runs.
+  Reclaimed,
+};
+
+// A stream that an upstream sends: the request's id and the upstream's number.
+using soak_run = std::pair<std::string, unsigned>;
+
+// The copy of a run at another upstream.
+struct soak_copy
+{
+  unsigned mUpstream = 0;
+  // The run has stopped, and may go on from here.
+  bool mStopped = false;
 };
 
 // An upstream's server and the proxy between the gateways and the server.
@@ -94,6 +109,8 @@
   unsigned mRate = 0;
   // Requests that reached it while it fails some of them.
   unsigned mCount = 0;
+  // When it is taken away; only while it is reclaimed.
+  std::chrono::steady_clock::time_point mTakenAt{};
 };
 
 class soak_harness
@@ -141,7 +158,23 @@
                                            const wire::http_request& aRequest,
                                            wire::http_reply& aReply,
                                            upstream_state aState,
-                                           const std::string& aSoftware);
+                                           unsigned aNumber);
+
+  // Calls that are not requests of callers, at an upstream.
+  static bool IsEngineCall(const wire::http_request& aRequest);
+  asio::awaitable<void> HandleEngineCall(unsigned aNumber,
+                                         const wire::http_request& aRequest,
+                                         wire::http_reply& aReply);
+  asio::awaitable<void> MoveRun(unsigned aNumber,
+                                const wire::http_request& aRequest,
+                                wire::http_reply& aReply);
+  // Returns whether the request may go on from the copy that it names. Checks
+  // that no other upstream works on the run.
+  bool TakeCopy(unsigned aNumber,
+                const wire::http_request& aRequest,
+                const std::string& aId);
+  // Takes an upstream away after a notice. A new incarnation follows.
+  asio::awaitable<void> TakeAway(unsigned aNumber);
 
   // Half of the upstreams run another software version than the others.
   static std::string SoftwareOf(unsigned aNumber);
@@ -188,6 +221,10 @@
   duty_platform mDuties;
   wire::http_client mStoreClient;
   std::vector<soak_upstream> mUpstreams;
+  // Whether each stream in progress is to end without its end.
+  std::map<soak_run, bool> mRuns;
+  // By their handles.
+  std::map<std::string, soak_copy> mCopies;
   std::vector<std::unique_ptr<gateway_process>> mGateways;
   // Keys in the routing table; callers also go on using the removed ones.
   std::vector<std::string> mKeys;
--- a/programs/soak/main.cpp
+++ b/programs/soak/main.cpp
@@ -28,6 +28,7 @@
             << " requests=" << totals.mRequests << " served=" << totals.mServed
             << " refused=" << totals.mRefused << " lost=" << totals.mLost
             << " taken_up=" << totals.mTakenUp << " went_on=" << totals.mWentOn
+            << " moved=" << totals.mMoved
             << " reports=" << harness.Duties().Reports()
             << " broken=" << harness.Checker().Violations().size() << std::endl;
   for (const auto& line : harness.Checker().Violations()) {
--- a/src/sapphirespar/soak/soak_store.cpp
+++ b/src/sapphirespar/soak/soak_store.cpp
@@ -69,7 +69,11 @@
                                    MakeRoute("/safe/", "idempotent", false),
                                    MakeRoute("/stream/", "streaming", false),
                                    MakeRoute("/resume/", "streaming", true) };
-  routing["services"] = json::array{ json::object{ { "name", "pool" } } };
+  const json::object engine{ { "slots", 64 },
+                             { "kv_capacity", 1'000'000 },
+                             { "moves", true } };
+  routing["services"] =
+    json::array{ json::object{ { "name", "pool" }, { "runtime", engine } } };
   routing["tenants"] = std::move(accounts);
   std::string object = "/objects/config/main";
   const auto revision = co_await RevisionOf(object);
@@ -97,7 +101,10 @@
     "127.0.0.1:" + std::to_string(mUpstreams[aNumber].mPath->Port());
   entry["zone"] = "here";
   entry["slots"] = 16;
-  entry["state"] = "ready";
+  const bool reclaimed =
+    mUpstreams[aNumber].mState == upstream_state::Reclaimed;
+  entry["state"] = reclaimed ? "draining" : "ready";
+  entry["preemptible"] = true;
   entry["born"] = mUpstreams[aNumber].mBorn;
   entry["version"] = SoftwareOf(aNumber);
   json::object body;
--- a/src/sapphirespar/soak/soak_upstreams.cpp
+++ b/src/sapphirespar/soak/soak_upstreams.cpp
@@ -54,6 +54,26 @@
   }
 }
 
+// Lists a stream while it is in progress.
+class run_entry
+{
+public:
+  run_entry(std::map<soak_run, bool>& aRuns, soak_run aRun)
+    : mRuns(aRuns)
+    , mEntry(aRuns.insert_or_assign(std::move(aRun), false).first)
+  {
+  }
+  ~run_entry() { mRuns.erase(mEntry); }
+  run_entry(const run_entry&) = delete;
+  run_entry& operator=(const run_entry&) = delete;
+
+  bool Stops() const { return mEntry->second; }
+
+private:
+  std::map<soak_run, bool>& mRuns;
+  std::map<soak_run, bool>::iterator mEntry;
+};
+
 // Answers with a failure, which on streams looks like the rest of one.
 asio::awaitable<void>
 Fail(wire::http_headers aHeaders,
@@ -82,6 +102,10 @@
   const std::string id(aRequest.Header("X-Request-Id"));
   auto& upstream = mUpstreams[aNumber];
   const auto state = upstream.mState;
+  if (state != upstream_state::Closes && IsEngineCall(aRequest)) {
+    co_await HandleEngineCall(aNumber, aRequest, aReply);
+    co_return;
+  }
   mChecker.RecordArrival(id, aNumber);
   wire::http_headers headers{ { "X-Request-Id", id },
                               { "X-Upstream-Signature", "made-" + id },
@@ -90,7 +114,9 @@
     co_return;
   }
   const bool turnsAway = state == upstream_state::TurnsAway;
-  if (turnsAway || state == upstream_state::Refuses) {
+  const bool goesOn = !aRequest.Header("Kv-From").empty();
+  const bool hasNoCopy = goesOn && !TakeCopy(aNumber, aRequest, id);
+  if (turnsAway || state == upstream_state::Refuses || hasNoCopy) {
     headers.push_back({ "X-Not-Executed", "1" });
     if (turnsAway) {
       headers.push_back({ "Retry-After", ToSeconds(upstream.mRetryAfter) });
@@ -107,7 +133,9 @@
     headers.push_back({ "Server-Limit", std::to_string(upstream.mRate) });
     mChecker.RecordNamedRate(id, aNumber, upstream.mRate);
   }
-  mChecker.RecordRun(id, std::string(aRequest.Header("X-Tenant")));
+  if (!goesOn) {
+    mChecker.RecordRun(id, std::string(aRequest.Header("X-Tenant")));
+  }
   if (state == upstream_state::Fails && ++upstream.mCount % 2 == 0) {
     co_await Fail(std::move(headers), aRequest, aReply, upstream.mCount);
     co_return;
@@ -121,7 +149,7 @@
     co_return;
   }
   co_await RunUpstreamRequest(
-    std::move(headers), aRequest, aReply, state, SoftwareOf(aNumber));
+    std::move(headers), aRequest, aReply, state, aNumber);
 }
 
 asio::awaitable<void>
@@ -129,9 +157,10 @@
                                  const wire::http_request& aRequest,
                                  wire::http_reply& aReply,
                                  upstream_state aState,
-                                 const std::string& aSoftware)
+                                 unsigned aNumber)
 {
   constexpr milliseconds kEventInterval{ 25 };
+  constexpr milliseconds kSlowInterval{ 400 };
   constexpr milliseconds kSilence{ 1000 };
   constexpr int kSilentAfter = 2;
   const bool silent = aState == upstream_state::Silent;
@@ -153,18 +182,23 @@
   const int from = last.empty() ? 1 : std::stoi(last) + 1;
   const std::string resumed(aRequest.Header("Resumes"));
   const bool resumable = aRequest.mTarget.starts_with("/resume/");
+  const bool slow = aState == upstream_state::Reclaimed;
+  const run_entry entry(mRuns, { id, aNumber });
   bool connected = co_await aReply.Begin(200, std::move(aHeaders));
   for (int number = from; connected && number <= kStreamEvents; ++number) {
+    if (entry.Stops()) {
+      co_return;
+    }
     if (aState == upstream_state::BreaksOff && number > kSilentAfter) {
       co_return;
     }
     auto event = ExpectedEvent(resumed.empty() ? id : resumed, number);
     if (resumable) {
-      event = WithSoftware(event, aSoftware);
+      event = WithSoftware(event, SoftwareOf(aNumber));
     }
     connected = co_await aReply.Write(event);
-    timer.expires_after(silent && number == kSilentAfter ? kSilence
-                                                         : kEventInterval);
+    const auto interval = slow ? kSlowInterval : kEventInterval;
+    timer.expires_after(silent && number == kSilentAfter ? kSilence : interval);
     co_await timer.async_wait(asio::use_awaitable);
   }
   if (connected) {
@@ -185,6 +219,10 @@
   if (upstream.mState != upstream_state::Ready) {
     co_return;
   }
+  if (aState == upstream_state::Reclaimed) {
+    co_await TakeAway(aNumber);
+    co_return;
+  }
   upstream.mRetryAfter = milliseconds(300 + Draw(3000));
   upstream.mRate = Draw(4);
   upstream.mState = aState;
--- a/src/sapphirespar/soak/soak_workload.cpp
+++ b/src/sapphirespar/soak/soak_workload.cpp
@@ -247,7 +247,7 @@
   auto& gateway = *mGateways[gatewayNumber];
   const auto fault = kLinkFaults[Draw(kLinkFaults.size())];
   const milliseconds duration(200 + Draw(2500));
-  switch (Draw(13)) {
+  switch (Draw(15)) {
     case 0:
       co_await Restart(gatewayNumber, SIGKILL);
       break;
@@ -262,6 +262,10 @@
     case 12:
       co_await SilenceDuties();
       break;
+    case 13:
+    case 14:
+      co_await ChangeUpstream(upstreamNumber, upstream_state::Reclaimed);
+      break;
     case 3:
       Signal(gateway, SIGHUP);
       break;
