--- a/src/sapphirespar/gateway/forward.cpp
+++ b/src/sapphirespar/gateway/forward.cpp
@@ -169,13 +169,7 @@
         mFailureMemory = std::move(result->mFailureMemory);
       }
       EndWith(result->mEnd, result->mStatus);
-      if (result->mMove && GoOnFromCopy(*result->mMove)) {
-        continue;
-      }
-      if (mRace.Running() > 0) {
-        if (result->mEnd == attempt_end::NotSent) {
-          TryBeside(result->mEnd);
-        }
+      if (GoesOnAfter(*result)) {
         continue;
       }
       if (!MayTryAgain(result->mEnd)) {
@@ -274,6 +268,19 @@
     mRace.Start(std::move(aTarget), shared_from_this());
   }
 
+  // Whether the request goes on without a retry: from a copy, or by another
+  // attempt.
+  bool GoesOnAfter(const attempt_result& aResult)
+  {
+    if (aResult.mMove && GoOnFromCopy(*aResult.mMove)) {
+      return true;
+    }
+    if (mRace.Running() > 0 && aResult.mEnd == attempt_end::NotSent) {
+      TryBeside(aResult.mEnd);
+    }
+    return mRace.Running() > 0;
+  }
+
   // Goes on with a run that was stopped where its memory was copied to, unless
   // another attempt answers.
   bool GoOnFromCopy(run_move& aMove)
