Let the test of replaced upstreams lose them soon after an order

The second loss came so late that the order was repeated in any case, so the test passed without what it guards. With 1 s between, it fails when upstreams that are gone are not ordered again at once.

--- a/src/sapphirespar/duties/capacity_controller_test.cpp
+++ b/src/sapphirespar/duties/capacity_controller_test.cpp
@@ -236,7 +236,7 @@
 TEST_F(capacity_controller_test, WhatIsTakenAwayIsReplacedAtOnce)
 {
   mNeeded = 40;
-  for (const auto settled : { 15s, 9s }) {
+  for (const auto settled : { 15s, 1s }) {
     mTimers.Advance(settled);
     mCloud.mRunning[{ { "b" }, true }] = 0;
     mTimers.Advance(kStart + 2s);
