--- a/include/sapphirespar/model/routing.hpp
+++ b/include/sapphirespar/model/routing.hpp
@@ -146,8 +146,8 @@
   // The platform may take the upstream away with all others of its data centre
   // that are preemptible.
   bool mPreemptible = false;
-  // The last list that was read lacked the upstream, which may have to write
-  // its entry again.
+  // The last list of the store lacked the upstream. It is kept for a while, as
+  // its entry may have expired in an outage and be written again.
   bool mMissing = false;
 
   bool operator==(const upstream_entry&) const = default;
--- a/src/sapphirespar/duties/capacity_controller.cpp
+++ b/src/sapphirespar/duties/capacity_controller.cpp
@@ -71,7 +71,7 @@
     // later, unless it has seen a higher one by then.
     fencing_token mUnanswered = 0;
     bool mInProgress = false;
-    // The most upstreams that have been listed since.
+    // The most upstreams that have been listed since the order was sent.
     unsigned mMostPresent = 0;
     // Since when fewer are listed than ordered; the epoch if all are.
     steady_time mShortSince{};
--- a/src/sapphirespar/gateway/forward_attempt.cpp
+++ b/src/sapphirespar/gateway/forward_attempt.cpp
@@ -2,7 +2,7 @@
 #include "attempt_ending.hpp"
 #include "attempt_learning.hpp"
 #include "forward_state.hpp"
-#include "stream_moving.hpp"
+#include "stream_mover.hpp"
 #include "stream_takeover.hpp"
 
 #include "sapphirespar/base/log.hpp"
@@ -29,7 +29,7 @@
     , mReply(aReply)
     , mClaim(aClaim)
     , mLearning(aServices, aForwarded, mTarget)
-    , mMoving(aServices, aForwarded, aAttempt, aProgress)
+    , mMover(aServices, aForwarded, aAttempt, aProgress)
     , mMemory(std::make_shared<memory_claim>(aServices.mAnswerMemory))
   {
   }
@@ -247,7 +247,7 @@
     while (true) {
       auto piece = co_await ReadPiece();
       if (!piece) {
-        auto move = co_await mMoving.FindMove();
+        auto move = co_await mMover.FindMove();
         co_return move ? EndMoved(std::move(move)) : AnswerLost(piece.error());
       }
       if (mAttempt.mSuperseded) {
@@ -267,7 +267,7 @@
         mStream->Finished() && mStream->Framing() == wire::body_framing::Close;
       run_move_ptr move;
       if (closed) {
-        move = co_await mMoving.FindMove();
+        move = co_await mMover.FindMove();
       }
       const bool finished = mStream->Finished() && !move;
       const bool cut =
@@ -306,7 +306,7 @@
       if (move) {
         co_return EndMoved(std::move(move));
       }
-      mMoving.OnEvents(co_await asio::this_coro::executor);
+      mMover.OnEvents(co_await asio::this_coro::executor);
       if (finished) {
         mUpstream.mHealth.AddResult(cut, steady_clock::now());
         if (cut) {
@@ -323,7 +323,7 @@
   {
     const bool closed = mStream->Framing() == wire::body_framing::Close;
     return mSplitter.InsideEvent() ||
-           (closed && (aWithoutEvents || mMoving.MayHaveStopped()));
+           (closed && (aWithoutEvents || mMover.MayHaveStopped()));
   }
 
   // Records at which software version the stream begins, so that it goes on
@@ -372,7 +372,7 @@
   wire::http_reply& mReply;
   const claim_hook& mClaim;
   attempt_learning mLearning;
-  stream_moving mMoving;
+  stream_mover mMover;
   // The bytes of the answer that wait to be sent to the caller.
   std::shared_ptr<memory_claim> mMemory;
   // The first event with data has arrived.
--- a/src/sapphirespar/gateway/stream_moving.cpp
+++ b/src/sapphirespar/gateway/stream_mover.cpp
@@ -1,9 +1,10 @@
 // Decides for one stream when to move its run, and where.
-#include "stream_moving.hpp"
+#include "stream_mover.hpp"
 
 #include "leave_time.hpp"
 #include "placement.hpp"
 
+#include "sapphirespar/base/log.hpp"
 #include "sapphirespar/policy/leaving_stream.hpp"
 
 #include <algorithm>
@@ -21,7 +22,7 @@
 
 } // namespace
 
-stream_moving::~stream_moving()
+stream_mover::~stream_mover()
 {
   if (mMove) {
     mMove->Abandon();
@@ -29,14 +30,14 @@
 }
 
 bool
-stream_moving::IsPossible() const
+stream_mover::IsPossible() const
 {
   return mAttempt.mTarget.mUpstream->IsReclaimed() && mForwarded.mEngine &&
          mForwarded.mEngine->mMovesRuns && !mProgress.mLastEventId.empty();
 }
 
 bool
-stream_moving::IsNeeded() const
+stream_mover::IsNeeded() const
 {
   const auto& upstream = *mAttempt.mTarget.mUpstream;
   if (!upstream.mLeavesAt) {
@@ -60,7 +61,7 @@
 }
 
 std::optional<attempt_target>
-stream_moving::ChooseTarget() const
+stream_mover::ChooseTarget() const
 {
   auto excluded = mTried;
   excluded.push_back(mAttempt.mTarget.mUpstream);
@@ -77,7 +78,7 @@
 }
 
 void
-stream_moving::OnEvents(const asio::any_io_executor& aExecutor)
+stream_mover::OnEvents(const asio::any_io_executor& aExecutor)
 {
   if (!IsPossible()) {
     return;
@@ -92,8 +93,16 @@
   mNextMoveAt = now + kPause;
   auto target = ChooseTarget();
   // The request that goes on counts as a further one at the pool.
-  if (!target || !mServices.mRetries.TryTake(
-                   mForwarded.mPool, mServices.mGateways(), now)) {
+  const bool mayMove =
+    target &&
+    mServices.mRetries.TryTake(mForwarded.mPool, mServices.mGateways(), now);
+  if (!mayMove) {
+    LogEvent(log_level::Info,
+             "run_not_moved",
+             { { "request", mForwarded.mInfo.mId },
+               { "source", mAttempt.mTarget.mUpstream->mEntry.mId.mText },
+               { "cause", target ? "no_retry_left" : "no_target" },
+               { "events_sent", mProgress.mEvents } });
     return;
   }
   mTried.push_back(target->mUpstream);
@@ -107,7 +116,7 @@
 }
 
 asio::awaitable<run_move_ptr>
-stream_moving::FindMove()
+stream_mover::FindMove()
 {
   if (!MayHaveStopped()) {
     co_return nullptr;
--- a/src/sapphirespar/gateway/stream_moving.hpp
+++ b/src/sapphirespar/gateway/stream_mover.hpp
@@ -8,23 +8,23 @@
 
 namespace sapphirespar::gateway {
 
-class stream_moving
+class stream_mover
 {
 public:
   // One for each attempt. All references must outlive this object.
-  stream_moving(const forward_services& aServices,
-                const forwarded_request& aForwarded,
-                const running_attempt& aAttempt,
-                const relay_progress& aProgress)
+  stream_mover(const forward_services& aServices,
+               const forwarded_request& aForwarded,
+               const running_attempt& aAttempt,
+               const relay_progress& aProgress)
     : mServices(aServices)
     , mForwarded(aForwarded)
     , mAttempt(aAttempt)
     , mProgress(aProgress)
   {
   }
-  ~stream_moving();
-  stream_moving(const stream_moving&) = delete;
-  stream_moving& operator=(const stream_moving&) = delete;
+  ~stream_mover();
+  stream_mover(const stream_mover&) = delete;
+  stream_mover& operator=(const stream_mover&) = delete;
 
   // Called when events have been sent to the caller. Begins a move if the
   // stream would be cut off otherwise.
@@ -51,7 +51,7 @@
   const relay_progress& mProgress;
   // The latest move; null before the first one.
   run_move_ptr mMove;
-  // The engines where the run could not go.
+  // The engines to which a move was begun.
   std::vector<upstream_ptr> mTried;
   steady_time mNextMoveAt{};
 };
