--- a/review/stand-in-2/deployment.cpp
+++ b/review/stand-in-2/deployment.cpp
@@ -195,6 +195,22 @@
   return { 200, Text(name, object) };
 }
 
+store_path::store_path(store& aStore)
+  : mStore(aStore)
+  , mServer(std::make_unique<http_server>(
+      address{},
+      [this](const http_call& aCall, connection& aConnection) {
+        constexpr milliseconds kStep{ 20 };
+        bool wasCut = false;
+        while (mCut) {
+          wasCut = true;
+          std::this_thread::sleep_for(kStep);
+        }
+        return !wasCut && mStore.Serve(aCall, aConnection);
+      }))
+{
+}
+
 gateway::gateway(const std::string& aSubnet,
                  unsigned aNumber,
                  const std::string& aDirectory)
@@ -352,6 +368,7 @@
   const auto subnet = "127." + std::to_string(20 + process % kNetworks) + "." +
                       std::to_string(1 + process / kNetworks % kNetworks) + ".";
   for (unsigned number = 1; number <= aGateways; ++number) {
+    mPaths.push_back(std::make_unique<store_path>(mStore));
     mGateways.push_back(std::make_unique<gateway>(subnet, number, mDirectory));
   }
 }
@@ -379,9 +396,10 @@
       seeds.push_back(gateway->Seed());
     }
   }
-  for (const auto& gateway : mGateways) {
-    gateway->WriteSettings(mStore.Address().Text(), seeds, aFirstStart);
-    gateway->Start(mProgram);
+  for (std::size_t index = 0; index < mGateways.size(); ++index) {
+    auto& gateway = *mGateways[index];
+    gateway.WriteSettings(Path(index).Address().Text(), seeds, aFirstStart);
+    gateway.Start(mProgram);
   }
 }
 
--- a/review/stand-in-2/deployment.hpp
+++ b/review/stand-in-2/deployment.hpp
@@ -45,6 +45,8 @@
            const std::string& aName,
            const std::string& aValue);
   void Remove(const std::string& aKind, const std::string& aName);
+  // Answers a call that came in on aConnection.
+  bool Serve(const http_call& aCall, connection& aConnection);
 
 private:
   struct object
@@ -53,7 +55,6 @@
     std::string mValue;
   };
 
-  bool Serve(const http_call& aCall, connection& aConnection);
   std::pair<int, std::string> Answer(const http_call& aCall);
   std::pair<int, std::string> Write(const http_call& aCall,
                                     const std::string& aKind,
@@ -66,6 +67,22 @@
   std::unique_ptr<http_server> mServer;
 };
 
+// A machine's path to the store, which can be cut off.
+class store_path
+{
+public:
+  explicit store_path(store& aStore);
+
+  const address& Address() const { return mServer->Address(); }
+  // While cut off, calls get no answer.
+  void SetCut(bool aCut) { mCut = aCut; }
+
+private:
+  store& mStore;
+  std::atomic<bool> mCut{ false };
+  std::unique_ptr<http_server> mServer;
+};
+
 // One gateway: its settings and its process.
 class gateway
 {
@@ -116,6 +133,7 @@
   fleet& operator=(const fleet&) = delete;
 
   store& Store() { return mStore; }
+  store_path& Path(std::size_t aGateway) { return *mPaths.at(aGateway); }
   std::vector<std::unique_ptr<gateway>>& Gateways() { return mGateways; }
   // Starts all gateways and waits until they are ready. Returns whether they
   // are.
@@ -130,6 +148,7 @@
   std::string mProgram;
   std::string mDirectory;
   store mStore;
+  std::vector<std::unique_ptr<store_path>> mPaths;
   std::vector<std::unique_ptr<gateway>> mGateways;
 };
 
