Review case 10: a kill of all gateways forgets crashing parts

Quarantines live in memory only, so that a fleet that was killed as a whole lets the part crash servers again after it is back in touch. The servers and callers of case 6 move to the shared stand-ins.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -13,5 +13,5 @@
   [ -f "$source" ] || continue
   name=$(basename "$source" .cpp)
   "${CXX:-g++}" "$out/$name.o" "$out/http.o" "$out/deployment.o" \
-    "$out/talk.o" -lboost_json -lpthread -o "$out/$name"
+    "$out/talk.o" "$out/crashing_part.o" -lboost_json -lpthread -o "$out/$name"
 done
