--- a/review/10/part_after_restart.cpp
+++ b/review/10/part_after_restart.cpp
@@ -2,6 +2,7 @@
 // their processes are killed at once, and the part comes again.
 #include "../stand-in-2/crashing_part.hpp"
 
+#include <string>
 #include <thread>
 
 namespace {
@@ -32,7 +33,9 @@
 {
   // A crash at the end of the head is noticed.
   crashing_part scene(
-    aRecord, kServers, [](std::size_t aHead) { return aHead; });
+    aRecord, kServers, [](const std::string& aHead, const std::string&) {
+      return aHead;
+    });
   if (!scene.Start()) {
     return kNotRun;
   }
--- a/review/stand-in-2/crashing_part.cpp
+++ b/review/stand-in-2/crashing_part.cpp
@@ -21,7 +21,7 @@
 
 crashing_part::crashing_part(record& aRecord,
                              unsigned aServers,
-                             std::function<std::size_t(std::size_t)> aWritten)
+                             written_hook aWritten)
   : mRecord(aRecord)
   , mWritten(std::move(aWritten))
 {
@@ -65,7 +65,7 @@
   mRecord.Add(server.Id() + " begins to answer " +
               HeaderOf(aCall.mHeaders, "x-request-id") + " with the part" +
               (late ? ", late" : ""));
-  aConnection.Write(aHead.substr(0, mWritten(aHead.size())));
+  aConnection.Write(mWritten(aHead, EventChunk(1, "v1")));
   if (server.IsUp()) {
     server.Crash();
     server.ReturnAfter(kDownTime);
--- a/review/stand-in-2/crashing_part.hpp
+++ b/review/stand-in-2/crashing_part.hpp
@@ -5,9 +5,9 @@
 #include "talk.hpp"
 
 #include <atomic>
-#include <cstddef>
 #include <functional>
 #include <memory>
+#include <string>
 #include <vector>
 
 namespace review {
@@ -20,11 +20,12 @@
   static constexpr int kCrashesToLearn = 5;
   static constexpr int kMostLate = 3;
 
-  // aWritten: how many bytes of the head of an answer, which has this length, a
-  // server writes before it ends.
-  crashing_part(record& aRecord,
-                unsigned aServers,
-                std::function<std::size_t(std::size_t)> aWritten);
+  using written_hook = std::function<std::string(const std::string& aHead,
+                                                 const std::string& aEvent)>;
+
+  // aWritten: what a server writes of an answer's head and first event before
+  // it ends.
+  crashing_part(record& aRecord, unsigned aServers, written_hook aWritten);
 
   fleet& Fleet() { return mFleet; }
   // Starts the gateways and waits until they are in touch.
@@ -44,7 +45,7 @@
                const std::string& aHead);
 
   record& mRecord;
-  const std::function<std::size_t(std::size_t)> mWritten;
+  const written_hook mWritten;
   fleet mFleet{ 3 };
   std::vector<std::unique_ptr<talk_server>> mServers;
   std::atomic<int> mCrashes{ 0 };
--- a/review/stand-in-2/talk.cpp
+++ b/review/stand-in-2/talk.cpp
@@ -18,6 +18,12 @@
 
 } // namespace
 
+std::string
+EventChunk(int aId, const std::string& aData)
+{
+  return ToChunk("id: " + std::to_string(aId) + "\ndata: " + aData + "\n\n");
+}
+
 std::string
 TalkConfig()
 {
@@ -147,9 +153,7 @@
               " from event " + std::to_string(first));
   bool open = aConnection.Write(head);
   for (int event = first; open && event <= mSettings.mEvents; ++event) {
-    open = mUp &&
-           aConnection.Write(ToChunk("id: " + std::to_string(event) +
-                                     "\ndata: " + mSettings.mVersion + "\n\n"));
+    open = mUp && aConnection.Write(EventChunk(event, mSettings.mVersion));
     std::this_thread::sleep_for(mSettings.mGap);
   }
   return open && aConnection.Write("0\r\n\r\n");
--- a/review/stand-in-2/talk.hpp
+++ b/review/stand-in-2/talk.hpp
@@ -27,6 +27,9 @@
   milliseconds mGap{ 10 };
 };
 
+// An event of a stream as a chunk of its answer.
+std::string EventChunk(int aId, const std::string& aData);
+
 class talk_server
 {
 public:
