--- a/review/stand-in-2/http.cpp
+++ b/review/stand-in-2/http.cpp
@@ -432,6 +432,22 @@
   }).detach();
 }
 
+bool
+http_server::TryRestart()
+{
+  constexpr int kTries = 50;
+  constexpr milliseconds kPause{ 100 };
+  for (int tries = 0; tries < kTries; ++tries) {
+    try {
+      Restart();
+      return true;
+    } catch (const std::runtime_error&) {
+      std::this_thread::sleep_for(kPause);
+    }
+  }
+  return false;
+}
+
 void
 http_server::Crash()
 {
--- a/review/stand-in-2/http.hpp
+++ b/review/stand-in-2/http.hpp
@@ -113,11 +113,15 @@
   const address& Address() const { return mAddress; }
   // Stops listening and breaks all connections, as a process that ends does.
   void Crash();
-  // Listens again on the same address.
-  void Restart();
+  // Listens again on the same address, which may take a while. Returns whether
+  // it does.
+  bool TryRestart();
 
 private:
   struct state;
+
+  void Restart();
+
   address mAddress;
   std::shared_ptr<state> mState;
 };
--- a/review/stand-in-2/talk.cpp
+++ b/review/stand-in-2/talk.cpp
@@ -111,7 +111,10 @@
 {
   std::thread([this, aTime] {
     std::this_thread::sleep_for(aTime);
-    mServer->Restart();
+    if (!mServer->TryRestart()) {
+      mRecord.Add(mSettings.mId + " can't listen again");
+      return;
+    }
     mUp = true;
     List(mListedVersion);
     mRecord.Add(mSettings.mId + " is back");
