--- a/review/10/reader_returns.cpp
+++ b/review/10/reader_returns.cpp
@@ -16,7 +16,7 @@
 constexpr int kServers = 3;
 constexpr milliseconds kContact{ 3000 };
 constexpr milliseconds kDrain{ 2000 };
-constexpr milliseconds kCutTime{ 6000 };
+constexpr milliseconds kCutTime{ 5000 };
 constexpr milliseconds kAfterReturn{ 50 };
 constexpr milliseconds kServesOn{ 6000 };
 constexpr milliseconds kBetweenRequests{ 25 };
